--- /dev/null
+++ b/Meta/Figlift.cmake
@@ -0,0 +1,64 @@
+# Build rules that every folder of the workspace shares.
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE Release CACHE STRING "" FORCE)
+endif()
+set(CMAKE_CXX_FLAGS_RELEASE "-O2 -g1")
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(cpprestsdk REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Protobuf REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+
+add_library(FigliftOptions INTERFACE)
+target_include_directories(FigliftOptions INTERFACE
+  ${PROJECT_SOURCE_DIR}/Libraries ${PROJECT_SOURCE_DIR}/Tests)
+# cpprestsdk's macro U breaks Boost.Outcome and fmt, so it is turned off.
+target_compile_definitions(FigliftOptions INTERFACE
+  _TURN_OFF_PLATFORM_STRING _GNU_SOURCE)
+target_compile_options(FigliftOptions INTERFACE -Wall -Wextra)
+target_link_libraries(FigliftOptions INTERFACE Threads::Threads)
+
+# figlift_library(LibX [targets it is built on...]): all sources of the folder.
+function(figlift_library Name)
+  file(GLOB Sources CONFIGURE_DEPENDS *.cpp *.cc)
+  if(Sources)
+    add_library(${Name} STATIC ${Sources})
+    target_link_libraries(${Name} PUBLIC FigliftOptions ${ARGN})
+  else()
+    add_library(${Name} INTERFACE)
+    target_link_libraries(${Name} INTERFACE FigliftOptions ${ARGN})
+  endif()
+endfunction()
+
+# figlift_program(name [targets...]): an installed binary of this folder.
+function(figlift_program Name)
+  file(GLOB Sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${Name} ${Sources})
+  target_link_libraries(${Name} PRIVATE FigliftOptions ${ARGN})
+  install(TARGETS ${Name} RUNTIME DESTINATION bin)
+endfunction()
+
+# figlift_test(Folder [targets...]): one ctest entry from all Test*.cpp of the
+# folder and the shared main program.
+function(figlift_test Name)
+  file(GLOB Sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${Name} ${Sources} ${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp)
+  target_link_libraries(${Name} PRIVATE FigliftOptions ${ARGN} PkgConfig::CPPUTEST)
+  add_test(NAME ${Name} COMMAND ${Name})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT 120)
+endfunction()
