--- a/Libraries/LibCore/Result.h
+++ b/Libraries/LibCore/Result.h
@@ -46,5 +46,6 @@
 
 } // namespace figlift
 
-/// Evaluates a Result<void>-like expression and returns its error early.
+/// Returns the error of a failed Result early: FIGLIFT_TRY(Expression), or
+/// FIGLIFT_TRY(Name, Expression) to bind the value to a new Name (no `auto`).
 #define FIGLIFT_TRY(...) BOOST_OUTCOME_TRY(__VA_ARGS__)
