--- /dev/null
+++ b/Tests/Support/Caller.cpp
@@ -0,0 +1,159 @@
+//===- Caller.cpp - A caller of figlift in tests --------------------------===//
+//
+// Built on cpprestsdk's client; server-sent events are read line by line.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Support/Caller.h"
+
+#include "LibCore/Ids.h"
+
+#include <cpprest/http_client.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <cstdio>
+#include <sstream>
+#include <strings.h>
+
+using namespace figlift::test;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view DataPrefix = "data: ";
+constexpr size_t ReadSize = 16384;
+
+/// Payloads of the server-sent events in \p Body.
+std::vector<std::string> eventPayloads(const std::string &Body) {
+  std::vector<std::string> Payloads;
+  std::istringstream Lines(Body);
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (!Line.empty() && Line.back() == '\r')
+      Line.pop_back();
+    if (Line.starts_with(DataPrefix))
+      Payloads.push_back(Line.substr(DataPrefix.size()));
+  }
+  return Payloads;
+}
+
+std::string chunkText(const json &Choice) {
+  if (auto Text = Choice.find("text"); Text != Choice.end())
+    return Text->get<std::string>();
+  if (auto Delta = Choice.find("delta"); Delta != Choice.end())
+    return Delta->value("content", "");
+  return {};
+}
+
+json parsedBody(const std::string &Body) {
+  return json::parse(Body, nullptr, /*allow_exceptions=*/false);
+}
+
+void readBody(web::http::http_response &Response, Answer &Result,
+              const std::function<void(size_t)> &OnBytes) {
+  auto Source = Response.body();
+  while (true) {
+    concurrency::streams::container_buffer<std::string> Buffer;
+    size_t Count = Source.read(Buffer, ReadSize).get();
+    if (Count == 0)
+      break;
+    Result.Body += Buffer.collection();
+    if (OnBytes)
+      OnBytes(Result.Body.size());
+  }
+  Result.Whole = true;
+}
+
+} // namespace
+
+bool CaseInsensitiveLess::operator()(const std::string &Left,
+                                     const std::string &Right) const {
+  return strcasecmp(Left.c_str(), Right.c_str()) < 0;
+}
+
+std::string Answer::streamedText() const {
+  std::string Text;
+  for (const std::string &Payload : eventPayloads(Body)) {
+    json Chunk = parsedBody(Payload);
+    if (!Chunk.is_object() || !Chunk.contains("choices"))
+      continue;
+    for (const json &Choice : Chunk["choices"])
+      Text += chunkText(Choice);
+  }
+  return Text;
+}
+
+bool Answer::streamedToTheEnd() const {
+  auto Payloads = eventPayloads(Body);
+  return Whole && !Payloads.empty() && Payloads.back() == "[DONE]";
+}
+
+int Answer::resultCode() const {
+  json Problem = parsedBody(Body);
+  return Problem.is_object() ? Problem.value("code", 0) : 0;
+}
+
+std::string Answer::executed() const {
+  json Problem = parsedBody(Body);
+  return Problem.is_object() ? Problem.value("executed", "") : "";
+}
+
+Answer figlift::test::call(const std::string &Address,
+                           const std::string &Method, const std::string &Path,
+                           const std::string &Body, const Headers &Extra,
+                           std::chrono::milliseconds Limit,
+                           const std::function<void(size_t)> &OnBytes) {
+  Answer Result;
+  auto Begin = std::chrono::steady_clock::now();
+  try {
+    web::http::client::http_client_config Config;
+    Config.set_timeout(Limit);
+    web::http::client::http_client Client("http://" + Address, Config);
+    web::http::http_request Request(Method);
+    Request.set_request_uri(Path);
+    for (const auto &[Name, Value] : Extra)
+      Request.headers().add(Name, Value);
+    if (!Body.empty())
+      Request.set_body(Body, "application/json");
+    web::http::http_response Response = Client.request(Request).get();
+    Result.Status = Response.status_code();
+    for (const auto &[Name, Value] : Response.headers())
+      Result.Fields[Name] = Value;
+    readBody(Response, Result, OnBytes);
+  } catch (const std::exception &) {
+    // A broken connection is an outcome that tests look at, not an error.
+    Result.Whole = false;
+  }
+  Result.Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - Begin);
+  return Result;
+}
+
+std::string figlift::test::completionBody(const std::string &Model,
+                                          const std::string &Prompt,
+                                          unsigned MaximumTokens, bool Stream) {
+  return json{{"model", Model},
+              {"prompt", Prompt},
+              {"max_tokens", MaximumTokens},
+              {"stream", Stream}}
+      .dump();
+}
+
+std::string figlift::test::freshKey() {
+  static UuidGenerator Generator;
+  return Generator.nextText();
+}
+
+std::string figlift::test::expectedText(std::string_view Prompt,
+                                        unsigned Tokens) {
+  constexpr uint64_t TokenMask = 0xffff;
+  std::string Text;
+  for (unsigned Index = 0; Index < Tokens; ++Index) {
+    uint64_t Hash = XXH64(Prompt.data(), Prompt.size(), Index) & TokenMask;
+    char Token[16];
+    std::snprintf(Token, sizeof(Token), " w%llx",
+                  static_cast<unsigned long long>(Hash));
+    Text += Token;
+  }
+  return Text;
+}
--- /dev/null
+++ b/Tests/Support/ChildProcess.h
@@ -0,0 +1,58 @@
+//===- ChildProcess.h - A real process under test ---------------*- C++ -*-===//
+//
+// Starts one program, waits for its ready line and sends it signals by its own
+// process id. A child never outlives the test that started it.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace figlift::test {
+
+class ChildProcess {
+public:
+  ChildProcess() = default;
+  ChildProcess(ChildProcess &&Other) noexcept;
+  ChildProcess &operator=(ChildProcess &&Other) noexcept;
+  ChildProcess(const ChildProcess &) = delete;
+  ChildProcess &operator=(const ChildProcess &) = delete;
+  /// Kills the child when it still runs.
+  ~ChildProcess();
+
+  /// Starts \p Program (a path below the build folder) with standard output
+  /// and error going to \p LogFile.
+  static ChildProcess start(const std::string &Program,
+                            std::vector<std::string> Arguments,
+                            const std::string &LogFile);
+
+  /// Waits until the log holds \p Text; false after \p Limit or when the child
+  /// has ended.
+  bool waitForOutput(const std::string &Text, std::chrono::milliseconds Limit);
+  std::string output() const;
+
+  void kill() { signal(9); }
+  void terminate() { signal(15); }
+  /// SIGSTOP and SIGCONT.
+  void pause();
+  void resume();
+
+  bool running();
+  /// Exit code (negative: the signal that ended it); empty after \p Limit.
+  std::optional<int> waitForExit(std::chrono::milliseconds Limit);
+  pid_t pid() const { return m_Pid; }
+
+private:
+  void signal(int Number);
+
+  pid_t m_Pid = -1;
+  std::string m_LogFile;
+  std::optional<int> m_ExitCode;
+};
+
+} // namespace figlift::test
