--- /dev/null
+++ b/Libraries/LibTimeline/HybridClock.cpp
@@ -0,0 +1,65 @@
+//===- HybridClock.cpp - Hybrid logical clock -----------------------------===//
+//
+// Pure steps and their atomic wrapper.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibTimeline/HybridClock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace figlift::timeline {
+
+Stamp Stamp::of(WallTime Wall, uint16_t Counter) {
+  auto Milliseconds = static_cast<uint64_t>(Wall.time_since_epoch().count());
+  return {Milliseconds << CounterBits | Counter};
+}
+
+WallTime Stamp::wallTime() const {
+  return WallTime(std::chrono::milliseconds(Value >> CounterBits));
+}
+
+std::string Stamp::toString() const {
+  char Text[17];
+  std::snprintf(Text, sizeof(Text), "%016llx",
+                static_cast<unsigned long long>(Value));
+  return Text;
+}
+
+Result<Stamp> Stamp::parse(std::string_view Text) {
+  Stamp Read;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Status] = std::from_chars(Text.data(), End, Read.Value, 16);
+  if (Text.size() == 16 && Status == std::errc() && Rest == End)
+    return Read;
+  return failure(ResultCode::InvalidInput,
+                 "found \"" + std::string(Text.substr(0, 32)) +
+                     "\"; allowed are 16 hexadecimal digits");
+}
+
+Stamp advance(Stamp Last, WallTime Wall) {
+  return std::max(Stamp{Last.Value + 1}, Stamp::of(Wall));
+}
+
+Stamp merge(Stamp Last, Stamp Received, WallTime Wall) {
+  Stamp Local = advance(Last, Wall);
+  if (Received > Stamp::of(Wall + MaximumAhead))
+    return Local;
+  return std::max(Local, Stamp{Received.Value + 1});
+}
+
+Stamp HybridClock::tick() { return mergeReceived(0); }
+
+Stamp HybridClock::mergeReceived(uint64_t Clock) {
+  WallTime Wall = m_Now();
+  Stamp Last = last();
+  Stamp Next = merge(Last, {Clock}, Wall);
+  while (!m_Last.compare_exchange_weak(Last.Value, Next.Value,
+                                       std::memory_order_acq_rel))
+    Next = merge(Last, {Clock}, Wall);
+  return Next;
+}
+
+} // namespace figlift::timeline
--- /dev/null
+++ b/Libraries/LibTimeline/Timeline.cpp
@@ -0,0 +1,79 @@
+//===- Timeline.cpp - Events of one process -------------------------------===//
+//
+// See Timeline.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibTimeline/Timeline.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figlift::timeline {
+
+namespace {
+
+OwnedValue own(const FieldValue &Value) {
+  return std::visit(
+      [](const auto &Held) -> OwnedValue {
+        using Type = std::decay_t<decltype(Held)>;
+        if constexpr (std::is_same_v<Type, std::string_view>)
+          return std::string(Held);
+        else
+          return Held;
+      },
+      Value);
+}
+
+} // namespace
+
+Timeline::Timeline(TimelineOptions Options)
+    : m_Options(std::move(Options)), m_Clock(m_Options.Now),
+      m_Ring(m_Options.Capacity) {}
+
+Stamp Timeline::record(EventKind Kind, Subject About, FieldList Fields,
+                       Stamp Cause) {
+  Event New{m_Clock.tick(),
+            m_Options.ProcessId,
+            std::string(Kind.name()),
+            std::move(About),
+            Cause,
+            {}};
+  New.Fields.reserve(Fields.size());
+  for (const auto &[Name, Value] : Fields)
+    New.Fields.push_back({std::string(Name), own(Value)});
+  Stamp When = New.When;
+  m_Ring.push(std::move(New));
+  return When;
+}
+
+Stamp Timeline::received(uint64_t Clock) {
+  m_Clock.mergeReceived(Clock);
+  return {Clock};
+}
+
+std::string Timeline::toJson(Stamp After, size_t Limit) const {
+  nlohmann::ordered_json Body;
+  Body["process"] = m_Options.ProcessId;
+  Body["kind"] = m_Options.ProcessKind;
+  Body["zone"] = m_Options.Zone;
+  Body["now"] = m_Clock.last().toString();
+  Body["overwritten"] = m_Ring.overwritten();
+  auto &Events = Body["events"] = nlohmann::ordered_json::array();
+  for (const Event &Which : m_Ring.after(After)) {
+    if (Events.size() >= Limit)
+      break;
+    Events.push_back(timeline::toJson(Which));
+  }
+  // Names may hold bytes of a caller that are not UTF-8; dump() would throw.
+  return Body.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+Result<std::string> Timeline::answer(std::string_view AfterParameter) const {
+  if (AfterParameter.empty())
+    return toJson();
+  FIGLIFT_TRY(After, Stamp::parse(AfterParameter));
+  return toJson(After);
+}
+
+} // namespace figlift::timeline
