--- /dev/null
+++ b/Libraries/LibLease/LeaseMachine.h
@@ -0,0 +1,162 @@
+//===- LeaseMachine.h - Authority over one shard ----------------*- C++ -*-===//
+//
+// Decides whether this process may plan for one shard (back end x region). The
+// lease is a row of the platform's table, changed only by compare-and-set on
+// its version. The machine reads no clock and does no I/O: the shell passes
+// the answers in and carries the actions out.
+//
+// The lease alone is not the proof: a holder that is paused after mayPlan()
+// can still send. Agents therefore compare an order's epoch with the row when
+// they accept it (LibOrder).
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figlift::lease {
+
+/// \name Events. Every ReadRow and CommitRow is answered by exactly one event,
+/// within the timeout of the platform call.
+/// @{
+
+/// Passes time; at least a few times in each third of the duration.
+struct Tick {};
+/// The row as read; an absent row has version 0 and an empty holder.
+struct RowRead {
+  uint64_t Version = 0;
+  /// Empty when nobody holds the lease (never taken, or released).
+  std::string Holder;
+  uint64_t Epoch = 0;
+  std::chrono::milliseconds Duration{0};
+};
+struct ReadFailed {};
+struct CommitSucceeded {};
+/// The version differed; nothing was written.
+struct CommitConflicted {};
+/// The answer was lost; the write may have happened, or may still happen.
+struct CommitOutcomeUnknown {};
+/// The store was down; nothing was written.
+struct StoreFailed {};
+struct StopRequested {};
+/// @}
+
+using Event =
+    std::variant<Tick, RowRead, ReadFailed, CommitSucceeded, CommitConflicted,
+                 CommitOutcomeUnknown, StoreFailed, StopRequested>;
+
+/// \name Actions.
+/// @{
+struct ReadRow {
+  bool operator==(const ReadRow &) const = default;
+};
+/// Writes the row if it still has ExpectedVersion. An empty holder releases.
+struct CommitRow {
+  uint64_t ExpectedVersion = 0;
+  std::string Holder;
+  uint64_t Epoch = 0;
+  std::chrono::milliseconds Duration{0};
+  bool operator==(const CommitRow &) const = default;
+};
+/// Authority begins; orders carry this epoch from now on.
+struct BecomeHolder {
+  uint64_t Epoch = 0;
+  bool operator==(const BecomeHolder &) const = default;
+};
+/// Authority of this epoch has ended; the planner stops at once.
+struct LoseAuthority {
+  uint64_t Epoch = 0;
+  bool operator==(const LoseAuthority &) const = default;
+};
+/// The machine has stopped and emits nothing more.
+struct Released {
+  /// False when the row could not be written: others wait for the duration.
+  bool Written = false;
+  bool operator==(const Released &) const = default;
+};
+/// @}
+
+using Action =
+    std::variant<ReadRow, CommitRow, BecomeHolder, LoseAuthority, Released>;
+
+struct LeaseOptions {
+  /// Unique for each start of a process: a process that came back under the
+  /// same name must not take its predecessor's row for its own.
+  std::string Self;
+  /// Written into the row: how long others wait after its last change.
+  std::chrono::milliseconds Duration{3000};
+  /// The holder stops this much before the duration has passed; covers clocks
+  /// that run at different rates.
+  std::chrono::milliseconds Margin{1000};
+};
+
+/// One candidate for one shard.
+class LeaseMachine {
+public:
+  explicit LeaseMachine(LeaseOptions Options);
+
+  std::vector<Action> step(const Event &What, BootTime Now);
+
+  /// The only authority check: asked immediately before each order is sent.
+  bool mayPlan(BootTime Now) const;
+  /// Epoch for orders while mayPlan() holds; otherwise empty.
+  std::optional<uint64_t> epoch(BootTime Now) const;
+  bool stopped() const { return m_Phase == Phase::Stopped; }
+  /// Holder named by the row that was read last; empty when none.
+  const std::string &knownHolder() const { return m_Row.Holder; }
+
+private:
+  enum class Phase { Watching, Acquiring, Holding, Releasing, Stopped };
+  enum class Waiting { Nothing, Read, Commit };
+  using Actions = std::vector<Action>;
+
+  void on(const Tick &, BootTime Now, Actions &Out);
+  void on(const RowRead &, BootTime Now, Actions &Out);
+  void on(const ReadFailed &, BootTime Now, Actions &Out);
+  void on(const CommitSucceeded &, BootTime Now, Actions &Out);
+  void on(const CommitConflicted &, BootTime Now, Actions &Out);
+  void on(const CommitOutcomeUnknown &, BootTime Now, Actions &Out);
+  void on(const StoreFailed &, BootTime Now, Actions &Out);
+  void on(const StopRequested &, BootTime Now, Actions &Out);
+
+  bool expired(BootTime Now) const;
+  BootTime validUntil() const;
+  std::chrono::nanoseconds renewInterval() const;
+  void observe(const RowRead &Row, BootTime Now);
+  void dropAuthority(Actions &Out);
+  void read(BootTime Now, Actions &Out);
+  void commit(std::string Holder, uint64_t Epoch, BootTime Now, Actions &Out);
+  void written(BootTime Now, Actions &Out);
+  void release(BootTime Now, Actions &Out);
+
+  LeaseOptions m_Options;
+  Phase m_Phase = Phase::Watching;
+  Waiting m_Waiting = Waiting::Nothing;
+  /// Last known content of the row.
+  RowRead m_Row;
+  bool m_RowKnown = false;
+  /// When m_Row.Version was first seen here; the row's expiry is counted from
+  /// it, on this machine's clock alone.
+  BootTime m_FirstSeen{};
+  /// When the last read or commit was sent.
+  BootTime m_LastSent{};
+  /// Earliest sending of a commit that may have produced, or may yet produce,
+  /// the row's next version. Never later than the write itself.
+  std::optional<BootTime> m_FirstAttempt;
+  /// What the commits since m_FirstAttempt tried to write.
+  CommitRow m_Attempt;
+  /// While Holding: authority is counted from here, a time before the last
+  /// successful commit was sent.
+  BootTime m_HeldSince{};
+  bool m_StopRequested = false;
+};
+
+} // namespace figlift::lease
