--- /dev/null
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -0,0 +1,272 @@
+//===- ChooseTarget.cpp - The target of one attempt -------------*- C++ -*-===//
+//
+// Candidates, their costs and early refusal for each policy.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibRoute/ChooseTarget.h"
+
+#include "LibRoute/Subset.h"
+
+#include <algorithm>
+
+namespace figlift::route {
+
+namespace {
+
+using Eligible = std::vector<const TargetView *>;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds RetryWithoutTarget{500};
+constexpr milliseconds MinimumRetryAfter{50};
+constexpr milliseconds MaximumRetryAfter{30000};
+
+/// splitmix64: turns neighbouring seeds into independent numbers.
+uint64_t scramble(uint64_t Value) {
+  Value += 0x9e3779b97f4a7c15;
+  Value = (Value ^ (Value >> 30)) * 0xbf58476d1ce4e5b9;
+  Value = (Value ^ (Value >> 27)) * 0x94d049bb133111eb;
+  return Value ^ (Value >> 31);
+}
+
+Result<Choice> refuse(ResultCode Code, std::string Message,
+                      microseconds RetryAfter) {
+  const auto Bounded = std::clamp(std::chrono::ceil<milliseconds>(RetryAfter),
+                                  MinimumRetryAfter, MaximumRetryAfter);
+  return Error{Code, std::move(Message), {}, Bounded};
+}
+
+Eligible eligibleTargets(const RoutingTable &Table, const RequestShape &Request,
+                         std::span<const std::string> Excluded) {
+  Eligible Targets;
+  for (const TargetView &Target : Table.targets(Request.BackEnd))
+    if (Target.Accepting && Target.serves(Request.Model) &&
+        std::ranges::find(Excluded, Target.Id) == Excluded.end())
+      Targets.push_back(&Target);
+  return Targets;
+}
+
+/// Chooses for one policy; \p Targets is never empty.
+struct Chooser {
+  const RoutingTable &Table;
+  const RequestShape &Request;
+  const Eligible &Targets;
+  uint64_t Seed;
+
+  Result<Choice> operator()(const RandomPolicy &) const {
+    return describe(*Targets[scramble(Seed) % Targets.size()]);
+  }
+
+  Result<Choice> operator()(const RoundRobinPolicy &Settings) const {
+    const uint64_t Turn =
+        Settings.Next->fetch_add(1, std::memory_order_relaxed);
+    return describe(*Targets[Turn % Targets.size()]);
+  }
+
+  Result<Choice> operator()(const LeastLoadedPolicy &) const {
+    return describe(
+        **std::ranges::min_element(Targets, {}, [](const TargetView *Target) {
+          const TargetLoad Load = Target->Gauge->reported();
+          return std::pair(Load.prefillTotal() + Load.DecodeTokensWaiting,
+                           Load.RunningSequences + Load.WaitingRequests);
+        }));
+  }
+
+  Result<Choice> operator()(const FigliftPolicy &Settings) const {
+    const Scored Best = best(Settings, candidates(Settings));
+    if (!Settings.EarlyRefusal || acceptable(Best))
+      return Best.Chosen;
+    // The candidates are a sample; work is refused only when no target at all
+    // can take it.
+    const Scored Overall = best(Settings, Targets);
+    if (acceptable(Overall))
+      return Overall.Chosen;
+    return refusal(Overall);
+  }
+
+private:
+  struct Scored {
+    Choice Chosen;
+    microseconds Cost = microseconds::max();
+    bool QueueFull = false;
+    bool TooLate = false;
+    microseconds UntilQueueDrains{0};
+  };
+
+  Result<Choice> describe(const TargetView &Target) const {
+    const WaitEstimate Estimate = estimateWait(
+        FigliftPolicy{}, Target, Target.Gauge->reported(), Request);
+    return Choice{&Target, Estimate.Wait, Estimate.Total,
+                  Estimate.PrefixTokensSaved};
+  }
+
+  static bool acceptable(const Scored &One) {
+    return !One.QueueFull && !One.TooLate;
+  }
+
+  uint64_t affinityKey() const {
+    const uint64_t Key = rendezvousKey(Request.Workspace);
+    return Request.PrefixHashes.empty() ? Key
+                                        : Key ^ Request.PrefixHashes.front();
+  }
+
+  Eligible candidates(const FigliftPolicy &Settings) const {
+    const size_t Wanted =
+        Settings.RandomCandidates +
+        (Settings.PrefixAwareness ? Settings.RendezvousCandidates + 1 : 0);
+    if (Targets.size() <= Wanted)
+      return Targets;
+    Eligible Chosen;
+    if (Settings.PrefixAwareness) {
+      addRendezvous(Chosen, Settings.RendezvousCandidates);
+      addLongestPrefix(Chosen);
+    }
+    addRandom(Chosen, Settings.RandomCandidates);
+    return Chosen;
+  }
+
+  static void add(Eligible &Chosen, const TargetView *Target) {
+    if (std::ranges::find(Chosen, Target) == Chosen.end())
+      Chosen.push_back(Target);
+  }
+
+  void addRendezvous(Eligible &Chosen, size_t Count) const {
+    const uint64_t Key = affinityKey();
+    std::vector<std::pair<uint64_t, const TargetView *>> Ranked;
+    Ranked.reserve(Targets.size());
+    for (const TargetView *Target : Targets)
+      Ranked.emplace_back(rendezvousWeight(Key, Target->Id), Target);
+    Count = std::min(Count, Ranked.size());
+    std::ranges::partial_sort(Ranked, Ranked.begin() + Count,
+                              std::ranges::greater{});
+    for (size_t I = 0; I < Count; ++I)
+      add(Chosen, Ranked[I].second);
+  }
+
+  void addLongestPrefix(Eligible &Chosen) const {
+    if (Request.PrefixHashes.empty())
+      return;
+    size_t Longest = 0;
+    std::vector<const TargetView *> Holders;
+    for (const TargetView *Target : Targets) {
+      const size_t Blocks =
+          Target->Prefixes.matchingBlocks(Request.PrefixHashes);
+      if (Blocks == 0 || Blocks < Longest)
+        continue;
+      if (Blocks > Longest)
+        Holders.clear();
+      Longest = Blocks;
+      Holders.push_back(Target);
+    }
+    if (!Holders.empty())
+      add(Chosen, Holders[scramble(Seed ^ Longest) % Holders.size()]);
+  }
+
+  /// Half of the random candidates, rounded up, come from the entry's zone.
+  void addRandom(Eligible &Chosen, size_t Count) const {
+    Eligible OwnZone;
+    std::ranges::copy_if(Targets, std::back_inserter(OwnZone),
+                         [&](const TargetView *Target) {
+                           return Target->Zone == Table.ownZone();
+                         });
+    uint64_t Random = Seed;
+    for (size_t I = 0; I < Count; ++I) {
+      Random = scramble(Random);
+      const bool Near = !OwnZone.empty() && I < (Count + 1) / 2;
+      const Eligible &Pool = Near ? OwnZone : Targets;
+      add(Chosen, Pool[Random % Pool.size()]);
+    }
+  }
+
+  Scored score(const FigliftPolicy &Settings, const TargetView &Target) const {
+    const TargetLoad Load = Settings.InFlightCorrection
+                                ? Target.Gauge->corrected()
+                                : Target.Gauge->reported();
+    const WaitEstimate Estimate = estimateWait(Settings, Target, Load, Request);
+    Scored Result;
+    Result.Chosen = {&Target, Estimate.Wait, Estimate.Total,
+                     Estimate.PrefixTokensSaved};
+    Result.Cost = Estimate.Total;
+    if (Target.Zone != Table.ownZone())
+      Result.Cost += Settings.OtherZonePenalty;
+    judge(Settings, Load, Estimate, Result);
+    return Result;
+  }
+
+  void judge(const FigliftPolicy &Settings, const TargetLoad &Load,
+             const WaitEstimate &Estimate, Scored &Result) const {
+    const auto Class = static_cast<size_t>(Request.Class);
+    const uint64_t Bound = Table.bounds(Request.BackEnd)[Class];
+    // An empty queue takes any prompt, however long.
+    const uint64_t Waiting = Settings.ClassPriorities
+                                 ? Load.PrefillTokensWaiting[Class]
+                                 : Load.prefillTotal();
+    Result.QueueFull =
+        Waiting > 0 &&
+        Waiting + Request.PromptTokens - Estimate.PrefixTokensSaved > Bound;
+    if (Result.QueueFull)
+      Result.UntilQueueDrains = untilDrained(Settings, Load, Waiting, Bound);
+    Result.TooLate = Estimate.Measured && Request.TimeLeft &&
+                     Estimate.Total > *Request.TimeLeft;
+  }
+
+  microseconds untilDrained(const FigliftPolicy &Settings,
+                            const TargetLoad &Load, uint64_t Waiting,
+                            uint64_t Bound) const {
+    const double Rate = Load.PrefillTokensPerSecond > 0
+                            ? Load.PrefillTokensPerSecond
+                            : Settings.AssumedPrefillTokensPerSecond;
+    const uint64_t Room =
+        Bound > Request.PromptTokens ? Bound - Request.PromptTokens : 0;
+    const double Excess = Waiting > Room ? Waiting - Room : 0;
+    return microseconds(static_cast<int64_t>(Excess / Rate * 1e6));
+  }
+
+  /// Targets that can take the work go before those that cannot.
+  Scored best(const FigliftPolicy &Settings, const Eligible &Among) const {
+    Scored Best = score(Settings, *Among.front());
+    for (const TargetView *Target : std::span(Among).subspan(1)) {
+      const Scored Other = score(Settings, *Target);
+      if (std::pair(!acceptable(Other), Other.Cost) <
+          std::pair(!acceptable(Best), Best.Cost))
+        Best = Other;
+    }
+    return Best;
+  }
+
+  Result<Choice> refusal(const Scored &Best) const {
+    if (Best.QueueFull)
+      return refuse(ResultCode::Overloaded,
+                    "every target's queue of this class is full",
+                    Best.UntilQueueDrains);
+    return refuse(ResultCode::DeadlineUnreachable,
+                  "no target is expected to finish before the deadline",
+                  Best.Chosen.ExpectedTotal - *Request.TimeLeft);
+  }
+};
+
+} // namespace
+
+SentWork Choice::workOf(const RequestShape &Request) const {
+  const uint32_t Prefill =
+      std::max<uint32_t>(Request.PromptTokens - ExpectedPrefixTokensSaved, 1);
+  return {Request.Class, Prefill, Request.MaximumTokens};
+}
+
+Result<Choice> chooseTarget(const Policy &Which, const RoutingTable &Table,
+                            const RequestShape &Request,
+                            std::span<const std::string> Excluded,
+                            uint64_t RandomSeed) {
+  if (Table.targets(Request.BackEnd).empty())
+    return refuse(ResultCode::NoTargetAvailable,
+                  "no target of the back end is known", RetryWithoutTarget);
+  const Eligible Targets = eligibleTargets(Table, Request, Excluded);
+  if (Targets.empty())
+    return refuse(ResultCode::NoTargetAvailable,
+                  "no target of the back end takes this work now",
+                  RetryWithoutTarget);
+  return std::visit(Chooser{Table, Request, Targets, RandomSeed}, Which);
+}
+
+} // namespace figlift::route
--- /dev/null
+++ b/Libraries/LibRoute/ChooseTarget.h
@@ -0,0 +1,73 @@
+//===- ChooseTarget.h - The target of one attempt ---------------*- C++ -*-===//
+//
+// Pure: everything it looks at is passed in. Called on many threads at once,
+// inside a read-side critical section of the routing table.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibRoute/Policy.h"
+#include "LibRoute/RoutingTable.h"
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figlift::route {
+
+/// What routing needs to know of a request.
+struct RequestShape {
+  std::string BackEnd;
+  /// "name", "name@version", or empty for plain services.
+  std::string Model;
+  std::string Workspace;
+  record::ServiceClass Class = record::ServiceClass::Interactive;
+  uint32_t PromptTokens = 0;
+  uint32_t MaximumTokens = 0;
+  /// Hashes of the prompt's whole leading blocks, see prefixHashes().
+  std::vector<uint64_t> PrefixHashes;
+  /// Time left until the caller needs the whole answer.
+  std::optional<std::chrono::milliseconds> TimeLeft;
+};
+
+struct Choice {
+  /// Lives as long as the table.
+  const TargetView *Target = nullptr;
+  /// Until the first token (the whole answer, for a plain service).
+  std::chrono::microseconds ExpectedWait{0};
+  /// Until the last token.
+  std::chrono::microseconds ExpectedTotal{0};
+  uint32_t ExpectedPrefixTokensSaved = 0;
+
+  /// What to enter into the target's gauge when the attempt is sent.
+  SentWork workOf(const RequestShape &Request) const;
+};
+
+/// Chooses among the accepting targets that are not in \p Excluded. Fails with
+/// NoTargetAvailable, Overloaded or DeadlineUnreachable, each with
+/// RetryAfter. Nothing was sent then, so "not run" is true.
+/// \p RandomSeed differs from attempt to attempt.
+Result<Choice> chooseTarget(const Policy &Which, const RoutingTable &Table,
+                            const RequestShape &Request,
+                            std::span<const std::string> Excluded,
+                            uint64_t RandomSeed);
+
+/// The estimate behind a choice; \p Load decides whether own work in flight is
+/// in it.
+struct WaitEstimate {
+  std::chrono::microseconds Wait{0};
+  std::chrono::microseconds Total{0};
+  uint32_t PrefixTokensSaved = 0;
+  /// Both rates were measured by the target.
+  bool Measured = false;
+};
+WaitEstimate estimateWait(const FigliftPolicy &Settings,
+                          const TargetView &Target, const TargetLoad &Load,
+                          const RequestShape &Request);
+
+} // namespace figlift::route
--- /dev/null
+++ b/Libraries/LibRoute/EstimateWait.cpp
@@ -0,0 +1,101 @@
+//===- EstimateWait.cpp - Expected times on one target ----------*- C++ -*-===//
+//
+// The queue model of routing: prompts are processed one after the other at
+// the measured prefill rate; sequences then share the batch.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibRoute/ChooseTarget.h"
+
+#include <algorithm>
+
+namespace figlift::route {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+struct Rates {
+  double Prefill;
+  double Decode;
+  double Sequences;
+};
+
+Rates ratesOf(const FigliftPolicy &Settings, const TargetLoad &Load) {
+  Rates Result{Load.PrefillTokensPerSecond, Load.DecodeTokensPerSecond,
+               static_cast<double>(Load.MaximumSequences)};
+  if (Result.Prefill <= 0)
+    Result.Prefill = Settings.AssumedPrefillTokensPerSecond;
+  if (Result.Decode <= 0)
+    Result.Decode = Settings.AssumedDecodeTokensPerSecond;
+  if (Result.Sequences <= 0)
+    Result.Sequences = Settings.AssumedMaximumSequences;
+  return Result;
+}
+
+uint32_t tokensSaved(const FigliftPolicy &Settings, const TargetView &Target,
+                     const RequestShape &Request) {
+  if (!Settings.PrefixAwareness)
+    return 0;
+  const size_t Blocks = Target.Prefixes.matchingBlocks(Request.PrefixHashes);
+  const size_t Tokens = Blocks * PrefixBlockTokens;
+  return static_cast<uint32_t>(std::min<size_t>(Tokens, Request.PromptTokens));
+}
+
+/// Time until one of the target's sequence slots is free for this request.
+Seconds slotWait(const Rates &Rate, const TargetLoad &Load) {
+  const double Sequences = Load.RunningSequences + Load.WaitingRequests;
+  const double Excess = Sequences + 1 - Rate.Sequences;
+  if (Excess <= 0 || Sequences <= 0)
+    return Seconds(0);
+  const double TokensEach = Load.DecodeTokensWaiting / Sequences;
+  return Seconds(Excess * TokensEach / Rate.Decode);
+}
+
+bool leansAway(const FigliftPolicy &Settings, Role Which, Seconds Prefill,
+               Seconds Decode) {
+  const double Whole = (Prefill + Decode).count();
+  if (Whole <= 0)
+    return false;
+  if (Which == Role::Decode)
+    return Prefill.count() >= Settings.LeaningFraction * Whole;
+  if (Which == Role::Prefill)
+    return Decode.count() >= Settings.LeaningFraction * Whole;
+  return false;
+}
+
+std::chrono::microseconds microseconds(Seconds Time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Time);
+}
+
+} // namespace
+
+WaitEstimate estimateWait(const FigliftPolicy &Settings,
+                          const TargetView &Target, const TargetLoad &Load,
+                          const RequestShape &Request) {
+  const Rates Rate = ratesOf(Settings, Load);
+  const uint32_t Saved = tokensSaved(Settings, Target, Request);
+  const uint64_t Ahead = Settings.ClassPriorities
+                             ? Load.prefillAhead(Request.Class)
+                             : Load.prefillTotal();
+  // A plain service call counts as one prompt token.
+  const double OwnPrefill = std::max<uint32_t>(Request.PromptTokens - Saved, 1);
+  const double TokenTime = Rate.Sequences / Rate.Decode;
+
+  Seconds Prefill(OwnPrefill / Rate.Prefill);
+  Seconds Decode(Request.MaximumTokens * TokenTime);
+  // The share of the target that the work takes decides its leaning; decode
+  // shares the batch with other sequences.
+  if (leansAway(Settings, Target.CurrentRole, Prefill,
+                Decode / Rate.Sequences)) {
+    Prefill *= Settings.RoleMismatchFactor;
+    Decode *= Settings.RoleMismatchFactor;
+  }
+  const Seconds Wait =
+      Seconds(Ahead / Rate.Prefill) + slotWait(Rate, Load) + Prefill;
+  return {microseconds(Wait), microseconds(Wait + Decode), Saved,
+          Load.PrefillTokensPerSecond > 0 &&
+              (Load.DecodeTokensPerSecond > 0 || Request.MaximumTokens == 0)};
+}
+
+} // namespace figlift::route
--- /dev/null
+++ b/Libraries/LibRoute/InFlightBook.cpp
@@ -0,0 +1,54 @@
+//===- InFlightBook.cpp - Gauges of all targets of an entry -----*- C++ -*-===//
+//
+// Registry of gauges and the tickets of single attempts.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibRoute/InFlightBook.h"
+
+namespace figlift::route {
+
+std::shared_ptr<TargetGauge> InFlightBook::gauge(const std::string &Target) {
+  std::lock_guard Lock(m_Mutex);
+  auto &Slot = m_Gauges[Target];
+  if (!Slot)
+    Slot = std::make_shared<TargetGauge>();
+  return Slot;
+}
+
+void InFlightBook::forgetUnused() {
+  std::lock_guard Lock(m_Mutex);
+  std::erase_if(m_Gauges, [](const auto &Entry) {
+    return Entry.second.use_count() == 1;
+  });
+}
+
+size_t InFlightBook::size() const {
+  std::lock_guard Lock(m_Mutex);
+  return m_Gauges.size();
+}
+
+InFlightTicket::InFlightTicket(std::shared_ptr<TargetGauge> Gauge,
+                               SentWork Work)
+    : m_Gauge(std::move(Gauge)), m_Work(Work) {
+  if (m_Gauge)
+    m_Gauge->sent(m_Work);
+}
+
+InFlightTicket &InFlightTicket::operator=(InFlightTicket &&Other) noexcept {
+  if (this == &Other)
+    return *this;
+  settle();
+  m_Gauge = std::move(Other.m_Gauge);
+  m_Work = Other.m_Work;
+  return *this;
+}
+
+void InFlightTicket::settle() {
+  if (!m_Gauge)
+    return;
+  m_Gauge->settled(m_Work);
+  m_Gauge.reset();
+}
+
+} // namespace figlift::route
