LibTarget: Add HTTP clients towards engines and plain services

Answers of an engine are pushed through a stream buffer into an incremental parser, so that no thread or pending read waits for a stream. Every call ends with whether the target may have run it.

Two habits of cpprestsdk were ruled out for calls that may run at most once: a request on a reused connection is sent again when that connection turns out to be closed, and redirects are followed. Such calls and orders go out on a fresh connection, and redirects are off.

--- /dev/null
+++ b/Libraries/LibTarget/EngineMessages.cpp
@@ -0,0 +1,167 @@
+//===- EngineMessages.cpp - JSON of the engine's HTTP interface -----------===//
+//
+// Unknown members are ignored, so that a newer engine is understood.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibTarget/EngineMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figlift::target {
+
+using Json = nlohmann::json;
+
+std::string writeCompletion(const CompletionCall &Call) {
+  Json Body{{"request_id", Call.RequestId},  {"model", Call.Model},
+            {"prompt", Call.Prompt},         {"max_tokens", Call.MaximumTokens},
+            {"priority", Call.Priority},     {"stream", true},
+            {"first_token", Call.FirstToken}};
+  if (Call.PromptTokens != 0)
+    Body["prompt_tokens"] = Call.PromptTokens;
+  if (!Call.DeliveredText.empty())
+    Body["delivered_text"] = Call.DeliveredText;
+  if (!Call.KvHandle.empty())
+    Body["kv_handle"] = Call.KvHandle;
+  if (Call.PrefillOnly)
+    Body["prefill_only"] = true;
+  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+static void writeModel(Json &Body, const std::string &Model,
+                       const std::string &Version, const std::string &Adapter) {
+  Body["model"] = Model;
+  Body["version"] = Version;
+  if (!Adapter.empty())
+    Body["adapter"] = Adapter;
+}
+
+namespace {
+struct KindWriter {
+  Json &Body;
+  void operator()(const SetRole &Kind) const {
+    Body["kind"] = "set_role";
+    Body["role"] = Kind.Role;
+  }
+  void operator()(const LoadModel &Kind) const {
+    Body["kind"] = "load_model";
+    writeModel(Body, Kind.Model, Kind.Version, Kind.Adapter);
+  }
+  void operator()(const UnloadModel &Kind) const {
+    Body["kind"] = "unload_model";
+    writeModel(Body, Kind.Model, Kind.Version, Kind.Adapter);
+  }
+};
+} // namespace
+
+std::string writeOrder(const OrderCall &Call) {
+  Json Body{{"order_id", Call.OrderId}, {"epoch", Call.Epoch}};
+  std::visit(KindWriter{Body}, Call.Kind);
+  return Body.dump();
+}
+
+/// Runs \p Read on the parsed text; malformed JSON becomes a TargetFailed.
+template <typename T, typename Reader>
+static Result<T> readJson(std::string_view Text, Reader Read) {
+  try {
+    return Read(Json::parse(Text));
+  } catch (const std::exception &Caught) {
+    return failure(ResultCode::TargetFailed,
+                   std::string("the engine's answer is malformed: ") +
+                       Caught.what());
+  }
+}
+
+static StreamItem toStreamItem(const Json &Event) {
+  if (Event.contains("index"))
+    return Token{Event.at("index").get<uint32_t>(),
+                 Event.at("text").get<std::string>()};
+  CompletionEnd End;
+  End.FinishReason = Event.at("finish_reason").get<std::string>();
+  End.TotalTokens = Event.value("total_tokens", 0u);
+  End.CachedPromptTokens = Event.value("cached_prompt_tokens", 0u);
+  End.KvHandle = Event.value("kv_handle", "");
+  return End;
+}
+
+Result<StreamItem> readStreamItem(std::string_view Data) {
+  if (Data == "[DONE]")
+    return StreamItem(StreamDone{});
+  return readJson<StreamItem>(Data, toStreamItem);
+}
+
+static OrderState toOrderState(const std::string &Text) {
+  if (Text == "running")
+    return OrderState::Running;
+  if (Text == "done")
+    return OrderState::Done;
+  return Text == "failed" ? OrderState::Failed : OrderState::None;
+}
+
+static std::string textOf(const Json &From, const char *Key) {
+  const auto Found = From.find(Key);
+  if (Found == From.end() || Found->is_null())
+    return {};
+  return Found->is_string() ? Found->get<std::string>() : Found->dump();
+}
+
+static EngineState toState(const Json &From) {
+  EngineState State;
+  State.Role = From.at("role").get<std::string>();
+  for (const Json &Model : From.value("models", Json::array()))
+    State.Models.push_back(
+        {Model.at("name").get<std::string>(), textOf(Model, "version"),
+         Model.value("adapters", std::vector<std::string>{})});
+  State.OrderId = textOf(From, "order_id");
+  State.Order = toOrderState(textOf(From, "order_state"));
+  State.HighestEpoch = From.value("highest_epoch", uint64_t{0});
+  State.Running = From.value("running", 0u);
+  State.Waiting = From.value("waiting", 0u);
+  State.Boot = textOf(From, "boot");
+  return State;
+}
+
+Result<EngineState> readState(std::string_view Body) {
+  return readJson<EngineState>(Body, toState);
+}
+
+Result<EngineLoad> readLoad(std::string_view Body) {
+  return readJson<EngineLoad>(Body, [](const Json &From) {
+    EngineLoad Load;
+    Load.QueuedPrefillTokens = From.value("queued_prefill_tokens", uint64_t{0});
+    Load.Running = From.value("running", 0u);
+    Load.KvFreeTokens = From.value("kv_free_tokens", uint64_t{0});
+    Load.Age = std::chrono::milliseconds(From.value("age_ms", int64_t{0}));
+    return Load;
+  });
+}
+
+/// Hashes travel as numbers or, beyond 53 bits, as decimal text.
+static uint64_t toHash(const Json &From) {
+  return From.is_string() ? std::stoull(From.get<std::string>())
+                          : From.get<uint64_t>();
+}
+
+Result<std::vector<CacheEvent>> readCacheEvents(std::string_view Body) {
+  return readJson<std::vector<CacheEvent>>(Body, [](const Json &From) {
+    std::vector<CacheEvent> Events;
+    for (const Json &Event : From.at("events")) {
+      const bool Stored = Event.contains("stored");
+      Events.push_back({Event.at("sequence").get<uint64_t>(), Stored,
+                        toHash(Event.at(Stored ? "stored" : "evicted"))});
+    }
+    return Events;
+  });
+}
+
+Error readOrderRefusal(unsigned Status, std::string_view Body) {
+  const Json Parsed = Json::parse(Body, nullptr, false);
+  const std::string Text(Body.substr(0, 200));
+  if (Status != 409)
+    return {ResultCode::OrderRejectedByTarget, Text, {}, std::nullopt};
+  if (Parsed.is_object() && Parsed.contains("busy"))
+    return {ResultCode::OrderConflict, Text, {}, std::nullopt};
+  return {ResultCode::StaleEpoch, Text, {}, std::nullopt};
+}
+
+} // namespace figlift::target
--- /dev/null
+++ b/Libraries/LibTarget/HttpEngine.h
@@ -0,0 +1,39 @@
+//===- HttpEngine.h - Model engine over HTTP --------------------*- C++ -*-===//
+//
+// Calls the engine beside which an agent runs. Answers arrive as server-sent
+// events and are handed on token by token; no thread waits for a stream.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibTarget/HttpCall.h"
+
+namespace figlift::target {
+
+struct HttpEngineOptions {
+  Endpoint Target;
+  /// Longest silence within a completion, its wait in the queue included.
+  std::chrono::milliseconds SilenceTimeout{60000};
+  std::chrono::milliseconds CallTimeout{3000};
+};
+
+class HttpEngine final : public Engine {
+public:
+  explicit HttpEngine(HttpEngineOptions Options);
+  std::shared_ptr<Completion>
+  complete(CompletionCall Call,
+           std::shared_ptr<CompletionListener> Listener) override;
+  void order(OrderCall Call, CallDone<std::monostate> Done) override;
+  void state(CallDone<EngineState> Done) override;
+  void load(CallDone<EngineLoad> Done) override;
+  void cacheEvents(uint64_t After,
+                   CallDone<std::vector<CacheEvent>> Done) override;
+
+private:
+  const HttpEngineOptions m_Options;
+  HttpClientPointer m_Completions;
+  HttpClientPointer m_Calls;
+};
+
+} // namespace figlift::target
