--- /dev/null
+++ b/Libraries/LibRetry/TargetHealth.cpp
@@ -0,0 +1,81 @@
+//===- TargetHealth.cpp - Targets that fail again and again -----*- C++ -*-===//
+//
+// Exclusion and half-open probes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibRetry/TargetHealth.h"
+
+#include <algorithm>
+
+namespace figlift::retry {
+
+namespace {
+
+int64_t ticks(BootTime Time) { return Time.time_since_epoch().count(); }
+
+} // namespace
+
+TargetHealth::TargetHealth(HealthSettings Settings) : m_Settings(Settings) {}
+
+void TargetHealth::succeeded() {
+  m_Failures.store(0, std::memory_order_relaxed);
+  m_ExcludedUntil.store(0, std::memory_order_relaxed);
+}
+
+void TargetHealth::failed(BootTime Now) {
+  const unsigned Failures =
+      m_Failures.fetch_add(1, std::memory_order_relaxed) + 1;
+  if (Failures < m_Settings.FailuresToExclude)
+    return;
+  m_ExcludedUntil.store(ticks(Now + exclusion(Failures)),
+                        std::memory_order_relaxed);
+}
+
+std::chrono::nanoseconds TargetHealth::exclusion(unsigned Failures) const {
+  // More than 20 doublings exceed every sensible maximum.
+  const unsigned Doublings = std::min(
+      Failures - std::min(Failures, m_Settings.FailuresToExclude), 20u);
+  return std::min<std::chrono::nanoseconds>(m_Settings.FirstExclusion *
+                                                (int64_t{1} << Doublings),
+                                            m_Settings.MaximumExclusion);
+}
+
+bool TargetHealth::allows(BootTime Now) {
+  int64_t Until = m_ExcludedUntil.load(std::memory_order_relaxed);
+  if (Until == 0)
+    return true;
+  if (ticks(Now) < Until)
+    return false;
+  const unsigned Failures = m_Failures.load(std::memory_order_relaxed);
+  return m_ExcludedUntil.compare_exchange_strong(
+      Until, ticks(Now + exclusion(Failures)), std::memory_order_relaxed);
+}
+
+bool TargetHealth::excluded() const {
+  return m_ExcludedUntil.load(std::memory_order_relaxed) != 0;
+}
+
+std::shared_ptr<TargetHealth> HealthBook::health(const std::string &Target) {
+  std::lock_guard Lock(m_Mutex);
+  auto &Slot = m_Health[Target];
+  if (!Slot)
+    Slot = std::make_shared<TargetHealth>(m_Settings);
+  return Slot;
+}
+
+std::vector<std::string> HealthBook::excluded(BootTime Now) {
+  std::lock_guard Lock(m_Mutex);
+  std::vector<std::string> Targets;
+  for (const auto &[Target, Health] : m_Health)
+    if (!Health->allows(Now))
+      Targets.push_back(Target);
+  return Targets;
+}
+
+void HealthBook::forget(const std::string &Target) {
+  std::lock_guard Lock(m_Mutex);
+  m_Health.erase(Target);
+}
+
+} // namespace figlift::retry
--- /dev/null
+++ b/Libraries/LibRetry/TargetHealth.h
@@ -0,0 +1,74 @@
+//===- TargetHealth.h - Targets that fail again and again -------*- C++ -*-===//
+//
+// A target with consecutive failures is left out for a while, then probed
+// with single requests (half open) until one succeeds. Refusals are no
+// failures: a draining or full target is healthy.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace figlift::retry {
+
+struct HealthSettings {
+  unsigned FailuresToExclude = 3;
+  /// Doubles with each failed probe...
+  std::chrono::milliseconds FirstExclusion{500};
+  /// ...up to this.
+  std::chrono::milliseconds MaximumExclusion{15000};
+};
+
+/// Lock-free; used by all threads of an entry.
+class TargetHealth {
+public:
+  explicit TargetHealth(HealthSettings Settings = {});
+
+  void succeeded();
+  void failed(BootTime Now);
+
+  /// Whether an attempt may go there now. After an exclusion one caller gets
+  /// true, which makes its attempt the probe; the others get false until the
+  /// probe has succeeded or another exclusion has passed, so a probe that its
+  /// caller never sent blocks nothing for long.
+  bool allows(BootTime Now);
+  bool excluded() const;
+
+private:
+  std::chrono::nanoseconds exclusion(unsigned Failures) const;
+
+  HealthSettings m_Settings;
+  /// Since the last success.
+  std::atomic<unsigned> m_Failures{0};
+  /// BootTime in nanoseconds; 0 while the target is in use.
+  std::atomic<int64_t> m_ExcludedUntil{0};
+};
+
+/// Health of all targets that an entry uses.
+class HealthBook {
+public:
+  explicit HealthBook(HealthSettings Settings = {}) : m_Settings(Settings) {}
+
+  /// Made on first use; keep it beside the attempt.
+  std::shared_ptr<TargetHealth> health(const std::string &Target);
+  /// Targets that get no attempt now; to be appended to the exclusions of
+  /// route::chooseTarget. Call once for each attempt: see allows().
+  std::vector<std::string> excluded(BootTime Now);
+  void forget(const std::string &Target);
+
+private:
+  HealthSettings m_Settings;
+  std::mutex m_Mutex;
+  std::map<std::string, std::shared_ptr<TargetHealth>> m_Health;
+};
+
+} // namespace figlift::retry
