--- /dev/null
+++ b/Libraries/LibAdmission/Admission.cpp
@@ -0,0 +1,267 @@
+//===- Admission.cpp - Queue and limits of one target -----------*- C++ -*-===//
+//
+// Transitions of the admission state machine.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibAdmission/Admission.h"
+
+#include <algorithm>
+
+namespace figlift::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+constexpr milliseconds RetryWithoutEstimate{500};
+constexpr milliseconds MinimumRetryAfter{50};
+constexpr milliseconds MaximumRetryAfter{30000};
+
+size_t index(ServiceClass Class) { return static_cast<size_t>(Class); }
+
+milliseconds boundedRetryAfter(Seconds Time) {
+  return std::clamp(std::chrono::ceil<milliseconds>(Time), MinimumRetryAfter,
+                    MaximumRetryAfter);
+}
+
+uint32_t expectedPrefill(const Work &Request) {
+  const uint32_t Cached =
+      std::min(Request.ExpectedCachedTokens, Request.PromptTokens);
+  return std::max<uint32_t>(Request.PromptTokens - Cached, 1);
+}
+
+} // namespace
+
+Admission::Admission(AdmissionSettings Settings)
+    : m_Settings(std::move(Settings)) {}
+
+std::vector<Action> Admission::step(const Event &Happened, BootTime Now) {
+  Actions Out;
+  std::visit([&](const auto &One) { on(One, Now, Out); }, Happened);
+  return Out;
+}
+
+void Admission::on(const Arrived &Event, BootTime Now, Actions &Out) {
+  const Work &Request = Event.Request;
+  m_OfferedPrefill += expectedPrefill(Request);
+  m_OfferedDecode += Request.MaximumTokens;
+  if (auto Refusal = refusalFor(Request, Now)) {
+    Out.push_back(*Refusal);
+    return;
+  }
+  const size_t Class = index(Request.Class);
+  Entry &New = m_Book[Request.Id];
+  New = {Request, Stage::Queued, expectedPrefill(Request), 0, Now};
+  m_PrefillWaiting[Class] += New.PrefillTokens;
+  m_DecodeWaiting += Request.MaximumTokens;
+  m_Queues[Class].push_back(Request.Id);
+  admitQueued(Now, Out);
+  if (New.At == Stage::Queued)
+    Out.push_back(Queue{Request.Id});
+}
+
+void Admission::on(const Started &, BootTime, Actions &) {}
+
+void Admission::on(const FirstToken &Event, BootTime Now, Actions &Out) {
+  const auto Found = m_Book.find(Event.Id);
+  if (Found == m_Book.end() || Found->second.At != Stage::Prefill)
+    return;
+  Entry &Which = Found->second;
+  const uint32_t Prompt = Which.Request.PromptTokens;
+  leavePrefill(Which, Prompt - std::min(Event.CachedPromptTokens, Prompt), Now);
+  Which.At = Stage::Decode;
+  Which.LastToken = Now;
+  if (Which.Request.MaximumTokens > 0) {
+    Which.Produced = 1;
+    m_DecodeWaiting -= 1;
+  }
+  admitQueued(Now, Out);
+}
+
+void Admission::on(const Progress &Event, BootTime Now, Actions &) {
+  const auto Found = m_Book.find(Event.Id);
+  if (Found == m_Book.end() || Found->second.At != Stage::Decode)
+    return;
+  Entry &Which = Found->second;
+  const uint32_t Left = Which.Request.MaximumTokens - Which.Produced;
+  const uint32_t Counted = std::min(Event.Tokens, Left);
+  m_TokenTime.observed(Event.Tokens, Now - Which.LastToken);
+  Which.Produced += Counted;
+  m_DecodeWaiting -= Counted;
+  Which.LastToken = Now;
+}
+
+void Admission::on(const Ended &Event, BootTime Now, Actions &Out) {
+  remove(Event.Id, Now);
+  admitQueued(Now, Out);
+}
+
+void Admission::on(const AcceptingChanged &Event, BootTime Now, Actions &Out) {
+  m_Accepting = Event.Accepting;
+  m_NotAcceptingCode = Event.Code;
+  if (m_Accepting) {
+    // Rates of the old role say little about the new one.
+    m_PrefillMeter.forget();
+    m_TokenTime.forget();
+    admitQueued(Now, Out);
+    return;
+  }
+  for (auto &Queue : m_Queues)
+    while (!Queue.empty()) {
+      const std::string Id = Queue.front();
+      remove(Id, Now);
+      Out.push_back(Refuse{Id, m_NotAcceptingCode, RetryWithoutEstimate});
+    }
+}
+
+void Admission::on(const SettingsChanged &Event, BootTime Now, Actions &Out) {
+  m_Settings = Event.Settings;
+  admitQueued(Now, Out);
+}
+
+void Admission::on(const Tick &, BootTime Now, Actions &Out) {
+  refuseHopeless(Now, Out);
+  admitQueued(Now, Out);
+}
+
+bool Admission::fitsAtTarget(const Entry &Candidate) const {
+  if (m_AtTarget >= m_Settings.MaximumSequences)
+    return false;
+  // The share of a class bounds it together with the less urgent ones: the
+  // rest of the places stays free for more urgent work.
+  size_t Held = 0;
+  for (size_t Class = index(Candidate.Request.Class); Class < ServiceClassCount;
+       ++Class)
+    Held += m_Places[Class];
+  const double Share = m_Settings.Classes[index(Candidate.Request.Class)].Share;
+  const auto Allowed = std::max<size_t>(
+      1, static_cast<size_t>(Share * m_Settings.MaximumSequences));
+  if (Held >= Allowed)
+    return false;
+  return m_PrefillAtTarget == 0 ||
+         Candidate.Request.Class == ServiceClass::Immediate ||
+         m_PrefillAtTarget + Candidate.PrefillTokens <=
+             m_Settings.MaximumPrefillAtTarget;
+}
+
+void Admission::handOver(Entry &Next, BootTime Now, Actions &Out) {
+  Next.At = Stage::Prefill;
+  ++m_Places[index(Next.Request.Class)];
+  ++m_AtTarget;
+  m_PrefillAtTarget += Next.PrefillTokens;
+  m_PrefillMeter.busy(true, Now);
+  Out.push_back(Admit{Next.Request.Id});
+}
+
+void Admission::admitQueued(BootTime Now, Actions &Out) {
+  if (!m_Accepting)
+    return;
+  for (auto &Queue : m_Queues)
+    while (!Queue.empty()) {
+      Entry &Next = m_Book.at(Queue.front());
+      if (!fitsAtTarget(Next))
+        break;
+      Queue.pop_front();
+      handOver(Next, Now, Out);
+    }
+}
+
+void Admission::refuseHopeless(BootTime Now, Actions &Out) {
+  std::vector<std::string> Hopeless;
+  for (const auto &Queue : m_Queues)
+    for (const std::string &Id : Queue) {
+      const Work &Request = m_Book.at(Id).Request;
+      if (Request.Deadline &&
+          Now + expectedTotal(Request, 0) > *Request.Deadline)
+        Hopeless.push_back(Id);
+    }
+  for (const std::string &Id : Hopeless) {
+    remove(Id, Now);
+    Out.push_back(Refuse{Id, ResultCode::DeadlineUnreachable, std::nullopt});
+  }
+}
+
+std::optional<Refuse> Admission::refusalFor(const Work &Request,
+                                            BootTime Now) const {
+  if (!m_Accepting)
+    return Refuse{Request.Id, m_NotAcceptingCode, RetryWithoutEstimate};
+  if (m_Book.contains(Request.Id))
+    return Refuse{Request.Id, ResultCode::InvalidInput, std::nullopt};
+  const size_t Class = index(Request.Class);
+  const uint64_t Waiting = m_PrefillWaiting[Class];
+  const uint64_t Bound = m_Settings.Classes[Class].MaximumQueuedTokens;
+  const double Rate = m_PrefillMeter.tokensPerSecond();
+  if (Waiting > 0 && Waiting + expectedPrefill(Request) > Bound) {
+    const Seconds Drains(Rate > 0 ? Waiting / Rate : 0.5);
+    return Refuse{Request.Id, ResultCode::Overloaded,
+                  boundedRetryAfter(Drains)};
+  }
+  if (!Request.Deadline)
+    return std::nullopt;
+  uint64_t Ahead = 0;
+  for (size_t More = 0; More <= Class; ++More)
+    Ahead += m_PrefillWaiting[More];
+  const BootTime Finished = Now + expectedTotal(Request, Ahead);
+  if (Finished <= *Request.Deadline)
+    return std::nullopt;
+  // Waiting helps only by what the backlog contributes.
+  std::optional<milliseconds> RetryAfter;
+  if (Rate > 0 && Ahead > 0)
+    RetryAfter = boundedRetryAfter(Seconds(Ahead / Rate));
+  return Refuse{Request.Id, ResultCode::DeadlineUnreachable, RetryAfter};
+}
+
+std::chrono::nanoseconds Admission::expectedTotal(const Work &Request,
+                                                  uint64_t PrefillAhead) const {
+  Seconds Total(0);
+  if (const double Rate = m_PrefillMeter.tokensPerSecond(); Rate > 0)
+    Total += Seconds((PrefillAhead + expectedPrefill(Request)) / Rate);
+  if (Request.MaximumTokens > 1)
+    Total += m_TokenTime.tokenTime() * (Request.MaximumTokens - 1);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(Total);
+}
+
+void Admission::leavePrefill(Entry &Which, uint32_t ComputedTokens,
+                             BootTime Now) {
+  m_PrefillWaiting[index(Which.Request.Class)] -= Which.PrefillTokens;
+  m_PrefillAtTarget -= Which.PrefillTokens;
+  m_PrefillMeter.completed(ComputedTokens, Now);
+  m_PrefillMeter.busy(m_PrefillAtTarget > 0, Now);
+}
+
+void Admission::remove(const std::string &Id, BootTime Now) {
+  const auto Found = m_Book.find(Id);
+  if (Found == m_Book.end())
+    return;
+  Entry &Which = Found->second;
+  const size_t Class = index(Which.Request.Class);
+  m_DecodeWaiting -= Which.Request.MaximumTokens - Which.Produced;
+  if (Which.At == Stage::Queued) {
+    m_PrefillWaiting[Class] -= Which.PrefillTokens;
+    std::erase(m_Queues[Class], Id);
+  } else {
+    // A plain service's answer is its first token.
+    if (Which.At == Stage::Prefill)
+      leavePrefill(Which, Which.Request.MaximumTokens == 0 ? 1 : 0, Now);
+    --m_Places[Class];
+    --m_AtTarget;
+  }
+  m_Book.erase(Found);
+}
+
+route::TargetLoad Admission::load(BootTime) const {
+  route::TargetLoad Load;
+  Load.PrefillTokensWaiting = m_PrefillWaiting;
+  Load.DecodeTokensWaiting = m_DecodeWaiting;
+  Load.RunningSequences = static_cast<uint32_t>(m_AtTarget);
+  Load.WaitingRequests = static_cast<uint32_t>(queued());
+  Load.MaximumSequences = m_Settings.MaximumSequences;
+  Load.PrefillTokensPerSecond = m_PrefillMeter.tokensPerSecond();
+  if (const auto Time = m_TokenTime.tokenTime(); Time.count() > 0)
+    Load.DecodeTokensPerSecond = m_Settings.MaximumSequences / Time.count();
+  return Load;
+}
+
+} // namespace figlift::admission
