--- /dev/null
+++ b/Libraries/LibSettings/CommandLine.h
@@ -0,0 +1,44 @@
+//===- CommandLine.h - Command line shared by entry and agent ---*- C++ -*-===//
+//
+// --settings FILE, --check-config, --print-config, --version and --help. The
+// main program gets either settings to run with or the status to exit with.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibSettings/Settings.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace figlift::settings {
+
+/// Everything was done by reading the command line: print and exit.
+struct ExitRequest {
+  std::string Output;
+  int Status = 0;
+};
+
+template <typename Settings>
+using Startup = std::variant<Settings, ExitRequest>;
+
+/// Fail with SettingsInvalid; see reportFailure().
+Result<Startup<EntrySettings>>
+readEntryCommandLine(int ArgumentCount, const char *const *Arguments);
+Result<Startup<AgentSettings>>
+readAgentCommandLine(int ArgumentCount, const char *const *Arguments);
+
+/// Exit status of a program whose settings or command line are wrong.
+inline constexpr int SettingsExitStatus = 2;
+
+/// Prints one line for a person on standard error and returns the status to
+/// exit with.
+int reportFailure(std::string_view Program, const Error &Reason);
+
+/// Version of this build, "0.1.0".
+std::string_view version();
+
+} // namespace figlift::settings
