--- a/Libraries/LibAdmission/Admission.cpp
+++ b/Libraries/LibAdmission/Admission.cpp
@@ -62,8 +62,6 @@
     Out.push_back(Queue{Request.Id});
 }
 
-void Admission::on(const Started &, BootTime, Actions &) {}
-
 void Admission::on(const FirstToken &Event, BootTime Now, Actions &Out) {
   const auto Found = m_Book.find(Event.Id);
   if (Found == m_Book.end() || Found->second.At != Stage::Prefill)
--- a/Libraries/LibAdmission/Admission.h
+++ b/Libraries/LibAdmission/Admission.h
@@ -70,10 +70,6 @@
 struct Arrived {
   Work Request;
 };
-/// The target took the request that Admit named.
-struct Started {
-  std::string Id;
-};
 struct FirstToken {
   std::string Id;
   uint32_t CachedPromptTokens = 0;
@@ -100,10 +96,10 @@
 /// Time passes; due about every 50 ms for queued deadlines.
 struct Tick {};
 
-using Event = std::variant<Arrived, Started, FirstToken, Progress, Ended,
+using Event = std::variant<Arrived, FirstToken, Progress, Ended,
                            AcceptingChanged, SettingsChanged, Tick>;
 
-/// Hand the request to the target now.
+/// Hand the request to the target now; the book counts it there from here on.
 struct Admit {
   std::string Id;
 };
@@ -148,7 +144,6 @@
   using Actions = std::vector<Action>;
 
   void on(const Arrived &, BootTime Now, Actions &Out);
-  void on(const Started &, BootTime Now, Actions &Out);
   void on(const FirstToken &, BootTime Now, Actions &Out);
   void on(const Progress &, BootTime Now, Actions &Out);
   void on(const Ended &, BootTime Now, Actions &Out);
--- /dev/null
+++ b/Libraries/LibPlan/RolePlanner.cpp
@@ -0,0 +1,169 @@
+//===- RolePlanner.cpp - Which engine should change its role ----*- C++ -*-===//
+//
+// The three arms as a visitor.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibPlan/RolePlanner.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <tuple>
+
+namespace figlift::plan {
+
+namespace {
+
+constexpr std::array EngineRoles{Role::Prefill, Role::Decode, Role::Mixed};
+
+struct Move {
+  const TargetState *Target;
+  Role NewRole;
+};
+
+/// The engine of \p From with the least work to drain, if one may change.
+std::optional<Move> cheapestMove(const Fleet &Engines, Role From, Role To) {
+  const TargetState *Best = nullptr;
+  const auto Work = [](const TargetState &Target) {
+    return std::tuple(Target.Load.DecodeTokensWaiting +
+                          Target.Load.prefillTotal(),
+                      std::string_view(Target.Id));
+  };
+  for (const TargetState *Target : Engines.serving())
+    if (Target->CurrentRole == From && Engines.mayBecome(*Target, To) &&
+        (!Best || Work(*Target) < Work(*Best)))
+      Best = Target;
+  if (!Best)
+    return std::nullopt;
+  return Move{Best, To};
+}
+
+GiveOrder order(const Move &Which, std::string Reason) {
+  return {Which.Target->Id, SetRole{Which.NewRole}, std::move(Reason)};
+}
+
+Split sum(Split First, const Split &Second) {
+  First.Prefill += Second.Prefill;
+  First.Decode += Second.Decode;
+  First.Mixed += Second.Mixed;
+  return First;
+}
+
+/// Replaces assumed speeds by the average of what the engines measured.
+FluidSettings measured(FluidSettings Settings, const Fleet &Engines) {
+  const auto Average = [&](double route::TargetLoad::*Rate, double Assumed) {
+    double Sum = 0;
+    unsigned Count = 0;
+    for (const TargetState *Target : Engines.serving())
+      if (const double One = Target->Load.*Rate; One > 0) {
+        Sum += One;
+        ++Count;
+      }
+    return Count ? Sum / Count : Assumed;
+  };
+  Settings.PrefillTokensPerSecond =
+      Average(&route::TargetLoad::PrefillTokensPerSecond,
+              Settings.PrefillTokensPerSecond);
+  Settings.DecodeTokensPerSecond =
+      Average(&route::TargetLoad::DecodeTokensPerSecond,
+              Settings.DecodeTokensPerSecond);
+  return Settings;
+}
+
+Backlog backlog(const Fleet &Engines) {
+  Backlog Sum;
+  for (const TargetState *Target : Engines.serving()) {
+    Sum.PrefillTokens += Target->Load.prefillTotal();
+    Sum.DecodeTokens += Target->Load.DecodeTokensWaiting;
+  }
+  return Sum;
+}
+
+struct Planner {
+  const Snapshot &Seen;
+  const Fleet &Engines;
+  const OrdersUnderWay &Orders;
+
+  std::optional<GiveOrder> operator()(const StaticPlan &) const {
+    return towards({Seen.Spec.Roles.Prefill, Seen.Spec.Roles.Decode,
+                    Seen.Spec.Roles.Mixed},
+                   "the record's split");
+  }
+
+  std::optional<GiveOrder> operator()(const ThresholdPlan &) const {
+    const FluidSettings Speeds = measured(FluidSettings{}, Engines);
+    const double Prefill =
+        Seen.Offered.PrefillTokensPerSecond / Speeds.PrefillTokensPerSecond;
+    const double Decode =
+        Seen.Offered.DecodeTokensPerSecond / Speeds.DecodeTokensPerSecond;
+    if (Prefill + Decode <= 0)
+      return std::nullopt;
+    const unsigned Total = sum(Engines.split(), Engines.returning()).total();
+    const auto ForPrefill = static_cast<unsigned>(
+        std::lround(Total * Prefill / (Prefill + Decode)));
+    return towards({ForPrefill, Total - ForPrefill, 0}, "the offered ratio");
+  }
+
+  std::optional<GiveOrder> operator()(const FigliftPlan &Settings) const {
+    const FluidSettings Speeds = measured(Settings.Model, Engines);
+    const record::PlannerWeights &Weights = Seen.Spec.Weights;
+    const double Seconds =
+        std::chrono::duration<double>(Weights.Horizon).count();
+    const Split Now = Engines.split();
+    const Split Final = sum(Now, Engines.returning());
+    const auto Value = [&](const Scenario &Which) {
+      return predictedValue(Speeds, Which, Seen.Offered, backlog(Engines),
+                            Weights.Horizon);
+    };
+    const auto Duration = Orders.roleChangeDuration();
+    const double Current = Value({Now, Final, Duration});
+    double BestGain = 0;
+    std::optional<Move> Best;
+    for (const Role From : EngineRoles)
+      for (const Role To : EngineRoles) {
+        const auto Candidate =
+            From == To ? std::nullopt : cheapestMove(Engines, From, To);
+        if (!Candidate)
+          continue;
+        Scenario Changed{Now, Final, Duration};
+        --Changed.Before.count(From);
+        --Changed.After.count(From);
+        ++Changed.After.count(To);
+        const double Gain = (Value(Changed) - Current) / Seconds;
+        if (Gain <= BestGain)
+          continue;
+        BestGain = Gain;
+        Best = Candidate;
+      }
+    if (!Best || BestGain * Weights.Goodput <= Weights.RoleChangeCost)
+      return std::nullopt;
+    return order(*Best, "gains " + std::to_string(std::lround(BestGain)) +
+                            " useful tokens/s over the horizon");
+  }
+
+private:
+  /// One change that brings the engines nearer to \p Wanted.
+  std::optional<GiveOrder> towards(Split Wanted, const char *Reason) const {
+    Split Final = sum(Engines.split(), Engines.returning());
+    for (const Role To : EngineRoles)
+      for (const Role From : EngineRoles) {
+        if (From == To || Final.count(To) >= Wanted.count(To) ||
+            Final.count(From) <= Wanted.count(From))
+          continue;
+        if (const auto Which = cheapestMove(Engines, From, To))
+          return order(*Which, Reason);
+      }
+    return std::nullopt;
+  }
+};
+
+} // namespace
+
+std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
+                                  const Snapshot &Seen, const Fleet &Engines,
+                                  const OrdersUnderWay &Orders) {
+  return std::visit(Planner{Seen, Engines, Orders}, Policy);
+}
+
+} // namespace figlift::plan
--- /dev/null
+++ b/Libraries/LibPlan/RolePlanner.h
@@ -0,0 +1,38 @@
+//===- RolePlanner.h - Which engine should change its role ------*- C++ -*-===//
+//
+// Compares the current split of roles with each neighbouring one over the
+// record's horizon. A change must gain more useful tokens than it costs in
+// seconds of an engine lost and in the record's price for a change; that is
+// all the hysteresis there is.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibPlan/Fleet.h"
+#include "LibPlan/FluidModel.h"
+#include "LibPlan/PlanTypes.h"
+
+#include <optional>
+#include <variant>
+
+namespace figlift::plan {
+
+/// Brings the engines to the record's split and leaves them there.
+struct StaticPlan {};
+
+/// Follows the ratio of offered work at once: the baseline without hysteresis.
+struct ThresholdPlan {};
+
+struct FigliftPlan {
+  FluidSettings Model;
+};
+
+using PlanPolicy = std::variant<StaticPlan, ThresholdPlan, FigliftPlan>;
+
+/// The best role change now, if any is worth its cost.
+std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
+                                  const Snapshot &Seen, const Fleet &Engines,
+                                  const OrdersUnderWay &Orders);
+
+} // namespace figlift::plan
