LibWire: Carry messages on HTTP/2 streams of nghttp2

Client, channel, stream and server stand on one epoll loop per I/O thread; each connection is pinned to one.

--- /dev/null
+++ b/Libraries/LibWire/Http2Server.h
@@ -0,0 +1,36 @@
+//===- Http2Server.h - Listener for peers -----------------------*- C++ -*-===//
+//
+// Accepts connections on its first loop and deals them out to all loops.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibWire/ServerConnection.h"
+
+#include <vector>
+
+namespace figlift::wire {
+
+class Http2Server final : public Server {
+public:
+  Http2Server(Endpoint Bound, std::vector<std::shared_ptr<Loop>> Loops,
+              std::shared_ptr<ServerState> Shared);
+  ~Http2Server() override;
+
+  const Endpoint &endpoint() const override { return m_Endpoint; }
+  void drain() override;
+  size_t openStreams() const override { return m_Shared->OpenStreams.load(); }
+  uint64_t bytesSent() const override { return m_Shared->Counter->Sent.load(); }
+  uint64_t bytesReceived() const override {
+    return m_Shared->Counter->Received.load();
+  }
+  void stop() override;
+
+private:
+  const Endpoint m_Endpoint;
+  const std::vector<std::shared_ptr<Loop>> m_Loops;
+  const std::shared_ptr<ServerState> m_Shared;
+};
+
+} // namespace figlift::wire
--- a/Libraries/LibWire/Wire.h
+++ b/Libraries/LibWire/Wire.h
@@ -160,8 +160,8 @@
   virtual uint64_t bytesReceived() const = 0;
   /// Closes everything and joins the I/O threads.
   virtual void stop() = 0;
-  /// Binds without SO_REUSEADDR or SO_REUSEPORT when \p Exclusive is meant to
-  /// prove that no predecessor lives; see docs/DESIGN.md.
+  /// Binds and listens; fails with PeerUnreachable while another process, even
+  /// a paused one, listens on the address.
   static Result<std::unique_ptr<Server>>
   create(const ServerOptions &Options,
          std::shared_ptr<ServerListener> Listener);
