LibLease, LibOrder, LibIdempotency: Implement the state machines

The restart of a home in its slot writes its grant anew instead of reading it: a grant for a successor that the dead process sent may take effect after the reading, and two homes would run the same key. Handovers that were given up get a new epoch at the next attempt, so that a late acknowledgement is not taken for the new one.

--- a/Libraries/LibIdempotency/HomeMachine.h
+++ b/Libraries/LibIdempotency/HomeMachine.h
@@ -56,6 +56,25 @@
   size_t openCalls() const;
   const Claim *find(const std::string &Key) const;
 
+  /// Passes every member that decides what the machine does next to \p Put, so
+  /// that an exhaustive exploration recognises a state it has seen.
+  template <typename Sink> void describe(Sink &&Put) const {
+    for (SliceId Slice = 0; Slice != SliceCount; ++Slice) {
+      const SliceRecord &Record = m_Slices[Slice];
+      if (Record.State == SliceState::NotHome && Record.ClaimsEpoch == 0)
+        continue;
+      Put(Slice, Record.State, Record.Epoch, Record.ClaimsEpoch);
+      Put(Record.OldUntil.value_or(WallTime{}), Record.Successor,
+          Record.SuccessorEpoch);
+    }
+    for (const auto &[Key, Known] : m_Claims) {
+      Put(Key, Known.What.State, Known.Foreign, Known.Replays);
+      Put(Known.Since);
+      for (uint64_t Token : Known.Waiters)
+        Put(Token);
+    }
+  }
+
 private:
   enum class SliceState {
     NotHome,
@@ -71,13 +90,15 @@
   struct SliceRecord {
     SliceState State = SliceState::NotHome;
     uint64_t Epoch = 0;
-    /// Epoch of the claims that a predecessor sent; 0 when none.
+    /// Epoch of the complete claims that a predecessor sent; 0 when none.
     uint64_t ClaimsEpoch = 0;
     /// Keys minted at or before it, and keys without a mint time, may have run
     /// at a former home. Never moves back; travels with a handover.
     std::optional<WallTime> OldUntil;
     /// Home that the claims were sent to; updates of open calls go there.
     std::string Successor;
+    /// Higher with each attempt, so that the acknowledgement of an attempt
+    /// that was given up is not taken for that of the next.
     uint64_t SuccessorEpoch = 0;
   };
 
@@ -85,6 +106,8 @@
     Claim What;
     /// The call is open at a former home, not here.
     bool Foreign = false;
+    /// Whoever is answered from now on gets the answer of an earlier call.
+    bool Replays = false;
     BootTime Since{};
     /// Callers that wait; the first is the one whose call was sent.
     std::vector<uint64_t> Waiters;
@@ -112,16 +135,20 @@
   void on(const GrantCommitted &, Context &C);
 
   void repeat(Entry &Known, const CallReceived &Call, Context &C);
+  std::optional<ResultCode> refusalOf(const CallReceived &Call,
+                                      WallTime Wall) const;
   bool mayHaveRunBefore(const CallReceived &Call, const SliceRecord &Slice,
                         WallTime Wall) const;
   void settle(Entry &Open, ClaimState State, Context &C);
   void answerWaiters(Entry &Settled, Context &C);
   void forward(const Entry &Settled, Context &C);
   void merge(const Claim &Received, Context &C);
-  static void raise(std::optional<WallTime> &Until, WallTime To);
+  bool handedOn(const SliceRecord &Slice) const;
 
   HomeOptions m_Options;
   std::array<SliceRecord, SliceCount> m_Slices{};
+  /// Claims of slices that moved stay until the retention ends: a caller who
+  /// comes to the old home with a key that ran there gets its answer.
   std::map<std::string, Entry> m_Claims;
 };
 
--- a/Libraries/LibIdempotency/HomeTypes.h
+++ b/Libraries/LibIdempotency/HomeTypes.h
@@ -50,8 +50,10 @@
   Initial,
   /// The living predecessor sent its claims first.
   Handover,
-  /// This process replaced a dead one in the same slot and the row of grants,
-  /// read after the port was bound, still names this target.
+  /// This process replaced a dead one in the same slot: after it had bound the
+  /// port it found its target in the row of grants and wrote the grant anew
+  /// with the next epoch. Reading alone would not do: a grant for a successor
+  /// that the dead process sent may take effect after the reading.
   SameSlotRestart,
   /// The former home is gone from the platform's list or was retired.
   TableTakeover,
@@ -89,7 +91,9 @@
 struct TargetOutcomeUnknown {
   std::string Key;
 };
-/// The row of grants, read back from the table, names this target.
+/// The row of grants names this target. The row records how it came to that,
+/// because claims of a handover that was given up may have arrived under the
+/// same epoch as a takeover.
 struct SliceGranted {
   SliceId Slice = 0;
   uint64_t Epoch = 0;
@@ -103,12 +107,15 @@
   SliceId Slice = 0;
   uint64_t Epoch = 0;
 };
-/// Claims of a predecessor; also later updates of calls that were open.
+/// Claims of a predecessor.
 struct ClaimsReceived {
   SliceId Slice = 0;
   /// Epoch under which the successor will hold the slice.
   uint64_t Epoch = 0;
   std::vector<Claim> Claims;
+  /// All claims of the slice; otherwise the outcomes of calls that were open
+  /// at the handover.
+  bool Complete = true;
   /// Keys minted at or before this time have an unknown outcome.
   std::optional<WallTime> OldUntil;
 };
@@ -174,16 +181,16 @@
   std::string Key;
   bool operator==(const JoinWaiters &) const = default;
 };
-/// Send claims to the next home; a ClaimsReceived there. With Handover false it
-/// is an update of a call that was open at the handover and needs no answer;
-/// with Handover true HandoverAcknowledged or HandoverFailed follows.
+/// Send claims to the next home, a ClaimsReceived there. When it is Complete
+/// HandoverAcknowledged or HandoverFailed follows; the outcome of a call that
+/// was open at the handover needs no answer.
 struct SendClaims {
   std::string Successor;
   SliceId Slice = 0;
   uint64_t Epoch = 0;
   std::vector<Claim> Claims;
+  bool Complete = true;
   std::optional<WallTime> OldUntil;
-  bool Handover = true;
   bool operator==(const SendClaims &) const = default;
 };
 /// The successor keeps these claims now.
@@ -192,12 +199,14 @@
   uint64_t Epoch = 0;
   bool operator==(const AcknowledgeClaims &) const = default;
 };
-/// Write the successor's grant: home and epoch, on condition that the row
-/// still grants Epoch - 1 to this target. GrantCommitted follows, or
-/// HandoverFailed when it is certain that it neither was nor will be written.
+/// Write the successor's grant, on condition that the row still grants
+/// FromEpoch to this target. GrantCommitted follows, or HandoverFailed when it
+/// is certain that the grant neither was nor will be written: the row has
+/// another version than the commit expected.
 struct CommitGrant {
   SliceId Slice = 0;
   std::string Successor;
+  uint64_t FromEpoch = 0;
   uint64_t Epoch = 0;
   bool operator==(const CommitGrant &) const = default;
 };
--- a/Libraries/LibLease/LeaseMachine.h
+++ b/Libraries/LibLease/LeaseMachine.h
@@ -113,8 +113,18 @@
   /// Holder named by the row that was read last; empty when none.
   const std::string &knownHolder() const { return m_Row.Holder; }
 
+  /// Passes every member that decides what the machine does next to \p Put, so
+  /// that an exhaustive exploration recognises a state it has seen.
+  template <typename Sink> void describe(Sink &&Put) const {
+    Put(m_Phase, m_Waiting, m_Row.Version, m_Row.Holder, m_Row.Epoch);
+    Put(m_Row.Duration, m_RowKnown, m_FirstSeen, m_CommitSent, m_NextCall);
+    Put(m_InDoubt, m_Attempt.ExpectedVersion, m_Attempt.Holder);
+    Put(m_Attempt.Epoch, m_FirstAttempt, m_HeldSince, m_HeldEpoch);
+    Put(m_StopRequested);
+  }
+
 private:
-  enum class Phase { Watching, Acquiring, Holding, Releasing, Stopped };
+  enum class Phase { Watching, Holding, Releasing, Stopped };
   enum class Waiting { Nothing, Read, Commit };
   using Actions = std::vector<Action>;
 
@@ -127,15 +137,18 @@
   void on(const StoreFailed &, BootTime Now, Actions &Out);
   void on(const StopRequested &, BootTime Now, Actions &Out);
 
-  bool expired(BootTime Now) const;
+  bool mayAcquire(BootTime Now) const;
   BootTime validUntil() const;
   std::chrono::nanoseconds renewInterval() const;
-  void observe(const RowRead &Row, BootTime Now);
-  void dropAuthority(Actions &Out);
+  void failed(BootTime Now, Actions &Out);
+  void becomeHolder(BootTime CountedFrom, BootTime Now, Actions &Out);
+  void loseAuthority(Actions &Out);
   void read(BootTime Now, Actions &Out);
-  void commit(std::string Holder, uint64_t Epoch, BootTime Now, Actions &Out);
-  void written(BootTime Now, Actions &Out);
-  void release(BootTime Now, Actions &Out);
+  void commit(CommitRow What, BootTime Now, Actions &Out);
+  void acquire(BootTime Now, Actions &Out);
+  void renew(BootTime Now, Actions &Out);
+  void stop(BootTime Now, Actions &Out);
+  void finish(bool Written, Actions &Out);
 
   LeaseOptions m_Options;
   Phase m_Phase = Phase::Watching;
@@ -146,16 +159,21 @@
   /// When m_Row.Version was first seen here; the row's expiry is counted from
   /// it, on this machine's clock alone.
   BootTime m_FirstSeen{};
-  /// When the last read or commit was sent.
-  BootTime m_LastSent{};
-  /// Earliest sending of a commit that may have produced, or may yet produce,
-  /// the row's next version. Never later than the write itself.
-  std::optional<BootTime> m_FirstAttempt;
-  /// What the commits since m_FirstAttempt tried to write.
+  /// When the commit that is under way was sent.
+  BootTime m_CommitSent{};
+  /// When the next read or commit is due.
+  BootTime m_NextCall{};
+  /// A commit had no answer: m_Attempt may have taken effect, or may yet.
+  bool m_InDoubt = false;
+  /// Content of the last commit, and when that content was sent first. The row
+  /// cannot have changed to it earlier.
   CommitRow m_Attempt;
+  BootTime m_FirstAttempt{};
   /// While Holding: authority is counted from here, a time before the last
   /// successful commit was sent.
   BootTime m_HeldSince{};
+  /// Epoch of the last tenure.
+  uint64_t m_HeldEpoch = 0;
   bool m_StopRequested = false;
 };
 
--- a/Libraries/LibOrder/OrderMachine.h
+++ b/Libraries/LibOrder/OrderMachine.h
@@ -14,6 +14,7 @@
 #include "LibOrder/OrderTypes.h"
 
 #include <chrono>
+#include <deque>
 #include <span>
 #include <string_view>
 
@@ -84,6 +85,23 @@
   /// Order in progress, or null.
   const Order *current() const { return m_Current ? &*m_Current : nullptr; }
 
+  /// Passes every member that decides what the machine does next to \p Put, so
+  /// that an exhaustive exploration recognises a state it has seen.
+  template <typename Sink> void describe(Sink &&Put) const {
+    Put(m_State, m_Store, m_Engine, m_AdmissionOpen, m_RowsKnown);
+    Put(m_HighestEpoch, m_RowVersion, m_LeaseVersion, m_Fence);
+    Put(m_Row.has_value(), m_Current.has_value(), m_LastEngine.has_value());
+    if (m_Row)
+      Put(m_Row->What.Id, m_Row->State);
+    if (m_Current)
+      Put(m_Current->Id);
+    if (m_LastEngine)
+      Put(m_LastEngine->Boot, m_LastEngine->Role, m_LastEngine->OrderId);
+    Put(m_Callers.size(), m_Book.size(), m_End, m_IntentInDoubt, m_Rejected);
+    Put(m_Sends, m_SettledAt, m_SettledBefore, m_NextPoll);
+    Put(m_EngineReadSent);
+  }
+
 private:
   using Actions = std::vector<Action>;
   struct Context {
@@ -115,20 +133,22 @@
   void readEngine(Context &C);
   void refuse(Context &C, ResultCode Code);
   void openAdmission(Context &C);
-  void rowsInRecovery(const IntentRowRead &Rows, Context &C);
   void rowsForOrder(const IntentRowRead &Rows, Context &C);
-  void rowsAfterDoubt(const IntentRowRead &Rows, Context &C);
   void rowsAtCompletion(const IntentRowRead &Rows, Context &C);
   void commitIntent(Context &C);
   void commitCompletion(Context &C);
-  void resume(const IntentRow &Row, Context &C);
+  void accept(Context &C);
   void drain(Context &C);
   void send(Context &C);
-  void settle(const EngineState &Now, Context &C);
-  void recover(Context &C);
+  void sendingAnswered(Context &C);
+  void settle(const EngineState &Engine, Context &C);
+  bool settled() const;
+  void recover(const EngineState &Engine, Context &C);
   void complete(IntentState End, Context &C);
   void becomeIdle(Context &C);
-  OrderProgress progressOf(IntentState End) const;
+  void reply(Context &C, ResultCode Code, OrderProgress Progress);
+  bool answerFromBook(const OrderReceived &Call, Context &C);
+  void report(Context &C);
 
   OrderOptions m_Options;
   State m_State = State::Recovering;
@@ -146,19 +166,26 @@
   /// Version of the row that holds the intent of m_Current; its fence.
   uint64_t m_Fence = 0;
   std::optional<Order> m_Current;
-  /// Stream that gave m_Current and has had no reply.
-  std::optional<uint64_t> m_Caller;
+  /// Streams that gave m_Current and have had no reply.
+  std::vector<uint64_t> m_Callers;
+  /// Ends of the last orders, newest last; bounded. Answers a planner that
+  /// repeats an order after newer ones.
+  std::deque<IntentRow> m_Book;
   /// End that CommitCompletionRow writes.
   IntentState m_End = IntentState::Done;
   /// A commit of the intent had no answer: it may still take effect, so
   /// m_Current may not be forgotten until the row or the lease has moved on.
   bool m_IntentInDoubt = false;
-  /// Boot id under which m_Current was sent, or seen, last.
-  std::string m_Boot;
+  /// The engine refused m_Current for good.
+  bool m_Rejected = false;
   std::optional<EngineState> m_LastEngine;
   unsigned m_Sends = 0;
-  /// An order without an answer may reach the engine until then.
+  /// A copy of an order without an answer may reach the engine until then.
   BootTime m_SettledAt{};
+  /// Its value before the sending that is under way.
+  BootTime m_SettledBefore{};
+  /// When the last reading of the engine was sent.
+  BootTime m_EngineReadSent{};
   BootTime m_NextPoll{};
 };
 
--- /dev/null
+++ b/Libraries/LibOrder/OrderMachineEngine.cpp
@@ -0,0 +1,178 @@
+//===- OrderMachineEngine.cpp - The engine's side of an order -------------===//
+//
+// See OrderMachine.h. Draining, sending and reading back.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibOrder/OrderMachine.h"
+
+namespace figlift::order {
+
+void OrderMachine::on(const Drained &, Context &C) {
+  if (m_State == State::Draining)
+    send(C);
+}
+
+/// Requests are never cut for a change: the change is given up instead.
+void OrderMachine::on(const DrainTimedOut &, Context &C) {
+  if (m_State == State::Draining)
+    complete(IntentState::Abandoned, C);
+}
+
+void OrderMachine::on(const EngineStateRead &Read, Context &C) {
+  if (m_Engine == Engine::Reading)
+    m_Engine = Engine::Free;
+  bool Restarted = m_LastEngine && m_LastEngine->Boot != Read.State.Boot;
+  m_LastEngine = Read.State;
+  switch (m_State) {
+  case State::Recovering:
+    return recover(Read.State, C);
+  case State::Settling:
+    return settle(Read.State, C);
+  case State::Idle:
+    if (Restarted)
+      report(C);
+    return;
+  default:
+    return;
+  }
+}
+
+void OrderMachine::on(const EngineUnreachable &, Context &C) {
+  if (m_Engine == Engine::Reading)
+    m_Engine = Engine::Free;
+  m_NextPoll = C.Now + m_Options.PollInterval;
+}
+
+void OrderMachine::on(const EngineAccepted &, Context &C) {
+  sendingAnswered(C);
+}
+
+void OrderMachine::on(const EngineRejected &, Context &C) {
+  m_Rejected = true;
+  sendingAnswered(C);
+}
+
+void OrderMachine::on(const EngineBusy &, Context &C) { sendingAnswered(C); }
+
+void OrderMachine::on(const EngineNotReached &, Context &C) {
+  sendingAnswered(C);
+}
+
+void OrderMachine::on(const EngineOutcomeUnknown &, Context &C) {
+  if (m_State != State::Sending)
+    return;
+  m_Engine = Engine::Free;
+  m_State = State::Settling;
+  readEngine(C);
+}
+
+/// The sending was answered: no copy of it is on its way any more, so that
+/// only earlier ones have to be waited for.
+void OrderMachine::sendingAnswered(Context &C) {
+  if (m_State != State::Sending)
+    return;
+  m_SettledAt = m_SettledBefore;
+  m_Engine = Engine::Free;
+  m_State = State::Settling;
+  readEngine(C);
+}
+
+/// Whether the last reading shows what all copies that were sent have done. It
+/// must have been sent after the bound: an answer that took long may show the
+/// engine as it was before a late copy arrived.
+bool OrderMachine::settled() const { return m_EngineReadSent >= m_SettledAt; }
+
+void OrderMachine::readEngine(Context &C) {
+  m_Engine = Engine::Reading;
+  m_EngineReadSent = C.Now;
+  m_NextPoll = C.Now + m_Options.PollInterval;
+  C.Out.push_back(ReadEngineState{});
+}
+
+void OrderMachine::openAdmission(Context &C) {
+  if (m_AdmissionOpen)
+    return;
+  m_AdmissionOpen = true;
+  C.Out.push_back(OpenAdmission{});
+}
+
+void OrderMachine::drain(Context &C) {
+  m_State = State::Draining;
+  m_Sends = 0;
+  m_Rejected = false;
+  m_AdmissionOpen = false;
+  C.Out.push_back(CloseAdmission{});
+}
+
+void OrderMachine::send(Context &C) {
+  m_State = State::Sending;
+  m_Engine = Engine::Sending;
+  ++m_Sends;
+  m_SettledBefore = m_SettledAt;
+  m_SettledAt = C.Now + m_Options.SettleTime;
+  C.Out.push_back(SendToEngine{*m_Current, m_Fence});
+}
+
+/// Reads the order's end out of the engine's state. While a copy without an
+/// answer may still arrive nothing is decided: if it took effect after the
+/// next order, the engine would be left in the older state, with all rows
+/// saying the newer one.
+void OrderMachine::settle(const EngineState &Engine, Context &C) {
+  if (Engine.OrderState == EngineOrderState::Running || !settled())
+    return;
+  bool Satisfied = satisfies(Engine, m_Current->What);
+  if (Satisfied)
+    return complete(IntentState::Done, C);
+  bool Ended = Engine.OrderId == m_Current->Id;
+  if (Ended || m_Rejected || m_Sends >= m_Options.MaximumSends)
+    return complete(IntentState::Abandoned, C);
+  // The engine never took it, or has lost it in a crash.
+  send(C);
+}
+
+/// The engine is quiet once nothing runs and nothing can be on its way. From
+/// then on its state changes only by this machine, so requests may come in
+/// even when the rows can't be read yet.
+void OrderMachine::recover(const EngineState &Engine, Context &C) {
+  if (Engine.OrderState == EngineOrderState::Running || !settled())
+    return;
+  if (!m_RowsKnown)
+    return openAdmission(C);
+  if (!m_Row || m_Row->State != IntentState::Intended) {
+    m_State = State::Idle;
+    openAdmission(C);
+    return report(C);
+  }
+  m_Current = m_Row->What;
+  m_Fence = m_RowVersion;
+  bool Failed = Engine.OrderId == m_Current->Id &&
+                Engine.OrderState == EngineOrderState::Failed;
+  if (satisfies(Engine, m_Current->What))
+    return complete(IntentState::Done, C);
+  if (Failed)
+    return complete(IntentState::Abandoned, C);
+  drain(C);
+}
+
+/// The engine's part is over. Requests go on at once; the row follows as soon
+/// as the store takes it.
+void OrderMachine::complete(IntentState End, Context &C) {
+  m_End = End;
+  m_State = State::WritingCompletion;
+  openAdmission(C);
+  report(C);
+  commitCompletion(C);
+}
+
+void OrderMachine::report(Context &C) {
+  if (!m_LastEngine)
+    return;
+  const Order *Wanted = m_Current ? &*m_Current : nullptr;
+  if (!Wanted && m_Row && m_Row->State == IntentState::Done)
+    Wanted = &m_Row->What;
+  bool Matches = !Wanted || satisfies(*m_LastEngine, Wanted->What);
+  C.Out.push_back(ReportEngineState{*m_LastEngine, Matches});
+}
+
+} // namespace figlift::order
--- a/Libraries/LibOrder/OrderTypes.h
+++ b/Libraries/LibOrder/OrderTypes.h
@@ -110,6 +110,8 @@
 struct Drained {};
 /// The requests did not end within the drain's bound.
 struct DrainTimedOut {};
+/// Answers ReadEngineState. In Idle the shell may also pass on what it read for
+/// other reasons, so that a restart of the engine is noticed.
 struct EngineStateRead {
   EngineState State;
 };
