LibRoute: Remember sent prefixes and price displaced ones

A target's cache summary is late, so requests with one beginning were scattered until it came, and each computed its prefix anew. The targets' reported hits discount what is believed.

--- a/Libraries/LibRoute/ChooseTarget.cpp
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -98,7 +98,7 @@
     const WaitEstimate Estimate = estimateWait(
         FigliftPolicy{}, Target, Target.Gauge->reported(), Request);
     return Choice{&Target, Estimate.Wait, Estimate.Total,
-                  Estimate.PrefixTokensSaved};
+                  Estimate.PrefixTokensSaved, Estimate.PrefixTokensBelieved};
   }
 
   static bool acceptable(const Scored &One) {
@@ -150,8 +150,7 @@
     size_t Longest = 0;
     std::vector<const TargetView *> Holders;
     for (const TargetView *Target : Targets) {
-      const size_t Blocks =
-          Target->Prefixes.matchingBlocks(Request.PrefixHashes);
+      const size_t Blocks = Target->cachedBlocks(Request.PrefixHashes);
       if (Blocks == 0 || Blocks < Longest)
         continue;
       if (Blocks > Longest)
@@ -186,7 +185,7 @@
     const WaitEstimate Estimate = estimateWait(Settings, Target, Load, Request);
     Scored Result;
     Result.Chosen = {&Target, Estimate.Wait, Estimate.Total,
-                     Estimate.PrefixTokensSaved};
+                     Estimate.PrefixTokensSaved, Estimate.PrefixTokensBelieved};
     Result.Cost = Estimate.Total;
     if (Target.Zone != Table.ownZone())
       Result.Cost += Settings.OtherZonePenalty;
@@ -225,14 +224,29 @@
 
   /// Targets that can take the work go before those that cannot.
   Scored best(const FigliftPolicy &Settings, const Eligible &Among) const {
-    Scored Best = score(Settings, *Among.front());
-    for (const TargetView *Target : std::span(Among).subspan(1)) {
-      const Scored Other = score(Settings, *Target);
-      if (std::pair(!acceptable(Other), Other.Cost) <
-          std::pair(!acceptable(Best), Best.Cost))
-        Best = Other;
+    std::vector<Scored> All;
+    All.reserve(Among.size());
+    uint32_t MostBelieved = 0;
+    for (const TargetView *Target : Among) {
+      All.push_back(score(Settings, *Target));
+      MostBelieved =
+          std::max(MostBelieved, All.back().Chosen.PrefixTokensBelieved);
     }
-    return Best;
+    for (Scored &One : All)
+      One.Cost += displacement(Settings, One.Chosen, MostBelieved);
+    return *std::ranges::min_element(All, {}, [](const Scored &One) {
+      return std::pair(!acceptable(One), One.Cost);
+    });
+  }
+
+  static microseconds displacement(const FigliftPolicy &Settings,
+                                   const Choice &Chosen,
+                                   uint32_t MostBelieved) {
+    const double Rate = Chosen.Target->Gauge->reported().PrefillTokensPerSecond;
+    const double Missing = MostBelieved - Chosen.PrefixTokensBelieved;
+    return microseconds(static_cast<int64_t>(
+        Settings.DisplacementFactor * Missing * 1e6 /
+        (Rate > 0 ? Rate : Settings.AssumedPrefillTokensPerSecond)));
   }
 
   Result<Choice> refusal(const Scored &Best) const {
@@ -248,10 +262,11 @@
 
 } // namespace
 
-SentWork Choice::workOf(const RequestShape &Request) const {
+InFlightTicket Choice::enter(const RequestShape &Request) const {
   const uint32_t Prefill =
       std::max<uint32_t>(Request.PromptTokens - ExpectedPrefixTokensSaved, 1);
-  return {Request.Class, Prefill, Request.MaximumTokens};
+  Target->Gauge->recentPrefixes().add(Request.PrefixHashes);
+  return {Target->Gauge, {Request.Class, Prefill, Request.MaximumTokens}};
 }
 
 Result<Choice> chooseTarget(const Policy &Which, const RoutingTable &Table,
--- a/Libraries/LibRoute/ChooseTarget.h
+++ b/Libraries/LibRoute/ChooseTarget.h
@@ -36,16 +36,20 @@
 };
 
 struct Choice {
-  /// Lives as long as the table.
+  /// Lives as long as the table; keep the gauge, not the view, with an attempt.
   const TargetView *Target = nullptr;
   /// Until the first token (the whole answer, for a plain service).
   std::chrono::microseconds ExpectedWait{0};
   /// Until the last token.
   std::chrono::microseconds ExpectedTotal{0};
   uint32_t ExpectedPrefixTokensSaved = 0;
+  /// Prompt tokens that the target is believed to hold, for
+  /// TargetGauge::learnHit(); the savings above are discounted by its trust.
+  uint32_t PrefixTokensBelieved = 0;
 
-  /// What to enter into the target's gauge when the attempt is sent.
-  SentWork workOf(const RequestShape &Request) const;
+  /// Enters the attempt into the target's gauge; to be called before it is
+  /// sent. Settle the ticket at the attempt's first frame.
+  InFlightTicket enter(const RequestShape &Request) const;
 };
 
 /// Chooses among the accepting targets that are not in \p Excluded. Fails with
@@ -63,6 +67,7 @@
   std::chrono::microseconds Wait{0};
   std::chrono::microseconds Total{0};
   uint32_t PrefixTokensSaved = 0;
+  uint32_t PrefixTokensBelieved = 0;
   /// Both rates were measured by the target.
   bool Measured = false;
 };
--- a/Libraries/LibRoute/EstimateWait.cpp
+++ b/Libraries/LibRoute/EstimateWait.cpp
@@ -33,11 +33,11 @@
   return Result;
 }
 
-uint32_t tokensSaved(const FigliftPolicy &Settings, const TargetView &Target,
-                     const RequestShape &Request) {
+uint32_t tokensBelieved(const FigliftPolicy &Settings, const TargetView &Target,
+                        const RequestShape &Request) {
   if (!Settings.PrefixAwareness)
     return 0;
-  const size_t Blocks = Target.Prefixes.matchingBlocks(Request.PrefixHashes);
+  const size_t Blocks = Target.cachedBlocks(Request.PrefixHashes);
   const size_t Tokens = Blocks * PrefixBlockTokens;
   return static_cast<uint32_t>(std::min<size_t>(Tokens, Request.PromptTokens));
 }
@@ -74,7 +74,9 @@
                           const TargetView &Target, const TargetLoad &Load,
                           const RequestShape &Request) {
   const Rates Rate = ratesOf(Settings, Load);
-  const uint32_t Saved = tokensSaved(Settings, Target, Request);
+  const uint32_t Believed = tokensBelieved(Settings, Target, Request);
+  const auto Saved =
+      static_cast<uint32_t>(Believed * Target.Gauge->prefixTrust());
   const uint64_t Ahead = Settings.ClassPriorities
                              ? Load.prefillAhead(Request.Class)
                              : Load.prefillTotal();
@@ -93,7 +95,7 @@
   }
   const Seconds Wait =
       Seconds(Ahead / Rate.Prefill) + slotWait(Rate, Load) + Prefill;
-  return {microseconds(Wait), microseconds(Wait + Decode), Saved,
+  return {microseconds(Wait), microseconds(Wait + Decode), Saved, Believed,
           Load.PrefillTokensPerSecond > 0 &&
               (Load.DecodeTokensPerSecond > 0 || Request.MaximumTokens == 0)};
 }
--- a/Libraries/LibRoute/Policy.h
+++ b/Libraries/LibRoute/Policy.h
@@ -41,6 +41,10 @@
   /// Candidates by rendezvous of the prefix, and by chance.
   unsigned RendezvousCandidates = 2;
   unsigned RandomCandidates = 2;
+  /// A prefix that is cached elsewhere and computed anew pushes as much out of
+  /// the cache that takes it, to be computed anew later: its cost counts this
+  /// much more.
+  double DisplacementFactor = 1.0;
   /// Added to the expected wait of targets in another zone.
   std::chrono::microseconds OtherZonePenalty{2000};
   /// Expected prefill and decode time count this much more on a target whose
--- a/Libraries/LibRoute/RoutingTable.cpp
+++ b/Libraries/LibRoute/RoutingTable.cpp
@@ -21,6 +21,15 @@
   });
 }
 
+size_t TargetView::cachedBlocks(std::span<const uint64_t> PromptHashes) const {
+  const size_t Reported = Prefixes.matchingBlocks(PromptHashes);
+  const RecentPrefixes &Recent = Gauge->recentPrefixes();
+  for (size_t I = PromptHashes.size(); I > Reported; --I)
+    if (Recent.contains(PromptHashes[I - 1]))
+      return I;
+  return Reported;
+}
+
 RoutingTable::RoutingTable(std::vector<TargetView> Targets, InFlightBook &Book,
                            std::map<std::string, ClassBounds> Bounds,
                            std::string OwnZone)
--- a/Libraries/LibRoute/RoutingTable.h
+++ b/Libraries/LibRoute/RoutingTable.h
@@ -37,6 +37,9 @@
 
   /// \p Model is "name", "name@version" or empty.
   bool serves(std::string_view Model) const;
+  /// Leading blocks of a prompt that its summary holds, or that this entry
+  /// sent it lately.
+  size_t cachedBlocks(std::span<const uint64_t> PromptHashes) const;
 };
 
 /// Bound of the waiting prompt tokens of one target, by service class.
--- a/Libraries/LibRoute/TargetGauge.cpp
+++ b/Libraries/LibRoute/TargetGauge.cpp
@@ -6,8 +6,18 @@
 
 #include "LibRoute/TargetGauge.h"
 
+#include <algorithm>
+
 namespace figlift::route {
 
+namespace {
+
+constexpr double TrustWeight = 0.1;
+/// Some trust is left, so that a target whose cache has recovered is found.
+constexpr double MinimumTrust = 0.1;
+
+} // namespace
+
 void TargetGauge::report(const TargetLoad &Load, BootTime Now) {
   for (size_t I = 0; I < ServiceClassCount; ++I)
     m_PrefillWaiting[I].store(Load.PrefillTokensWaiting[I], Relaxed);
@@ -62,6 +72,16 @@
   return Load;
 }
 
+void TargetGauge::learnHit(uint32_t Believed, uint32_t Cached) {
+  if (Believed == 0)
+    return;
+  // Two threads at once may lose one observation of a moving average.
+  const double True = std::min(1.0, static_cast<double>(Cached) / Believed);
+  const double Trust = m_PrefixTrust.load(Relaxed);
+  m_PrefixTrust.store(
+      std::max(MinimumTrust, Trust + TrustWeight * (True - Trust)), Relaxed);
+}
+
 uint64_t TargetGauge::unaccountedRequests() const {
   return m_SentRequests.load(Relaxed);
 }
--- a/Libraries/LibRoute/TargetGauge.h
+++ b/Libraries/LibRoute/TargetGauge.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "LibCore/Clock.h"
+#include "LibRoute/RecentPrefixes.h"
 #include "LibRoute/TargetLoad.h"
 
 #include <array>
@@ -45,6 +46,15 @@
   TargetLoad corrected() const;
   uint64_t unaccountedRequests() const;
 
+  /// The target reported \p Cached prompt tokens where \p Believed ones were
+  /// expected to be cached (Accepted or Finished frame).
+  void learnHit(uint32_t Believed, uint32_t Cached);
+  /// Part of the believed savings that lately came true, between 0.1 and 1.
+  double prefixTrust() const { return m_PrefixTrust.load(Relaxed); }
+
+  RecentPrefixes &recentPrefixes() { return m_RecentPrefixes; }
+  const RecentPrefixes &recentPrefixes() const { return m_RecentPrefixes; }
+
 private:
   static constexpr auto Relaxed = std::memory_order_relaxed;
 
@@ -61,6 +71,8 @@
   std::array<std::atomic<uint64_t>, ServiceClassCount> m_SentPrefill{};
   std::atomic<uint64_t> m_SentDecode{0};
   std::atomic<uint32_t> m_SentRequests{0};
+  RecentPrefixes m_RecentPrefixes;
+  std::atomic<double> m_PrefixTrust{1};
 };
 
 } // namespace figlift::route
