--- a/Libraries/LibTimeline/HybridClock.cpp
+++ b/Libraries/LibTimeline/HybridClock.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 
 namespace figlift::timeline {
 
@@ -21,22 +20,17 @@
   return WallTime(std::chrono::milliseconds(Value >> CounterBits));
 }
 
-std::string Stamp::toString() const {
-  char Text[17];
-  std::snprintf(Text, sizeof(Text), "%016llx",
-                static_cast<unsigned long long>(Value));
-  return Text;
-}
+std::string Stamp::toString() const { return std::to_string(Value); }
 
 Result<Stamp> Stamp::parse(std::string_view Text) {
   Stamp Read;
   const char *End = Text.data() + Text.size();
-  auto [Rest, Status] = std::from_chars(Text.data(), End, Read.Value, 16);
-  if (Text.size() == 16 && Status == std::errc() && Rest == End)
+  auto [Rest, Status] = std::from_chars(Text.data(), End, Read.Value);
+  if (Status == std::errc() && Rest == End)
     return Read;
   return failure(ResultCode::InvalidInput,
                  "found \"" + std::string(Text.substr(0, 32)) +
-                     "\"; allowed are 16 hexadecimal digits");
+                     "\"; allowed is a decimal number of 64 bits");
 }
 
 Stamp advance(Stamp Last, WallTime Wall) {
--- a/Libraries/LibTimeline/HybridClock.h
+++ b/Libraries/LibTimeline/HybridClock.h
@@ -36,7 +36,8 @@
   uint16_t counter() const { return static_cast<uint16_t>(Value); }
   bool isNone() const { return Value == 0; }
 
-  /// 16 lower-case hexadecimal digits, whose order is the order of stamps.
+  /// Decimal. In JSON it stands in a string: many readers of JSON round numbers
+  /// beyond 53 bits.
   std::string toString() const;
   /// Reads toString()'s form; fails with InvalidInput.
   static Result<Stamp> parse(std::string_view Text);
--- a/Libraries/LibTimeline/Timeline.cpp
+++ b/Libraries/LibTimeline/Timeline.cpp
@@ -69,11 +69,4 @@
                    nlohmann::ordered_json::error_handler_t::replace);
 }
 
-Result<std::string> Timeline::answer(std::string_view AfterParameter) const {
-  if (AfterParameter.empty())
-    return toJson();
-  FIGLIFT_TRY(After, Stamp::parse(AfterParameter));
-  return toJson(After);
-}
-
 } // namespace figlift::timeline
--- a/Libraries/LibTimeline/Timeline.h
+++ b/Libraries/LibTimeline/Timeline.h
@@ -34,7 +34,9 @@
   Stamp record(EventKind Kind, Subject About, FieldList Fields = {},
                Stamp Cause = {});
 
-  /// Value for the `clock` field of a message about to be sent.
+  /// Value for the `clock` field of a message about to be sent. A message that
+  /// an event stands for carries the stamp of record() in its place, so that
+  /// what it causes elsewhere can be followed back.
   uint64_t clockToSend() { return m_Clock.encode(); }
   /// Merges the `clock` field of a received message; returns the sender's
   /// stamp as a cause for record().
@@ -43,9 +45,6 @@
   /// Body of GET /timeline: {"process","kind","zone","now","overwritten",
   /// "events":[...]}, events after \p After, at most \p Limit of the oldest.
   std::string toJson(Stamp After = {}, size_t Limit = SIZE_MAX) const;
-  /// The same for the raw value of the query parameter `after`; empty means
-  /// from the start. Fails with InvalidInput.
-  Result<std::string> answer(std::string_view AfterParameter) const;
 
 private:
   TimelineOptions m_Options;
