LibPlan: Expect a mix only as long as it usually lasts

Requests that wait keep their own ratio of output to prompt; without that the model gained work from a change of mix.

--- a/Libraries/LibPlan/FluidModel.cpp
+++ b/Libraries/LibPlan/FluidModel.cpp
@@ -51,34 +51,97 @@
   return Which == Role::Decode ? Decode : Mixed;
 }
 
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+double ratio(double Part, double Whole) { return Whole > 0 ? Part / Whole : 0; }
+
+/// Two queues in a row. Each holds the work itself and what belongs to the
+/// same requests in the other queue, so that a change of the mix does not
+/// change requests that wait already.
+class Queues {
+public:
+  Queues(const FluidSettings &Settings, const Backlog &Waiting,
+         const Demand &Offered)
+      : m_Settings(Settings), m_PromptWeight(Settings.DecodeTokensPerSecond /
+                                             Settings.PrefillTokensPerSecond),
+        m_Prefill(Waiting.PrefillTokens), m_Decode(Waiting.DecodeTokens),
+        m_DecodeToCome(Waiting.PrefillTokens *
+                       ratio(Offered.DecodeTokensPerSecond,
+                             Offered.PrefillTokensPerSecond)),
+        m_PromptsDone(Waiting.DecodeTokens *
+                      ratio(Offered.PrefillTokensPerSecond,
+                            Offered.DecodeTokensPerSecond)) {}
+
+  /// Value of \p Time seconds.
+  double advance(const Split &Engines, const Demand &Offered, double Time) {
+    m_Prefill += Offered.PrefillTokensPerSecond * Time;
+    m_DecodeToCome += Offered.DecodeTokensPerSecond * Time;
+    const Served Done = serve(m_Settings, Engines, {m_Prefill, m_Decode}, Time);
+    const double Answered = finishDecode(Done.Decode);
+    finishPrefill(Done.Prefill);
+    const double Patience = Seconds(m_Settings.Patience).count();
+    const double Waited = m_Decode + m_Prefill * m_PromptWeight;
+    leave(Offered, Patience);
+    return Answered - Waited * std::min(1.0, Time / Patience);
+  }
+
+private:
+  double finishDecode(double Tokens) {
+    const double Part = ratio(Tokens, m_Decode);
+    const double Prompts = m_PromptsDone * Part;
+    m_Decode -= Tokens;
+    m_PromptsDone -= Prompts;
+    return Tokens + Prompts * m_PromptWeight;
+  }
+
+  void finishPrefill(double Tokens) {
+    const double Part = ratio(Tokens, m_Prefill);
+    const double Follows = m_DecodeToCome * Part;
+    m_Prefill -= Tokens;
+    m_DecodeToCome -= Follows;
+    m_Decode += Follows;
+    m_PromptsDone += Tokens;
+  }
+
+  /// What has waited for longer than anybody wants it.
+  void leave(const Demand &Offered, double Patience) {
+    const double Prefill = std::min(
+        1.0, ratio(Offered.PrefillTokensPerSecond * Patience, m_Prefill));
+    const double Decode = std::min(
+        1.0, ratio(Offered.DecodeTokensPerSecond * Patience, m_Decode));
+    m_Prefill *= Prefill;
+    m_DecodeToCome *= Prefill;
+    m_Decode *= Decode;
+    m_PromptsDone *= Decode;
+  }
+
+  const FluidSettings &m_Settings;
+  double m_PromptWeight;
+  double m_Prefill;
+  double m_Decode;
+  /// Output tokens of the prompts that wait.
+  double m_DecodeToCome;
+  /// Prompt tokens of the answers that are being decoded.
+  double m_PromptsDone;
+};
+
+} // namespace
+
 double predictedValue(const FluidSettings &Settings, const Scenario &Engines,
-                      const Demand &Offered, Backlog Waiting,
+                      const Forecast &Expected, const Backlog &Waiting,
                       std::chrono::milliseconds Horizon) {
-  using Seconds = std::chrono::duration<double>;
   const double Step = Seconds(Horizon).count() / Steps;
-  const double Patience = Seconds(Settings.Patience).count();
   const double Change = Seconds(Engines.Change).count();
-  const double InPrefill = std::max(Offered.PrefillTokensPerSecond, 1e-9);
-  const double DecodeEach = Offered.DecodeTokensPerSecond / InPrefill;
+  const double Persists = Seconds(Expected.Persists).count();
+  Queues Work(Settings, Waiting, Expected.Current);
   double Value = 0;
   for (int I = 0; I < Steps; ++I) {
-    const Split &Now = I * Step < Change ? Engines.Before : Engines.After;
-    Waiting.PrefillTokens += InPrefill * Step;
-    const Served Done = serve(Settings, Now, Waiting, Step);
-    Waiting.PrefillTokens -= Done.Prefill;
-    Waiting.DecodeTokens += Done.Prefill * DecodeEach - Done.Decode;
-    // Work is useful once it is answered: a decoded token carries its part of
-    // the prompt. Without any decode work, the prompt is all there is.
-    Value += DecodeEach > 0 ? Done.Decode * (1 + 1 / DecodeEach) : Done.Prefill;
-    const double Lost = std::min(1.0, Step / Patience) *
-                        (Waiting.PrefillTokens + Waiting.DecodeTokens);
-    Value -= Lost;
-    // What has waited too long leaves.
-    Waiting.PrefillTokens =
-        std::min(Waiting.PrefillTokens, InPrefill * Patience);
-    Waiting.DecodeTokens =
-        std::min(Waiting.DecodeTokens,
-                 std::max(Offered.DecodeTokensPerSecond, 1.0) * Patience);
+    const double Now = I * Step;
+    Value += Work.advance(Now < Change ? Engines.Before : Engines.After,
+                          Now < Persists ? Expected.Current : Expected.Average,
+                          Step);
   }
   return Value;
 }
--- a/Libraries/LibPlan/FluidModel.h
+++ b/Libraries/LibPlan/FluidModel.h
@@ -52,9 +52,19 @@
   std::chrono::milliseconds Change{0};
 };
 
-/// Useful tokens of the horizon less what waiting cost.
+/// Demand that is expected: \p Current as long as it \p Persists, then the
+/// long-run \p Average.
+struct Forecast {
+  Demand Current;
+  Demand Average;
+  std::chrono::milliseconds Persists{0};
+};
+
+/// Useful tokens of the horizon less what waiting cost. A useful token is an
+/// output token of answered work, or the prompt tokens of answered work that
+/// take an engine as long as one output token.
 double predictedValue(const FluidSettings &Settings, const Scenario &Engines,
-                      const Demand &Offered, Backlog Waiting,
+                      const Forecast &Expected, const Backlog &Waiting,
                       std::chrono::milliseconds Horizon);
 
 } // namespace figlift::plan
--- a/Libraries/LibPlan/Planner.cpp
+++ b/Libraries/LibPlan/Planner.cpp
@@ -25,6 +25,7 @@
 
 std::vector<Action> Planner::on(const Tick &Event, BootTime Now) {
   m_Orders.expire(Event.Seen, m_Settings.Trust, Now);
+  m_History.observe(Event.Seen.Offered, Now);
   std::vector<Action> Out;
   const unsigned Bound =
       std::max(1u, Event.Seen.Spec.Weights.MaximumConcurrentChanges);
@@ -47,7 +48,8 @@
   // Without its model an engine's role is of no use.
   if (Placement::someModelUnserved(Seen, Engines))
     return m_Placement.plan(Seen, Engines, Now);
-  if (auto Order = planRole(m_Settings.Roles, Seen, Engines, m_Orders))
+  if (auto Order =
+          planRole(m_Settings.Roles, Seen, Engines, m_Orders, m_History, Now))
     return Order;
   return m_Placement.plan(Seen, Engines, Now);
 }
--- a/Libraries/LibPlan/Planner.h
+++ b/Libraries/LibPlan/Planner.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "LibPlan/Fleet.h"
+#include "LibPlan/MixHistory.h"
 #include "LibPlan/Placement.h"
 #include "LibPlan/PlanTypes.h"
 #include "LibPlan/RolePlanner.h"
@@ -41,6 +42,7 @@
   PlannerSettings m_Settings;
   OrdersUnderWay m_Orders;
   Placement m_Placement;
+  MixHistory m_History;
 };
 
 } // namespace figlift::plan
--- a/Libraries/LibPlan/RolePlanner.cpp
+++ b/Libraries/LibPlan/RolePlanner.cpp
@@ -80,10 +80,12 @@
   return Sum;
 }
 
-struct Planner {
+struct RoleChooser {
   const Snapshot &Seen;
   const Fleet &Engines;
   const OrdersUnderWay &Orders;
+  const MixHistory &History;
+  BootTime Time;
 
   std::optional<GiveOrder> operator()(const StaticPlan &) const {
     return towards({Seen.Spec.Roles.Prefill, Seen.Spec.Roles.Decode,
@@ -110,10 +112,14 @@
     const record::PlannerWeights &Weights = Seen.Spec.Weights;
     const double Seconds =
         std::chrono::duration<double>(Weights.Horizon).count();
+    const Forecast Expected =
+        Settings.LearnsPersistence
+            ? History.forecast(Seen.Offered, Weights.Horizon, Time)
+            : Forecast{Seen.Offered, Seen.Offered, Weights.Horizon};
     const Split Now = Engines.split();
     const Split Final = sum(Now, Engines.returning());
     const auto Value = [&](const Scenario &Which) {
-      return predictedValue(Speeds, Which, Seen.Offered, backlog(Engines),
+      return predictedValue(Speeds, Which, Expected, backlog(Engines),
                             Weights.Horizon);
     };
     const auto Duration = Orders.roleChangeDuration();
@@ -162,8 +168,9 @@
 
 std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
                                   const Snapshot &Seen, const Fleet &Engines,
-                                  const OrdersUnderWay &Orders) {
-  return std::visit(Planner{Seen, Engines, Orders}, Policy);
+                                  const OrdersUnderWay &Orders,
+                                  const MixHistory &History, BootTime Now) {
+  return std::visit(RoleChooser{Seen, Engines, Orders, History, Now}, Policy);
 }
 
 } // namespace figlift::plan
--- a/Libraries/LibPlan/RolePlanner.h
+++ b/Libraries/LibPlan/RolePlanner.h
@@ -2,8 +2,9 @@
 //
 // Compares the current split of roles with each neighbouring one over the
 // record's horizon. A change must gain more useful tokens than it costs in
-// seconds of an engine lost and in the record's price for a change; that is
-// all the hysteresis there is.
+// seconds of an engine lost and in the record's price for a change, and the
+// mix is expected to last only as long as it usually does; that is all the
+// hysteresis there is.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,6 +12,7 @@
 
 #include "LibPlan/Fleet.h"
 #include "LibPlan/FluidModel.h"
+#include "LibPlan/MixHistory.h"
 #include "LibPlan/PlanTypes.h"
 
 #include <optional>
@@ -26,6 +28,9 @@
 
 struct FigliftPlan {
   FluidSettings Model;
+  /// Expect the mix to last as long as it did lately; false: for the whole
+  /// horizon.
+  bool LearnsPersistence = true;
 };
 
 using PlanPolicy = std::variant<StaticPlan, ThresholdPlan, FigliftPlan>;
@@ -33,6 +38,7 @@
 /// The best role change now, if any is worth its cost.
 std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
                                   const Snapshot &Seen, const Fleet &Engines,
-                                  const OrdersUnderWay &Orders);
+                                  const OrdersUnderWay &Orders,
+                                  const MixHistory &History, BootTime Now);
 
 } // namespace figlift::plan
