LibHttp: Read /timeline's stamp, keep raw paths, take any method

Stamps of the time line are printed as hexadecimal digits, so the query parameter is read as such and a wrong one is refused with InvalidInput. Plain services need the path as it was received and all methods. A write to a closed event stream left an error that nobody took, for which cpprestsdk ends the process; the result is taken now.

--- a/Libraries/LibHttp/Administration.cpp
+++ b/Libraries/LibHttp/Administration.cpp
@@ -7,12 +7,15 @@
 #include "LibHttp/Administration.h"
 
 #include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace figlift::http {
 
 namespace {
 
+constexpr int HexadecimalBase = 16;
+
 Route administrativeRoute(std::string Path, Handler Handle) {
   return Route{.Method = "GET",
                .Path = std::move(Path),
@@ -28,11 +31,18 @@
                   .Headers = {}};
 }
 
-uint64_t sequenceAfter(const Request &Asked) {
+Result<uint64_t> stampAfter(const Request &Asked) {
   const std::string After = Asked.query("after");
-  uint64_t Sequence = 0;
-  std::from_chars(After.data(), After.data() + After.size(), Sequence);
-  return Sequence;
+  uint64_t Stamp = 0;
+  const char *End = After.data() + After.size();
+  const auto [Stopped, Problem] =
+      std::from_chars(After.data(), End, Stamp, HexadecimalBase);
+  if (!After.empty() && (Problem != std::errc{} || Stopped != End))
+    return failure(ResultCode::InvalidInput,
+                   "found \"" + After +
+                       "\"; allowed are up to 16 hexadecimal digits",
+                   "after");
+  return Stamp;
 }
 
 } // namespace
@@ -58,8 +68,11 @@
   Routes.push_back(administrativeRoute(
       "/timeline",
       [After = std::move(Hooks.TimelineAfter)](std::shared_ptr<Exchange> Call) {
+        const Result<uint64_t> Stamp = stampAfter(Call->request());
+        if (!Stamp)
+          return Call->replyProblem(Stamp.error());
         Response Answer;
-        Answer.Body = After(sequenceAfter(Call->request()));
+        Answer.Body = After(Stamp.value());
         Call->reply(std::move(Answer));
       }));
   return Routes;
--- a/Libraries/LibHttp/Administration.h
+++ b/Libraries/LibHttp/Administration.h
@@ -21,7 +21,8 @@
   std::function<Result<void>()> Ready;
   /// Prometheus text format.
   std::function<std::string()> Metrics;
-  /// JSON of the time line's events after a sequence number.
+  /// Body of GET /timeline with the events after a stamp; 0 means from the
+  /// start. The query parameter `after` has 16 hexadecimal digits.
   std::function<std::string(uint64_t After)> TimelineAfter;
 };
 
--- a/Libraries/LibHttp/EventStream.h
+++ b/Libraries/LibHttp/EventStream.h
@@ -12,7 +12,8 @@
 
 namespace figlift::http {
 
-/// Members may be called from any thread, but not two at once.
+/// Members may be called from any thread. An event or comment is written whole,
+/// also when two threads write at once.
 class EventStream {
 public:
   virtual ~EventStream() = default;
--- a/Libraries/LibHttp/ListenerEventStream.cpp
+++ b/Libraries/LibHttp/ListenerEventStream.cpp
@@ -6,6 +6,8 @@
 
 #include "LibHttp/ListenerEventStream.h"
 
+#include <exception>
+
 namespace figlift::http {
 
 bool ListenerEventStream::send(std::string_view Data) {
@@ -24,16 +26,24 @@
     m_Gone.store(true);
     return false;
   }
-  // Copies the bytes and completes at once for this kind of buffer.
-  m_Buffer.putn_nocopy(reinterpret_cast<const uint8_t *>(Bytes.data()),
-                       Bytes.size());
-  m_Buffer.sync();
-  return true;
+  try {
+    // Copies the bytes and has completed on return for this kind of buffer.
+    // The result is taken because cpprestsdk ends the process for an error
+    // that nobody looked at, which a write after close() would leave.
+    m_Buffer
+        .putn_nocopy(reinterpret_cast<const uint8_t *>(Bytes.data()),
+                     Bytes.size())
+        .get();
+    m_Buffer.sync().get();
+    return true;
+  } catch (const std::exception &) {
+    return false;
+  }
 }
 
 void ListenerEventStream::close() {
   if (!m_Closed.exchange(true))
-    m_Buffer.close(std::ios_base::out);
+    m_Buffer.close(std::ios_base::out).get();
 }
 
 } // namespace figlift::http
--- a/Libraries/LibHttp/ListenerExchange.cpp
+++ b/Libraries/LibHttp/ListenerExchange.cpp
@@ -29,7 +29,9 @@
 Request describe(const web::http::http_request &Incoming) {
   Request Asked;
   Asked.Method = Incoming.method();
-  const web::uri &Uri = Incoming.relative_uri();
+  const web::uri Uri = Incoming.relative_uri();
+  Asked.RawPath = Uri.path();
+  Asked.RawQuery = Uri.query();
   try {
     Asked.Path = web::uri::decode(Uri.path());
     for (const auto &[Name, Value] : web::uri::split_query(Uri.query()))
--- a/Libraries/LibHttp/Message.h
+++ b/Libraries/LibHttp/Message.h
@@ -19,6 +19,10 @@
   std::string Method;
   /// Decoded path without the query, always beginning with '/'.
   std::string Path;
+  /// As received: still with its escapes, without the query.
+  std::string RawPath;
+  /// As received, without the '?'.
+  std::string RawQuery;
   /// Decoded query parameters.
   std::map<std::string, std::string> Query;
   /// Names in lower case.
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -70,7 +70,8 @@
                                ? Asked.Path.starts_with(Candidate.Path)
                                : Asked.Path == Candidate.Path;
       PathKnown = PathKnown || Matches;
-      if (Matches && Candidate.Method == Asked.Method)
+      if (Matches &&
+          (Candidate.Method == Asked.Method || Candidate.Method == AnyMethod))
         return &Candidate;
     }
     return nullptr;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -20,6 +20,9 @@
 
 namespace figlift::http {
 
+/// Method of a route that takes every method.
+inline constexpr const char *AnyMethod = "*";
+
 /// A request belongs to the route of its method with the longest path that
 /// matches.
 struct Route {
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -131,7 +131,7 @@
 
 TEST(HttpServer, TheLongestRouteThatMatchesAnswers) {
   start({route("POST", "/v1/", echo),
-         route("POST", "/v1/other/",
+         route(AnyMethod, "/v1/other/",
                [](auto Call) { Call->reply({.Status = 202}); })});
   Connection Caller(Port);
   Caller.send("POST /v1/a%20b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n"
@@ -140,7 +140,7 @@
   CHECK(holds(First, "200 OK"));
   CHECK(holds(First, "hello|/v1/a b"));
   CHECK(holds(First, "X-Request-Id: r-1"));
-  Caller.send("POST /v1/other/x HTTP/1.1\r\nHost: x\r\n"
+  Caller.send("DELETE /v1/other/x HTTP/1.1\r\nHost: x\r\n"
               "Content-Length: 0\r\n\r\n");
   CHECK(holds(Caller.readUntil("\r\n\r\n"), "202"));
 }
@@ -268,6 +268,8 @@
   CHECK(holds(Caller.readUntil("}"), "503"));
   Caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(holds(Caller.readUntil("figlift_up 1"), "200 OK"));
-  Caller.send("GET /timeline?after=42 HTTP/1.1\r\nHost: x\r\n\r\n");
+  Caller.send("GET /timeline?after=2a HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(holds(Caller.readUntil("[42]"), "[42]"));
+  Caller.send("GET /timeline?after=yesterday HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(holds(Caller.readUntil("}"), "400"));
 }
