--- a/Libraries/LibPlan/Fleet.cpp
+++ b/Libraries/LibPlan/Fleet.cpp
@@ -103,9 +103,10 @@
   };
   const unsigned CanPrefill = Later.Prefill + Later.Mixed;
   const unsigned CanDecode = Later.Decode + Later.Mixed;
-  return CanPrefill >= 1 && CanDecode >= 1 &&
-         Holds(CanPrefill, Now.Prefill + Now.Mixed, Minimum.Prefill) &&
-         Holds(CanDecode, Now.Decode + Now.Mixed, Minimum.Decode) &&
+  return Holds(CanPrefill, Now.Prefill + Now.Mixed,
+               std::max(1u, Minimum.Prefill)) &&
+         Holds(CanDecode, Now.Decode + Now.Mixed,
+               std::max(1u, Minimum.Decode)) &&
          Holds(Later.Mixed, Now.Mixed, Minimum.Mixed);
 }
 
--- a/Libraries/LibPlan/Placement.cpp
+++ b/Libraries/LibPlan/Placement.cpp
@@ -21,10 +21,12 @@
          Target.Models.end();
 }
 
-unsigned holders(const Fleet &Engines, const ModelVersion &Model) {
-  return std::ranges::count_if(
-      Engines.serving(),
-      [&](const TargetState *Target) { return holds(*Target, Model); });
+/// Whether some engine has reported \p Model ready, one under another change
+/// included.
+bool isProven(const Snapshot &Seen, const ModelVersion &Model) {
+  return std::ranges::any_of(Seen.Targets, [&](const TargetState &Target) {
+    return Target.Live && holds(Target, Model);
+  });
 }
 
 ModelVersion baseOf(ModelVersion Model) {
@@ -137,7 +139,7 @@
   return Engines.maySpare(Target);
 }
 
-std::optional<GiveOrder> Placement::planLoad(const Snapshot &,
+std::optional<GiveOrder> Placement::planLoad(const Snapshot &Seen,
                                              const Wanted &Models,
                                              const Fleet &Engines,
                                              BootTime Now) const {
@@ -146,7 +148,7 @@
   for (const ModelVersion &Model : Models) {
     // The first engine goes alone: a version that breaks engines must break
     // one, not as many as may change at once.
-    if (holders(Engines, Model) == 0 && Engines.changing() > 0)
+    if (!isProven(Seen, Model) && Engines.changing() > 0)
       continue;
     const TargetState *Best = nullptr;
     const auto Cost = [&](const TargetState &Target) {
--- a/Libraries/LibPlan/Planner.cpp
+++ b/Libraries/LibPlan/Planner.cpp
@@ -24,6 +24,9 @@
 }
 
 std::vector<Action> Planner::on(const Tick &Event, BootTime Now) {
+  // Plain services have neither roles nor models.
+  if (Event.Seen.Spec.Type == record::BackEndType::Service)
+    return {};
   m_Orders.expire(Event.Seen, m_Settings.Trust, Now);
   m_History.observe(Event.Seen.Offered, Now);
   std::vector<Action> Out;
--- a/Libraries/LibPlan/RolePlanner.cpp
+++ b/Libraries/LibPlan/RolePlanner.cpp
@@ -80,6 +80,30 @@
   return Sum;
 }
 
+/// A change that brings a kind of work up to its minimum, after engines were
+/// lost. It needs no gain: some work is served badly or not at all.
+std::optional<GiveOrder> repairMinimum(const Snapshot &Seen,
+                                       const Fleet &Engines) {
+  const record::RoleSplit &Minimum = Seen.Spec.Roles;
+  const Split Final = sum(Engines.split(), Engines.returning());
+  const auto MoveTo = [&](Role To) -> std::optional<GiveOrder> {
+    for (const Role From : EngineRoles)
+      if (const auto Which =
+              From == To ? std::nullopt : cheapestMove(Engines, From, To))
+        return order(*Which, "too few engines for " +
+                                 std::string(route::roleName(To)) + " work");
+    return std::nullopt;
+  };
+  std::optional<GiveOrder> Repair;
+  if (Final.Prefill + Final.Mixed < std::max(1u, Minimum.Prefill))
+    Repair = MoveTo(Role::Prefill);
+  if (!Repair && Final.Decode + Final.Mixed < std::max(1u, Minimum.Decode))
+    Repair = MoveTo(Role::Decode);
+  if (!Repair && Final.Mixed < Minimum.Mixed)
+    Repair = MoveTo(Role::Mixed);
+  return Repair;
+}
+
 struct RoleChooser {
   const Snapshot &Seen;
   const Fleet &Engines;
@@ -170,6 +194,8 @@
                                   const Snapshot &Seen, const Fleet &Engines,
                                   const OrdersUnderWay &Orders,
                                   const MixHistory &History, BootTime Now) {
+  if (auto Repair = repairMinimum(Seen, Engines))
+    return Repair;
   return std::visit(RoleChooser{Seen, Engines, Orders, History, Now}, Policy);
 }
 
