LibPlatform: Reach the platform over HTTP and say what a lost answer means

The table, the object store and the VM list are reached over cpprestsdk's client. Every call has one answer within its timeout, at most a bounded number is in flight and a bounded number waits.

A refused connection or a 503 means that nothing was written; a timeout, a broken connection or any other 5xx leaves a commit's outcome unknown. A cpprestsdk client sends a POST again by itself when a pooled connection closes before the answer; a commit would then come back as a conflict although it took effect, so commits never travel on a reused connection.

--- /dev/null
+++ b/Tests/LibPlatform/TestHttpPlatform.cpp
@@ -0,0 +1,140 @@
+//===- TestHttpPlatform.cpp - What a failed call to the platform means ----===//
+//
+// Each test scripts the server's side of the connection and looks at the code
+// that the caller gets.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibPlatform/HttpPlatform.h"
+#include "RawServer.h"
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::platform;
+using figlift::test::RawServer;
+using figlift::test::Step;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::unique_ptr<HttpPlatform> platformAt(uint16_t Port,
+                                         std::chrono::milliseconds Timeout = 5s,
+                                         size_t Concurrent = 16,
+                                         size_t Queued = 256) {
+  return HttpPlatform::create(
+             {Endpoint{"127.0.0.1", Port}, Timeout, Concurrent, Queued})
+      .value();
+}
+
+template <typename T> struct Answer {
+  std::shared_ptr<std::promise<Result<T>>> Promise =
+      std::make_shared<std::promise<Result<T>>>();
+  Callback<T> callback() {
+    return [Promise = Promise](Result<T> Value) {
+      Promise->set_value(std::move(Value));
+    };
+  }
+  Result<T> get() { return Promise->get_future().get(); }
+};
+
+ResultCode codeOfCommit(HttpPlatform &Platform) {
+  Answer<std::monostate> Done;
+  Platform.commit({{{"a", 1}}, {{"a", "x"}, {"b", std::nullopt}}},
+                  Done.callback());
+  auto Outcome = Done.get();
+  return Outcome ? ResultCode::Success : Outcome.error().Code;
+}
+
+constexpr auto Says = Step::What::Answer;
+
+} // namespace
+
+// The pool of cpprestsdk lives as long as the process and allocates on its own
+// threads; CppUTest's leak detector can follow neither.
+[[maybe_unused]] static const bool LeakDetectorIsOff =
+    (MemoryLeakWarningPlugin::turnOffNewDeleteOverloads(), true);
+
+TEST_GROUP(HttpPlatform){};
+
+TEST(HttpPlatform, ReadsRowsAndTheVmList) {
+  RawServer Server(
+      {{Says, 200, R"({"key":"a b","version":3,"value":"v"})"},
+       {Says, 200, R"({"vms":[{"id":"e1","kind":"target","backEnd":"lm-desk",
+          "zone":"hall-a","region":"blue-ridge","peer":"127.0.0.1:9",
+          "state":"leaving"},{"id":"e2","kind":"entry","peer":"nowhere",
+          "state":"live"}]})"}});
+  auto Platform = platformAt(Server.port());
+  Answer<Row> Read;
+  Platform->read("a b", Read.callback());
+  CHECK_EQUAL(3u, Read.get().value().Version);
+  Answer<std::vector<Vm>> Listed;
+  Platform->list(Listed.callback());
+  auto Vms = Listed.get().value();
+  CHECK_EQUAL(1u, Vms.size());
+  CHECK_TRUE(Vms[0].State == VmState::Leaving);
+}
+
+TEST(HttpPlatform, TellsWhetherAWriteMayHaveHappened) {
+  struct Case {
+    Step Server;
+    ResultCode Expected;
+  };
+  const Case Cases[] = {
+      {{Says, 200}, ResultCode::Success},
+      {{Says, 409, R"({"conflict":"a"})"}, ResultCode::StoreConflict},
+      {{Says, 503}, ResultCode::StoreUnavailable},
+      {{Says, 500}, ResultCode::StoreOutcomeUnknown},
+      {{Step::What::CloseWithoutAnswer}, ResultCode::StoreOutcomeUnknown},
+      {{Step::What::Silence}, ResultCode::StoreOutcomeUnknown},
+  };
+  for (const auto &[Script, Expected] : Cases) {
+    RawServer Server({Script});
+    auto Platform = platformAt(Server.port(), 300ms);
+    CHECK_EQUAL(static_cast<int>(Expected),
+                static_cast<int>(codeOfCommit(*Platform)));
+  }
+}
+
+TEST(HttpPlatform, KnowsThatNothingWasWrittenWhenTheConnectionIsRefused) {
+  uint16_t Port = RawServer({}).port();
+  auto Platform = platformAt(Port);
+  CHECK_TRUE(codeOfCommit(*Platform) == ResultCode::StoreUnavailable);
+}
+
+TEST(HttpPlatform, NeverSendsACommitTwice) {
+  // Symptom: a commit that took effect comes back as a conflict.
+  // Sequence: a read leaves a pooled connection; the commit goes out on it;
+  // the server commits and dies; the client library sends the same request
+  // again on a new connection, where its condition no longer holds.
+  // Cause: the library takes a close on a reused connection for proof that
+  // the request was not processed.
+  RawServer Server({{Says, 200, R"({"key":"a","version":0,"value":""})"},
+                    {Step::What::CloseWithoutAnswer},
+                    {Says, 409, "{}"}});
+  auto Platform = platformAt(Server.port());
+  Answer<Row> Read;
+  Platform->read("a", Read.callback());
+  CHECK_TRUE(Read.get().has_value());
+  CHECK_TRUE(codeOfCommit(*Platform) == ResultCode::StoreOutcomeUnknown);
+  CHECK_EQUAL(2u, Server.requests());
+}
+
+TEST(HttpPlatform, AnswersEveryCallWithinItsTimeoutWhenTheStoreHangs) {
+  // Symptom: calls pile up without bound while the store is slow.
+  // Sequence: the server accepts and says nothing; many more calls follow.
+  // Cause: no bound on calls in flight, or a timeout that starts only when a
+  // waiting call is sent.
+  RawServer Server({});
+  auto Platform = platformAt(Server.port(), 200ms, 2, 4);
+  std::vector<Answer<Row>> Answers(8);
+  auto Start = std::chrono::steady_clock::now();
+  for (auto &Each : Answers)
+    Platform->read("a", Each.callback());
+  for (auto &Each : Answers)
+    CHECK_TRUE(Each.get().error().Code == ResultCode::StoreUnavailable);
+  CHECK_TRUE(std::chrono::steady_clock::now() - Start < 2s);
+  CHECK_TRUE(Server.requests() <= 2);
+}
