--- a/Libraries/LibSettings/CommandLine.cpp
+++ b/Libraries/LibSettings/CommandLine.cpp
@@ -21,12 +21,15 @@
                  std::move(Field));
 }
 
-Result<std::string> readFile(const std::string &Name) {
+Result<std::string> readFile(const std::string &Name) try {
   std::ifstream File(Name, std::ios::binary);
-  std::string Text{std::istreambuf_iterator<char>(File), {}};
-  if (!File)
-    return invalid("cannot read the file \"" + Name + "\"", "--settings");
-  return Text;
+  if (File)
+    return std::string{std::istreambuf_iterator<char>(File), {}};
+  return invalid("cannot read the file \"" + Name + "\"", "--settings");
+} catch (const std::ios_base::failure &Thrown) {
+  // Reading a directory throws, although exceptions are off for the stream.
+  return invalid("cannot read \"" + Name + "\": " + Thrown.what(),
+                 "--settings");
 }
 
 cxxopts::Options describeOptions(const std::string &Program,
