--- a/Tests/StandIns/StandInCommon/Server.cpp
+++ b/Tests/StandIns/StandInCommon/Server.cpp
@@ -194,6 +194,8 @@
   cutConnections();
   OnCrash();
   m_Listener->close().wait();
+  // What slipped in while the listener closed must not live on either.
+  OnCrash();
   std::this_thread::sleep_for(
       std::chrono::microseconds(m_RestartAfterMicroseconds.load()));
   open();
--- a/Tests/StandIns/StandInCommon/Server.h
+++ b/Tests/StandIns/StandInCommon/Server.h
@@ -62,7 +62,8 @@
   /// connections for \p RestartAfter and serves again.
   void crash(std::chrono::microseconds RestartAfter);
 
-  /// Runs when all connections are cut and before the port serves again.
+  /// Runs, possibly twice, between the cut of all connections and the new
+  /// start.
   std::function<void()> OnCrash = [] {};
 
 private:
