--- a/Libraries/LibStream/AnswerStore.cpp
+++ b/Libraries/LibStream/AnswerStore.cpp
@@ -29,9 +29,21 @@
   m_ByReader[Reader] = Run;
 }
 
+void AnswerStore::deliverEnd(Answer &Ended, BootTime Now,
+                             std::vector<Action> &Actions) {
+  Actions.push_back(SendEnding{*Ended.Reader, *Ended.End});
+  detach(Ended);
+  Ended.Expires = Now + m_Limits.DeliveredTime;
+  if (!Ended.Delivered)
+    ++m_Delivered;
+  Ended.Delivered = true;
+}
+
 void AnswerStore::remove(Answers::iterator Which) {
   Answer &Gone = Which->second;
   m_Bytes -= Gone.Held.bytes();
+  if (Gone.Delivered)
+    --m_Delivered;
   detach(Gone);
   if (const auto Found = m_ByRequest.find(Gone.RequestId);
       Found != m_ByRequest.end() && Found->second == Which->first)
@@ -133,9 +145,7 @@
   Found->End = What.How;
   if (!Found->Reader)
     return;
-  Actions.push_back(SendEnding{*Found->Reader, What.How});
-  Store.detach(*Found);
-  Found->Expires = Now + Store.m_Limits.DeliveredTime;
+  Store.deliverEnd(*Found, Now, Actions);
 }
 
 void AnswerStore::Step::operator()(const ReaderLost &What) {
@@ -171,9 +181,7 @@
     Actions.push_back(SendTokens{What.Reader, Held.Held.from(What.FirstToken)});
   if (!Held.End)
     return;
-  Actions.push_back(SendEnding{What.Reader, *Held.End});
-  Store.detach(Held);
-  Held.Expires = Now + Store.m_Limits.DeliveredTime;
+  Store.deliverEnd(Held, Now, Actions);
 }
 
 void AnswerStore::Step::operator()(const TimePassed &) {
--- a/Libraries/LibStream/AnswerStore.h
+++ b/Libraries/LibStream/AnswerStore.h
@@ -122,6 +122,8 @@
   size_t bytes() const { return m_Bytes; }
   /// Answers that are held, running ones included.
   size_t answers() const { return m_Answers.size(); }
+  /// Answers whose end no reader has got yet.
+  size_t undelivered() const { return m_Answers.size() - m_Delivered; }
   bool holds(const std::string &RequestId) const {
     return m_ByRequest.contains(RequestId);
   }
@@ -135,6 +137,8 @@
     std::optional<Ending> End;
     /// Set whenever the answer has no reader, or is delivered.
     std::optional<BootTime> Expires;
+    /// The end was sent to a reader.
+    bool Delivered = false;
   };
   using Answers = std::map<RunId, Answer>;
   struct Step;
@@ -143,6 +147,7 @@
   void attach(RunId Run, Answer &To, ReaderId Reader,
               std::vector<Action> &Actions);
   void detach(Answer &From);
+  void deliverEnd(Answer &Ended, BootTime Now, std::vector<Action> &Actions);
   void remove(Answers::iterator Which);
   /// Removes and cancels the run when it has not ended.
   void abandon(Answers::iterator Which, std::vector<Action> &Actions);
@@ -151,6 +156,8 @@
   const StoreLimits m_Limits;
   /// Sum of bytes() over m_Answers.
   size_t m_Bytes = 0;
+  /// Answers with Delivered set.
+  size_t m_Delivered = 0;
   /// Ordered by age, as run ids ascend.
   Answers m_Answers;
   std::unordered_map<std::string, RunId> m_ByRequest;
--- /dev/null
+++ b/Services/figlift-agent/OrderRows.cpp
@@ -0,0 +1,108 @@
+//===- OrderRows.cpp - Rows that orders rest on ---------------------------===//
+//
+// {"orderId","epoch","order":{"kind",...},"state"} and {"holder","epoch",...}.
+//
+//===----------------------------------------------------------------------===//
+
+#include "OrderRows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figlift::agent {
+
+using namespace order;
+using Json = nlohmann::json;
+
+std::string orderRowKey(std::string_view Target) {
+  return "order/" + std::string(Target);
+}
+
+std::string leaseRowKey(std::string_view BackEnd, std::string_view Region) {
+  return "lease/" + std::string(BackEnd) + "/" + std::string(Region);
+}
+
+namespace {
+struct ChangeWriter {
+  Json operator()(const SetRole &What) const {
+    return {{"kind", "set_role"}, {"role", What.Role}};
+  }
+  Json operator()(const LoadModel &What) const {
+    return {{"kind", "load_model"},
+            {"model", What.Model},
+            {"version", What.Version},
+            {"adapter", What.Adapter}};
+  }
+  Json operator()(const UnloadModel &What) const {
+    return {{"kind", "unload_model"},
+            {"model", What.Model},
+            {"version", What.Version},
+            {"adapter", What.Adapter}};
+  }
+};
+} // namespace
+
+static Change readChange(const Json &From) {
+  const auto Kind = From.at("kind").get<std::string>();
+  if (Kind == "set_role")
+    return SetRole{From.at("role").get<std::string>()};
+  const auto Model = From.at("model").get<std::string>();
+  const auto Version = From.at("version").get<std::string>();
+  const auto Adapter = From.at("adapter").get<std::string>();
+  if (Kind == "load_model")
+    return LoadModel{Model, Version, Adapter};
+  return UnloadModel{Model, Version, Adapter};
+}
+
+static const char *nameOf(IntentState State) {
+  switch (State) {
+  case IntentState::Intended:
+    return "intended";
+  case IntentState::Done:
+    return "done";
+  case IntentState::Abandoned:
+    return "abandoned";
+  }
+  return "intended";
+}
+
+static IntentState stateOf(const std::string &Name) {
+  if (Name == "done")
+    return IntentState::Done;
+  return Name == "abandoned" ? IntentState::Abandoned : IntentState::Intended;
+}
+
+Result<std::optional<IntentRow>> readIntentRow(std::string_view Value) {
+  if (Value.empty())
+    return std::optional<IntentRow>();
+  try {
+    const Json Row = Json::parse(Value);
+    return std::optional(IntentRow{
+        {Row.at("orderId").get<std::string>(), Row.at("epoch").get<uint64_t>(),
+         readChange(Row.at("order"))},
+        stateOf(Row.at("state").get<std::string>())});
+  } catch (const Json::exception &Caught) {
+    return failure(ResultCode::Internal, Caught.what(), "order");
+  }
+}
+
+std::string writeIntentRow(const IntentRow &Row) {
+  return Json{{"orderId", Row.What.Id},
+              {"epoch", Row.What.Epoch},
+              {"order", std::visit(ChangeWriter{}, Row.What.What)},
+              {"state", nameOf(Row.State)}}
+      .dump();
+}
+
+Result<LeaseRow> readLeaseRow(std::string_view Value) {
+  if (Value.empty())
+    return LeaseRow{};
+  try {
+    const Json Row = Json::parse(Value);
+    return LeaseRow{Row.at("epoch").get<uint64_t>(),
+                    Row.value("holder", std::string())};
+  } catch (const Json::exception &Caught) {
+    return failure(ResultCode::Internal, Caught.what(), "lease");
+  }
+}
+
+} // namespace figlift::agent
