--- a/Services/figlift-agent/Main.cpp
+++ b/Services/figlift-agent/Main.cpp
@@ -68,7 +68,7 @@
     sigwait(&Set, &Which);
     Decisions.post([&] { Agent.value()->stop(); });
   });
-  log::logEvent(log::Level::Info, "started",
+  log::logEvent(log::Level::Info, "ready",
                 {{"peer", Settings.Listen.Peer.toString()},
                  {"target", Settings.Target.Address.toString()}});
   Decisions.run();
