--- a/Libraries/LibConfig/SnapshotCell.cpp
+++ b/Libraries/LibConfig/SnapshotCell.cpp
@@ -1,6 +1,6 @@
 //===- SnapshotCell.cpp - The current snapshot under RCU ------------------===//
 //
-// Thin cover of liburcu's memb flavour.
+// Replacing the snapshot and waiting for its readers.
 //
 //===----------------------------------------------------------------------===//
 
@@ -10,26 +10,10 @@
 
 namespace figlift::config {
 
-namespace {
-
-struct ThreadRegistration {
-  ThreadRegistration() { urcu_memb_register_thread(); }
-  ~ThreadRegistration() { urcu_memb_unregister_thread(); }
-};
-
-} // namespace
-
-SnapshotCell::ReadSection::ReadSection() {
-  thread_local ThreadRegistration Registration;
-  urcu_memb_read_lock();
-}
-
-SnapshotCell::ReadSection::~ReadSection() { urcu_memb_read_unlock(); }
-
 SnapshotCell::~SnapshotCell() { publish(nullptr); }
 
 SnapshotPointer SnapshotCell::get() const {
-  ReadSection Section;
+  RcuReadSection Section;
   const auto *Current = m_Current.load(std::memory_order_acquire);
   return Current ? *Current : nullptr;
 }
--- a/Libraries/LibConfig/SnapshotCell.h
+++ b/Libraries/LibConfig/SnapshotCell.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "LibConfig/RcuReadSection.h"
 #include "LibConfig/Snapshot.h"
 
 #include <atomic>
@@ -25,7 +26,7 @@
   /// read-side critical section: \p Use must not block and must keep no
   /// reference to the snapshot's parts.
   template <typename Function> auto read(Function &&Use) const {
-    ReadSection Section;
+    RcuReadSection Section;
     const auto *Current = m_Current.load(std::memory_order_acquire);
     return Use(Current ? Current->get() : nullptr);
   }
@@ -38,12 +39,6 @@
   void publish(SnapshotPointer Next);
 
 private:
-  /// Registers the thread with liburcu at its first use.
-  struct ReadSection {
-    ReadSection();
-    ~ReadSection();
-  };
-
   std::atomic<const SnapshotPointer *> m_Current = nullptr;
 };
 
--- a/Tests/LibConfig/FakeTable.h
+++ b/Tests/LibConfig/FakeTable.h
@@ -14,7 +14,14 @@
 
 namespace figlift::test {
 
-enum class Fault { None, Down, EffectWithoutAnswer, LostBeforeEffect };
+/// LateEffect: no answer, and the effect comes only with the next commit.
+enum class Fault {
+  None,
+  Down,
+  EffectWithoutAnswer,
+  LostBeforeEffect,
+  LateEffect
+};
 
 class FakeTable : public platform::Table {
 public:
@@ -39,12 +46,13 @@
                  platform::Callback<std::vector<platform::Row>> Done) override {
     if (isDown())
       return Done(down());
-    std::lock_guard Lock(m_Mutex);
     std::vector<platform::Row> Found;
+    std::unique_lock Lock(m_Mutex);
     for (const auto &[Key, Row] : m_Rows)
       if (Row.Version && Key.starts_with(Prefix) && Key > After &&
           Found.size() < Limit)
         Found.push_back(Row);
+    Lock.unlock();
     Done(std::move(Found));
   }
 
@@ -53,6 +61,8 @@
     if (auto Before = std::exchange(BeforeCommit, nullptr))
       Before();
     ++Commits;
+    if (auto Late = std::exchange(m_Late, std::nullopt))
+      apply(*Late);
     Fault Now = Fault::None;
     if (!CommitFaults.empty()) {
       Now = CommitFaults.front();
@@ -60,7 +70,9 @@
     }
     if (isDown() || Now == Fault::Down)
       return Done(down());
-    if (Now == Fault::LostBeforeEffect)
+    if (Now == Fault::LateEffect)
+      m_Late = What;
+    if (Now == Fault::LostBeforeEffect || Now == Fault::LateEffect)
       return Done(failure(ResultCode::StoreOutcomeUnknown, "answer lost"));
     bool Applied = apply(What);
     if (Now == Fault::EffectWithoutAnswer)
@@ -101,6 +113,7 @@
   std::mutex m_Mutex;
   std::map<std::string, platform::Row> m_Rows;
   bool m_Down = false;
+  std::optional<platform::Transaction> m_Late;
 };
 
 } // namespace figlift::test
