LibPlan: Learn speeds by role and phases by side

The fluid model gave each leaning role a fixed share of its time; engines differ by role in speed instead, so speeds are learned for each role and the rest of an engine's time helps out. After a phase the planner expects the other side's demand, and a change that only the next phase wants is not made in this one.

--- a/Libraries/LibPlan/FluidModel.cpp
+++ b/Libraries/LibPlan/FluidModel.cpp
@@ -19,28 +19,60 @@
   double Decode;
 };
 
-/// What \p Engines get done in \p Time seconds of the work that waits.
+/// Engines of one role within a step: their time goes to one kind of work and
+/// what is left of it to the other.
+class EngineTime {
+public:
+  EngineTime(const Speeds &Own, double Time) : m_Own(Own), m_Left(Time) {}
+
+  /// Time for all of \p Waiting.
+  double needed(const Backlog &Waiting) const {
+    return Waiting.PrefillTokens / m_Own.PrefillTokensPerSecond +
+           Waiting.DecodeTokens / m_Own.DecodeTokensPerSecond;
+  }
+  void prefill(Backlog &Waiting) {
+    take(Waiting.PrefillTokens, m_Own.PrefillTokensPerSecond);
+  }
+  void decode(Backlog &Waiting) {
+    take(Waiting.DecodeTokens, m_Own.DecodeTokensPerSecond);
+  }
+  /// Both, in proportion to what waits.
+  void both(Backlog &Waiting) {
+    const double Needed = needed(Waiting);
+    const double Part = Needed > m_Left ? m_Left / Needed : 1.0;
+    m_Left = std::max(0.0, m_Left - Needed);
+    Waiting.PrefillTokens *= 1 - Part;
+    Waiting.DecodeTokens *= 1 - Part;
+  }
+
+private:
+  void take(double &Tokens, double Speed) {
+    const double Done = std::min(Tokens, m_Left * Speed);
+    Tokens -= Done;
+    m_Left -= Done / Speed;
+  }
+
+  Speeds m_Own;
+  double m_Left;
+};
+
+/// What \p Engines get done in \p Time seconds of the work that waits: each
+/// role its own work first, mixed engines the rest, then the leaning ones
+/// help out.
 Served serve(const FluidSettings &Settings, const Split &Engines,
              const Backlog &Waiting, double Time) {
-  const double Own = 1 - Settings.OtherWorkShare;
-  const double Other = Settings.OtherWorkShare;
-  const double PrefillTime =
-      Time * (Engines.Prefill * Own + Engines.Decode * Other);
-  const double DecodeTime =
-      Time * (Engines.Decode * Own + Engines.Prefill * Other);
-  const double FreeTime = Time * Engines.Mixed * Settings.MixedEfficiency;
-  const double PrefillNeed =
-      Waiting.PrefillTokens / Settings.PrefillTokensPerSecond;
-  const double DecodeNeed =
-      Waiting.DecodeTokens / Settings.DecodeTokensPerSecond;
-  const double PrefillRest = std::max(0.0, PrefillNeed - PrefillTime);
-  const double DecodeRest = std::max(0.0, DecodeNeed - DecodeTime);
-  const double Rest = PrefillRest + DecodeRest;
-  const double Granted = Rest > FreeTime && Rest > 0 ? FreeTime / Rest : 1.0;
-  return {(std::min(PrefillNeed, PrefillTime) + PrefillRest * Granted) *
-              Settings.PrefillTokensPerSecond,
-          (std::min(DecodeNeed, DecodeTime) + DecodeRest * Granted) *
-              Settings.DecodeTokensPerSecond};
+  const RoleSpeeds &Speed = Settings.Engines;
+  EngineTime Prefill(Speed.Prefill, Engines.Prefill * Time);
+  EngineTime Decode(Speed.Decode, Engines.Decode * Time);
+  EngineTime Mixed(Speed.Mixed, Engines.Mixed * Time);
+  Backlog Left = Waiting;
+  Prefill.prefill(Left);
+  Decode.decode(Left);
+  Mixed.both(Left);
+  Prefill.decode(Left);
+  Decode.prefill(Left);
+  return {Waiting.PrefillTokens - Left.PrefillTokens,
+          Waiting.DecodeTokens - Left.DecodeTokens};
 }
 
 } // namespace
@@ -64,8 +96,9 @@
 public:
   Queues(const FluidSettings &Settings, const Backlog &Waiting,
          const Demand &Offered)
-      : m_Settings(Settings), m_PromptWeight(Settings.DecodeTokensPerSecond /
-                                             Settings.PrefillTokensPerSecond),
+      : m_Settings(Settings),
+        m_PromptWeight(Settings.Engines.Mixed.DecodeTokensPerSecond /
+                       Settings.Engines.Mixed.PrefillTokensPerSecond),
         m_Prefill(Waiting.PrefillTokens), m_Decode(Waiting.DecodeTokens),
         m_DecodeToCome(Waiting.PrefillTokens *
                        ratio(Offered.DecodeTokensPerSecond,
@@ -129,19 +162,33 @@
 
 } // namespace
 
+const Split &Scenario::at(Seconds Time) const {
+  if (Time < Start)
+    return First;
+  return Time < Start + Change ? During : After;
+}
+
+const Demand &Forecast::at(Seconds Time) const {
+  if (Time < Persists || PhaseLength.count() == 0)
+    return Current;
+  const auto Turn = static_cast<int>((Time - Persists) / Seconds(PhaseLength));
+  return Turn % 2 == 0 ? Next : Current;
+}
+
+unsigned Split::count(Role Which) const {
+  return const_cast<Split *>(this)->count(Which);
+}
+
 double predictedValue(const FluidSettings &Settings, const Scenario &Engines,
                       const Forecast &Expected, const Backlog &Waiting,
                       std::chrono::milliseconds Horizon) {
   const double Step = Seconds(Horizon).count() / Steps;
-  const double Change = Seconds(Engines.Change).count();
-  const double Persists = Seconds(Expected.Persists).count();
   Queues Work(Settings, Waiting, Expected.Current);
   double Value = 0;
   for (int I = 0; I < Steps; ++I) {
     const double Now = I * Step;
-    Value += Work.advance(Now < Change ? Engines.Before : Engines.After,
-                          Now < Persists ? Expected.Current : Expected.Average,
-                          Step);
+    Value +=
+        Work.advance(Engines.at(Seconds(Now)), Expected.at(Seconds(Now)), Step);
   }
   return Value;
 }
--- a/Libraries/LibPlan/FluidModel.h
+++ b/Libraries/LibPlan/FluidModel.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "LibPlan/PlanTypes.h"
+#include "LibPlan/RoleSpeeds.h"
 
 #include <chrono>
 #include <optional>
@@ -22,20 +23,13 @@
   unsigned Mixed = 0;
 
   unsigned &count(Role Which);
+  unsigned count(Role Which) const;
   unsigned total() const { return Prefill + Decode + Mixed; }
   bool operator==(const Split &) const = default;
 };
 
 struct FluidSettings {
-  /// Tokens each second of one engine that does nothing else.
-  double PrefillTokensPerSecond = 8000;
-  double DecodeTokensPerSecond = 1000;
-  /// Part of its time that an engine of a leaning role gives to the other
-  /// kind of work.
-  double OtherWorkShare = 0.1;
-  /// Mixed engines divide their time as needed, and lose some to long prompts
-  /// that hold up decoding.
-  double MixedEfficiency = 0.85;
+  RoleSpeeds Engines;
   /// Work that waited so long is worth nothing.
   std::chrono::milliseconds Patience{10000};
 };
@@ -45,24 +39,32 @@
   double DecodeTokens = 0;
 };
 
-/// The engines that serve from \p Change on, and before it.
+/// The engines that serve over time: \p First until \p Start, \p During a
+/// change of \p Change, \p After from then on.
 struct Scenario {
-  Split Before;
+  Split First;
+  Split During;
   Split After;
+  std::chrono::milliseconds Start{0};
   std::chrono::milliseconds Change{0};
+
+  const Split &at(std::chrono::duration<double> Time) const;
 };
 
-/// Demand that is expected: \p Current as long as it \p Persists, then the
-/// long-run \p Average.
+/// Demand that is expected: \p Current as long as it \p Persists, then \p Next
+/// and \p Current in turns of \p PhaseLength.
 struct Forecast {
   Demand Current;
-  Demand Average;
+  Demand Next;
   std::chrono::milliseconds Persists{0};
+  std::chrono::milliseconds PhaseLength{0};
+
+  const Demand &at(std::chrono::duration<double> Time) const;
 };
 
 /// Useful tokens of the horizon less what waiting cost. A useful token is an
 /// output token of answered work, or the prompt tokens of answered work that
-/// take an engine as long as one output token.
+/// take a mixed engine as long as one output token.
 double predictedValue(const FluidSettings &Settings, const Scenario &Engines,
                       const Forecast &Expected, const Backlog &Waiting,
                       std::chrono::milliseconds Horizon);
--- a/Libraries/LibPlan/MixHistory.h
+++ b/Libraries/LibPlan/MixHistory.h
@@ -2,7 +2,8 @@
 //
 // A planner that takes each mix for permanent chases every swing, and is
 // always late by the time of a change. So the planner learns how long the mix
-// stayed on one side of its average, and expects the average after that.
+// stays on one side of its average and what the other side looks like, and
+// expects that after it.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,6 +27,7 @@
   enum class Side { Unknown, MorePrefill, MoreDecode };
 
   Side sideOf(const Demand &Offered) const;
+  Demand &typicalOf(Side Which);
 
   /// Decayed over minutes.
   Demand m_Average;
@@ -34,6 +36,9 @@
   bool m_HasSeen = false;
   Side m_Side = Side::Unknown;
   BootTime m_SideSince;
+  /// Moving averages within the phases of each side.
+  Demand m_TypicalPrefill;
+  Demand m_TypicalDecode;
   /// Moving average of complete phases; zero before the first.
   std::chrono::duration<double> m_PhaseLength{0};
 };
--- a/Libraries/LibPlan/Planner.cpp
+++ b/Libraries/LibPlan/Planner.cpp
@@ -28,7 +28,8 @@
   if (Event.Seen.Spec.Type == record::BackEndType::Service)
     return {};
   m_Orders.expire(Event.Seen, m_Settings.Trust, Now);
-  m_History.observe(Event.Seen.Offered, Now);
+  m_Known.Speeds.observe(Event.Seen.Targets);
+  m_Known.Mix.observe(Event.Seen.Offered, Now);
   std::vector<Action> Out;
   const unsigned Bound =
       std::max(1u, Event.Seen.Spec.Weights.MaximumConcurrentChanges);
@@ -52,7 +53,7 @@
   if (Placement::someModelUnserved(Seen, Engines))
     return m_Placement.plan(Seen, Engines, Now);
   if (auto Order =
-          planRole(m_Settings.Roles, Seen, Engines, m_Orders, m_History, Now))
+          planRole(m_Settings.Roles, Seen, Engines, m_Orders, m_Known, Now))
     return Order;
   return m_Placement.plan(Seen, Engines, Now);
 }
--- a/Libraries/LibPlan/Planner.h
+++ b/Libraries/LibPlan/Planner.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include "LibPlan/Fleet.h"
-#include "LibPlan/MixHistory.h"
 #include "LibPlan/Placement.h"
 #include "LibPlan/PlanTypes.h"
 #include "LibPlan/RolePlanner.h"
@@ -42,7 +41,7 @@
   PlannerSettings m_Settings;
   OrdersUnderWay m_Orders;
   Placement m_Placement;
-  MixHistory m_History;
+  Knowledge m_Known;
 };
 
 } // namespace figlift::plan
--- a/Libraries/LibPlan/RolePlanner.cpp
+++ b/Libraries/LibPlan/RolePlanner.cpp
@@ -50,27 +50,6 @@
   return First;
 }
 
-/// Replaces assumed speeds by the average of what the engines measured.
-FluidSettings measured(FluidSettings Settings, const Fleet &Engines) {
-  const auto Average = [&](double route::TargetLoad::*Rate, double Assumed) {
-    double Sum = 0;
-    unsigned Count = 0;
-    for (const TargetState *Target : Engines.serving())
-      if (const double One = Target->Load.*Rate; One > 0) {
-        Sum += One;
-        ++Count;
-      }
-    return Count ? Sum / Count : Assumed;
-  };
-  Settings.PrefillTokensPerSecond =
-      Average(&route::TargetLoad::PrefillTokensPerSecond,
-              Settings.PrefillTokensPerSecond);
-  Settings.DecodeTokensPerSecond =
-      Average(&route::TargetLoad::DecodeTokensPerSecond,
-              Settings.DecodeTokensPerSecond);
-  return Settings;
-}
-
 Backlog backlog(const Fleet &Engines) {
   Backlog Sum;
   for (const TargetState *Target : Engines.serving()) {
@@ -108,7 +87,7 @@
   const Snapshot &Seen;
   const Fleet &Engines;
   const OrdersUnderWay &Orders;
-  const MixHistory &History;
+  const Knowledge &Known;
   BootTime Time;
 
   std::optional<GiveOrder> operator()(const StaticPlan &) const {
@@ -118,11 +97,11 @@
   }
 
   std::optional<GiveOrder> operator()(const ThresholdPlan &) const {
-    const FluidSettings Speeds = measured(FluidSettings{}, Engines);
-    const double Prefill =
-        Seen.Offered.PrefillTokensPerSecond / Speeds.PrefillTokensPerSecond;
+    const RoleSpeeds Speed = Known.Speeds.speeds();
+    const double Prefill = Seen.Offered.PrefillTokensPerSecond /
+                           Speed.Prefill.PrefillTokensPerSecond;
     const double Decode =
-        Seen.Offered.DecodeTokensPerSecond / Speeds.DecodeTokensPerSecond;
+        Seen.Offered.DecodeTokensPerSecond / Speed.Decode.DecodeTokensPerSecond;
     if (Prefill + Decode <= 0)
       return std::nullopt;
     const unsigned Total = sum(Engines.split(), Engines.returning()).total();
@@ -132,22 +111,23 @@
   }
 
   std::optional<GiveOrder> operator()(const FigliftPlan &Settings) const {
-    const FluidSettings Speeds = measured(Settings.Model, Engines);
+    const FluidSettings Model{Known.Speeds.speeds(), Settings.Patience};
     const record::PlannerWeights &Weights = Seen.Spec.Weights;
     const double Seconds =
         std::chrono::duration<double>(Weights.Horizon).count();
     const Forecast Expected =
         Settings.LearnsPersistence
-            ? History.forecast(Seen.Offered, Weights.Horizon, Time)
-            : Forecast{Seen.Offered, Seen.Offered, Weights.Horizon};
+            ? Known.Mix.forecast(Seen.Offered, Weights.Horizon, Time)
+            : Forecast{Seen.Offered, Seen.Offered, Weights.Horizon,
+                       Weights.Horizon};
     const Split Now = Engines.split();
     const Split Final = sum(Now, Engines.returning());
     const auto Value = [&](const Scenario &Which) {
-      return predictedValue(Speeds, Which, Expected, backlog(Engines),
+      return predictedValue(Model, Which, Expected, backlog(Engines),
                             Weights.Horizon);
     };
     const auto Duration = Orders.roleChangeDuration();
-    const double Current = Value({Now, Final, Duration});
+    const double Current = Value({Now, Now, Final, {}, Duration});
     double BestGain = 0;
     std::optional<Move> Best;
     for (const Role From : EngineRoles)
@@ -156,11 +136,16 @@
             From == To ? std::nullopt : cheapestMove(Engines, From, To);
         if (!Candidate)
           continue;
-        Scenario Changed{Now, Final, Duration};
-        --Changed.Before.count(From);
+        Scenario Changed{Now, Now, Final, {}, Duration};
+        --Changed.During.count(From);
         --Changed.After.count(From);
         ++Changed.After.count(To);
-        const double Gain = (Value(Changed) - Current) / Seconds;
+        const double AtOnce = Value(Changed);
+        // A change that the next phase wants is not made in this one.
+        Changed.Start = Expected.Persists;
+        if (Expected.Persists < Weights.Horizon && Value(Changed) > AtOnce)
+          continue;
+        const double Gain = (AtOnce - Current) / Seconds;
         if (Gain <= BestGain)
           continue;
         BestGain = Gain;
@@ -193,10 +178,10 @@
 std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
                                   const Snapshot &Seen, const Fleet &Engines,
                                   const OrdersUnderWay &Orders,
-                                  const MixHistory &History, BootTime Now) {
+                                  const Knowledge &Known, BootTime Now) {
   if (auto Repair = repairMinimum(Seen, Engines))
     return Repair;
-  return std::visit(RoleChooser{Seen, Engines, Orders, History, Now}, Policy);
+  return std::visit(RoleChooser{Seen, Engines, Orders, Known, Now}, Policy);
 }
 
 } // namespace figlift::plan
--- a/Libraries/LibPlan/RolePlanner.h
+++ b/Libraries/LibPlan/RolePlanner.h
@@ -15,6 +15,7 @@
 #include "LibPlan/MixHistory.h"
 #include "LibPlan/PlanTypes.h"
 
+#include <chrono>
 #include <optional>
 #include <variant>
 
@@ -27,7 +28,8 @@
 struct ThresholdPlan {};
 
 struct FigliftPlan {
-  FluidSettings Model;
+  /// Work that waited so long is worth nothing.
+  std::chrono::milliseconds Patience{10000};
   /// Expect the mix to last as long as it did lately; false: for the whole
   /// horizon.
   bool LearnsPersistence = true;
@@ -35,10 +37,16 @@
 
 using PlanPolicy = std::variant<StaticPlan, ThresholdPlan, FigliftPlan>;
 
+/// What the planner has learned of the shard.
+struct Knowledge {
+  SpeedLearner Speeds;
+  MixHistory Mix;
+};
+
 /// The best role change now, if any is worth its cost.
 std::optional<GiveOrder> planRole(const PlanPolicy &Policy,
                                   const Snapshot &Seen, const Fleet &Engines,
                                   const OrdersUnderWay &Orders,
-                                  const MixHistory &History, BootTime Now);
+                                  const Knowledge &Known, BootTime Now);
 
 } // namespace figlift::plan
--- a/Tests/LibPlan/PlanFixture.h
+++ b/Tests/LibPlan/PlanFixture.h
@@ -28,8 +28,8 @@
     State.CurrentRole = Which;
     State.Live = State.Accepting = true;
     State.Models = std::move(Models);
-    State.Load.PrefillTokensPerSecond = 8000;
-    State.Load.DecodeTokensPerSecond = 1000;
+    State.Load.PrefillTokensPerSecond = Which == Role::Decode ? 2700 : 12000;
+    State.Load.DecodeTokensPerSecond = Which == Role::Prefill ? 330 : 1600;
     State.ReportedAt = Now;
     Seen.Targets.push_back(State);
     return Seen.Targets.back();
--- a/Tests/LibPlan/PlanTrial.h
+++ b/Tests/LibPlan/PlanTrial.h
@@ -68,6 +68,14 @@
     milliseconds Until;
   };
 
+  static Speeds speeds(Role Which) {
+    if (Which == Role::Prefill)
+      return {PrefillRate * 1.6, DecodeRate / 3};
+    if (Which == Role::Decode)
+      return {PrefillRate / 3, DecodeRate * 1.6};
+    return {PrefillRate, DecodeRate};
+  }
+
   static BootTime boot(milliseconds Now) { return BootTime(Now + seconds(1)); }
 
   void advance(milliseconds Now, milliseconds Step) {
@@ -79,44 +87,49 @@
     m_DecodeToCome += In.DecodeTokensPerSecond * Time;
     m_Offered += In.DecodeTokensPerSecond * Time / DecodeRate +
                  In.PrefillTokensPerSecond * Time / PrefillRate;
-    double PrefillTime = 0, DecodeTime = 0, FreeTime = 0;
+    double Prefilled = 0, Decoded = 0;
     for (Engine &One : m_Engines) {
       if (One.Next && Now >= One.Until)
         finish(One, Now);
-      if (One.Next)
-        continue;
-      if (One.Current == Role::Mixed) {
-        FreeTime += 0.85 * Time;
-        continue;
-      }
-      const bool ForPrefill = One.Current == Role::Prefill;
-      PrefillTime += Time * (ForPrefill ? 0.9 : 0.1);
-      DecodeTime += Time * (ForPrefill ? 0.1 : 0.9);
+      if (!One.Next)
+        work(One.Current, Time, Prefilled, Decoded);
     }
-    work(In, PrefillTime, DecodeTime, FreeTime);
+    account(Prefilled, Decoded);
+    leave(In);
   }
 
-  void work(const Demand &In, double PrefillTime, double DecodeTime,
-            double FreeTime) {
-    const double PrefillRest =
-        std::max(0.0, m_Prefill / PrefillRate - PrefillTime);
-    const double Free = std::min(FreeTime, PrefillRest);
-    const double Done = std::min(m_Prefill, (PrefillTime + Free) * PrefillRate);
-    const double Part = m_Prefill > 0 ? Done / m_Prefill : 0;
-    const double Follows = m_DecodeToCome * Part;
-    m_Prefill -= Done;
-    m_DecodeToCome -= Follows;
-    m_Decode += Follows;
-    m_PromptsDone += Done;
-    const double Decoded =
-        std::min(m_Decode, (DecodeTime + FreeTime - Free) * DecodeRate);
+  /// One engine: its own kind of work first; a mixed one shares its time.
+  void work(Role Which, double Time, double &Prefilled, double &Decoded) const {
+    const Speeds Own = speeds(Which);
+    const auto Prefill = [&](double Part) {
+      const double Tokens = std::min(m_Prefill - Prefilled,
+                                     Time * Part * Own.PrefillTokensPerSecond);
+      Prefilled += Tokens;
+      Time -= Tokens / Own.PrefillTokensPerSecond;
+    };
+    const auto Decode = [&] {
+      const double Tokens =
+          std::min(m_Decode - Decoded, Time * Own.DecodeTokensPerSecond);
+      Decoded += Tokens;
+      Time -= Tokens / Own.DecodeTokensPerSecond;
+    };
+    if (Which != Role::Decode)
+      Prefill(Which == Role::Mixed ? 0.5 : 1.0);
+    Decode();
+    Prefill(1.0);
+  }
+
+  void account(double Prefilled, double Decoded) {
+    const double Follows =
+        m_Prefill > 0 ? m_DecodeToCome * Prefilled / m_Prefill : 0;
     const double Prompts =
         m_Decode > 0 ? m_PromptsDone * Decoded / m_Decode : 0;
-    m_Decode -= Decoded;
-    m_PromptsDone -= Prompts;
+    m_Prefill -= Prefilled;
+    m_DecodeToCome -= Follows;
+    m_Decode += Follows - Decoded;
+    m_PromptsDone += Prefilled - Prompts;
     // In engine time, so that both kinds of work weigh alike.
     m_Answered += Decoded / DecodeRate + Prompts / PrefillRate;
-    leave(In);
   }
 
   /// Callers leave after ten seconds.
@@ -151,8 +164,10 @@
       State.Live = true;
       State.Accepting = !One.Next;
       State.OrderInProgress = One.Next.has_value();
-      State.Load.PrefillTokensPerSecond = PrefillRate;
-      State.Load.DecodeTokensPerSecond = DecodeRate;
+      State.Load.PrefillTokensPerSecond =
+          speeds(One.Current).PrefillTokensPerSecond;
+      State.Load.DecodeTokensPerSecond =
+          speeds(One.Current).DecodeTokensPerSecond;
       State.Load.PrefillTokensWaiting[1] =
           static_cast<uint64_t>(m_Prefill / m_Engines.size());
       State.Load.DecodeTokensWaiting =
--- a/Tests/LibPlan/TestDemand.cpp
+++ b/Tests/LibPlan/TestDemand.cpp
@@ -52,7 +52,7 @@
   const Forecast Expected = History.forecast(Short, seconds(60), Now);
   CHECK(Expected.Persists > seconds(10));
   CHECK(Expected.Persists < seconds(20));
-  DOUBLES_EQUAL(4400, Expected.Average.PrefillTokensPerSecond, 600);
+  DOUBLES_EQUAL(8000, Expected.Next.PrefillTokensPerSecond, 600);
   // The phase goes on far beyond the usual: it is taken for a lasting one.
   for (int Second = 0; Second < 110; ++Second, Now += seconds(1))
     History.observe(Short, Now);
