LibWire: Keep the kernel's queue of unsent bytes short

Up to 4 MB could lie in the kernel ahead of a PING, so that a busy connection looked like a dead one. TCP_NOTSENT_LOWAT bounds them to 128 KiB.

--- a/Libraries/LibWire/Acceptor.cpp
+++ b/Libraries/LibWire/Acceptor.cpp
@@ -60,7 +60,7 @@
     ::close(Accepted);
     return;
   }
-  sendAtOnce(Accepted);
+  sendPromptly(Accepted);
   auto Target = m_Loops[m_Next++ % m_Loops.size()].lock();
   bool Posted = Target && Target->post([Target, Accepted, Shared = m_Shared] {
     ServerConnection::start(Target, Accepted, Shared);
--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -54,7 +54,7 @@
   int Socket = tcpSocket();
   if (Socket < 0)
     return failed(Socket, ResultCode::Internal, "cannot open a socket");
-  sendAtOnce(Socket);
+  sendPromptly(Socket);
   if (::connect(Socket, reinterpret_cast<sockaddr *>(&*Address),
                 sizeof(*Address)) != 0 &&
       errno != EINPROGRESS)
@@ -118,9 +118,13 @@
   return Endpoint{Text, ntohs(Own.sin_port)};
 }
 
-void sendAtOnce(int Socket) {
+void sendPromptly(int Socket) {
   int One = 1;
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
+  // The kernel would let its queue grow to megabytes. A PING behind them is
+  // answered late, and the heartbeat gives up a connection that only is busy.
+  int Unsent = 128 << 10;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &Unsent, sizeof(Unsent));
 }
 
 } // namespace figlift::wire
--- a/Libraries/LibWire/Socket.h
+++ b/Libraries/LibWire/Socket.h
@@ -19,7 +19,8 @@
 Result<int> listenOn(const Endpoint &Where);
 /// The address that \p Socket is bound to.
 Endpoint localEndpoint(int Socket);
-/// Writes leave at once instead of waiting for the ACK of the one before.
-void sendAtOnce(int Socket);
+/// Writes leave at once instead of waiting for the ACK of the one before, and
+/// the kernel holds little that has not left yet.
+void sendPromptly(int Socket);
 
 } // namespace figlift::wire
--- a/Tests/LibWire/WireFixtures.cpp
+++ b/Tests/LibWire/WireFixtures.cpp
@@ -204,6 +204,10 @@
 
 RawListener::RawListener()
     : m_Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  // Inherited by accepted sockets: a fixed small buffer is soon full and stays
+  // so, while one that the kernel tunes takes more after a pause.
+  int Small = 16 << 10;
+  setsockopt(m_Socket, SOL_SOCKET, SO_RCVBUF, &Small, sizeof(Small));
   auto Address = addressOf({"127.0.0.1", 0});
   ::bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
   ::listen(m_Socket, 16);
