--- /dev/null
+++ b/Tests/LibConfig/TestOperatorClient.cpp
@@ -0,0 +1,119 @@
+//===- TestOperatorClient.cpp - Operators' writes over several entries ----===//
+//
+// Scripted entries lose answers and refuse; the status of a rollout is judged.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibConfig/OperatorClient.h"
+#include "LibConfig/Rollout.h"
+#include "LibPlatform/RawServer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::config;
+using figlift::test::RawServer;
+using figlift::test::Step;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Says = Step::What::Answer;
+const Step Committed{Says, 200, R"({"revision":4})"};
+const Step StoreDown{Says, 503, R"({"code":601,"detail":"down"})"};
+const Step Unknown{Says, 504, R"({"code":603,"detail":"lost"})"};
+const Step Conflict{Says, 409, R"({"code":402,"detail":"version 3"})"};
+const Step Invalid{Says, 422, R"({"code":401,"detail":"bad","field":"spec"})"};
+const Step Lost{Step::What::CloseWithoutAnswer};
+const Step Silent{Step::What::Silence};
+
+Result<std::string> writeTo(std::vector<uint16_t> Ports) {
+  OperatorClientOptions Options;
+  for (uint16_t Port : Ports)
+    Options.Entries.push_back({"127.0.0.1", Port});
+  Options.Timeout = 300ms;
+  Options.Rounds = 1;
+  return OperatorClient(Options).write(platform::HttpVerb::Post, "/x", "{}");
+}
+
+EntryAnswer status(const std::string &Body) {
+  return {Endpoint{"127.0.0.1", 1}, true, Body};
+}
+
+} // namespace
+
+TEST_GROUP(OperatorClient){};
+
+TEST(OperatorClient, TellsTheTruthAboutEveryPairOfAnswers) {
+  // Symptom: an operator is told "refused" of a change that is in force.
+  // Sequence: the first entry commits and its answer is lost; the second one
+  // refuses. Cause: the last answer is taken for the outcome.
+  struct Case {
+    Step First, Second;
+    ResultCode Expected;
+  };
+  const Case Cases[] = {
+      {Committed, Silent, ResultCode::Success},
+      {Lost, Committed, ResultCode::Success},
+      {Silent, Committed, ResultCode::Success},
+      {StoreDown, Committed, ResultCode::Success},
+      {Unknown, Committed, ResultCode::Success},
+      {Conflict, Silent, ResultCode::RecordVersionConflict},
+      {Invalid, Silent, ResultCode::RecordInvalid},
+      {StoreDown, StoreDown, ResultCode::StoreUnavailable},
+      {StoreDown, Conflict, ResultCode::RecordVersionConflict},
+      {Lost, Conflict, ResultCode::StoreOutcomeUnknown},
+      {Lost, StoreDown, ResultCode::StoreOutcomeUnknown},
+      {Unknown, Invalid, ResultCode::StoreOutcomeUnknown},
+      {Silent, Lost, ResultCode::StoreOutcomeUnknown},
+  };
+  for (const auto &[First, Second, Expected] : Cases) {
+    RawServer One({First}), Two({Second});
+    auto Answer = writeTo({One.port(), Two.port()});
+    CHECK_EQUAL(static_cast<int>(Expected),
+                Answer ? 0 : static_cast<int>(Answer.error().Code));
+  }
+}
+
+TEST(OperatorClient, KnowsThatNothingWasDoneWhereNothingListens) {
+  uint16_t Free = RawServer({}).port();
+  CHECK_TRUE(writeTo({Free}).error().Code == ResultCode::PeerUnreachable);
+  RawServer Running({Committed});
+  CHECK_TRUE(writeTo({Free, Running.port()}).has_value());
+}
+
+TEST_GROUP(Rollout){};
+
+TEST(Rollout, ListsWhoLagsAndCountsWhatAnyEntryKnows) {
+  auto First = status(R"({"entry":"e1","revision":5,"serving":true,"targets":[
+    {"id":"t1","state":"serving","revisionInForce":5},
+    {"id":"t2","state":"unreachable","revisionInForce":0},
+    {"id":"t3","state":"gone","revisionInForce":2}],"entries":[
+    {"id":"e2","state":"serving","revisionInForce":4}]})");
+  auto Second = status(R"({"entry":"e2","revision":5,"serving":true,"targets":[
+    {"id":"t1","state":"unreachable","revisionInForce":0},
+    {"id":"t2","state":"serving","revisionInForce":4}],"entries":[]})");
+  auto Found = rolloutOf({First, Second}, 5);
+  CHECK_EQUAL(3u, Found.InForce);
+  CHECK_EQUAL(1u, Found.Lagging.size());
+  STRCMP_EQUAL("target t2: revision 4, serving", Found.Lagging[0].c_str());
+  CHECK_TRUE(rolloutOf({First, Second}, 4).complete());
+
+  EntryAnswer CutOff{Endpoint{"127.0.0.1", 2}, true,
+                     failure(ResultCode::PeerUnreachable, "timeout")};
+  CHECK_FALSE(rolloutOf({First, Second, CutOff}, 4).complete());
+  CutOff.Running = false;
+  CHECK_TRUE(rolloutOf({First, Second, CutOff}, 4).complete());
+  CHECK_FALSE(rolloutOf({CutOff}, 4).complete());
+}
+
+TEST(Rollout, KnowsADrainedTarget) {
+  auto Status = [](const std::string &State) {
+    return status(R"({"entry":"e1","targets":[{"id":"t1","state":")" + State +
+                  R"("}]})");
+  };
+  CHECK_FALSE(isDrained({Status("draining")}, "t1"));
+  CHECK_TRUE(isDrained({Status("drained")}, "t1"));
+  CHECK_TRUE(isDrained({Status("draining")}, "t2"));
+  CHECK_FALSE(isDrained({}, "t1"));
+}
