--- a/Tests/StandIns/StandInCommon/Server.cpp
+++ b/Tests/StandIns/StandInCommon/Server.cpp
@@ -65,9 +65,10 @@
   return Found == Request.headers().end() ? std::string() : Found->second;
 }
 
-std::string Call::query(const std::string &Name, std::string Default) const {
+std::string Call::query(const std::string &Name,
+                        const std::string &Default) const {
   const auto Found = Query.find(Name);
-  return Found == Query.end() ? std::move(Default) : Found->second;
+  return Found == Query.end() ? Default : Found->second;
 }
 
 std::optional<std::string> Call::after(const std::string &Prefix) const {
@@ -105,9 +106,9 @@
   }
 }
 
-void observe(pplx::task<void> Task) {
+void observe(const pplx::task<void> &Task) {
   // An exception that nobody looks at ends the process when the task goes.
-  Task.then([](pplx::task<void> Finished) {
+  Task.then([](const pplx::task<void> &Finished) {
     try {
       Finished.get();
     } catch (const std::exception &) {
@@ -123,7 +124,7 @@
   crossplat::threadpool::initialize_with_threads(PoolThreads);
 }
 
-Server::Server(std::string Listen, Handler Handle)
+Server::Server(const std::string &Listen, Handler Handle)
     : m_Handle(std::move(Handle)) {
   const size_t Colon = Listen.rfind(':');
   m_Address = Listen.substr(0, Colon);
--- a/Tests/StandIns/StandInCommon/Server.h
+++ b/Tests/StandIns/StandInCommon/Server.h
@@ -32,7 +32,8 @@
   /// The body as JSON; an empty object when there is no body. Throws.
   Json json() const;
   std::string header(const std::string &Name) const;
-  std::string query(const std::string &Name, std::string Default = {}) const;
+  std::string query(const std::string &Name,
+                    const std::string &Default = {}) const;
   /// What follows \p Prefix in the path, if the path begins with it.
   std::optional<std::string> after(const std::string &Prefix) const;
   void answer(int Status, const Json &Body) const;
@@ -53,7 +54,7 @@
   using Handler = std::function<void(const Call &)>;
 
   /// \p Listen is "ip:port"; port 0 picks a free one.
-  Server(std::string Listen, Handler Handle);
+  Server(const std::string &Listen, Handler Handle);
 
   /// Prints "listening ip:port" once ready and serves until SIGTERM or SIGINT.
   int run();
@@ -80,6 +81,6 @@
 };
 
 /// Lets a task end in an error without ending the process.
-void observe(pplx::task<void> Task);
+void observe(const pplx::task<void> &Task);
 
 } // namespace figlift::standin
--- a/Tests/StandIns/engine-standin/TokenStream.cpp
+++ b/Tests/StandIns/engine-standin/TokenStream.cpp
@@ -15,7 +15,7 @@
   web::http::http_response Response(200);
   Response.set_body(m_Buffer.create_istream(), "text/event-stream");
   Request.reply(Response).then(
-      [Gone = std::move(Gone)](pplx::task<void> Written) {
+      [Gone = std::move(Gone)](const pplx::task<void> &Written) {
         try {
           Written.get();
         } catch (const std::exception &) {
@@ -40,7 +40,7 @@
   close(std::make_exception_ptr(std::runtime_error("torn")));
 }
 
-void TokenStream::close(std::exception_ptr Reason) {
+void TokenStream::close(const std::exception_ptr &Reason) {
   const std::lock_guard Lock(m_Mutex);
   if (m_Closed)
     return;
--- a/Tests/StandIns/engine-standin/TokenStream.h
+++ b/Tests/StandIns/engine-standin/TokenStream.h
@@ -28,7 +28,7 @@
   void tear();
 
 private:
-  void close(std::exception_ptr Reason);
+  void close(const std::exception_ptr &Reason);
 
   std::mutex m_Mutex;
   bool m_Closed = false;
