--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -98,7 +98,7 @@
 for i in $(seq 1 $engines); do
   start_target "lm-desk-$i" lm-desk engine $((50 + i)) "${zones[$((i % 4))]}" \
     "$stand_ins/engine-standin/engine-standin" --role mixed \
-    --models roster-match@1,note-draft@1 --platform "$platform"
+    --models instructor-match@3,lesson-note@2 --platform "$platform"
   target_ids+=("lm-desk-$i")
   sources+="${sources:+,}$prefix.$((50 + i)):7002"
 done
@@ -144,21 +144,21 @@
 roster=$(printf 'Instructor %05d teaches level B on Tuesday. ' $(seq 1 500))
 curl -sS -m 30 --fail -N "http://$callers/v1/completions" \
   -H 'Content-Type: application/json' \
-  -d "{\"model\":\"roster-match\",\"prompt\":\"$roster\",\"max_tokens\":1,\"stream\":true}" |
+  -d "{\"model\":\"instructor-match\",\"prompt\":\"$roster\",\"max_tokens\":1,\"stream\":true}" |
   tee "$work/long.out"
 grep -q 'data: \[DONE\]' "$work/long.out" || fail "the long request was cut"
 
 echo "== a short prompt with a written reply (streamed)"
 curl -sS -m 30 --fail -N "http://$callers/v1/chat/completions" \
   -H 'Content-Type: application/json' \
-  -d '{"model":"note-draft","messages":[{"role":"user","content":"Confirm the lesson at nine."}],"max_tokens":12,"stream":true}' |
+  -d '{"model":"lesson-note","messages":[{"role":"user","content":"Confirm the lesson at nine."}],"max_tokens":12,"stream":true}' |
   tee "$work/short.out"
 grep -q 'data: \[DONE\]' "$work/short.out" || fail "the short request was cut"
 
 echo "== one slot hold, sent twice with the same idempotency key"
 key=$("$ctl" new-key)
 for i in 1 2; do
-  curl -sS -m 30 --fail "http://$prefix.$((10 + i)):8080/v1/services/booking-core/slots/42/hold" \
+  curl -sS -m 30 --fail "http://$prefix.$((10 + i)):8080/v1/services/booking-core/slots/hold/42" \
     -H "Idempotency-Key: $key" -H 'Content-Type: application/json' \
     -d '{"child":"A","slot":42}' | tee "$work/hold-$i.out"
   echo
