figlift-agent: Follow the configuration by LibConfig's state machine

Replaces the agent's own copy. Calls that name a newer grant than the row read last wait for one read of the row instead of being sent away; work whose caller left while it waited is dropped.

--- a/Services/figlift-agent/Agent.cpp
+++ b/Services/figlift-agent/Agent.cpp
@@ -43,6 +43,10 @@
 }
 
 void Agent::dispatch(StreamId Stream, wire::RunRequest Request) {
+  // The caller may have left while the request waited for a newer
+  // configuration; its end was told already, so nothing would clean up.
+  if (!m_Server->isOpen(Stream))
+    return;
   const Reader From{Stream, Request.request_id(), Request.attempt_id()};
   if (misdirected(Request))
     return m_Answering->finish(From, Error{ResultCode::UnknownBackEnd,
@@ -62,9 +66,15 @@
   }
   // A key that was used before is answered also while draining: the home
   // machine decides, and the gate refuses what would be new work.
-  if (!Request.idempotency_key().empty())
-    m_Slices->hint(Request.idempotency_key(), Request.slice_epoch());
-  m_Calls->run(Stream, std::move(Request));
+  const std::string Key = Request.idempotency_key();
+  if (Key.empty())
+    return m_Calls->run(Stream, std::move(Request));
+  const uint64_t Epoch = Request.slice_epoch();
+  m_Slices->hint(Key, Epoch,
+                 [this, Stream, Request = std::move(Request)]() mutable {
+                   if (m_Server->isOpen(Stream))
+                     m_Calls->run(Stream, std::move(Request));
+                 });
 }
 
 void Agent::onResume(StreamId Stream, wire::ResumeRequest Request) {
@@ -160,15 +170,15 @@
 void Agent::standingChanged() {
   m_Gate->setAccepting(m_Standing.accepting(), m_Standing.refusalCode());
   if (m_Slices && m_Standing.draining())
-    m_Slices->rebalance(true, m_Configuration->inForce().leavingTargets());
+    m_Slices->rebalance(true, m_Configuration->leavingTargets());
   m_Syncs->tick();
   publish();
 }
 
 void Agent::configurationChanged() {
-  const ConfigurationCopy &Now = m_Configuration->inForce();
+  const config::Snapshot &Now = *m_Configuration->inForce();
   setReason(DrainReason::OperatorRecord,
-            Now.intentOf(m_Shared.Settings.Process.Id) !=
+            Now.targetIntent(m_Shared.Settings.Process.Id) !=
                 record::TargetIntent::Serve);
   admission::AdmissionSettings Settings;
   Settings.MaximumSequences = m_Shared.Settings.Limits.RequestsInFlight;
@@ -202,7 +212,7 @@
   Out.set_target(m_Shared.Settings.Process.Id);
   Out.set_back_end(m_Shared.Settings.Target.BackEnd);
   Out.set_zone(m_Shared.Settings.Process.Zone);
-  Out.set_revision_in_force(m_Configuration->inForce().revision());
+  Out.set_revision_in_force(m_Configuration->revision());
   *Out.mutable_load() = load();
   const size_t Left = unfinished();
   Out.set_state(std::string(m_Standing.name(Left)));
@@ -246,14 +256,11 @@
   }
   Snapshot New;
   New.Json = Json.dump();
-  if (m_Standing.accepting() && m_Configuration->inForce().known())
+  if (m_Standing.accepting())
     New.NotReady.reset();
   else
-    New.NotReady = Error{m_Standing.draining() ? ResultCode::Draining
-                                               : ResultCode::NotReady,
-                         Report.state(),
-                         {},
-                         std::nullopt};
+    New.NotReady =
+        Error{m_Standing.refusalCode(), Report.state(), {}, std::nullopt};
   m_Snapshots.publish(std::move(New));
 }
 
--- a/Services/figlift-agent/AgentParts.cpp
+++ b/Services/figlift-agent/AgentParts.cpp
@@ -12,6 +12,7 @@
 namespace figlift::agent {
 
 static constexpr std::chrono::milliseconds TickInterval{20};
+static constexpr std::chrono::milliseconds PublishInterval{200};
 static constexpr std::chrono::milliseconds SlowTickInterval{1000};
 
 Result<std::unique_ptr<Agent>> Agent::create(Context Shared) {
@@ -41,12 +42,15 @@
   m_Gate = std::make_unique<Gate>(m_Shared);
   m_Configuration = std::make_unique<Configuration>(
       m_Shared, Configuration::Parts{*m_Server, *m_Client, *m_Fleet},
-      [this] { configurationChanged(); });
+      Configuration::Observers{[this] { configurationChanged(); },
+                               [this](bool Serving) {
+                                 m_Standing.setConfigured(Serving);
+                                 standingChanged();
+                               }});
   m_Answering = std::make_unique<Answering>(
       m_Shared, *m_Server,
-      Answering::Sources{
-          [this] { return load(); },
-          [this] { return m_Configuration->inForce().revision(); }});
+      Answering::Sources{[this] { return load(); },
+                         [this] { return m_Configuration->revision(); }});
   m_Syncs =
       std::make_unique<Syncs>(m_Shared, *m_Server, [this] { return report(); });
   if (m_Shared.Settings.Target.Type == settings::TargetType::Engine)
@@ -94,14 +98,8 @@
   m_Shared.Events.record(
       timeline::kinds::ProcessStarted,
       {timeline::SubjectType::Process, m_Shared.Settings.Process.Id});
-  configurationChanged();
-  m_Fleet->onChange([this] {
-    setReason(DrainReason::VmList, m_Fleet->leaving());
-    // A new process asks entries for the configuration itself, because during
-    // an outage of the platform it may wait long for one to come.
-    if (!m_Configuration->inForce().known())
-      m_Configuration->require(0, [](bool) {});
-  });
+  m_Fleet->onChange(
+      [this] { setReason(DrainReason::VmList, m_Fleet->leaving()); });
   m_Fleet->start();
   if (m_Orders) {
     m_Orders->start();
@@ -111,11 +109,16 @@
   }
   standingChanged();
   m_Shared.Decisions.every(TickInterval, [this] { tick(); });
+  m_Shared.Decisions.every(PublishInterval, [this] { publish(); });
   m_Shared.Decisions.every(SlowTickInterval, [this] { slowTick(); });
 }
 
 void Agent::tick() {
   m_Gate->tick();
+  // The transport's heartbeat ends dead streams: an open one is a sign of life.
+  if (m_Syncs->entries() != 0)
+    m_Configuration->peerHeard();
+  m_Configuration->tick();
   if (m_Orders)
     m_Orders->tick();
   answerDrains();
@@ -124,13 +127,12 @@
 }
 
 void Agent::slowTick() {
-  publish();
   if (m_Completions)
     m_Completions->tick();
   if (m_Calls) {
     m_Calls->tick();
     m_Slices->rebalance(m_Standing.draining(),
-                        m_Configuration->inForce().leavingTargets());
+                        m_Configuration->leavingTargets());
   }
   if (!m_Engine)
     return;
--- a/Services/figlift-agent/PeerServer.h
+++ b/Services/figlift-agent/PeerServer.h
@@ -31,6 +31,7 @@
 
   /// GOAWAY to all peers: new streams are refused provably.
   void goAway() { m_Server->drain(); }
+  bool isOpen(StreamId Stream) const { return m_Streams.contains(Stream); }
   size_t openStreams() const { return m_Streams.size(); }
   wire::Server &server() { return *m_Server; }
 
--- a/Services/figlift-agent/SliceKeeper.cpp
+++ b/Services/figlift-agent/SliceKeeper.cpp
@@ -13,6 +13,7 @@
 #include "LibLog/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figlift::agent {
 
@@ -40,7 +41,7 @@
 }
 
 void SliceKeeper::read() {
-  if (m_Reading || m_Writing)
+  if (m_Reading)
     return;
   m_Reading = true;
   m_Parts.Store.read(grantRowKey(m_Shared.Settings.Target.BackEnd),
@@ -104,9 +105,15 @@
   m_Parts.Calls->step(SliceGranted{Slice, Line.Epoch, How, TakenAt});
 }
 
-void SliceKeeper::hint(std::string_view Key, uint64_t Epoch) {
-  if (Epoch > m_Parts.Calls->home().epochOf(sliceOf(Key)))
-    read();
+void SliceKeeper::hint(std::string_view Key, uint64_t Epoch,
+                       std::function<void()> Then) {
+  // Only an epoch above the row's is news; a home that has given the slice
+  // away knows better than the entry.
+  const SliceId Slice = sliceOf(Key);
+  if (m_Known && Epoch <= m_Lines[Slice].Epoch)
+    return Then();
+  m_AfterRead.push_back(std::move(Then));
+  read();
 }
 
 void SliceKeeper::onHandover(StreamId Stream,
--- a/Services/figlift-agent/SliceKeeper.h
+++ b/Services/figlift-agent/SliceKeeper.h
@@ -15,6 +15,7 @@
 #include "LibIdempotency/SliceMap.h"
 #include "LibPlatform/Platform.h"
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -36,8 +37,9 @@
   void setCalls(ServiceCalls &Calls) { m_Parts.Calls = &Calls; }
 
   void start();
-  /// An entry believes in a grant of this epoch; reads the row if it is news.
-  void hint(std::string_view Key, uint64_t Epoch);
+  /// An entry believes that this home holds the key's slice under \p Epoch.
+  /// Calls \p Then at once, or after the row was read when that is news.
+  void hint(std::string_view Key, uint64_t Epoch, std::function<void()> Then);
   void onHandover(StreamId Stream, const wire::HandoverRequest &Message);
   /// SendClaims, AcknowledgeClaims, CommitGrant, AnnounceGrant.
   void carryOut(const idempotency::Action &What);
@@ -81,6 +83,8 @@
   std::set<idempotency::SliceId> m_Moving;
   /// Epoch of the claims that a predecessor gave us.
   std::map<idempotency::SliceId, uint64_t> m_ClaimsOf;
+  /// Calls that wait for the row that is being read.
+  std::vector<std::function<void()>> m_AfterRead;
   /// While claims were taken and the grant was not seen yet, until then.
   BootTime m_ReadSoonUntil{};
   /// The preferred homes must stay the same for a while before slices move.
--- a/Services/figlift-agent/Standing.h
+++ b/Services/figlift-agent/Standing.h
@@ -37,22 +37,28 @@
   /// The order machine's view of the engine.
   void setEngineOpen(bool Open) { m_EngineOpen = Open; }
 
+  /// The configuration is known and not out of date.
+  void setConfigured(bool Configured) { m_Configured = Configured; }
+
   bool draining() const { return !m_Reasons.empty(); }
   bool stopping() const { return m_Reasons.contains(DrainReason::Stop); }
-  bool accepting() const { return m_EngineOpen && !draining(); }
+  bool accepting() const { return m_EngineOpen && m_Configured && !draining(); }
   /// Meaningful while not accepting.
   ResultCode refusalCode() const {
-    return draining() ? ResultCode::Draining : ResultCode::NotReady;
+    if (draining())
+      return ResultCode::Draining;
+    return m_EngineOpen ? ResultCode::StaleConfiguration : ResultCode::NotReady;
   }
   std::string_view name(size_t RequestsInFlight) const {
     if (draining())
       return RequestsInFlight == 0 ? "drained" : "draining";
-    return m_EngineOpen ? "serving" : "recovering";
+    return accepting() ? "serving" : "recovering";
   }
 
 private:
   std::set<DrainReason> m_Reasons;
   bool m_EngineOpen = false;
+  bool m_Configured = false;
 };
 
 } // namespace figlift::agent
