figlift-timeline: Wait for cancelled requests before exiting

The address sanitizer showed requests to a silent process still unwinding in the pool while the program exited, which may use destroyed objects. After the deadline the tool now cancels and waits at most a second for the tasks to end. Checked with a process that accepts and stays silent and with one that sends a byte every 200 ms: both end after 1.1 s with a timeout of 1 s, no report.

--- a/Utilities/figlift-timeline/Fetcher.cpp
+++ b/Utilities/figlift-timeline/Fetcher.cpp
@@ -21,6 +21,9 @@
 
 using web::http::client::http_client;
 
+/// Bound of the wait for cancelled tasks.
+constexpr std::chrono::milliseconds CancellationTime{1000};
+
 /// Shared with the tasks, which may outlive the wait.
 struct Shared {
   std::mutex Mutex;
@@ -110,15 +113,19 @@
   for (size_t I = 0; I < Processes.size(); ++I)
     begin(Gathered, I, Processes[I], After, Timeout, Stop.get_token());
 
+  std::unique_lock Lock(Gathered->Mutex);
+  auto AllEnded = [&] { return Gathered->Missing == 0; };
+  Gathered->Changed.wait_for(Lock, Timeout, AllEnded);
   std::vector<SourceAnswer> Finished;
-  {
-    std::unique_lock Lock(Gathered->Mutex);
-    Gathered->Changed.wait_for(Lock, Timeout,
-                               [&] { return Gathered->Missing == 0; });
-    for (size_t I = 0; I < Processes.size(); ++I)
-      Finished.push_back(finish(Processes[I], Gathered->Answers[I]));
-  }
+  for (size_t I = 0; I < Processes.size(); ++I)
+    Finished.push_back(finish(Processes[I], Gathered->Answers[I]));
+  Lock.unlock();
+
+  // A task that still ran while the program exits would use what is already
+  // destroyed; cancelled tasks end soon.
   Stop.cancel();
+  Lock.lock();
+  Gathered->Changed.wait_for(Lock, CancellationTime, AllEnded);
   return Finished;
 }
 
