figlift-entry, LibMembership: Serve callers end to end

The entry follows the configuration, keeps channels to its subset of agents, pushes records down their Sync streams and sends callers' requests to the target that LibRoute chooses. What follows the end of an attempt is LibRetry's decision: another target, a resume at the same agent, a continuation after the tokens delivered, the key's home once more, or a true refusal.

A call has no lock of its own: either one attempt is live and only its I/O thread touches the state, or a retry timer is pending. The id that travels to agents is never the caller's X-Request-Id alone, because agents hold answers by it and two callers may send the same one.

Tried by hand with the stand-ins, two entries and three agents: completions and chat, streamed and whole, calls to a plain service, refusals as problem details, records submitted through the operator API.

--- /dev/null
+++ b/Libraries/LibMembership/TargetState.cpp
@@ -0,0 +1,57 @@
+//===- TargetState.cpp - What an entry knows of one target ----------------===//
+//
+// See TargetState.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibMembership/TargetState.h"
+
+#include <array>
+#include <utility>
+
+namespace figlift::membership {
+
+namespace {
+
+constexpr std::array<std::pair<AgentState, std::string_view>, 4> Names = {{
+    {AgentState::Recovering, "recovering"},
+    {AgentState::Serving, "serving"},
+    {AgentState::Draining, "draining"},
+    {AgentState::Drained, "drained"},
+}};
+
+} // namespace
+
+AgentState agentStateFromName(std::string_view Name) {
+  for (const auto &[State, Text] : Names)
+    if (Text == Name)
+      return State;
+  return AgentState::Recovering;
+}
+
+std::string_view agentStateName(AgentState State) {
+  for (const auto &[Candidate, Text] : Names)
+    if (Candidate == State)
+      return Text;
+  return "recovering";
+}
+
+bool TargetState::acceptsWork() const {
+  // Any one of the sources that says "leaving" is enough: each may know it
+  // first, and the others follow.
+  return InSubset && Connected && Listed.State == platform::VmState::Live &&
+         Wish == record::TargetIntent::Serve && Report &&
+         Report->State == AgentState::Serving && Report->Accepting;
+}
+
+std::string_view TargetState::describe() const {
+  if (Listed.State == platform::VmState::Gone)
+    return "gone";
+  if (!InSubset)
+    return "not-connected";
+  if (!Connected || !Report)
+    return "unreachable";
+  return agentStateName(Report->State);
+}
+
+} // namespace figlift::membership
--- /dev/null
+++ b/Services/figlift-entry/AnswerWriter.cpp
@@ -0,0 +1,160 @@
+//===- AnswerWriter.cpp - Answers in the caller's form --------------------===//
+//
+// See AnswerWriter.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/AnswerWriter.h"
+
+#include "LibCore/Clock.h"
+#include "LibHttp/Problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figlift::entry {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr std::string_view EndOfEvents = "[DONE]";
+
+/// Answers may hold bytes that are not UTF-8; they must not end the process.
+std::string dump(const ordered_json &Value) {
+  return Value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+int64_t unixSeconds() {
+  return std::chrono::floor<std::chrono::seconds>(wallNow())
+      .time_since_epoch()
+      .count();
+}
+
+ordered_json usage(const CompletionEnd &End) {
+  return {
+      {"prompt_tokens", End.PromptTokens},
+      {"completion_tokens", End.TotalTokens},
+      {"total_tokens", End.PromptTokens + End.TotalTokens},
+      {"prompt_tokens_details", {{"cached_tokens", End.CachedPromptTokens}}}};
+}
+
+std::string chunkHead(const CompletionWork &Work, const std::string &Id) {
+  const bool IsChat = Work.Api == CompletionApi::Chat;
+  const ordered_json Head = {
+      {"id", Id},
+      {"object", IsChat ? "chat.completion.chunk" : "text_completion"},
+      {"created", unixSeconds()},
+      {"model", Work.ModelAsAsked}};
+  std::string Text = dump(Head);
+  Text.pop_back();
+  return Text + ",\"choices\":[{\"index\":0,";
+}
+
+} // namespace
+
+StreamedCompletion::StreamedCompletion(std::shared_ptr<http::Exchange> Caller,
+                                       const CompletionWork &Work,
+                                       std::string Id,
+                                       std::function<void()> Gone)
+    : m_Caller(std::move(Caller)), m_Gone(std::move(Gone)),
+      m_IsChat(Work.Api == CompletionApi::Chat), m_Head(chunkHead(Work, Id)) {}
+
+void StreamedCompletion::begin() {
+  std::call_once(m_Begun,
+                 [this] { m_Stream = m_Caller->startEvents({}, m_Gone); });
+}
+
+bool StreamedCompletion::tokens(std::string_view Text) {
+  begin();
+  if (!m_Stream)
+    return false;
+  std::string Chunk = m_Head;
+  Chunk += m_IsChat ? "\"delta\":{\"content\":" : "\"text\":";
+  Chunk += dump(std::string(Text));
+  Chunk +=
+      m_IsChat ? "},\"finish_reason\":null}]}" : ",\"finish_reason\":null}]}";
+  return m_Stream->send(Chunk);
+}
+
+bool StreamedCompletion::keepAlive() {
+  begin();
+  return m_Stream && m_Stream->comment();
+}
+
+void StreamedCompletion::finish(const CompletionEnd &End) {
+  begin();
+  if (!m_Stream)
+    return;
+  std::string Chunk = m_Head;
+  Chunk += m_IsChat ? "\"delta\":{}," : "\"text\":\"\",";
+  Chunk += "\"finish_reason\":" + dump(End.FinishReason) +
+           "}],\"usage\":" + dump(usage(End)) + "}";
+  m_Stream->send(Chunk);
+  m_Stream->send(EndOfEvents);
+  m_Stream->close();
+}
+
+void StreamedCompletion::fail(const Error &What) {
+  std::call_once(m_Begun, [&] { m_Caller->replyProblem(What); });
+  if (!m_Stream)
+    return;
+  // The status has long been sent. Without [DONE] no client takes the answer
+  // for a whole one.
+  m_Stream->send("{\"error\":" + http::problemBody(What, {}) + "}");
+  m_Stream->close();
+}
+
+WholeCompletion::WholeCompletion(std::shared_ptr<http::Exchange> Caller,
+                                 const CompletionWork &Work, std::string Id)
+    : m_Caller(std::move(Caller)), m_Api(Work.Api), m_Model(Work.ModelAsAsked),
+      m_Id(std::move(Id)) {}
+
+bool WholeCompletion::tokens(std::string_view Text) {
+  m_Text += Text;
+  return true;
+}
+
+void WholeCompletion::finish(const CompletionEnd &End) {
+  const bool IsChat = m_Api == CompletionApi::Chat;
+  ordered_json Choice = {{"index", 0}};
+  if (IsChat)
+    Choice["message"] = {{"role", "assistant"}, {"content", m_Text}};
+  else
+    Choice["text"] = m_Text;
+  Choice["finish_reason"] = End.FinishReason;
+  const ordered_json Body = {
+      {"id", m_Id},
+      {"object", IsChat ? "chat.completion" : "text_completion"},
+      {"created", unixSeconds()},
+      {"model", m_Model},
+      {"choices", ordered_json::array({Choice})},
+      {"usage", usage(End)}};
+  http::Response Answer;
+  Answer.Body = dump(Body);
+  m_Caller->reply(std::move(Answer));
+}
+
+void PlainAnswer::answer(const wire::ServiceAnswer &Answer) {
+  http::Response Response;
+  Response.Status = static_cast<int>(Answer.status());
+  Response.ContentType = Answer.content_type();
+  Response.Body = Answer.body();
+  if (Answer.replayed())
+    Response.Headers.emplace_back("X-Figlift-Replayed", "true");
+  m_Caller->reply(std::move(Response));
+}
+
+AnswerWriter makeAnswerWriter(std::shared_ptr<http::Exchange> Caller,
+                              const CallerRequest &For,
+                              std::function<void()> Gone) {
+  const auto *Work = std::get_if<CompletionWork>(&For.Work);
+  if (!Work)
+    return std::make_unique<PlainAnswer>(std::move(Caller));
+  if (Work->Streamed)
+    return std::make_unique<StreamedCompletion>(std::move(Caller), *Work,
+                                                For.RequestId, std::move(Gone));
+  return std::make_unique<WholeCompletion>(std::move(Caller), *Work,
+                                           For.RequestId);
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/CallAttempts.cpp
@@ -0,0 +1,314 @@
+//===- CallAttempts.cpp - Attempts of a call ------------------------------===//
+//
+// Chooses where an attempt goes, sends it, and carries out what LibRetry
+// decides after its end.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/Call.h"
+
+#include "LibLog/Log.h"
+#include "LibRoute/ChooseTarget.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace figlift::entry {
+
+using std::chrono::milliseconds;
+using timeline::SubjectType;
+
+namespace {
+
+constexpr milliseconds HomeRetryAfter{1000};
+constexpr size_t MaximumHashesSent = 512;
+
+uint32_t promptTokens(const CompletionWork &Work) {
+  return static_cast<uint32_t>((Work.Prompt.size() + route::BytesPerToken - 1) /
+                               route::BytesPerToken);
+}
+
+/// Guards a key against being used again for another request.
+std::string fingerprintOf(const ServiceWork &Work) {
+  std::string All;
+  for (const std::string *Part :
+       {&Work.Method, &Work.Path, &Work.ContentType, &Work.Body})
+    All.append(std::to_string(Part->size())).append(":").append(*Part);
+  const XXH128_hash_t Hash = XXH3_128bits(All.data(), All.size());
+  char Text[33];
+  std::snprintf(Text, sizeof Text, "%016llx%016llx",
+                static_cast<unsigned long long>(Hash.high64),
+                static_cast<unsigned long long>(Hash.low64));
+  return Text;
+}
+
+} // namespace
+
+route::RequestShape Call::shape() const {
+  route::RequestShape Shape;
+  Shape.BackEnd = m_Request.BackEnd;
+  Shape.Workspace = m_Request.Workspace;
+  Shape.Class = m_Request.Class;
+  Shape.TimeLeft = timeLeft();
+  const auto *Work = std::get_if<CompletionWork>(&m_Request.Work);
+  if (!Work) {
+    Shape.PromptTokens = 1;
+    return Shape;
+  }
+  Shape.Model = m_PinnedModel.empty() ? Work->Model : m_PinnedModel;
+  Shape.PromptTokens = promptTokens(*Work);
+  Shape.MaximumTokens = Work->MaximumTokens;
+  Shape.PrefixHashes = m_PrefixHashes;
+  return Shape;
+}
+
+void Call::pinModel(const route::TargetView &Target) {
+  const auto *Work = std::get_if<CompletionWork>(&m_Request.Work);
+  if (!Work || !m_PinnedModel.empty() ||
+      Work->Model.find('@') != std::string::npos)
+    return;
+  const std::string Prefix = Work->Model + "@";
+  for (const std::string &Model : Target.Models)
+    if (Model.starts_with(Prefix)) {
+      m_PinnedModel = Model;
+      return;
+    }
+}
+
+Result<Call::Destination> Call::choose() {
+  if (m_History.TokensDelivered == 0)
+    m_PinnedModel.clear();
+  return m_Context.State.read([&](const ServingState &Now) {
+    return m_Request.keyed() ? chooseHome(Now) : chooseTarget(Now);
+  });
+}
+
+Result<Call::Destination> Call::chooseTarget(const ServingState &Now) {
+  const route::RequestShape Shape = shape();
+  std::vector<std::string> Excluded =
+      m_Context.Health.excluded(BootClock::now());
+  Excluded.insert(Excluded.end(), m_Excluded.begin(), m_Excluded.end());
+  const uint64_t Seed = XXH64(m_Request.RequestId.data(),
+                              m_Request.RequestId.size(), m_History.Attempts);
+  auto Choose = [&](std::span<const std::string> Without) {
+    return route::chooseTarget(m_Context.Routing, Now.Table, Shape, Without,
+                               Seed);
+  };
+  auto Chosen = Choose(Excluded);
+  // A target that failed is better than none: with a single target left, its
+  // agent may be back by now.
+  if (!Chosen && Chosen.error().Code == ResultCode::NoTargetAvailable &&
+      !Excluded.empty())
+    Chosen = Choose({});
+  if (!Chosen)
+    return outcome::failure(Chosen.error());
+  const route::Choice &Best = Chosen.value();
+  const auto Link = Now.Links.find(Best.Target->Id);
+  if (Link == Now.Links.end())
+    return failure(ResultCode::NoTargetAvailable,
+                   "the chosen target was disconnected");
+  pinModel(*Best.Target);
+  return Destination{Link->second, Best.enter(Shape), Best.PrefixTokensBelieved,
+                     0};
+}
+
+Result<Call::Destination> Call::chooseHome(const ServingState &Now) {
+  const auto Homes = Now.Homes.find(m_Request.BackEnd);
+  const idempotency::Grant Home =
+      Homes == Now.Homes.end()
+          ? idempotency::Grant{}
+          : Homes->second.homeOf(std::string_view(m_Request.IdempotencyKey));
+  const auto Link = Now.Links.find(Home.Home);
+  if (Home.Home.empty() || Link == Now.Links.end()) {
+    m_Context.OnHomeMoved(m_Request.BackEnd);
+    return outcome::failure(
+        Error{ResultCode::HomeUnreachable,
+              Home.Home.empty()
+                  ? "no home of this idempotency key is known yet"
+                  : "the home of this idempotency key cannot be reached",
+              "Idempotency-Key", HomeRetryAfter});
+  }
+  Destination To;
+  To.Link = Link->second;
+  To.SliceEpoch = Home.Epoch;
+  return To;
+}
+
+wire::RunRequest Call::runRequest(const std::string &AttemptId,
+                                  uint64_t SliceEpoch) const {
+  wire::RunRequest Message;
+  Message.set_request_id(m_Request.RequestId);
+  Message.set_attempt_id(AttemptId);
+  Message.set_revision(m_Context.State.read(
+      [](const ServingState &Now) { return Now.Configuration->revision(); }));
+  Message.set_back_end(m_Request.BackEnd);
+  Message.set_workspace(m_Request.Workspace);
+  Message.set_service_class(static_cast<uint32_t>(m_Request.Class));
+  Message.set_deadline_milliseconds(
+      static_cast<uint64_t>(std::max<int64_t>(1, timeLeft().count())));
+  Message.set_idempotency_key(m_Request.IdempotencyKey);
+  Message.set_repeatable(m_Request.Repeatable);
+  Message.set_slice_epoch(SliceEpoch);
+  std::visit([&](const auto &Work) { describe(Work, Message); },
+             m_Request.Work);
+  return Message;
+}
+
+void Call::describe(const CompletionWork &Work, wire::RunRequest &Into) const {
+  wire::Completion &Out = *Into.mutable_completion();
+  Out.set_model(m_PinnedModel.empty() ? Work.Model : m_PinnedModel);
+  Out.set_prompt(Work.Prompt);
+  Out.set_prompt_tokens(promptTokens(Work));
+  Out.set_maximum_tokens(Work.MaximumTokens);
+  Out.set_first_token(m_History.TokensDelivered);
+  Out.set_delivered_text(m_DeliveredText);
+  const size_t Count = std::min(m_PrefixHashes.size(), MaximumHashesSent);
+  Out.mutable_prefix_hashes()->Assign(m_PrefixHashes.begin(),
+                                      m_PrefixHashes.begin() +
+                                          static_cast<ptrdiff_t>(Count));
+}
+
+void Call::describe(const ServiceWork &Work, wire::RunRequest &Into) const {
+  wire::ServiceCall &Out = *Into.mutable_service_call();
+  Out.set_service(m_Request.BackEnd);
+  Out.set_method(Work.Method);
+  Out.set_path(Work.Path);
+  Out.set_content_type(Work.ContentType);
+  Out.set_body(Work.Body);
+  if (m_Request.keyed())
+    Into.set_fingerprint(fingerprintOf(Work));
+}
+
+void Call::attempt() {
+  if (const auto *Work = std::get_if<CompletionWork>(&m_Request.Work);
+      Work && m_PrefixHashes.empty())
+    m_PrefixHashes = route::prefixHashes(Work->Prompt);
+  Result<Destination> To = choose();
+  if (!To) {
+    m_LastMessage = To.error().Message;
+    return afterEnd(nullptr,
+                    retry::NothingSent{To.error().Code, To.error().RetryAfter});
+  }
+  const std::string AttemptId = m_Context.Ids.nextText();
+  wire::RunRequest Message = runRequest(AttemptId, To.value().SliceEpoch);
+  const timeline::Stamp Sent = m_Context.Events.record(
+      timeline::kinds::AttemptSent, {SubjectType::Request, m_Request.RequestId},
+      {{"attempt", AttemptId}, {"target", To.value().Link->target().Id}});
+  Message.set_clock(Sent.Value);
+  launch(wire::Method::Run, Message.SerializeAsString(), std::move(To.value()),
+         AttemptId);
+}
+
+void Call::resume(std::shared_ptr<TargetLink> Link) {
+  const std::string AttemptId = m_Context.Ids.nextText();
+  wire::ResumeRequest Message;
+  Message.set_request_id(m_Request.RequestId);
+  Message.set_attempt_id(AttemptId);
+  Message.set_first_token(m_History.TokensDelivered);
+  m_Context.Metrics.Resumes.add();
+  m_Context.Events.record(timeline::kinds::AnswerResumed,
+                          {SubjectType::Request, m_Request.RequestId},
+                          {{"attempt", AttemptId},
+                           {"target", Link->target().Id},
+                           {"firstToken", m_History.TokensDelivered}});
+  Destination To;
+  To.Link = std::move(Link);
+  launch(wire::Method::Resume, Message.SerializeAsString(), std::move(To),
+         AttemptId);
+}
+
+void Call::launch(wire::Method What, std::string Message, Destination To,
+                  std::string AttemptId) {
+  m_Context.Metrics.Attempts.add();
+  m_LastLink = To.Link;
+  const auto Next = std::make_shared<Attempt>(
+      shared_from_this(), To.Link,
+      Attempt::Identity{m_Request.RequestId, std::move(AttemptId)},
+      std::move(To.Ticket), To.PrefixTokensBelieved);
+  m_Live.store(Next);
+  // Whoever stops the call sets the flag first and then looks for the live
+  // attempt; so one of the two sides sees the other.
+  if (m_Stop.load() != StopReason::None)
+    return afterEnd(nullptr, retry::NothingSent{ResultCode::Cancelled, {}});
+  Next->send(What, std::move(Message));
+}
+
+void Call::afterEnd(const std::shared_ptr<TargetLink> &Link,
+                    const retry::AttemptEnd &End) {
+  m_Live.store(nullptr);
+  m_Context.Events.record(timeline::kinds::AttemptEnded,
+                          {SubjectType::Request, m_Request.RequestId},
+                          {{"tokens", m_History.TokensDelivered}});
+  if (m_Stop.load() != StopReason::None) {
+    m_History.EarlierMayHaveRun |= retry::mayHaveRun(m_History, End);
+    return fail(stopError());
+  }
+  const retry::Decision Next = retry::decide(
+      m_Context.Retrying, m_History, End, m_Context.Budget, BootClock::now());
+  m_History.EarlierMayHaveRun |= retry::mayHaveRun(m_History, End);
+  if (Link && !std::holds_alternative<retry::ResumeSame>(Next))
+    m_Excluded.push_back(Link->target().Id);
+  std::visit([this](const auto &Which) { perform(Which); }, Next);
+}
+
+Error Call::stopError() const {
+  if (m_Stop.load() == StopReason::CallerGone)
+    return {ResultCode::Cancelled, "the caller went away", {}, std::nullopt};
+  const bool MayHaveRun =
+      m_History.EarlierMayHaveRun || m_History.TokensDelivered > 0;
+  if (!MayHaveRun)
+    return {ResultCode::DeadlineUnreachable,
+            "the deadline passed before the request was handed over",
+            {},
+            std::nullopt};
+  return {ResultCode::DeadlineExceeded,
+          "the deadline passed after hand-off",
+          {},
+          std::nullopt};
+}
+
+void Call::runAfter(milliseconds Delay, EventLoop::Task What) {
+  if (Delay.count() <= 0)
+    return What();
+  m_Context.Timers.after(Delay, std::move(What));
+}
+
+void Call::newAttemptAfter(milliseconds Delay) {
+  ++m_History.Attempts;
+  m_History.Resumes = 0;
+  m_History.AcceptedSeen = false;
+  m_Context.Metrics.Retries.add();
+  // The task owns the call: nothing else does between two attempts.
+  runAfter(Delay, [Self = shared_from_this()] { Self->attempt(); });
+}
+
+void Call::perform(const retry::RetryElsewhere &Next) {
+  newAttemptAfter(Next.Delay);
+}
+
+void Call::perform(const retry::ContinueElsewhere &Next) {
+  m_Context.Metrics.Continuations.add();
+  newAttemptAfter(Next.Delay);
+}
+
+void Call::perform(const retry::AskHomeAgain &Next) {
+  newAttemptAfter(Next.Delay);
+}
+
+void Call::perform(const retry::ResumeSame &Next) {
+  ++m_History.Resumes;
+  runAfter(Next.Delay,
+           [Self = shared_from_this()] { Self->resume(Self->m_LastLink); });
+}
+
+void Call::perform(const retry::GiveUp &Next) {
+  std::string Message(resultCodeInfo(Next.Code).Meaning);
+  if (!m_LastMessage.empty())
+    Message += " Last answer: " + m_LastMessage;
+  fail(Error{Next.Code, std::move(Message), {}, Next.RetryAfter});
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/CallContext.cpp
@@ -0,0 +1,58 @@
+//===- CallContext.cpp - What all calls of an entry share -----------------===//
+//
+// See CallContext.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/CallContext.h"
+
+namespace figlift::entry {
+
+CallMetrics::CallMetrics(metrics::Registry &Into)
+    : Metrics(Into),
+      Attempts(Into.counter("entry_attempts_total",
+                            "Attempts sent to agents, resumes included.")),
+      Retries(Into.counter("entry_retries_total",
+                           "Attempts after the first of a request.")),
+      Resumes(Into.counter("entry_resumes_total",
+                           "Answers resumed at the agent that held them.")),
+      Continuations(Into.counter("entry_continuations_total",
+                                 "Answers continued on another target.")),
+      FramesDropped(Into.counter(
+          "entry_frames_dropped_total",
+          "Frames of other attempts and of tokens delivered before.")),
+      AnswerGaps(Into.counter("entry_answer_gaps_total",
+                              "Attempts given up for a gap in their tokens.")),
+      Tokens(
+          Into.counter("entry_tokens_total", "Tokens delivered to callers.")),
+      InFlight(Into.gauge("entry_requests_in_flight",
+                          "Requests that have not ended.")),
+      FirstTokenTime(Into.summary("entry_first_token_seconds",
+                                  "Time until the first token.")),
+      WholeTime(Into.summary("entry_request_seconds",
+                             "Time until the end of the answer.")) {}
+
+void CallMetrics::ended(ResultCode Code) {
+  Metrics
+      .counter("entry_requests_total", "Requests ended, by result code.",
+               {{"code", std::to_string(static_cast<int>(Code))}})
+      .add();
+}
+
+bool WorkspaceBook::enter(const std::string &Workspace, unsigned Maximum) {
+  const std::lock_guard Lock(m_Mutex);
+  unsigned &InFlight = m_InFlight[Workspace];
+  if (InFlight >= Maximum)
+    return false;
+  ++InFlight;
+  return true;
+}
+
+void WorkspaceBook::leave(const std::string &Workspace) {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_InFlight.find(Workspace);
+  if (Found != m_InFlight.end() && --Found->second == 0)
+    m_InFlight.erase(Found);
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/CallerApi.cpp
@@ -0,0 +1,108 @@
+//===- CallerApi.cpp - Routes of callers ----------------------------------===//
+//
+// See CallerApi.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/CallerApi.h"
+
+#include "figlift-entry/Call.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+
+namespace figlift::entry {
+
+namespace {
+
+using Reader = std::function<Result<CallerRequest>(const http::Request &,
+                                                   const ReadContext &)>;
+
+/// What is read once at the beginning of a request.
+struct Beginning {
+  config::SnapshotPointer Configuration;
+  std::optional<Error> NotReady;
+};
+
+Beginning beginningOf(const CallContext &With) {
+  return With.State.read([](const ServingState &Now) {
+    return Beginning{Now.Configuration, Now.NotReady};
+  });
+}
+
+void refuse(const CallContext &With, http::Exchange &Caller,
+            const Error &Reason) {
+  With.Metrics.ended(Reason.Code);
+  Caller.replyProblem(Reason);
+}
+
+http::Handler handlerOf(const CallContext &With,
+                        std::chrono::milliseconds DefaultDeadline,
+                        Reader Read) {
+  return [&With, DefaultDeadline,
+          Read = std::move(Read)](std::shared_ptr<http::Exchange> Caller) {
+    const std::string FreshId = With.Ids.nextText();
+    Caller->setRequestId(callerIdOf(Caller->request(), FreshId));
+    const Beginning Now = beginningOf(With);
+    // Before the request is read: without records nothing in it is known, and
+    // "unknown model" would not be true.
+    if (Now.NotReady)
+      return refuse(With, *Caller, *Now.NotReady);
+    Result<CallerRequest> Request =
+        Read(Caller->request(), {*Now.Configuration, DefaultDeadline, FreshId});
+    if (!Request)
+      return refuse(With, *Caller, Request.error());
+    Call::start(With, std::move(Caller), std::move(Request.value()));
+  };
+}
+
+http::Route post(std::string Path, http::Handler Handle) {
+  return {"POST", std::move(Path), false, std::move(Handle), false};
+}
+
+void listModels(const CallContext &With, http::Exchange &Caller) {
+  const Beginning Now = beginningOf(With);
+  nlohmann::ordered_json Models = nlohmann::ordered_json::array();
+  for (const config::Item *Known : Now.Configuration->list("backEnd")) {
+    const std::string &Name = Known->Stored.Name;
+    const record::BackEnd *BackEnd = Now.Configuration->backEnd(Name);
+    if (!BackEnd)
+      continue;
+    for (const record::ModelReference &Model : BackEnd->Models)
+      Models.push_back({{"id", Name + "/" + Model.Name + "@" + Model.Version},
+                        {"object", "model"},
+                        {"owned_by", Name}});
+  }
+  http::Response Answer;
+  Answer.Body =
+      nlohmann::ordered_json{{"object", "list"}, {"data", Models}}.dump();
+  Caller.reply(std::move(Answer));
+}
+
+} // namespace
+
+std::vector<http::Route>
+callerRoutes(const CallContext &With,
+             std::chrono::milliseconds DefaultDeadline) {
+  auto Completion = [&](CompletionApi Api) {
+    return handlerOf(With, DefaultDeadline,
+                     [Api](const http::Request &From, const ReadContext &How) {
+                       return readCompletion(From, Api, How);
+                     });
+  };
+  std::vector<http::Route> Routes;
+  Routes.push_back(post("/v1/completions", Completion(CompletionApi::Text)));
+  Routes.push_back(
+      post("/v1/chat/completions", Completion(CompletionApi::Chat)));
+  Routes.push_back({"GET", "/v1/models", false,
+                    [&With](std::shared_ptr<http::Exchange> Caller) {
+                      listModels(With, *Caller);
+                    },
+                    false});
+  Routes.push_back({http::AnyMethod, std::string(ServicesPath), true,
+                    handlerOf(With, DefaultDeadline, readServiceCall), false});
+  return Routes;
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/CallerApi.h
@@ -0,0 +1,24 @@
+//===- CallerApi.h - Routes of callers --------------------------*- C++ -*-===//
+//
+// POST /v1/completions, POST /v1/chat/completions, GET /v1/models and
+// everything below /v1/services/.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "figlift-entry/CallContext.h"
+
+#include "LibHttp/Server.h"
+
+#include <chrono>
+#include <vector>
+
+namespace figlift::entry {
+
+/// \p With must outlive the server.
+std::vector<http::Route>
+callerRoutes(const CallContext &With,
+             std::chrono::milliseconds DefaultDeadline);
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/Entry.cpp
@@ -0,0 +1,257 @@
+//===- Entry.cpp - One entry process --------------------------------------===//
+//
+// See Entry.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/Entry.h"
+
+#include "LibHttp/Administration.h"
+#include "LibMetrics/ProcessMetrics.h"
+#include "LibRoute/Subset.h"
+
+#include <thread>
+
+namespace figlift::entry {
+
+using std::chrono::milliseconds;
+using timeline::SubjectType;
+
+namespace {
+
+constexpr milliseconds NotReadyRetryAfter{500};
+/// How long readiness is refused before the listener closes at the earliest,
+/// so that the balancer has seen it.
+constexpr milliseconds LeavingNotice{300};
+constexpr milliseconds DrainCheckInterval{10};
+constexpr double PercentToRatio = 0.01;
+
+timeline::TimelineOptions timelineOptions(const settings::EntrySettings &From) {
+  timeline::TimelineOptions Options;
+  Options.ProcessId = From.Process.Id;
+  Options.ProcessKind = "entry";
+  Options.Zone = From.Process.Zone;
+  Options.Capacity = From.TimelineEvents;
+  return Options;
+}
+
+retry::RetryBudgetSettings budgetSettings(const settings::EntrySettings &From) {
+  retry::RetryBudgetSettings Settings;
+  Settings.Ratio = From.Limits.RetryPercent * PercentToRatio;
+  return Settings;
+}
+
+retry::RetrySettings retrySettings(const settings::EntrySettings &From) {
+  retry::RetrySettings Settings;
+  Settings.MaximumAttempts = From.Limits.AttemptsPerRequest;
+  return Settings;
+}
+
+} // namespace
+
+Entry::Entry(const settings::EntrySettings &Settings)
+    : m_Settings(Settings), m_Events(timelineOptions(Settings)),
+      m_Budget(budgetSettings(Settings)), m_Retrying(retrySettings(Settings)) {}
+
+Entry::~Entry() = default;
+
+Result<std::unique_ptr<Entry>>
+Entry::create(const settings::EntrySettings &Settings) {
+  std::unique_ptr<Entry> Made(new Entry(Settings));
+  Made->m_Events.record(timeline::kinds::ProcessStarted,
+                        {SubjectType::Process, Settings.Process.Id});
+  Made->registerMetrics();
+  FIGLIFT_TRY(Made->openPlatform());
+  FIGLIFT_TRY(Made->openTransport());
+  Made->followConfiguration();
+  Made->serveOperators();
+  FIGLIFT_TRY(Made->listenToPeers());
+  FIGLIFT_TRY(Made->listenToCallers());
+  return Made;
+}
+
+void Entry::registerMetrics() {
+  metrics::registerProcessMetrics(m_Metrics);
+  m_Metrics.readGauge(
+      "entry_revision", "Configuration revision in force.", [this] {
+        return m_Configuration
+                   ? static_cast<double>(m_Configuration->revision())
+                   : 0.0;
+      });
+  m_Metrics.readGauge("entry_retry_budget", "Retries that may be spent now.",
+                      [this] { return m_Budget.left(); });
+  m_Metrics.readCounter(
+      "wire_bytes_total", "Bytes exchanged with agents and entries.", [this] {
+        return m_Transport ? static_cast<double>(m_Transport->bytesSent() +
+                                                 m_Transport->bytesReceived())
+                           : 0.0;
+      });
+}
+
+Result<void> Entry::openPlatform() {
+  platform::HttpCallOptions Options;
+  Options.Server = m_Settings.Platform.Address;
+  Options.Timeout = m_Settings.Platform.Timeout;
+  FIGLIFT_TRY(Made, platform::HttpPlatform::create(Options));
+  m_Platform = std::move(Made);
+  return success();
+}
+
+Result<void> Entry::openTransport() {
+  wire::ClientOptions Options;
+  Options.Threads = m_Settings.Threads.Wire;
+  Options.ConnectTimeout = m_Settings.Wire.ConnectTimeout;
+  Options.HeartbeatInterval = m_Settings.Wire.HeartbeatInterval;
+  Options.HeartbeatTimeout = m_Settings.Wire.HeartbeatTimeout;
+  Options.Seed = route::rendezvousKey(m_Settings.Process.Id);
+  FIGLIFT_TRY(Made, wire::Client::create(Options));
+  m_Transport = std::move(Made);
+  return success();
+}
+
+void Entry::followConfiguration() {
+  m_Fleet = std::make_unique<Fleet>(
+      Fleet::Parts{m_Settings, m_Control, *m_Transport, m_Events, m_Metrics,
+                   *m_Platform, m_State});
+  m_Homes = std::make_unique<HomeReader>(m_Control, *m_Platform, *m_Fleet);
+  m_Peers = std::make_unique<PeerConfiguration>(
+      PeerConfiguration::Parts{m_Control, *m_Transport, m_Events,
+                               m_Settings.Process.Id,
+                               m_Settings.Platform.Timeout},
+      [this] { return m_Fleet->upChannels(); });
+  config::FollowerOptions Options;
+  Options.PollInterval = m_Settings.Platform.PollInterval;
+  Options.IsolationBound = m_Settings.Limits.IsolationBound;
+  config::ConfigCallbacks Callbacks;
+  Callbacks.OnSnapshot = [this](const config::SnapshotPointer &Next) {
+    m_Control.post([this, Next] { m_Fleet->setConfiguration(Next); });
+  };
+  Callbacks.OnServing = [this](auto Stopped) { onServing(Stopped); };
+  m_Configuration = std::make_unique<config::ConfigService>(
+      Options, config::makeTableSource(*m_Platform, m_Peers->fetcher()),
+      std::move(Callbacks));
+  m_Control.post([this] {
+    m_Peers->setPeers(m_Settings.Peers);
+    m_Fleet->start(
+        [this](std::vector<Endpoint> Peers) { m_Peers->setPeers(Peers); },
+        [this](uint64_t Revision) { m_Configuration->sawRevision(Revision); });
+  });
+}
+
+void Entry::onServing(std::optional<config::follower::StopReason> Stopped) {
+  std::optional<Error> Reason;
+  if (Stopped) {
+    const bool IsBehind = *Stopped == config::follower::StopReason::Behind;
+    Reason =
+        Error{IsBehind ? ResultCode::StaleConfiguration : ResultCode::NotReady,
+              "the entry takes no new work: " +
+                  std::string(config::stopReasonName(*Stopped)),
+              {},
+              NotReadyRetryAfter};
+  }
+  m_Control.post(
+      [this, Reason = std::move(Reason)] { m_Fleet->setNotReady(Reason); });
+}
+
+Result<void> Entry::ready() const {
+  if (m_Leaving.load())
+    return outcome::failure(Error{
+        ResultCode::Draining, "this entry is leaving", {}, NotReadyRetryAfter});
+  const auto Reason =
+      m_State.read([](const ServingState &Now) { return Now.NotReady; });
+  if (Reason)
+    return outcome::failure(*Reason);
+  return success();
+}
+
+void Entry::serveOperators() {
+  m_Status = std::make_unique<EntryStatusProvider>(EntryStatusProvider::Parts{
+      m_Settings.Process.Id, *m_Fleet, m_State, m_Events});
+  m_Operators =
+      std::make_unique<config::OperatorService>(config::OperatorContext{
+          *m_Platform, *m_Status, [this] { return m_Configuration->current(); },
+          [this] {
+            const Result<void> State = ready();
+            return State ? std::string() : State.error().Message;
+          },
+          [this](uint64_t Revision) {
+            m_Configuration->sawRevision(Revision);
+          }});
+}
+
+Result<void> Entry::listenToPeers() {
+  wire::ServerOptions Peer;
+  Peer.Listen = m_Settings.Listen.Peer;
+  Peer.Threads = m_Settings.Threads.Wire;
+  Peer.HeartbeatInterval = m_Settings.Wire.HeartbeatInterval;
+  Peer.HeartbeatTimeout = m_Settings.Wire.HeartbeatTimeout;
+  FIGLIFT_TRY(Peers,
+              wire::Server::create(Peer, std::make_shared<PeerServer>([this] {
+                                     return m_Configuration->current();
+                                   })));
+  m_PeerServer = std::move(Peers);
+  return success();
+}
+
+Result<void> Entry::listenToCallers() {
+  m_Calls = std::make_unique<CallContext>(CallContext{
+      m_State, m_Timers, m_Events, m_CallMetrics, m_Ids, m_Budget,
+      m_Fleet->healthBook(), m_Workspaces, m_Routing, m_Retrying,
+      [this](uint64_t Revision) { m_Configuration->sawRevision(Revision); },
+      [this](const std::string &BackEnd) { m_Homes->wanted(BackEnd); }});
+
+  std::vector<http::Route> Routes = http::administrationRoutes(
+      {.Ready = [this] { return ready(); },
+       .Metrics = [this] { return m_Metrics.prometheusText(); },
+       .TimelineAfter =
+           [this](uint64_t After) {
+             return m_Events.toJson(timeline::Stamp{After});
+           }});
+  for (http::Route &Added :
+       callerRoutes(*m_Calls, m_Settings.Limits.DefaultDeadline))
+    Routes.push_back(std::move(Added));
+  for (http::Route &Added : operatorRoutes(*m_Operators))
+    Routes.push_back(std::move(Added));
+  http::ServerOptions Options;
+  Options.Listen = m_Settings.Listen.Callers;
+  Options.MaximumBodyBytes = m_Settings.Limits.RequestBytes.Bytes;
+  Options.MaximumRequests = m_Settings.Limits.RequestsInFlight;
+  FIGLIFT_TRY(Callers, http::Server::create(Options, std::move(Routes)));
+  m_Callers = std::move(Callers);
+  return success();
+}
+
+bool Entry::waitForRequests() const {
+  const BootTime Begin = BootClock::now();
+  const BootTime End = Begin + m_Settings.Drain.Timeout;
+  while (BootClock::now() < End) {
+    if (m_Callers->requestsInFlight() == 0 &&
+        BootClock::now() - Begin >= LeavingNotice)
+      return true;
+    std::this_thread::sleep_for(DrainCheckInterval);
+  }
+  return m_Callers->requestsInFlight() == 0;
+}
+
+bool Entry::leave() {
+  m_Events.record(timeline::kinds::ProcessStopping,
+                  {SubjectType::Process, m_Settings.Process.Id});
+  log::logEvent(log::Level::Info, "leaving",
+                {{"requests", m_Callers->requestsInFlight()}});
+  m_Leaving.store(true);
+  m_Callers->drain();
+  m_PeerServer->drain();
+  const bool Whole = waitForRequests();
+  m_Callers->stop();
+  m_Timers.stop();
+  m_Control.post([this] {
+    m_Fleet->stop();
+    m_Peers->stop();
+  });
+  m_Control.stop();
+  m_PeerServer->stop();
+  log::logEvent(log::Level::Info, "left", {{"whole", Whole}});
+  return Whole;
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/Entry.h
@@ -0,0 +1,81 @@
+//===- Entry.h - One entry process ------------------------------*- C++ -*-===//
+//
+// Puts the parts of an entry together, and takes them apart again when the
+// process is told to leave.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "figlift-entry/CallContext.h"
+#include "figlift-entry/CallerApi.h"
+#include "figlift-entry/Fleet.h"
+#include "figlift-entry/HomeReader.h"
+#include "figlift-entry/OperatorApi.h"
+#include "figlift-entry/PeerConfiguration.h"
+#include "figlift-entry/PeerServer.h"
+
+#include "LibConfig/ConfigService.h"
+#include "LibHttp/Server.h"
+#include "LibPlatform/HttpPlatform.h"
+#include "LibSettings/Settings.h"
+
+#include <memory>
+
+namespace figlift::entry {
+
+class Entry {
+public:
+  /// Starts everything; the listeners are bound when this returns.
+  static Result<std::unique_ptr<Entry>>
+  create(const settings::EntrySettings &Settings);
+  ~Entry();
+
+  /// Refuses new requests, waits until the running ones have ended (at most
+  /// the drain timeout) and closes everything. False when some were cut.
+  bool leave();
+
+private:
+  explicit Entry(const settings::EntrySettings &Settings);
+
+  Result<void> openPlatform();
+  Result<void> openTransport();
+  void followConfiguration();
+  void serveOperators();
+  Result<void> listenToPeers();
+  Result<void> listenToCallers();
+  void onServing(std::optional<config::follower::StopReason> Stopped);
+  Result<void> ready() const;
+  void registerMetrics();
+  bool waitForRequests() const;
+
+  const settings::EntrySettings m_Settings;
+  timeline::Timeline m_Events;
+  metrics::Registry m_Metrics;
+  CallMetrics m_CallMetrics{m_Metrics};
+  UuidGenerator m_Ids;
+  retry::RetryBudget m_Budget;
+  WorkspaceBook m_Workspaces;
+  const retry::RetrySettings m_Retrying;
+  const route::Policy m_Routing{route::FigliftPolicy{}};
+  ServingStatePointer m_State;
+  /// Control state and polls.
+  EventLoop m_Control;
+  /// Deadlines and retries of requests; apart, so that they are never late
+  /// because a table is built.
+  EventLoop m_Timers;
+  std::unique_ptr<platform::HttpPlatform> m_Platform;
+  std::unique_ptr<wire::Client> m_Transport;
+  std::unique_ptr<Fleet> m_Fleet;
+  std::unique_ptr<PeerConfiguration> m_Peers;
+  std::unique_ptr<HomeReader> m_Homes;
+  std::unique_ptr<config::ConfigService> m_Configuration;
+  std::unique_ptr<EntryStatusProvider> m_Status;
+  std::unique_ptr<config::OperatorService> m_Operators;
+  std::unique_ptr<CallContext> m_Calls;
+  std::unique_ptr<wire::Server> m_PeerServer;
+  std::unique_ptr<http::Server> m_Callers;
+  std::atomic<bool> m_Leaving{false};
+};
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/OperatorApi.h
@@ -0,0 +1,48 @@
+//===- OperatorApi.h - Routes of operators ----------------------*- C++ -*-===//
+//
+// Hands what lies below /operator/v1/ to LibConfig's operator service, and
+// gives it this entry's view of the others.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "figlift-entry/Fleet.h"
+
+#include "LibConfig/OperatorService.h"
+#include "LibConfig/StatusProvider.h"
+#include "LibHttp/Server.h"
+#include "LibTimeline/Timeline.h"
+
+#include <string>
+#include <vector>
+
+namespace figlift::entry {
+
+/// Any thread.
+class EntryStatusProvider final : public config::StatusProvider {
+public:
+  struct Parts {
+    std::string EntryId;
+    const Fleet &Targets;
+    const ServingStatePointer &State;
+    const timeline::Timeline &Events;
+  };
+
+  explicit EntryStatusProvider(Parts Of) : m_Parts(std::move(Of)) {}
+
+  std::string entryId() const override { return m_Parts.EntryId; }
+  std::vector<config::TargetStatus> targets() const override;
+  std::vector<config::EntryStatus> entries() const override;
+  std::vector<std::string> explain(const std::string &Id) const override;
+
+private:
+  config::TargetStatus describe(const membership::TargetState &Target) const;
+
+  const Parts m_Parts;
+};
+
+/// \p Service must outlive the server.
+std::vector<http::Route> operatorRoutes(config::OperatorService &Service);
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/PeerConfiguration.cpp
@@ -0,0 +1,139 @@
+//===- PeerConfiguration.cpp - Configuration from other processes ---------===//
+//
+// See PeerConfiguration.h. All state belongs to the control thread.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/PeerConfiguration.h"
+
+#include "LibConfig/WireDelta.h"
+#include "LibWire/Messages.pb.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace figlift::entry {
+
+namespace {
+
+/// Agents asked beside the other entries.
+constexpr size_t MaximumAgentsAsked = 3;
+/// Processes asked when one answer is enough.
+constexpr size_t MaximumAskedForOne = 2;
+
+class IgnoreState final : public wire::ChannelListener {
+public:
+  void onState(wire::Channel &, wire::ChannelState) override {}
+};
+
+} // namespace
+
+/// One set of questions; the newest answer wins.
+class PeerConfiguration::Round {
+public:
+  explicit Round(platform::Callback<config::Delta> Done)
+      : m_Done(std::move(Done)) {}
+
+  void expect(size_t Answers) { m_Missing = Answers; }
+  void answered(std::optional<config::Delta> Answer) {
+    if (Answer && (!m_Best || Answer->Head > m_Best->Head))
+      m_Best = std::move(Answer);
+    if (m_Missing > 0 && --m_Missing == 0)
+      end();
+  }
+  void end() {
+    if (!m_Done)
+      return;
+    const auto Done = std::exchange(m_Done, nullptr);
+    if (m_Best)
+      Done(std::move(*m_Best));
+    else
+      Done(failure(ResultCode::PeerUnreachable,
+                   "no other process gave its configuration"));
+  }
+
+private:
+  platform::Callback<config::Delta> m_Done;
+  size_t m_Missing = 0;
+  std::optional<config::Delta> m_Best;
+};
+
+class PeerConfiguration::Question final : public wire::StreamListener {
+public:
+  Question(EventLoop &Control, std::shared_ptr<Round> Of, uint64_t After)
+      : m_Control(Control), m_Round(std::move(Of)), m_After(After) {}
+
+  void onMessage(std::string_view Message) override {
+    wire::ConfigurationReply Reply;
+    if (Reply.ParseFromArray(Message.data(), static_cast<int>(Message.size())))
+      m_Answer = config::fromReply(Reply, m_After);
+  }
+  void onEnd(wire::StreamEnd) override {
+    m_Control.post([Of = m_Round, Answer = std::move(m_Answer)]() mutable {
+      Of->answered(std::move(Answer));
+    });
+  }
+
+private:
+  EventLoop &m_Control;
+  const std::shared_ptr<Round> m_Round;
+  const uint64_t m_After;
+  std::optional<config::Delta> m_Answer;
+};
+
+void PeerConfiguration::setPeers(const std::vector<Endpoint> &Peers) {
+  const std::set<Endpoint> Wanted(Peers.begin(), Peers.end());
+  std::erase_if(m_Peers, [&](const auto &Known) {
+    if (Wanted.contains(Known.first))
+      return false;
+    Known.second->close();
+    return true;
+  });
+  for (const Endpoint &Peer : Wanted)
+    if (!m_Peers.contains(Peer))
+      m_Peers[Peer] =
+          m_Parts.Transport.connect(Peer, std::make_shared<IgnoreState>());
+}
+
+config::PeerFetcher PeerConfiguration::fetcher() {
+  return [this](uint64_t After, bool AskAll,
+                platform::Callback<config::Delta> Done) {
+    m_Parts.Control.post([this, After, AskAll, Done = std::move(Done)] {
+      fetch(After, AskAll, Done);
+    });
+  };
+}
+
+std::vector<std::shared_ptr<wire::Channel>>
+PeerConfiguration::askable(bool AskAll) const {
+  std::vector<std::shared_ptr<wire::Channel>> Channels;
+  for (const auto &[Address, Known] : m_Peers)
+    if (Known->state() == wire::ChannelState::Up)
+      Channels.push_back(Known);
+  size_t Agents = 0;
+  for (auto &Known : m_Agents())
+    if (Agents++ < MaximumAgentsAsked)
+      Channels.push_back(std::move(Known));
+  if (!AskAll && Channels.size() > MaximumAskedForOne)
+    Channels.resize(MaximumAskedForOne);
+  return Channels;
+}
+
+void PeerConfiguration::fetch(uint64_t After, bool AskAll,
+                              platform::Callback<config::Delta> Done) {
+  const auto Asked = std::make_shared<Round>(std::move(Done));
+  const auto Channels = askable(AskAll);
+  if (Channels.empty())
+    return Asked->end();
+  Asked->expect(Channels.size());
+  wire::ConfigurationRequest Request;
+  Request.set_after_revision(After);
+  Request.set_sender(m_Parts.ProcessId);
+  for (const auto &Known : Channels)
+    Known->open(wire::Method::Configuration, Request.SerializeAsString(),
+                std::make_shared<Question>(m_Parts.Control, Asked, After));
+  m_Parts.Control.after(m_Parts.Timeout, [Asked] { Asked->end(); });
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/TargetLink.cpp
@@ -0,0 +1,98 @@
+//===- TargetLink.cpp - Connection to one target's agent ------------------===//
+//
+// See TargetLink.h. Listeners hold the link weakly, because the link owns the
+// channel which owns them.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/TargetLink.h"
+
+#include "figlift-entry/LoadMessage.h"
+
+#include "LibLog/Log.h"
+
+namespace figlift::entry {
+
+class TargetLink::ConnectionListener final : public wire::ChannelListener {
+public:
+  explicit ConnectionListener(Observer Told) : m_Observer(std::move(Told)) {}
+
+  void onState(wire::Channel &, wire::ChannelState State) override {
+    m_Observer.OnConnection(State == wire::ChannelState::Up);
+  }
+
+private:
+  const Observer m_Observer;
+};
+
+class TargetLink::SyncListener final : public wire::StreamListener {
+public:
+  explicit SyncListener(std::weak_ptr<TargetLink> Owner)
+      : m_Owner(std::move(Owner)) {}
+
+  void onMessage(std::string_view Message) override {
+    if (const auto Owner = m_Owner.lock())
+      Owner->onReport(Message);
+  }
+  void onEnd(wire::StreamEnd) override {}
+
+private:
+  const std::weak_ptr<TargetLink> m_Owner;
+};
+
+/// The agent's own report says what came of it.
+class TargetLink::IgnoredReply final : public wire::StreamListener {
+public:
+  void onMessage(std::string_view) override {}
+  void onEnd(wire::StreamEnd) override {}
+};
+
+std::shared_ptr<TargetLink> TargetLink::connect(platform::Vm Target, Parts Of,
+                                                Observer Told) {
+  std::shared_ptr<TargetLink> Made(
+      new TargetLink(std::move(Target), std::move(Of), std::move(Told)));
+  Made->m_Channel = Made->m_Parts.Transport.connect(
+      Made->m_Target.Peer,
+      std::make_shared<ConnectionListener>(Made->m_Observer));
+  return Made;
+}
+
+TargetLink::~TargetLink() {
+  if (m_Channel)
+    m_Channel->close();
+}
+
+void TargetLink::openSync(const wire::SyncUp &First) {
+  if (m_Sync)
+    m_Sync->cancel();
+  m_Sync = m_Channel->open(wire::Method::Sync, First.SerializeAsString(),
+                           std::make_shared<SyncListener>(weak_from_this()),
+                           /*HalfClose=*/false);
+}
+
+bool TargetLink::sendSync(const wire::SyncUp &Message) {
+  return m_Sync && m_Sync->send(Message.SerializeAsString());
+}
+
+void TargetLink::tellLeaving() {
+  wire::DrainRequest Request;
+  Request.set_target(m_Target.Id);
+  Request.set_reason("the platform's list says that the VM is leaving");
+  Request.set_clock(m_Parts.Events.clockToSend());
+  m_Channel->open(wire::Method::Drain, Request.SerializeAsString(),
+                  std::make_shared<IgnoredReply>());
+}
+
+void TargetLink::onReport(std::string_view Bytes) {
+  wire::SyncDown Report;
+  if (!Report.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
+    log::logEvent(log::Level::Warning, "report-malformed",
+                  {{"target", m_Target.Id}, {"bytes", Bytes.size()}});
+    return;
+  }
+  m_Parts.Events.received(Report.clock());
+  m_Parts.Gauge->report(loadFromWire(Report.load()), BootClock::now());
+  m_Observer.OnReport(Report);
+}
+
+} // namespace figlift::entry
--- /dev/null
+++ b/Services/figlift-entry/TargetLink.h
@@ -0,0 +1,78 @@
+//===- TargetLink.h - Connection to one target's agent ----------*- C++ -*-===//
+//
+// The channel to an agent with its Sync stream, and what the request path
+// needs beside it: the load gauge and the health of the target.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibPlatform/Platform.h"
+#include "LibRetry/TargetHealth.h"
+#include "LibRoute/TargetGauge.h"
+#include "LibTimeline/Timeline.h"
+#include "LibWire/Messages.pb.h"
+#include "LibWire/Wire.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace figlift::entry {
+
+/// Kept by the fleet and by every attempt at the target; the channel is closed
+/// when the last of them lets go, so that no request is cut when the target
+/// leaves the subset.
+class TargetLink : public std::enable_shared_from_this<TargetLink> {
+public:
+  /// Called on I/O threads.
+  struct Observer {
+    std::function<void(bool Up)> OnConnection;
+    std::function<void(const wire::SyncDown &)> OnReport;
+  };
+  struct Parts {
+    wire::Client &Transport;
+    timeline::Timeline &Events;
+    std::shared_ptr<route::TargetGauge> Gauge;
+    std::shared_ptr<retry::TargetHealth> Health;
+  };
+
+  static std::shared_ptr<TargetLink> connect(platform::Vm Target, Parts Of,
+                                             Observer Told);
+  ~TargetLink();
+
+  const platform::Vm &target() const { return m_Target; }
+  wire::Channel &channel() { return *m_Channel; }
+  const std::shared_ptr<wire::Channel> &sharedChannel() const {
+    return m_Channel;
+  }
+  route::TargetGauge &gauge() { return *m_Parts.Gauge; }
+  retry::TargetHealth &health() { return *m_Parts.Health; }
+
+  /// Opens the Sync stream anew; \p First is its first message. Control
+  /// thread only, as the next one.
+  void openSync(const wire::SyncUp &First);
+  /// False when there is no Sync stream.
+  bool sendSync(const wire::SyncUp &Message);
+  /// Asks the agent to drain: its VM is leaving.
+  void tellLeaving();
+
+private:
+  class ConnectionListener;
+  class SyncListener;
+  class IgnoredReply;
+
+  TargetLink(platform::Vm Target, Parts Of, Observer Told)
+      : m_Target(std::move(Target)), m_Parts(std::move(Of)),
+        m_Observer(std::move(Told)) {}
+
+  void onReport(std::string_view Bytes);
+
+  const platform::Vm m_Target;
+  const Parts m_Parts;
+  const Observer m_Observer;
+  std::shared_ptr<wire::Channel> m_Channel;
+  std::shared_ptr<wire::Stream> m_Sync;
+};
+
+} // namespace figlift::entry
