--- a/Libraries/LibConfig/Rollout.cpp
+++ b/Libraries/LibConfig/Rollout.cpp
@@ -20,6 +20,7 @@
 
 /// What all entries together say of one process.
 struct Heard {
+  /// 0: nobody has word of it.
   uint64_t Revision = 0;
   std::string State = "unreachable";
   bool Gone = false;
@@ -72,6 +73,14 @@
   return All;
 }
 
+/// An entry knows no other's revision unless they talk, so an operator who
+/// names one entry of several has to be told how to ask the rest.
+std::string describe(const Heard &Known) {
+  if (Known.Revision == 0 && Known.State == "serving")
+    return "no word of its revision; name it with --entry too";
+  return "revision " + std::to_string(Known.Revision) + ", " + Known.State;
+}
+
 } // namespace
 
 Rollout rolloutOf(const std::vector<EntryAnswer> &Answers, uint64_t Revision) {
@@ -83,9 +92,7 @@
       if (Known.Revision >= Revision)
         ++Found.InForce;
       else
-        Found.Lagging.push_back(Name + ": revision " +
-                                std::to_string(Known.Revision) + ", " +
-                                Known.State);
+        Found.Lagging.push_back(Name + ": " + describe(Known));
     }
   } catch (const Json::exception &Exception) {
     Found.Lagging.push_back(std::string("malformed status: ") +
--- a/Libraries/LibRecord/RecordText.cpp
+++ b/Libraries/LibRecord/RecordText.cpp
@@ -19,6 +19,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::string_view Blanks = " \t\r\n";
+
 /// Notices what the library lets pass: a member that is given twice (the last
 /// one would win in silence) and nesting without bound.
 class StructureCheck {
@@ -82,7 +84,7 @@
 
 private:
   static bool isBlank(char Byte) {
-    return Byte == ' ' || Byte == '\t' || Byte == '\n' || Byte == '\r';
+    return Blanks.find(Byte) != std::string_view::npos;
   }
 
   void passString() {
@@ -136,8 +138,20 @@
   return success();
 }
 
-/// Texts of an array's elements; \p Scan stands on its opening bracket. The
-/// comments before an element belong to it.
+/// Cuts out the element in [Begin, End); the comments before it belong to it,
+/// the blanks do not.
+static void addElement(std::string_view File, size_t Begin, size_t End,
+                       std::vector<RecordText> &Into) {
+  auto Text = File.substr(Begin, End - Begin);
+  size_t First = std::min(Text.find_first_not_of(Blanks), Text.size());
+  Scanner Inside(Text);
+  Inside.skipBlanks();
+  if (!Inside.atEnd())
+    Into.push_back(
+        {std::string(Text.substr(First)), lineOf(File, Begin + First)});
+}
+
+/// Texts of an array's elements; \p Scan stands on its opening bracket.
 static std::vector<RecordText> elementsOf(std::string_view File, Scanner Scan) {
   std::vector<RecordText> Elements;
   Scan.advance();
@@ -147,15 +161,11 @@
     char Byte = Scan.here();
     bool Last = Depth == 0 && Byte == ']';
     if (Last || (Depth == 0 && Byte == ',')) {
-      auto Text = File.substr(Begin, Scan.position() - Begin);
-      Scanner Inside(Text);
-      Inside.skipBlanks();
-      if (!Inside.atEnd())
-        Elements.push_back({std::string(Text), lineOf(File, Begin)});
-      if (Last)
-        break;
+      addElement(File, Begin, Scan.position(), Elements);
       Begin = Scan.position() + 1;
     }
+    if (Last)
+      break;
     if (Byte == '{' || Byte == '[')
       ++Depth;
     else if (Byte == '}' || Byte == ']')
--- a/Tests/LibRecord/TestRecord.cpp
+++ b/Tests/LibRecord/TestRecord.cpp
@@ -122,14 +122,15 @@
 }
 
 TEST(Record, KeepsTheTextOfEachRecordOfAFileUnchanged) {
-  std::string First = R"( /* a, ] */ {"name": "x ] , \" //"} )";
-  std::string Second = "\n// b\n{\"k\": [1, {\"l\": []}]}\n";
-  auto Texts = splitRecords("// file\n[" + First + "," + Second + "]\n");
+  std::string First = R"(/* a, ] */ {"name": "x ] , \" //"} )";
+  std::string Second = "// b\n{\"k\": [1, {\"l\": []}]}\n";
+  auto Texts = splitRecords("// file\n[\n  " + First + ",\n" + Second + "]\n");
   CHECK_TRUE(Texts.has_value());
   CHECK_EQUAL(2u, Texts.value().size());
   STRCMP_EQUAL(First.c_str(), Texts.value()[0].Text.c_str());
   STRCMP_EQUAL(Second.c_str(), Texts.value()[1].Text.c_str());
-  CHECK_EQUAL(2u, Texts.value()[0].FirstLine);
+  CHECK_EQUAL(3u, Texts.value()[0].FirstLine);
+  CHECK_EQUAL(4u, Texts.value()[1].FirstLine);
 }
 
 TEST(Record, TakesTheSamples) {
