--- a/Libraries/LibIdempotency/HomeMachineSlices.cpp
+++ b/Libraries/LibIdempotency/HomeMachineSlices.cpp
@@ -57,7 +57,7 @@
   if (Granted.Epoch <= Slice.Epoch)
     return;
   bool HasClaims =
-      Slice.ClaimsEpoch == Granted.Epoch && m_Options.UseHandedClaims;
+      Slice.ClaimsEpoch == Granted.Epoch && isHandoverEpoch(Granted.Epoch);
   Slice.State = SliceState::Serving;
   Slice.Epoch = Granted.Epoch;
   Slice.Successor.clear();
@@ -72,7 +72,8 @@
     return;
   case GrantReason::SameSlotRestart:
   case GrantReason::TableTakeover:
-    raise(Slice.OldUntil, Granted.TakenAt + m_Options.TakeoverGuard);
+    raise(Slice.OldUntil,
+          std::max(Granted.TakenAt, C.Wall) + m_Options.TakeoverGuard);
     return;
   }
 }
@@ -86,8 +87,9 @@
 
 void HomeMachine::on(const ClaimsReceived &Received, Context &C) {
   SliceRecord &Slice = m_Slices[Received.Slice];
-  for (const Claim &What : Received.Claims)
-    merge(What, C);
+  if (m_Options.UseHandedClaims)
+    for (const Claim &What : Received.Claims)
+      merge(What, C);
   if (!Received.Complete)
     return;
   if (Received.OldUntil)
@@ -120,7 +122,8 @@
     return;
   Slice.State = SliceState::HandingOver;
   Slice.Successor = Asked.Successor;
-  Slice.SuccessorEpoch = std::max(Slice.SuccessorEpoch, Slice.Epoch) + 1;
+  Slice.SuccessorEpoch =
+      nextHandoverEpoch(std::max(Slice.SuccessorEpoch, Slice.Epoch));
   SendClaims All{Asked.Successor, Asked.Slice, Slice.SuccessorEpoch, {}, true,
                  Slice.OldUntil};
   for (const auto &[Key, Known] : m_Claims)
--- a/Libraries/LibIdempotency/HomeTypes.h
+++ b/Libraries/LibIdempotency/HomeTypes.h
@@ -93,13 +93,14 @@
 };
 /// The row of grants names this target. The row records how it came to that,
 /// because claims of a handover that was given up may have arrived under the
-/// same epoch as a takeover.
+/// same epoch as a takeover. Keys count as old by the time of this event and
+/// not by the start of the process: the grant may be younger than the process.
 struct SliceGranted {
   SliceId Slice = 0;
   uint64_t Epoch = 0;
   GrantReason How = GrantReason::Initial;
-  /// A time on this machine's wall clock when the former home had already
-  /// stopped: now, or the start of this process. Unused for Initial.
+  /// Lower bound of the time from which keys are new; earlier than this event
+  /// it is not believed.
   WallTime TakenAt{};
 };
 /// The row of grants names another home with a higher epoch.
--- a/Libraries/LibIdempotency/SliceMap.cpp
+++ b/Libraries/LibIdempotency/SliceMap.cpp
@@ -61,8 +61,14 @@
     std::string To = preferredHome(Slice, Serving);
     if (Line.Home == To)
       continue;
-    if (auto Why = reasonToMove(Line, Serving, Leaving, Gone))
-      Moves.push_back({Slice, Line.Home, To, Line.Epoch + 1, *Why});
+    auto Why = reasonToMove(Line, Serving, Leaving, Gone);
+    if (!Why)
+      continue;
+    uint64_t Epoch = *Why == MoveReason::Initial ? 1
+                     : *Why == MoveReason::Handover
+                         ? 0
+                         : nextTakeoverEpoch(Line.Epoch);
+    Moves.push_back({Slice, Line.Home, To, Epoch, *Why});
   }
   return Moves;
 }
--- a/Libraries/LibIdempotency/SliceMap.h
+++ b/Libraries/LibIdempotency/SliceMap.h
@@ -41,7 +41,7 @@
   SliceId Slice = 0;
   std::string From;
   std::string To;
-  /// Epoch of the new grant.
+  /// Epoch of the new grant; 0 for a handover, whose home chooses it.
   uint64_t Epoch = 0;
   MoveReason Why = MoveReason::Initial;
   bool operator==(const Move &) const = default;
--- /dev/null
+++ b/Tests/LibLease/TestLeaseMachine.cpp
@@ -0,0 +1,162 @@
+//===- TestLeaseMachine.cpp - Single steps of a candidate -----------------===//
+//
+// The rules of LeaseMachine one by one.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibLease/LeaseMachine.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::lease;
+using namespace std::chrono_literals;
+
+namespace {
+
+BootTime at(std::chrono::milliseconds Offset) {
+  return BootTime(1000s + Offset);
+}
+
+template <typename Kind> bool contains(const std::vector<Action> &Actions) {
+  return std::ranges::any_of(Actions, [](const Action &One) {
+    return std::holds_alternative<Kind>(One);
+  });
+}
+
+LeaseMachine candidate() { return LeaseMachine({"self", 3s, 1s}); }
+
+/// A holder of epoch 8 whose commit was sent at 0 ms.
+LeaseMachine holder() {
+  LeaseMachine Machine = candidate();
+  Machine.step(Tick{}, at(0ms));
+  Machine.step(RowRead{4, "", 7, 3s}, at(0ms));
+  Machine.step(CommitSucceeded{}, at(10ms));
+  return Machine;
+}
+
+} // namespace
+
+TEST_GROUP(LeaseMachine){};
+
+TEST(LeaseMachine, TakesAFreeRowWithTheNextEpoch) {
+  LeaseMachine Machine = candidate();
+  CHECK_TRUE(contains<ReadRow>(Machine.step(Tick{}, at(0ms))));
+  auto Actions = Machine.step(RowRead{4, "", 7, 3s}, at(0ms));
+  CHECK_TRUE(Actions.at(0) == Action(CommitRow{4, "self", 8, 3s}));
+  CHECK_FALSE(Machine.mayPlan(at(5ms)));
+  CHECK_TRUE(Machine.step(CommitSucceeded{}, at(10ms)).at(0) ==
+             Action(BecomeHolder{8}));
+  CHECK_TRUE(Machine.epoch(at(10ms)) == 8);
+}
+
+TEST(LeaseMachine, CountsFromBeforeTheCommitWasSent) {
+  LeaseMachine Machine = holder();
+  CHECK_TRUE(Machine.mayPlan(at(1999ms)));
+  CHECK_FALSE(Machine.mayPlan(at(2000ms)));
+  CHECK_TRUE(Machine.step(Tick{}, at(2000ms)).at(0) ==
+             Action(LoseAuthority{8}));
+}
+
+TEST(LeaseMachine, RenewsAThirdOfTheDurationLater) {
+  LeaseMachine Machine = holder();
+  CHECK_TRUE(Machine.step(Tick{}, at(999ms)).empty());
+  CHECK_TRUE(Machine.step(Tick{}, at(1000ms)).at(0) ==
+             Action(CommitRow{5, "self", 8, 3s}));
+  Machine.step(CommitSucceeded{}, at(1100ms));
+  CHECK_TRUE(Machine.mayPlan(at(2999ms)));
+  CHECK_FALSE(Machine.mayPlan(at(3000ms)));
+}
+
+TEST(LeaseMachine, WatchesAnothersRowForItsWholeDuration) {
+  LeaseMachine Machine = candidate();
+  Machine.step(Tick{}, at(0ms));
+  CHECK_TRUE(Machine.step(RowRead{4, "other", 7, 5s}, at(0ms)).empty());
+  for (auto Time = 1000ms; Time < 5000ms; Time += 1000ms) {
+    CHECK_TRUE(contains<ReadRow>(Machine.step(Tick{}, at(Time))));
+    CHECK_TRUE(Machine.step(RowRead{4, "other", 7, 5s}, at(Time)).empty());
+  }
+  CHECK_TRUE(contains<CommitRow>(Machine.step(Tick{}, at(5000ms))));
+}
+
+TEST(LeaseMachine, ARenewalOfAnotherStartsTheWaitAgain) {
+  LeaseMachine Machine = candidate();
+  Machine.step(Tick{}, at(0ms));
+  Machine.step(RowRead{4, "other", 7, 3s}, at(0ms));
+  Machine.step(Tick{}, at(2900ms));
+  Machine.step(RowRead{5, "other", 7, 3s}, at(2900ms));
+  CHECK_FALSE(contains<CommitRow>(Machine.step(Tick{}, at(5800ms))));
+}
+
+TEST(LeaseMachine, ALostAnswerIsReadBackBeforeTheLeaseIsUsed) {
+  // Symptom: a process plans under a lease that another holds, or never plans
+  // under its own. Sequence: commit sent, answer lost. Cause: either guess
+  // about the outcome is wrong at times.
+  LeaseMachine Machine = candidate();
+  Machine.step(Tick{}, at(0ms));
+  Machine.step(RowRead{4, "", 7, 3s}, at(0ms));
+  CHECK_TRUE(
+      contains<ReadRow>(Machine.step(CommitOutcomeUnknown{}, at(500ms))));
+  CHECK_FALSE(Machine.mayPlan(at(500ms)));
+  auto Actions = Machine.step(RowRead{5, "self", 8, 3s}, at(600ms));
+  CHECK_TRUE(Actions.at(0) == Action(BecomeHolder{8}));
+  CHECK_FALSE(Machine.mayPlan(at(2000ms)));
+}
+
+TEST(LeaseMachine, APausedHolderHasNoAuthorityWhenItWakes) {
+  // Symptom: orders of a process that slept. Sequence: suspended right after
+  // the renewal. Cause: authority judged by events instead of by the clock.
+  LeaseMachine Machine = holder();
+  CHECK_FALSE(Machine.mayPlan(at(60000ms)));
+  CHECK_TRUE(contains<LoseAuthority>(Machine.step(Tick{}, at(60000ms))));
+}
+
+TEST(LeaseMachine, AnAnswerThatComesTooLateMakesNoHolder) {
+  // Symptom: a holder whose lease another has taken. Sequence: commit sent,
+  // process paused for longer than the duration, answer processed. Cause:
+  // counting from the answer.
+  LeaseMachine Machine = candidate();
+  Machine.step(Tick{}, at(0ms));
+  Machine.step(RowRead{4, "", 7, 3s}, at(0ms));
+  CHECK_TRUE(Machine.step(CommitSucceeded{}, at(4000ms)).empty());
+  CHECK_FALSE(Machine.mayPlan(at(4000ms)));
+}
+
+TEST(LeaseMachine, LosesAuthorityToANewerRow) {
+  LeaseMachine Machine = holder();
+  Machine.step(Tick{}, at(1000ms));
+  Machine.step(CommitConflicted{}, at(1100ms));
+  auto Actions = Machine.step(RowRead{6, "other", 9, 3s}, at(1200ms));
+  CHECK_TRUE(Actions.at(0) == Action(LoseAuthority{8}));
+  CHECK_FALSE(Machine.mayPlan(at(1200ms)));
+}
+
+TEST(LeaseMachine, RetriesWithinTheTimeThatIsLeft) {
+  LeaseMachine Machine = holder();
+  Machine.step(Tick{}, at(1000ms));
+  Machine.step(StoreFailed{}, at(1100ms));
+  CHECK_TRUE(Machine.mayPlan(at(1300ms)));
+  CHECK_TRUE(contains<CommitRow>(Machine.step(Tick{}, at(1400ms))));
+}
+
+TEST(LeaseMachine, AStopReleasesAndKeepsTheEpoch) {
+  LeaseMachine Machine = holder();
+  auto Actions = Machine.step(StopRequested{}, at(100ms));
+  CHECK_TRUE(Actions.at(0) == Action(LoseAuthority{8}));
+  CHECK_TRUE(Actions.at(1) == Action(CommitRow{5, "", 8, 3s}));
+  CHECK_FALSE(Machine.mayPlan(at(100ms)));
+  CHECK_TRUE(Machine.step(CommitSucceeded{}, at(200ms)).at(0) ==
+             Action(Released{true}));
+  CHECK_TRUE(Machine.stopped());
+}
+
+TEST(LeaseMachine, AStopDuringAnOutageEnds) {
+  // Symptom: a process that does not exit. Sequence: stop while the store is
+  // down. Cause: waiting for a release that others do not need.
+  LeaseMachine Machine = holder();
+  Machine.step(StopRequested{}, at(100ms));
+  CHECK_TRUE(Machine.step(StoreFailed{}, at(200ms)).at(0) ==
+             Action(Released{false}));
+}
