figlift-agent: Let calls that wait for the row of grants go on

They were parked and never released. One timer is kept for the next read of the row: each acknowledged slice had started a chain of its own.

--- a/Services/figlift-agent/SliceKeeper.cpp
+++ b/Services/figlift-agent/SliceKeeper.cpp
@@ -37,7 +37,13 @@
 }
 
 void SliceKeeper::readAfter(std::chrono::milliseconds Delay) {
-  m_Shared.Decisions.after(Delay, [this] { read(); });
+  if (m_ReadDue)
+    return;
+  m_ReadDue = true;
+  m_Shared.Decisions.after(Delay, [this] {
+    m_ReadDue = false;
+    read();
+  });
 }
 
 void SliceKeeper::read() {
@@ -46,18 +52,23 @@
   m_Reading = true;
   m_Parts.Store.read(grantRowKey(m_Shared.Settings.Target.BackEnd),
                      [this](Result<platform::Row> Read) {
-                       m_Shared.Decisions.post([this, Read = std::move(Read)] {
-                         m_Reading = false;
-                         if (Read)
-                           learn(Read.value());
-                         const bool Soon = !m_Known || !m_Pending.empty() ||
-                                           BootClock::now() < m_ReadSoonUntil;
-                         if (Soon && !m_Writing)
-                           readAfter(FastInterval);
-                       });
+                       m_Shared.Decisions.post(
+                           [this, Read = std::move(Read)] { rowRead(Read); });
                      });
 }
 
+void SliceKeeper::rowRead(const Result<platform::Row> &Read) {
+  m_Reading = false;
+  if (Read)
+    learn(Read.value());
+  for (const auto &Then : std::exchange(m_AfterRead, {}))
+    Then();
+  const bool Soon =
+      !m_Known || !m_Pending.empty() || BootClock::now() < m_ReadSoonUntil;
+  if (Soon && !m_Writing)
+    readAfter(Read ? FastInterval : OutageInterval);
+}
+
 void SliceKeeper::learn(const platform::Row &Read) {
   // Answers may overtake each other; an older row says nothing new.
   if (m_Known && Read.Version < m_RowVersion)
--- a/Services/figlift-agent/SliceKeeper.h
+++ b/Services/figlift-agent/SliceKeeper.h
@@ -60,6 +60,7 @@
 
   void read();
   void readAfter(std::chrono::milliseconds Delay);
+  void rowRead(const Result<platform::Row> &Read);
   void learn(const platform::Row &Read);
   void learnLine(idempotency::SliceId Slice, const idempotency::Grant &Line);
   idempotency::GrantReason reasonFor(idempotency::SliceId Slice,
@@ -76,6 +77,8 @@
   uint64_t m_RowVersion = 0;
   bool m_Known = false;
   bool m_Reading = false;
+  /// A timer for the next read runs.
+  bool m_ReadDue = false;
   bool m_Writing = false;
   /// Grants to be written; each is on top of the line it names.
   std::map<idempotency::SliceId, idempotency::CommitGrant> m_Pending;
