LibTimeline: Pad stamps without reading a moved-from string

The linter found a string that was moved and read in one call, whose order the language leaves open.

--- a/Libraries/LibTimeline/MergedTimeline.cpp
+++ b/Libraries/LibTimeline/MergedTimeline.cpp
@@ -19,6 +19,9 @@
 
 using Json = nlohmann::ordered_json;
 
+/// "08:15:02.250+65535".
+constexpr size_t StampWidth = 18;
+
 bool isSame(const Event &Left, const Event &Right) {
   return Left.When == Right.When && Left.ProcessId == Right.ProcessId;
 }
@@ -125,8 +128,9 @@
     std::ranges::move(Each.Events, std::back_inserter(Whole.Events));
   }
   std::ranges::sort(Whole.Events, isBefore);
-  auto [First, Last] = std::ranges::unique(Whole.Events, isSame);
-  Whole.Events.erase(First, Last);
+  Whole.Events.erase(
+      std::unique(Whole.Events.begin(), Whole.Events.end(), isSame),
+      Whole.Events.end());
   return Whole;
 }
 
@@ -164,8 +168,9 @@
   size_t ProcessWidth = widest(Whole, &Event::ProcessId);
   size_t KindWidth = widest(Whole, &Event::Kind);
   for (const Event &Each : Whole.Events) {
-    Text += timeOfDay(Each.When) + "+" + std::to_string(Each.When.counter());
-    Text = pad(std::move(Text), Text.rfind('\n') + 1 + 18);
+    std::string When =
+        timeOfDay(Each.When) + "+" + std::to_string(Each.When.counter());
+    Text += pad(std::move(When), StampWidth);
     Text += " " + pad(printable(Each.ProcessId), ProcessWidth) + " " +
             pad(printable(Each.Kind), KindWidth) + " " +
             std::string(toString(Each.About.Type)) + "=" +
--- a/Tests/LibTimeline/TestTool.cpp
+++ b/Tests/LibTimeline/TestTool.cpp
@@ -90,7 +90,7 @@
     std::remove(Log.c_str());
     std::string().swap(Log);
   }
-  int run(std::vector<std::string> Arguments, std::string & Output) {
+  int runTool(std::vector<std::string> Arguments, std::string & Output) {
     auto Child =
         test::ChildProcess::start("Utilities/figlift-timeline/figlift-timeline",
                                   std::move(Arguments), Log);
@@ -112,10 +112,10 @@
   std::string Address = Answering.address();
 
   std::string Output;
-  LONGS_EQUAL(3, run({"--from", Address + "," + Refusing.address(), "--from",
-                      Silent.address(), "--timeout-ms", "1000",
-                      "--follow-request", "r2"},
-                     Output));
+  LONGS_EQUAL(3, runTool({"--from", Address + "," + Refusing.address(),
+                          "--from", Silent.address(), "--timeout-ms", "1000",
+                          "--follow-request", "r2"},
+                         Output));
   STRCMP_CONTAINS("request=r2", Output.c_str());
   CHECK(Output.find("request=r1") == std::string::npos);
   STRCMP_CONTAINS((Refusing.address() + " gave no answer").c_str(),
@@ -123,9 +123,9 @@
   STRCMP_CONTAINS((Silent.address() + " gave no answer").c_str(),
                   Output.c_str());
 
-  LONGS_EQUAL(0, run({"--from", Address, "--format", "html"}, Output));
+  LONGS_EQUAL(0, runTool({"--from", Address, "--format", "html"}, Output));
   STRCMP_CONTAINS("<svg", Output.c_str());
-  LONGS_EQUAL(1, run({"--from", Refusing.address()}, Output));
+  LONGS_EQUAL(1, runTool({"--from", Refusing.address()}, Output));
 }
 
 TEST(Tool, RefusesAWrongCommandLine) {
@@ -137,7 +137,7 @@
            {"--from", "127.0.0.1:1", "--after", "soon"},
            {"--from", "127.0.0.1:1", "extra"},
            {"--form", "127.0.0.1:1"}})
-    LONGS_EQUAL(2, run(Arguments, Output));
-  LONGS_EQUAL(0, run({"--version"}, Output));
+    LONGS_EQUAL(2, runTool(Arguments, Output));
+  LONGS_EQUAL(0, runTool({"--version"}, Output));
   STRCMP_CONTAINS("figlift-timeline 0.", Output.c_str());
 }
