--- a/Libraries/LibAdmission/Admission.cpp
+++ b/Libraries/LibAdmission/Admission.cpp
@@ -49,8 +49,11 @@
 
 void Admission::on(const Arrived &Event, BootTime Now, Actions &Out) {
   const Work &Request = Event.Request;
-  m_OfferedPrefill += expectedPrefill(Request);
-  m_OfferedDecode += Request.MaximumTokens;
+  // What a draining target refuses is offered to another one at once.
+  if (m_Accepting) {
+    m_OfferedPrefill += expectedPrefill(Request);
+    m_OfferedDecode += Request.MaximumTokens;
+  }
   if (auto Refusal = refusalFor(Request, Now)) {
     Out.push_back(*Refusal);
     return;
@@ -105,11 +108,13 @@
 }
 
 void Admission::on(const AcceptingChanged &Event, BootTime Now, Actions &Out) {
+  const bool Reopened = Event.Accepting && !m_Accepting;
   m_Accepting = Event.Accepting;
   m_NotAcceptingCode = Event.Code;
   if (m_Accepting) {
-    // Rates of the old role say little about the new one.
-    m_Speed.forget();
+    // Speeds of the old role say little about the new one.
+    if (Reopened)
+      m_Speed.forget();
     admitQueued(Now, Out);
     return;
   }
--- a/Libraries/LibAdmission/Admission.h
+++ b/Libraries/LibAdmission/Admission.h
@@ -131,8 +131,8 @@
   bool accepting() const { return m_Accepting; }
   size_t atTarget() const { return m_AtTarget; }
   size_t queued() const { return m_Book.size() - m_AtTarget; }
-  /// Demand since the start, refused work included; the planner reads the
-  /// growth. Never decreases.
+  /// Demand since the start, work refused for overload included; the planner
+  /// reads the growth. Never decreases.
   uint64_t offeredPrefillTokens() const { return m_OfferedPrefill; }
   uint64_t offeredDecodeTokens() const { return m_OfferedDecode; }
 
--- a/Libraries/LibAdmission/SpeedEstimator.cpp
+++ b/Libraries/LibAdmission/SpeedEstimator.cpp
@@ -44,8 +44,10 @@
   const Seconds Time = m_PromptTime - m_WindowStart;
   if (m_PromptTokens == 0 || Time < (m_PromptRate > 0 ? Window : FirstWindow))
     return;
-  const Seconds Decode =
-      std::min(m_Step * m_StepsMeanwhile, Time * MaximumDecodePart);
+  // An upper bound of the step contains prompts itself.
+  const Seconds Decode = m_StepIsMeasured ? std::min(m_Step * m_StepsMeanwhile,
+                                                     Time * MaximumDecodePart)
+                                          : Seconds(0);
   const double Sample = m_PromptTokens / (Time - Decode).count();
   m_PromptRate = m_PromptRate > 0
                      ? m_PromptRate + RateWeight * (Sample - m_PromptRate)
--- a/Libraries/LibRoute/PrefixHash.cpp
+++ b/Libraries/LibRoute/PrefixHash.cpp
@@ -30,8 +30,7 @@
   const auto Kept = Hashes.first(std::min(Hashes.size(), Maximum));
   m_Hashes.assign(Kept.begin(), Kept.end());
   std::ranges::sort(m_Hashes);
-  const auto Duplicates = std::ranges::unique(m_Hashes);
-  m_Hashes.erase(Duplicates.begin(), Duplicates.end());
+  m_Hashes.erase(std::unique(m_Hashes.begin(), m_Hashes.end()), m_Hashes.end());
 }
 
 bool PrefixSummary::contains(uint64_t Hash) const {
--- a/Libraries/LibRoute/RoutingTable.cpp
+++ b/Libraries/LibRoute/RoutingTable.cpp
@@ -45,9 +45,11 @@
 
 std::span<const TargetView>
 RoutingTable::targets(std::string_view BackEnd) const {
-  const auto Range =
-      std::ranges::equal_range(m_Targets, BackEnd, {}, &TargetView::BackEnd);
-  return {Range.begin(), Range.end()};
+  const auto First =
+      std::ranges::lower_bound(m_Targets, BackEnd, {}, &TargetView::BackEnd);
+  const auto Last =
+      std::ranges::upper_bound(m_Targets, BackEnd, {}, &TargetView::BackEnd);
+  return {First, Last};
 }
 
 const TargetView *RoutingTable::find(std::string_view Id) const {
--- a/Tests/LibAdmission/TestAdmission.cpp
+++ b/Tests/LibAdmission/TestAdmission.cpp
@@ -66,6 +66,14 @@
   LONGS_EQUAL(0, Load.DecodeTokensWaiting);
   LONGS_EQUAL(800, Book.offeredPrefillTokens());
   LONGS_EQUAL(11, Book.offeredDecodeTokens());
+  // Only a target that was closed comes back as another one.
+  Book.step(AcceptingChanged{true}, Now);
+  CHECK(Book.load(Now).PrefillTokensPerSecond > 0);
+  Book.step(AcceptingChanged{false}, Now);
+  arrive("elsewhere", ServiceClass::Interactive);
+  LONGS_EQUAL(800, Book.offeredPrefillTokens());
+  Book.step(AcceptingChanged{true}, Now);
+  LONGS_EQUAL(0, Book.load(Now).PrefillTokensPerSecond);
 }
 
 TEST(Admission, LoadFollowsEachStageOfARequest) {
--- a/Tests/LibAdmission/TestEngineTrial.cpp
+++ b/Tests/LibAdmission/TestEngineTrial.cpp
@@ -67,6 +67,22 @@
   }
 }
 
+// Symptom: an entry believes in four times the engine's speed, and sends it
+// work that it cannot do in time.
+// Sequence: prompts are at the engine from the first moment on; no decode step
+// was ever seen without them.
+// Cause: a step that contains prompts was taken out of the prompts' time.
+TEST(EngineTrial, NoPureStepLeavesThePromptSpeedUsable) {
+  EngineTrial Engine{AdmissionSettings{}};
+  for (int I = 0; I < 100; ++I) {
+    Engine.runUntil(Seconds(I * 0.25));
+    Engine.arrive(work(6000, 30), milliseconds(60000));
+  }
+  const auto Load = Engine.Book.load(Engine.now());
+  DOUBLES_EQUAL(20000, Load.PrefillTokensPerSecond, 5000);
+  CHECK(Load.DecodeTokensPerSecond > 0);
+}
+
 // Symptom: the engine is fully busy, and nearly every answer comes too late.
 // Sequence: half as much again arrives as the engine can do; first come first
 // served, everybody waits longer than their patience.
