--- a/Libraries/LibOrder/OrderMachine.cpp
+++ b/Libraries/LibOrder/OrderMachine.cpp
@@ -55,11 +55,10 @@
     return;
   m_NextPoll = C.Now + m_Options.PollInterval;
   bool ReadsRows = (m_State == State::Recovering && !m_RowsKnown) ||
-                   m_State == State::WritingIntent;
+                   m_State == State::WritingIntent ||
+                   m_State == State::WritingCompletion;
   if (ReadsRows && m_Store == Store::Free)
     readRows(C);
-  if (m_State == State::WritingCompletion && m_Store == Store::Free)
-    readRows(C);
   bool ReadsEngine = m_State == State::Recovering || m_State == State::Settling;
   if (ReadsEngine && m_Engine == Engine::Free)
     readEngine(C);
@@ -120,6 +119,9 @@
   m_RowVersion = Rows.Version;
   m_LeaseVersion = Rows.LeaseVersion;
   m_Row = Rows.Row;
+  if (m_Row && m_Row->What.Id.empty())
+    m_Row.reset();
+  m_RowTakenOver = false;
   switch (m_State) {
   case State::Recovering:
     m_RowsKnown = true;
@@ -167,6 +169,8 @@
               Rows.Row->State == IntentState::Intended;
   if (Open)
     return commitCompletion(C);
+  if (Rows.Row && Rows.Row->What.Id == m_Current->Id)
+    m_End = Rows.Row->State;
   becomeIdle(C);
 }
 
@@ -184,6 +188,12 @@
 void OrderMachine::on(const CommitSucceeded &, Context &C) {
   m_Store = Store::Free;
   ++m_RowVersion;
+  if (m_State == State::Recovering) {
+    m_RowTakenOver = true;
+    if (m_Engine == Engine::Free)
+      readEngine(C);
+    return;
+  }
   if (m_State == State::WritingIntent) {
     m_Row = IntentRow{*m_Current, IntentState::Intended};
     return accept(C);
--- a/Libraries/LibOrder/OrderMachine.h
+++ b/Libraries/LibOrder/OrderMachine.h
@@ -97,8 +97,9 @@
       Put(m_Current->Id);
     if (m_LastEngine)
       Put(m_LastEngine->Boot, m_LastEngine->Role, m_LastEngine->OrderId);
-    Put(m_Callers.size(), m_Book.size(), m_End, m_IntentInDoubt, m_Rejected);
-    Put(m_Sends, m_SettledAt, m_SettledBefore, m_NextPoll);
+    Put(m_Callers.size(), m_Book.size(), m_End, m_IntentInDoubt, m_Rejected,
+        m_RowTakenOver);
+    Put(m_Sends, m_SettledAt, m_NextPoll);
     Put(m_EngineReadSent);
   }
 
@@ -139,6 +140,7 @@
   void commitCompletion(Context &C);
   void accept(Context &C);
   void drain(Context &C);
+  void takeRowOver(Context &C);
   void send(Context &C);
   void sendingAnswered(Context &C);
   void settle(const EngineState &Engine, Context &C);
@@ -176,14 +178,15 @@
   /// A commit of the intent had no answer: it may still take effect, so
   /// m_Current may not be forgotten until the row or the lease has moved on.
   bool m_IntentInDoubt = false;
+  /// This process wrote the row itself or again, so that no commit of a
+  /// predecessor can change it any more.
+  bool m_RowTakenOver = false;
   /// The engine refused m_Current for good.
   bool m_Rejected = false;
   std::optional<EngineState> m_LastEngine;
   unsigned m_Sends = 0;
   /// A copy of an order without an answer may reach the engine until then.
   BootTime m_SettledAt{};
-  /// Its value before the sending that is under way.
-  BootTime m_SettledBefore{};
   /// When the last reading of the engine was sent.
   BootTime m_EngineReadSent{};
   BootTime m_NextPoll{};
--- a/Libraries/LibOrder/OrderMachineEngine.cpp
+++ b/Libraries/LibOrder/OrderMachineEngine.cpp
@@ -62,17 +62,15 @@
 void OrderMachine::on(const EngineOutcomeUnknown &, Context &C) {
   if (m_State != State::Sending)
     return;
-  m_Engine = Engine::Free;
-  m_State = State::Settling;
-  readEngine(C);
+  // Counted from here and not from the decision to send: the shell may have
+  // been paused in between, and now it has closed the connection.
+  m_SettledAt = C.Now + m_Options.SettleTime;
+  sendingAnswered(C);
 }
 
-/// The sending was answered: no copy of it is on its way any more, so that
-/// only earlier ones have to be waited for.
 void OrderMachine::sendingAnswered(Context &C) {
   if (m_State != State::Sending)
     return;
-  m_SettledAt = m_SettledBefore;
   m_Engine = Engine::Free;
   m_State = State::Settling;
   readEngine(C);
@@ -109,8 +107,6 @@
   m_State = State::Sending;
   m_Engine = Engine::Sending;
   ++m_Sends;
-  m_SettledBefore = m_SettledAt;
-  m_SettledAt = C.Now + m_Options.SettleTime;
   C.Out.push_back(SendToEngine{*m_Current, m_Fence});
 }
 
@@ -137,11 +133,13 @@
 void OrderMachine::recover(const EngineState &Engine, Context &C) {
   if (Engine.OrderState == EngineOrderState::Running || !settled())
     return;
+  openAdmission(C);
   if (!m_RowsKnown)
-    return openAdmission(C);
+    return;
+  if (!m_RowTakenOver)
+    return takeRowOver(C);
   if (!m_Row || m_Row->State != IntentState::Intended) {
     m_State = State::Idle;
-    openAdmission(C);
     return report(C);
   }
   m_Current = m_Row->What;
@@ -155,6 +153,18 @@
   drain(C);
 }
 
+/// Writes the row again as it is, or an order without an id into an empty one.
+/// A commit that the predecessor had sent may still be on its way: an intent
+/// that takes effect now would be carried out by nobody, and a completion
+/// would contradict what is done here. The new version makes both fail.
+void OrderMachine::takeRowOver(Context &C) {
+  if (m_Store != Store::Free)
+    return;
+  m_Store = Store::Committing;
+  IntentRow None{Order{}, IntentState::Done};
+  C.Out.push_back(CommitCompletionRow{m_RowVersion, m_Row.value_or(None)});
+}
+
 /// The engine's part is over. Requests go on at once; the row follows as soon
 /// as the store takes it.
 void OrderMachine::complete(IntentState End, Context &C) {
@@ -168,10 +178,11 @@
 void OrderMachine::report(Context &C) {
   if (!m_LastEngine)
     return;
-  const Order *Wanted = m_Current ? &*m_Current : nullptr;
-  if (!Wanted && m_Row && m_Row->State == IntentState::Done)
-    Wanted = &m_Row->What;
-  bool Matches = !Wanted || satisfies(*m_LastEngine, Wanted->What);
+  bool Open = m_State == State::WritingCompletion;
+  const Order *Last = Open ? &*m_Current : m_Row ? &m_Row->What : nullptr;
+  IntentState End = Open ? m_End : m_Row ? m_Row->State : IntentState::Done;
+  bool Matches = !Last || (End == IntentState::Done &&
+                           satisfies(*m_LastEngine, Last->What));
   C.Out.push_back(ReportEngineState{*m_LastEngine, Matches});
 }
 
--- a/Libraries/LibOrder/OrderTypes.h
+++ b/Libraries/LibOrder/OrderTypes.h
@@ -174,7 +174,9 @@
   IntentRow Row;
   bool operator==(const CommitIntentRow &) const = default;
 };
-/// Writes the end of an order; conditioned on the order row alone.
+/// Writes the end of an order; at the start, the row anew as it was read (an
+/// order with an empty id when there is none). Conditioned on the order row
+/// alone.
 struct CommitCompletionRow {
   uint64_t ExpectedVersion = 0;
   IntentRow Row;
