LibOrder: Fail when the exploration misses a row of the transition table

The fault matrix is strict both ways now: a pair of state and event that the table calls unexpected may not arise, and every other pair must.

--- a/Tests/LibOrder/OrderWorld.h
+++ b/Tests/LibOrder/OrderWorld.h
@@ -40,10 +40,12 @@
   std::chrono::milliseconds SettleTime{1000};
 };
 
+using Pairs = std::set<std::pair<State, EventKind>>;
+
 class OrderWorld {
 public:
-  explicit OrderWorld(const OrderBounds &Bounds)
-      : m_Bounds(Bounds), m_Machine(options(Bounds)) {
+  explicit OrderWorld(const OrderBounds &Bounds, Pairs *Met = nullptr)
+      : m_Bounds(Bounds), m_Machine(options(Bounds)), m_Met(Met) {
     carryOut(m_Machine.start(now()));
   }
 
@@ -78,12 +80,10 @@
   }
 
   std::string violation() const { return m_Broken; }
-  const std::set<std::pair<State, EventKind>> &met() const { return m_Met; }
 
   template <typename Visit> void successors(Visit &&Do) const {
     auto Try = [&](const std::string &Label, auto &&Change) {
       OrderWorld Next = *this;
-      Next.m_Met.clear();
       Change(Next);
       Do("t=" + std::to_string(m_Time) + " " +
              std::string(name(m_Machine.state())) + ": " + Label,
@@ -143,7 +143,8 @@
   }
 
   void feed(const Event &What) {
-    m_Met.insert({m_Machine.state(), kindOf(What)});
+    if (m_Met)
+      m_Met->insert({m_Machine.state(), kindOf(What)});
     carryOut(m_Machine.step(What, now()));
   }
 
@@ -341,6 +342,19 @@
         W.loseSend();
         W.m_EngineAnswer.emplace(EngineOutcomeUnknown{});
       });
+    if (std::holds_alternative<SendToEngine>(*m_EngineCall) &&
+        m_EngineFailures < m_Bounds.EngineFailures) {
+      Try("the engine refuses the order", [](OrderWorld &W) {
+        ++W.m_EngineFailures;
+        W.m_EngineCall.reset();
+        W.m_EngineAnswer.emplace(EngineRejected{});
+      });
+      Try("the engine is busy with work of its own", [](OrderWorld &W) {
+        ++W.m_EngineFailures;
+        W.m_EngineCall.reset();
+        W.m_EngineAnswer.emplace(EngineBusy{});
+      });
+    }
   }
 
   template <typename TryStep> void faultSteps(TryStep &&Try) const {
@@ -452,8 +466,8 @@
   int m_EngineFailures = 0;
   int m_DrainTimeouts = 0;
   std::string m_Broken;
-  /// Pairs of state and event that the last step met.
-  std::set<std::pair<State, EventKind>> m_Met;
+  /// Collects the pairs of state and event of all steps.
+  Pairs *m_Met;
 };
 
 } // namespace figlift::test
--- a/Tests/LibOrder/TestOrderExploration.cpp
+++ b/Tests/LibOrder/TestOrderExploration.cpp
@@ -7,6 +7,8 @@
 
 #include "LibOrder/OrderWorld.h"
 
+#include <map>
+
 #include "Exploration/ExplorationGroup.h"
 
 using namespace figlift;
@@ -14,25 +16,40 @@
 
 namespace {
 
-constexpr size_t Limit = 700000;
-
-using Pairs = std::set<std::pair<State, EventKind>>;
+constexpr size_t Limit = 1500000;
+constexpr const char *HonoursFence = "order, engine honours the fence";
+constexpr const char *FaultyStore = "order, faults of the store";
 
-/// Returns the pairs of state and event that were met.
-Pairs expectNone(const char *Name, const OrderBounds &Bounds) {
-  Pairs Met;
+struct Outcome {
+  Exploration Result;
+  /// Why some state does not come to its end once faults cease.
   std::string Stuck;
-  Exploration Result =
-      explore(OrderWorld(Bounds), Limit, [&](const OrderWorld &World) {
-        Met.insert(World.met().begin(), World.met().end());
-        if (Stuck.empty() && World.violation().empty())
-          Stuck = World.settlesWithoutFaults();
+  Pairs Met;
+};
+
+/// Explores once for all tests that ask.
+const Outcome &outcome(const char *Name, const OrderBounds &Bounds) {
+  // Never freed: it outlives the record of allocations.
+  static auto *Known = new std::map<std::string, Outcome>;
+  auto [Line, New] = Known->try_emplace(Name);
+  Outcome &Of = Line->second;
+  if (!New)
+    return Of;
+  Of.Result =
+      explore(OrderWorld(Bounds, &Of.Met), Limit, [&](const OrderWorld &World) {
+        if (Of.Stuck.empty() && World.violation().empty())
+          Of.Stuck = World.settlesWithoutFaults();
       });
-  Result.print(Name);
-  STRCMP_EQUAL("", Result.Violation.c_str());
-  STRCMP_EQUAL("", Stuck.c_str());
-  CHECK_TRUE(Result.Complete);
-  return Met;
+  Of.Result.print(Name);
+  return Of;
+}
+
+const Pairs &expectNone(const char *Name, const OrderBounds &Bounds) {
+  const Outcome &Of = outcome(Name, Bounds);
+  STRCMP_EQUAL("", Of.Result.Violation.c_str());
+  STRCMP_EQUAL("", Of.Stuck.c_str());
+  CHECK_TRUE(Of.Result.Complete);
+  return Of.Met;
 }
 
 void expectFound(const char *Name, const OrderBounds &Bounds) {
@@ -76,14 +93,26 @@
 TEST(OrderExploration, AnEngineThatHonoursTheFenceIsNotLeftStuck) {
   // Symptom: an order is never carried out. Sequence: as above. Cause: the
   // engine refuses it for its fence and the agent goes on sending.
-  expectNone("order, engine honours the fence", faultsOfTheEngine(true));
+  expectNone(HonoursFence, faultsOfTheEngine(true));
 }
 
 TEST(OrderExploration, FaultsOfTheStoreChangeNothingByHalves) {
   // Symptom: an order that was refused takes effect. Sequence: the commit of
   // the intent is delayed past its answer, the lease's passing or the agent's
   // death. Cause: a lost answer taken for a commit that did not happen.
-  expectNone("order, faults of the store", faultsOfTheStore());
+  expectNone(FaultyStore, faultsOfTheStore());
+}
+
+TEST(OrderExploration, AgentsKilledOneAfterTheOtherLeaveNoHalfDoneOrder) {
+  // Symptom: an order is neither done nor abandoned. Sequence: killed, the
+  // successor is killed while it takes over, an answer of the table is lost.
+  // Cause: a recovery that only works from where a first process stops.
+  OrderBounds Bounds;
+  Bounds.Kills = 2;
+  Bounds.Crashes = 0;
+  Bounds.Takeovers = 0;
+  Bounds.LastTime = 3;
+  expectNone("order, two kills and a lost answer", Bounds);
 }
 
 TEST(OrderExploration, WithoutWaitingForLateCopiesOrdersConflict) {
@@ -118,8 +147,8 @@
 TEST_GROUP_BASE(OrderFaultMatrix, ExplorationGroup){};
 
 TEST(OrderFaultMatrix, TheTableSaysWhichPairsArise) {
-  Pairs Met = expectNone("order, matrix: engine", faultsOfTheEngine(true));
-  Met.merge(expectNone("order, matrix: store", faultsOfTheStore()));
+  Pairs Met = expectNone(HonoursFence, faultsOfTheEngine(true));
+  Met.merge(Pairs(expectNone(FaultyStore, faultsOfTheStore())));
   for (const Transition &Row : transitionTable()) {
     bool Arose = Met.contains({Row.From, Row.What});
     std::string Pair =
@@ -127,6 +156,6 @@
     if (Row.How == Handling::Unexpected && Arose)
       FAIL(("arises though the table denies it: " + Pair).c_str());
     if (Row.How != Handling::Unexpected && !Arose)
-      std::printf("    not met within the bounds: %s\n", Pair.c_str());
+      FAIL(("was not met by the exploration: " + Pair).c_str());
   }
 }
