--- a/Libraries/LibHttp/ListenerExchange.cpp
+++ b/Libraries/LibHttp/ListenerExchange.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr size_t ReadStepBytes = 64u << 10;
+constexpr size_t MaximumRequestIdLength = 128;
 
 std::string lowerCase(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(),
@@ -45,6 +46,15 @@
   return Asked;
 }
 
+/// Echoed on answers that no handler gave; anything odd is not.
+std::string fitRequestId(std::string Given) {
+  const bool IsFit = Given.size() <= MaximumRequestIdLength &&
+                     std::all_of(Given.begin(), Given.end(), [](char Letter) {
+                       return Letter > ' ' && Letter < 127;
+                     });
+  return IsFit ? Given : std::string();
+}
+
 Error internalError(std::string Message) {
   return Error{ResultCode::Internal, std::move(Message), {}, std::nullopt};
 }
@@ -54,7 +64,8 @@
 ListenerExchange::ListenerExchange(std::shared_ptr<ExchangeShared> Shared,
                                    web::http::http_request Incoming)
     : m_Shared(std::move(Shared)), m_Incoming(std::move(Incoming)),
-      m_Request(describe(m_Incoming)) {}
+      m_Request(describe(m_Incoming)),
+      m_RequestId(fitRequestId(m_Request.header("x-request-id"))) {}
 
 ListenerExchange::~ListenerExchange() {
   if (!m_Answered.load())
--- /dev/null
+++ b/Tests/FigliftEntry/TestCallerRequest.cpp
@@ -0,0 +1,127 @@
+//===- TestCallerRequest.cpp - Reading callers' requests ------------------===//
+//
+// What is accepted, what is refused, and what is decided by the records.
+//
+//===----------------------------------------------------------------------===//
+
+#include "EntryFixtures.h"
+
+#include "figlift-entry/CallerRequest.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::entry;
+
+TEST_GROUP(CallerRequest) {
+  config::SnapshotPointer Records = test::recordsInForce();
+  ReadContext With{*Records, std::chrono::seconds(30), "fresh"};
+
+  http::Request completion(const std::string &Body) {
+    http::Request Asked;
+    Asked.Method = "POST";
+    Asked.Path = "/v1/completions";
+    Asked.Body = Body;
+    return Asked;
+  }
+  Result<CallerRequest> read(const std::string &Body) {
+    return readCompletion(completion(Body), CompletionApi::Text, With);
+  }
+  http::Request service(const std::string &Method, const std::string &Path) {
+    http::Request Asked;
+    Asked.Method = Method;
+    Asked.Path = Path;
+    Asked.RawPath = Path;
+    return Asked;
+  }
+  ResultCode codeOf(const Result<CallerRequest> &Read) {
+    return Read ? ResultCode::Success : Read.error().Code;
+  }
+};
+
+TEST(CallerRequest, ModelsAreFoundByEachOfTheirNames) {
+  for (const char *Model : {"desk", "desk@1", "lm-desk/desk", "lm-desk"}) {
+    const auto Read =
+        read(std::string(R"({"prompt":"p","model":")") + Model + "\"}");
+    CHECK_TRUE_TEXT(Read.has_value(), Model);
+    STRCMP_EQUAL("lm-desk", Read.value().BackEnd.c_str());
+  }
+  CHECK(ResultCode::UnknownModel ==
+        codeOf(read(R"({"prompt":"p","model":"other"})")));
+  CHECK(ResultCode::UnknownBackEnd ==
+        codeOf(read(R"({"prompt":"p","model":"other/desk"})")));
+}
+
+TEST(CallerRequest, WhatCannotBeServedIsRefusedWithItsField) {
+  const auto Many = read(R"({"prompt":"p","model":"desk","n":2})");
+  STRCMP_EQUAL("n", Many.error().Field.c_str());
+  const auto Zero = read(R"({"prompt":"p","model":"desk","max_tokens":0})");
+  STRCMP_EQUAL("max_tokens", Zero.error().Field.c_str());
+  const auto NoPrompt = read(R"({"model":"desk"})");
+  STRCMP_EQUAL("prompt", NoPrompt.error().Field.c_str());
+  CHECK(ResultCode::InvalidInput == codeOf(read("[1")));
+}
+
+TEST(CallerRequest, TheIdBetweenProcessesIsNeverTheCallersOwn) {
+  // Symptom: a parent reads the answer to another family's request.
+  // Sequence: two callers send the same X-Request-Id; agents hold answers by
+  // the id of the request and resume one for the other.
+  // Cause: the caller's id was taken for a unique one.
+  http::Request Asked = completion(R"({"prompt":"p","model":"desk"})");
+  Asked.Headers["x-request-id"] = "mine";
+  const auto Read = readCompletion(Asked, CompletionApi::Text, With);
+  STRCMP_EQUAL("mine", Read.value().CallerId.c_str());
+  STRCMP_EQUAL("fresh", Read.value().RequestId.c_str());
+}
+
+TEST(CallerRequest, DeadlinesNeedAUnitAndAWorkspaceNeedsARecord) {
+  http::Request Asked = completion(R"({"prompt":"p","model":"desk"})");
+  Asked.Headers["x-figlift-deadline"] = "2s";
+  const auto Read = readCompletion(Asked, CompletionApi::Text, With);
+  CHECK(std::chrono::seconds(2) == Read.value().Deadline);
+  Asked.Headers["x-figlift-deadline"] = "2";
+  CHECK(ResultCode::InvalidInput ==
+        codeOf(readCompletion(Asked, CompletionApi::Text, With)));
+  Asked.Headers["x-figlift-deadline"] = "2s";
+  Asked.Headers["x-figlift-workspace"] = "nobody";
+  CHECK(ResultCode::InvalidInput ==
+        codeOf(readCompletion(Asked, CompletionApi::Text, With)));
+}
+
+TEST(CallerRequest, RecordsSayWhichCallsMayNotBeRepeated) {
+  http::Request Hold = service("POST", "/v1/services/booking-core/slots/7");
+  Hold.Headers["idempotency-key"] = "key";
+  Hold.RawQuery = "a=%20b";
+  const auto Read = readServiceCall(Hold, With);
+  CHECK_FALSE(Read.value().Repeatable);
+  CHECK_TRUE(Read.value().keyed());
+  STRCMP_EQUAL("/slots/7?a=%20b",
+               std::get<ServiceWork>(Read.value().Work).Path.c_str());
+
+  const auto Look = readServiceCall(
+      service("GET", "/v1/services/booking-core/slots/7"), With);
+  CHECK_TRUE(Look.value().Repeatable);
+  const auto Similar = readServiceCall(
+      service("POST", "/v1/services/booking-core/slotsman"), With);
+  CHECK_TRUE(Similar.value().Repeatable);
+  const auto Waiver = readServiceCall(
+      service("GET", "/v1/services/booking-core/waivers/3"), With);
+  CHECK(record::ServiceClass::Immediate == Waiver.value().Class);
+}
+
+TEST(CallerRequest, PathsThatATargetCouldReadDifferentlyAreRefused) {
+  // Symptom: a slot is held twice after one broken connection.
+  // Sequence: the call's path is "/x/../slots/7"; it looks repeatable here
+  // and is sent again, and the service resolves it to "/slots/7".
+  // Cause: two readings of one path.
+  for (const char *Path : {"/x/../slots/7", "//slots/7", "/./slots/7",
+                           "/slots/..", "/a%2fb", "/slots;x/7"}) {
+    http::Request Asked =
+        service("POST", std::string("/v1/services/booking-core") + Path);
+    CHECK_TRUE_TEXT(
+        ResultCode::InvalidInput == codeOf(readServiceCall(Asked, With)), Path);
+  }
+  http::Request Escaped = service("POST", "/v1/services/booking-core/slots/7");
+  Escaped.RawPath = "/v1/%73ervices/booking-core/slots/7";
+  CHECK(ResultCode::InvalidInput == codeOf(readServiceCall(Escaped, With)));
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -239,8 +239,11 @@
   CHECK(holds(Limited, "\"code\":210"));
   CHECK(holds(Limited, "Retry-After: 1"));
   Running->drain();
-  Second.send("POST /v1/echo" + Rest);
-  CHECK(holds(Second.readUntil("}"), "\"code\":203"));
+  Second.send("POST /v1/echo HTTP/1.1\r\nHost: x\r\nX-Request-Id: mine\r\n"
+              "Content-Length: 0\r\n\r\n");
+  const std::string Drained = Second.readUntil("}");
+  CHECK(holds(Drained, "\"code\":203"));
+  CHECK(holds(Drained, "X-Request-Id: mine"));
   Waiting->reply({.Status = 200, .Body = "kept"});
   CHECK(holds(First.readUntil("kept"), "200 OK"));
 }
