--- a/Tests/LibOrder/OrderWorld.h
+++ b/Tests/LibOrder/OrderWorld.h
@@ -225,27 +225,7 @@
       m_Engine.Role = m_Engine.OrderId == "a" ? "prefill" : "decode";
   }
 
-  template <typename TryStep> void plannerSteps(TryStep &&Try) const {
-    for (size_t I = 0; I != 2; ++I)
-      if (m_Given[I] < m_Bounds.DeliveriesEach && m_LeaseEpoch > I)
-        Try("order " + orderOf(I).Id + " arrives", [&](OrderWorld &W) {
-          ++W.m_Given[I];
-          W.feed(OrderReceived{I, orderOf(I)});
-        });
-    if (m_LeaseEpoch <= uint64_t(m_Bounds.Takeovers))
-      Try("the lease passes on", [](OrderWorld &W) { ++W.m_LeaseEpoch; });
-    if (m_Draining)
-      Try("the last request ends", [](OrderWorld &W) {
-        W.m_Draining = false;
-        W.feed(Drained{});
-      });
-    if (m_Draining && m_DrainTimeouts < m_Bounds.DrainTimeouts)
-      Try("the drain takes too long", [](OrderWorld &W) {
-        ++W.m_DrainTimeouts;
-        W.m_Draining = false;
-        W.feed(DrainTimedOut{});
-      });
-  }
+  template <typename TryStep> void plannerSteps(TryStep &&Try) const;
 
   void storeWorks() {
     const Action Call = *m_StoreCall;
@@ -259,37 +239,7 @@
       m_StoreAnswer = CommitConflicted{};
   }
 
-  template <typename TryStep> void storeSteps(TryStep &&Try) const {
-    if (m_StoreAnswer)
-      Try("the store's answer arrives",
-          [](OrderWorld &W) { W.storeAnswers(); });
-    for (size_t I = 0; I != m_LateCommits.size(); ++I)
-      Try("a delayed commit reaches the table", [I](OrderWorld &W) {
-        Action Late = W.m_LateCommits[I];
-        W.m_LateCommits.erase(W.m_LateCommits.begin() + I);
-        W.apply(Late);
-      });
-    if (!m_StoreCall)
-      return;
-    Try("the table works", [](OrderWorld &W) { W.storeWorks(); });
-    bool Commit = !std::holds_alternative<ReadIntentRow>(*m_StoreCall);
-    if (m_Failed < m_Bounds.StoreFailures)
-      Try("the store is down", [Commit](OrderWorld &W) {
-        ++W.m_Failed;
-        W.m_StoreCall.reset();
-        if (Commit)
-          W.m_StoreAnswer.emplace(CommitFailed{});
-        else
-          W.m_StoreAnswer.emplace(IntentRowReadFailed{});
-      });
-    if (Commit && m_Lost < m_Bounds.LostAnswers)
-      Try("the commit is delayed, its answer lost", [](OrderWorld &W) {
-        ++W.m_Lost;
-        W.m_LateCommits.push_back(*W.m_StoreCall);
-        W.m_StoreCall.reset();
-        W.m_StoreAnswer.emplace(CommitOutcomeUnknown{});
-      });
-  }
+  template <typename TryStep> void storeSteps(TryStep &&Try) const;
 
   void storeAnswers() {
     Event Answer = *m_StoreAnswer;
@@ -314,56 +264,9 @@
     m_EngineCall.reset();
   }
 
-  template <typename TryStep> void engineSteps(TryStep &&Try) const {
-    if (m_EngineAnswer)
-      Try("the engine's answer arrives",
-          [](OrderWorld &W) { W.engineAnswers(); });
-    for (size_t I = 0; I != m_Copies.size(); ++I)
-      Try("a late copy reaches the engine", [I](OrderWorld &W) {
-        SendToEngine Late = W.m_Copies[I].Sent;
-        W.m_Copies.erase(W.m_Copies.begin() + I);
-        W.arrive(Late);
-      });
-    if (m_Engine.OrderState == EngineOrderState::Running) {
-      Try("the engine finishes", [](OrderWorld &W) { W.finishOrder(true); });
-      if (m_EngineFailures < m_Bounds.EngineFailures)
-        Try("the engine's change fails", [](OrderWorld &W) {
-          ++W.m_EngineFailures;
-          W.finishOrder(false);
-        });
-    }
-    if (!m_EngineCall)
-      return;
-    Try("the engine gets the call", [](OrderWorld &W) { W.engineWorks(); });
-    if (std::holds_alternative<SendToEngine>(*m_EngineCall) &&
-        m_LostSends < m_Bounds.LostSends)
-      Try("the order gets no answer", [](OrderWorld &W) {
-        ++W.m_LostSends;
-        W.loseSend();
-        W.m_EngineAnswer.emplace(EngineOutcomeUnknown{});
-      });
-    if (std::holds_alternative<SendToEngine>(*m_EngineCall) &&
-        m_EngineFailures < m_Bounds.EngineFailures) {
-      Try("the engine refuses the order", [](OrderWorld &W) {
-        ++W.m_EngineFailures;
-        W.m_EngineCall.reset();
-        W.m_EngineAnswer.emplace(EngineRejected{});
-      });
-      Try("the engine is busy with work of its own", [](OrderWorld &W) {
-        ++W.m_EngineFailures;
-        W.m_EngineCall.reset();
-        W.m_EngineAnswer.emplace(EngineBusy{});
-      });
-    }
-  }
+  template <typename TryStep> void engineSteps(TryStep &&Try) const;
 
-  template <typename TryStep> void faultSteps(TryStep &&Try) const {
-    if (m_Crashes < m_Bounds.Crashes)
-      Try("the engine crashes", [](OrderWorld &W) { W.crash(); });
-    if (m_Kills < m_Bounds.Kills)
-      Try("the agent is killed, another starts",
-          [](OrderWorld &W) { W.kill(); });
-  }
+  template <typename TryStep> void faultSteps(TryStep &&Try) const;
 
   void crash() {
     ++m_Crashes;
@@ -471,3 +374,5 @@
 };
 
 } // namespace figlift::test
+
+#include "LibOrder/OrderWorldSteps.h"
