figlift-agent: Hand slices only to homes that can be reached and stay

A home that was listed and dead was offered slices again and again; while an offer was open, the slice's keys were refused. Two homes that stopped together would have passed their slices to and fro. Now a successor needs a standing connection, and a home that leaves takes no slices.

Tried by hand: calls go on beside a listed dead home; a stop waits for running completions, for a detached answer to be resumed and for an open call.

--- a/Libraries/LibStream/AnswerStore.cpp
+++ b/Libraries/LibStream/AnswerStore.cpp
@@ -31,7 +31,7 @@
 
 void AnswerStore::deliverEnd(Answer &Ended, BootTime Now,
                              std::vector<Action> &Actions) {
-  Actions.push_back(SendEnding{*Ended.Reader, *Ended.End});
+  Actions.push_back(SendEnding{*Ended.Reader, *Ended.End, Ended.Held.end()});
   detach(Ended);
   Ended.Expires = Now + m_Limits.DeliveredTime;
   if (!Ended.Delivered)
--- a/Libraries/LibStream/AnswerStore.h
+++ b/Libraries/LibStream/AnswerStore.h
@@ -96,6 +96,8 @@
 struct SendEnding {
   ReaderId Reader = 0;
   Ending How;
+  /// Tokens of the answer so far, those of earlier attempts included.
+  uint32_t Tokens = 0;
 };
 struct RefuseResume {
   ReaderId Reader = 0;
--- a/Services/figlift-agent/Agent.cpp
+++ b/Services/figlift-agent/Agent.cpp
@@ -150,8 +150,9 @@
 }
 
 size_t Agent::unfinished() const {
-  return m_Gate->inFlight() +
-         (m_Completions ? m_Completions->undelivered() : 0);
+  // Completions at the engine are also among the undelivered answers.
+  return m_Completions ? m_Gate->queued() + m_Completions->undelivered()
+                       : m_Gate->inFlight();
 }
 
 void Agent::setReason(DrainReason Why, bool On) {
@@ -168,9 +169,9 @@
 }
 
 void Agent::standingChanged() {
+  if (m_Slices)
+    m_Slices->setTaking(!m_Standing.draining());
   m_Gate->setAccepting(m_Standing.accepting(), m_Standing.refusalCode());
-  if (m_Slices && m_Standing.draining())
-    m_Slices->rebalance(true, m_Configuration->leavingTargets());
   m_Syncs->tick();
   publish();
 }
--- a/Services/figlift-agent/Agent.h
+++ b/Services/figlift-agent/Agent.h
@@ -65,6 +65,7 @@
   void tick();
   void slowTick();
   void stopTick();
+  bool stillMoving(BootClock::duration Age) const;
   void sayGoodbye();
   wire::Load load() const;
   wire::SyncDown report() const;
--- a/Services/figlift-agent/AgentParts.cpp
+++ b/Services/figlift-agent/AgentParts.cpp
@@ -122,17 +122,20 @@
   if (m_Orders)
     m_Orders->tick();
   answerDrains();
+  if (m_Slices && m_Standing.draining())
+    m_Slices->rebalance(true, m_Configuration->leavingTargets());
   m_Syncs->tick();
   stopTick();
 }
 
 void Agent::slowTick() {
+  m_Client->closeIdle();
   if (m_Completions)
     m_Completions->tick();
   if (m_Calls) {
     m_Calls->tick();
-    m_Slices->rebalance(m_Standing.draining(),
-                        m_Configuration->leavingTargets());
+    if (!m_Standing.draining())
+      m_Slices->rebalance(false, m_Configuration->leavingTargets());
   }
   if (!m_Engine)
     return;
--- a/Services/figlift-agent/AgentStop.cpp
+++ b/Services/figlift-agent/AgentStop.cpp
@@ -14,6 +14,8 @@
 /// A successor that can't be reached, or a store that is out, must not hold
 /// the stop up for ever: keys then count as unknown, never as not run.
 static constexpr std::chrono::milliseconds HandoverLimit{8000};
+/// How long a successor is looked for when none takes the slices.
+static constexpr std::chrono::milliseconds SuccessorLimit{2500};
 /// For the last bytes and the entries' goodbyes.
 static constexpr std::chrono::milliseconds GoodbyeLimit{1000};
 
@@ -40,8 +42,7 @@
   }
   const auto Age = Now - m_StopBegan;
   const bool Busy = unfinished() != 0;
-  const bool Moving = m_Slices && Age < HandoverLimit &&
-                      (m_Slices->moving() != 0 || !m_Slices->held().empty());
+  const bool Moving = m_Slices && stillMoving(Age);
   if ((Busy || Moving) && Age < m_Shared.Settings.Drain.Timeout)
     return;
   if (Busy)
@@ -50,6 +51,12 @@
   sayGoodbye();
 }
 
+bool Agent::stillMoving(BootClock::duration Age) const {
+  if (m_Slices->moving() != 0)
+    return Age < HandoverLimit;
+  return !m_Slices->held().empty() && Age < SuccessorLimit;
+}
+
 void Agent::sayGoodbye() {
   m_Stage = StopStage::Goodbye;
   m_GoodbyeBegan = BootClock::now();
--- a/Services/figlift-agent/Answering.cpp
+++ b/Services/figlift-agent/Answering.cpp
@@ -12,6 +12,9 @@
 
 namespace figlift::agent {
 
+/// For refusals that pass soon and of whose end nothing is known.
+static constexpr std::chrono::milliseconds DefaultRetryAfter{200};
+
 void Answering::send(const Reader &To, wire::RunFrame Frame, bool WithLoad) {
   Frame.set_request_id(To.RequestId);
   Frame.set_attempt_id(To.AttemptId);
@@ -27,10 +30,12 @@
   m_Back.finish(To.Stream);
 }
 
-void Answering::finish(const Reader &To, const Error &Reason,
+void Answering::finish(const Reader &To, Error Reason,
                        uint32_t TokensProduced) {
-  const bool Refused =
-      resultCodeInfo(Reason.Code).Executed == Execution::NotRun;
+  const ResultCodeInfo &Row = resultCodeInfo(Reason.Code);
+  const bool Refused = Row.Executed == Execution::NotRun;
+  if (Refused && Row.MayRetry && !Reason.RetryAfter)
+    Reason.RetryAfter = DefaultRetryAfter;
   log::logRequest(
       log::Level::Info, Refused ? "run-refused" : "run-failed", To.RequestId,
       To.AttemptId,
--- a/Services/figlift-agent/Answering.h
+++ b/Services/figlift-agent/Answering.h
@@ -32,8 +32,7 @@
   /// Sends the last frame and ends the stream.
   void finish(const Reader &To, wire::RunFrame Frame);
   /// Ends the stream with a Refusal or Failure, by the row of the code.
-  void finish(const Reader &To, const Error &Reason,
-              uint32_t TokensProduced = 0);
+  void finish(const Reader &To, Error Reason, uint32_t TokensProduced = 0);
   void dismiss(const Reader &To) { m_Back.cancel(To.Stream); }
 
 private:
--- a/Services/figlift-agent/Completions.cpp
+++ b/Services/figlift-agent/Completions.cpp
@@ -73,9 +73,7 @@
   admission::Work Out;
   Out.Class = static_cast<record::ServiceClass>(Which.Priority);
   Out.PromptTokens = promptTokensOf(Which.Work);
-  Out.ExpectedCachedTokens =
-      static_cast<uint32_t>(m_Parts.Prefixes.matching(hashesOf(Which.Work)) *
-                            route::PrefixBlockTokens);
+  Out.ExpectedCachedTokens = Which.ExpectedCached;
   Out.MaximumTokens = Which.Work.maximum_tokens();
   Out.Deadline = Which.Deadline;
   return Out;
@@ -92,6 +90,8 @@
   New.Work = std::move(*Request.mutable_completion());
   m_Readers[Stream] = New.First;
   m_Queued[Stream] = Id;
+  New.ExpectedCached = static_cast<uint32_t>(
+      m_Parts.Prefixes.matching(hashesOf(New.Work)) * route::PrefixBlockTokens);
   m_Parts.Way.enter(Id, describe(New),
                     {[this, Id] { admitted(Id); },
                      [this, Id](const GateRefusal &Why) { refused(Id, Why); }});
@@ -151,7 +151,7 @@
     return;
   m_Tokens.add();
   if (Found->second.Produced++ == 0)
-    m_Parts.Way.firstToken(Id, 0);
+    m_Parts.Way.firstToken(Id, Found->second.ExpectedCached);
   else
     m_Parts.Way.progress(Id, 1);
   step(stream::TokenProduced{Id, Produced.Index, std::move(Produced.Text)});
@@ -175,7 +175,10 @@
                  {},
                  EngineRefusedRetry};
   }
-  return Error{ResultCode::TargetFailed, Fault.Cause.Message, {}, std::nullopt};
+  return Error{ResultCode::TargetFailed,
+               "the engine's answer broke off: " + Fault.Cause.Message,
+               {},
+               std::nullopt};
 }
 
 void Completions::ended(WorkId Id,
@@ -250,7 +253,7 @@
   if (const auto *Whole = std::get_if<stream::Completed>(&What.How))
     m_Parts.Out.finish(To->second, finishedFrame(*Whole));
   else
-    m_Parts.Out.finish(To->second, std::get<Error>(What.How));
+    m_Parts.Out.finish(To->second, std::get<Error>(What.How), What.Tokens);
 }
 
 void Completions::act(const stream::RefuseResume &What) {
--- a/Services/figlift-agent/Completions.h
+++ b/Services/figlift-agent/Completions.h
@@ -49,6 +49,7 @@
     std::optional<BootTime> Deadline;
     /// Null while queued.
     std::shared_ptr<target::Completion> AtEngine;
+    uint32_t ExpectedCached = 0;
     uint32_t Produced = 0;
   };
 
--- a/Services/figlift-agent/Gate.cpp
+++ b/Services/figlift-agent/Gate.cpp
@@ -84,6 +84,8 @@
   wire::Load Out;
   Out.set_prefill_tokens_waiting(Now.prefillTotal());
   Out.set_decode_tokens_waiting(Now.DecodeTokensWaiting);
+  Out.set_offered_prefill_tokens(m_Admission.offeredPrefillTokens());
+  Out.set_offered_decode_tokens(m_Admission.offeredDecodeTokens());
   Out.set_running_sequences(Now.RunningSequences);
   Out.set_waiting_requests(Now.WaitingRequests);
   Out.set_maximum_sequences(Now.MaximumSequences);
--- a/Services/figlift-agent/Gate.h
+++ b/Services/figlift-agent/Gate.h
@@ -46,6 +46,7 @@
   void tick();
 
   size_t atTarget() const { return m_Admission.atTarget(); }
+  size_t queued() const { return m_Admission.queued(); }
   size_t inFlight() const {
     return m_Admission.atTarget() + m_Admission.queued();
   }
--- a/Services/figlift-agent/PeerClient.cpp
+++ b/Services/figlift-agent/PeerClient.cpp
@@ -9,6 +9,7 @@
 namespace figlift::agent {
 
 static constexpr std::chrono::milliseconds RetryInterval{50};
+static constexpr std::chrono::milliseconds IdleLimit{30000};
 static constexpr unsigned MaximumAttempts = 30;
 
 namespace {
@@ -53,8 +54,30 @@
 }
 
 PeerClient::~PeerClient() {
-  for (auto &[Peer, Channel] : m_Channels)
-    Channel->close();
+  for (auto &[Peer, Known] : m_Connections)
+    Known.Channel->close();
+}
+
+wire::Channel &PeerClient::connection(const Endpoint &Peer) {
+  Connection &Known = m_Connections[Peer];
+  if (!Known.Channel)
+    Known.Channel = m_Client->connect(Peer, std::make_shared<Ignored>());
+  Known.LastUsed = BootClock::now();
+  return *Known.Channel;
+}
+
+bool PeerClient::reachable(const Endpoint &Peer) {
+  return connection(Peer).state() == wire::ChannelState::Up;
+}
+
+void PeerClient::closeIdle() {
+  const BootTime Now = BootClock::now();
+  std::erase_if(m_Connections, [Now](const auto &Line) {
+    if (Now - Line.second.LastUsed < IdleLimit)
+      return false;
+    Line.second.Channel->close();
+    return true;
+  });
 }
 
 void PeerClient::ask(const Endpoint &Peer, wire::Method What,
@@ -65,9 +88,7 @@
 }
 
 void PeerClient::send(std::shared_ptr<Question> Which) {
-  auto &Channel = m_Channels[Which->Peer];
-  if (!Channel)
-    Channel = m_Client->connect(Which->Peer, std::make_shared<Ignored>());
+  wire::Channel &Channel = connection(Which->Peer);
   ++Which->Attempts;
   const auto Listener = std::make_shared<Answer>(
       m_Shared.Decisions, [this, Which](wire::StreamEnd End, std::string Text) {
@@ -75,7 +96,7 @@
       });
   const bool Single = Which->Messages.size() == 1;
   const auto Stream =
-      Channel->open(Which->What, Which->Messages.front(), Listener, Single);
+      Channel.open(Which->What, Which->Messages.front(), Listener, Single);
   if (Single || !Stream)
     return;
   for (size_t Next = 1; Next < Which->Messages.size(); ++Next)
--- a/Services/figlift-agent/PeerClient.h
+++ b/Services/figlift-agent/PeerClient.h
@@ -30,6 +30,11 @@
   /// Sends all \p Messages on one stream once a connection is there.
   void ask(const Endpoint &Peer, wire::Method What,
            std::vector<std::string> Messages, Done Then);
+  /// Whether a connection to \p Peer stands; begins to connect when none
+  /// does.
+  bool reachable(const Endpoint &Peer);
+  /// Closes connections that nobody has used for a while; about once a second.
+  void closeIdle();
   uint64_t bytesSent() const { return m_Client->bytesSent(); }
 
 private:
@@ -42,13 +47,19 @@
     unsigned Attempts = 0;
   };
 
+  struct Connection {
+    std::shared_ptr<wire::Channel> Channel;
+    BootTime LastUsed{};
+  };
+
   explicit PeerClient(Context Shared) : m_Shared(Shared) {}
+  wire::Channel &connection(const Endpoint &Peer);
   void send(std::shared_ptr<Question> Which);
   void ended(const std::shared_ptr<Question> &Which, wire::StreamEnd End,
              std::string Received);
 
   Context m_Shared;
-  std::map<Endpoint, std::shared_ptr<wire::Channel>> m_Channels;
+  std::map<Endpoint, Connection> m_Connections;
   std::unique_ptr<wire::Client> m_Client;
 };
 
--- a/Services/figlift-agent/SliceKeeper.cpp
+++ b/Services/figlift-agent/SliceKeeper.cpp
@@ -27,6 +27,10 @@
 /// The platform's list lags and flaps; moving slices on each flap would cost
 /// more refusals than a slice that stays where it is.
 static constexpr std::chrono::milliseconds StableTime{3000};
+/// A home that leaves looks for another successor after this time.
+static constexpr std::chrono::milliseconds ConnectLimit{1000};
+/// A home that did not take claims is not asked again so soon.
+static constexpr std::chrono::milliseconds RefusalMemory{2000};
 
 SliceKeeper::SliceKeeper(Context Shared, Parts Of, WallTime BoundAt)
     : m_Shared(Shared), m_Parts(Of), m_BoundAt(BoundAt) {}
@@ -131,11 +135,10 @@
                              const wire::HandoverRequest &Message) {
   wire::HandoverReply Reply;
   const bool Ours = Message.back_end() == m_Shared.Settings.Target.BackEnd;
-  Reply.set_code(static_cast<uint32_t>(Ours ? ResultCode::Success
-                                            : ResultCode::UnknownBackEnd));
-  if (Ours)
-    for (const ClaimsReceived &Claims : readClaims(Message))
-      m_Parts.Calls->step(Claims);
+  if (!Ours)
+    Reply.set_code(static_cast<uint32_t>(ResultCode::UnknownBackEnd));
+  else
+    Reply.set_code(static_cast<uint32_t>(takeClaims(Message)));
   if (Ours && moreFollows(Message))
     return;
   Reply.set_clock(m_Shared.Events.clockToSend());
@@ -143,6 +146,18 @@
   m_Parts.Back.finish(Stream);
 }
 
+/// Two homes that leave together would pass their slices to and fro, so a
+/// home that leaves takes none. Outcomes of calls that were open at an earlier
+/// handover are taken at any time.
+ResultCode SliceKeeper::takeClaims(const wire::HandoverRequest &Message) {
+  for (const ClaimsReceived &Claims : readClaims(Message)) {
+    if (Claims.Complete && !m_Taking)
+      return ResultCode::Draining;
+    m_Parts.Calls->step(Claims);
+  }
+  return ResultCode::Success;
+}
+
 void SliceKeeper::carryOut(const Action &What) {
   std::visit([this](const auto &Which) { act(Which); }, What);
 }
@@ -164,7 +179,8 @@
   }
   m_Parts.Client.ask(
       Successor->Peer, wire::Method::Handover, std::move(Messages),
-      [this, Slice, Epoch, Complete](const Result<std::string> &Answer) {
+      [this, Slice, Epoch, Complete,
+       Home = What.Successor](const Result<std::string> &Answer) {
         if (!Complete)
           return;
         wire::HandoverReply Reply;
@@ -173,10 +189,15 @@
         if (Taken)
           m_Parts.Calls->step(HandoverAcknowledged{Slice, Epoch});
         else
-          ended(Slice, HandoverFailed{Slice});
+          refused(Slice, Home);
       });
 }
 
+void SliceKeeper::refused(SliceId Slice, const std::string &Home) {
+  m_RefusedAt[Home] = BootClock::now();
+  ended(Slice, HandoverFailed{Slice});
+}
+
 void SliceKeeper::act(const AcknowledgeClaims &What) {
   m_ClaimsOf[What.Slice] = What.Epoch;
   m_ReadSoonUntil = BootClock::now() + ReadSoonTime;
@@ -254,14 +275,56 @@
   for (SliceId Slice = 0; Slice < SliceCount; ++Slice) {
     if (!m_Parts.Calls->home().serves(Slice) || m_Moving.contains(Slice))
       continue;
-    const std::string Next = SliceMap::preferredHome(Slice, Homes);
-    if (Next.empty() || Next == Self)
+    const std::string Next = chooseSuccessor(Slice, Homes, Leaving);
+    if (Next.empty())
       continue;
     m_Moving.insert(Slice);
     m_Parts.Calls->step(HandoverRequested{Slice, Next});
   }
 }
 
+/// While a handover is tried the slice's keys are refused, so it is not tried
+/// with a process that is listed and dead. A home that leaves takes the next
+/// best one that it can reach.
+std::string SliceKeeper::chooseSuccessor(SliceId Slice,
+                                         std::vector<std::string> Homes,
+                                         bool Leaving) {
+  const std::string &Self = m_Shared.Settings.Process.Id;
+  while (true) {
+    const std::string Next = SliceMap::preferredHome(Slice, Homes);
+    if (Next.empty() || Next == Self)
+      return {};
+    const bool Refused = refusedLately(Next);
+    if (!Refused && reachable(Next))
+      return Next;
+    if (!Leaving || !(Refused || givenUp(Next)))
+      return {};
+    std::erase(Homes, Next);
+  }
+}
+
+bool SliceKeeper::reachable(const std::string &Home) {
+  const platform::Vm *Known = m_Parts.Peers.find(Home);
+  if (Known && m_Parts.Client.reachable(Known->Peer)) {
+    m_UnreachableSince.erase(Home);
+    return true;
+  }
+  m_UnreachableSince.try_emplace(Home, BootClock::now());
+  return false;
+}
+
+bool SliceKeeper::refusedLately(const std::string &Home) const {
+  const auto Found = m_RefusedAt.find(Home);
+  return Found != m_RefusedAt.end() &&
+         BootClock::now() - Found->second < RefusalMemory;
+}
+
+bool SliceKeeper::givenUp(const std::string &Home) const {
+  const auto Found = m_UnreachableSince.find(Home);
+  return Found != m_UnreachableSince.end() &&
+         BootClock::now() - Found->second > ConnectLimit;
+}
+
 std::vector<wire::SliceGrant> SliceKeeper::held() const {
   std::vector<wire::SliceGrant> Out;
   for (SliceId Slice = 0; Slice < SliceCount; ++Slice) {
--- a/Services/figlift-agent/SliceKeeper.h
+++ b/Services/figlift-agent/SliceKeeper.h
@@ -37,6 +37,8 @@
   void setCalls(ServiceCalls &Calls) { m_Parts.Calls = &Calls; }
 
   void start();
+  /// Whether slices of other homes are taken.
+  void setTaking(bool Taking) { m_Taking = Taking; }
   /// An entry believes that this home holds the key's slice under \p Epoch.
   /// Calls \p Then at once, or after the row was read when that is news.
   void hint(std::string_view Key, uint64_t Epoch, std::function<void()> Then);
@@ -65,6 +67,13 @@
   void learnLine(idempotency::SliceId Slice, const idempotency::Grant &Line);
   idempotency::GrantReason reasonFor(idempotency::SliceId Slice,
                                      const idempotency::Grant &Line) const;
+  std::string chooseSuccessor(idempotency::SliceId Slice,
+                              std::vector<std::string> Homes, bool Leaving);
+  bool reachable(const std::string &Home);
+  bool refusedLately(const std::string &Home) const;
+  bool givenUp(const std::string &Home) const;
+  void refused(idempotency::SliceId Slice, const std::string &Home);
+  ResultCode takeClaims(const wire::HandoverRequest &Message);
   void writePending();
   void settlePending();
   void ended(idempotency::SliceId Slice, const idempotency::Event &How);
@@ -93,6 +102,12 @@
   /// The preferred homes must stay the same for a while before slices move.
   std::vector<std::string> m_LastHomes;
   BootTime m_HomesSince{};
+  /// Preferred homes without a connection, since when.
+  std::map<std::string, BootTime> m_UnreachableSince;
+  /// Homes that did not take claims, and when.
+  std::map<std::string, BootTime> m_RefusedAt;
+  /// This home takes slices of others.
+  bool m_Taking = true;
 };
 
 } // namespace figlift::agent
