--- a/Libraries/LibWire/Http2Channel.cpp
+++ b/Libraries/LibWire/Http2Channel.cpp
@@ -25,7 +25,7 @@
     m_Leaving.push_back(std::move(m_Current));
   if (!m_Leaving.empty())
     m_Loop->post([Left = std::move(m_Leaving)] {
-      for (auto &Each : Left)
+      for (const auto &Each : Left)
         Each->cancelAll();
     });
 }
--- a/Tests/LibWire/TestBadPeers.cpp
+++ b/Tests/LibWire/TestBadPeers.cpp
@@ -157,6 +157,7 @@
 
 TEST(BadPeers, ConnectionsBeyondTheBoundAreClosed) {
   std::vector<std::unique_ptr<RawSocket>> Crowd;
+  Crowd.reserve(25);
   for (int I = 0; I < 25; ++I)
     Crowd.push_back(std::make_unique<RawSocket>(Host->endpoint()));
   // Not even SETTINGS; those within the bound get them.
--- a/Tests/LibWire/TestConnections.cpp
+++ b/Tests/LibWire/TestConnections.cpp
@@ -94,9 +94,10 @@
   auto Seen = std::make_shared<States>();
   auto Link = From->connect(Host->endpoint(), Seen);
   CHECK(waitFor(*Link, ChannelState::Up));
-  // A dozen heartbeats, and several times the limit on the first message.
+  // A dozen heartbeats of 17 bytes, and several times the limit on the first
+  // message.
   auto Before = Host->bytesReceived();
-  CHECK(eventually([&] { return Host->bytesReceived() > Before + 12 * 17; }));
+  CHECK(eventually([&] { return Host->bytesReceived() > Before + 204; }));
   CHECK(Link->state() == ChannelState::Up);
   CHECK_FALSE(Seen->saw(ChannelState::Down));
 }
--- a/Tests/LibWire/TestStreams.cpp
+++ b/Tests/LibWire/TestStreams.cpp
@@ -21,18 +21,21 @@
   auto Host = serve(Service);
   auto From = makeClient();
   std::vector<std::shared_ptr<Channel>> Channels;
+  Channels.reserve(2);
   for (int I = 0; I < 2; ++I)
     Channels.push_back(upChannel(*From, Host->endpoint()));
-  constexpr int Threads = 4, StreamsEach = 50, Messages = 20;
+  constexpr size_t Threads = 4, StreamsEach = 50;
+  constexpr int Messages = 20;
   std::vector<std::shared_ptr<Recorder>> Recorders(Threads * StreamsEach);
   std::vector<std::thread> Senders;
-  for (int T = 0; T < Threads; ++T)
+  Senders.reserve(Threads);
+  for (size_t T = 0; T < Threads; ++T)
     Senders.emplace_back([&, T] {
-      for (int S = 0; S < StreamsEach; ++S) {
-        auto &Mine = Recorders[size_t(T * StreamsEach + S)];
+      for (size_t S = 0; S < StreamsEach; ++S) {
+        auto &Mine = Recorders[T * StreamsEach + S];
         Mine = std::make_shared<Recorder>();
-        auto Opened = Channels[size_t(S % 2)]->open(Method::Run, "0", Mine,
-                                                    /*HalfClose=*/false);
+        auto Opened = Channels[S % 2]->open(Method::Run, "0", Mine,
+                                            /*HalfClose=*/false);
         for (int M = 1; M < Messages; ++M)
           Opened->send(std::to_string(M));
         Opened->finish();
--- a/Tests/LibWire/WireFixtures.cpp
+++ b/Tests/LibWire/WireFixtures.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdlib>
 
 #include <CppUTest/TestHarness.h>
 
@@ -215,8 +216,10 @@
   int Small = 16 << 10;
   setsockopt(m_Socket, SOL_SOCKET, SO_RCVBUF, &Small, sizeof(Small));
   auto Address = addressOf({"127.0.0.1", 0});
-  ::bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  ::listen(m_Socket, 16);
+  if (::bind(m_Socket, reinterpret_cast<sockaddr *>(&Address),
+             sizeof(Address)) != 0 ||
+      ::listen(m_Socket, 16) != 0)
+    std::abort();
 }
 
 RawListener::~RawListener() { ::close(m_Socket); }
