--- a/Tests/Exploration/Explorer.h
+++ b/Tests/Exploration/Explorer.h
@@ -19,6 +19,7 @@
 #include <xxhash.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <cstdio>
 #include <deque>
@@ -30,6 +31,12 @@
 
 namespace figlift::test {
 
+/// Removes one element by its position.
+template <typename Element>
+void eraseAt(std::vector<Element> &From, size_t Position) {
+  From.erase(From.begin() + static_cast<std::ptrdiff_t>(Position));
+}
+
 /// Collects values as bytes.
 class Digest {
 public:
@@ -42,6 +49,7 @@
   }
 
 private:
+  void add(char Tag) { m_Bytes += Tag; }
   void add(const std::string &Text) {
     add(Text.size());
     m_Bytes += Text;
--- a/Tests/LibIdempotency/HomeWorld.h
+++ b/Tests/LibIdempotency/HomeWorld.h
@@ -71,12 +71,12 @@
       Put('s', One.Slot, One.Process, One.Token, One.Key, One.Ran);
     for (const Message &One : m_Messages) {
       Put('m', One.To, One.Process, One.Sent.index());
-      if (auto *Claims = std::get_if<ClaimsReceived>(&One.Sent)) {
+      if (const auto *Claims = std::get_if<ClaimsReceived>(&One.Sent)) {
         Put(Claims->Epoch, Claims->Complete);
         for (const Claim &What : Claims->Claims)
           Put(What.Key, What.State);
       }
-      if (auto *Stored = std::get_if<HandoverAcknowledged>(&One.Sent))
+      if (const auto *Stored = std::get_if<HandoverAcknowledged>(&One.Sent))
         Put(Stored->Epoch);
     }
     for (const Write &One : m_Writes)
@@ -230,9 +230,7 @@
       const Pending &One = m_Sends[At];
       const Slot &From = m_Slots[One.Slot];
       bool Lives = From.Alive && From.Process == One.Process;
-      auto Erase = [At](HomeWorld &W) {
-        W.m_Sends.erase(W.m_Sends.begin() + At);
-      };
+      auto Erase = [At](HomeWorld &W) { eraseAt(W.m_Sends, At); };
       std::string Name = "call " + std::to_string(One.Token);
       if (!One.Ran) {
         Try(Name + " reaches the target", [&](HomeWorld &W) {
@@ -259,7 +257,7 @@
     for (size_t At = 0; At != m_Messages.size(); ++At) {
       const Message &One = m_Messages[At];
       Try(label(One.To) + "gets a message of its peer", [&](HomeWorld &W) {
-        W.m_Messages.erase(W.m_Messages.begin() + At);
+        eraseAt(W.m_Messages, At);
         if (W.m_Slots[One.To].Alive && W.m_Slots[One.To].Process == One.Process)
           W.feed(One.To, One.Sent);
       });
@@ -271,7 +269,7 @@
       const Write &One = m_Writes[At];
       Try("the grant for the peer of " + label(One.From) + "reaches the table",
           [&](HomeWorld &W) {
-            W.m_Writes.erase(W.m_Writes.begin() + At);
+            eraseAt(W.m_Writes, At);
             bool Done = W.m_Row.Version == One.Version;
             if (Done)
               W.m_Row = {1 - One.From, One.Epoch, One.Version + 1,
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseWorld.h
@@ -84,7 +84,7 @@
     for (size_t Late = 0; Late != m_Late.size(); ++Late)
       Try("a delayed commit reaches the table", [&](LeaseWorld &W) {
         lease::CommitRow Commit = W.m_Late[Late];
-        W.m_Late.erase(W.m_Late.begin() + Late);
+        eraseAt(W.m_Late, Late);
         W.apply(Commit);
         return true;
       });
--- a/Tests/LibOrder/OrderWorld.h
+++ b/Tests/LibOrder/OrderWorld.h
@@ -67,11 +67,11 @@
     if (m_EngineAnswer)
       Put('f', m_EngineAnswer->index());
     if (m_EngineAnswer)
-      if (auto *Read = std::get_if<EngineStateRead>(&*m_EngineAnswer))
+      if (const auto *Read = std::get_if<EngineStateRead>(&*m_EngineAnswer))
         Put(Read->State.Role, Read->State.OrderId, Read->State.OrderState,
             Read->State.Boot);
     if (m_StoreAnswer)
-      if (auto *Read = std::get_if<IntentRowRead>(&*m_StoreAnswer))
+      if (const auto *Read = std::get_if<IntentRowRead>(&*m_StoreAnswer))
         Put(Read->Version, Read->LeaseVersion);
     for (const Action &Late : m_LateCommits)
       Put('l', Late.index(), version(Late));
@@ -125,7 +125,7 @@
     return {Bounds.SettleTime, std::chrono::milliseconds(1000), 3};
   }
   static uint64_t version(const Action &Commit) {
-    if (auto *Intent = std::get_if<CommitIntentRow>(&Commit))
+    if (const auto *Intent = std::get_if<CommitIntentRow>(&Commit))
       return Intent->ExpectedVersion;
     return std::get<CommitCompletionRow>(Commit).ExpectedVersion;
   }
@@ -185,7 +185,7 @@
   bool apply(const Action &Commit) {
     if (version(Commit) != m_RowVersion)
       return false;
-    if (auto *Intent = std::get_if<CommitIntentRow>(&Commit)) {
+    if (const auto *Intent = std::get_if<CommitIntentRow>(&Commit)) {
       if (m_Bounds.LeaseCondition &&
           Intent->ExpectedLeaseVersion != m_LeaseEpoch)
         return false;
@@ -254,7 +254,7 @@
   void engineWorks() {
     const Action Call = *m_EngineCall;
     m_EngineCall.reset();
-    if (auto *Send = std::get_if<SendToEngine>(&Call))
+    if (const auto *Send = std::get_if<SendToEngine>(&Call))
       m_EngineAnswer = arrive(*Send);
     else
       m_EngineAnswer.emplace(EngineStateRead{m_Engine});
--- a/Tests/LibOrder/OrderWorldSteps.h
+++ b/Tests/LibOrder/OrderWorldSteps.h
@@ -39,7 +39,7 @@
   for (size_t I = 0; I != m_LateCommits.size(); ++I)
     Try("a delayed commit reaches the table", [I](OrderWorld &W) {
       Action Late = W.m_LateCommits[I];
-      W.m_LateCommits.erase(W.m_LateCommits.begin() + I);
+      eraseAt(W.m_LateCommits, I);
       W.apply(Late);
     });
   if (!m_StoreCall)
@@ -71,7 +71,7 @@
   for (size_t I = 0; I != m_Copies.size(); ++I)
     Try("a late copy reaches the engine", [I](OrderWorld &W) {
       SendToEngine Late = W.m_Copies[I].Sent;
-      W.m_Copies.erase(W.m_Copies.begin() + I);
+      eraseAt(W.m_Copies, I);
       W.arrive(Late);
     });
   if (m_Engine.OrderState == EngineOrderState::Running) {
--- a/Tests/LibOrder/TestOrderMachine.cpp
+++ b/Tests/LibOrder/TestOrderMachine.cpp
@@ -38,7 +38,7 @@
   }
   void expectReply(const std::vector<Action> &Actions, ResultCode Code,
                    OrderProgress Progress) {
-    auto *Said = std::get_if<Reply>(&Actions.at(0));
+    const auto *Said = std::get_if<Reply>(&Actions.at(0));
     CHECK_TRUE(Said != nullptr);
     CHECK_TRUE(Said->Code == Code && Said->Progress == Progress);
   }
