--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -40,9 +40,10 @@
 start() {
   local name=$1 deadline=$((SECONDS + start_limit))
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  : >"$work/$name.log"
+  "$@" >>"$work/$name.log" 2>&1 &
   pids[$name]=$!
-  until grep -q listening "$work/$name.log"; do
+  until grep -qE 'listening|"ready"' "$work/$name.log"; do
     kill -0 "${pids[$name]}" 2>/dev/null || {
       cat "$work/$name.log" >&2
       fail "$name ended while it started"
