--- a/Services/figlift-entry/Rcu.h
+++ b/Services/figlift-entry/Rcu.h
@@ -7,9 +7,7 @@
 
 #pragma once
 
-#include "LibConfig/SnapshotCell.h"
-
-#include <urcu/urcu-memb.h>
+#include "LibConfig/RcuReadSection.h"
 
 #include <atomic>
 #include <memory>
@@ -28,9 +26,8 @@
   /// Calls \p Use with the snapshot inside a read-side critical section:
   /// \p Use must not block and must keep no reference into the snapshot.
   template <typename Function> auto read(Function &&Use) const {
-    return m_Section.read([&](const config::Snapshot *) {
-      return Use(*m_Now.load(std::memory_order_acquire));
-    });
+    const config::RcuReadSection Section;
+    return Use(*m_Now.load(std::memory_order_acquire));
   }
 
   /// Replaces the snapshot; returns when the old one is destroyed. Not inside
@@ -38,14 +35,10 @@
   void publish(std::unique_ptr<const T> Next) {
     const std::unique_ptr<const T> Old(
         m_Now.exchange(Next.release(), std::memory_order_acq_rel));
-    urcu_memb_synchronize_rcu();
+    config::waitForReaders();
   }
 
 private:
-  /// Always empty. Its critical sections are used, because liburcu allows a
-  /// thread to be registered only once and LibConfig registers the threads
-  /// that read configuration.
-  config::SnapshotCell m_Section;
   std::atomic<const T *> m_Now;
 };
 
