Meta: Share the rule for suites that start processes

Each suite that starts programs would list them again. Checked: the tree configures, and the suite of the whole path keeps its one copy of the leak detector's switch.

--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -65,3 +65,24 @@
   add_test(NAME ${Name} COMMAND ${Name})
   set_tests_properties(${Name} PROPERTIES TIMEOUT 120)
 endfunction()
+
+# figlift_integration_test(Folder [targets...]): a suite that starts the
+# project's programs as processes of their own.
+function(figlift_integration_test Name)
+  figlift_test(${Name} TestSupport ${ARGN})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT 300)
+  # cpprestsdk's pool allocates on its own, which CppUTest's leak table does
+  # not stand; see that file.
+  set(LeakDetectorOff ${PROJECT_SOURCE_DIR}/Tests/Integration/LeakDetectorOff.cpp)
+  get_target_property(Sources ${Name} SOURCES)
+  if(NOT LeakDetectorOff IN_LIST Sources)
+    target_sources(${Name} PRIVATE ${LeakDetectorOff})
+  endif()
+  # Tests is the last group, so all programs are known.
+  foreach(Program IN ITEMS platform-standin engine-standin service-standin
+      fault-proxy figlift-agent figlift-entry figlift-ctl figlift-timeline)
+    if(TARGET ${Program})
+      add_dependencies(${Name} ${Program})
+    endif()
+  endforeach()
+endfunction()
