LibLease, LibIdempotency, LibConfig: Show the steps of the machines

The fault matrix takes its steps from the machines' own enumerations, so that a new step without a row is noticed. They were private; nothing else changes.

--- a/Libraries/LibConfig/ConfigWriter.h
+++ b/Libraries/LibConfig/ConfigWriter.h
@@ -98,6 +98,8 @@
 
 class ConfigWriter {
 public:
+  enum class State { Idle, Reading, Committing, Done };
+
   explicit ConfigWriter(ChangeRequest Request, WriterOptions Options = {});
 
   std::vector<writer::Action> step(const writer::Event &Event, BootTime Now);
@@ -105,7 +107,6 @@
   bool done() const { return m_State == State::Done; }
 
 private:
-  enum class State { Idle, Reading, Committing, Done };
   using Actions = std::vector<writer::Action>;
 
   Actions on(const writer::Begin &);
--- a/Libraries/LibIdempotency/HomeMachine.h
+++ b/Libraries/LibIdempotency/HomeMachine.h
@@ -43,6 +43,17 @@
 
 class HomeMachine {
 public:
+  enum class SliceState {
+    NotHome,
+    Serving,
+    /// Claims were sent, the successor has not acknowledged them.
+    HandingOver,
+    /// Acknowledged; the grant is being written, or its outcome is open.
+    Committing,
+    /// Another home holds the slice.
+    Moved,
+  };
+
   explicit HomeMachine(HomeOptions Options);
 
   /// \p Wall is compared with the mint times of keys only; ages use \p Now.
@@ -76,17 +87,6 @@
   }
 
 private:
-  enum class SliceState {
-    NotHome,
-    Serving,
-    /// Claims were sent, the successor has not acknowledged them.
-    HandingOver,
-    /// Acknowledged; the grant is being written, or its outcome is open.
-    Committing,
-    /// Another home holds the slice.
-    Moved,
-  };
-
   struct SliceRecord {
     SliceState State = SliceState::NotHome;
     uint64_t Epoch = 0;
--- a/Libraries/LibLease/LeaseMachine.h
+++ b/Libraries/LibLease/LeaseMachine.h
@@ -101,6 +101,13 @@
 /// One candidate for one shard.
 class LeaseMachine {
 public:
+  /// \name Steps of a tenure, for the fault matrix.
+  /// @{
+  enum class Phase { Watching, Holding, Releasing, Stopped };
+  /// The call to the store that has had no answer.
+  enum class Waiting { Nothing, Read, Commit };
+  /// @}
+
   explicit LeaseMachine(LeaseOptions Options);
 
   std::vector<Action> step(const Event &What, BootTime Now);
@@ -124,8 +131,6 @@
   }
 
 private:
-  enum class Phase { Watching, Holding, Releasing, Stopped };
-  enum class Waiting { Nothing, Read, Commit };
   using Actions = std::vector<Action>;
 
   void on(const Tick &, BootTime Now, Actions &Out);
