Meta: Name the programs that suites start without asking for them

The stand-ins come after the suites in the order of the folders, so the question whether they are known was answered with no, and a suite could run against old stand-ins. CMake settles dependencies when all is read.

--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -78,11 +78,6 @@
   if(NOT LeakDetectorOff IN_LIST Sources)
     target_sources(${Name} PRIVATE ${LeakDetectorOff})
   endif()
-  # Tests is the last group, so all programs are known.
-  foreach(Program IN ITEMS platform-standin engine-standin service-standin
-      fault-proxy figlift-agent figlift-entry figlift-ctl figlift-timeline)
-    if(TARGET ${Program})
-      add_dependencies(${Name} ${Program})
-    endif()
-  endforeach()
+  add_dependencies(${Name} platform-standin engine-standin service-standin
+    fault-proxy figlift-agent figlift-entry figlift-ctl figlift-timeline)
 endfunction()
