--- a/Tests/Support/Fleet.h
+++ b/Tests/Support/Fleet.h
@@ -56,7 +56,10 @@
 
   bool ready() const { return m_Problem.empty(); }
   const std::string &problem() const { return m_Problem; }
+  const FleetOptions &options() const { return m_Options; }
 
+  /// Ids of the entries.
+  const std::vector<std::string> &entries() const { return m_Options.Entries; }
   /// Address of an entry's HTTP listener for callers and operators.
   std::string callers(const std::string &EntryId) const;
   /// Address of an agent's HTTP listener.
