--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -56,21 +56,32 @@
   install(TARGETS ${Name} RUNTIME DESTINATION bin)
 endfunction()
 
+# Sanitizers make everything slower by about this factor.
+set(FIGLIFT_TIMEOUT_FACTOR 1 CACHE STRING "Factor on the timeouts of tests")
+
+# figlift_test_timeout(test seconds)
+function(figlift_test_timeout Name Seconds)
+  math(EXPR Timeout "${Seconds} * ${FIGLIFT_TIMEOUT_FACTOR}")
+  set_tests_properties(${Name} PROPERTIES TIMEOUT ${Timeout})
+endfunction()
+
 # figlift_test(Folder [targets...]): one ctest entry from all Test*.cpp of the
 # folder and the shared main program.
 function(figlift_test Name)
   file(GLOB Sources CONFIGURE_DEPENDS *.cpp)
   add_executable(${Name} ${Sources} ${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp)
   target_link_libraries(${Name} PRIVATE FigliftOptions ${ARGN} PkgConfig::CPPUTEST)
-  add_test(NAME ${Name} COMMAND ${Name})
-  set_tests_properties(${Name} PROPERTIES TIMEOUT 120)
+  # The names and results of the single tests stand in the log, where the fault
+  # matrix finds them.
+  add_test(NAME ${Name} COMMAND ${Name} -v)
+  figlift_test_timeout(${Name} 120)
 endfunction()
 
 # figlift_integration_test(Folder [targets...]): a suite that starts the
 # project's programs as processes of their own.
 function(figlift_integration_test Name)
   figlift_test(${Name} TestSupport ${ARGN})
-  set_tests_properties(${Name} PROPERTIES TIMEOUT 300)
+  figlift_test_timeout(${Name} 300)
   # cpprestsdk's pool allocates on its own, which CppUTest's leak table does
   # not stand; see that file.
   set(LeakDetectorOff ${PROJECT_SOURCE_DIR}/Tests/Integration/LeakDetectorOff.cpp)
