Meta: Mint the demo's idempotency key in the script

Cause: the demo asked figlift-ctl for a key, which it does not make; and it counted serving targets over both entries, so six of nine could still be recovering.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -131,7 +131,7 @@
 
 echo "== waiting until every target serves"
 deadline=$((SECONDS + start_limit))
-until [[ $("$ctl" --entry "$entries" status -o json |
+until [[ $("$ctl" --entry "$callers" status -o json |
   grep -o '"state": *"serving"' | wc -l) -ge $((engines + services)) ]]; do
   ((SECONDS < deadline)) || {
     "$ctl" --entry "$entries" status >&2
@@ -157,7 +157,11 @@
 grep -q 'data: \[DONE\]' "$work/short.out" || fail "the short request was cut"
 
 echo "== one slot hold, sent twice with the same idempotency key"
-key=$("$ctl" new-key)
+# A UUIDv7 (RFC 9562): 48 bits of milliseconds, then random bits.
+milliseconds=$(date +%s%3N)
+key=$(printf '%08x-%04x-7%03x-8%03x-%04x%04x%04x' \
+  $((milliseconds >> 16)) $((milliseconds & 0xffff)) \
+  $((RANDOM & 0xfff)) $((RANDOM & 0xfff)) $RANDOM $RANDOM $RANDOM)
 for i in 1 2; do
   curl -sS -m 30 --fail "http://$prefix.$((10 + i)):8080/v1/services/booking-core/slots/hold/42" \
     -H "Idempotency-Key: $key" -H 'Content-Type: application/json' \
