figlift-entry: Name the measured policies in the settings

Cause: the policy is to be compared with baselines, and with itself with one mechanism off, on real processes; until now the arm was compiled in. Ruled out: a build for each arm (figures of different binaries).

--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -14,6 +14,7 @@
 #include "LibLog/Log.h"
 #include "LibSettings/Units.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -90,10 +91,29 @@
   milliseconds Margin{1000};
 };
 
+/// Arms of a measurement. Deployments keep the defaults.
+struct PolicySettings {
+  /// One of RoutingArms.
+  std::string Routing = "figlift";
+  /// One of RoleArms.
+  std::string Roles = "figlift";
+};
+
+/// Ways to choose a target: figlift's, its baselines, and figlift's with one
+/// mechanism off.
+inline constexpr std::array<std::string_view, 8> RoutingArms = {
+    "figlift",         "random",         "round-robin",
+    "least-loaded",    "without-prefix", "without-in-flight",
+    "without-refusal", "without-classes"};
+/// Ways to plan roles.
+inline constexpr std::array<std::string_view, 3> RoleArms = {
+    "figlift", "static", "threshold"};
+
 struct EntrySettings : CommonSettings {
   EntryListen Listen;
   EntryLimits Limits;
   LeaseSettings Lease;
+  PolicySettings Policy;
   std::vector<Endpoint> Peers;
 };
 
--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -7,6 +7,9 @@
 #include "LibSettings/FieldTable.h"
 #include "LibSettings/Settings.h"
 
+#include <algorithm>
+#include <span>
+
 namespace figlift::settings {
 
 namespace {
@@ -129,8 +132,21 @@
                     "wire.heartbeatTimeout", Read.Wire.HeartbeatTimeout, false);
 }
 
+/// Checks that a name is one of those allowed.
+Result<void> checkName(std::string_view Path, const std::string &Found,
+                       std::span<const std::string_view> Allowed) {
+  if (std::ranges::find(Allowed, Found) != Allowed.end())
+    return success();
+  std::string Message = "found \"" + Found + "\"; allowed are";
+  for (std::string_view Name : Allowed)
+    Message += " \"" + std::string(Name) + "\"";
+  return invalid(std::move(Message), std::string(Path));
+}
+
 Result<void> check(const EntrySettings &Read) {
   FIGLIFT_TRY(checkCommon(Read));
+  FIGLIFT_TRY(checkName("policy.routing", Read.Policy.Routing, RoutingArms));
+  FIGLIFT_TRY(checkName("policy.roles", Read.Policy.Roles, RoleArms));
   return checkOrder("lease.margin", Read.Lease.Margin, "lease.duration",
                     Read.Lease.Duration, false);
 }
@@ -221,6 +237,20 @@
            {10, 5 * Minute},
            "How long before its lease ends a planner stops. Must be less than "
            "lease.duration."},
+          {"policy.routing",
+           &Of.Policy.Routing,
+           Optional,
+           {},
+           "How targets are chosen: \"figlift\", or an arm of a measurement: "
+           "\"random\", \"round-robin\", \"least-loaded\", or figlift's with "
+           "one mechanism off: \"without-prefix\", \"without-in-flight\", "
+           "\"without-refusal\", \"without-classes\"."},
+          {"policy.roles",
+           &Of.Policy.Roles,
+           Optional,
+           {},
+           "How roles are planned: \"figlift\", or an arm of a measurement: "
+           "\"static\" or \"threshold\"."},
           {"peers",
            &Of.Peers,
            Optional,
--- a/Services/figlift-entry/Entry.cpp
+++ b/Services/figlift-entry/Entry.cpp
@@ -6,6 +6,8 @@
 
 #include "figlift-entry/Entry.h"
 
+#include "figlift-entry/Arms.h"
+
 #include "LibHttp/Administration.h"
 #include "LibMetrics/ProcessMetrics.h"
 #include "LibRoute/Subset.h"
@@ -61,7 +63,8 @@
 
 Entry::Entry(const settings::EntrySettings &Settings)
     : m_Settings(Settings), m_Events(timelineOptions(Settings)),
-      m_Budget(budgetSettings(Settings)), m_Retrying(retrySettings(Settings)) {}
+      m_Budget(budgetSettings(Settings)), m_Retrying(retrySettings(Settings)),
+      m_Routing(routingArm(Settings.Policy.Routing)) {}
 
 Entry::~Entry() = default;
 
--- a/Services/figlift-entry/Entry.h
+++ b/Services/figlift-entry/Entry.h
@@ -59,7 +59,7 @@
   retry::RetryBudget m_Budget;
   WorkspaceBook m_Workspaces;
   const retry::RetrySettings m_Retrying;
-  const route::Policy m_Routing{route::FigliftPolicy{}};
+  const route::Policy m_Routing;
   ServingStatePointer m_State;
   /// Control state and polls.
   EventLoop m_Control;
--- a/Services/figlift-entry/Planning.cpp
+++ b/Services/figlift-entry/Planning.cpp
@@ -6,6 +6,8 @@
 
 #include "figlift-entry/Planning.h"
 
+#include "figlift-entry/Arms.h"
+
 #include "LibLog/Log.h"
 #include "LibMetrics/ProcessMetrics.h"
 
@@ -53,6 +55,8 @@
   Lease.Self = m_Parts.Settings.Process.Id + "/" + m_Parts.Ids.nextText();
   Lease.Duration = m_Parts.Settings.Lease.Duration;
   Lease.Margin = m_Parts.Settings.Lease.Margin;
+  plan::PlannerSettings Planning;
+  Planning.Roles = roleArm(m_Parts.Settings.Policy.Roles);
   return {m_Parts.Store,
           m_View,
           m_View,
@@ -62,7 +66,7 @@
           },
           observer(),
           Lease,
-          {}};
+          Planning};
 }
 
 planner::PlannerObserver Planning::observer() {
