figlift-load: Note the first token when it comes, and call engines directly

Every streamed answer showed its first token at its end: 20 tokens, 10 ms apart, had their first one at 205.5 ms of 205.8 ms. Cause: a read of cpprestsdk's own buffer of an answer ends only when the buffer that it fills is full or the body has ended.

Ruled out: the stand-in engine and the entry hold tokens back (a caller that reads the socket itself saw them one by one in the demo).

--direct adds the request id that an engine wants from its caller, so that the same schedule can be played at an engine and through figlift, and the difference is what figlift adds.

--- a/Utilities/figlift-load/LoadCaller.cpp
+++ b/Utilities/figlift-load/LoadCaller.cpp
@@ -1,11 +1,13 @@
 //===- LoadCaller.cpp - Sends the requests of a load run ------------------===//
 //
-// Reads answers in a chain of continuations and notes when each part came.
+// Takes answers as they come from the socket and notes when each part came.
 //
 //===----------------------------------------------------------------------===//
 
 #include "LoadCaller.h"
 
+#include "LibTarget/SinkBuffer.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -20,7 +22,6 @@
 
 namespace {
 
-constexpr size_t ReadSize = 16384;
 constexpr std::string_view EventPrefix = "data: ";
 constexpr std::string_view EndOfStream = "data: [DONE]";
 constexpr unsigned LateShareOfDeadline = 2;
@@ -45,15 +46,13 @@
   steady_clock::time_point Begin;
   steady_clock::time_point LastPart;
   bool Whole = false;
-  concurrency::streams::istream Source;
 
-  void notePart(size_t Bytes);
+  void notePart(std::string_view Part);
   void conclude();
 };
 
-void LoadCaller::Call::notePart(size_t Bytes) {
-  if (Bytes == 0)
-    return;
+void LoadCaller::Call::notePart(std::string_view Part) {
+  Body += Part;
   auto Now = steady_clock::now();
   if (Result.FirstToken.count() == 0)
     Result.FirstToken = duration_cast<microseconds>(Now - Begin);
@@ -96,7 +95,8 @@
 }
 
 LoadCaller::LoadCaller(const std::vector<std::string> &Entries,
-                       milliseconds Timeout) {
+                       milliseconds Timeout, bool Direct)
+    : m_Direct(Direct) {
   web::http::client::http_client_config Config;
   Config.set_timeout(Timeout);
   for (const std::string &Entry : Entries)
@@ -124,6 +124,8 @@
             {"prompt", makePrompt(Which, Work)},
             {"max_tokens", Which.OutputTokens},
             {"stream", true}};
+  if (m_Direct)
+    Body["request_id"] = m_Keys.nextText();
   Request.set_request_uri("/v1/completions");
   Request.set_body(Body.dump(), "application/json");
   return Request;
@@ -140,15 +142,22 @@
   auto &Client = *m_Clients[m_Next++ % m_Clients.size()];
   ++m_InFlight;
   Running->Begin = steady_clock::now();
+  // Read through cpprestsdk's own buffer, the whole answer would count as one
+  // part: a read of it ends when it is full or the body has ended.
+  auto Sink = std::make_shared<target::SinkBuffer>(
+      [Running](std::string_view Part) { Running->notePart(Part); });
+  Request.set_response_stream(
+      concurrency::streams::streambuf<uint8_t>(Sink).create_ostream());
   Client.request(Request)
-      .then([this, Running](web::http::http_response Response) {
+      .then([Running](const web::http::http_response &Response) {
         Running->Status = Response.status_code();
-        Running->Source = Response.body();
-        return readOn(Running);
+        return Response.content_ready();
       })
-      .then([this, Running, Done](const pplx::task<void> &Last) {
+      .then([this, Running,
+             Done](const pplx::task<web::http::http_response> &Last) {
         try {
           Last.get();
+          Running->Whole = true;
         } catch (const std::exception &) {
           // A lost connection is an outcome of the run, not a fault of ours.
           Running->Whole = false;
@@ -159,20 +168,6 @@
       });
 }
 
-pplx::task<void> LoadCaller::readOn(const std::shared_ptr<Call> &Running) {
-  concurrency::streams::container_buffer<std::string> Buffer;
-  return Running->Source.read(Buffer, ReadSize)
-      .then([this, Running, Buffer](size_t Count) {
-        if (Count == 0) {
-          Running->Whole = true;
-          return pplx::task_from_result();
-        }
-        Running->notePart(Count);
-        Running->Body += Buffer.collection();
-        return readOn(Running);
-      });
-}
-
 void LoadCaller::finish(const std::shared_ptr<Call> &Ended) {
   Ended->conclude();
   std::lock_guard Guard(m_Mutex);
--- a/Utilities/figlift-load/LoadCaller.h
+++ b/Utilities/figlift-load/LoadCaller.h
@@ -25,8 +25,9 @@
 class LoadCaller {
 public:
   /// \p Entries: "address:port" of each entry; they are used in turn.
+  /// \p Direct: they are engines, which want a request id from their caller.
   LoadCaller(const std::vector<std::string> &Entries,
-             std::chrono::milliseconds Timeout);
+             std::chrono::milliseconds Timeout, bool Direct = false);
 
   /// Sends one request; its outcome goes into the report. \p Done runs on a
   /// pool thread once the outcome is known.
@@ -42,9 +43,9 @@
 
   web::http::http_request makeRequest(const Arrival &Which,
                                       const Workload &What);
-  pplx::task<void> readOn(const std::shared_ptr<Call> &Running);
   void finish(const std::shared_ptr<Call> &Ended);
 
+  const bool m_Direct;
   std::vector<std::unique_ptr<web::http::client::http_client>> m_Clients;
   std::atomic<size_t> m_Next{0};
   std::atomic<size_t> m_InFlight{0};
--- a/Utilities/figlift-load/Main.cpp
+++ b/Utilities/figlift-load/Main.cpp
@@ -81,6 +81,10 @@
       cxxopts::value<unsigned>()->default_value("0"))(
       "timeout-ms", "limit of one request",
       cxxopts::value<unsigned>()->default_value("60000"))(
+      "direct",
+      "the addresses are engines, not entries: what figlift adds is the "
+      "difference to such a run",
+      cxxopts::value<bool>()->default_value("false"))(
       "o,output", "table or json",
       cxxopts::value<std::string>()->default_value("table"))("h,help",
                                                              "this text");
@@ -105,7 +109,8 @@
     return ExitInvalid;
   }
   LoadCaller Caller(Arguments["entry"].as<std::vector<std::string>>(),
-                    milliseconds(Arguments["timeout-ms"].as<unsigned>()));
+                    milliseconds(Arguments["timeout-ms"].as<unsigned>()),
+                    Arguments["direct"].as<bool>());
   unsigned Concurrency = Arguments["concurrency"].as<unsigned>();
   milliseconds Took = Concurrency > 0
                           ? playClosed(Caller, Played.value(), Concurrency)
