figlift-entry, figlift-agent: Count the bytes and CPU time of control work

control_bytes_total stood in LibMetrics and in no process, and agents did not count the CPU time of their control work, so no budget could be checked. LibWire now accounts the frames of Run and Resume apart; all other bytes of a client or server are control. LibPlatform counts its questions and answers, HTTP heads at a fixed size. Agents time their ticks.

--- a/Libraries/LibPlatform/HttpCalls.cpp
+++ b/Libraries/LibPlatform/HttpCalls.cpp
@@ -18,6 +18,10 @@
 
 namespace http = web::http;
 
+/// About what cpprestsdk writes and what a usual server answers.
+static constexpr uint64_t QuestionHeadBytes = 120;
+static constexpr uint64_t AnswerHeadBytes = 100;
+
 /// One call from its submission to its answer.
 struct HttpCalls::Call {
   Call(HttpQuestion What, Handler Completion)
@@ -140,8 +144,12 @@
   if (What->Finished)
     return release();
   What->Launched = true;
+  m_Bytes += QuestionHeadBytes + What->Question.Path.size() +
+             What->Question.Body.size();
 
   auto Done = [Self = shared_from_this(), What](HttpOutcome Outcome) {
+    if (const auto *Answer = std::get_if<HttpAnswer>(&Outcome))
+      Self->m_Bytes += AnswerHeadBytes + Answer->Body.size();
     Self->finish(What, std::move(Outcome));
     Self->release();
   };
--- a/Libraries/LibPlatform/HttpCalls.h
+++ b/Libraries/LibPlatform/HttpCalls.h
@@ -11,6 +11,7 @@
 #include "LibCore/Endpoint.h"
 #include "LibCore/Result.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -78,6 +79,10 @@
   void stop();
 
 private:
+  /// Bytes of questions and answers since the start; their HTTP heads are
+  /// counted at a fixed size.
+  uint64_t bytes() const { return m_Bytes.load(); }
+
   struct Call;
   using CallPointer = std::shared_ptr<Call>;
 
@@ -95,6 +100,7 @@
   std::condition_variable m_Idle;
   /// Invariant: at most MaximumConcurrentCalls.
   size_t m_Running = 0;
+  std::atomic<uint64_t> m_Bytes{0};
   /// Calls that wait for a place; expired ones stay until they are reached.
   std::deque<CallPointer> m_Queue;
   bool m_Stopped = false;
--- a/Libraries/LibPlatform/HttpPlatform.h
+++ b/Libraries/LibPlatform/HttpPlatform.h
@@ -34,6 +34,9 @@
   void get(std::string Name, Callback<std::string> Done) override;
   void list(Callback<std::vector<Vm>> Done) override;
 
+  /// Bytes exchanged with the platform since the start.
+  uint64_t bytes() const { return m_Calls->bytes(); }
+
 private:
   explicit HttpPlatform(std::shared_ptr<HttpCalls> Calls);
 
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -77,6 +77,7 @@
     retire();
     return false;
   }
+  Added->CarriesRequest = carriesRequest(What);
   addStream(Added, Id);
   flushSoon();
   if (Id >= LastUsedStreamId)
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -23,6 +23,8 @@
 struct Traffic {
   std::atomic<uint64_t> Sent{0};
   std::atomic<uint64_t> Received{0};
+  /// Of both: frames of the streams that carry requests.
+  std::atomic<uint64_t> Requests{0};
 };
 
 /// Flow control window of a stream; the most that may come unasked.
@@ -109,6 +111,8 @@
   bool write();
   void onData(int32_t Id, std::string_view Bytes);
   void onStreamClose(int32_t Id, uint32_t Code);
+  /// Adds a frame of a stream that carries a request to the traffic's account.
+  void countFrame(const nghttp2_frame_hd &Frame);
   static int callback(bool Good);
   static void setCallbacks(nghttp2_session_callbacks *Callbacks);
   static ssize_t readData(nghttp2_session *, int32_t, uint8_t *Buffer,
--- a/Libraries/LibWire/ConnectionSession.cpp
+++ b/Libraries/LibWire/ConnectionSession.cpp
@@ -14,6 +14,7 @@
 namespace {
 constexpr int32_t ConnectionWindow = 16 << 20;
 constexpr size_t HeaderListBytes = 8u << 10;
+constexpr size_t FrameHeadBytes = 9;
 } // namespace
 
 bool Connection::startSession(Side Which, uint32_t MaximumConcurrentStreams) {
@@ -52,6 +53,13 @@
                                                ConnectionWindow) == 0;
 }
 
+void Connection::countFrame(const nghttp2_frame_hd &Frame) {
+  const auto Of = m_Streams.find(Frame.stream_id);
+  if (Of != m_Streams.end() && Of->second->CarriesRequest)
+    m_Traffic->Requests.fetch_add(Frame.length + FrameHeadBytes,
+                                  std::memory_order_relaxed);
+}
+
 int Connection::callback(bool Good) {
   return Good ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
 }
@@ -62,7 +70,14 @@
         auto *Self = static_cast<Connection *>(User);
         Self->m_LastFrame = LoopClock::now();
         Self->m_PingSent.reset();
-        return callback(Self->onFrame(*Frame));
+        const bool Good = Self->onFrame(*Frame);
+        Self->countFrame(Frame->hd);
+        return callback(Good);
+      });
+  nghttp2_session_callbacks_set_on_frame_send_callback(
+      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
+        static_cast<Connection *>(User)->countFrame(Frame->hd);
+        return 0;
       });
   nghttp2_session_callbacks_set_on_header_callback(
       Callbacks,
--- a/Libraries/LibWire/Http2Client.h
+++ b/Libraries/LibWire/Http2Client.h
@@ -23,6 +23,7 @@
   connect(Endpoint Peer, std::shared_ptr<ChannelListener> Listener) override;
   uint64_t bytesSent() const override { return m_Traffic->Sent.load(); }
   uint64_t bytesReceived() const override { return m_Traffic->Received.load(); }
+  uint64_t requestBytes() const override { return m_Traffic->Requests.load(); }
 
 private:
   const ClientOptions m_Options;
--- a/Libraries/LibWire/Http2Server.h
+++ b/Libraries/LibWire/Http2Server.h
@@ -25,6 +25,9 @@
   uint64_t bytesReceived() const override {
     return m_Shared->Counter->Received.load();
   }
+  uint64_t requestBytes() const override {
+    return m_Shared->Counter->Requests.load();
+  }
   void stop() override;
 
 private:
--- a/Libraries/LibWire/Http2Stream.h
+++ b/Libraries/LibWire/Http2Stream.h
@@ -70,6 +70,8 @@
   uint64_t HeadersAt = std::numeric_limits<uint64_t>::max();
   /// nghttp2 was told that there is no data and waits for a resume.
   bool Deferred = false;
+  /// Run or Resume; everything else is control work.
+  bool CarriesRequest = false;
   /// The server's response HEADERS were submitted.
   bool ResponseStarted = false;
   bool FinishWanted = false;
--- a/Libraries/LibWire/MethodPath.cpp
+++ b/Libraries/LibWire/MethodPath.cpp
@@ -21,6 +21,10 @@
 
 std::string_view pathOf(Method What) { return Paths[size_t(What)]; }
 
+bool carriesRequest(Method What) {
+  return What == Method::Run || What == Method::Resume;
+}
+
 std::optional<Method> methodOf(std::string_view Path) {
   const auto *Found = std::find(Paths.begin(), Paths.end(), Path);
   if (Found == Paths.end())
--- a/Libraries/LibWire/MethodPath.h
+++ b/Libraries/LibWire/MethodPath.h
@@ -14,6 +14,8 @@
 
 /// "/figlift.v1/Run" and so on.
 std::string_view pathOf(Method What);
+/// Whether streams of this method carry requests of callers.
+bool carriesRequest(Method What);
 /// Nothing for a path that this version does not know.
 std::optional<Method> methodOf(std::string_view Path);
 
--- a/Libraries/LibWire/ServerConnection.cpp
+++ b/Libraries/LibWire/ServerConnection.cpp
@@ -97,6 +97,7 @@
   auto What = m_HeaderStream == Id ? methodOf(m_Path) : std::nullopt;
   if (What && !m_Draining) {
     auto Opened = std::make_shared<Http2Stream>(loop(), options().Limits);
+    Opened->CarriesRequest = carriesRequest(*What);
     addStream(Opened, Id);
     ++m_Shared->OpenStreams;
     if (auto Listener = m_Shared->Listener->onStream(*What, Opened)) {
--- a/Libraries/LibWire/Wire.h
+++ b/Libraries/LibWire/Wire.h
@@ -122,6 +122,8 @@
   /// Bytes sent and received on all channels since the start.
   virtual uint64_t bytesSent() const = 0;
   virtual uint64_t bytesReceived() const = 0;
+  /// Of both: frames of Run and Resume. The rest is control work.
+  virtual uint64_t requestBytes() const = 0;
   static Result<std::unique_ptr<Client>> create(const ClientOptions &Options);
 };
 
@@ -161,6 +163,8 @@
   virtual size_t openStreams() const = 0;
   virtual uint64_t bytesSent() const = 0;
   virtual uint64_t bytesReceived() const = 0;
+  /// Of both: frames of Run and Resume. The rest is control work.
+  virtual uint64_t requestBytes() const = 0;
   /// Closes everything and joins the I/O threads; queued output has half a
   /// second to leave. Not from an I/O thread.
   virtual void stop() = 0;
--- a/Services/figlift-agent/Agent.h
+++ b/Services/figlift-agent/Agent.h
@@ -34,6 +34,8 @@
   void stop();
   /// Closes all connections; after the loop has ended.
   void close() { m_Server->server().stop(); }
+  /// Bytes exchanged for control work; any thread.
+  uint64_t controlBytes() const;
   const SnapshotHolder &snapshots() const { return m_Snapshots; }
 
   void onRun(StreamId Stream, wire::RunRequest Request) override;
@@ -53,7 +55,8 @@
   Result<void> connectParts();
   void makeEngineParts();
   void makeServiceParts();
-  void startTimers();
+  /// Runs \p What each \p Period and counts its CPU time as control work.
+  void everyControl(std::chrono::milliseconds Period, void (Agent::*What)());
 
   void dispatch(StreamId Stream, wire::RunRequest Request);
   Error cannotServe(const wire::RunRequest &Request) const;
--- a/Services/figlift-agent/AgentParts.cpp
+++ b/Services/figlift-agent/AgentParts.cpp
@@ -6,6 +6,7 @@
 
 #include "Agent.h"
 
+#include "LibMetrics/ProcessMetrics.h"
 #include "LibTarget/HttpEngine.h"
 #include "LibTarget/HttpService.h"
 
@@ -108,9 +109,24 @@
     m_Slices->start();
   }
   standingChanged();
-  m_Shared.Decisions.every(TickInterval, [this] { tick(); });
-  m_Shared.Decisions.every(PublishInterval, [this] { publish(); });
-  m_Shared.Decisions.every(SlowTickInterval, [this] { slowTick(); });
+  everyControl(TickInterval, &Agent::tick);
+  everyControl(PublishInterval, &Agent::publish);
+  everyControl(SlowTickInterval, &Agent::slowTick);
+}
+
+void Agent::everyControl(std::chrono::milliseconds Period,
+                         void (Agent::*What)()) {
+  metrics::Counter &Spent = metrics::controlCpuSeconds(m_Shared.Metrics);
+  m_Shared.Decisions.every(Period, [this, What, &Spent] {
+    const metrics::ControlCpuScope Cost(Spent);
+    (this->*What)();
+  });
+}
+
+uint64_t Agent::controlBytes() const {
+  const wire::Server &Server = m_Server->server();
+  return m_Platform->bytes() + m_Client->bytes() + Server.bytesSent() +
+         Server.bytesReceived() - Server.requestBytes();
 }
 
 void Agent::tick() {
--- a/Services/figlift-agent/Main.cpp
+++ b/Services/figlift-agent/Main.cpp
@@ -58,6 +58,8 @@
   auto Agent = agent::Agent::create(Shared);
   if (!Agent)
     return settings::reportFailure(ProgramName, Agent.error());
+  metrics::registerControlBytes(Metrics,
+                                [&] { return Agent.value()->controlBytes(); });
   auto Admin = agent::createAdminServer(Shared, Agent.value()->snapshots());
   if (!Admin)
     return settings::reportFailure(ProgramName, Admin.error());
--- a/Services/figlift-agent/PeerClient.h
+++ b/Services/figlift-agent/PeerClient.h
@@ -35,7 +35,10 @@
   bool reachable(const Endpoint &Peer);
   /// Closes connections that nobody has used for a while; about once a second.
   void closeIdle();
-  uint64_t bytesSent() const { return m_Client->bytesSent(); }
+  /// Nothing that it asks is a request of a caller.
+  uint64_t bytes() const {
+    return m_Client->bytesSent() + m_Client->bytesReceived();
+  }
 
 private:
   class Answer;
--- a/Services/figlift-agent/PeerServer.h
+++ b/Services/figlift-agent/PeerServer.h
@@ -34,6 +34,7 @@
   bool isOpen(StreamId Stream) const { return m_Streams.contains(Stream); }
   size_t openStreams() const { return m_Streams.size(); }
   wire::Server &server() { return *m_Server; }
+  const wire::Server &server() const { return *m_Server; }
 
 private:
   class Listener;
--- a/Services/figlift-entry/Entry.cpp
+++ b/Services/figlift-entry/Entry.cpp
@@ -96,6 +96,7 @@
   m_Metrics.readCounter(
       "wire_bytes_total", "Bytes exchanged with agents and entries.", [this] {
         return m_Transport ? static_cast<double>(m_Transport->bytesSent() +
+  metrics::registerControlBytes(m_Metrics, [this] { return controlBytes(); });
                                                  m_Transport->bytesReceived())
                            : 0.0;
       });
@@ -104,6 +105,17 @@
 Result<void> Entry::openPlatform() {
   platform::HttpCallOptions Options;
   Options.Server = m_Settings.Platform.Address;
+uint64_t Entry::controlBytes() const {
+  uint64_t Sum = m_Platform ? m_Platform->bytes() : 0;
+  if (m_Transport)
+    Sum += m_Transport->bytesSent() + m_Transport->bytesReceived() -
+           m_Transport->requestBytes();
+  if (m_PeerServer)
+    Sum += m_PeerServer->bytesSent() + m_PeerServer->bytesReceived() -
+           m_PeerServer->requestBytes();
+  return Sum;
+}
+
   Options.Timeout = m_Settings.Platform.Timeout;
   FIGLIFT_TRY(Made, platform::HttpPlatform::create(Options));
   m_Platform = std::move(Made);
--- a/Services/figlift-entry/Entry.h
+++ b/Services/figlift-entry/Entry.h
@@ -48,6 +48,10 @@
   void onServing(std::optional<config::follower::StopReason> Stopped);
   Result<void> ready() const;
   void registerMetrics();
+  uint64_t controlBytes() const;
+  /// Null before the first.
+  config::SnapshotPointer inForce() const;
+  bool askAgentToDrain(const std::string &Target, bool Undo) const;
   bool waitForRequests() const;
   void stopPlanning();
 
