--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -66,14 +66,14 @@
 endfunction()
 
 # figlift_test(Folder [targets...]): one ctest entry from all Test*.cpp of the
-# folder and the shared main program.
+# folder and the shared main program, run with FIGLIFT_TEST_ARGUMENTS.
 function(figlift_test Name)
   file(GLOB Sources CONFIGURE_DEPENDS *.cpp)
   add_executable(${Name} ${Sources} ${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp)
   target_link_libraries(${Name} PRIVATE FigliftOptions ${ARGN} PkgConfig::CPPUTEST)
   # The names and results of the single tests stand in the log, where the fault
   # matrix finds them.
-  add_test(NAME ${Name} COMMAND ${Name} -v)
+  add_test(NAME ${Name} COMMAND ${Name} -v ${FIGLIFT_TEST_ARGUMENTS})
   figlift_test_timeout(${Name} 120)
 endfunction()
 
