LibPlatform, figlift-agent: Read an unchanged VM list only once

Every process read the whole list twice a second.

The list is asked for with the tag of the copy that is held; 304 keeps it. A platform without tags is read whole, as before. Agents read it every fourth interval, jittered, as entries tell them that they leave, and once more when they begin to drain, because slices go to homes of the list.

Weighed: a list by back end (the platform's interface has none); the list from entries (a second way to learn it, and entries that come and go).

--- a/Libraries/LibPlatform/HttpCalls.cpp
+++ b/Libraries/LibPlatform/HttpCalls.cpp
@@ -158,12 +158,17 @@
     Request.set_request_uri(What->Question.Path);
     if (!What->Question.Body.empty())
       Request.set_body(What->Question.Body, "application/json");
+    if (!What->Question.IfNoneMatch.empty())
+      Request.headers().add("If-None-Match", What->Question.IfNoneMatch);
     auto Client = clientFor(What->Question);
     auto Answer = std::make_shared<HttpAnswer>();
     Client->request(Request, What->Cancellation.get_token())
         .then([Answer](http::http_response Response) {
           Answer->Status = Response.status_code();
           Answer->RetryAfter = retryAfterOf(Response);
+          if (const auto Tag = Response.headers().find("ETag");
+              Tag != Response.headers().end())
+            Answer->ETag = Tag->second;
           return Response.extract_string(true);
         })
         .then([Done, Answer, Client](pplx::task<std::string> Body) {
--- a/Libraries/LibPlatform/HttpCalls.h
+++ b/Libraries/LibPlatform/HttpCalls.h
@@ -47,12 +47,16 @@
   /// Whether the server may process the request twice without harm. Calls
   /// that may not be repeated get a connection of their own.
   bool Repeatable = true;
+  /// Tag of the copy that the caller has; 304 says that it still holds.
+  std::string IfNoneMatch;
 };
 
 struct HttpAnswer {
   int Status = 0;
   std::string Body;
   std::optional<std::chrono::milliseconds> RetryAfter;
+  /// Empty when the server gave none.
+  std::string ETag;
 };
 
 /// Why there is no answer.
@@ -75,14 +79,14 @@
   /// the queue is full.
   void submit(HttpQuestion Question, Handler Done);
 
-  /// Refuses new calls and waits for those in flight. Not from a handler.
-  void stop();
-
-private:
   /// Bytes of questions and answers since the start; their HTTP heads are
   /// counted at a fixed size.
   uint64_t bytes() const { return m_Bytes.load(); }
 
+  /// Refuses new calls and waits for those in flight. Not from a handler.
+  void stop();
+
+private:
   struct Call;
   using CallPointer = std::shared_ptr<Call>;
 
@@ -96,11 +100,11 @@
   const HttpCallOptions m_Options;
   std::shared_ptr<web::http::client::http_client> m_SharedClient;
 
+  std::atomic<uint64_t> m_Bytes{0};
   std::mutex m_Mutex;
   std::condition_variable m_Idle;
   /// Invariant: at most MaximumConcurrentCalls.
   size_t m_Running = 0;
-  std::atomic<uint64_t> m_Bytes{0};
   /// Calls that wait for a place; expired ones stay until they are reached.
   std::deque<CallPointer> m_Queue;
   bool m_Stopped = false;
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -126,6 +126,40 @@
   return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// The VM list as it was read last, with the tag that the platform gave it.
+/// Every process reads the list, and it rarely changes: sent whole each time,
+/// it would take several times a daemon's budget of control bytes in a fleet
+/// of a thousand VMs. A platform without tags is read whole.
+class HttpPlatform::ListCache {
+public:
+  std::string tag() const {
+    const std::lock_guard Lock(m_Mutex);
+    return m_Tag;
+  }
+
+  Result<std::vector<Vm>> take(HttpOutcome Outcome) {
+    const auto *Answer = std::get_if<HttpAnswer>(&Outcome);
+    const bool Unchanged = Answer && Answer->Status == NotModified;
+    const std::string Tag = Answer ? Answer->ETag : std::string();
+    if (!Unchanged) {
+      FIGLIFT_TRY(Read, parsed<std::vector<Vm>>(std::move(Outcome), vmsFrom));
+      const std::lock_guard Lock(m_Mutex);
+      m_Tag = Tag;
+      m_Lines = std::move(Read);
+      return m_Lines;
+    }
+    const std::lock_guard Lock(m_Mutex);
+    return m_Lines;
+  }
+
+private:
+  static constexpr int NotModified = 304;
+
+  mutable std::mutex m_Mutex;
+  std::string m_Tag;
+  std::vector<Vm> m_Lines;
+};
+
 Result<std::unique_ptr<HttpPlatform>>
 HttpPlatform::create(const HttpCallOptions &Options) {
   if (Options.Timeout <= std::chrono::milliseconds::zero())
@@ -141,7 +175,7 @@
 }
 
 HttpPlatform::HttpPlatform(std::shared_ptr<HttpCalls> Calls)
-    : m_Calls(std::move(Calls)) {}
+    : m_Calls(std::move(Calls)), m_List(std::make_shared<ListCache>()) {}
 
 HttpPlatform::~HttpPlatform() { m_Calls->stop(); }
 
@@ -188,10 +222,12 @@
 }
 
 void HttpPlatform::list(Callback<std::vector<Vm>> Done) {
-  m_Calls->submit({HttpVerb::Get, "/v1/vms", {}},
-                  [Done = std::move(Done)](HttpOutcome Outcome) {
-                    Done(parsed<std::vector<Vm>>(std::move(Outcome), vmsFrom));
-                  });
+  HttpQuestion Question{HttpVerb::Get, "/v1/vms", {}};
+  Question.IfNoneMatch = m_List->tag();
+  m_Calls->submit(std::move(Question), [Cache = m_List, Done = std::move(Done)](
+                                           HttpOutcome Outcome) {
+    Done(Cache->take(std::move(Outcome)));
+  });
 }
 
 } // namespace figlift::platform
--- a/Libraries/LibPlatform/HttpPlatform.h
+++ b/Libraries/LibPlatform/HttpPlatform.h
@@ -40,7 +40,10 @@
 private:
   explicit HttpPlatform(std::shared_ptr<HttpCalls> Calls);
 
+  class ListCache;
+
   std::shared_ptr<HttpCalls> m_Calls;
+  const std::shared_ptr<ListCache> m_List;
 };
 
 } // namespace figlift::platform
--- a/Services/figlift-agent/Agent.cpp
+++ b/Services/figlift-agent/Agent.cpp
@@ -161,6 +161,9 @@
   if (Before == m_Standing.draining())
     return;
   const auto Kind =
+  // Slices are handed to homes of the list.
+  if (!Before)
+    m_Fleet->refresh();
       Before ? timeline::kinds::DrainUndone : timeline::kinds::DrainStarted;
   m_Shared.Events.record(
       Kind, {timeline::SubjectType::Target, m_Shared.Settings.Process.Id},
--- a/Services/figlift-agent/Fleet.cpp
+++ b/Services/figlift-agent/Fleet.cpp
@@ -6,22 +6,39 @@
 
 #include "Fleet.h"
 
+#include <utility>
+
 namespace figlift::agent {
 
-Fleet::Fleet(Context Shared, platform::VmList &List)
-    : m_Shared(Shared), m_List(List) {}
+/// Reads of an agent that has a list, in units of the interval of reads.
+static constexpr double SlowFactor = 4;
 
-void Fleet::start() { poll(); }
+Fleet::Fleet(Context Shared, platform::VmList &List)
+    : m_Shared(Shared), m_List(List),
+      m_Random(static_cast<uint32_t>(
+          std::hash<std::string>()(Shared.Settings.Process.Id))) {}
 
 void Fleet::poll() {
+  refresh();
+  // Agents that started together must not ask the platform together.
+  std::uniform_real_distribution<double> Jitter(0.75, 1.25);
+  const double Factor = Jitter(m_Random) * (m_Vms.empty() ? 1 : SlowFactor);
+  m_Shared.Decisions.after(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          m_Shared.Settings.Platform.VmListInterval * Factor),
+      [this] { poll(); });
+}
+
+void Fleet::refresh() {
+  if (std::exchange(m_Asked, true))
+    return;
   m_List.list([this](Result<std::vector<platform::Vm>> Read) {
     m_Shared.Decisions.post([this, Read = std::move(Read)]() mutable {
-      if (Read) {
-        m_Vms = std::move(Read.value());
-        m_OnChange();
-      }
-      m_Shared.Decisions.after(m_Shared.Settings.Platform.VmListInterval,
-                               [this] { poll(); });
+      m_Asked = false;
+      if (!Read)
+        return;
+      m_Vms = std::move(Read.value());
+      m_OnChange();
     });
   });
 }
--- a/Services/figlift-agent/Fleet.h
+++ b/Services/figlift-agent/Fleet.h
@@ -1,7 +1,8 @@
 //===- Fleet.h - The platform's list as this agent saw it last --*- C++ -*-===//
 //
 // Polls the list of VMs: who else could be a home, where entries listen, and
-// whether this VM is leaving. The list lags.
+// whether this VM is leaving. The list lags. Entries read it more often and
+// tell a target that it leaves, so the agent's own reads may be rare.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,6 +13,7 @@
 #include "LibPlatform/Platform.h"
 
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -21,7 +23,9 @@
 public:
   Fleet(Context Shared, platform::VmList &List);
 
-  void start();
+  void start() { poll(); }
+  /// Reads the list now, beside the regular reads.
+  void refresh();
   const platform::Vm *find(const std::string &Id) const;
   /// Live targets of this agent's back end, this one included if it is live.
   std::vector<std::string> homes() const;
@@ -37,6 +41,8 @@
 
   Context m_Shared;
   platform::VmList &m_List;
+  std::minstd_rand m_Random;
+  bool m_Asked = false;
   std::vector<platform::Vm> m_Vms;
   std::function<void()> m_OnChange = [] {};
 };
--- a/Tests/LibPlatform/RawServer.h
+++ b/Tests/LibPlatform/RawServer.h
@@ -25,6 +25,8 @@
   enum class What { Answer, CloseWithoutAnswer, Silence } Kind;
   int Status = 200;
   std::string Body = "{}";
+  /// Lines with their ends.
+  std::string Headers{};
 };
 
 class RawServer {
@@ -43,6 +45,10 @@
   uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
   /// Requests that arrived whole.
   unsigned requests() const { return m_Requests; }
+  std::string lastHead() {
+    std::lock_guard Lock(m_Mutex);
+    return m_LastHead;
+  }
   std::string lastBody() {
     std::lock_guard Lock(m_Mutex);
     return m_LastBody;
@@ -90,6 +96,7 @@
             return;
           {
             std::lock_guard Lock(m_Mutex);
+            m_LastHead = From->Buffer.substr(0, HeadLength);
             m_LastBody = From->Buffer.substr(HeadLength, Whole - HeadLength);
           }
           From->Buffer.erase(0, Whole);
@@ -114,7 +121,8 @@
         "HTTP/1.1 " + std::to_string(Now.Status) +
         " X\r\nContent-Type: application/json\r\nRetry-After: 2\r\n"
         "Content-Length: " +
-        std::to_string(Now.Body.size()) + "\r\n\r\n" + Now.Body);
+        std::to_string(Now.Body.size()) + "\r\n" + Now.Headers + "\r\n" +
+        Now.Body);
     boost::asio::async_write(From->Socket, boost::asio::buffer(*Text),
                              [this, From, Text](auto Code, size_t) {
                                if (!Code)
@@ -128,6 +136,7 @@
   std::deque<Pointer> m_Silent;
   std::atomic<unsigned> m_Requests = 0;
   std::mutex m_Mutex;
+  std::string m_LastHead;
   std::string m_LastBody;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::thread m_Thread;
--- a/Tests/LibPlatform/TestHttpPlatform.cpp
+++ b/Tests/LibPlatform/TestHttpPlatform.cpp
@@ -77,6 +77,33 @@
   CHECK_TRUE(Vms[0].State == VmState::Leaving);
 }
 
+TEST(HttpPlatform, ReadsAnUnchangedVmListOnlyOnce) {
+  // Symptom: control traffic far above its budget in a fleet of a thousand
+  // VMs. Events: every process polls the list, which has not changed. Cause:
+  // the whole list in each answer. A failed read must not lose the list, and
+  // a changed one must replace it.
+  const std::string One = R"({"vms":[{"id":"e1","kind":"entry",
+      "peer":"127.0.0.1:9","state":"live"}]})";
+  RawServer Server({{Says, 200, One, "ETag: \"7\"\r\n"},
+                    {Says, 304, "", "ETag: \"7\"\r\n"},
+                    {Says, 503},
+                    {Says, 304, "", "ETag: \"7\"\r\n"},
+                    {Says, 200, R"({"vms":[]})", "ETag: \"8\"\r\n"}});
+  auto Platform = platformAt(Server.port());
+  const std::optional<size_t> Expected[] = {1, 1, std::nullopt, 1, 0};
+  for (const auto &Lines : Expected) {
+    Answer<std::vector<Vm>> Listed;
+    Platform->list(Listed.callback());
+    const auto Read = Listed.get();
+    CHECK_EQUAL(Lines.has_value(), Read.has_value());
+    if (Lines)
+      CHECK_EQUAL(*Lines, Read.value().size());
+  }
+  // cpprestsdk writes no space behind the colon.
+  STRCMP_CONTAINS("If-None-Match:\"7\"", Server.lastHead().c_str());
+  CHECK(Platform->bytes() > 2 * One.size());
+}
+
 TEST(HttpPlatform, TellsWhetherAWriteMayHaveHappened) {
   struct Case {
     Step Server;
--- a/Tests/StandIns/platform-standin/Platform.cpp
+++ b/Tests/StandIns/platform-standin/Platform.cpp
@@ -113,7 +113,7 @@
                       Limit.empty() ? DefaultRangeLimit : std::stoul(Limit))}});
   }
   if (Incoming.Path == "/v1/vms")
-    return Incoming.answer(200, {{"vms", visibleVms()}});
+    return readVms(Incoming);
   if (Incoming.after("/v1/weights/"))
     return readWeights(Incoming);
   if (const auto Name = Incoming.after("/v1/objects/")) {
@@ -137,6 +137,20 @@
   const auto Horizon = std::chrono::steady_clock::now() - m_VmLag;
   while (m_VmLists.size() > 1 && m_VmLists[1].first <= Horizon)
     m_VmLists.pop_front();
+/// With a tag, so that a reader who has this list already is spared its bytes.
+void Platform::readVms(const Call &Incoming) {
+  const std::string Body = Json{{"vms", visibleVms()}}.dump();
+  const std::string Tag =
+      '"' + std::to_string(std::hash<std::string>()(Body)) + '"';
+  const bool Known = Incoming.header("If-None-Match") == Tag;
+  web::http::http_response Answer(Known ? 304 : 200);
+  Answer.headers().add("ETag", Tag);
+  if (!Known)
+    Answer.set_body(Body, "application/json");
+  ++m_ListReads;
+  observe(Incoming.Request.reply(Answer));
+}
+
   return m_VmLists.empty() ? Json::array() : m_VmLists.front().second;
 }
 
@@ -156,6 +170,7 @@
                                  {"conflicts", m_Conflicts.load()},
                                  {"refused", m_Refused.load()},
                                  {"weight_fetches", m_WeightFetches.load()}});
+                                 {"list_reads", m_ListReads.load()},
   Incoming.answer(404, {{"error", "not found"}});
 }
 
--- a/Tests/StandIns/platform-standin/Platform.h
+++ b/Tests/StandIns/platform-standin/Platform.h
@@ -56,6 +56,7 @@
   void readWeights(const Call &Incoming);
   Json visibleVms();
 
+  void readVms(const Call &Incoming);
   PlatformOptions m_Options;
   TableStore m_Table;
   RateLimit m_ReadLimit;
@@ -74,6 +75,7 @@
   std::atomic<uint64_t> m_Writes{0};
   std::atomic<uint64_t> m_Commits{0};
   std::atomic<uint64_t> m_Conflicts{0};
+  std::atomic<uint64_t> m_ListReads{0};
   std::atomic<uint64_t> m_Refused{0};
   std::atomic<uint64_t> m_WeightFetches{0};
   Server m_Server;
