figlift-agent: Keep reports to entries within a budget of bytes

An agent sent its whole report to each entry up to five times a second: with 17 entries (the size of docs/CAPACITY.md) and 64 cached prefixes about 68 KB/s by its size, against 9 KB/s for all control work. Idle, before: 1.7, 3.1, 5.2 and 9.3 KB/s with 2, 5, 10 and 20 entries, the VM list included.

Load, and cached prefixes apart from it, now go at a pace that shares a budget among the entries; what stays the same is left out by a flag (prefixes_unchanged). A change of state still goes at once, and load rides on every reply as before. A receiver that does not know the flag loses cache hits and nothing else.

--- a/Services/figlift-agent/Syncs.h
+++ b/Services/figlift-agent/Syncs.h
@@ -1,8 +1,9 @@
 //===- Syncs.h - Reports to the entries -------------------------*- C++ -*-===//
 //
 // Sends the agent's state to every entry that holds a Sync stream: at once
-// when something important changed, with the load at most every 200 ms, and
-// once a second in any case. Loop thread only.
+// when something important changed, once a second in any case, and with the
+// load and the cached prefixes as often as a budget of bytes allows, so that
+// the cost does not grow with the entries. Loop thread only.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,7 +27,7 @@
   void opened(StreamId Stream);
   void ended(StreamId Stream) { m_Streams.erase(Stream); }
   /// Tells everybody now.
-  void broadcast();
+  void broadcast() { broadcast(m_Report()); }
   /// Looks for changes; every few milliseconds.
   void tick();
   void finishAll();
@@ -34,15 +35,20 @@
 
 private:
   void sendTo(StreamId Stream, wire::SyncDown Report);
+  void broadcast(const wire::SyncDown &Report);
+  /// Least time between two reports of \p Bytes to every entry.
+  std::chrono::nanoseconds pace(size_t Bytes) const;
 
   Context m_Shared;
   Replies &m_Back;
   std::function<wire::SyncDown()> m_Report;
   std::set<StreamId> m_Streams;
-  /// What was sent last, without the load, and with it.
+  /// What was sent last: without the load, with it, and the prefixes.
   std::string m_LastState;
-  std::string m_LastWhole;
+  std::string m_LastLoad;
+  std::string m_LastPrefixes;
   BootTime m_LastSent{};
+  BootTime m_PrefixesSent{};
 };
 
 } // namespace figlift::agent
--- a/Services/figlift-entry/Fleet.cpp
+++ b/Services/figlift-entry/Fleet.cpp
@@ -181,8 +181,12 @@
     return;
   m_OnRevision(Report.revision_in_force());
   learnSlices(Target, Report);
-  m_Reports[Target] = {Report, BootClock::now()};
-  step(membership::Reported{Target, reportFromWire(Report)});
+  LastReport &Last = m_Reports[Target];
+  wire::SyncDown Whole = Report;
+  if (Report.prefixes_unchanged())
+    *Whole.mutable_prefix_hashes() = Last.Message.prefix_hashes();
+  Last = {std::move(Whole), BootClock::now()};
+  step(membership::Reported{Target, reportFromWire(Last.Message)});
 }
 
 void Fleet::learnSlices(const std::string &Target,
