figlift-entry: Keep connections to six other entries, not to all

Each entry connected to every other one of its region, to ask for the configuration when the platform is out. At 205 entries a region that is 408 connections each, and their heartbeats alone (34 bytes a second and side) take 14 KB/s, by their size, of a budget of 9 KB/s. Now six are chosen by rendezvous hashing; three agents are asked beside them, as before. Changes spread over agents that several entries share.

--- a/Services/figlift-entry/Fleet.cpp
+++ b/Services/figlift-entry/Fleet.cpp
@@ -12,6 +12,7 @@
 #include "LibMetrics/ProcessMetrics.h"
 #include "LibRoute/Subset.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figlift::entry {
@@ -20,6 +21,10 @@
 
 namespace {
 
+/// Other entries that this one keeps connections to, to fetch the
+/// configuration from when the platform is out.
+constexpr size_t MaximumPeers = 6;
+
 membership::Options membershipOptions(const settings::EntrySettings &From) {
   return {.EntryId = From.Process.Id,
           .Zone = From.Process.Zone,
@@ -129,12 +134,26 @@
 
 void Fleet::act(const membership::TellLeaving &Which) {
   if (const auto Found = m_Links.find(Which.Target); Found != m_Links.end())
-    Found->second.Link->tellLeaving();
+    Found->second.Link->askToDrain(
+        "the platform's list says that the VM is leaving");
+}
+
+/// With a connection from every entry to every other, heartbeats alone would
+/// take more than an entry's whole budget of control bytes at 200 entries.
+std::vector<platform::Vm>
+Fleet::peersToAsk(std::vector<platform::Vm> Peers) const {
+  const size_t Count = std::min(MaximumPeers, Peers.size());
+  const auto Weight = [this](const platform::Vm &Peer) {
+    return route::rendezvousKey(m_Parts.Settings.Process.Id + "\n" + Peer.Id);
+  };
+  std::ranges::partial_sort(Peers, Peers.begin() + Count, {}, Weight);
+  Peers.resize(Count);
+  return Peers;
 }
 
 void Fleet::act(const membership::PeersChanged &Which) {
   std::vector<Endpoint> Endpoints = m_Parts.Settings.Peers;
-  for (const platform::Vm &Peer : Which.Peers)
+  for (const platform::Vm &Peer : peersToAsk(Which.Peers))
     Endpoints.push_back(Peer.Peer);
   m_OnPeers(std::move(Endpoints));
 }
--- a/Services/figlift-entry/Fleet.h
+++ b/Services/figlift-entry/Fleet.h
@@ -97,6 +97,7 @@
   void act(const membership::Connect &Which);
   void act(const membership::Disconnect &Which);
   void act(const membership::TellLeaving &Which);
+  std::vector<platform::Vm> peersToAsk(std::vector<platform::Vm> Peers) const;
   void act(const membership::PeersChanged &Which);
   void act(const membership::RoutingChanged &Which);
   void onConnection(const std::string &Target, uint64_t Generation, bool Up);
