LibSettings, figlift-agent: Poll once a second, ask few entries at a start

Two reads of the head and two of the VM list a second by each of 410 entries are 1,640 reads a second of the two thousand that the store gives, as the entry's measured 4 reads a second tell; halved, they are 820. A change has 4 s to be in force; the poll is only the slowest way to learn of it, beside the streams that carry the revision.

A new agent asked all entries for their whole configuration, so 410 copies of it, and always began with the first of the list when it missed a change. It now asks four, and begins at one of its own.

--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -34,8 +34,8 @@
 struct PlatformSettings {
   Endpoint Address;
   milliseconds Timeout{500};
-  milliseconds PollInterval{500};
-  milliseconds VmListInterval{500};
+  milliseconds PollInterval{1000};
+  milliseconds VmListInterval{1000};
 };
 
 struct LogSettings {
--- a/Services/figlift-agent/Configuration.cpp
+++ b/Services/figlift-agent/Configuration.cpp
@@ -19,6 +19,10 @@
 /// Work that waits longer for its configuration is refused.
 static constexpr std::chrono::milliseconds WaitLimit{500};
 
+/// Entries that a new agent asks for their whole configuration, of which it
+/// takes the newest. All of some hundred entries would send it as many copies.
+static constexpr size_t MaximumAsked = 4;
+
 static config::FollowerOptions
 makeOptions(const settings::AgentLimits &Limits) {
   config::FollowerOptions Options;
@@ -29,7 +33,9 @@
 
 Configuration::Configuration(Context Shared, Parts Of, Observers Told)
     : m_Shared(Shared), m_Parts(Of), m_Told(std::move(Told)),
-      m_Follower(makeOptions(Shared.Settings.Limits)) {}
+      m_Follower(makeOptions(Shared.Settings.Limits)),
+      // In a restart storm all agents would ask the first entry of the list.
+      m_NextEntry(std::hash<std::string>()(Shared.Settings.Process.Id)) {}
 
 void Configuration::step(const Event &What) {
   const auto Actions = m_Follower.step(What, BootClock::now());
@@ -86,7 +92,7 @@
   Request.set_after_revision(What.After);
   Request.set_sender(m_Shared.Settings.Process.Id);
   auto Of = std::make_shared<Round>();
-  Of->Missing = What.AskAll ? Entries.size() : 1;
+  Of->Missing = What.AskAll ? std::min(MaximumAsked, Entries.size()) : 1;
   for (size_t Asked = 0; Asked < Of->Missing; ++Asked)
     m_Parts.Client.ask(Entries[(m_NextEntry + Asked) % Entries.size()],
                        wire::Method::Configuration,
@@ -108,7 +114,7 @@
     return;
   if (Of->Newest)
     return step(PeersFetched{*Of->Newest});
-  ++m_NextEntry;
+  m_NextEntry += MaximumAsked;
   step(PeersFailed{});
 }
 
