--- a/Services/figlift-entry/Fleet.cpp
+++ b/Services/figlift-entry/Fleet.cpp
@@ -134,8 +134,7 @@
 
 void Fleet::act(const membership::TellLeaving &Which) {
   if (const auto Found = m_Links.find(Which.Target); Found != m_Links.end())
-    Found->second.Link->askToDrain(
-        "the platform's list says that the VM is leaving");
+    Found->second.Link->tellLeaving();
 }
 
 /// With a connection from every entry to every other, heartbeats alone would
