figlift-agent: Write the grants of a restarted home anew before they count

Cause: a process that found its target in the row of grants served at once. The write of its predecessor in the slot, which gives the slices to another home, could take effect after that; keys that ran at the restarted home ran again at the successor. The machine demands that the row is written first, its shell did not do so.

Now the slices of the first row that names the target are written with the next epoch, on condition of the row's version; they are served when the row shows a newer grant. In an outage of the store they stay refused. A failed write is repeated after a pause instead of at once.

The platform stand-in can delay the writes of one row.

--- a/Services/figlift-agent/SliceKeeper.cpp
+++ b/Services/figlift-agent/SliceKeeper.cpp
@@ -67,8 +67,8 @@
     learn(Read.value());
   for (const auto &Then : std::exchange(m_AfterRead, {}))
     Then();
-  const bool Soon =
-      !m_Known || !m_Pending.empty() || BootClock::now() < m_ReadSoonUntil;
+  const bool Soon = !m_Known || !m_Pending.empty() || !m_Renewals.empty() ||
+                    BootClock::now() < m_ReadSoonUntil;
   if (Soon && !m_Writing)
     return readAfter(Read ? FastInterval : OutageInterval);
   // A new back end: the planner is about to grant its slices.
@@ -99,8 +99,7 @@
   if (const auto Found = m_ClaimsOf.find(Slice);
       Found != m_ClaimsOf.end() && Found->second == Line.Epoch)
     return GrantReason::Handover;
-  // The first row that this process reads may name a predecessor in its slot.
-  if (!m_Known)
+  if (m_Renewals.contains(Slice))
     return GrantReason::SameSlotRestart;
   const Grant &Before = m_Lines[Slice];
   return Before.Epoch == 0 && Line.Epoch == 1 ? GrantReason::Initial
@@ -110,11 +109,23 @@
 void SliceKeeper::learnLine(SliceId Slice, const Grant &Line) {
   if (Line.Epoch == 0)
     return;
-  if (Line.Home != m_Shared.Settings.Process.Id)
+  if (Line.Home != m_Shared.Settings.Process.Id) {
+    m_Renewals.erase(Slice);
     return m_Parts.Calls->step(SliceLost{Slice, Line.Epoch});
-  if (m_Known && m_Lines[Slice] == Line)
+  }
+  // The first row that this process reads may name a predecessor in its slot,
+  // whose last write may still be on its way: it would give the slice to
+  // another home after this one had served new keys, which would run there a
+  // second time. So the grant counts only when the row has been written anew;
+  // the older write then fails its condition.
+  if (!m_Known) {
+    m_Renewals.insert(Slice);
+    return;
+  }
+  if (m_Lines[Slice] == Line)
     return;
   const GrantReason How = reasonFor(Slice, Line);
+  m_Renewals.erase(Slice);
   const WallTime TakenAt =
       How == GrantReason::SameSlotRestart ? m_BoundAt : wallNow();
   m_Shared.Events.record(
@@ -244,19 +255,21 @@
 /// Writes all pending grants on top of the row as read. The condition on the
 /// row's version lets at most one of several sendings take effect.
 void SliceKeeper::writePending() {
-  if (m_Pending.empty() || m_Writing)
+  if ((m_Pending.empty() && m_Renewals.empty()) || m_Writing)
     return;
   m_Writing = true;
   GrantTable Lines = m_Lines;
   for (const auto &[Slice, Wanted] : m_Pending)
     Lines[Slice] = {Wanted.Successor, Wanted.Epoch};
+  for (const SliceId Slice : m_Renewals)
+    Lines[Slice].Epoch = nextTakeoverEpoch(m_Lines[Slice].Epoch);
   const std::string Key = grantRowKey(m_Shared.Settings.Target.BackEnd);
   m_Parts.Store.commit({{{Key, m_RowVersion}}, {{Key, writeGrantRow(Lines)}}},
-                       [this](const Result<std::monostate> &) {
+                       [this](const Result<std::monostate> &Written) {
                          // Whatever the answer, the row itself tells.
-                         m_Shared.Decisions.post([this] {
+                         m_Shared.Decisions.post([this, Done = bool(Written)] {
                            m_Writing = false;
-                           read();
+                           return Done ? read() : readAfter(FastInterval);
                          });
                        });
 }
--- a/Services/figlift-agent/SliceKeeper.h
+++ b/Services/figlift-agent/SliceKeeper.h
@@ -91,6 +91,9 @@
   bool m_Writing = false;
   /// Grants to be written; each is on top of the line it names.
   std::map<idempotency::SliceId, idempotency::CommitGrant> m_Pending;
+  /// Slices that the first row names this target for; not served before the
+  /// row shows another grant than that one.
+  std::set<idempotency::SliceId> m_Renewals;
   /// Slices between HandoverRequested and its end.
   std::set<idempotency::SliceId> m_Moving;
   /// Epoch of the claims that a predecessor gave us.
--- a/Tests/StandIns/platform-standin/Platform.cpp
+++ b/Tests/StandIns/platform-standin/Platform.cpp
@@ -44,7 +44,9 @@
   case Mode::LostBeforeEffect:
     return loseAnswer(Incoming, Active);
   case Mode::Slow:
+    ++m_Delayed;
     return m_Timer.after(Active.Delay, [this, Incoming, IsWrite] {
+      --m_Delayed;
       Incoming.guard(
           [&] { IsWrite ? answerWrite(Incoming, Fault()) : read(Incoming); });
     });
@@ -62,6 +64,9 @@
                           m_Fault.Kind == Mode::LostBeforeEffect;
   if (OnlyWrites && !IsWrite)
     return {};
+  if (Incoming.Body.find(m_Fault.Containing) == std::string::npos)
+    return {};
+  ++m_FaultsTaken;
   Fault Active = m_Fault;
   if (m_Fault.Remaining && --*m_Fault.Remaining == 0)
     m_Fault = {};
@@ -132,11 +137,6 @@
   Incoming.answer(200, {{"bytes", m_Options.WeightBytes}});
 }
 
-Json Platform::visibleVms() {
-  const std::lock_guard Lock(m_Mutex);
-  const auto Horizon = std::chrono::steady_clock::now() - m_VmLag;
-  while (m_VmLists.size() > 1 && m_VmLists[1].first <= Horizon)
-    m_VmLists.pop_front();
 /// With a tag, so that a reader who has this list already is spared its bytes.
 void Platform::readVms(const Call &Incoming) {
   const std::string Body = Json{{"vms", visibleVms()}}.dump();
@@ -151,6 +151,11 @@
   observe(Incoming.Request.reply(Answer));
 }
 
+Json Platform::visibleVms() {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Horizon = std::chrono::steady_clock::now() - m_VmLag;
+  while (m_VmLists.size() > 1 && m_VmLists[1].first <= Horizon)
+    m_VmLists.pop_front();
   return m_VmLists.empty() ? Json::array() : m_VmLists.front().second;
 }
 
@@ -165,12 +170,14 @@
                                      std::numeric_limits<size_t>::max())}});
   if (Name == "stats")
     return Incoming.answer(200, {{"reads", m_Reads.load()},
+                                 {"list_reads", m_ListReads.load()},
                                  {"writes", m_Writes.load()},
                                  {"commits", m_Commits.load()},
                                  {"conflicts", m_Conflicts.load()},
                                  {"refused", m_Refused.load()},
+                                 {"faults", m_FaultsTaken.load()},
+                                 {"delayed", m_Delayed.load()},
                                  {"weight_fetches", m_WeightFetches.load()}});
-                                 {"list_reads", m_ListReads.load()},
   Incoming.answer(404, {{"error", "not found"}});
 }
 
@@ -188,6 +195,7 @@
   if (Body.contains("count"))
     New.Remaining = Body.at("count").get<uint64_t>();
   New.Scope = Body.value("scope", "/v1/");
+  New.Containing = Body.value("containing", "");
   if (New.Remaining == 0)
     New = {};
   {
--- a/Tests/StandIns/platform-standin/Platform.h
+++ b/Tests/StandIns/platform-standin/Platform.h
@@ -41,6 +41,8 @@
     std::optional<uint64_t> Remaining;
     /// Path prefix of the operations that it hits.
     std::string Scope;
+    /// Only operations with this text in their body, such as a row's key.
+    std::string Containing;
   };
 
   void handle(const Call &Incoming);
@@ -54,9 +56,9 @@
   int write(const Call &Incoming, Json &Answer);
   void read(const Call &Incoming);
   void readWeights(const Call &Incoming);
+  void readVms(const Call &Incoming);
   Json visibleVms();
 
-  void readVms(const Call &Incoming);
   PlatformOptions m_Options;
   TableStore m_Table;
   RateLimit m_ReadLimit;
@@ -71,12 +73,16 @@
   std::deque<std::pair<SteadyTime, Json>> m_VmLists;
   std::chrono::microseconds m_VmLag{0};
 
+  /// The VM list's are counted among both.
   std::atomic<uint64_t> m_Reads{0};
+  std::atomic<uint64_t> m_ListReads{0};
   std::atomic<uint64_t> m_Writes{0};
   std::atomic<uint64_t> m_Commits{0};
   std::atomic<uint64_t> m_Conflicts{0};
-  std::atomic<uint64_t> m_ListReads{0};
   std::atomic<uint64_t> m_Refused{0};
+  std::atomic<uint64_t> m_FaultsTaken{0};
+  /// Slow operations that have not taken effect yet.
+  std::atomic<uint64_t> m_Delayed{0};
   std::atomic<uint64_t> m_WeightFetches{0};
   Server m_Server;
 };
