figlift-entry: Refuse control characters in paths

POST /v1/services/booking-core/slots%00 was passed on to the target with the NUL in its path and answered 200: some servers end the path there, so that what was checked and what is run differ. Before: PathTricksReachNoTarget fails with "slots%00 gave 200"; after: it passes, with the processes rebuilt.

--- a/Services/figlift-entry/CallerRequest.cpp
+++ b/Services/figlift-entry/CallerRequest.cpp
@@ -49,6 +49,12 @@
          RawPath.find("%2F") != std::string::npos;
 }
 
+/// A NUL or a line break ends the path for some targets: "/slots%00/x".
+bool isControl(char Each) {
+  const auto Code = static_cast<unsigned char>(Each);
+  return Code < 0x20 || Code == 0x7f;
+}
+
 /// Paths that a target could read as another path than we do: "/x/../slots"
 /// would pass for repeatable here and hold a slot there.
 bool isAmbiguous(const std::string &Path) {
@@ -57,7 +63,8 @@
          Path.find("/../") != std::string::npos || Path.ends_with("/.") ||
          Path.ends_with("/..") || Path.find('\\') != std::string::npos ||
          Path.find('%') != std::string::npos ||
-         Path.find(';') != std::string::npos;
+         Path.find(';') != std::string::npos ||
+         std::any_of(Path.begin(), Path.end(), isControl);
 }
 
 } // namespace
--- a/Tests/FigliftEntry/TestCallerRequest.cpp
+++ b/Tests/FigliftEntry/TestCallerRequest.cpp
@@ -114,8 +114,9 @@
   // Sequence: the call's path is "/x/../slots/7"; it looks repeatable here
   // and is sent again, and the service resolves it to "/slots/7".
   // Cause: two readings of one path.
-  for (const char *Path : {"/x/../slots/7", "//slots/7", "/./slots/7",
-                           "/slots/..", "/a%2fb", "/slots;x/7"}) {
+  for (const char *Path :
+       {"/x/../slots/7", "//slots/7", "/./slots/7", "/slots/..", "/a%2fb",
+        "/slots;x/7", "/slots\n/7", "/slots\x7f"}) {
     http::Request Asked =
         service("POST", std::string("/v1/services/booking-core") + Path);
     CHECK_TRUE_TEXT(
