figlift-entry, figlift-agent: Give held answers to callers who come back

Cause: an answer was held by its agent under an id that only one entry knew. When that entry was killed in mid-stream, its callers came back through another one and the completion ran a second time, while the first run went on for nobody.

A completion with an Idempotency-Key now carries a digest of the key and the request, runs at one of the first two targets of the digest's rendezvous order, and an entry that gets the key asks those two for an unread answer first.

LibRetry: an answer that has begun cannot be refused any more, but ended with TargetFailed when the retry budget was spent, when an engine restarted for a moment or when no target took work just then. It now goes on until its deadline with the usual delays, costs no budget, and counts only attempts that may have run, against a limit of its own. Resumes last 300 ms in place of 60 ms, which a link needs to come back.

--- a/Libraries/LibRetry/RetryDecision.cpp
+++ b/Libraries/LibRetry/RetryDecision.cpp
@@ -77,7 +77,9 @@
   Decision operator()(const NothingSent &Nothing) const {
     // Routing looked at every target there is: asking again at once would
     // only repeat the answer. A home may be on its way, though.
-    if (m_History.Keyed && Nothing.Code == ResultCode::HomeMoved)
+    // Nor can an answer that has begun be refused.
+    if ((m_History.Keyed && Nothing.Code == ResultCode::HomeMoved) ||
+        (hasBegun() && !isFinal(Nothing.Code)))
       return runAgain(Nothing.Code, false, Nothing.RetryAfter, false);
     return giveUp(Nothing.Code, false, Nothing.RetryAfter);
   }
@@ -91,6 +93,18 @@
     return m_History.Deadline && m_Now >= *m_History.Deadline;
   }
 
+  /// The caller has a part of the answer, and the time for it is bounded.
+  bool hasBegun() const {
+    return m_History.TokensDelivered > 0 && m_History.Deadline.has_value();
+  }
+
+  /// \p MayHaveRun is about the last attempt.
+  bool attemptsSpent(bool MayHaveRun) const {
+    if (!hasBegun())
+      return m_History.Attempts >= m_Settings.MaximumAttempts;
+    return m_History.Runs + (MayHaveRun ? 1 : 0) >= m_Settings.MaximumRuns;
+  }
+
   /// True only when there is time for \p Delay and an attempt.
   bool hasTime(milliseconds Delay) const {
     return !m_History.Deadline ||
@@ -126,12 +140,12 @@
 
   Decision runAgain(ResultCode Code, bool MayHaveRun,
                     std::optional<milliseconds> RetryAfter, bool Costs) const {
-    if (m_History.Attempts >= m_Settings.MaximumAttempts)
+    if (attemptsSpent(MayHaveRun))
       return giveUp(Code, MayHaveRun, RetryAfter);
     const milliseconds Delay = backoff(m_History.Attempts);
     if (!hasTime(Delay))
       return giveUpForTime(Code, MayHaveRun, RetryAfter);
-    if (Costs && !m_Budget.spend())
+    if (Costs && !hasBegun() && !m_Budget.spend())
       return giveUp(MayHaveRun ? Code : ResultCode::RetryBudgetSpent,
                     MayHaveRun, RetryAfter.value_or(m_Settings.MaximumDelay));
     if (m_History.Keyed)
--- a/Libraries/LibRetry/RetryDecision.h
+++ b/Libraries/LibRetry/RetryDecision.h
@@ -59,6 +59,8 @@
   bool Keyed = false;
   /// Attempts that were started, resumes left out.
   unsigned Attempts = 1;
+  /// Earlier attempts that may have run.
+  unsigned Runs = 0;
   /// Resumes of the current attempt.
   unsigned Resumes = 0;
   /// The current attempt got an Accepted frame or any later one, so its agent
@@ -101,7 +103,14 @@
 
 struct RetrySettings {
   unsigned MaximumAttempts = 4;
-  unsigned MaximumResumes = 3;
+  /// Attempts that may have run, for an answer that has begun. More than
+  /// MaximumAttempts: the attempts at an engine that restarts fail at once,
+  /// and with their delays so many outlast a restart of more than a second.
+  /// Still few, as the prompt itself may be what crashes engines.
+  unsigned MaximumRuns = 8;
+  /// With their delays they take 300 ms, in which a link that broke for a
+  /// moment is restored; a second run costs more than that.
+  unsigned MaximumResumes = 5;
   std::chrono::milliseconds FirstDelay{20};
   std::chrono::milliseconds MaximumDelay{500};
   /// Less time left than this is not worth an attempt.
@@ -115,7 +124,10 @@
 
 /// Decides and, where the decision is another run, spends from \p Budget.
 /// Refusals that come from planned changes, and attempts that reached nobody,
-/// cost no budget: a drain must not end requests because others failed.
+/// cost no budget: a drain must not end requests because others failed. Nor
+/// does going on with an answer that the caller has a part of: it can't be
+/// refused any more, so it goes on until its deadline, and only attempts that
+/// may have run are counted, against MaximumRuns.
 Decision decide(const RetrySettings &Settings, const RequestHistory &History,
                 const AttemptEnd &End, RetryBudget &Budget, BootTime Now);
 
--- a/Libraries/LibStream/AnswerStore.cpp
+++ b/Libraries/LibStream/AnswerStore.cpp
@@ -13,6 +13,15 @@
   return Found == m_Answers.end() ? nullptr : &Found->second;
 }
 
+bool AnswerStore::isUnread(const std::string &RequestId) const {
+  const auto Found = m_ByRequest.find(RequestId);
+  if (Found == m_ByRequest.end())
+    return false;
+  const Answer &Held = m_Answers.at(Found->second);
+  return !Held.Reader &&
+         !(Held.End && std::holds_alternative<Error>(*Held.End));
+}
+
 void AnswerStore::detach(Answer &From) {
   if (From.Reader)
     m_ByReader.erase(*From.Reader);
--- a/Libraries/LibStream/AnswerStore.h
+++ b/Libraries/LibStream/AnswerStore.h
@@ -129,6 +129,9 @@
   bool holds(const std::string &RequestId) const {
     return m_ByRequest.contains(RequestId);
   }
+  /// Whether an answer that can still become whole is held, and nobody reads
+  /// it: a reader that comes takes nothing away from another.
+  bool isUnread(const std::string &RequestId) const;
 
 private:
   struct Answer {
--- a/Services/figlift-agent/Completions.cpp
+++ b/Services/figlift-agent/Completions.cpp
@@ -10,6 +10,7 @@
 
 #include "LibLog/Log.h"
 #include "LibRoute/PrefixHash.h"
+#include "LibStream/ResumeName.h"
 
 namespace figlift::agent {
 
@@ -87,6 +88,7 @@
   if (Request.deadline_milliseconds() != 0)
     New.Deadline = BootClock::now() +
                    std::chrono::milliseconds(Request.deadline_milliseconds());
+  New.Key = Request.idempotency_key();
   New.Work = std::move(*Request.mutable_completion());
   m_Readers[Stream] = New.First;
   m_Queued[Stream] = Id;
@@ -123,6 +125,8 @@
                   Which.First.AttemptId);
   step(stream::RunStarted{Which.First.RequestId, Id, Which.First.Stream,
                           Which.Work.first_token()});
+  if (!Which.Key.empty())
+    m_ByKey[Which.Key] = Which.First.RequestId;
   wire::RunFrame Accepted;
   Accepted.mutable_accepted();
   m_Parts.Out.send(Which.First, std::move(Accepted), true);
@@ -210,12 +214,25 @@
 
 void Completions::resume(StreamId Stream, const wire::ResumeRequest &Request) {
   m_Readers[Stream] = {Stream, Request.request_id(), Request.attempt_id()};
-  m_Resumed.add();
-  m_Shared.Events.record(timeline::kinds::AnswerResumed,
-                         {SubjectType::Request, Request.request_id()},
-                         {{"first", Request.first_token()}});
-  step(stream::ReaderResumed{Request.request_id(), Stream,
-                             Request.first_token()});
+  const std::string Held = heldAs(Request.request_id());
+  if (m_Store.holds(Held)) {
+    m_Resumed.add();
+    m_Shared.Events.record(timeline::kinds::AnswerResumed,
+                           {SubjectType::Request, Held},
+                           {{"first", Request.first_token()}});
+  }
+  step(stream::ReaderResumed{Held, Stream, Request.first_token()});
+}
+
+std::string Completions::heldAs(const std::string &Name) const {
+  const std::optional<std::string> Key = stream::keyOfName(Name);
+  if (!Key)
+    return Name;
+  // An answer that somebody reads is not given to a second caller: the two
+  // would take it from each other again and again.
+  const auto Found = m_ByKey.find(*Key);
+  const bool IsFree = Found != m_ByKey.end() && m_Store.isUnread(Found->second);
+  return IsFree ? Found->second : Name;
 }
 
 void Completions::streamEnded(StreamId Stream, wire::StreamEnd End) {
@@ -234,7 +251,12 @@
     step(stream::ReaderLost{Stream});
 }
 
-void Completions::tick() { step(stream::TimePassed{}); }
+void Completions::tick() {
+  step(stream::TimePassed{});
+  std::erase_if(m_ByKey, [this](const auto &Known) {
+    return !m_Store.holds(Known.second);
+  });
+}
 
 void Completions::step(const stream::Event &What) {
   for (const stream::Action &Next : m_Store.step(What, BootClock::now()))
--- a/Services/figlift-agent/Completions.h
+++ b/Services/figlift-agent/Completions.h
@@ -44,6 +44,8 @@
   class Listener;
   struct Run {
     Reader First;
+    /// Digest of the caller's idempotency key, or empty.
+    std::string Key;
     wire::Completion Work;
     uint32_t Priority = 0;
     std::optional<BootTime> Deadline;
@@ -67,6 +69,8 @@
   void act(const stream::DismissReader &What);
   void act(const stream::CancelRun &What);
   admission::Work describe(const Run &Which) const;
+  /// Request id of the answer that a Resume for \p Name means.
+  std::string heldAs(const std::string &Name) const;
 
   Context m_Shared;
   Parts m_Parts;
@@ -78,6 +82,9 @@
   std::unordered_map<StreamId, Reader> m_Readers;
   /// Queued runs by the stream that waits for them.
   std::unordered_map<StreamId, WorkId> m_Queued;
+  /// Request ids of runs with an idempotency key; those that are no longer
+  /// held are forgotten with the next tick.
+  std::unordered_map<std::string, std::string> m_ByKey;
   metrics::Counter &m_Tokens;
   metrics::Counter &m_Resumed;
 };
--- a/Services/figlift-entry/Call.cpp
+++ b/Services/figlift-entry/Call.cpp
@@ -42,12 +42,14 @@
   if (!Made->admit())
     return;
   Made->arm();
-  Made->attempt();
+  if (!Made->m_Request.ResumeKey.empty())
+    Made->findHolders();
+  Made->askHolders();
 }
 
 Call::Call(const CallContext &With, CallerRequest Request)
     : m_Context(With), m_Request(std::move(Request)),
-      m_Deadline(m_Began + m_Request.Deadline) {
+      m_Deadline(m_Began + m_Request.Deadline), m_HeldAs(m_Request.RequestId) {
   m_History.Repeatable = m_Request.Repeatable;
   m_History.Keyed = m_Request.keyed();
   m_History.Deadline = m_Deadline;
@@ -142,6 +144,7 @@
 }
 
 bool Call::onTokens(Attempt &From, const wire::Tokens &Frame) {
+  takeOver(From);
   m_History.AcceptedSeen = true;
   m_Accepted.store(true);
   const uint32_t Expected = m_History.TokensDelivered;
@@ -187,6 +190,7 @@
     giveUpAnswer(From);
     return;
   }
+  takeOver(From);
   From.link()->health().succeeded();
   const CompletionEnd End{.FinishReason = Frame.finish_reason(),
                           .PromptTokens = shape().PromptTokens,
@@ -223,8 +227,12 @@
 
 void Call::onFailure(Attempt &From, const wire::Failure &Frame) {
   m_LastMessage = Frame.message();
-  const ResultCode Code = resultCodeFromNumber(static_cast<int>(Frame.code()))
-                              .value_or(ResultCode::TargetFailed);
+  ResultCode Code = resultCodeFromNumber(static_cast<int>(Frame.code()))
+                        .value_or(ResultCode::TargetFailed);
+  // The deadline of the call that began this answer; this one has its own.
+  if (m_TakenOver && Code == ResultCode::DeadlineExceeded &&
+      timeLeft().count() > 0)
+    Code = ResultCode::TargetFailed;
   if (Code == ResultCode::TargetFailed)
     From.link()->health().failed(BootClock::now());
   afterEnd(From.link(), retry::TargetFailed{Code});
--- a/Services/figlift-entry/Call.h
+++ b/Services/figlift-entry/Call.h
@@ -72,6 +72,8 @@
   Result<Destination> choose();
   Result<Destination> chooseTarget(const ServingState &Now);
   Result<Destination> chooseHome(const ServingState &Now);
+  Result<Destination> destination(const ServingState &Now,
+                                  const route::Choice &Best);
   route::RequestShape shape() const;
   void pinModel(const route::TargetView &Target);
   void attempt();
@@ -83,6 +85,17 @@
   void describe(const CompletionWork &Work, wire::RunRequest &Into) const;
   void describe(const ServiceWork &Work, wire::RunRequest &Into) const;
 
+  /// Of a completion with a key: all targets but those that should run it.
+  std::vector<std::string>
+  withoutPreferred(const ServingState &Now,
+                   const route::RequestShape &Shape) const;
+  /// Lists the agents that may hold the answer from an earlier call.
+  void findHolders();
+  /// Asks the next of them; the first attempt follows when none is left.
+  void askHolders();
+  /// An agent that was asked has the answer.
+  void takeOver(const Attempt &From);
+
   bool giveUpAnswer(Attempt &From);
   void afterEnd(const std::shared_ptr<TargetLink> &Link,
                 const retry::AttemptEnd &End);
@@ -115,6 +128,15 @@
   std::string m_PinnedModel;
   /// Target of the last attempt; for resuming.
   std::shared_ptr<TargetLink> m_LastLink;
+  /// Agents still to be asked for a held answer, the next one last.
+  std::vector<std::shared_ptr<TargetLink>> m_Holders;
+  /// The live attempt asks for a held answer: nothing has run for this call
+  /// yet, and its end, however it comes, only leads to the next question.
+  bool m_Asking = false;
+  /// The answer was begun for an earlier call of the same caller.
+  bool m_TakenOver = false;
+  /// Under which name the agent of the last attempt holds the answer.
+  std::string m_HeldAs;
   bool m_Counted = false;
   EventLoop::TimerId m_DeadlineTimer;
 
--- a/Services/figlift-entry/CallAttempts.cpp
+++ b/Services/figlift-entry/CallAttempts.cpp
@@ -7,13 +7,14 @@
 
 #include "figlift-entry/Call.h"
 
+#include "figlift-entry/Digest.h"
+
 #include "LibLog/Log.h"
 #include "LibRoute/ChooseTarget.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace figlift::entry {
@@ -31,20 +32,6 @@
                                route::BytesPerToken);
 }
 
-/// Guards a key against being used again for another request.
-std::string fingerprintOf(const ServiceWork &Work) {
-  std::string All;
-  for (const std::string *Part :
-       {&Work.Method, &Work.Path, &Work.ContentType, &Work.Body})
-    All.append(std::to_string(Part->size())).append(":").append(*Part);
-  const XXH128_hash_t Hash = XXH3_128bits(All.data(), All.size());
-  char Text[33];
-  std::snprintf(Text, sizeof Text, "%016llx%016llx",
-                static_cast<unsigned long long>(Hash.high64),
-                static_cast<unsigned long long>(Hash.low64));
-  return Text;
-}
-
 } // namespace
 
 route::RequestShape Call::shape() const {
@@ -97,6 +84,12 @@
     return route::chooseTarget(m_Context.Routing, Now.Table, Shape, Without,
                                Seed);
   };
+  if (std::vector<std::string> Others = withoutPreferred(Now, Shape);
+      !Others.empty()) {
+    Others.insert(Others.end(), Excluded.begin(), Excluded.end());
+    if (auto Preferred = Choose(Others))
+      return destination(Now, Preferred.value());
+  }
   auto Chosen = Choose(Excluded);
   // A target that failed is better than none: with a single target left, its
   // agent may be back by now.
@@ -105,11 +98,16 @@
     Chosen = Choose({});
   if (!Chosen)
     return outcome::failure(Chosen.error());
-  const route::Choice &Best = Chosen.value();
+  return destination(Now, Chosen.value());
+}
+
+Result<Call::Destination> Call::destination(const ServingState &Now,
+                                            const route::Choice &Best) {
   const auto Link = Now.Links.find(Best.Target->Id);
   if (Link == Now.Links.end())
     return failure(ResultCode::NoTargetAvailable,
                    "the chosen target was disconnected");
+  const route::RequestShape Shape = shape();
   pinModel(*Best.Target);
   return Destination{Link->second, Best.enter(Shape), Best.PrefixTokensBelieved,
                      0};
@@ -149,7 +147,8 @@
   Message.set_service_class(static_cast<uint32_t>(m_Request.Class));
   Message.set_deadline_milliseconds(
       static_cast<uint64_t>(std::max<int64_t>(1, timeLeft().count())));
-  Message.set_idempotency_key(m_Request.IdempotencyKey);
+  Message.set_idempotency_key(m_Request.keyed() ? m_Request.IdempotencyKey
+                                                : m_Request.ResumeKey);
   Message.set_repeatable(m_Request.Repeatable);
   Message.set_slice_epoch(SliceEpoch);
   std::visit([&](const auto &Work) { describe(Work, Message); },
@@ -179,7 +178,9 @@
   Out.set_content_type(Work.ContentType);
   Out.set_body(Work.Body);
   if (m_Request.keyed())
-    Into.set_fingerprint(fingerprintOf(Work));
+    // Guards the key against being used again for another request.
+    Into.set_fingerprint(
+        digestOf({Work.Method, Work.Path, Work.ContentType, Work.Body}));
 }
 
 void Call::attempt() {
@@ -205,10 +206,11 @@
 void Call::resume(std::shared_ptr<TargetLink> Link) {
   const std::string AttemptId = m_Context.Ids.nextText();
   wire::ResumeRequest Message;
-  Message.set_request_id(m_Request.RequestId);
+  Message.set_request_id(m_HeldAs);
   Message.set_attempt_id(AttemptId);
   Message.set_first_token(m_History.TokensDelivered);
-  m_Context.Metrics.Resumes.add();
+  if (!m_Asking)
+    m_Context.Metrics.Resumes.add();
   m_Context.Events.record(timeline::kinds::AnswerResumed,
                           {SubjectType::Request, m_Request.RequestId},
                           {{"attempt", AttemptId},
@@ -226,7 +228,9 @@
   m_LastLink = To.Link;
   const auto Next = std::make_shared<Attempt>(
       shared_from_this(), To.Link,
-      Attempt::Identity{m_Request.RequestId, std::move(AttemptId)},
+      Attempt::Identity{What == wire::Method::Resume ? m_HeldAs
+                                                     : m_Request.RequestId,
+                        std::move(AttemptId)},
       std::move(To.Ticket), To.PrefixTokensBelieved);
   m_Live.store(Next);
   // Whoever stops the call sets the flag first and then looks for the live
@@ -243,13 +247,20 @@
                           {SubjectType::Request, m_Request.RequestId},
                           {{"tokens", m_History.TokensDelivered}});
   if (m_Stop.load() != StopReason::None) {
-    m_History.EarlierMayHaveRun |= retry::mayHaveRun(m_History, End);
+    m_History.EarlierMayHaveRun |=
+        !m_Asking && retry::mayHaveRun(m_History, End);
     return fail(stopError());
   }
+  if (m_Asking)
+    return askHolders();
   const retry::Decision Next = retry::decide(
       m_Context.Retrying, m_History, End, m_Context.Budget, BootClock::now());
-  m_History.EarlierMayHaveRun |= retry::mayHaveRun(m_History, End);
-  if (Link && !std::holds_alternative<retry::ResumeSame>(Next))
+  const bool MayHaveRun = retry::mayHaveRun(m_History, End);
+  m_History.EarlierMayHaveRun |= MayHaveRun;
+  const bool IsOver = !std::holds_alternative<retry::ResumeSame>(Next);
+  if (IsOver && MayHaveRun)
+    ++m_History.Runs;
+  if (Link && IsOver)
     m_Excluded.push_back(Link->target().Id);
   std::visit([this](const auto &Which) { perform(Which); }, Next);
 }
@@ -280,6 +291,7 @@
   ++m_History.Attempts;
   m_History.Resumes = 0;
   m_History.AcceptedSeen = false;
+  m_HeldAs = m_Request.RequestId;
   m_Context.Metrics.Retries.add();
   // The task owns the call: nothing else does between two attempts.
   runAfter(Delay, [Self = shared_from_this()] { Self->attempt(); });
--- a/Services/figlift-entry/CallContext.cpp
+++ b/Services/figlift-entry/CallContext.cpp
@@ -18,6 +18,9 @@
                            "Answers resumed at the agent that held them.")),
       Continuations(Into.counter("entry_continuations_total",
                                  "Answers continued on another target.")),
+      TakenOver(Into.counter("entry_answers_taken_over_total",
+                             "Held answers of earlier calls with the same "
+                             "idempotency key.")),
       FramesDropped(Into.counter(
           "entry_frames_dropped_total",
           "Frames of other attempts and of tokens delivered before.")),
--- a/Services/figlift-entry/CallContext.h
+++ b/Services/figlift-entry/CallContext.h
@@ -37,6 +37,7 @@
   metrics::Counter &Retries;
   metrics::Counter &Resumes;
   metrics::Counter &Continuations;
+  metrics::Counter &TakenOver;
   metrics::Counter &FramesDropped;
   metrics::Counter &AnswerGaps;
   metrics::Counter &Tokens;
--- /dev/null
+++ b/Services/figlift-entry/CallReturn.cpp
@@ -0,0 +1,104 @@
+//===- CallReturn.cpp - Callers who come back -----------------------------===//
+//
+// A caller whose entry died in mid-stream comes back through another entry
+// with the same idempotency key. The agent that ran the completion still holds
+// the answer; without this it would be computed a second time while the first
+// run goes on for nobody.
+//
+// No entry knows what another one has sent. So completions with a key go to
+// one of the first few targets of the key's own rendezvous order, and whoever
+// gets the key again asks just these.
+//
+//===----------------------------------------------------------------------===//
+
+#include "figlift-entry/Call.h"
+
+#include "LibRoute/Subset.h"
+#include "LibStream/ResumeName.h"
+
+#include <algorithm>
+
+namespace figlift::entry {
+
+namespace {
+
+/// Targets among which a completion with a key is balanced: two, so that a
+/// busy one can be avoided, and no more, as each is asked when the caller
+/// comes back.
+constexpr size_t PreferredTargets = 2;
+
+using Ranking = std::vector<const route::TargetView *>;
+
+Ranking rank(std::span<const route::TargetView> Targets,
+             const std::string &ResumeKey) {
+  Ranking All;
+  for (const route::TargetView &Target : Targets)
+    All.push_back(&Target);
+  const uint64_t Key = route::rendezvousKey(ResumeKey);
+  std::ranges::sort(All, std::ranges::greater{},
+                    [Key](const route::TargetView *Target) {
+                      return route::rendezvousWeight(Key, Target->Id);
+                    });
+  return All;
+}
+
+} // namespace
+
+std::vector<std::string>
+Call::withoutPreferred(const ServingState &Now,
+                       const route::RequestShape &Shape) const {
+  std::vector<std::string> Others;
+  if (m_Request.ResumeKey.empty() || m_History.Attempts > 1)
+    return Others;
+  size_t Preferred = 0;
+  for (const route::TargetView *Target :
+       rank(Now.Table.targets(m_Request.BackEnd), m_Request.ResumeKey))
+    if (!Target->Accepting || !Target->serves(Shape.Model) ||
+        ++Preferred > PreferredTargets)
+      Others.push_back(Target->Id);
+  return Others;
+}
+
+void Call::findHolders() {
+  m_Context.State.read([&](const ServingState &Now) {
+    size_t Accepting = 0;
+    for (const route::TargetView *Target :
+         rank(Now.Table.targets(m_Request.BackEnd), m_Request.ResumeKey)) {
+      // One that takes no work now, because it drains, did so before perhaps.
+      if (Target->Accepting && ++Accepting > PreferredTargets)
+        break;
+      if (const auto Link = Now.Links.find(Target->Id); Link != Now.Links.end())
+        m_Holders.push_back(Link->second);
+    }
+    return 0;
+  });
+  std::ranges::reverse(m_Holders);
+}
+
+void Call::askHolders() {
+  m_Asking = !m_Holders.empty();
+  if (!m_Asking) {
+    m_HeldAs = m_Request.RequestId;
+    m_LastLink = nullptr;
+    m_LastMessage.clear();
+    return attempt();
+  }
+  m_HeldAs = stream::nameOfKey(m_Request.ResumeKey);
+  std::shared_ptr<TargetLink> Next = std::move(m_Holders.back());
+  m_Holders.pop_back();
+  resume(std::move(Next));
+}
+
+void Call::takeOver(const Attempt &From) {
+  if (!std::exchange(m_Asking, false))
+    return;
+  m_TakenOver = true;
+  m_Context.Metrics.TakenOver.add();
+  m_Context.State.read([&](const ServingState &Now) {
+    if (const auto *Target = Now.Table.find(From.link()->target().Id))
+      pinModel(*Target);
+    return 0;
+  });
+}
+
+} // namespace figlift::entry
--- a/Services/figlift-entry/CallerRequest.cpp
+++ b/Services/figlift-entry/CallerRequest.cpp
@@ -101,6 +101,15 @@
   return success();
 }
 
+Result<std::string> readKey(const http::Request &From) {
+  std::string Key = From.header("idempotency-key");
+  if (Key.size() > MaximumKeyLength || !isVisibleAscii(Key))
+    return failure(ResultCode::InvalidInput,
+                   "allowed are up to 256 visible ASCII characters",
+                   "Idempotency-Key");
+  return Key;
+}
+
 void applyClass(const ReadContext &With, const record::BackEnd &BackEnd,
                 bool HasOwnDeadline, CallerRequest &Into) {
   const auto *Customer = With.Configuration.workspace(Into.Workspace);
@@ -136,11 +145,7 @@
     Read.Class = record::ServiceClass::Immediate;
   Read.Repeatable =
       isReadOnly(From.Method) || !isUnder(Path, BackEnd->NonRepeatablePaths);
-  const std::string Key = From.header("idempotency-key");
-  if (Key.size() > MaximumKeyLength || !isVisibleAscii(Key))
-    return failure(ResultCode::InvalidInput,
-                   "allowed are up to 256 visible ASCII characters",
-                   "Idempotency-Key");
+  FIGLIFT_TRY(Key, readKey(From));
   if (!Read.Repeatable)
     Read.IdempotencyKey = Key;
 
--- a/Services/figlift-entry/CallerRequest.h
+++ b/Services/figlift-entry/CallerRequest.h
@@ -55,6 +55,10 @@
   bool Repeatable = true;
   /// Set only for work that may not be repeated: other work needs no home.
   std::string IdempotencyKey;
+  /// Of a completion with an idempotency key: digest of the key and of all
+  /// that the answer depends on. A caller who comes back with the same request
+  /// gets the answer that an agent still holds under it.
+  std::string ResumeKey;
   std::variant<CompletionWork, ServiceWork> Work;
 
   bool keyed() const { return !IdempotencyKey.empty(); }
--- a/Services/figlift-entry/CompletionRequest.cpp
+++ b/Services/figlift-entry/CompletionRequest.cpp
@@ -8,6 +8,7 @@
 
 #include "figlift-entry/CallerRequest.h"
 
+#include "figlift-entry/Digest.h"
 #include "figlift-entry/RequestHeaders.h"
 
 #include <nlohmann/json.hpp>
@@ -148,6 +149,14 @@
   return success();
 }
 
+/// Without the customer and the request in it, a key that is used for another
+/// request would bring that request's answer.
+std::string resumeKeyOf(const std::string &Key, const std::string &Workspace,
+                        const CompletionWork &Work) {
+  return digestOf({Key, Workspace, Work.ModelAsAsked, Work.Prompt,
+                   std::to_string(Work.MaximumTokens)});
+}
+
 } // namespace
 
 Result<CallerRequest> readCompletion(const http::Request &From,
@@ -173,6 +182,9 @@
   FIGLIFT_TRY(resolveModel(With.Configuration, Model, Read, Work.Model));
   applyClass(With, *With.Configuration.backEnd(Read.BackEnd),
              !From.header("x-figlift-deadline").empty(), Read);
+  FIGLIFT_TRY(Key, readKey(From));
+  if (!Key.empty())
+    Read.ResumeKey = resumeKeyOf(Key, Read.Workspace, Work);
   Read.Work = std::move(Work);
   return Read;
 }
--- a/Services/figlift-entry/RequestHeaders.h
+++ b/Services/figlift-entry/RequestHeaders.h
@@ -14,6 +14,9 @@
 Result<void> readHeaders(const http::Request &From, const ReadContext &With,
                          CallerRequest &Into);
 
+/// Reads Idempotency-Key; empty when there is none.
+Result<std::string> readKey(const http::Request &From);
+
 /// Sets class and, without an own one, deadline from the records.
 void applyClass(const ReadContext &With, const record::BackEnd &BackEnd,
                 bool HasOwnDeadline, CallerRequest &Into);
--- a/Tests/LibRetry/TestRetryDecision.cpp
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -151,6 +151,32 @@
       after(StreamBroke{StreamEnd::ConnectionLost})));
 }
 
+// Symptom: answers stop in the middle although an engine is free.
+// Sequence: an engine with many sequences crashes and spends the budget; the
+// targets that are left restart or drain for a moment.
+// Cause: an answer that has begun ended like one that can still be refused.
+TEST(RetryDecision, BegunAnswerGoesOnUntilItsDeadline) {
+  while (Budget.spend()) {
+  }
+  Request.TokensDelivered = 12;
+  Request.Deadline = Now + std::chrono::seconds(10);
+  Request.Runs = Settings.MaximumRuns - 2;
+  Request.Attempts = 10 * Settings.MaximumAttempts;
+  const std::vector<AttemptEnd> NotRun{
+      StreamBroke{StreamEnd::NeverSent}, AgentRefused{ResultCode::NotReady, {}},
+      AgentRefused{ResultCode::Overloaded, {}}, NothingSent{}};
+  CHECK(std::holds_alternative<ContinueElsewhere>(after(TargetFailed{})));
+  for (const AttemptEnd &End : NotRun)
+    CHECK(std::holds_alternative<ContinueElsewhere>(after(End)));
+  ++Request.Runs;
+  CHECK(givesUp(TargetFailed{}).Code == ResultCode::TargetFailed);
+  for (const AttemptEnd &End : NotRun)
+    CHECK(std::holds_alternative<ContinueElsewhere>(after(End)));
+  Request.Deadline = Now;
+  for (const AttemptEnd &End : NotRun)
+    CHECK(givesUp(End).Code == ResultCode::DeadlineExceeded);
+}
+
 TEST(RetryDecision, CallersFaultsAreNotRetried) {
   for (const ResultCode Code :
        {ResultCode::InvalidInput, ResultCode::UnknownModel,
--- a/Tests/LibStream/TestAnswerStore.cpp
+++ b/Tests/LibStream/TestAnswerStore.cpp
@@ -54,6 +54,24 @@
   CHECK(only<SendEnding>(End)->Reader == Second);
 }
 
+TEST(AnswerStore, IsUnreadWhileItCanBecomeWholeWithoutAReader) {
+  // Symptom: two callers take one answer from each other. Events: both ask
+  // with the same key. Cause: an answer is given away although it is read.
+  CHECK_FALSE(Store.isUnread("r"));
+  step(RunStarted{"r", Run, First, 0});
+  CHECK_FALSE(Store.isUnread("r"));
+  step(ReaderLost{First});
+  CHECK_TRUE(Store.isUnread("r"));
+  step(ReaderResumed{"r", Second, 0});
+  CHECK_FALSE(Store.isUnread("r"));
+  step(RunEnded{Run, Completed{0, "stop", 0, ""}});
+  CHECK_TRUE(Store.isUnread("r"));
+
+  step(RunStarted{"broken", Run + 1, First, 0});
+  step(RunEnded{Run + 1, Error{ResultCode::TargetFailed, "", {}, {}}});
+  CHECK_FALSE(Store.isUnread("broken"));
+}
+
 TEST(AnswerStore, EndThatCameWithoutAReaderIsDeliveredOnResume) {
   step(RunStarted{"r", Run, First, 3});
   step(ReaderLost{First});
--- a/Tests/Support/Caller.cpp
+++ b/Tests/Support/Caller.cpp
@@ -22,7 +22,10 @@
 namespace {
 
 constexpr std::string_view DataPrefix = "data: ";
-constexpr size_t ReadSize = 16384;
+/// A read waits for so many bytes, and loses them when the connection breaks.
+constexpr size_t ReadSize = 256;
+/// What cpprestsdk's client says when it could not connect.
+constexpr std::string_view ConnectFailure = "Failed to connect";
 
 /// Payloads of the server-sent events in \p Body.
 std::vector<std::string> eventPayloads(const std::string &Body) {
@@ -57,7 +60,8 @@
     size_t Count = Source.read(Buffer, ReadSize).get();
     if (Count == 0)
       break;
-    Result.Body += Buffer.collection();
+    // The buffer is as long as asked for, whatever was read.
+    Result.Body.append(Buffer.collection(), 0, Count);
     if (OnBytes)
       OnBytes(Result.Body.size());
   }
@@ -120,9 +124,11 @@
     for (const auto &[Name, Value] : Response.headers())
       Result.Fields[Name] = Value;
     readBody(Response, Result, OnBytes);
-  } catch (const std::exception &) {
+  } catch (const std::exception &Problem) {
     // A broken connection is an outcome that tests look at, not an error.
     Result.Whole = false;
+    Result.Unreached = std::string_view(Problem.what()).find(ConnectFailure) !=
+                       std::string_view::npos;
   }
   Result.Took = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now() - Begin);
--- a/Tests/Support/Caller.h
+++ b/Tests/Support/Caller.h
@@ -31,6 +31,8 @@
   std::string Body;
   /// The body ended in good order.
   bool Whole = false;
+  /// No connection could be made, so nothing of the request was sent.
+  bool Unreached = false;
   std::chrono::milliseconds Took{0};
 
   /// Text of all server-sent completion chunks, in the order they came.
