LibPlanner, LibPlan: Tell failed loads from done ones and from refusals

Two faults of a rollout. A failed order was taken for a done one: the agent answers "failed" with the code of a question that was answered, and only the code was read. A version that no engine loads was then ordered every two seconds for ever and never taken back. The other way round, every refusal was held against the version, that of an agent which has just started included: two kills of agents would have taken a good version back.

Ruled out: the engine's and the agent's books, which both said "failed".

The planner also counts what entries refuse before any agent sees it as demand. Agents cannot report that work, so demand looked low when it was highest. Each entry counts its own, by back end; the balancer spreads callers alike, so the planner's entry stands for the others.

--- a/Libraries/LibPlan/Placement.cpp
+++ b/Libraries/LibPlan/Placement.cpp
@@ -39,11 +39,12 @@
   return Code == ResultCode::StoreUnavailable || Code == ResultCode::Overloaded;
 }
 
-/// The order did not reach the engine, or lost its authority.
-bool saysNothingOfModel(ResultCode Code) {
-  return isPaced(Code) || Code == ResultCode::PeerUnreachable ||
-         Code == ResultCode::StaleEpoch || Code == ResultCode::OrderConflict ||
-         Code == ResultCode::NoAuthority;
+/// The engine tried. Any other code means that the order did not reach it: an
+/// agent that starts anew refuses for a while, and twice that would take a good
+/// version back.
+bool speaksAgainstModel(ResultCode Code) {
+  return Code == ResultCode::OrderRejectedByTarget ||
+         Code == ResultCode::TargetFailed;
 }
 
 } // namespace
@@ -179,9 +180,12 @@
     m_Failures.erase(Load->Model);
     return;
   }
-  const auto Delay = How.RetryAfter.value_or(m_Settings.RetryDelay);
+  const bool Failed = speaksAgainstModel(How.Code);
+  const auto Delay = How.RetryAfter.value_or(Failed || isPaced(How.Code)
+                                                 ? m_Settings.RetryDelay
+                                                 : m_Settings.LoadInterval);
   m_NextLoad = std::max(m_NextLoad, Now + Delay);
-  if (saysNothingOfModel(How.Code))
+  if (!Failed)
     return;
   // Rolling back needs something to go back to; without it the load is tried
   // again and again, slowly.
--- a/Libraries/LibPlanner/ShardPlanner.cpp
+++ b/Libraries/LibPlanner/ShardPlanner.cpp
@@ -101,11 +101,28 @@
                      Each.OfferedDecodeTokens, Now);
     Seen.Targets.push_back(std::move(Each.Engine));
   }
+  observeRefused(Now);
   Seen.Offered = m_Demand.demand(Now);
   for (const plan::GiveOrder &Each : m_Planner->step(plan::Tick{Seen}, Now))
     give(Each);
 }
 
+/// An overloaded fleet refuses at the entries, so that agents' counts stand
+/// still just when demand is highest: without this the planner would take the
+/// engines to be well used. The balancer spreads callers over the entries, so
+/// what this one refuses stands for each of them.
+void ShardPlanner::observeRefused(BootTime Now) {
+  const RefusedTotals Here = m_Parts.View.refusedHere(m_Shard);
+  const uint64_t Entries = m_Parts.View.entries().size();
+  m_RefusedByAll.PrefillTokens +=
+      (Here.PrefillTokens - m_RefusedHere.PrefillTokens) * Entries;
+  m_RefusedByAll.DecodeTokens +=
+      (Here.DecodeTokens - m_RefusedHere.DecodeTokens) * Entries;
+  m_RefusedHere = Here;
+  m_Demand.observe("entries", m_RefusedByAll.PrefillTokens,
+                   m_RefusedByAll.DecodeTokens, Now);
+}
+
 void ShardPlanner::give(const plan::GiveOrder &Order) {
   Pending New;
   New.Order.set_order_id(m_Parts.Ids.nextText());
@@ -152,6 +169,10 @@
     return;
   ResultCode Code = resultCodeFromNumber(static_cast<int>(Reply.value().code()))
                         .value_or(ResultCode::Internal);
+  // The reply's code says that the question was answered; the order's own end
+  // is in its state.
+  if (Reply.value().state() == "failed")
+    Code = ResultCode::OrderRejectedByTarget;
   // The store may be away for long; the engine was not ordered anything, and
   // the plan is made anew once the order could be written.
   ended(Target, {Target, Code, std::nullopt});
--- a/Libraries/LibPlanner/ShardPlanner.h
+++ b/Libraries/LibPlanner/ShardPlanner.h
@@ -54,6 +54,7 @@
   void gained(uint64_t Epoch);
   void lost(uint64_t Epoch);
   void planOnce(BootTime Now);
+  void observeRefused(BootTime Now);
   void give(const plan::GiveOrder &Order);
   void sendPending(BootTime Now);
   void answered(const std::string &Target, const std::string &OrderId,
@@ -67,6 +68,9 @@
   /// Fresh with each tenure; absent without the lease.
   std::optional<plan::Planner> m_Planner;
   plan::DemandEstimator m_Demand;
+  /// Of this entry, as seen last, and the estimate for all entries.
+  RefusedTotals m_RefusedHere;
+  RefusedTotals m_RefusedByAll;
   /// Orders without an end, by target.
   std::map<std::string, Pending> m_Pending;
   BootTime m_NextPlan{};
--- a/Libraries/LibPlanner/ShardView.h
+++ b/Libraries/LibPlanner/ShardView.h
@@ -46,6 +46,12 @@
   uint64_t OfferedDecodeTokens = 0;
 };
 
+/// Totals since this entry's start of what it refused before any agent saw it.
+struct RefusedTotals {
+  uint64_t PrefillTokens = 0;
+  uint64_t DecodeTokens = 0;
+};
+
 class ShardView {
 public:
   virtual ~ShardView() = default;
@@ -53,6 +59,7 @@
   virtual std::vector<ShardId> shards() const = 0;
   virtual record::BackEnd specification(const ShardId &Shard) const = 0;
   virtual std::vector<ShardTarget> targets(const ShardId &Shard) const = 0;
+  virtual RefusedTotals refusedHere(const ShardId &Shard) const = 0;
   /// Ids of the region's entries on the platform's list, this one included.
   virtual std::vector<std::string> entries() const = 0;
   /// The list of machines has been read at least once.
--- a/Services/figlift-entry/Call.cpp
+++ b/Services/figlift-entry/Call.cpp
@@ -249,6 +249,7 @@
 }
 
 void Call::fail(Error What) {
+  countAsDemand(What.Code);
   if (!What.RetryAfter && resultCodeInfo(What.Code).MayRetry)
     What.RetryAfter = DefaultRetryAfter;
   log::logRequest(log::Level::Info, "request-failed", m_Request.RequestId, {},
@@ -260,6 +261,19 @@
   finish(What.Code);
 }
 
+/// Demand that no agent counts: the entry refused it for want of engines.
+void Call::countAsDemand(ResultCode Code) {
+  const bool WantsEngines = Code == ResultCode::Overloaded ||
+                            Code == ResultCode::DeadlineUnreachable ||
+                            Code == ResultCode::NoTargetAvailable;
+  if (!WantsEngines || m_LastLink ||
+      !std::holds_alternative<CompletionWork>(m_Request.Work))
+    return;
+  const route::RequestShape Shape = shape();
+  m_Context.Metrics.refusedEarly(m_Request.BackEnd, Shape.PromptTokens,
+                                 Shape.MaximumTokens);
+}
+
 void Call::finish(ResultCode Code) {
   m_Done.store(true);
   m_Live.store(nullptr);
--- a/Services/figlift-entry/Call.h
+++ b/Services/figlift-entry/Call.h
@@ -107,6 +107,7 @@
   void newAttemptAfter(std::chrono::milliseconds Delay);
   void runAfter(std::chrono::milliseconds Delay, EventLoop::Task What);
   void fail(Error What);
+  void countAsDemand(ResultCode Code);
   void finish(ResultCode Code);
   std::chrono::milliseconds timeLeft() const;
 
--- a/Services/figlift-entry/CallContext.cpp
+++ b/Services/figlift-entry/CallContext.cpp
@@ -8,6 +8,14 @@
 
 namespace figlift::entry {
 
+RefusedWork::RefusedWork(metrics::Registry &Into, const std::string &BackEnd)
+    : PrefillTokens(Into.counter("entry_refused_prefill_tokens_total",
+                                 "Prompt tokens refused before any agent.",
+                                 {{"back_end", BackEnd}})),
+      DecodeTokens(Into.counter("entry_refused_decode_tokens_total",
+                                "Output tokens refused before any agent.",
+                                {{"back_end", BackEnd}})) {}
+
 CallMetrics::CallMetrics(metrics::Registry &Into)
     : Metrics(Into),
       Attempts(Into.counter("entry_attempts_total",
@@ -42,6 +50,13 @@
       .add();
 }
 
+void CallMetrics::refusedEarly(const std::string &BackEnd,
+                               uint64_t PrefillTokens, uint64_t DecodeTokens) {
+  const RefusedWork Totals(Metrics, BackEnd);
+  Totals.PrefillTokens.add(PrefillTokens);
+  Totals.DecodeTokens.add(DecodeTokens);
+}
+
 bool WorkspaceBook::enter(const std::string &Workspace, unsigned Maximum) {
   const std::lock_guard Lock(m_Mutex);
   unsigned &InFlight = m_InFlight[Workspace];
--- a/Services/figlift-entry/CallContext.h
+++ b/Services/figlift-entry/CallContext.h
@@ -26,11 +26,23 @@
 
 namespace figlift::entry {
 
+/// Totals of the work of one back end that this entry refused early. The
+/// planner counts them as demand, which agents cannot report.
+struct RefusedWork {
+  RefusedWork(metrics::Registry &Into, const std::string &BackEnd);
+
+  metrics::Counter &PrefillTokens;
+  metrics::Counter &DecodeTokens;
+};
+
 /// Metrics of the request path, made once.
 struct CallMetrics {
   explicit CallMetrics(metrics::Registry &Into);
 
   void ended(ResultCode Code);
+  /// Work that this entry refused although no agent has seen it.
+  void refusedEarly(const std::string &BackEnd, uint64_t PrefillTokens,
+                    uint64_t DecodeTokens);
 
   metrics::Registry &Metrics;
   metrics::Counter &Attempts;
--- a/Services/figlift-entry/EntryShardView.cpp
+++ b/Services/figlift-entry/EntryShardView.cpp
@@ -6,6 +6,7 @@
 
 #include "figlift-entry/EntryShardView.h"
 
+#include "figlift-entry/CallContext.h"
 #include "figlift-entry/LoadMessage.h"
 
 #include <atomic>
@@ -136,6 +137,12 @@
   return Targets;
 }
 
+planner::RefusedTotals EntryShardView::refusedHere(const ShardId &Shard) const {
+  const RefusedWork Totals(m_Metrics, Shard.BackEnd);
+  return {static_cast<uint64_t>(Totals.PrefillTokens.value()),
+          static_cast<uint64_t>(Totals.DecodeTokens.value())};
+}
+
 std::vector<std::string> EntryShardView::entries() const {
   std::vector<std::string> Entries{m_Settings.Process.Id};
   for (const platform::Vm &Peer : m_Fleet.membership().peers())
--- a/Services/figlift-entry/EntryShardView.h
+++ b/Services/figlift-entry/EntryShardView.h
@@ -17,13 +17,16 @@
                              public planner::OrderSender {
 public:
   EntryShardView(const settings::EntrySettings &Settings, Fleet &Known,
-                 timeline::Timeline &Events)
-      : m_Settings(Settings), m_Fleet(Known), m_Events(Events) {}
+                 timeline::Timeline &Events, metrics::Registry &Metrics)
+      : m_Settings(Settings), m_Fleet(Known), m_Events(Events),
+        m_Metrics(Metrics) {}
 
   std::vector<planner::ShardId> shards() const override;
   record::BackEnd specification(const planner::ShardId &Shard) const override;
   std::vector<planner::ShardTarget>
   targets(const planner::ShardId &Shard) const override;
+  planner::RefusedTotals
+  refusedHere(const planner::ShardId &Shard) const override;
   std::vector<std::string> entries() const override;
   bool listKnown() const override;
   void send(const std::string &Target, wire::OrderRequest Order,
@@ -35,6 +38,7 @@
   const settings::EntrySettings &m_Settings;
   Fleet &m_Fleet;
   timeline::Timeline &m_Events;
+  metrics::Registry &m_Metrics;
 };
 
 } // namespace figlift::entry
--- a/Services/figlift-entry/Planning.cpp
+++ b/Services/figlift-entry/Planning.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 Planning::Planning(Parts Of)
-    : m_Parts(Of), m_View(Of.Settings, Of.Known, Of.Events),
+    : m_Parts(Of), m_View(Of.Settings, Of.Known, Of.Events, Of.Metrics),
       m_Service(Of.Settings.Process.Id, shardParts()),
       m_RoleChanges(Of.Metrics.counter("planner_role_changes_total",
                                        "Role changes that were ordered.")) {}
--- a/Tests/FigliftEntry/TestCall.cpp
+++ b/Tests/FigliftEntry/TestCall.cpp
@@ -247,3 +247,23 @@
   CHECK_TRUE(eventually([&] { return Agent.asked()[0].Ended->load(); }));
   CHECK_TRUE(eventually([&] { return Caller->answered(); }));
 }
+
+TEST(Call, WorkRefusedBeforeAnyAgentIsCountedAsDemand) {
+  // Symptom: the planner sees little demand while callers are turned away.
+  // Sequence: the entry refuses because no target can take the work; then an
+  // agent refuses, which counts the work itself.
+  // Cause: demand was read from agents alone.
+  Bench.publish();
+  const entry::RefusedWork Totals(Bench.Metrics, "lm-desk");
+  const auto Early = Bench.call(Bench.completion(7));
+  CHECK_TRUE(eventually([&] { return Early->answered(); }));
+  CHECK_EQUAL(7, Totals.DecodeTokens.value());
+  CHECK_TRUE(Totals.PrefillTokens.value() > 0);
+
+  FakeAgent Agent(
+      [](const Asked &Call) { Call.refuse(ResultCode::Overloaded); });
+  Bench.add("t1", "lm-desk", Agent);
+  const auto Late = Bench.call(Bench.completion(7));
+  CHECK_TRUE(eventually([&] { return Late->answered(); }));
+  CHECK_EQUAL(7, Totals.DecodeTokens.value());
+}
--- a/Tests/LibPlan/TestPlacement.cpp
+++ b/Tests/LibPlan/TestPlacement.cpp
@@ -103,6 +103,22 @@
   CHECK(next()->What == Change(LoadModel{{"desk", "3", ""}}));
 }
 
+// Symptom: a good version is taken back and stays away until the record
+// changes. Sequence: agents are killed during the rollout; their successors
+// refuse the order, because they are not ready. Cause: every order that did not
+// end well was held against the version.
+TEST(Placement, RefusalsOfAgentsAreNotHeldAgainstTheVersion) {
+  fleetWithOld();
+  for (const ResultCode Code :
+       {ResultCode::NotReady, ResultCode::StoreOutcomeUnknown,
+        ResultCode::OrderConflict, ResultCode::StaleEpoch}) {
+    const auto Order = next();
+    CHECK(Order.has_value() && Order->What == Change(LoadModel{New}));
+    Shard.fail(Under, *Order, Code);
+  }
+  CHECK(!Under.placement().rolledBack(New));
+}
+
 TEST(Placement, FirstEngineGoesAloneWhateverTheBound) {
   fleetWithOld(6);
   Shard.Seen.Spec.Weights.MaximumConcurrentChanges = 3;
--- a/Tests/LibPlanner/TestShardPlanner.cpp
+++ b/Tests/LibPlanner/TestShardPlanner.cpp
@@ -27,12 +27,14 @@
   std::vector<ShardTarget> Targets;
   std::vector<std::string> Entries{"entry-1"};
   record::BackEnd Spec;
+  RefusedTotals Refused;
 
   std::vector<ShardId> shards() const override { return Known; }
   record::BackEnd specification(const ShardId &) const override { return Spec; }
   std::vector<ShardTarget> targets(const ShardId &) const override {
     return Targets;
   }
+  RefusedTotals refusedHere(const ShardId &) const override { return Refused; }
   std::vector<std::string> entries() const override { return Entries; }
   bool listKnown() const override { return true; }
 
@@ -201,6 +203,26 @@
   }
 }
 
+// Symptom: a version that no engine can load is ordered for ever, engine after
+// engine. Sequence: the engine fails the load, the agent answers "failed" with
+// the code of a good answer. Cause: the code was read and the state was not.
+TEST(ShardPlanner, TellsAFailedOrderFromADoneOne) {
+  m_View.Known = {Desk};
+  m_View.Spec.Models = {{"desk", "2", {}}};
+  for (const char *Id : {"desk-1", "desk-2"}) {
+    m_View.add(Id, HomeState::Serving);
+    plan::TargetState &Engine = m_View.Targets.back().Engine;
+    Engine.Live = Engine.Accepting = true;
+    Engine.Models = {{"desk", "1", ""}};
+    Engine.ReportedAt = BootClock::now() + 1h;
+  }
+  m_Sender.Answers = {reply("running"), reply("failed")};
+  PlannerService Service("entry-1", parts("entry-1#1"));
+  auto Ended = [&] { return m_Told.size() > 1; };
+  CHECK_TRUE(runUntil(Service, Ended));
+  STRCMP_EQUAL("ended 504", m_Told.back().c_str());
+}
+
 // Symptom: orders of a process that lost its lease. Sequence: the store goes
 // down, the lease runs out, an unanswered order is due again. Cause: authority
 // was checked when the order was planned and not when it was sent.
@@ -224,6 +246,29 @@
   CHECK_EQUAL(Before, m_Sender.Sent.size());
 }
 
+// Symptom: an overloaded fleet keeps the wrong split. Sequence: the entries
+// refuse all long replies early, so that agents are offered nothing. Cause:
+// demand was read from the agents' counts alone.
+TEST(ShardPlanner, CountsWhatEntriesRefuseAsDemand) {
+  m_View.Known = {Desk};
+  m_View.Entries = {"entry-1", "entry-2"};
+  for (const char *Id : {"desk-1", "desk-2", "desk-3"}) {
+    m_View.add(Id, HomeState::Serving);
+    plan::TargetState &Engine = m_View.Targets.back().Engine;
+    Engine.Live = Engine.Accepting = true;
+    Engine.CurrentRole = plan::Role::Prefill;
+    Engine.ReportedAt = BootClock::now() + 1h;
+  }
+  m_View.Targets.back().Engine.CurrentRole = plan::Role::Decode;
+  PlannerService Service("entry-1", parts("entry-1#1"));
+  CHECK_TRUE(runUntil(Service, [&] {
+    m_View.Refused.PrefillTokens += 100;
+    m_View.Refused.DecodeTokens += 1000;
+    return !m_Sender.Sent.empty();
+  }));
+  CHECK_TRUE(m_Sender.Sent[0].has_set_role());
+}
+
 TEST(ShardPlanner, OnlyAFewEntriesStandForAShard) {
   std::vector<std::string> Entries;
   for (int Index = 0; Index < 50; ++Index)
