figlift-agent: Report adapters by their names

An adapter was reported as its model once more ("desk@1", "desk@1"), so the planner never saw it loaded. Measured with processes: one engine was ordered to load the same adapter about thirty times in a minute, the other one never. Ruled out: the engine's own state, which named the adapter.

--- a/Services/figlift-agent/Agent.cpp
+++ b/Services/figlift-agent/Agent.cpp
@@ -194,6 +194,13 @@
   m_Syncs->tick();
 }
 
+/// As the planner compares it with the record: an adapter that is left out
+/// here is ordered again and again.
+static std::string reportedName(const order::LoadedModel &Model) {
+  const std::string Name = Model.Model + "@" + Model.Version;
+  return Model.Adapter.empty() ? Name : Name + "+" + Model.Adapter;
+}
+
 wire::Load Agent::load() const {
   wire::Load Out = m_Gate->load();
   Out.set_kv_tokens_free(m_KvTokensFree);
@@ -204,7 +211,7 @@
   if (const auto &Engine = m_Orders->engine()) {
     Out.set_role(Engine->Role);
     for (const order::LoadedModel &Model : Engine->Models)
-      Out.add_models(Model.Model + "@" + Model.Version);
+      Out.add_models(reportedName(Model));
   } else {
     Out.set_accepting(false);
   }
