figlift-entry, figlift-agent: Tell the revision; drain without the table

Three gaps on the way of an accepted change and of a drain.

Callers could not see which configuration served them. Every answer on their paths names it in X-Figlift-Revision, and the operators' status reports the revision that requests are read with instead of the one that has merely arrived: between the two lies a turn of the control loop.

An entry knew no other's revision, so `--wait` with one of several entries named ended with 6 whatever happened. Entries ask those they are connected to, at half the pace of the polls; the answers carry the missing changes.

A drain needed the table. When it does not take the record, the entry passes the wish to the agent and figlift-ctl ends with 5 and says that it is not recorded. The agent forgets such a wish at the next record of its target, else an `undrain` after the outage would leave it drained. Ruled out: keeping the wish in the entry and writing it later, which would undo a change that another operator made meanwhile.

--- a/Libraries/LibConfig/OperatorService.cpp
+++ b/Libraries/LibConfig/OperatorService.cpp
@@ -79,7 +79,8 @@
   if (Request.Method == "DELETE" && Part == "records" && Path.size() == 3)
     return enqueue(withdrawal(Path, Request), std::move(Done));
   if (Post && Part == "targets" && Path.size() == 3)
-    return enqueue(wish(Path, Request), std::move(Done));
+    return enqueue(wish(Path, Request), std::move(Done),
+                   TargetWish{Path[1], Path[2] == "undrain"});
   Done(noSuchPath());
 }
 
@@ -259,7 +260,8 @@
   return Wanted;
 }
 
-void OperatorService::enqueue(Result<ChangeRequest> Request, Reply Done) {
+void OperatorService::enqueue(Result<ChangeRequest> Request, Reply Done,
+                              std::optional<TargetWish> Wish) {
   if (!Request)
     return Done(http::problemResponse(Request.error(), ""));
   ResultCode Refusal = ResultCode::Success;
@@ -270,7 +272,8 @@
     else if (m_Queue.size() >= m_Options.MaximumQueuedWrites)
       Refusal = ResultCode::Overloaded;
     else
-      m_Queue.push_back({std::move(Request).value(), std::move(Done)});
+      m_Queue.push_back(
+          {std::move(Request).value(), std::move(Done), std::move(Wish)});
   }
   if (Refusal == ResultCode::Success)
     return m_Changed.notify_one();
@@ -292,6 +295,22 @@
   }
 }
 
+/// An operator who must empty a machine can't wait for the end of an outage of
+/// the table. The agent does as asked until it restarts or a newer record of
+/// its target comes; the operator is told that no record says so yet.
+Error OperatorService::carriedOutAnyway(Error Why,
+                                        const TargetWish &Wish) const {
+  const bool OfTable = Why.Code == ResultCode::StoreUnavailable ||
+                       Why.Code == ResultCode::StoreOutcomeUnknown;
+  if (!OfTable || !m_Context.AskAgentToDrain(Wish.Target, Wish.Serves))
+    return Why;
+  Why.Message += std::string("; the agent of ") + Wish.Target +
+                 " was asked to " + (Wish.Serves ? "serve" : "drain") +
+                 " all the same, but the wish is not recorded: repeat it when "
+                 "the table is back";
+  return Why;
+}
+
 void OperatorService::perform(Job Next) {
   auto Pause = [this](std::chrono::milliseconds Time) {
     std::unique_lock Lock(m_Mutex);
@@ -299,8 +318,12 @@
   };
   auto Outcome = applyChange(m_Context.Table, std::move(Next.Request),
                              m_Options.Writer, Pause);
-  if (!Outcome)
-    return Next.Done(http::problemResponse(Outcome.error(), ""));
+  if (!Outcome) {
+    Error Why = Outcome.error();
+    if (Next.Wish)
+      Why = carriedOutAnyway(std::move(Why), *Next.Wish);
+    return Next.Done(http::problemResponse(Why, ""));
+  }
   m_Context.OnCommitted(Outcome.value().Revision);
   Next.Done(jsonResponse(jsonOf(Outcome.value())));
 }
--- a/Libraries/LibConfig/OperatorService.h
+++ b/Libraries/LibConfig/OperatorService.h
@@ -52,6 +52,10 @@
   std::function<std::string()> WhyNotServing;
   /// A change was committed with this revision; see ConfigService.
   std::function<void(uint64_t)> OnCommitted;
+  /// Asks a target's agent itself to drain, or to serve again when \p Undo,
+  /// without a record. False when the agent can't be reached from here.
+  std::function<bool(const std::string &Target, bool Undo)> AskAgentToDrain =
+      [](const std::string &, bool) { return false; };
 };
 
 class OperatorService {
@@ -66,9 +70,16 @@
   void handle(const http::Request &Request, Reply Done);
 
 private:
+  /// An operator's wish for one target.
+  struct TargetWish {
+    std::string Target;
+    bool Serves = false;
+  };
   struct Job {
     ChangeRequest Request;
     Reply Done;
+    /// Absent: a change of other records.
+    std::optional<TargetWish> Wish;
   };
   using Segments = std::vector<std::string>;
 
@@ -86,7 +97,9 @@
   Result<void> addTexts(const std::string &File, ChangeRequest &Into) const;
   Result<void> checkKnown(const std::string &Target) const;
 
-  void enqueue(Result<ChangeRequest> Request, Reply Done);
+  void enqueue(Result<ChangeRequest> Request, Reply Done,
+               std::optional<TargetWish> Wish = std::nullopt);
+  Error carriedOutAnyway(Error Why, const TargetWish &Wish) const;
   void run();
   void perform(Job Next);
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -24,6 +24,8 @@
   virtual const Request &request() const = 0;
   /// Value of X-Request-Id of every answer; set before answering.
   virtual void setRequestId(std::string Id) = 0;
+  /// Header of every answer; set before answering.
+  virtual void addHeader(std::string Name, std::string Value) = 0;
   /// Later answers are ignored.
   virtual void reply(Response Answer) = 0;
   virtual void replyProblem(const Error &What) = 0;
--- a/Libraries/LibHttp/ListenerExchange.cpp
+++ b/Libraries/LibHttp/ListenerExchange.cpp
@@ -125,6 +125,8 @@
   web::http::http_response Prepared(static_cast<uint16_t>(Status));
   for (const auto &[Name, Value] : Headers)
     Prepared.headers()[Name] = Value;
+  for (const auto &[Name, Value] : m_Headers)
+    Prepared.headers()[Name] = Value;
   if (!m_RequestId.empty())
     Prepared.headers()["X-Request-Id"] = m_RequestId;
   return Prepared;
--- a/Libraries/LibHttp/ListenerExchange.h
+++ b/Libraries/LibHttp/ListenerExchange.h
@@ -32,6 +32,9 @@
 
   const Request &request() const override { return m_Request; }
   void setRequestId(std::string Id) override { m_RequestId = std::move(Id); }
+  void addHeader(std::string Name, std::string Value) override {
+    m_Headers.emplace_back(std::move(Name), std::move(Value));
+  }
   void reply(Response Answer) override;
   void replyProblem(const Error &What) override;
   std::shared_ptr<EventStream> startEvents(HeaderList Headers,
@@ -54,6 +57,7 @@
   web::http::http_request m_Incoming;
   Request m_Request;
   std::string m_RequestId;
+  HeaderList m_Headers;
   std::atomic<bool> m_Answered{false};
   bool m_Counted = false;
 };
--- a/Services/figlift-agent/Agent.cpp
+++ b/Services/figlift-agent/Agent.cpp
@@ -111,6 +111,7 @@
     m_Server->send(Stream, Reply);
     return m_Server->finish(Stream);
   }
+  m_RecordAtPeerRequest = recordRevision();
   setReason(DrainReason::PeerRequest, !Request.undo());
   m_Drains.push_back(Stream);
   answerDrains();
@@ -160,10 +161,10 @@
   m_Standing.set(Why, On);
   if (Before == m_Standing.draining())
     return;
-  const auto Kind =
   // Slices are handed to homes of the list.
   if (!Before)
     m_Fleet->refresh();
+  const auto Kind =
       Before ? timeline::kinds::DrainUndone : timeline::kinds::DrainStarted;
   m_Shared.Events.record(
       Kind, {timeline::SubjectType::Target, m_Shared.Settings.Process.Id},
@@ -179,11 +180,23 @@
   publish();
 }
 
+uint64_t Agent::recordRevision() const {
+  const auto &Now = m_Configuration->inForce();
+  const config::Item *Record =
+      Now ? Now->find("target", m_Shared.Settings.Process.Id) : nullptr;
+  return Record ? Record->Stored.Revision : 0;
+}
+
 void Agent::configurationChanged() {
   const config::Snapshot &Now = *m_Configuration->inForce();
   setReason(DrainReason::OperatorRecord,
             Now.targetIntent(m_Shared.Settings.Process.Id) !=
                 record::TargetIntent::Serve);
+  // An entry passes an operator's drain on when the table does not take it.
+  // Without this the target would stay drained after an operator's "undrain":
+  // the later record takes the place of the wish that was never recorded.
+  if (recordRevision() > m_RecordAtPeerRequest)
+    setReason(DrainReason::PeerRequest, false);
   admission::AdmissionSettings Settings;
   Settings.MaximumSequences = m_Shared.Settings.Limits.RequestsInFlight;
   if (const auto *BackEnd = Now.backEnd(m_Shared.Settings.Target.BackEnd))
--- a/Services/figlift-agent/Agent.h
+++ b/Services/figlift-agent/Agent.h
@@ -62,6 +62,8 @@
   Error cannotServe(const wire::RunRequest &Request) const;
   bool misdirected(const wire::RunRequest &Request) const;
   void configurationChanged();
+  /// Revision that wrote the record of this target; 0 without one.
+  uint64_t recordRevision() const;
   void standingChanged();
   void setReason(DrainReason Why, bool On);
   void answerDrains();
@@ -98,6 +100,8 @@
   std::unique_ptr<ServiceCalls> m_Calls;
   /// Streams of the Drain method that wait for the end of the drain.
   std::vector<StreamId> m_Drains;
+  /// Of this target's record when an entry asked for a drain; 0: none.
+  uint64_t m_RecordAtPeerRequest = 0;
   uint64_t m_KvTokensFree = 0;
   uint64_t m_CacheSequence = 0;
   StopStage m_Stage = StopStage::Running;
--- a/Services/figlift-entry/CallerApi.cpp
+++ b/Services/figlift-entry/CallerApi.cpp
@@ -31,6 +31,13 @@
   });
 }
 
+/// Every answer names the configuration that its request was read with, so
+/// that a caller can see that a change is in force.
+void nameRevision(http::Exchange &Caller, const Beginning &Read) {
+  Caller.addHeader("X-Figlift-Revision",
+                   std::to_string(Read.Configuration->revision()));
+}
+
 void refuse(const CallContext &With, http::Exchange &Caller,
             const Error &Reason) {
   With.Metrics.ended(Reason.Code);
@@ -45,6 +52,7 @@
     const std::string FreshId = With.Ids.nextText();
     Caller->setRequestId(callerIdOf(Caller->request(), FreshId));
     const Beginning Now = beginningOf(With);
+    nameRevision(*Caller, Now);
     // Before the request is read: without records nothing in it is known, and
     // "unknown model" would not be true.
     if (Now.NotReady)
@@ -63,6 +71,7 @@
 
 void listModels(const CallContext &With, http::Exchange &Caller) {
   const Beginning Now = beginningOf(With);
+  nameRevision(Caller, Now);
   nlohmann::ordered_json Models = nlohmann::ordered_json::array();
   for (const config::Item *Known : Now.Configuration->list("backEnd")) {
     const std::string &Name = Known->Stored.Name;
--- a/Services/figlift-entry/Entry.cpp
+++ b/Services/figlift-entry/Entry.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds LeavingNotice{300};
 constexpr milliseconds DrainCheckInterval{10};
 constexpr double PercentToRatio = 0.01;
+/// The table is polled for the head; other entries more seldom, because their
+/// answers only tell operators of them while the table can be read.
+constexpr int PeerPollFactor = 2;
 
 timeline::TimelineOptions timelineOptions(const settings::EntrySettings &From) {
   timeline::TimelineOptions Options;
@@ -93,18 +96,15 @@
       });
   m_Metrics.readGauge("entry_retry_budget", "Retries that may be spent now.",
                       [this] { return m_Budget.left(); });
+  metrics::registerControlBytes(m_Metrics, [this] { return controlBytes(); });
   m_Metrics.readCounter(
       "wire_bytes_total", "Bytes exchanged with agents and entries.", [this] {
         return m_Transport ? static_cast<double>(m_Transport->bytesSent() +
-  metrics::registerControlBytes(m_Metrics, [this] { return controlBytes(); });
                                                  m_Transport->bytesReceived())
                            : 0.0;
       });
 }
 
-Result<void> Entry::openPlatform() {
-  platform::HttpCallOptions Options;
-  Options.Server = m_Settings.Platform.Address;
 uint64_t Entry::controlBytes() const {
   uint64_t Sum = m_Platform ? m_Platform->bytes() : 0;
   if (m_Transport)
@@ -116,6 +116,9 @@
   return Sum;
 }
 
+Result<void> Entry::openPlatform() {
+  platform::HttpCallOptions Options;
+  Options.Server = m_Settings.Platform.Address;
   Options.Timeout = m_Settings.Platform.Timeout;
   FIGLIFT_TRY(Made, platform::HttpPlatform::create(Options));
   m_Platform = std::move(Made);
@@ -140,9 +143,11 @@
                    *m_Platform, m_State});
   m_Homes = std::make_unique<HomeReader>(m_Control, *m_Platform, *m_Fleet);
   m_Peers = std::make_unique<PeerConfiguration>(
-      PeerConfiguration::Parts{m_Control, *m_Transport, m_Events,
-                               m_Settings.Process.Id,
-                               m_Settings.Platform.Timeout},
+      PeerConfiguration::Parts{
+          m_Control, *m_Transport, m_Events, m_Settings.Process.Id,
+          m_Settings.Platform.Timeout,
+          PeerPollFactor * m_Settings.Platform.PollInterval,
+          [this] { return m_Configuration->revision(); }},
       [this] { return m_Fleet->upChannels(); });
   config::FollowerOptions Options;
   Options.PollInterval = m_Settings.Platform.PollInterval;
@@ -162,6 +167,9 @@
   m_Planning->start();
   m_Control.post([this] {
     m_Peers->setPeers(m_Settings.Peers);
+    m_Peers->startPolling([this](config::Delta Newer) {
+      m_Configuration->push(std::move(Newer));
+    });
     m_Fleet->start(
         [this](std::vector<Endpoint> Peers) { m_Peers->setPeers(Peers); },
         [this](uint64_t Revision) { m_Configuration->sawRevision(Revision); });
@@ -196,19 +204,41 @@
 
 void Entry::serveOperators() {
   m_Status = std::make_unique<EntryStatusProvider>(EntryStatusProvider::Parts{
-      m_Settings.Process.Id, *m_Fleet, m_State, m_Events});
+      m_Settings.Process.Id, *m_Fleet, *m_Peers, m_State, m_Events});
   m_Operators =
       std::make_unique<config::OperatorService>(config::OperatorContext{
-          *m_Platform, *m_Status, [this] { return m_Configuration->current(); },
+          *m_Platform, *m_Status, [this] { return inForce(); },
           [this] {
             const Result<void> State = ready();
             return State ? std::string() : State.error().Message;
           },
-          [this](uint64_t Revision) {
-            m_Configuration->sawRevision(Revision);
+          [this](uint64_t Revision) { m_Configuration->sawRevision(Revision); },
+          [this](const std::string &Target, bool Undo) {
+            return askAgentToDrain(Target, Undo);
           }});
 }
 
+/// What requests are served with, not what has merely arrived: an operator who
+/// is told that a revision is in force may rely on the next answer.
+config::SnapshotPointer Entry::inForce() const {
+  if (!m_Configuration->current())
+    return nullptr;
+  return m_State.read(
+      [](const ServingState &Now) { return Now.Configuration; });
+}
+
+bool Entry::askAgentToDrain(const std::string &Target, bool Undo) const {
+  const auto Link =
+      m_State.read([&](const ServingState &Now) -> std::shared_ptr<TargetLink> {
+        const auto Found = Now.Links.find(Target);
+        return Found == Now.Links.end() ? nullptr : Found->second;
+      });
+  if (!Link || Link->channel().state() != wire::ChannelState::Up)
+    return false;
+  Link->askToDrain("an operator's wish that the table did not take", Undo);
+  return true;
+}
+
 Result<void> Entry::listenToPeers() {
   wire::ServerOptions Peer;
   Peer.Listen = m_Settings.Listen.Peer;
--- a/Services/figlift-entry/Fleet.cpp
+++ b/Services/figlift-entry/Fleet.cpp
@@ -134,7 +134,8 @@
 
 void Fleet::act(const membership::TellLeaving &Which) {
   if (const auto Found = m_Links.find(Which.Target); Found != m_Links.end())
-    Found->second.Link->tellLeaving();
+    Found->second.Link->askToDrain(
+        "the platform's list says that the VM is leaving");
 }
 
 /// With a connection from every entry to every other, heartbeats alone would
--- a/Services/figlift-entry/OperatorApi.cpp
+++ b/Services/figlift-entry/OperatorApi.cpp
@@ -67,8 +67,11 @@
 std::vector<config::EntryStatus> EntryStatusProvider::entries() const {
   const auto Now = m_Parts.Targets.status();
   std::vector<config::EntryStatus> Lines;
-  for (const platform::Vm &Peer : Now->Peers)
-    Lines.push_back({Peer.Id, "serving", 0});
+  for (const platform::Vm &Peer : Now->Peers) {
+    const auto Revision = m_Parts.Others.revisionOf(Peer.Peer);
+    Lines.push_back(
+        {Peer.Id, Revision ? "serving" : "unreachable", Revision.value_or(0)});
+  }
   return Lines;
 }
 
--- a/Services/figlift-entry/OperatorApi.h
+++ b/Services/figlift-entry/OperatorApi.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "figlift-entry/Fleet.h"
+#include "figlift-entry/PeerConfiguration.h"
 
 #include "LibConfig/OperatorService.h"
 #include "LibConfig/StatusProvider.h"
@@ -25,6 +26,7 @@
   struct Parts {
     std::string EntryId;
     const Fleet &Targets;
+    const PeerConfiguration &Others;
     const ServingStatePointer &State;
     const timeline::Timeline &Events;
   };
--- a/Services/figlift-entry/PeerConfiguration.cpp
+++ b/Services/figlift-entry/PeerConfiguration.cpp
@@ -10,7 +10,6 @@
 #include "LibWire/Messages.pb.h"
 
 #include <algorithm>
-#include <optional>
 #include <set>
 
 namespace figlift::entry {
@@ -21,6 +20,8 @@
 constexpr size_t MaximumAgentsAsked = 3;
 /// Processes asked when one answer is enough.
 constexpr size_t MaximumAskedForOne = 2;
+/// An entry that has not answered for so many polls counts as unreachable.
+constexpr int PollsUntilSilent = 4;
 
 class IgnoreState final : public wire::ChannelListener {
 public:
@@ -29,6 +30,8 @@
 
 } // namespace
 
+using Answered = std::function<void(std::optional<config::Delta>)>;
+
 /// One set of questions; the newest answer wins.
 class PeerConfiguration::Round {
 public:
@@ -61,8 +64,9 @@
 
 class PeerConfiguration::Question final : public wire::StreamListener {
 public:
-  Question(EventLoop &Control, std::shared_ptr<Round> Of, uint64_t After)
-      : m_Control(Control), m_Round(std::move(Of)), m_After(After) {}
+  /// \p Then is called once, on the control thread.
+  Question(EventLoop &Control, Answered Then, uint64_t After)
+      : m_Control(Control), m_Then(std::move(Then)), m_After(After) {}
 
   void onMessage(std::string_view Message) override {
     wire::ConfigurationReply Reply;
@@ -70,14 +74,14 @@
       m_Answer = config::fromReply(Reply, m_After);
   }
   void onEnd(wire::StreamEnd) override {
-    m_Control.post([Of = m_Round, Answer = std::move(m_Answer)]() mutable {
-      Of->answered(std::move(Answer));
+    m_Control.post([Then = m_Then, Answer = std::move(m_Answer)]() mutable {
+      Then(std::move(Answer));
     });
   }
 
 private:
   EventLoop &m_Control;
-  const std::shared_ptr<Round> m_Round;
+  const Answered m_Then;
   const uint64_t m_After;
   std::optional<config::Delta> m_Answer;
 };
@@ -132,8 +136,58 @@
   Request.set_sender(m_Parts.ProcessId);
   for (const auto &Known : Channels)
     Known->open(wire::Method::Configuration, Request.SerializeAsString(),
-                std::make_shared<Question>(m_Parts.Control, Asked, After));
+                std::make_shared<Question>(
+                    m_Parts.Control,
+                    [Asked](std::optional<config::Delta> Answer) {
+                      Asked->answered(std::move(Answer));
+                    },
+                    After));
   m_Parts.Control.after(m_Parts.Timeout, [Asked] { Asked->end(); });
 }
 
+void PeerConfiguration::startPolling(
+    std::function<void(config::Delta)> OnAnswer) {
+  m_OnAnswer = std::move(OnAnswer);
+  poll();
+}
+
+void PeerConfiguration::poll() {
+  if (!m_OnAnswer)
+    return;
+  const uint64_t Held = m_Parts.Revision();
+  wire::ConfigurationRequest Request;
+  Request.set_after_revision(Held);
+  Request.set_sender(m_Parts.ProcessId);
+  for (const auto &[Address, Known] : m_Peers)
+    if (Known->state() == wire::ChannelState::Up)
+      Known->open(wire::Method::Configuration, Request.SerializeAsString(),
+                  std::make_shared<Question>(
+                      m_Parts.Control,
+                      [this, Peer = Address](auto Answer) {
+                        if (Answer)
+                          heard(Peer, std::move(*Answer));
+                      },
+                      Held));
+  m_Parts.Control.after(m_Parts.PollInterval, [this] { poll(); });
+}
+
+void PeerConfiguration::heard(const Endpoint &Peer, config::Delta Answer) {
+  {
+    std::lock_guard Lock(m_HeardMutex);
+    m_Heard[Peer] = {Answer.Head, BootClock::now()};
+  }
+  if (m_OnAnswer)
+    m_OnAnswer(std::move(Answer));
+}
+
+std::optional<uint64_t>
+PeerConfiguration::revisionOf(const Endpoint &Peer) const {
+  std::lock_guard Lock(m_HeardMutex);
+  const auto Found = m_Heard.find(Peer);
+  const auto Fresh = m_Parts.PollInterval * PollsUntilSilent;
+  if (Found == m_Heard.end() || BootClock::now() - Found->second.At > Fresh)
+    return std::nullopt;
+  return Found->second.Revision;
+}
+
 } // namespace figlift::entry
--- a/Services/figlift-entry/TargetLink.cpp
+++ b/Services/figlift-entry/TargetLink.cpp
@@ -74,10 +74,11 @@
   return m_Sync && m_Sync->send(Message.SerializeAsString());
 }
 
-void TargetLink::tellLeaving() {
+void TargetLink::askToDrain(const std::string &Reason, bool Undo) {
   wire::DrainRequest Request;
   Request.set_target(m_Target.Id);
-  Request.set_reason("the platform's list says that the VM is leaving");
+  Request.set_reason(Reason);
+  Request.set_undo(Undo);
   Request.set_clock(m_Parts.Events.clockToSend());
   m_Channel->open(wire::Method::Drain, Request.SerializeAsString(),
                   std::make_shared<IgnoredReply>());
--- a/Services/figlift-entry/TargetLink.h
+++ b/Services/figlift-entry/TargetLink.h
@@ -54,8 +54,8 @@
   void openSync(const wire::SyncUp &First);
   /// False when there is no Sync stream.
   bool sendSync(const wire::SyncUp &Message);
-  /// Asks the agent to drain: its VM is leaving.
-  void tellLeaving();
+  /// Asks the agent to drain, or takes such a wish back. Any thread.
+  void askToDrain(const std::string &Reason, bool Undo = false);
 
 private:
   class ConnectionListener;
--- a/Tests/FigliftEntry/EntryFixtures.h
+++ b/Tests/FigliftEntry/EntryFixtures.h
@@ -76,6 +76,7 @@
 public:
   const http::Request &request() const override { return m_Request; }
   void setRequestId(std::string) override {}
+  void addHeader(std::string, std::string) override {}
   void reply(http::Response Answer) override;
   void replyProblem(const Error &What) override;
   std::shared_ptr<http::EventStream>
