--- a/Tests/AtMostOnce/ServiceFleet.cpp
+++ b/Tests/AtMostOnce/ServiceFleet.cpp
@@ -11,6 +11,7 @@
 #include "LibIdempotency/GrantRow.h"
 
 #include <algorithm>
+#include <set>
 
 using namespace figlift;
 using namespace figlift::test;
@@ -236,11 +237,34 @@
   return {};
 }
 
-std::string ServiceFleet::unknownShare() const {
+std::string ServiceFleet::figures() const {
+  const std::map<std::string, int> Ran = executions();
   const std::lock_guard Lock(m_Mutex);
-  const auto Unknown = std::ranges::count_if(m_Journal, [](const Line &Each) {
-    return Each.Got.resultCode() == OutcomeUnknownCode;
+  size_t Unknown = 0;
+  size_t Refused = 0;
+  size_t RefusedOfRun = 0;
+  std::set<std::string> Keys;
+  std::set<std::string> KeysUnknown;
+  std::set<std::string> KeysAnswered;
+  for (const Line &Each : m_Journal) {
+    const bool IsUnknown = Each.Got.resultCode() == OutcomeUnknownCode;
+    Unknown += IsUnknown;
+    Refused += isRefusal(Each.Got);
+    RefusedOfRun += isRefusal(Each.Got) && Ran.contains(Each.Key);
+    Keys.insert(Each.Key);
+    if (IsUnknown)
+      KeysUnknown.insert(Each.Key);
+    if (Each.Got.Status == 200)
+      KeysAnswered.insert(Each.Key);
+  }
+  std::erase_if(KeysUnknown, [&](const std::string &Key) {
+    return KeysAnswered.contains(Key);
   });
   return std::to_string(Unknown) + " of " + std::to_string(m_Journal.size()) +
-         " answers were \"outcome unknown\"";
+         " answers were \"outcome unknown\", " +
+         std::to_string(KeysUnknown.size()) + " of " +
+         std::to_string(Keys.size()) + " keys got nothing better; " +
+         std::to_string(Refused) + " calls were refused as not run, " +
+         std::to_string(RefusedOfRun) +
+         " of them with a key that another call ran";
 }
--- a/Tests/AtMostOnce/ServiceFleet.h
+++ b/Tests/AtMostOnce/ServiceFleet.h
@@ -67,8 +67,9 @@
   /// Compares the journal with the books when no call runs any more; empty,
   /// or the first promise that was broken.
   std::string judge();
-  /// Share of answers "outcome unknown" among all, in words.
-  std::string unknownShare() const;
+  /// Shares of "outcome unknown", and of refusals of calls whose key another
+  /// call ran, in words.
+  std::string figures() const;
 
 private:
   struct Line {
--- a/Tests/AtMostOnce/TestBreaks.cpp
+++ b/Tests/AtMostOnce/TestBreaks.cpp
@@ -161,7 +161,7 @@
   Lane("booking-core-4", {{"agent", "drop-down"}, {"target", "drop-up"}});
   for (auto &Each : Lanes)
     check(Each.get());
-  UT_PRINT(m_Services.unknownShare().c_str());
+  UT_PRINT(m_Services.figures().c_str());
 }
 
 TEST(Breaks, EntryKilledInMidCall) {
--- a/Tests/AtMostOnce/TestOutage.cpp
+++ b/Tests/AtMostOnceSoak/TestOutage.cpp
@@ -4,7 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "ServiceFleet.h"
+#include "AtMostOnce/ServiceFleet.h"
 
 #include "Support/WaitUntil.h"
 
@@ -111,7 +111,7 @@
       "\nbefore: " + Normal.describe(Before) +
       "outage: " + FirstHalf.describe(Outage / 2) +
       "outage, other home restarted: " + SecondHalf.describe(Outage / 2) +
-      m_Services.unknownShare();
+      m_Services.figures();
   UT_PRINT(Figures.c_str());
   for (const Served *Each : {&Normal, &FirstHalf, &SecondHalf}) {
     CHECK_TRUE(Each->Sent > 0);
--- a/Tests/AtMostOnce/TestSoak.cpp
+++ b/Tests/AtMostOnceSoak/TestSoak.cpp
@@ -6,7 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "ServiceFleet.h"
+#include "AtMostOnce/ServiceFleet.h"
 
 #include "Support/WaitUntil.h"
 
@@ -195,7 +195,7 @@
   std::string Figures = "\nseed " + std::to_string(Seed) + ": ";
   for (const auto &[Name, Times] : m_Faults)
     Figures += Name + " " + std::to_string(Times) + ", ";
-  Figures += m_Services.unknownShare();
+  Figures += m_Services.figures();
   UT_PRINT(Figures.c_str());
   CHECK_TEXT(m_Fleet.ready(), m_Fleet.problem().c_str());
   const std::string Broken = m_Services.judge();
