--- a/Utilities/figlift-ctl/CommandLine.cpp
+++ b/Utilities/figlift-ctl/CommandLine.cpp
@@ -45,7 +45,7 @@
       "FILE");
   Add("if-version", "Only if the record has this version (0: is new)",
       cxxopts::value<std::string>(), "N");
-  Add("wait", "Wait until the change is in force",
+  Add("wait", "Wait until the change is in force; a time only as --wait=TIME",
       cxxopts::value<std::string>()->implicit_value(DefaultWait), "TIME");
   Add("operation", "Name the operation by this UUIDv7",
       cxxopts::value<std::string>(), "ID");
@@ -128,8 +128,10 @@
   std::vector<Endpoint> Entries;
   if (Options.count("entry"))
     for (const auto &Text : Options["entry"].as<std::vector<std::string>>()) {
-      FIGLIFT_TRY(Entry, Endpoint::parse(Text));
-      Entries.push_back(Entry);
+      const auto Entry = Endpoint::parse(Text);
+      if (!Entry)
+        return usage(Entry.error().Message, "entry");
+      Entries.push_back(Entry.value());
     }
   if (Entries.empty())
     return usage("needs at least one entry: --entry ip:port", "entry");
@@ -170,10 +172,12 @@
 static Result<std::string> operationOf(const cxxopts::ParseResult &Options) {
   if (!Options.count("operation"))
     return UuidGenerator().nextText();
-  FIGLIFT_TRY(Id, Uuid::parse(Options["operation"].as<std::string>()));
-  if (!Id.isVersion7())
-    return usage("allowed: a UUID of version 7", "operation");
-  return Id.toString();
+  const auto Text = Options["operation"].as<std::string>();
+  const auto Id = Uuid::parse(Text);
+  if (!Id || !Id.value().isVersion7())
+    return usage("found \"" + Text + "\"; allowed: a UUID of version 7",
+                 "operation");
+  return Id.value().toString();
 }
 
 static Result<Arguments> read(const cxxopts::ParseResult &Options,
