LibCore: Say that a refusal speaks of this call and not of its key

The text of HomeUnreachable advised a new key. A caller whose first call with the old key had run, and whose retry was refused, would have run the work a second time under the new one.

--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -51,7 +51,8 @@
                    "No reachable target serves the back end now."},
     ResultCodeInfo{HomeUnreachable, "HomeUnreachable", 503, NotRun, true,
                    "The only agent that may execute this idempotency key "
-                   "cannot be reached; a new key probably has another one."},
+                   "cannot be reached. This call was not run; an earlier one "
+                   "with the key may have been, so repeat the same key."},
     ResultCodeInfo{NotReady, "NotReady", 503, NotRun, true,
                    "The process has no configuration yet, or is recovering."},
     ResultCodeInfo{RetryBudgetSpent, "RetryBudgetSpent", 503, NotRun, true,
@@ -148,7 +149,7 @@
 std::span<const ResultCodeInfo> resultCodeTable() { return Table; }
 
 const ResultCodeInfo &resultCodeInfo(ResultCode Code) {
-  if (auto Row =
+  if (const auto *Row =
           std::ranges::lower_bound(Table, Code, {}, &ResultCodeInfo::Code);
       Row != Table.end() && Row->Code == Code)
     return *Row;
