--- a/Meta/sanitize.sh
+++ b/Meta/sanitize.sh
@@ -49,7 +49,9 @@
 
 status=0
 if [[ $which == address || $which == all ]]; then
-  run address address,undefined || status=1
+  # Without the check of vptr: the headers of cpprestsdk fail it by themselves,
+  # because the library hides the types of its buffers.
+  run address "address,undefined -fno-sanitize=vptr" || status=1
 fi
 if [[ $which == thread || $which == all ]]; then
   run thread thread -R "$threaded|^Test(${process_suites})$" || status=1
