LibOrder, LibPlanner: Hold a drain that did not end against no model

Since a failed order counts against its version, an order that was given up because requests did not end within the drain's bound would have counted too: two long streams would have taken a good version back. The agent now answers such an order with DeadlineExceeded, and the planner keeps that code. Ruled out: a state of its own in the row; a new agent answers from the row as before, which costs one try at most. Tested: ADrainThatDoesNotEndGivesTheOrderUp, extended; TestLibOrder 15 with all explorations complete without a violation, TestLibPlanner 8; the groups Authority (5) and InterruptedOrder (2) with processes, both green.

--- a/Libraries/LibOrder/OrderMachine.cpp
+++ b/Libraries/LibOrder/OrderMachine.cpp
@@ -89,9 +89,11 @@
   const Order &What = Call.What;
   auto Answer = [&](const Order &Known, OrderProgress Progress) {
     bool Same = Known == What;
-    C.Out.push_back(Reply{
-        Call.Token, Same ? ResultCode::Success : ResultCode::OrderConflict,
-        Same ? Progress : OrderProgress::Refused, m_HighestEpoch});
+    ResultCode Code = Known.Id == m_NotDrained ? ResultCode::DeadlineExceeded
+                                               : ResultCode::Success;
+    C.Out.push_back(Reply{Call.Token, Same ? Code : ResultCode::OrderConflict,
+                          Same ? Progress : OrderProgress::Refused,
+                          m_HighestEpoch});
     return true;
   };
   if (m_Current && m_Current->Id == What.Id) {
--- a/Libraries/LibOrder/OrderMachine.h
+++ b/Libraries/LibOrder/OrderMachine.h
@@ -181,6 +181,9 @@
   /// This process wrote the row itself or again, so that no commit of a
   /// predecessor can change it any more.
   bool m_RowTakenOver = false;
+  /// Order that was given up because requests did not end in time: the engine
+  /// has not seen it, and the planner must not blame the model.
+  std::string m_NotDrained;
   /// The engine refused m_Current for good.
   bool m_Rejected = false;
   std::optional<EngineState> m_LastEngine;
--- a/Libraries/LibOrder/OrderMachineEngine.cpp
+++ b/Libraries/LibOrder/OrderMachineEngine.cpp
@@ -15,8 +15,10 @@
 
 /// Requests are never cut for a change: the change is given up instead.
 void OrderMachine::on(const DrainTimedOut &, Context &C) {
-  if (m_State == State::Draining)
-    complete(IntentState::Abandoned, C);
+  if (m_State != State::Draining)
+    return;
+  m_NotDrained = m_Current->Id;
+  complete(IntentState::Abandoned, C);
 }
 
 void OrderMachine::on(const EngineStateRead &Read, Context &C) {
--- a/Libraries/LibPlanner/ShardPlanner.cpp
+++ b/Libraries/LibPlanner/ShardPlanner.cpp
@@ -171,7 +171,7 @@
                         .value_or(ResultCode::Internal);
   // The reply's code says that the question was answered; the order's own end
   // is in its state.
-  if (Reply.value().state() == "failed")
+  if (Reply.value().state() == "failed" && Code == ResultCode::Success)
     Code = ResultCode::OrderRejectedByTarget;
   // The store may be away for long; the engine was not ordered anything, and
   // the plan is made anew once the order could be written.
--- a/Tests/LibOrder/TestOrderMachine.cpp
+++ b/Tests/LibOrder/TestOrderMachine.cpp
@@ -135,4 +135,8 @@
   CHECK_TRUE(Actions.at(0) == Action(OpenAdmission{}));
   CHECK_TRUE(Actions.back() ==
              Action(CommitCompletionRow{5, {Prefill, IntentState::Abandoned}}));
+  // The engine has not seen the order: nobody may hold it against a model.
+  step(CommitSucceeded{});
+  expectReply(step(OrderReceived{2, Prefill}), ResultCode::DeadlineExceeded,
+              OrderProgress::Failed);
 }
