TestOrders: Count tries of a version by what engines failed

The rollback test took any order that did not end well for a failed load. It now counts the loads that an engine failed, waits until the old version is settled, and also asks that no load of the version is ordered after the second try. As strict as before in the number of tries and their target.

--- a/Tests/Orders/TestRollout.cpp
+++ b/Tests/Orders/TestRollout.cpp
@@ -7,6 +7,7 @@
 
 #include "OrderFleet.h"
 
+#include "LibCore/ResultCode.h"
 #include "Support/WaitUntil.h"
 
 #include <CppUTest/TestHarness.h>
@@ -154,28 +155,33 @@
     m_Fleet.setEngine(Id, {{"fail_orders", 1000}});
   MixedLoad Load(m_Fleet);
   CHECK(m_Fleet.submitVersion("2"));
+  // Engines that failed a load; an order that an agent refused is no try.
   auto Failed = [&] {
-    size_t Count = 0;
+    std::vector<json> Found;
     for (const char *Entry : {"entry-1", "entry-2"})
       for (const json &Each : m_Fleet.logged(Entry, "order-ended"))
-        Count += Each.at("code") != 0;
-    return Count;
+        if (Each.at("code") ==
+            static_cast<int>(figlift::ResultCode::OrderRejectedByTarget))
+          Found.push_back(Each);
+    return Found;
   };
-  check(waitUntil(Patience * 2, [&] { return Failed() >= 2; }),
+  check(waitUntil(Patience * 2, [&] { return Failed().size() >= 2; }),
         "the version was not tried twice");
   const int Whole = Load.whole();
   check(waitUntil(Patience, [&] { return Load.whole() > Whole + 20; }),
         "the old version is not served");
-  CHECK(m_Fleet.settledAt("1"));
+  check(m_Fleet.waitUntilSettled("1"), "the old version is not everywhere");
   for (const std::string &Id : OrderFleet::engines())
     m_Fleet.setEngine(Id, {{"fail_orders", 0}});
   CHECK(m_Fleet.submitVersion("3"));
   check(m_Fleet.waitUntilSettled("3"), "the next version is not everywhere");
   Load.stop();
   STRCMP_EQUAL("", Load.wrong().c_str());
-  const std::vector<json> Tries = loads("2");
+  const std::vector<json> Tries = Failed();
   LONGS_EQUAL(2, Tries.size());
   CHECK(Tries[0].at("target") == Tries[1].at("target"));
+  for (const json &Each : loads("2"))
+    CHECK_TEXT(Each.at("time") < Tries[1].at("time"), "ordered again");
   STRCMP_EQUAL("", m_Fleet.conflicts().c_str());
 }
 
