LibPlanner: Keep homes for plain services only

Cause: the planner read the row of slices for engines too, about 3 KB/s for each shard it holds, though no call of an engine has a home. Tested: TestLibPlanner, 8 tests.

--- a/Libraries/LibPlanner/ShardPlanner.cpp
+++ b/Libraries/LibPlanner/ShardPlanner.cpp
@@ -85,7 +85,11 @@
     m_NextPlan = Now + PlanInterval;
     planOnce(Now);
   }
-  if (Now >= m_NextSlices && m_Parts.View.listKnown()) {
+  // Only calls of plain services have homes; the rows of engines would be read
+  // for nothing.
+  const bool HasHomes =
+      m_Parts.View.specification(m_Shard).Type == record::BackEndType::Service;
+  if (HasHomes && Now >= m_NextSlices && m_Parts.View.listKnown()) {
     m_NextSlices = Now + SliceInterval;
     m_Slices->run(m_Parts.View.targets(m_Shard));
   }
--- a/Tests/LibPlanner/TestShardPlanner.cpp
+++ b/Tests/LibPlanner/TestShardPlanner.cpp
@@ -135,6 +135,7 @@
 };
 
 TEST(ShardPlanner, GrantsEverySliceOnce) {
+  m_View.Spec.Type = record::BackEndType::Service;
   m_View.add("core-1", HomeState::Serving);
   m_View.add("core-2", HomeState::Serving);
   PlannerService Service("entry-1", parts("entry-1#1"));
@@ -149,6 +150,7 @@
 // entries but lives and has calls under way; a planner gives its slices to
 // another home. Cause: unreachable was taken for stopped.
 TEST(ShardPlanner, LeavesTheSlicesOfAHomeThatIsOnlyCutOff) {
+  m_View.Spec.Type = record::BackEndType::Service;
   m_View.add("core-1", HomeState::Serving);
   PlannerService Service("entry-1", parts("entry-1#1"));
   CHECK_TRUE(runUntil(
