Meta: Settle the linter's checks and its findings

Mended: a lock that was held over a decision on a moved value, moves that moved nothing, one missing reserve, and the agent's own copy of the row of grants, which LibIdempotency has.

--- a/Libraries/LibConfig/ConfigWriter.cpp
+++ b/Libraries/LibConfig/ConfigWriter.cpp
@@ -95,6 +95,7 @@
 /// Conflicts with others' changes and withdrawals of what is not there.
 Result<void> ConfigWriter::check(const std::vector<Entry> &Found) {
   std::vector<uint64_t> Versions;
+  Versions.reserve(Found.size());
   for (const Entry &Each : Found)
     Versions.push_back(Each.Version);
   if (!m_FirstVersions)
--- a/Libraries/LibConfig/OperatorService.cpp
+++ b/Libraries/LibConfig/OperatorService.cpp
@@ -264,22 +264,20 @@
                               std::optional<TargetWish> Wish) {
   if (!Request)
     return Done(http::problemResponse(Request.error(), ""));
-  ResultCode Refusal = ResultCode::Success;
-  {
-    std::lock_guard Lock(m_Mutex);
-    if (m_Stopped)
-      Refusal = ResultCode::Draining;
-    else if (m_Queue.size() >= m_Options.MaximumQueuedWrites)
-      Refusal = ResultCode::Overloaded;
-    else
-      m_Queue.push_back(
-          {std::move(Request).value(), std::move(Done), std::move(Wish)});
+  std::unique_lock Lock(m_Mutex);
+  const bool Full = m_Queue.size() >= m_Options.MaximumQueuedWrites;
+  if (m_Stopped || Full) {
+    const ResultCode Refusal =
+        m_Stopped ? ResultCode::Draining : ResultCode::Overloaded;
+    Lock.unlock();
+    return Done(http::problemResponse({Refusal, "the change was not taken", "",
+                                       std::chrono::milliseconds(500)},
+                                      ""));
   }
-  if (Refusal == ResultCode::Success)
-    return m_Changed.notify_one();
-  Done(http::problemResponse(
-      {Refusal, "the change was not taken", "", std::chrono::milliseconds(500)},
-      ""));
+  m_Queue.push_back(
+      {std::move(Request).value(), std::move(Done), std::move(Wish)});
+  Lock.unlock();
+  m_Changed.notify_one();
 }
 
 void OperatorService::run() {
--- a/Libraries/LibHttp/ListenerExchange.cpp
+++ b/Libraries/LibHttp/ListenerExchange.cpp
@@ -63,7 +63,7 @@
 
 ListenerExchange::ListenerExchange(std::shared_ptr<ExchangeShared> Shared,
                                    web::http::http_request Incoming)
-    : m_Shared(std::move(Shared)), m_Incoming(std::move(Incoming)),
+    : m_Shared(std::move(Shared)), m_Incoming(Incoming),
       m_Request(describe(m_Incoming)),
       m_RequestId(fitRequestId(m_Request.header("x-request-id"))) {}
 
@@ -146,7 +146,7 @@
         Failed();
     }
   };
-  m_Incoming.reply(std::move(Answer)).then(std::move(End));
+  m_Incoming.reply(Answer).then(std::move(End));
 }
 
 void ListenerExchange::refuseTooLarge(size_t MaximumBytes) {
--- a/Libraries/LibLoad/Experiment.cpp
+++ b/Libraries/LibLoad/Experiment.cpp
@@ -42,7 +42,7 @@
   if (!Object.contains(Key))
     return Default;
   const json &Value = Object[Key];
-  constexpr int64_t Longest = 24 * 3600 * 1000;
+  constexpr int64_t Longest = milliseconds(std::chrono::hours(24)).count();
   if (!Value.is_number_integer() || Value.get<int64_t>() < 1 ||
       Value.get<int64_t>() > Longest)
     return invalid(Field + "." + Key, "milliseconds from 1 to a day expected");
--- a/Libraries/LibPlan/Planner.cpp
+++ b/Libraries/LibPlan/Planner.cpp
@@ -11,7 +11,7 @@
 namespace figlift::plan {
 
 Planner::Planner(PlannerSettings Settings)
-    : m_Settings(std::move(Settings)), m_Placement(m_Settings.Models) {}
+    : m_Settings(Settings), m_Placement(m_Settings.Models) {}
 
 std::vector<Action> Planner::step(const Event &Happened, BootTime Now) {
   return std::visit([&](const auto &One) { return on(One, Now); }, Happened);
--- a/Libraries/LibPlatform/HttpCalls.h
+++ b/Libraries/LibPlatform/HttpCalls.h
@@ -25,7 +25,7 @@
 
 namespace web::http::client {
 class http_client;
-}
+} // namespace web::http::client
 
 namespace figlift::platform {
 
--- a/Libraries/LibTimeline/MergedTimeline.cpp
+++ b/Libraries/LibTimeline/MergedTimeline.cpp
@@ -30,7 +30,7 @@
   if (Which.About.Type == SubjectType::Request && Which.About.Name == RequestId)
     return true;
   return std::ranges::any_of(Which.Fields, [&](const OwnedField &Each) {
-    auto *Text = std::get_if<std::string>(&Each.Value);
+    const auto *Text = std::get_if<std::string>(&Each.Value);
     return Text && *Text == RequestId;
   });
 }
--- a/Services/figlift-agent/SliceKeeper.cpp
+++ b/Services/figlift-agent/SliceKeeper.cpp
@@ -8,8 +8,8 @@
 #include "SliceKeeper.h"
 
 #include "ClaimsMessage.h"
-#include "GrantRow.h"
 
+#include "LibIdempotency/GrantRow.h"
 #include "LibLog/Log.h"
 
 #include <algorithm>
@@ -308,7 +308,7 @@
                                          bool Leaving) {
   const std::string &Self = m_Shared.Settings.Process.Id;
   while (true) {
-    const std::string Next = SliceMap::preferredHome(Slice, Homes);
+    std::string Next = SliceMap::preferredHome(Slice, Homes);
     if (Next.empty() || Next == Self)
       return {};
     const bool Refused = refusedLately(Next);
--- a/Services/figlift-entry/EventLoop.h
+++ b/Services/figlift-entry/EventLoop.h
@@ -31,7 +31,9 @@
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
 
-  TimerId post(Task What) { return after(std::chrono::milliseconds(0), What); }
+  TimerId post(Task What) {
+    return after(std::chrono::milliseconds(0), std::move(What));
+  }
   TimerId after(std::chrono::milliseconds Delay, Task What);
   /// A task that runs at this moment is not waited for.
   void cancel(const TimerId &Which);
