--- a/Libraries/LibRetry/TargetHealth.cpp
+++ b/Libraries/LibRetry/TargetHealth.cpp
@@ -19,11 +19,18 @@
 TargetHealth::TargetHealth(HealthSettings Settings) : m_Settings(Settings) {}
 
 void TargetHealth::succeeded() {
+  m_Probing.store(false, std::memory_order_relaxed);
   m_Failures.store(0, std::memory_order_relaxed);
   m_ExcludedUntil.store(0, std::memory_order_relaxed);
 }
 
 void TargetHealth::failed(BootTime Now) {
+  // All requests at a target fail at once when its link breaks for a moment.
+  // Were each of them counted, an engine that is back at once would get no
+  // work for the longest exclusion there is.
+  const int64_t Until = m_ExcludedUntil.load(std::memory_order_relaxed);
+  if (ticks(Now) < Until && !m_Probing.exchange(false))
+    return;
   const unsigned Failures =
       m_Failures.fetch_add(1, std::memory_order_relaxed) + 1;
   if (Failures < m_Settings.FailuresToExclude)
@@ -48,8 +55,11 @@
   if (ticks(Now) < Until)
     return false;
   const unsigned Failures = m_Failures.load(std::memory_order_relaxed);
-  return m_ExcludedUntil.compare_exchange_strong(
-      Until, ticks(Now + exclusion(Failures)), std::memory_order_relaxed);
+  if (!m_ExcludedUntil.compare_exchange_strong(
+          Until, ticks(Now + exclusion(Failures)), std::memory_order_relaxed))
+    return false;
+  m_Probing.store(true, std::memory_order_relaxed);
+  return true;
 }
 
 bool TargetHealth::excluded() const {
--- a/Libraries/LibRetry/TargetHealth.h
+++ b/Libraries/LibRetry/TargetHealth.h
@@ -34,6 +34,7 @@
   explicit TargetHealth(HealthSettings Settings = {});
 
   void succeeded();
+  /// While the target is excluded only the failure of its probe counts.
   void failed(BootTime Now);
 
   /// Whether an attempt may go there now. After an exclusion one caller gets
@@ -51,6 +52,8 @@
   std::atomic<unsigned> m_Failures{0};
   /// BootTime in nanoseconds; 0 while the target is in use.
   std::atomic<int64_t> m_ExcludedUntil{0};
+  /// A probe was let through and has not failed yet.
+  std::atomic<bool> m_Probing{false};
 };
 
 /// Health of all targets that an entry uses.
--- a/Tests/LibRetry/TestBudgetAndHealth.cpp
+++ b/Tests/LibRetry/TestBudgetAndHealth.cpp
@@ -132,8 +132,22 @@
   CHECK(Health.allows(Now + milliseconds(500)));
 }
 
-TEST(TargetHealth, ExclusionIsBoundedAfterManyFailures) {
+// Symptom: an engine whose link broke for a moment gets no work for 15 s.
+// Sequence: the link breaks under many streams, and each of them fails.
+// Cause: one event counted as many failed probes.
+TEST(TargetHealth, FailuresAtOnceCountAsOneExclusion) {
   fail(1000);
+  CHECK(!Health.allows(Now + milliseconds(499)));
+  CHECK(Health.allows(Now + milliseconds(500)));
+}
+
+TEST(TargetHealth, ExclusionIsBoundedAfterManyFailedProbes) {
+  fail(3);
+  for (int Probe = 0; Probe < 1000; ++Probe) {
+    Now += milliseconds(15000);
+    CHECK(Health.allows(Now));
+    fail(1);
+  }
   CHECK(!Health.allows(Now + milliseconds(14999)));
   CHECK(Health.allows(Now + milliseconds(15000)));
 }
