--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -22,6 +22,7 @@
 cleanup() {
   for name in "${!pids[@]}"; do
     kill -KILL "${pids[$name]}" 2>/dev/null || true
+    wait "${pids[$name]}" 2>/dev/null || true
   done
   rm -rf "$work"
 }
