Tests: Hold a cut answer to the beginning of the whole one

Replaced by: a cut answer has to be the beginning of the other, and a whole one equal to it. Stricter than before; with no cut answer it is the first check. Before: cut answers unchecked.

--- a/Tests/AtMostOnce/ServiceFleet.cpp
+++ b/Tests/AtMostOnce/ServiceFleet.cpp
@@ -192,6 +192,17 @@
 /// "Not run" speaks of one call, so a key of which some other call may have
 /// run may also have been refused: there must be no more executions than calls
 /// that were told anything else.
+/// Two answers to one key are the same, but for one that the end of its entry
+/// cut short: that one is the beginning of the other.
+static bool agree(const Answer &One, const Answer &Other) {
+  const bool OneIsShorter = One.Body.size() <= Other.Body.size();
+  const Answer &Short = OneIsShorter ? One : Other;
+  const Answer &Long = OneIsShorter ? Other : One;
+  if (Short.Whole)
+    return Short.Body == Long.Body;
+  return Long.Body.starts_with(Short.Body);
+}
+
 std::string ServiceFleet::judgeKey(const std::string &Key, const Told &Answers,
                                    int Executions) {
   const auto MayHaveRun = std::ranges::count_if(
@@ -207,13 +218,11 @@
       continue;
     if (Executions == 0)
       return "key " + Key + " was answered and never ran";
-    // The end of an entry cuts the answer that it is sending.
-    if (!Each->Whole)
-      continue;
-    if (First && First->Body != Each->Body)
+    if (First && !agree(*First, *Each))
       return "key " + Key + " got two different answers: " + First->Body +
              " and " + Each->Body;
-    First = Each;
+    if (!First || Each->Body.size() > First->Body.size())
+      First = Each;
   }
   return {};
 }
