--- /dev/null
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -0,0 +1,159 @@
+//===- LoadBook.cpp - Work at the targets, as this process knows it -------===//
+//
+// Sums over own and peers' work; running means that decay towards "as planned"
+// while a target gets no work.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/LoadBook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figlift::dispatch {
+
+LoadBook::LoadBook(LoadBookOptions Options) : m_Options(Options) {}
+
+void LoadBook::targetCame(const Target &Which, uint64_t KvCapacityTokens) {
+  m_Entries[Which.Id].Cache.setCapacity(KvCapacityTokens);
+}
+
+void LoadBook::targetGone(const std::string &Id) { m_Entries.erase(Id); }
+
+const LoadBook::Entry *LoadBook::find(const std::string &TargetId) const {
+  const auto Found = m_Entries.find(TargetId);
+  return Found == m_Entries.end() ? nullptr : &Found->second;
+}
+
+uint64_t LoadBook::started(const std::string &TargetId, Milliseconds Cost,
+                           Milliseconds Expected, BootTime Now) {
+  const uint64_t Ticket = ++m_LastTicket;
+  if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
+    Found->second.Own[Ticket] = {Cost, Expected, Now};
+  return Ticket;
+}
+
+void LoadBook::verdict(Entry &Which, double Slowness, double Failure,
+                       BootTime Now) {
+  const double Weight = m_Options.Smoothing;
+  const double Before = forgiven(Which.Slowness, 1, Which, Now);
+  const double Failures = forgiven(Which.Failures, 0, Which, Now);
+  Which.Slowness = std::clamp(Before + Weight * (Slowness - Before),
+                              m_Options.MinimumSlowness,
+                              m_Options.MaximumSlowness);
+  Which.Failures = Failures + Weight * (Failure - Failures);
+  Which.LastVerdict = Now;
+}
+
+void LoadBook::answered(const std::string &TargetId, uint64_t Ticket,
+                        BootTime Now) {
+  const auto Found = m_Entries.find(TargetId);
+  if (Found == m_Entries.end())
+    return;
+  const auto Item = Found->second.Own.find(Ticket);
+  if (Item == Found->second.Own.end() ||
+      Item->second.Expected <= Milliseconds(0))
+    return;
+  const double Ratio =
+      Milliseconds(Now - Item->second.Sent) / Item->second.Expected;
+  verdict(Found->second, std::min(Ratio, m_Options.MaximumSlowness), 0, Now);
+}
+
+void LoadBook::ended(const std::string &TargetId, uint64_t Ticket) {
+  if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
+    Found->second.Own.erase(Ticket);
+}
+
+void LoadBook::failed(const std::string &TargetId, uint64_t Ticket,
+                      BootTime Now) {
+  ended(TargetId, Ticket);
+  const auto Found = m_Entries.find(TargetId);
+  if (Found == m_Entries.end())
+    return;
+  Entry &Which = Found->second;
+  verdict(Which, forgiven(Which.Slowness, 1, Which, Now), 1, Now);
+}
+
+void LoadBook::peerReported(const std::string &Peer,
+                            const std::vector<PeerLoad> &Loads, BootTime Now) {
+  PeerView &View = m_Peers[Peer];
+  View.At = Now;
+  View.Loads.clear();
+  for (const PeerLoad &Each : Loads)
+    View.Loads[Each.TargetId] = Each;
+}
+
+std::vector<PeerLoad> LoadBook::ownLoads() const {
+  std::vector<PeerLoad> Loads;
+  for (const auto &[Id, Which] : m_Entries) {
+    PeerLoad Load{Id, Milliseconds(0),
+                  static_cast<uint32_t>(Which.Own.size())};
+    for (const auto &[Ticket, Each] : Which.Own)
+      Load.Cost += Each.Cost;
+    if (Load.Items > 0)
+      Loads.push_back(std::move(Load));
+  }
+  return Loads;
+}
+
+Milliseconds LoadBook::backlog(const std::string &TargetId,
+                               BootTime Now) const {
+  Milliseconds Sum{0};
+  if (const Entry *Which = find(TargetId))
+    for (const auto &[Ticket, Each] : Which->Own)
+      Sum += Each.Cost;
+  for (const auto &[Peer, View] : m_Peers) {
+    if (Now - View.At > m_Options.PeerLifetime)
+      continue;
+    if (const auto Found = View.Loads.find(TargetId);
+        Found != View.Loads.end())
+      Sum += Found->second.Cost;
+  }
+  return Sum;
+}
+
+double LoadBook::items(const std::string &TargetId, BootTime Now) const {
+  double Sum = static_cast<double>(ownItems(TargetId));
+  for (const auto &[Peer, View] : m_Peers) {
+    if (Now - View.At > m_Options.PeerLifetime)
+      continue;
+    if (const auto Found = View.Loads.find(TargetId);
+        Found != View.Loads.end())
+      Sum += Found->second.Items;
+  }
+  return Sum;
+}
+
+size_t LoadBook::ownItems(const std::string &TargetId) const {
+  const Entry *Which = find(TargetId);
+  return Which ? Which->Own.size() : 0;
+}
+
+double LoadBook::forgiven(double Value, double Rest, const Entry &Which,
+                          BootTime Now) const {
+  const double HalfLives =
+      Milliseconds(Now - Which.LastVerdict) / m_Options.ForgiveHalfLife;
+  return Rest + (Value - Rest) * std::exp2(-std::max(0.0, HalfLives));
+}
+
+double LoadBook::slowness(const std::string &TargetId, BootTime Now) const {
+  const Entry *Which = find(TargetId);
+  return Which ? forgiven(Which->Slowness, 1, *Which, Now) : 1;
+}
+
+double LoadBook::failureShare(const std::string &TargetId, BootTime Now) const {
+  const Entry *Which = find(TargetId);
+  return Which ? forgiven(Which->Failures, 0, *Which, Now) : 0;
+}
+
+KvCacheView &LoadBook::cache(const std::string &TargetId) {
+  return m_Entries[TargetId].Cache;
+}
+
+uint32_t LoadBook::cachedTokens(const std::string &TargetId,
+                                const Prompt &What) const {
+  const Entry *Which = find(TargetId);
+  return Which ? Which->Cache.cachedTokens(What) : 0;
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -0,0 +1,119 @@
+//===- LoadBook.h - Work at the targets, as this process knows it -*- C++
+//-*-===//
+//
+// What a target has to do decides when new work there would be done. Reports
+// of the targets lag, so the book counts what this process has sent and has
+// not seen end, what its peers say they have, and how much longer answers took
+// than predicted.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibDispatch/KvCacheView.h"
+#include "LibDispatch/Target.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figlift::dispatch {
+
+/// Times as the estimates compute them, with fractions.
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// One piece of work at a target, from its sending to its end.
+struct Work {
+  /// Time that the target needs for the part of it that queues.
+  Milliseconds Cost{0};
+  /// Expected from sending to the end.
+  Milliseconds Expected{0};
+  BootTime Sent{};
+};
+
+/// A process's outstanding work at one target, as it tells its peers.
+struct PeerLoad {
+  std::string TargetId;
+  Milliseconds Cost{0};
+  uint32_t Items = 0;
+};
+
+struct LoadBookOptions {
+  /// Weight of the newest answer in the running means. A tenth follows a
+  /// target that turns slow within about ten answers, and one stray answer
+  /// moves it by a tenth only.
+  double Smoothing = 0.1;
+  /// What peers told is forgotten after this: ten of their usual intervals.
+  std::chrono::milliseconds PeerLifetime{500};
+  /// A target that looked slow and gets no work is believed to be as fast as
+  /// planned again with this half-life, so that it is tried again.
+  std::chrono::milliseconds ForgiveHalfLife{2000};
+  /// Bounds of the ratio between measured and planned time.
+  double MinimumSlowness = 0.3;
+  double MaximumSlowness = 10;
+};
+
+class LoadBook {
+public:
+  explicit LoadBook(LoadBookOptions Options = {});
+
+  void targetCame(const Target &Which, uint64_t KvCapacityTokens);
+  void targetGone(const std::string &Id);
+
+  /// \name Own work. Tickets name it until its end.
+  /// @{
+  uint64_t started(const std::string &TargetId, Milliseconds Cost,
+                   Milliseconds Expected, BootTime Now);
+  /// The (first part of the) response came: a verdict on the target's speed.
+  void answered(const std::string &TargetId, uint64_t Ticket, BootTime Now);
+  /// It is no longer at the target, for whatever reason.
+  void ended(const std::string &TargetId, uint64_t Ticket);
+  /// The target failed it; it has ended.
+  void failed(const std::string &TargetId, uint64_t Ticket, BootTime Now);
+  /// @}
+
+  /// Replaces what \p Peer told before.
+  void peerReported(const std::string &Peer, const std::vector<PeerLoad> &Loads,
+                    BootTime Now);
+  std::vector<PeerLoad> ownLoads() const;
+
+  /// Planned time of the work that waits or runs there, of all processes.
+  Milliseconds backlog(const std::string &TargetId, BootTime Now) const;
+  /// Pieces of work there, of all processes.
+  double items(const std::string &TargetId, BootTime Now) const;
+  size_t ownItems(const std::string &TargetId) const;
+  /// Measured time over planned time; 1 is as planned.
+  double slowness(const std::string &TargetId, BootTime Now) const;
+  /// Share of the recent work that failed there.
+  double failureShare(const std::string &TargetId, BootTime Now) const;
+  KvCacheView &cache(const std::string &TargetId);
+  uint32_t cachedTokens(const std::string &TargetId, const Prompt &What) const;
+
+private:
+  struct Entry {
+    std::map<uint64_t, Work> Own;
+    KvCacheView Cache;
+    double Slowness = 1;
+    double Failures = 0;
+    BootTime LastVerdict{};
+  };
+  struct PeerView {
+    BootTime At{};
+    std::map<std::string, PeerLoad> Loads;
+  };
+
+  const Entry *find(const std::string &TargetId) const;
+  double forgiven(double Value, double Rest, const Entry &Which,
+                  BootTime Now) const;
+  void verdict(Entry &Which, double Slowness, double Failure, BootTime Now);
+
+  LoadBookOptions m_Options;
+  std::map<std::string, Entry> m_Entries;
+  std::map<std::string, PeerView> m_Peers;
+  uint64_t m_LastTicket = 0;
+};
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -0,0 +1,176 @@
+//===- PromptPlanner.cpp - Where a prompt is read and run -----------------===//
+//
+// Scores each engine by waiting time and engine time; homes of subjects break
+// ties, so that all processes have a new subject read at the same engine.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/PromptPlanner.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace figlift::dispatch {
+
+namespace {
+
+/// Rendezvous hashing: the engine with the highest weight is the home of a
+/// subject, and only the subjects of an engine that came or left move.
+uint64_t homeWeight(uint64_t Subject, const std::string &TargetId) {
+  return XXH64(TargetId.data(), TargetId.size(), Subject);
+}
+
+} // namespace
+
+PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadBook &Loads)
+    : m_Options(Options), m_Costs(Options.Speeds), m_Loads(Loads) {}
+
+bool PromptPlanner::usable(const Target &Which, const PromptRequest &Request,
+                           BootTime Now) const {
+  if (std::find(Request.Excluded.begin(), Request.Excluded.end(), Which.Id) !=
+      Request.Excluded.end())
+    return false;
+  return m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid;
+}
+
+std::optional<PromptPlanner::Candidate>
+PromptPlanner::bestReader(const PromptRequest &Request,
+                          std::span<const Target *const> Engines,
+                          BootTime Now) const {
+  std::optional<Candidate> Best;
+  uint64_t BestWeight = 0;
+  const uint64_t Subject = Request.What.subject();
+  for (const Target *Which : Engines) {
+    if (Which->Does != Stage::Prefill || !usable(*Which, Request, Now))
+      continue;
+    const double Slowness = m_Loads.slowness(Which->Id, Now);
+    const uint32_t Cached = m_Loads.cachedTokens(Which->Id, Request.What);
+    const Candidate Each{Which, m_Loads.backlog(Which->Id, Now) * Slowness,
+                         m_Costs.read(Request.What, Cached) * Slowness};
+    const uint64_t Weight = homeWeight(Subject, Which->Id);
+    const double Scale = m_Options.EngineTimeWeight;
+    // Differences below the time of one read are within the estimate's error;
+    // there the home decides.
+    const Milliseconds Margin = m_Costs.speeds().ReadOverhead * 2;
+    if (!Best || Each.score(Scale) + Margin < Best->score(Scale) ||
+        (Each.score(Scale) < Best->score(Scale) + Margin &&
+         Weight > BestWeight)) {
+      Best = Each;
+      BestWeight = Weight;
+    }
+  }
+  return Best;
+}
+
+Milliseconds PromptPlanner::slotWait(const Target &Which,
+                                     const EngineTraits &Traits,
+                                     BootTime Now) const {
+  const double Items = m_Loads.items(Which.Id, Now);
+  const double Slots = std::max(1U, Traits.Slots);
+  if (Items < Slots)
+    return Milliseconds(0);
+  // Of the work there, what exceeds the slots has to end first, and the slots
+  // end it side by side.
+  return m_Loads.backlog(Which.Id, Now) * ((Items - Slots + 1) / Items / Slots);
+}
+
+std::optional<PromptPlanner::Candidate>
+PromptPlanner::bestLoneRunner(const PromptRequest &Request,
+                              std::span<const Target *const> Engines,
+                              const EngineTraits &Traits, BootTime Now) const {
+  std::optional<Candidate> Best;
+  for (const Target *Which : Engines) {
+    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
+      continue;
+    const double Slowness = m_Loads.slowness(Which->Id, Now);
+    const uint32_t Cached = m_Loads.cachedTokens(Which->Id, Request.What);
+    const Candidate Each{
+        Which, slotWait(*Which, Traits, Now) * Slowness,
+        m_Costs.readWhileDecoding(Request.What, Cached) * Slowness};
+    if (!Best || Each.score(m_Options.EngineTimeWeight) <
+                     Best->score(m_Options.EngineTimeWeight))
+      Best = Each;
+  }
+  return Best;
+}
+
+std::optional<RunAt>
+PromptPlanner::chooseRunner(const PromptRequest &Request, const Target *Reader,
+                            std::span<const Target *const> Engines,
+                            const EngineTraits &Traits, BootTime Now) const {
+  std::optional<RunAt> Best;
+  for (const Target *Which : Engines) {
+    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
+      continue;
+    const double Slowness = m_Loads.slowness(Which->Id, Now);
+    const uint32_t Cached = m_Loads.cachedTokens(Which->Id, Request.What);
+    const Milliseconds Fetch = m_Costs.transfer(
+        Traits, Request.What.Tokens - std::min(Request.What.Tokens, Cached),
+        Reader && Reader->Zone == Which->Zone);
+    const Milliseconds Expected =
+        (slotWait(*Which, Traits, Now) + Fetch + m_Costs.generate(1)) *
+        Slowness;
+    if (!Best || Expected < Best->Expected)
+      Best = RunAt{Which->Id,
+                   Fetch + m_Costs.generate(Request.ExpectedOutput), Expected};
+  }
+  return Best;
+}
+
+bool PromptPlanner::admits(const PromptRequest &Request, Milliseconds Wait,
+                           Milliseconds FirstEvent) const {
+  if (FirstEvent > Request.TimeLeft * m_Options.DeadlineShare)
+    return false;
+  return FirstEvent <= Request.OnTimeLeft * m_Options.TargetShare ||
+         Wait <= Request.LatencyTarget * m_Options.LateWaitShare;
+}
+
+RefuseNow PromptPlanner::refuse(const PromptRequest &Request,
+                                std::string_view Reason,
+                                Milliseconds FirstEvent) const {
+  const Milliseconds Excess =
+      FirstEvent - Request.LatencyTarget * m_Options.TargetShare;
+  // Spread over as much time again, so that those refused together do not
+  // come back together.
+  const auto Wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Excess * (1 + Request.Draw) +
+      Milliseconds(m_Options.MinimumRetryAfter) * Request.Draw);
+  return {Reason, FirstEvent,
+          std::clamp(Wait, m_Options.MinimumRetryAfter,
+                     m_Options.MaximumRetryAfter)};
+}
+
+PromptPlan PromptPlanner::plan(const PromptRequest &Request,
+                               std::span<const Target *const> Engines,
+                               const EngineTraits &Traits,
+                               BootTime Now) const {
+  const auto Lone = bestLoneRunner(Request, Engines, Traits, Now);
+  if (!Lone)
+    return refuse(Request, "no engine takes new requests",
+                  Request.LatencyTarget * 2);
+  const auto Reader = bestReader(Request, Engines, Now);
+  const Milliseconds LoneFirst =
+      Lone->Wait + Lone->Cost + m_Options.Travel / 2 + m_Costs.generate(1);
+  std::optional<ReadThenRun> Split;
+  if (Reader) {
+    const auto Runner =
+        chooseRunner(Request, Reader->Which, Engines, Traits, Now);
+    const Milliseconds Read = Reader->Wait + Reader->Cost;
+    if (Runner)
+      Split = ReadThenRun{Reader->Which->Id, Reader->Cost, Read,
+                          Read + Runner->Expected + m_Options.Travel};
+  }
+  const bool UseSplit = Split && Split->FirstEvent < LoneFirst;
+  const Milliseconds First = UseSplit ? Split->FirstEvent : LoneFirst;
+  const Milliseconds Wait = UseSplit ? Reader->Wait : Lone->Wait;
+  if (!admits(Request, Wait, First))
+    return refuse(Request, "the first token would come too late", First);
+  if (UseSplit)
+    return *Split;
+  return RunAt{Lone->Which->Id,
+               Lone->Cost + m_Costs.generate(Request.ExpectedOutput),
+               LoneFirst};
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -0,0 +1,135 @@
+//===- PromptPlanner.h - Where a prompt is read and run ---------*- C++ -*-===//
+//
+// Chooses for one request: read the prompt at a prefill engine and run it at a
+// decode engine, run it at a decode engine alone, or refuse it now. The choice
+// goes by when the first token would reach the caller, and by the engine time
+// that the request takes away from others.
+//
+// A request whose first token cannot come in time is refused at once and
+// before any work: under a burst the engines are otherwise busy with prompts
+// whose callers have left, and everyone is late. One sees it as a high share
+// of prompts that were read and never run.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibDispatch/EngineCosts.h"
+#include "LibDispatch/LoadBook.h"
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figlift::dispatch {
+
+struct PromptRequest {
+  Prompt What;
+  /// Output tokens to plan with.
+  uint32_t ExpectedOutput = 1;
+  /// From now to the moment at which the first event is no longer on time.
+  Milliseconds OnTimeLeft{0};
+  /// From now to the request's end.
+  Milliseconds TimeLeft{0};
+  /// The route's latency target.
+  Milliseconds LatencyTarget{0};
+  /// Targets that failed this request or must not get it.
+  std::vector<std::string> Excluded;
+  /// Uniform in [0, 1).
+  double Draw = 0;
+};
+
+/// Read at Reader; where it runs is chosen when the prompt has been read.
+struct ReadThenRun {
+  std::string Reader;
+  /// Engine time of the read, and time until it ends.
+  Milliseconds Cost{0};
+  Milliseconds Expected{0};
+  /// Until the first event reaches the caller.
+  Milliseconds FirstEvent{0};
+};
+struct RunAt {
+  std::string Runner;
+  Milliseconds Cost{0};
+  /// Until the first event reaches this process.
+  Milliseconds Expected{0};
+};
+struct RefuseNow {
+  std::string_view Reason;
+  Milliseconds FirstEvent{0};
+  std::chrono::milliseconds RetryAfter{0};
+};
+using PromptPlan = std::variant<ReadThenRun, RunAt, RefuseNow>;
+
+struct PromptPlannerOptions {
+  EngineSpeeds Speeds;
+  /// Share of the time to the latency target that a plan may use up; the rest
+  /// covers what the estimate does not see (peers' newest work).
+  double TargetShare = 0.75;
+  /// A prompt that is late by its size alone may still wait this share of the
+  /// target: refusing all of them would starve the largest prompts.
+  double LateWaitShare = 0.35;
+  /// Share of the time to the deadline that a plan may use up.
+  double DeadlineShare = 0.7;
+  /// Weight of engine time that a choice costs beyond the cheapest one,
+  /// against waiting: work spent twice is missing for the requests behind.
+  double EngineTimeWeight = 1;
+  /// Travel between this process and an engine, both ways, twice.
+  Milliseconds Travel{4};
+  /// Share of failed work at which a target is used only if no other is left.
+  double FailureShareToAvoid = 0.25;
+  /// Bounds of what a refused caller is told to wait.
+  std::chrono::milliseconds MinimumRetryAfter{150};
+  std::chrono::milliseconds MaximumRetryAfter{1500};
+};
+
+class PromptPlanner {
+public:
+  PromptPlanner(PromptPlannerOptions Options, LoadBook &Loads);
+
+  /// \p Engines are the targets of the service that take new work.
+  PromptPlan plan(const PromptRequest &Request,
+                  std::span<const Target *const> Engines,
+                  const EngineTraits &Traits, BootTime Now) const;
+
+  /// Where a prompt runs that \p Reader has read; null if nowhere.
+  std::optional<RunAt> chooseRunner(const PromptRequest &Request,
+                                    const Target *Reader,
+                                    std::span<const Target *const> Engines,
+                                    const EngineTraits &Traits,
+                                    BootTime Now) const;
+  const EngineCosts &costs() const { return m_Costs; }
+
+private:
+  struct Candidate {
+    const Target *Which = nullptr;
+    Milliseconds Wait{0};
+    Milliseconds Cost{0};
+    Milliseconds score(double EngineTimeWeight) const {
+      return Wait + Cost * (1 + EngineTimeWeight);
+    }
+  };
+
+  bool usable(const Target &Which, const PromptRequest &Request,
+              BootTime Now) const;
+  std::optional<Candidate> bestReader(const PromptRequest &Request,
+                                      std::span<const Target *const> Engines,
+                                      BootTime Now) const;
+  std::optional<Candidate>
+  bestLoneRunner(const PromptRequest &Request,
+                 std::span<const Target *const> Engines,
+                 const EngineTraits &Traits, BootTime Now) const;
+  Milliseconds slotWait(const Target &Which, const EngineTraits &Traits,
+                        BootTime Now) const;
+  bool admits(const PromptRequest &Request, Milliseconds Wait,
+              Milliseconds FirstEvent) const;
+  RefuseNow refuse(const PromptRequest &Request, std::string_view Reason,
+                   Milliseconds FirstEvent) const;
+
+  PromptPlannerOptions m_Options;
+  EngineCosts m_Costs;
+  LoadBook &m_Loads;
+};
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/ServicePlanner.cpp
@@ -0,0 +1,62 @@
+//===- ServicePlanner.cpp - Where a plain request runs --------------------===//
+//
+// Lowest expected time, failures weighed in; equal servers are drawn.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/ServicePlanner.h"
+
+#include <algorithm>
+
+namespace figlift::dispatch {
+
+ServicePlanner::ServicePlanner(ServicePlannerOptions Options, LoadBook &Loads)
+    : m_Options(Options), m_Loads(Loads) {}
+
+Milliseconds ServicePlanner::expected(const Target &Which,
+                                      BootTime Now) const {
+  const double Slots = std::max(1U, Which.Slots);
+  const double Items = m_Loads.items(Which.Id, Now);
+  // Work beyond the slots waits for a free one.
+  const double Rounds = 1 + std::max(0.0, Items + 1 - Slots) / Slots;
+  return m_Options.AssumedWork * m_Loads.slowness(Which.Id, Now) * Rounds;
+}
+
+ServicePlan ServicePlanner::plan(const ServiceRequest &Request,
+                                 std::span<const Target *const> Servers,
+                                 BootTime Now) const {
+  const Target *Best = nullptr;
+  Milliseconds BestExpected{0};
+  double BestScore = 0;
+  for (size_t At = 0; At < Servers.size(); ++At) {
+    // Beginning anywhere draws among equals.
+    const size_t Index =
+        (At + static_cast<size_t>(Request.Draw *
+                                  static_cast<double>(Servers.size()))) %
+        Servers.size();
+    const Target &Each = *Servers[Index];
+    if (std::find(Request.Excluded.begin(), Request.Excluded.end(), Each.Id) !=
+        Request.Excluded.end())
+      continue;
+    const Milliseconds Time = expected(Each, Now);
+    // Occupied slots break ties between servers of one speed.
+    const double Crowding =
+        1 + 0.2 * m_Loads.items(Each.Id, Now) / std::max(1U, Each.Slots);
+    const double Score = Time.count() * Crowding *
+                         (1 + m_Options.FailurePenalty *
+                                  m_Loads.failureShare(Each.Id, Now));
+    if (!Best || Score < BestScore) {
+      Best = &Each;
+      BestExpected = Time;
+      BestScore = Score;
+    }
+  }
+  if (!Best)
+    return RefuseService{"no server takes new requests", m_Options.RetryAfter};
+  if (BestExpected > Request.TimeLeft * m_Options.DeadlineShare)
+    return RefuseService{"no server would answer in time",
+                         m_Options.RetryAfter};
+  return SendTo{Best->Id, m_Options.AssumedWork, BestExpected};
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/ServicePlanner.h
@@ -0,0 +1,66 @@
+//===- ServicePlanner.h - Where a plain request runs ------------*- C++ -*-===//
+//
+// Chooses a server of a plain service by the expected time to its answer:
+// work that is there, measured speed, and recent failures. A request that no
+// server would answer in time is refused at once.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibDispatch/LoadBook.h"
+
+#include <chrono>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figlift::dispatch {
+
+struct ServiceRequest {
+  Milliseconds TimeLeft{0};
+  std::vector<std::string> Excluded;
+  /// Uniform in [0, 1).
+  double Draw = 0;
+};
+
+struct SendTo {
+  std::string TargetId;
+  Milliseconds Cost{0};
+  Milliseconds Expected{0};
+};
+struct RefuseService {
+  std::string_view Reason;
+  std::chrono::milliseconds RetryAfter{0};
+};
+using ServicePlan = std::variant<SendTo, RefuseService>;
+
+struct ServicePlannerOptions {
+  /// Work time to plan with before any answer was seen. Deviations are in
+  /// LoadBook::slowness().
+  Milliseconds AssumedWork{20};
+  /// Share of the time to the deadline that a plan may use up.
+  double DeadlineShare = 0.8;
+  /// A recent failure makes a server look this many times as slow: an answer
+  /// from it may be worth nothing.
+  double FailurePenalty = 20;
+  /// What a refused caller is told to wait.
+  std::chrono::milliseconds RetryAfter{200};
+};
+
+class ServicePlanner {
+public:
+  ServicePlanner(ServicePlannerOptions Options, LoadBook &Loads);
+
+  ServicePlan plan(const ServiceRequest &Request,
+                   std::span<const Target *const> Servers, BootTime Now) const;
+
+private:
+  Milliseconds expected(const Target &Which, BootTime Now) const;
+
+  ServicePlannerOptions m_Options;
+  LoadBook &m_Loads;
+};
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -0,0 +1,100 @@
+//===- TargetTable.cpp - The servers that may get work --------------------===//
+//
+// Merges whole lists and single changes into one table.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/TargetTable.h"
+
+namespace figlift::dispatch {
+
+TargetTable::TargetTable(TargetTableOptions Options) : m_Options(Options) {}
+
+void TargetTable::storeLost() { m_StoreLost = true; }
+
+void TargetTable::storeAnswered(BootTime Now) {
+  if (!m_StoreLost)
+    return;
+  m_StoreLost = false;
+  m_GraceUntil = Now + m_Options.ReregistrationTime;
+}
+
+void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
+  m_Missing.erase(Entry.Id);
+  const auto [Found, IsNew] = m_Targets.try_emplace(Entry.Id, Entry);
+  if (IsNew) {
+    Out.emplace_back(TargetCame{Entry});
+    return;
+  }
+  if (Found->second == Entry)
+    return;
+  const bool DrainsNow = Entry.Draining && !Found->second.Draining;
+  Found->second = Entry;
+  if (DrainsNow)
+    Out.emplace_back(TargetDrains{Entry.Id});
+  else
+    Out.emplace_back(TargetChanged{Entry});
+}
+
+void TargetTable::drop(const std::string &Id, std::vector<TargetEvent> &Out) {
+  m_Missing.erase(Id);
+  if (m_Targets.erase(Id) > 0)
+    Out.emplace_back(TargetGone{Id});
+}
+
+std::vector<TargetEvent>
+TargetTable::replaceAll(const std::vector<Target> &Listed, BootTime Now) {
+  storeAnswered(Now);
+  std::vector<TargetEvent> Out;
+  std::set<std::string> Absent;
+  for (const auto &[Id, Entry] : m_Targets)
+    Absent.insert(Id);
+  for (const Target &Entry : Listed) {
+    Absent.erase(Entry.Id);
+    apply(Entry, Out);
+  }
+  for (const std::string &Id : Absent) {
+    if (m_GraceUntil && Now < *m_GraceUntil)
+      m_Missing.insert(Id);
+    else
+      drop(Id, Out);
+  }
+  return Out;
+}
+
+std::vector<TargetEvent> TargetTable::update(const Target &Entry,
+                                             BootTime Now) {
+  storeAnswered(Now);
+  std::vector<TargetEvent> Out;
+  apply(Entry, Out);
+  return Out;
+}
+
+std::vector<TargetEvent> TargetTable::remove(const std::string &Id,
+                                             BootTime Now) {
+  storeAnswered(Now);
+  std::vector<TargetEvent> Out;
+  if (m_GraceUntil && Now < *m_GraceUntil && m_Targets.contains(Id))
+    m_Missing.insert(Id);
+  else
+    drop(Id, Out);
+  return Out;
+}
+
+std::vector<TargetEvent> TargetTable::tick(BootTime Now) {
+  std::vector<TargetEvent> Out;
+  if (!m_GraceUntil || Now < *m_GraceUntil || m_StoreLost)
+    return Out;
+  m_GraceUntil.reset();
+  for (const std::string &Id : std::set<std::string>(std::move(m_Missing)))
+    drop(Id, Out);
+  m_Missing.clear();
+  return Out;
+}
+
+const Target *TargetTable::find(const std::string &Id) const {
+  const auto Found = m_Targets.find(Id);
+  return Found == m_Targets.end() ? nullptr : &Found->second;
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -0,0 +1,84 @@
+//===- TargetTable.h - The servers that may get work ------------*- C++ -*-===//
+//
+// Keeps the platform's list of servers as this process believes it. While the
+// store is away the last list stays in use: a request must not wait for the
+// store. Entries that lapsed meanwhile are back a little after its return, so
+// an entry that is missing then is kept for that time; a server that really
+// left is found by the identity check of its successor, or by its silence.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibDispatch/Target.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figlift::dispatch {
+
+/// \name What changed for the rest of the process.
+/// @{
+struct TargetCame {
+  Target Which;
+};
+struct TargetChanged {
+  Target Which;
+};
+struct TargetDrains {
+  std::string Id;
+};
+struct TargetGone {
+  std::string Id;
+};
+/// @}
+using TargetEvent =
+    std::variant<TargetCame, TargetChanged, TargetDrains, TargetGone>;
+
+struct TargetTableOptions {
+  /// Servers re-register within two seconds of the store's return; 200 ms are
+  /// left for the read that shows it.
+  std::chrono::milliseconds ReregistrationTime{2200};
+};
+
+class TargetTable {
+public:
+  explicit TargetTable(TargetTableOptions Options = {});
+
+  /// The store could not be reached, or turned this process away.
+  void storeLost();
+  bool storeIsLost() const { return m_StoreLost; }
+  /// A whole list as of one moment.
+  std::vector<TargetEvent> replaceAll(const std::vector<Target> &Listed,
+                                      BootTime Now);
+  /// One entry was written.
+  std::vector<TargetEvent> update(const Target &Entry, BootTime Now);
+  /// One entry was removed.
+  std::vector<TargetEvent> remove(const std::string &Id, BootTime Now);
+  /// Passes time: missing entries whose grace is over are gone.
+  std::vector<TargetEvent> tick(BootTime Now);
+
+  const std::map<std::string, Target> &all() const { return m_Targets; }
+  const Target *find(const std::string &Id) const;
+
+private:
+  void storeAnswered(BootTime Now);
+  void apply(const Target &Entry, std::vector<TargetEvent> &Out);
+  void drop(const std::string &Id, std::vector<TargetEvent> &Out);
+
+  TargetTableOptions m_Options;
+  std::map<std::string, Target> m_Targets;
+  /// Entries that the store no longer lists, and may list again.
+  std::set<std::string> m_Missing;
+  bool m_StoreLost = false;
+  /// Until then a missing entry may be on its way back.
+  std::optional<BootTime> m_GraceUntil;
+};
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -0,0 +1,129 @@
+//===- RequestParser.cpp - Reads requests of callers ----------------------===//
+//
+// Boost.Beast's grammar, with the framing checks that it leaves out.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibProxy/RequestParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace figlift::proxy {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::beast::error_code;
+using StringView = boost::beast::string_view;
+
+class RequestParser::Grammar : public http::basic_parser<true> {
+public:
+  Request Parsed;
+
+private:
+  void on_request_impl(http::verb, StringView Method, StringView Target,
+                       int Version, ErrorCode &) override {
+    Parsed.Head.Method = std::string(Method);
+    Parsed.Head.Target = std::string(Target);
+    Parsed.Head.Version = static_cast<unsigned>(Version);
+  }
+  void on_response_impl(int, StringView, int, ErrorCode &) override {}
+  void on_field_impl(http::field, StringView Name, StringView Value,
+                     ErrorCode &) override {
+    Parsed.Head.Headers.add(std::string(Name), std::string(Value));
+  }
+  void on_header_impl(ErrorCode &Code) override {
+    // The grammar ignores a transfer coding that it does not know and then
+    // takes the body for the next request.
+    unsigned Codings = 0;
+    unsigned Hosts = 0;
+    for (const HeaderField &Field : Parsed.Head.Headers) {
+      if (equalsIgnoreCase(Field.Name, "Transfer-Encoding") &&
+          (++Codings > 1 || !equalsIgnoreCase(Field.Value, "chunked")))
+        Code = http::error::bad_transfer_encoding;
+      if (equalsIgnoreCase(Field.Name, "Host") && ++Hosts > 1)
+        Code = http::error::bad_field;
+    }
+    if (Parsed.Head.Target.empty() || Parsed.Head.Target.front() != '/')
+      Code = http::error::bad_target;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         ErrorCode &) override {}
+  std::size_t on_body_impl(StringView Body, ErrorCode &) override {
+    Parsed.Body.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
+                                 ErrorCode &) override {
+    Parsed.Body.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_finish_impl(ErrorCode &) override {}
+};
+
+RequestParser::RequestParser(RequestBounds Bounds) : m_Bounds(Bounds) {
+  reset();
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::reset() {
+  m_Grammar = std::make_unique<Grammar>();
+  m_Grammar->eager(true);
+  m_Grammar->header_limit(m_Bounds.HeadBytes);
+  m_Grammar->body_limit(m_Bounds.BodyBytes);
+  m_State = State::Between;
+}
+
+RequestParser::State RequestParser::fail(unsigned Status) {
+  m_FailureStatus = Status;
+  return m_State = State::Failed;
+}
+
+RequestParser::State RequestParser::feed(std::string_view Bytes) {
+  m_Input.append(Bytes);
+  if (m_State == State::Complete || m_State == State::Failed)
+    return m_State;
+  // Empty lines between requests are allowed (RFC 9112, 2.2).
+  if (m_State == State::Between)
+    m_Input.erase(0, m_Input.find_first_not_of("\r\n"));
+  size_t Used = 0;
+  ErrorCode Code;
+  while (Used < m_Input.size() && !m_Grammar->is_done()) {
+    const size_t Taken = m_Grammar->put(
+        boost::asio::buffer(m_Input.data() + Used, m_Input.size() - Used),
+        Code);
+    Used += Taken;
+    if (Code || Taken == 0)
+      break;
+  }
+  m_Input.erase(0, Used);
+  if (Code && Code != http::error::need_more) {
+    if (Code == http::error::header_limit)
+      return fail(431);
+    return fail(Code == http::error::body_limit ? 413 : 400);
+  }
+  if (m_Grammar->is_done())
+    return m_State = State::Complete;
+  if (m_Grammar->is_header_done())
+    return m_State = State::Body;
+  return m_State = m_Input.empty() ? State::Between : State::Head;
+}
+
+Request RequestParser::take() {
+  Request Taken = std::move(m_Grammar->Parsed);
+  reset();
+  return Taken;
+}
+
+bool RequestParser::expectsContinue() const {
+  return m_State == State::Body &&
+         m_Grammar->Parsed.Head.Headers.lists("Expect", "100-continue");
+}
+
+size_t RequestParser::held() const {
+  return m_Input.size() + m_Grammar->Parsed.Body.size();
+}
+
+} // namespace figlift::proxy
--- a/Libraries/LibSettings/CommandLine.cpp
+++ b/Libraries/LibSettings/CommandLine.cpp
@@ -87,6 +87,13 @@
                          parseAgentSettings, ArgumentCount, Arguments);
 }
 
+Result<Startup<GatewaySettings>>
+readGatewayCommandLine(int ArgumentCount, const char *const *Arguments) {
+  return readCommandLine("figlift-gateway",
+                         "Forwards callers' requests to the platform's servers.",
+                         parseGatewaySettings, ArgumentCount, Arguments);
+}
+
 int reportFailure(std::string_view Program, const Error &Reason) {
   std::cerr << Program << ": ";
   if (!Reason.Field.empty())
--- a/Libraries/LibSettings/CommandLine.h
+++ b/Libraries/LibSettings/CommandLine.h
@@ -1,4 +1,4 @@
-//===- CommandLine.h - Command line shared by entry and agent ---*- C++ -*-===//
+//===- CommandLine.h - Command line shared by the services ------*- C++ -*-===//
 //
 // --settings FILE, --check-config, --print-config, --version and --help. The
 // main program gets either settings to run with or the status to exit with.
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "LibCore/Result.h"
+#include "LibSettings/GatewaySettings.h"
 #include "LibSettings/Settings.h"
 
 #include <string>
@@ -30,6 +31,8 @@
 readEntryCommandLine(int ArgumentCount, const char *const *Arguments);
 Result<Startup<AgentSettings>>
 readAgentCommandLine(int ArgumentCount, const char *const *Arguments);
+Result<Startup<GatewaySettings>>
+readGatewayCommandLine(int ArgumentCount, const char *const *Arguments);
 
 /// Exit status of a program whose settings or command line are wrong.
 inline constexpr int SettingsExitStatus = 2;
--- a/Libraries/LibSettings/FieldTable.h
+++ b/Libraries/LibSettings/FieldTable.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "LibCore/Result.h"
+#include "LibSettings/GatewaySettings.h"
 #include "LibSettings/Settings.h"
 
 #include <cstdint>
@@ -24,12 +25,13 @@
 using ValueReference =
     std::variant<std::string *, Endpoint *, std::vector<Endpoint> *,
                  std::chrono::milliseconds *, ByteSize *, unsigned *,
-                 log::Format *, log::Level *, TargetType *>;
+                 log::Format *, log::Level *, TargetType *, bool *, double *,
+                 PlainSeconds *, PlainMilliseconds *>;
 
 enum class Presence { Required, Optional };
 
 /// Smallest and greatest value: milliseconds, bytes or a plain number by the
-/// field's type. Not used for the other types.
+/// field's type (PlainSeconds: seconds). Not used for the other types.
 struct Range {
   uint64_t Minimum = 0;
   uint64_t Maximum = 0;
@@ -50,6 +52,7 @@
 /// are the defaults.
 FieldTable fieldsOf(EntrySettings &Of);
 FieldTable fieldsOf(AgentSettings &Of);
+FieldTable fieldsOf(GatewaySettings &Of);
 
 /// Reads JSON with comments into the objects that the rows point to.
 Result<void> readFields(const FieldTable &Rows, std::string_view Json);
--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -376,7 +376,8 @@
          "`{\"log\": {\"level\": ...}}`.\n\n"
          "## figlift-entry\n\n" +
          document<EntrySettings>() + "\n## figlift-agent\n\n" +
-         document<AgentSettings>();
+         document<AgentSettings>() + "\n## figlift-gateway\n\n" +
+         document<GatewaySettings>();
 }
 
 } // namespace figlift::settings
--- a/Libraries/LibSettings/ValueType.cpp
+++ b/Libraries/LibSettings/ValueType.cpp
@@ -91,6 +91,30 @@
     *Into = Value.get<unsigned>();
     return true;
   }
+  bool operator()(bool *Into) const {
+    if (!Value.is_boolean())
+      return false;
+    *Into = Value.get<bool>();
+    return true;
+  }
+  bool operator()(double *Into) const {
+    if (!Value.is_number())
+      return false;
+    const auto Read = Value.get<double>();
+    if (!(Read >= static_cast<double>(Allowed.Minimum) &&
+          Read <= static_cast<double>(Allowed.Maximum)))
+      return false;
+    *Into = Read;
+    return true;
+  }
+  template <typename Period>
+  bool operator()(std::chrono::duration<double, Period> *Into) const {
+    double Read = 0;
+    if (!(*this)(&Read))
+      return false;
+    *Into = std::chrono::duration<double, Period>(Read);
+    return true;
+  }
   bool operator()(log::Format *Into) const {
     return assign(*Into, Value, log::parseFormat);
   }
@@ -114,6 +138,12 @@
   Json operator()(const milliseconds *From) const { return toString(*From); }
   Json operator()(const ByteSize *From) const { return toString(*From); }
   Json operator()(const unsigned *From) const { return *From; }
+  Json operator()(const bool *From) const { return *From; }
+  Json operator()(const double *From) const { return *From; }
+  template <typename Period>
+  Json operator()(const std::chrono::duration<double, Period> *From) const {
+    return From->count();
+  }
   Json operator()(const log::Format *From) const {
     return *From == log::Format::Json ? "json" : "text";
   }
@@ -149,6 +179,18 @@
     return "a whole number from " + std::to_string(Allowed.Minimum) + " to " +
            std::to_string(Allowed.Maximum);
   }
+  std::string operator()(const bool *) const { return "true or false"; }
+  std::string operator()(const double *) const { return number("a number"); }
+  std::string operator()(const PlainSeconds *) const {
+    return number("a number of seconds");
+  }
+  std::string operator()(const PlainMilliseconds *) const {
+    return number("a number of milliseconds");
+  }
+  std::string number(const std::string &What) const {
+    return What + " from " + std::to_string(Allowed.Minimum) + " to " +
+           std::to_string(Allowed.Maximum);
+  }
   std::string operator()(const log::Format *) const {
     return "\"json\" or \"text\"";
   }
--- /dev/null
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -0,0 +1,218 @@
+//===- ServerConnection.cpp - One HTTP/1.1 connection to a server ---------===//
+//
+// Callbacks hold the connection alive; abort() takes the sink away first, so
+// that none runs into a request that has ended.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibUpstream/ServerConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace figlift::upstream {
+
+namespace asio = boost::asio;
+
+ServerConnection::ServerConnection(asio::io_context &Loop, Endpoint Peer,
+                                   ConnectionTimeouts Timeouts)
+    : m_Loop(Loop), m_Socket(Loop), m_Timer(Loop), m_Peer(std::move(Peer)),
+      m_Timeouts(Timeouts) {}
+
+void ServerConnection::exchange(std::string Bytes, bool BodyInResponse,
+                                std::shared_ptr<ExchangeSink> Sink) {
+  m_Outgoing = std::move(Bytes);
+  m_Sink = std::move(Sink);
+  m_Written = false;
+  m_HeadReported = false;
+  m_BodyInResponse = BodyInResponse;
+  m_Parser = proxy::ResponseParser(BodyInResponse);
+  if (m_State == State::Idle) {
+    m_State = State::Busy;
+    return send();
+  }
+  connect();
+}
+
+void ServerConnection::connect() {
+  m_State = State::Connecting;
+  ErrorCode Code;
+  const auto Address = asio::ip::make_address_v4(m_Peer.Address, Code);
+  if (!Code)
+    m_Socket.open(asio::ip::tcp::v4(), Code);
+  if (Code) {
+    // Reported from the loop: the caller is not prepared for an end within
+    // its own call.
+    asio::post(m_Loop, [Self = shared_from_this()] {
+      if (Self->m_State == State::Connecting)
+        Self->endExchange(ExchangeEnd::NotSent);
+    });
+    return;
+  }
+  setSocketOptions();
+  m_Timer.expires_after(m_Timeouts.Connect);
+  m_Timer.async_wait([Self = shared_from_this()](const ErrorCode &Stopped) {
+    if (!Stopped && Self->m_State == State::Connecting)
+      Self->endExchange(ExchangeEnd::NotSent);
+  });
+  m_Socket.async_connect({Address, m_Peer.Port},
+                         [Self = shared_from_this()](const ErrorCode &Result) {
+                           Self->connected(Result);
+                         });
+}
+
+void ServerConnection::setSocketOptions() {
+  ErrorCode Ignored; // Each of these only improves on a default.
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  m_Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  const int Handle = m_Socket.native_handle();
+  const int Milliseconds = static_cast<int>(m_Timeouts.Unacknowledged.count());
+  const int ProbeSeconds = 1;
+  const int Probes = 2;
+  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
+             sizeof(Milliseconds));
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeSeconds,
+             sizeof(ProbeSeconds));
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds,
+             sizeof(ProbeSeconds));
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+}
+
+void ServerConnection::connected(const ErrorCode &Code) {
+  m_Timer.cancel();
+  if (m_State != State::Connecting)
+    return;
+  if (Code)
+    return endExchange(ExchangeEnd::NotSent);
+  m_State = State::Busy;
+  read();
+  send();
+}
+
+void ServerConnection::send() {
+  // The bytes belong to the write alone: an exchange that ends early must not
+  // change them under it.
+  auto Bytes = std::make_shared<std::string>(std::move(m_Outgoing));
+  const auto Sink = std::weak_ptr<ExchangeSink>(m_Sink);
+  asio::async_write(m_Socket, asio::buffer(*Bytes),
+                    [Self = shared_from_this(), Bytes,
+                     Sink](const ErrorCode &Code, size_t) {
+                      // Errors show in the read, after what the server sent.
+                      if (!Code && Sink.lock() == Self->m_Sink)
+                        Self->m_Written = true;
+                    });
+}
+
+void ServerConnection::read() {
+  m_Socket.async_read_some(
+      asio::buffer(m_Buffer),
+      [Self = shared_from_this()](const ErrorCode &Code, size_t Count) {
+        Self->received(Code, Count);
+      });
+}
+
+void ServerConnection::received(const ErrorCode &Code, size_t Count) {
+  if (m_State == State::Closed)
+    return;
+  if (m_State != State::Busy) {
+    // Idle: a close, or bytes that belong to no request.
+    return close();
+  }
+  receivedInExchange({m_Buffer.data(), Count}, Code == asio::error::eof,
+                     Code && Code != asio::error::eof);
+  if (m_State == State::Closed || Code)
+    return;
+  if (m_State == State::Busy && m_Sink && !m_Sink->wantsMore()) {
+    m_ReadPaused = true;
+    return;
+  }
+  read();
+}
+
+void ServerConnection::resumeReading() {
+  if (!std::exchange(m_ReadPaused, false) || m_State == State::Closed)
+    return;
+  read();
+}
+
+void ServerConnection::receivedInExchange(std::string_view Bytes,
+                                          bool EndOfInput, bool Failed) {
+  using ParserState = proxy::ResponseParser::State;
+  ParserState Now = m_Parser.feed(Bytes);
+  if (EndOfInput)
+    Now = m_Parser.finish();
+  if (Now == ParserState::Body || Now == ParserState::Complete) {
+    const auto Sink = m_Sink;
+    if (!std::exchange(m_HeadReported, true))
+      Sink->onHead(m_Parser.head());
+    // The sink may have aborted the connection.
+    if (m_Sink != Sink)
+      return;
+    if (std::string Body = m_Parser.takeBody(); !Body.empty())
+      Sink->onBody(std::move(Body));
+    if (m_Sink != Sink)
+      return;
+  }
+  if (Now == ParserState::Complete)
+    return completeExchange();
+  if (Now == ParserState::Failed || EndOfInput || Failed)
+    endExchange(m_Parser.begun() ? ExchangeEnd::Broken
+                                 : ExchangeEnd::NoResponse);
+}
+
+void ServerConnection::completeExchange() {
+  noteIdleTimeout(m_Parser.head().Headers);
+  const bool Reusable = m_Written && m_Parser.keepsAlive();
+  const auto Sink = std::exchange(m_Sink, nullptr);
+  m_IdleSince = BootClock::now();
+  m_State = State::Idle;
+  if (!Reusable)
+    close();
+  else if (m_Listener)
+    m_Listener(*this);
+  Sink->onEnd(ExchangeEnd::Complete);
+}
+
+void ServerConnection::endExchange(ExchangeEnd How) {
+  const auto Sink = std::exchange(m_Sink, nullptr);
+  close();
+  if (Sink)
+    Sink->onEnd(How);
+}
+
+void ServerConnection::abort() {
+  m_Sink = nullptr;
+  close();
+}
+
+void ServerConnection::close() {
+  if (std::exchange(m_State, State::Closed) == State::Closed)
+    return;
+  m_Timer.cancel();
+  ErrorCode Ignored; // The socket is given up either way.
+  m_Socket.close(Ignored);
+  if (m_Listener)
+    m_Listener(*this);
+}
+
+void ServerConnection::noteIdleTimeout(const proxy::HeaderList &Headers) {
+  const auto Value = Headers.find("Keep-Alive");
+  if (!Value)
+    return;
+  constexpr std::string_view Name = "timeout=";
+  const size_t At = Value->find(Name);
+  if (At == std::string_view::npos)
+    return;
+  unsigned Seconds = 0;
+  const char *End = Value->data() + Value->size();
+  const auto [Rest, Code] =
+      std::from_chars(Value->data() + At + Name.size(), End, Seconds);
+  if (Code == std::errc{})
+    m_IdleTimeout = std::chrono::seconds(Seconds);
+}
+
+} // namespace figlift::upstream
--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -14,19 +14,26 @@
   set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
 endif()
 
+# The platform's machines build only the gateway, from a clean image: what only
+# the other programs and the tests need is not looked for there.
+option(FIGLIFT_ONLY_GATEWAY "Build only figlift-gateway" OFF)
+
 find_package(Threads REQUIRED)
-find_package(PkgConfig REQUIRED)
-find_package(cpprestsdk REQUIRED)
 find_package(spdlog REQUIRED)
-find_package(OpenSSL REQUIRED)
-find_package(Protobuf REQUIRED)
-pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
-pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
-pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+if(NOT FIGLIFT_ONLY_GATEWAY)
+  find_package(PkgConfig REQUIRED)
+  find_package(cpprestsdk REQUIRED)
+  find_package(OpenSSL REQUIRED)
+  find_package(Protobuf REQUIRED)
+  pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+  pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+  pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+endif()
 
 add_library(FigliftOptions INTERFACE)
 target_include_directories(FigliftOptions INTERFACE
-  ${PROJECT_SOURCE_DIR}/Libraries ${PROJECT_SOURCE_DIR}/Tests)
+  ${PROJECT_SOURCE_DIR} ${PROJECT_SOURCE_DIR}/Libraries
+  ${PROJECT_SOURCE_DIR}/Tests)
 # cpprestsdk's macro U breaks Boost.Outcome and fmt, so it is turned off.
 target_compile_definitions(FigliftOptions INTERFACE
   _TURN_OFF_PLATFORM_STRING _GNU_SOURCE)
--- /dev/null
+++ b/Services/figlift-gateway/Context.h
@@ -0,0 +1,77 @@
+//===- Context.h - What the parts of a gateway share ------------*- C++ -*-===//
+//
+// Owned by Gateway; all of it is used from the loop's thread alone.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "DecisionLog.h"
+
+#include "LibDispatch/Configuration.h"
+#include "LibDispatch/LoadBook.h"
+#include "LibDispatch/PeerReport.h"
+#include "LibDispatch/PromptPlanner.h"
+#include "LibDispatch/RepeatRules.h"
+#include "LibDispatch/ServicePlanner.h"
+#include "LibDispatch/TargetTable.h"
+#include "LibMetrics/Registry.h"
+#include "LibRetry/FleetBudget.h"
+#include "LibSettings/GatewaySettings.h"
+#include "LibUpstream/ConnectionPool.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace figlift::gateway {
+
+struct Context {
+  explicit Context(settings::GatewaySettings Given)
+      : Settings(std::move(Given)),
+        Budget({Settings.Retry.Ratio, Settings.Retry.Base,
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    Settings.Retry.Window)},
+               Settings.Fleet.Starts, BootClock::now()),
+        Prompts({}, Loads), Services({}, Loads),
+        Log(Settings.Log.PlainLinesPerSecond), Random(std::random_device{}()) {}
+
+  /// Uniform in [0, 1).
+  double draw() {
+    return std::uniform_real_distribution<double>(0, 1)(Random);
+  }
+  /// Targets of \p Service that take new work.
+  std::vector<const dispatch::Target *>
+  openTargets(const std::string &Service) const {
+    std::vector<const dispatch::Target *> Open;
+    for (const auto &[Id, Each] : Targets.all())
+      if (Each.Service == Service && !Each.Draining)
+        Open.push_back(&Each);
+    return Open;
+  }
+
+  settings::GatewaySettings Settings;
+  boost::asio::io_context Loop{1};
+  /// Null until the first one was read. Requests keep the one they began with.
+  std::shared_ptr<const dispatch::Configuration> Configuration;
+  dispatch::TargetTable Targets;
+  dispatch::LoadBook Loads;
+  retry::FleetBudget Budget;
+  dispatch::PromptPlanner Prompts;
+  dispatch::ServicePlanner Services;
+  dispatch::RepeatOptions Repeats;
+  std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
+  /// Parts that were computed since the last report to the peers.
+  std::vector<dispatch::CachedPart> NewlyCached;
+  DecisionLog Log;
+  metrics::Registry Metrics;
+  std::mt19937_64 Random;
+  /// SIGTERM has come.
+  bool Stopping = false;
+};
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -0,0 +1,361 @@
+//===- Gateway.cpp - The process that stands before the servers -----------===//
+//
+// Everything runs on one loop and one thread: the machines here have a
+// fraction of a core, and a second thread only adds wake-ups.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Gateway.h"
+
+#include "RequestFlow.h"
+
+#include "LibLog/Log.h"
+#include "platform/Rows.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+namespace figlift::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds TickInterval{100};
+/// A tick this late means that the process stood still: what it believes is as
+/// old as that.
+constexpr milliseconds StandstillBound{1000};
+/// After SIGTERM the platform takes a process out of rotation within some
+/// seconds; connections that are still idle then are closed, and the rest of
+/// the grace is for requests under way.
+constexpr double IdleCloseShare = 0.6;
+/// The process ends this long before the platform kills it.
+constexpr milliseconds ExitMargin{700};
+/// Pause after an accept that failed for want of descriptors.
+constexpr milliseconds AcceptPause{50};
+/// Share of a server's connections that all gateways together use: a
+/// connection that is being closed still counts at the server.
+constexpr double ConnectionShare = 0.85;
+constexpr size_t MinimumConnections = 2;
+
+} // namespace
+
+Gateway::Gateway(settings::GatewaySettings Given, OutputWriter &Output,
+                 std::string SettingsFile)
+    : m_Shared(std::move(Given)), m_Output(Output),
+      m_SettingsFile(std::move(SettingsFile)),
+      m_Store(m_Shared.Loop, m_Shared.Settings.Store),
+      m_ConfigurationFollower(
+          m_Shared.Loop, m_Store, std::string(slopes::OperatorTable),
+          {[this](const auto &Rows) { configurationRows(Rows); },
+           [this](const auto &Rows) { configurationRows(Rows); }, [] {}},
+          {}, [this] { return m_Shared.draw(); }),
+      m_ServerFollower(m_Shared.Loop, m_Store, std::string(slopes::ServerTable),
+                       {[this](const auto &Rows) { allServers(Rows); },
+                        [this](const auto &Rows) { changedServers(Rows); },
+                        [this] { m_Shared.Targets.storeLost(); }},
+                       {}, [this] { return m_Shared.draw(); }),
+      m_Peers(m_Shared, m_Store), m_Acceptor(m_Shared.Loop),
+      m_AcceptTimer(m_Shared.Loop),
+      m_ReadyServer(m_Shared.Loop,
+                    [this](const auto &) {
+                      return TextServer::Answer{ready() ? 200U : 503U, {}};
+                    }),
+      m_MetricsServer(m_Shared.Loop,
+                      [this](const auto &) {
+                        return TextServer::Answer{
+                            200, m_Shared.Metrics.prometheusText()};
+                      }),
+      m_Signals(m_Shared.Loop), m_TickTimer(m_Shared.Loop) {}
+
+Result<void> Gateway::start() {
+  FIGLIFT_TRY(listen());
+  FIGLIFT_TRY(m_Peers.start());
+  m_LastTick = BootClock::now();
+  m_ConfigurationFollower.start();
+  m_ServerFollower.start();
+  watchSignals();
+  scheduleTick();
+  log::logEvent(log::Level::Info, "started",
+                {{"zone", m_Shared.Settings.Process.Zone},
+                 {"callers", m_Shared.Settings.Listen.Callers.toString()},
+                 {"store", m_Shared.Settings.Store.toString()}});
+  return success();
+}
+
+Result<void> Gateway::listen() {
+  const settings::GatewayListen &Where = m_Shared.Settings.Listen;
+  auto Opened = openListener(m_Shared.Loop, Where.Callers, "listen.callers");
+  if (!Opened)
+    return outcome::failure(Opened.error());
+  m_Acceptor = std::move(Opened.value());
+  FIGLIFT_TRY(m_ReadyServer.start(Where.Ready, "listen.ready"));
+  FIGLIFT_TRY(m_MetricsServer.start(Where.Metrics, "listen.metrics"));
+  accept();
+  return success();
+}
+
+void Gateway::accept() {
+  m_Acceptor.async_accept([this](const boost::system::error_code &Code,
+                                 tcp::socket Socket) {
+    if (Code == asio::error::operation_aborted)
+      return;
+    if (Code) {
+      // Out of descriptors: the queue of the listener keeps what waits.
+      log::logEvent(log::Level::Warning, "accept-failed",
+                    {{"message", Code.message()}});
+      m_AcceptTimer.expires_after(AcceptPause);
+      m_AcceptTimer.async_wait([this](const boost::system::error_code &Stop) {
+        if (!Stop)
+          accept();
+      });
+      return;
+    }
+    proxy::CallerLimits Limits;
+    if (m_Shared.Configuration) {
+      const dispatch::CallerBounds &Bounds = m_Shared.Configuration->Bounds;
+      Limits = {{Bounds.HeadBytes, Bounds.BodyBytes},
+                Bounds.HeadTimeout,
+                Bounds.IdleTimeout};
+    }
+    auto Caller = std::make_shared<proxy::CallerConnection>(std::move(Socket),
+                                                            Limits, *this);
+    m_Callers.insert(Caller.get());
+    Caller->start();
+    accept();
+  });
+}
+
+std::shared_ptr<proxy::RequestProcess>
+Gateway::handle(proxy::Request What,
+                std::shared_ptr<proxy::CallerConnection> Caller) {
+  if (m_Shared.Stopping)
+    Caller->closeAfterResponse();
+  auto Flow = std::make_shared<RequestFlow>(m_Shared, std::move(What),
+                                            std::move(Caller));
+  Flow->start();
+  return Flow;
+}
+
+void Gateway::rejected(unsigned Status) {
+  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+    log::logEvent(log::Level::Info, "input-rejected", {{"status", Status}});
+}
+
+void Gateway::closed(proxy::CallerConnection &Caller) {
+  m_Callers.erase(&Caller);
+}
+
+bool Gateway::ready() const {
+  return !m_Shared.Stopping && m_Shared.Configuration && m_ServersKnown;
+}
+
+void Gateway::configurationRows(const std::vector<slopes::StoreRow> &Rows) {
+  for (const slopes::StoreRow &Row : Rows) {
+    if (Row.Key != slopes::ConfigurationKey || Row.Removed)
+      continue;
+    auto Read = slopes::decodeConfiguration(Row.Value);
+    if (!Read) {
+      log::logError(log::Level::Error, "configuration-invalid", Read.error());
+      continue;
+    }
+    const uint64_t InForce =
+        m_Shared.Configuration ? m_Shared.Configuration->Version : 0;
+    // A slow answer may come after a newer one; versions only go up.
+    if (Read.value().Version <= InForce)
+      continue;
+    log::logEvent(log::Level::Info, "configuration-in-force",
+                  {{"version", Read.value().Version},
+                   {"before", InForce},
+                   {"routes", Read.value().Routes.size()}});
+    m_Shared.Configuration = std::make_shared<const dispatch::Configuration>(
+        std::move(Read.value()));
+    limitPools();
+  }
+}
+
+void Gateway::allServers(const std::vector<slopes::StoreRow> &Rows) {
+  std::vector<dispatch::Target> Listed;
+  for (const slopes::StoreRow &Row : Rows) {
+    auto Read = slopes::decodeServer(Row.Key, Row.Value);
+    if (Read)
+      Listed.push_back(std::move(Read.value()));
+    else
+      log::logError(log::Level::Warning, "server-row-invalid", Read.error());
+  }
+  m_ServersKnown = true;
+  apply(m_Shared.Targets.replaceAll(Listed, BootClock::now()));
+}
+
+void Gateway::changedServers(const std::vector<slopes::StoreRow> &Rows) {
+  const BootTime Now = BootClock::now();
+  for (const slopes::StoreRow &Row : Rows) {
+    if (Row.Removed) {
+      apply(m_Shared.Targets.remove(Row.Key, Now));
+      continue;
+    }
+    const auto Read = slopes::decodeServer(Row.Key, Row.Value);
+    if (Read)
+      apply(m_Shared.Targets.update(Read.value(), Now));
+    else
+      log::logError(log::Level::Warning, "server-row-invalid", Read.error());
+  }
+}
+
+void Gateway::apply(const std::vector<dispatch::TargetEvent> &Events) {
+  struct Visitor {
+    Gateway &Self;
+    void operator()(const dispatch::TargetCame &Event) const {
+      Self.targetCame(Event.Which);
+    }
+    void operator()(const dispatch::TargetChanged &Event) const {
+      log::logEvent(log::Level::Info, "target-changed",
+                    {{"target", Event.Which.Id},
+                     {"stage", static_cast<int>(Event.Which.Does)},
+                     {"orders", Event.Which.OrderSequence}});
+    }
+    void operator()(const dispatch::TargetDrains &Event) const {
+      log::logEvent(log::Level::Info, "target-drains", {{"target", Event.Id}});
+    }
+    void operator()(const dispatch::TargetGone &Event) const {
+      Self.targetGone(Event.Id);
+    }
+  };
+  for (const dispatch::TargetEvent &Each : Events)
+    std::visit(Visitor{*this}, Each);
+}
+
+void Gateway::targetCame(const dispatch::Target &Which) {
+  log::logEvent(log::Level::Info, "target-came",
+                {{"target", Which.Id},
+                 {"service", Which.Service},
+                 {"address", Which.Address.toString()},
+                 {"zone", Which.Zone},
+                 {"stage", static_cast<int>(Which.Does)}});
+  m_Shared.Pools[Which.Id] = std::make_shared<upstream::ConnectionPool>(
+      m_Shared.Loop, Which.Address, upstream::PoolSettings{});
+  uint64_t Capacity = 0;
+  if (m_Shared.Configuration)
+    if (const auto *Service = m_Shared.Configuration->service(Which.Service);
+        Service && Service->Engine)
+      Capacity = Service->Engine->KvCapacityTokens;
+  m_Shared.Loads.targetCame(Which, Capacity);
+  limitPools();
+}
+
+void Gateway::targetGone(const std::string &Id) {
+  log::logEvent(log::Level::Info, "target-gone", {{"target", Id}});
+  if (const auto Found = m_Shared.Pools.find(Id);
+      Found != m_Shared.Pools.end()) {
+    Found->second->retire();
+    m_Shared.Pools.erase(Found);
+  }
+  m_Shared.Loads.targetGone(Id);
+}
+
+void Gateway::limitPools() {
+  if (!m_Shared.Configuration)
+    return;
+  const auto Live = static_cast<double>(m_Peers.live(BootClock::now()));
+  for (const auto &[Id, Each] : m_Shared.Targets.all()) {
+    const auto *Service = m_Shared.Configuration->service(Each.Service);
+    if (!Service || Service->MaximumConnections == 0)
+      continue;
+    const auto Share = static_cast<size_t>(ConnectionShare *
+                                           Service->MaximumConnections / Live);
+    m_Shared.Pools[Id]->limit(std::max(MinimumConnections, Share));
+    // Targets may be known before the configuration is.
+    if (Service->Engine)
+      m_Shared.Loads.targetCame(Each, Service->Engine->KvCapacityTokens);
+  }
+}
+
+void Gateway::scheduleTick() {
+  m_TickTimer.expires_after(TickInterval);
+  m_TickTimer.async_wait([this](const boost::system::error_code &Stopped) {
+    if (Stopped)
+      return;
+    tick();
+    scheduleTick();
+  });
+}
+
+void Gateway::tick() {
+  const BootTime Now = BootClock::now();
+  if (Now - m_LastTick > StandstillBound) {
+    log::logEvent(log::Level::Warning, "stood-still",
+                  {{"for", Now - m_LastTick}});
+    m_ConfigurationFollower.distrust();
+    m_ServerFollower.distrust();
+  }
+  m_LastTick = Now;
+  apply(m_Shared.Targets.tick(Now));
+  m_Shared.Budget.setProcesses(m_Peers.live(Now), Now);
+  limitPools();
+  m_Shared.Log.tick(Now);
+  if (m_Shared.Stopping)
+    stopTick(Now);
+  m_Output.flush();
+}
+
+void Gateway::watchSignals() {
+  m_Signals.add(SIGTERM);
+  m_Signals.add(SIGHUP);
+  m_Signals.async_wait(
+      [this](const boost::system::error_code &Code, int Signal) {
+        if (Code)
+          return;
+        if (Signal == SIGTERM)
+          stop();
+        else
+          reloadSettings();
+        m_Signals.remove(SIGTERM);
+        m_Signals.remove(SIGHUP);
+        watchSignals();
+      });
+}
+
+void Gateway::reloadSettings() {
+  std::ifstream File(m_SettingsFile, std::ios::binary);
+  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+  auto Read = settings::parseGatewaySettings(Text);
+  if (!Read)
+    return log::logError(log::Level::Error, "reload-refused", Read.error());
+  // Addresses are bound for the life of the process; the rest takes effect.
+  m_Shared.Settings.Drain = Read.value().Drain;
+  m_Shared.Settings.Orders = Read.value().Orders;
+  log::logEvent(log::Level::Info, "reloaded");
+}
+
+void Gateway::stop() {
+  if (std::exchange(m_Shared.Stopping, true))
+    return;
+  m_StopBegan = BootClock::now();
+  log::logEvent(log::Level::Info, "stopping",
+                {{"callers", m_Callers.size()}});
+}
+
+void Gateway::stopTick(BootTime Now) {
+  const auto Grace = std::chrono::duration_cast<milliseconds>(
+      m_Shared.Settings.Drain.Grace);
+  const auto Elapsed = Now - m_StopBegan;
+  if (Elapsed > std::chrono::duration_cast<BootClock::duration>(
+                    Grace * IdleCloseShare)) {
+    const auto Callers = m_Callers;
+    for (proxy::CallerConnection *Each : Callers)
+      Each->closeIfIdle();
+  }
+  const bool Empty = m_Callers.empty() && Elapsed > Grace / 2;
+  if (!Empty && Elapsed < Grace - ExitMargin)
+    return;
+  log::logEvent(log::Level::Info, "stopped", {{"callers", m_Callers.size()}});
+  m_Output.flush();
+  m_Shared.Loop.stop();
+}
+
+void Gateway::run() { m_Shared.Loop.run(); }
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/Gateway.h
@@ -0,0 +1,79 @@
+//===- Gateway.h - The process that stands before the servers ---*- C++ -*-===//
+//
+// Wires the parts: listens for callers, follows the configuration and the list
+// of servers, answers whether it is ready, and stops without cutting requests.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "Context.h"
+#include "OutputWriter.h"
+#include "PeerLink.h"
+#include "StoreFollower.h"
+#include "TextServer.h"
+
+#include "LibProxy/CallerConnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <set>
+
+namespace figlift::gateway {
+
+class Gateway : public proxy::RequestHandler {
+public:
+  Gateway(settings::GatewaySettings Given, OutputWriter &Output,
+          std::string SettingsFile);
+
+  Result<void> start();
+  /// Returns when the process has stopped.
+  void run();
+
+  std::shared_ptr<proxy::RequestProcess>
+  handle(proxy::Request What,
+         std::shared_ptr<proxy::CallerConnection> Caller) override;
+  void rejected(unsigned Status) override;
+  void closed(proxy::CallerConnection &Caller) override;
+
+private:
+  Result<void> listen();
+  void accept();
+  bool ready() const;
+  void configurationRows(const std::vector<slopes::StoreRow> &Rows);
+  void allServers(const std::vector<slopes::StoreRow> &Rows);
+  void changedServers(const std::vector<slopes::StoreRow> &Rows);
+  void apply(const std::vector<dispatch::TargetEvent> &Events);
+  void targetCame(const dispatch::Target &Which);
+  void targetGone(const std::string &Id);
+  void limitPools();
+  void scheduleTick();
+  void tick();
+  void watchSignals();
+  void reloadSettings();
+  void stop();
+  void stopTick(BootTime Now);
+
+  Context m_Shared;
+  OutputWriter &m_Output;
+  std::string m_SettingsFile;
+  slopes::StoreClient m_Store;
+  StoreFollower m_ConfigurationFollower;
+  StoreFollower m_ServerFollower;
+  PeerLink m_Peers;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::steady_timer m_AcceptTimer;
+  TextServer m_ReadyServer;
+  TextServer m_MetricsServer;
+  boost::asio::signal_set m_Signals;
+  boost::asio::steady_timer m_TickTimer;
+  std::set<proxy::CallerConnection *> m_Callers;
+  BootTime m_LastTick{};
+  BootTime m_StopBegan{};
+  bool m_ServersKnown = false;
+};
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -0,0 +1,183 @@
+//===- PeerLink.cpp - Datagrams between gateways --------------------------===//
+//
+// One row a gateway, written once at its start; the rest is UDP.
+//
+//===----------------------------------------------------------------------===//
+
+#include "PeerLink.h"
+
+#include "LibLog/Log.h"
+
+namespace figlift::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Table of this system's own; a row's key is the gateway, its value the
+/// address for datagrams.
+const std::string PeerTable = "figlift-gateways";
+/// At four gateways a report each 25 ms: a tenth of the shortest latency
+/// target is gone before others know of new work.
+constexpr std::chrono::microseconds ReportInterval{25000};
+/// Each further gateway slows the reports of all, so that the datagrams that
+/// one gateway takes in stay below about 130 a second.
+constexpr std::chrono::microseconds ReportIntervalPerPeer{7500};
+/// Forty missed reports at the usual interval.
+constexpr milliseconds PeerLifetime{1000};
+constexpr milliseconds ListInterval{2000};
+/// Parts in one report; what is beyond waits for the next.
+constexpr size_t MaximumParts = 64;
+
+} // namespace
+
+PeerLink::PeerLink(Context &Shared, slopes::StoreClient &Store)
+    : m_Shared(Shared), m_Store(Store), m_Socket(Shared.Loop),
+      m_ReportTimer(Shared.Loop), m_ListTimer(Shared.Loop) {}
+
+Result<void> PeerLink::start() {
+  const Endpoint &Own = m_Shared.Settings.Listen.Peers;
+  boost::system::error_code Code;
+  m_Socket.open(asio::ip::udp::v4(), Code);
+  if (!Code)
+    m_Socket.bind({asio::ip::make_address_v4(Own.Address, Code), Own.Port},
+                  Code);
+  if (!Code)
+    m_Socket.non_blocking(true, Code);
+  if (Code)
+    return failure(ResultCode::SettingsInvalid,
+                   "cannot listen at " + Own.toString() + ": " + Code.message(),
+                   "listen.peers");
+  receive();
+  enroll();
+  list();
+  scheduleReport();
+  return success();
+}
+
+void PeerLink::enroll() {
+  const std::string &Id = m_Shared.Settings.Process.Id;
+  slopes::RowTransaction Enrolment;
+  Enrolment.Writes.push_back(
+      {PeerTable, "", Id, m_Shared.Settings.Listen.Peers.toString()});
+  m_Store.commit(Enrolment, [this](Result<uint64_t> Written) {
+    m_Enrolled = Written.has_value();
+    if (!Written)
+      log::logError(log::Level::Warning, "peer-enrolment-failed",
+                    Written.error());
+  });
+}
+
+void PeerLink::scheduleList() {
+  m_ListTimer.expires_after(std::chrono::duration_cast<BootClock::duration>(
+      ListInterval * (0.75 + 0.5 * m_Shared.draw())));
+  m_ListTimer.async_wait([this](const boost::system::error_code &Stopped) {
+    if (Stopped)
+      return;
+    if (!m_Enrolled)
+      enroll();
+    list();
+  });
+}
+
+void PeerLink::list() {
+  m_Store.readAll(PeerTable, "", [this](Result<slopes::RowsRead> Read) {
+    // Without the store the known peers are kept: reports say who is live.
+    if (Read)
+      learn(Read.value().Rows);
+    scheduleList();
+  });
+}
+
+void PeerLink::learn(const std::vector<slopes::StoreRow> &Rows) {
+  std::map<std::string, Peer> Listed;
+  for (const slopes::StoreRow &Row : Rows) {
+    if (Row.Key == m_Shared.Settings.Process.Id)
+      continue;
+    const auto Address = Endpoint::parse(Row.Value);
+    boost::system::error_code Code;
+    const auto Number = asio::ip::make_address_v4(
+        Address ? Address.value().Address : std::string(), Code);
+    if (Code) {
+      log::logEvent(log::Level::Warning, "peer-row-invalid",
+                    {{"peer", Row.Key}, {"found", Row.Value}});
+      continue;
+    }
+    Peer &Entry = Listed[Row.Key];
+    if (const auto Known = m_Peers.find(Row.Key); Known != m_Peers.end())
+      Entry.Heard = Known->second.Heard;
+    Entry.Address = {Number, Address.value().Port};
+  }
+  m_Peers = std::move(Listed);
+}
+
+std::chrono::microseconds PeerLink::reportInterval() const {
+  return ReportInterval + ReportIntervalPerPeer * m_Peers.size();
+}
+
+void PeerLink::scheduleReport() {
+  m_ReportTimer.expires_after(reportInterval());
+  m_ReportTimer.async_wait([this](const boost::system::error_code &Stopped) {
+    if (Stopped)
+      return;
+    report();
+    scheduleReport();
+  });
+}
+
+void PeerLink::report() {
+  dispatch::PeerReport What;
+  What.From = m_Shared.Settings.Process.Id;
+  What.Loads = m_Shared.Loads.ownLoads();
+  auto &Parts = m_Shared.NewlyCached;
+  const size_t Count = std::min(Parts.size(), MaximumParts);
+  const auto End = Parts.begin() + static_cast<std::ptrdiff_t>(Count);
+  What.Cached.assign(Parts.begin(), End);
+  Parts.erase(Parts.begin(), End);
+  const std::string Bytes = encodePeerReport(What);
+  for (const auto &[Id, Each] : m_Peers) {
+    // A datagram that can't be sent is made up for by the next one.
+    boost::system::error_code Ignored;
+    m_Socket.send_to(asio::buffer(Bytes), Each.Address, 0, Ignored);
+  }
+}
+
+void PeerLink::receive() {
+  m_Socket.async_receive_from(
+      asio::buffer(m_Buffer), m_Sender,
+      [this](const boost::system::error_code &Code, size_t Count) {
+        if (Code == asio::error::operation_aborted)
+          return;
+        // Other errors tell of an earlier datagram that reached nobody.
+        if (!Code)
+          received({m_Buffer.data(), Count});
+        receive();
+      });
+}
+
+void PeerLink::received(std::string_view Bytes) {
+  const auto Read = dispatch::decodePeerReport(Bytes);
+  if (!Read) {
+    log::logError(log::Level::Warning, "peer-report-invalid", Read.error());
+    return;
+  }
+  const BootTime Now = BootClock::now();
+  const dispatch::PeerReport &What = Read.value();
+  if (const auto Known = m_Peers.find(What.From); Known != m_Peers.end())
+    Known->second.Heard = Now;
+  m_Shared.Loads.peerReported(What.From, What.Loads, Now);
+  for (const dispatch::CachedPart &Each : What.Cached)
+    if (m_Shared.Targets.find(Each.TargetId))
+      m_Shared.Loads.cache(Each.TargetId).insert(Each.Part);
+}
+
+size_t PeerLink::live(BootTime Now) const {
+  size_t Count = 1;
+  for (const auto &[Id, Each] : m_Peers)
+    if (Now - Each.Heard < PeerLifetime)
+      ++Count;
+  return Count;
+}
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -0,0 +1,515 @@
+//===- RequestFlow.cpp - One request from its caller to its answer --------===//
+//
+// Each public event ends in exactly one of: another send, a part of the
+// answer, or finish().
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestFlow.h"
+
+#include "EngineHousekeeping.h"
+
+#include "LibLog/Log.h"
+#include "platform/EngineCalls.h"
+
+#include <charconv>
+#include <spdlog/fmt/fmt.h>
+
+namespace figlift::gateway {
+
+using dispatch::Milliseconds;
+using dispatch::RouteKind;
+using dispatch::SendEnd;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A request without a deadline of its own ends at its route's timeout; the
+/// final answer leaves this much earlier, so that it arrives in time.
+constexpr milliseconds AnswerMargin{15};
+/// Held back for a caller that does not read; more stays at the server.
+constexpr size_t MaximumUnsentBytes = 256 << 10;
+/// A process without a configuration gets one within a read of the store.
+constexpr milliseconds NotReadyRetryAfter{500};
+/// After a failure that says nothing about when it passes.
+constexpr milliseconds FailureRetryAfter{300};
+/// A send is overdue after this many times its expected time and a fixed
+/// part. Sent again too early, work is done twice under load; too late, the
+/// caller has left. Both ends are bounded by the retry budget.
+constexpr double OverdueFactor = 4;
+constexpr Milliseconds OverdueBase{250};
+
+std::optional<uint64_t> eventNumber(const std::optional<std::string> &Text) {
+  uint64_t Number = 0;
+  if (!Text || std::from_chars(Text->data(), Text->data() + Text->size(),
+                               Number)
+                       .ec != std::errc{})
+    return std::nullopt;
+  return Number;
+}
+
+std::string requestBytes(const proxy::Request &Request,
+                         const proxy::HeaderList &Headers) {
+  std::string Text = fmt::format("{} {} HTTP/1.1\r\n", Request.Head.Method,
+                                 Request.Head.Target);
+  for (const proxy::HeaderField &Field : Headers)
+    Text += fmt::format("{}: {}\r\n", Field.Name, Field.Value);
+  const bool HasBody = !Request.Body.empty() ||
+                       Request.Head.Headers.has("Content-Length") ||
+                       Request.Head.Headers.has("Transfer-Encoding");
+  if (HasBody)
+    Text += fmt::format("Content-Length: {}\r\n", Request.Body.size());
+  Text += "\r\n";
+  Text += Request.Body;
+  return Text;
+}
+
+std::string_view nameOf(const SendEnd &How) {
+  struct Namer {
+    std::string_view operator()(const dispatch::NotSent &) const {
+      return "no connection";
+    }
+    std::string_view operator()(const dispatch::Rejected &) const {
+      return "rejected, not run";
+    }
+    std::string_view operator()(const dispatch::ServerFailed &) const {
+      return "server failed";
+    }
+    std::string_view operator()(const dispatch::BrokeOff &) const {
+      return "broke off";
+    }
+    std::string_view operator()(const dispatch::TookTooLong &) const {
+      return "overdue";
+    }
+  };
+  return std::visit(Namer{}, How);
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(Context &Shared, proxy::Request What,
+                         std::shared_ptr<proxy::CallerConnection> Caller)
+    : m_Shared(Shared), m_Request(std::move(What)), m_Caller(std::move(Caller)),
+      m_DeadlineTimer(Shared.Loop), m_WatchTimer(Shared.Loop),
+      m_Started(BootClock::now()) {}
+
+void RequestFlow::start() {
+  auto Fields = slopes::decodeCallerFields(m_Request.Head.Headers);
+  if (!Fields) {
+    giveUp(400, Fields.error().Message, milliseconds(0));
+    return;
+  }
+  m_Fields = std::move(Fields.value());
+  m_Configuration = m_Shared.Configuration;
+  if (!m_Configuration)
+    return giveUp(dispatch::NotRunStatus, "no configuration yet",
+                  NotReadyRetryAfter);
+  const auto Host = m_Request.Head.Headers.find("Host").value_or("");
+  const dispatch::Route *Found =
+      m_Configuration->match(Host, m_Request.Head.path());
+  if (!Found)
+    return giveUp(404, "no route", milliseconds(0));
+  m_Route = *Found;
+  m_Relay = dispatch::EventRelay(eventNumber(m_Fields.LastEventId));
+  m_Service = dispatch::pickService(m_Route, m_Shared.draw());
+  milliseconds Allowed = m_Route.Timeout;
+  if (m_Fields.Deadline)
+    Allowed = std::min(Allowed, *m_Fields.Deadline);
+  m_Deadline = m_Started + Allowed;
+  m_Shared.Budget.requestSent(m_Service, m_Started);
+  armDeadline();
+  plan();
+}
+
+Milliseconds RequestFlow::timeLeft(BootTime Now) const {
+  return std::max(Milliseconds(0), Milliseconds(m_Deadline - Now));
+}
+
+void RequestFlow::armDeadline() {
+  const auto Left = m_Deadline - BootClock::now() - AnswerMargin;
+  m_DeadlineTimer.expires_after(Left);
+  m_DeadlineTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Stopped) {
+        if (!Stopped)
+          Self->deadlinePassed();
+      });
+}
+
+void RequestFlow::plan() {
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  if (Which && Which->Engine && m_Fields.Prompt)
+    return planPrompt(*Which);
+  planPlain();
+}
+
+dispatch::PromptRequest RequestFlow::promptRequest(BootTime Now) {
+  dispatch::PromptRequest Request;
+  Request.What = *m_Fields.Prompt;
+  Request.ExpectedOutput = std::min(
+      Request.What.MaximumOutput,
+      m_Fields.OutputHint.value_or(Request.What.MaximumOutput));
+  Request.LatencyTarget = m_Route.LatencyTarget;
+  Request.OnTimeLeft = std::max(
+      Milliseconds(0),
+      Milliseconds(m_Route.LatencyTarget) - Milliseconds(Now - m_Started));
+  Request.TimeLeft = timeLeft(Now);
+  Request.Excluded = m_Excluded;
+  Request.Draw = m_Shared.draw();
+  return Request;
+}
+
+void RequestFlow::planPrompt(const dispatch::Service &Which) {
+  const BootTime Now = BootClock::now();
+  const auto Open = m_Shared.openTargets(m_Service);
+  const auto Plan =
+      m_Shared.Prompts.plan(promptRequest(Now), Open, *Which.Engine, Now);
+  if (const auto *Read = std::get_if<dispatch::ReadThenRun>(&Plan)) {
+    m_PlannedFirst = Read->FirstEvent;
+    return startRead(*Read);
+  }
+  if (const auto *Run = std::get_if<dispatch::RunAt>(&Plan)) {
+    m_PlannedFirst = Run->Expected;
+    return startRun(*Run);
+  }
+  const auto &Refusal = std::get<dispatch::RefuseNow>(Plan);
+  m_PlannedFirst = Refusal.FirstEvent;
+  if (m_AnswerBegun)
+    return cutOff(Refusal.Reason);
+  giveUp(m_Runs == 0 ? dispatch::NotRunStatus : dispatch::OutcomeUnknownStatus,
+         Refusal.Reason, Refusal.RetryAfter);
+}
+
+void RequestFlow::planPlain() {
+  const BootTime Now = BootClock::now();
+  const auto Open = m_Shared.openTargets(m_Service);
+  const auto Plan = m_Shared.Services.plan(
+      {timeLeft(Now), m_Excluded, m_Shared.draw()}, Open, Now);
+  if (const auto *Chosen = std::get_if<dispatch::SendTo>(&Plan)) {
+    m_PlannedFirst = Chosen->Expected;
+    return startRun({Chosen->TargetId, Chosen->Cost, Chosen->Expected});
+  }
+  const auto &Refusal = std::get<dispatch::RefuseService>(Plan);
+  giveUp(m_Runs == 0 ? dispatch::NotRunStatus : dispatch::OutcomeUnknownStatus,
+         Refusal.Reason, Refusal.RetryAfter);
+}
+
+void RequestFlow::startRead(const dispatch::ReadThenRun &Plan) {
+  m_Reader = Plan.Reader;
+  send(Plan.Reader, SendPurpose::ReadPrompt, Plan.Cost, Plan.Expected);
+}
+
+void RequestFlow::startRun(const dispatch::RunAt &Plan) {
+  m_Runner = Plan.Runner;
+  send(Plan.Runner, SendPurpose::Run, Plan.Cost, Plan.Expected);
+}
+
+void RequestFlow::send(const std::string &TargetId, SendPurpose Purpose,
+                       Milliseconds Cost, Milliseconds Expected) {
+  const BootTime Now = BootClock::now();
+  slopes::SendFields Fields;
+  Fields.TimeLeft = std::chrono::duration_cast<milliseconds>(timeLeft(Now));
+  Fields.ExpectedTarget = TargetId;
+  Fields.ReadOnly = Purpose == SendPurpose::ReadPrompt;
+  if (Purpose == SendPurpose::Run)
+    Fields.Source = m_Handle;
+  if (const auto Last = m_Relay.lastEvent(); Last && m_Relay.events() > 0)
+    Fields.LastEventId = std::to_string(*Last);
+  proxy::HeaderList Headers =
+      slopes::forwardedFields(m_Request.Head.Headers);
+  slopes::applySendFields(Headers, Fields);
+  m_Relay.restart();
+  ++m_Sends;
+  m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
+                                        m_Fields.AttemptId);
+  if (m_Send->start(requestBytes(m_Request, Headers), Cost, Expected)) {
+    if (Purpose == SendPurpose::Run)
+      ++m_Runs;
+    return watchSend(Expected);
+  }
+  const auto Unsent = m_Send;
+  sendEnded(*Unsent, dispatch::NotSent{});
+}
+
+void RequestFlow::watchSend(Milliseconds Expected) {
+  m_WatchTimer.expires_after(std::chrono::duration_cast<BootClock::duration>(
+      Expected * OverdueFactor + OverdueBase));
+  m_WatchTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Stopped) {
+        if (!Stopped)
+          Self->sendOverdue();
+      });
+}
+
+void RequestFlow::sendOverdue() {
+  if (m_Done || !m_Send || m_AnswerBegun)
+    return;
+  // Silence alone ends nothing: only when the request may go elsewhere is the
+  // wait given up.
+  const auto Late = m_Send;
+  const SendEnd How = dispatch::TookTooLong{};
+  if (!std::holds_alternative<dispatch::SendAgain>(nextStep(How, *Late)))
+    return;
+  Late->cancel();
+  sendAgain(*Late);
+}
+
+void RequestFlow::sendAnswered(ServerSend &Which) {
+  if (streaming())
+    Which.streamBody();
+}
+
+void RequestFlow::sendBody(ServerSend &Which, std::string Bytes) {
+  const std::string Events = m_Relay.feed(Bytes);
+  if (Events.empty())
+    return;
+  if (!m_AnswerBegun) {
+    Which.noteSpeed();
+    proxy::ResponseHead Head = Which.head();
+    Head.Headers = proxy::endToEndHeaders(Head.Headers);
+    m_AnswerBegun = true;
+    m_FirstEvent = BootClock::now();
+    m_Caller->beginStream(Head);
+  }
+  forwardEvents(Events);
+}
+
+void RequestFlow::forwardEvents(const std::string &Events) {
+  m_Caller->writeStream(Events);
+}
+
+bool RequestFlow::wantsMore() const {
+  return m_Done || m_Caller->unsent() < MaximumUnsentBytes;
+}
+
+void RequestFlow::callerReady() {
+  if (m_Send)
+    m_Send->resumeReading();
+}
+
+void RequestFlow::sendCompleted(ServerSend &Which) {
+  m_WatchTimer.cancel();
+  m_Send = nullptr;
+  if (Which.purpose() == SendPurpose::ReadPrompt)
+    return readCompleted(Which);
+  m_Handle.reset();
+  if (m_Fields.Prompt)
+    noteComputed(Which.targetId());
+  if (streaming())
+    return streamEnded(Which);
+  forwardWhole(Which);
+}
+
+void RequestFlow::streamEnded(ServerSend &Which) {
+  if (!m_AnswerBegun) {
+    proxy::ResponseHead Head = Which.head();
+    Head.Headers = proxy::endToEndHeaders(Head.Headers);
+    m_Caller->beginStream(Head);
+  }
+  m_Caller->writeStream(m_Relay.finish());
+  m_Caller->endStream();
+  finish("answered", Which.head().Status, "");
+}
+
+void RequestFlow::forwardWhole(ServerSend &Which) {
+  proxy::ResponseHead Head = Which.head();
+  Head.Headers = proxy::endToEndHeaders(Head.Headers);
+  m_Caller->respond(Head, Which.body());
+  finish("answered", Head.Status, "");
+}
+
+void RequestFlow::passOn(ServerSend &Which) {
+  proxy::ResponseHead Head = Which.head();
+  Head.Headers = proxy::endToEndHeaders(Head.Headers);
+  // These statuses promise that nothing ran, which this server has not said.
+  const bool Promise = Head.Status == 408 || Head.Status == 421 ||
+                       Head.Status == 429 || Head.Status == 503;
+  if (Promise && !Which.fields().Signed)
+    return giveUp(dispatch::OutcomeUnknownStatus, "server failed",
+                  milliseconds(0));
+  m_Caller->respond(Head, Which.body());
+  finish("server-failed", Head.Status, "");
+}
+
+void RequestFlow::noteComputed(const std::string &TargetId) {
+  // The last part is this request's own: no other will ask for it.
+  const auto &Parts = m_Fields.Prompt->Parts;
+  dispatch::KvCacheView &Cache = m_Shared.Loads.cache(TargetId);
+  for (size_t At = 0; At < Parts.size(); ++At) {
+    const bool IsNew = !Cache.holds(Parts[At].Id);
+    Cache.insert(Parts[At]);
+    if (IsNew && At + 1 < Parts.size())
+      m_Shared.NewlyCached.push_back({TargetId, Parts[At]});
+  }
+}
+
+void RequestFlow::readCompleted(ServerSend &Which) {
+  const auto Read = slopes::decodePromptRead(Which.body());
+  const dispatch::Target *Reader = m_Shared.Targets.find(Which.targetId());
+  if (!Read || !Reader)
+    return sendEnded(Which, dispatch::BrokeOff{});
+  noteComputed(Which.targetId());
+  m_Handle = slopes::KvSource{Reader->Address.toString(), Read.value().Handle};
+  const BootTime Now = BootClock::now();
+  const dispatch::Service *Service = m_Configuration->service(m_Service);
+  const auto Runner = m_Shared.Prompts.chooseRunner(
+      promptRequest(Now), Reader, m_Shared.openTargets(m_Service),
+      *Service->Engine, Now);
+  if (!Runner) {
+    releaseHandle();
+    if (m_AnswerBegun)
+      return cutOff("no engine to run at");
+    return giveUp(m_Runs == 0 ? dispatch::NotRunStatus
+                              : dispatch::OutcomeUnknownStatus,
+                  "no engine to run at", FailureRetryAfter);
+  }
+  startRun(*Runner);
+}
+
+void RequestFlow::sendEnded(ServerSend &Which, SendEnd How) {
+  m_WatchTimer.cancel();
+  m_Send = nullptr;
+  if (Which.purpose() == SendPurpose::Run && !dispatch::mayHaveRun(How) &&
+      m_Runs > 0 && Which.started() != BootTime{})
+    --m_Runs;
+  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+    log::logRequest(
+        log::Level::Info, "send-ended", m_Fields.AttemptId, {},
+        {{"how", nameOf(How)},
+         {"purpose",
+          Which.purpose() == SendPurpose::Run ? "run" : "read-prompt"},
+         {"target", Which.targetId()},
+         {"status", Which.head().Status},
+         {"tookMs", Milliseconds(BootClock::now() - Which.started())},
+         {"sends", m_Sends},
+         {"runs", m_Runs},
+         {"budgetLeft",
+          m_Shared.Budget.left(m_Service, BootClock::now())}});
+  settle(How, Which);
+}
+
+dispatch::NextStep RequestFlow::nextStep(const SendEnd &How,
+                                         const ServerSend &Which) {
+  const BootTime Now = BootClock::now();
+  dispatch::RequestProgress Progress;
+  Progress.Sends = m_Sends;
+  Progress.AnswerBegun = m_AnswerBegun;
+  Progress.TimeLeft = timeLeft(Now);
+  Progress.Runs = m_Runs;
+  Progress.MaximumRuns = m_Route.MaximumAttempts;
+  Progress.Repeatable = m_Route.repeatable();
+  if (Which.purpose() == SendPurpose::ReadPrompt && m_Runs == 0) {
+    // Reading a prompt runs nothing.
+    Progress.Repeatable = true;
+    Progress.MaximumRuns = m_Shared.Repeats.MaximumSends;
+  }
+  return dispatch::decideNext(m_Shared.Repeats, Progress, How, [&] {
+    // What reached no server has not used any of the service's time.
+    return std::holds_alternative<dispatch::NotSent>(How) ||
+           m_Shared.Budget.spend(m_Service, Now);
+  });
+}
+
+void RequestFlow::settle(const SendEnd &How, ServerSend &Which) {
+  const auto Next = nextStep(How, Which);
+  if (std::holds_alternative<dispatch::SendAgain>(Next))
+    return sendAgain(Which);
+  releaseHandle();
+  if (std::holds_alternative<dispatch::PassOn>(Next))
+    return passOn(Which);
+  if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
+    return giveUp(Final->Status, nameOf(How), FailureRetryAfter);
+  cutOff(nameOf(How));
+}
+
+void RequestFlow::sendAgain(const ServerSend &After) {
+  m_Excluded.push_back(After.targetId());
+  releaseHandle();
+  plan();
+}
+
+void RequestFlow::releaseHandle() {
+  if (const auto Held = std::exchange(m_Handle, std::nullopt))
+    releaseKvCache(m_Shared, m_Reader, Held->Handle);
+}
+
+void RequestFlow::giveUp(unsigned Status, std::string_view Reason,
+                         milliseconds RetryAfter) {
+  proxy::ResponseHead Head;
+  Head.Status = Status;
+  slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
+  if (Status == dispatch::NotRunStatus)
+    slopes::addRetryAfter(Head.Headers, RetryAfter);
+  m_Caller->respond(Head, {});
+  finish(Status == dispatch::NotRunStatus ? "refused" : "failed", Status,
+         Reason);
+}
+
+void RequestFlow::cutOff(std::string_view Reason) {
+  const auto Caller = m_Caller;
+  finish("cut-off", 0, Reason);
+  Caller->abort();
+}
+
+void RequestFlow::deadlinePassed() {
+  if (m_Done)
+    return;
+  dropSend();
+  if (m_AnswerBegun)
+    return cutOff("the deadline passed");
+  giveUp(m_Runs == 0 ? dispatch::NotRunStatus : dispatch::TimedOutStatus,
+         "the deadline passed", FailureRetryAfter);
+}
+
+void RequestFlow::dropSend() {
+  if (const auto Send = std::exchange(m_Send, nullptr))
+    Send->cancel();
+  releaseHandle();
+}
+
+void RequestFlow::callerGone() {
+  if (m_Done)
+    return;
+  dropSend();
+  finish("caller-gone", 0, "");
+}
+
+void RequestFlow::finish(std::string_view Outcome, unsigned Status,
+                         std::string_view Reason) {
+  if (std::exchange(m_Done, true))
+    return;
+  m_DeadlineTimer.cancel();
+  m_WatchTimer.cancel();
+  const BootTime Now = BootClock::now();
+  const Milliseconds Took(Now - m_Started);
+  const Milliseconds First =
+      m_FirstEvent ? Milliseconds(*m_FirstEvent - m_Started) : Took;
+  const bool Late = First > Milliseconds(m_Route.LatencyTarget);
+  const bool Refused = Outcome == "refused";
+  const bool Plain = Outcome == "answered" && !Late && m_Sends <= 2;
+  const LineKind Kind = Refused ? LineKind::Refused
+                        : Plain ? LineKind::Plain
+                                : LineKind::Notable;
+  noteRequestEnd(m_Shared, m_Route, Outcome, First);
+  if (!m_Shared.Log.allows(Kind, Now))
+    return;
+  log::logRequest(
+      log::Level::Info, "request-ended", m_Fields.AttemptId, {},
+      {{"outcome", Outcome},
+       {"status", Status},
+       {"reason", Reason},
+       {"route", m_Route.Name},
+       {"service", m_Service},
+       {"reader", m_Reader},
+       {"runner", m_Runner},
+       {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
+       {"plannedFirstMs", m_PlannedFirst},
+       {"firstMs", First},
+       {"tookMs", Took},
+       {"targetMs", m_Route.LatencyTarget},
+       {"deadlineMs", Milliseconds(m_Deadline - m_Started)},
+       {"sends", m_Sends},
+       {"runs", m_Runs},
+       {"configuration", m_Configuration ? m_Configuration->Version : 0}});
+}
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -0,0 +1,110 @@
+//===- RequestFlow.h - One request from its caller to its answer -*- C++
+//-*-===//
+//
+// Carries out what the planners and the repeat rules decide for one request:
+// sends to servers, forwards the answer, cancels when the caller leaves, and
+// ends at the deadline. Logs each decision with its inputs.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "Context.h"
+#include "ServerSend.h"
+
+#include "LibDispatch/EventRelay.h"
+#include "LibProxy/CallerConnection.h"
+#include "platform/Headers.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figlift::gateway {
+
+class RequestFlow : public proxy::RequestProcess,
+                    public SendOwner,
+                    public std::enable_shared_from_this<RequestFlow> {
+public:
+  RequestFlow(Context &Shared, proxy::Request What,
+              std::shared_ptr<proxy::CallerConnection> Caller);
+
+  void start();
+
+  void callerGone() override;
+  void callerReady() override;
+
+  void sendAnswered(ServerSend &Which) override;
+  void sendBody(ServerSend &Which, std::string Bytes) override;
+  void sendEnded(ServerSend &Which, dispatch::SendEnd How) override;
+  void sendCompleted(ServerSend &Which) override;
+  bool wantsMore() const override;
+
+private:
+  void plan();
+  void planPrompt(const dispatch::Service &Which);
+  void planPlain();
+  void startRead(const dispatch::ReadThenRun &Plan);
+  void startRun(const dispatch::RunAt &Plan);
+  void readCompleted(ServerSend &Which);
+  void send(const std::string &TargetId, SendPurpose Purpose,
+            dispatch::Milliseconds Cost, dispatch::Milliseconds Expected);
+  void streamEnded(ServerSend &Which);
+  void forwardEvents(const std::string &Events);
+  void forwardWhole(ServerSend &Which);
+  void passOn(ServerSend &Which);
+  void settle(const dispatch::SendEnd &How, ServerSend &Which);
+  dispatch::NextStep nextStep(const dispatch::SendEnd &How,
+                              const ServerSend &Which);
+  void sendAgain(const ServerSend &After);
+  void giveUp(unsigned Status, std::string_view Reason,
+              std::chrono::milliseconds RetryAfter);
+  void cutOff(std::string_view Reason);
+  void dropSend();
+  void releaseHandle();
+  void finish(std::string_view Outcome, unsigned Status,
+              std::string_view Reason);
+  void armDeadline();
+  void deadlinePassed();
+  void watchSend(dispatch::Milliseconds Expected);
+  void sendOverdue();
+  void noteComputed(const std::string &TargetId);
+
+  dispatch::PromptRequest promptRequest(BootTime Now);
+  dispatch::Milliseconds timeLeft(BootTime Now) const;
+  bool streaming() const {
+    return m_Route.Kind == dispatch::RouteKind::Streaming;
+  }
+
+  Context &m_Shared;
+  proxy::Request m_Request;
+  std::shared_ptr<proxy::CallerConnection> m_Caller;
+  slopes::CallerFields m_Fields;
+  /// The configuration that the request began with; m_Route is its copy.
+  std::shared_ptr<const dispatch::Configuration> m_Configuration;
+  dispatch::Route m_Route;
+  std::string m_Service;
+  boost::asio::steady_timer m_DeadlineTimer;
+  boost::asio::steady_timer m_WatchTimer;
+  BootTime m_Started;
+  BootTime m_Deadline{};
+  std::shared_ptr<ServerSend> m_Send;
+  std::vector<std::string> m_Excluded;
+  /// KV cache that was computed for this request and not fetched yet.
+  std::optional<slopes::KvSource> m_Handle;
+  std::string m_Reader;
+  std::string m_Runner;
+  dispatch::EventRelay m_Relay;
+  std::optional<BootTime> m_FirstEvent;
+  dispatch::Milliseconds m_PlannedFirst{0};
+  unsigned m_Sends = 0;
+  unsigned m_Runs = 0;
+  bool m_AnswerBegun = false;
+  bool m_Done = false;
+};
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -0,0 +1,119 @@
+//===- ServerSend.cpp - One send of a request to a server -----------------===//
+//
+// Classifies what came back; see RepeatRules.h for what follows from it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ServerSend.h"
+
+namespace figlift::gateway {
+
+using dispatch::SendEnd;
+using upstream::ExchangeEnd;
+
+namespace {
+bool isSuccess(unsigned Status) { return Status / 100 == 2; }
+} // namespace
+
+ServerSend::ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
+                       SendPurpose Purpose, std::string AttemptId)
+    : m_Shared(Shared), m_Owner(&Owner), m_TargetId(std::move(TargetId)),
+      m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)) {}
+
+bool ServerSend::start(std::string Bytes, dispatch::Milliseconds Cost,
+                       dispatch::Milliseconds Expected) {
+  const auto Pool = m_Shared.Pools.find(m_TargetId);
+  if (Pool == m_Shared.Pools.end())
+    return false;
+  m_Started = BootClock::now();
+  m_Connection = Pool->second->take(m_Started);
+  if (!m_Connection)
+    return false;
+  m_Ticket = m_Shared.Loads.started(m_TargetId, Cost, Expected, m_Started);
+  m_Connection->exchange(std::move(Bytes), true, shared_from_this());
+  return true;
+}
+
+void ServerSend::cancel() {
+  m_Owner = nullptr;
+  m_Shared.Loads.ended(m_TargetId, m_Ticket);
+  if (const auto Connection = std::exchange(m_Connection, nullptr))
+    Connection->abort();
+}
+
+void ServerSend::resumeReading() {
+  if (m_Connection)
+    m_Connection->resumeReading();
+}
+
+void ServerSend::noteSpeed() {
+  m_Shared.Loads.answered(m_TargetId, m_Ticket, BootClock::now());
+}
+
+bool ServerSend::isOwnAnswer() const {
+  // Without an echo only a server that turned the request away is believed.
+  if (m_Fields.AttemptId.empty())
+    return !isSuccess(m_Head.Status) || m_Purpose == SendPurpose::ReadPrompt;
+  return m_Fields.AttemptId == m_AttemptId;
+}
+
+void ServerSend::onHead(const proxy::ResponseHead &Head) {
+  if (!m_Owner)
+    return;
+  m_Head = Head;
+  m_Fields = slopes::decodeServerFields(Head);
+  const bool Run = m_Purpose == SendPurpose::Run;
+  if (!isOwnAnswer() || (Run && isSuccess(Head.Status) && !m_Fields.Signed)) {
+    if (const auto Connection = std::exchange(m_Connection, nullptr))
+      Connection->abort();
+    return end(dispatch::BrokeOff{});
+  }
+  if (Run && isSuccess(Head.Status))
+    m_Owner->sendAnswered(*this);
+}
+
+void ServerSend::onBody(std::string Bytes) {
+  if (!m_Owner)
+    return;
+  if (m_Streamed)
+    return m_Owner->sendBody(*this, std::move(Bytes));
+  m_Body += Bytes;
+  if (m_Body.size() <= MaximumWholeBody)
+    return;
+  if (const auto Connection = std::exchange(m_Connection, nullptr))
+    Connection->abort();
+  end(dispatch::BrokeOff{});
+}
+
+void ServerSend::onEnd(ExchangeEnd How) {
+  m_Connection = nullptr;
+  if (!m_Owner)
+    return;
+  if (How == ExchangeEnd::NotSent)
+    return end(dispatch::NotSent{});
+  if (How != ExchangeEnd::Complete)
+    return end(dispatch::BrokeOff{});
+  if (m_Fields.NotRun)
+    return end(dispatch::Rejected{});
+  if (!isSuccess(m_Head.Status))
+    return end(dispatch::ServerFailed{m_Head.Status});
+  if (!m_Streamed)
+    noteSpeed();
+  m_Shared.Loads.ended(m_TargetId, m_Ticket);
+  std::exchange(m_Owner, nullptr)->sendCompleted(*this);
+}
+
+void ServerSend::end(SendEnd How) {
+  const BootTime Now = BootClock::now();
+  const bool Blameless =
+      std::holds_alternative<dispatch::Rejected>(How) ||
+      (std::holds_alternative<dispatch::ServerFailed>(How) && m_Fields.Signed);
+  if (Blameless)
+    m_Shared.Loads.ended(m_TargetId, m_Ticket);
+  else
+    m_Shared.Loads.failed(m_TargetId, m_Ticket, Now);
+  if (const auto Owner = std::exchange(m_Owner, nullptr))
+    Owner->sendEnded(*this, How);
+}
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/StoreFollower.cpp
@@ -0,0 +1,79 @@
+//===- StoreFollower.cpp - Keeps up with one table of the store -----------===//
+//
+// A loop of whole reads and watches; one call at a time.
+//
+//===----------------------------------------------------------------------===//
+
+#include "StoreFollower.h"
+
+#include "LibLog/Log.h"
+
+namespace figlift::gateway {
+
+StoreFollower::StoreFollower(boost::asio::io_context &Loop,
+                             slopes::StoreClient &Store, std::string Table,
+                             Listener Told, FollowerOptions Options,
+                             std::function<double()> Draw)
+    : m_Timer(Loop), m_Store(Store), m_Table(std::move(Table)),
+      m_Told(std::move(Told)), m_Options(Options), m_Draw(std::move(Draw)) {}
+
+void StoreFollower::next() {
+  if (BootClock::now() >= m_NextWhole)
+    readWhole();
+  else
+    watch();
+}
+
+void StoreFollower::readWhole() {
+  m_Store.readAll(m_Table, "", [this](Result<slopes::RowsRead> Read) {
+    if (!Read)
+      return failed(Read.error());
+    answered();
+    m_Version = Read.value().Version;
+    const double Spread = 0.75 + 0.5 * m_Draw();
+    m_NextWhole = m_LastAnswer + std::chrono::duration_cast<BootClock::duration>(
+                                     m_Options.WholeReadInterval * Spread);
+    m_Told.Whole(Read.value().Rows);
+    next();
+  });
+}
+
+void StoreFollower::watch() {
+  m_Store.watch(m_Table, m_Version, m_Options.WatchTime,
+                [this](Result<slopes::RowsRead> Read) {
+                  if (!Read && Read.error().Code == ResultCode::StoreConflict) {
+                    log::logEvent(log::Level::Info, "store-history-lost",
+                                  {{"table", m_Table}});
+                    return readWhole();
+                  }
+                  if (!Read)
+                    return failed(Read.error());
+                  answered();
+                  m_Version = std::max(m_Version, Read.value().Version);
+                  if (!Read.value().Rows.empty())
+                    m_Told.Changes(Read.value().Rows);
+                  next();
+                });
+}
+
+void StoreFollower::answered() {
+  m_LastAnswer = BootClock::now();
+  if (!std::exchange(m_Connected, true))
+    log::logEvent(log::Level::Info, "store-reached", {{"table", m_Table}});
+}
+
+void StoreFollower::failed(const Error &Reason) {
+  if (std::exchange(m_Connected, false))
+    log::logEvent(log::Level::Warning, "store-lost",
+                  {{"table", m_Table}, {"message", Reason.Message}});
+  m_Told.Lost();
+  m_NextWhole = {};
+  m_Timer.expires_after(std::chrono::duration_cast<BootClock::duration>(
+      m_Options.RetryDelay * (1 + m_Draw())));
+  m_Timer.async_wait([this](const boost::system::error_code &Stopped) {
+    if (!Stopped)
+      readWhole();
+  });
+}
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/StoreFollower.h
@@ -0,0 +1,74 @@
+//===- StoreFollower.h - Keeps up with one table of the store ---*- C++ -*-===//
+//
+// Reads a table whole, then watches it. A watch can fall silent without an
+// error, and history can be dropped, so every watch is short, and a whole read
+// follows each failure and comes now and then besides.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "platform/StoreClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace figlift::gateway {
+
+struct FollowerOptions {
+  /// A change shows at once through a watch that works; one that has fallen
+  /// silent is replaced after this. Two of them, and a read, fit into the
+  /// platform's bound of two seconds on a configuration.
+  std::chrono::milliseconds WatchTime{600};
+  /// A watch may miss a change without a sign; a whole read corrects it.
+  std::chrono::milliseconds WholeReadInterval{5000};
+  /// After a failure, with up to as much again by chance: all processes lose
+  /// the store together and must not return together.
+  std::chrono::milliseconds RetryDelay{150};
+};
+
+class StoreFollower {
+public:
+  struct Listener {
+    std::function<void(const std::vector<slopes::StoreRow> &)> Whole;
+    std::function<void(const std::vector<slopes::StoreRow> &)> Changes;
+    std::function<void()> Lost;
+  };
+
+  StoreFollower(boost::asio::io_context &Loop, slopes::StoreClient &Store,
+                std::string Table, Listener Told, FollowerOptions Options,
+                std::function<double()> Draw);
+
+  void start() { readWhole(); }
+  /// The process stood still, or the store may have changed unseen: the next
+  /// thing read is the whole table.
+  void distrust() { m_NextWhole = {}; }
+  /// Time of the last answer.
+  BootTime lastAnswer() const { return m_LastAnswer; }
+  bool connected() const { return m_Connected; }
+
+private:
+  void next();
+  void readWhole();
+  void watch();
+  void failed(const Error &Reason);
+  void answered();
+
+  boost::asio::steady_timer m_Timer;
+  slopes::StoreClient &m_Store;
+  const std::string m_Table;
+  Listener m_Told;
+  FollowerOptions m_Options;
+  std::function<double()> m_Draw;
+  uint64_t m_Version = 0;
+  bool m_Connected = false;
+  BootTime m_LastAnswer{};
+  BootTime m_NextWhole{};
+};
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/TextServer.h
@@ -0,0 +1,53 @@
+//===- TextServer.h - Answers GET with a short text -------------*- C++ -*-===//
+//
+// For readiness and metrics: one handler, whatever is asked.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Endpoint.h"
+#include "LibCore/Result.h"
+#include "LibProxy/CallerConnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+
+namespace figlift::gateway {
+
+/// Opens a listening socket; fails with SettingsInvalid and \p Field.
+Result<boost::asio::ip::tcp::acceptor>
+openListener(boost::asio::io_context &Loop, const Endpoint &Where,
+             const std::string &Field);
+
+class TextServer : public proxy::RequestHandler {
+public:
+  struct Answer {
+    unsigned Status = 200;
+    std::string Text;
+  };
+  using Source = std::function<Answer(const proxy::RequestHead &)>;
+
+  TextServer(boost::asio::io_context &Loop, Source Answers);
+
+  Result<void> start(const Endpoint &Where, const std::string &Field);
+  void stop();
+
+  std::shared_ptr<proxy::RequestProcess>
+  handle(proxy::Request What,
+         std::shared_ptr<proxy::CallerConnection> Caller) override;
+  void rejected(unsigned) override {}
+  void closed(proxy::CallerConnection &) override {}
+
+private:
+  void accept();
+
+  boost::asio::io_context &m_Loop;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  Source m_Answers;
+};
+
+} // namespace figlift::gateway
