figlift-gateway: Survive targets that come together

Cause: limiting the connections of every listed target reached for the pool of one whose arrival had not been handled yet; the process ended with a segmentation fault whenever a whole list came at once, as at each restart.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -266,7 +266,12 @@
       continue;
     const auto Share = static_cast<size_t>(ConnectionShare *
                                            Service->MaximumConnections / Live);
-    m_Shared.Pools[Id]->limit(std::max(MinimumConnections, Share));
+    // Of several targets that came together, those whose event has not been
+    // handled yet have no pool: taking it for granted ended the process at each
+    // restart in a fleet that was running.
+    if (const auto Pool = m_Shared.Pools.find(Id);
+        Pool != m_Shared.Pools.end())
+      Pool->second->limit(std::max(MinimumConnections, Share));
     // Targets may be known before the configuration is.
     if (Service->Engine)
       m_Shared.Loads.targetCame(Each, Service->Engine->KvCapacityTokens);
