--- /dev/null
+++ b/Libraries/LibDispatch/EngineDemand.cpp
@@ -0,0 +1,42 @@
+//===- EngineDemand.cpp - Work that callers ask of engines ----------------===//
+//
+// An exponentially weighted sum over time.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/EngineDemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figlift::dispatch {
+
+double DemandMeter::decay(BootTime Now) const {
+  return std::exp(-std::max(0.0, Milliseconds(Now - m_At) / m_Memory));
+}
+
+void DemandMeter::requested(Milliseconds Read, Milliseconds Run, BootTime Now) {
+  if (m_First == BootTime{})
+    m_First = Now;
+  const double Kept = decay(Now);
+  m_Sum.Read = m_Sum.Read * Kept + Read.count();
+  m_Sum.Run = m_Sum.Run * Kept + Run.count();
+  m_At = Now;
+}
+
+EngineDemand DemandMeter::demand(BootTime Now) const {
+  if (m_First == BootTime{})
+    return {};
+  // Before one memory has passed the sum covers only the time since the start.
+  const double Covered =
+      1 - std::exp(-std::max(1e-3, Milliseconds(Now - m_First) / m_Memory));
+  const double Scale =
+      decay(Now) / (Milliseconds(m_Memory).count() * Covered);
+  return {m_Sum.Read * Scale, m_Sum.Run * Scale};
+}
+
+bool DemandMeter::settled(BootTime Now) const {
+  return m_First != BootTime{} && Now - m_First >= m_Memory / 4;
+}
+
+} // namespace figlift::dispatch
--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -43,6 +43,30 @@
                               m_Options.MaximumSlowness);
   Which.Failures = Failures + Weight * (Failure - Failures);
   Which.LastVerdict = Now;
+  if (Failure == 0)
+    Which.TurnedAway = 0;
+}
+
+void LoadBook::turnedAway(const std::string &TargetId, BootTime Now) {
+  const auto Found = m_Entries.find(TargetId);
+  if (Found == m_Entries.end())
+    return;
+  Entry &Which = Found->second;
+  constexpr unsigned MaximumDoublings = 10;
+  const unsigned Doublings = std::min(Which.TurnedAway++, MaximumDoublings);
+  const auto For =
+      std::min(m_Options.LeftOut * (1U << Doublings), m_Options.MaximumLeftOut);
+  Which.AvoidedUntil = std::max(Which.AvoidedUntil, Now + For);
+}
+
+void LoadBook::avoid(const std::string &TargetId, BootTime Until) {
+  if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
+    Found->second.AvoidedUntil = std::max(Found->second.AvoidedUntil, Until);
+}
+
+bool LoadBook::avoided(const std::string &TargetId, BootTime Now) const {
+  const Entry *Which = find(TargetId);
+  return Which && Now < Which->AvoidedUntil;
 }
 
 void LoadBook::answered(const std::string &TargetId, uint64_t Ticket,
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -51,6 +51,11 @@
   /// A target that looked slow and gets no work is believed to be as fast as
   /// planned again with this half-life, so that it is tried again.
   std::chrono::milliseconds ForgiveHalfLife{2000};
+  /// How long a target is left out that turned work away once; doubles with
+  /// each time in a row, up to MaximumLeftOut. A full engine has room again
+  /// after about one read of a prompt.
+  std::chrono::milliseconds LeftOut{30};
+  std::chrono::milliseconds MaximumLeftOut{1000};
   /// Bounds of the ratio between measured and planned time.
   double MinimumSlowness = 0.3;
   double MaximumSlowness = 10;
@@ -75,6 +80,17 @@
   void failed(const std::string &TargetId, uint64_t Ticket, BootTime Now);
   /// @}
 
+  /// \name Targets that turn work away. Each arrival there counts against the
+  /// fleet's budget of repeats, so the next request does not try it at once.
+  /// @{
+  /// It was full or busy: left out for a moment, longer each time in a row.
+  void turnedAway(const std::string &TargetId, BootTime Now);
+  /// It will not take work before \p Until: it changes its stage, or another
+  /// server has its address.
+  void avoid(const std::string &TargetId, BootTime Until);
+  bool avoided(const std::string &TargetId, BootTime Now) const;
+  /// @}
+
   /// Replaces what \p Peer told before.
   void peerReported(const std::string &Peer, const std::vector<PeerLoad> &Loads,
                     BootTime Now);
@@ -99,6 +115,9 @@
     double Slowness = 1;
     double Failures = 0;
     BootTime LastVerdict{};
+    BootTime AvoidedUntil{};
+    /// Times that it turned work away since its last answer.
+    unsigned TurnedAway = 0;
   };
   struct PeerView {
     BootTime At{};
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -22,8 +22,14 @@
   Json Cached = Json::array();
   for (const CachedPart &Each : What.Cached)
     Cached.push_back({Each.TargetId, Each.Part.Id, Each.Part.Tokens});
+  Json Demands = Json::array();
+  for (const ServiceDemand &Each : What.Demands)
+    Demands.push_back({Each.Service, Each.Demand.Read, Each.Demand.Run});
+  Json Away = Json::array();
+  for (const AwayTarget &Each : What.Away)
+    Away.push_back({Each.TargetId, Each.Left.count()});
   std::string Bytes;
-  Json::to_cbor(Json::array({What.From, Loads, Cached}), Bytes);
+  Json::to_cbor(Json::array({What.From, Loads, Cached, Demands, Away}), Bytes);
   return Bytes;
 }
 
@@ -40,6 +46,13 @@
     Read.Cached.push_back(
         {Each.at(0).get<std::string>(),
          {Each.at(1).get<uint64_t>(), Each.at(2).get<uint32_t>()}});
+  for (const Json &Each : Root.at(3))
+    Read.Demands.push_back({Each.at(0).get<std::string>(),
+                            {Each.at(1).get<double>(),
+                             Each.at(2).get<double>()}});
+  for (const Json &Each : Root.at(4))
+    Read.Away.push_back({Each.at(0).get<std::string>(),
+                         std::chrono::milliseconds(Each.at(1).get<int64_t>())});
   return Read;
 } catch (const Json::exception &Thrown) {
   return failure(ResultCode::InvalidInput, Thrown.what(), "peer report");
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "LibCore/Result.h"
+#include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/LoadBook.h"
 #include "LibDispatch/Prompt.h"
 
@@ -24,10 +25,24 @@
   PromptPart Part;
 };
 
+/// Demand that callers made on one service through one gateway.
+struct ServiceDemand {
+  std::string Service;
+  EngineDemand Demand;
+};
+
+/// An engine that changes its stage and takes no work meanwhile.
+struct AwayTarget {
+  std::string TargetId;
+  std::chrono::milliseconds Left{0};
+};
+
 struct PeerReport {
   std::string From;
   std::vector<PeerLoad> Loads;
   std::vector<CachedPart> Cached;
+  std::vector<ServiceDemand> Demands;
+  std::vector<AwayTarget> Away;
 };
 
 /// CBOR.
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -31,7 +31,8 @@
   if (std::find(Request.Excluded.begin(), Request.Excluded.end(), Which.Id) !=
       Request.Excluded.end())
     return false;
-  return m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid;
+  return !m_Loads.avoided(Which.Id, Now) &&
+         m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid;
 }
 
 std::optional<PromptPlanner::Candidate>
@@ -113,7 +114,7 @@
         Slowness;
     if (!Best || Expected < Best->Expected)
       Best = RunAt{Which->Id,
-                   Fetch + m_Costs.generate(Request.ExpectedOutput), Expected};
+                   Fetch + Request.Generation, Expected};
   }
   return Best;
 }
@@ -169,7 +170,7 @@
   if (UseSplit)
     return *Split;
   return RunAt{Lone->Which->Id,
-               Lone->Cost + m_Costs.generate(Request.ExpectedOutput),
+               Lone->Cost + Request.Generation,
                LoneFirst};
 }
 
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -26,8 +26,8 @@
 
 struct PromptRequest {
   Prompt What;
-  /// Output tokens to plan with.
-  uint32_t ExpectedOutput = 1;
+  /// Time from the first token to the last, as expected.
+  Milliseconds Generation{0};
   /// From now to the moment at which the first event is no longer on time.
   Milliseconds OnTimeLeft{0};
   /// From now to the request's end.
--- a/Libraries/LibDispatch/ServicePlanner.cpp
+++ b/Libraries/LibDispatch/ServicePlanner.cpp
@@ -36,7 +36,8 @@
         Servers.size();
     const Target &Each = *Servers[Index];
     if (std::find(Request.Excluded.begin(), Request.Excluded.end(), Each.Id) !=
-        Request.Excluded.end())
+            Request.Excluded.end() ||
+        m_Loads.avoided(Each.Id, Now))
       continue;
     const Milliseconds Time = expected(Each, Now);
     // Occupied slots break ties between servers of one speed.
--- /dev/null
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -0,0 +1,139 @@
+//===- StagePlanner.cpp - How many engines read, how many run -------------===//
+//
+// Tries every split and takes the best one step towards it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/StagePlanner.h"
+
+#include <algorithm>
+
+namespace figlift::dispatch {
+
+namespace {
+
+double busiest(const EngineDemand &Demand, size_t Readers, size_t Runners) {
+  const double Read =
+      Readers == 0 ? Demand.Read * 1e6 : Demand.Read / double(Readers);
+  const double Run =
+      Runners == 0 ? Demand.Run * 1e6 : Demand.Run / double(Runners);
+  return std::max(Read, Run);
+}
+
+} // namespace
+
+StagePlanner::StagePlanner(StagePlannerOptions Options) : m_Options(Options) {}
+
+bool StagePlanner::viewIsStable(std::span<const Target *const> Engines,
+                                BootTime Now) {
+  std::vector<std::string> View;
+  for (const Target *Each : Engines)
+    View.push_back(Each->Id);
+  if (View != m_View) {
+    m_View = std::move(View);
+    m_ViewSince = Now;
+  }
+  return Now - m_ViewSince >= m_Options.StableView;
+}
+
+void StagePlanner::forgetSettled(std::span<const Target *const> Engines,
+                                 BootTime Now) {
+  std::erase_if(m_Pending, [&](const auto &Each) {
+    const auto &[Id, Order] = Each;
+    if (Now >= Order.Until)
+      return true;
+    const auto Found =
+        std::find_if(Engines.begin(), Engines.end(),
+                     [&](const Target *One) { return One->Id == Id; });
+    return Found == Engines.end() || (*Found)->Does == Order.Wanted;
+  });
+}
+
+/// The stage that the engine has, or will have once its order is carried out.
+Stage StagePlanner::stageOf(const Target &Which) const {
+  const auto Found = m_Pending.find(Which.Id);
+  return Found == m_Pending.end() ? Which.Does : Found->second.Wanted;
+}
+
+bool StagePlanner::mayTakeAway(std::span<const Target *const> Engines,
+                               const EngineDemand &Demand, const Target &Which,
+                               BootTime Now) const {
+  if (m_Pending.empty())
+    return true;
+  size_t Readers = 0;
+  size_t Runners = 0;
+  for (const Target *Each : Engines) {
+    if (Each == &Which || away(Each->Id, Now))
+      continue;
+    if (Each->Does == Stage::Prefill)
+      ++Readers;
+    else
+      ++Runners;
+  }
+  return busiest(Demand, Readers, Runners) < m_Options.RoomForMore;
+}
+
+std::optional<StageChange>
+StagePlanner::plan(std::span<const Target *const> Engines,
+                   const EngineDemand &Demand, const LoadBook &Loads,
+                   BootTime Now) {
+  forgetSettled(Engines, Now);
+  if (!viewIsStable(Engines, Now))
+    return std::nullopt;
+  size_t Readers = 0;
+  for (const Target *Each : Engines)
+    if (stageOf(*Each) == Stage::Prefill)
+      ++Readers;
+  const size_t All = Engines.size();
+  const double Current = busiest(Demand, Readers, All - Readers);
+  if (All < 2 || Current < m_Options.MinimumUtilization)
+    return std::nullopt;
+  const size_t KeptDecode =
+      std::min(m_Options.MinimumDecode, std::max<size_t>(1, All / 2));
+  size_t BestReaders = Readers;
+  double Best = Current;
+  for (size_t Try = 1; Try + KeptDecode <= All; ++Try)
+    if (const double Each = busiest(Demand, Try, All - Try); Each < Best) {
+      Best = Each;
+      BestReaders = Try;
+    }
+  if (Best > Current * (1 - m_Options.MinimumGain))
+    return std::nullopt;
+  const Stage From =
+      BestReaders > Readers ? Stage::Decode : Stage::Prefill;
+  const Target *Chosen = nullptr;
+  for (const Target *Each : Engines)
+    if (Each->Does == From && !away(Each->Id, Now) &&
+        (!Chosen || Loads.backlog(Each->Id, Now) <
+                        Loads.backlog(Chosen->Id, Now)))
+      Chosen = Each;
+  if (!Chosen || !mayTakeAway(Engines, Demand, *Chosen, Now))
+    return std::nullopt;
+  return StageChange{Chosen->Id,
+                     From == Stage::Decode ? Stage::Prefill : Stage::Decode};
+}
+
+void StagePlanner::ordered(const StageChange &What, BootTime Now) {
+  m_Pending[What.TargetId] = {What.Wanted, Now + m_Options.DoubtTime};
+}
+
+void StagePlanner::settled(const std::string &TargetId) {
+  m_Pending.erase(TargetId);
+}
+
+void StagePlanner::refused(const std::string &TargetId, BootTime Now) {
+  if (const auto Found = m_Pending.find(TargetId); Found != m_Pending.end())
+    Found->second.Until = Now + m_Options.RefusalPause;
+}
+
+void StagePlanner::accepted(const std::string &TargetId, BootTime BackAt) {
+  if (const auto Found = m_Pending.find(TargetId); Found != m_Pending.end())
+    Found->second.Until = BackAt;
+}
+
+bool StagePlanner::away(const std::string &TargetId, BootTime Now) const {
+  const auto Found = m_Pending.find(TargetId);
+  return Found != m_Pending.end() && Now < Found->second.Until;
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -0,0 +1,94 @@
+//===- StagePlanner.h - How many engines read, how many run -----*- C++ -*-===//
+//
+// Chooses the stage of each engine of a service from the demand of the whole
+// fleet: the split at which the busier kind of engine is least busy. An engine
+// that changes is away for seconds, so the split changes only for a clear
+// gain, never from a partial view of the engines, and one engine at a time
+// unless the others have room for its work.
+//
+// One candidate of all gateways gives the orders, under a lease; this machine
+// says what it would order now.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibDispatch/EngineDemand.h"
+#include "LibDispatch/LoadBook.h"
+#include "LibDispatch/Target.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace figlift::dispatch {
+
+struct StageChange {
+  std::string TargetId;
+  Stage Wanted = Stage::Decode;
+  bool operator==(const StageChange &) const = default;
+};
+
+struct StagePlannerOptions {
+  /// The busier kind's utilization must fall by this share of itself.
+  double MinimumGain = 0.12;
+  /// Below this utilization the split does not matter.
+  double MinimumUtilization = 0.3;
+  /// A further engine is taken away only while the rest stay below this.
+  double RoomForMore = 0.6;
+  /// The engines must have been the same for this long: at a start they
+  /// register one after the other over some seconds.
+  std::chrono::milliseconds StableView{1500};
+  /// An order without an answer may be carried out this much later, by the
+  /// platform's description of such orders, twelve seconds at most.
+  std::chrono::milliseconds DoubtTime{12500};
+  /// After a refusal: the engine may be busy with another order.
+  std::chrono::milliseconds RefusalPause{4000};
+  /// Decode engines that are kept in any case, so that the loss of one does
+  /// not leave requests with nowhere to run.
+  size_t MinimumDecode = 2;
+};
+
+class StagePlanner {
+public:
+  explicit StagePlanner(StagePlannerOptions Options = {});
+
+  /// \p Engines: those of the service, draining ones left out.
+  std::optional<StageChange> plan(std::span<const Target *const> Engines,
+                                  const EngineDemand &Demand,
+                                  const LoadBook &Loads, BootTime Now);
+
+  /// An order was sent; no other goes out until it shows in the list, was
+  /// refused, or can no longer take effect.
+  void ordered(const StageChange &What, BootTime Now);
+  /// The engine is in that stage already.
+  void settled(const std::string &TargetId);
+  /// The engine did not take it; it is not asked again at once.
+  void refused(const std::string &TargetId, BootTime Now);
+  /// The engine accepted it; it is away until \p BackAt.
+  void accepted(const std::string &TargetId, BootTime BackAt);
+  bool away(const std::string &TargetId, BootTime Now) const;
+
+private:
+  struct Pending {
+    Stage Wanted = Stage::Decode;
+    /// Nothing is known of it after this.
+    BootTime Until{};
+  };
+
+  Stage stageOf(const Target &Which) const;
+  bool mayTakeAway(std::span<const Target *const> Engines,
+                   const EngineDemand &Demand, const Target &Which,
+                   BootTime Now) const;
+  void forgetSettled(std::span<const Target *const> Engines, BootTime Now);
+  bool viewIsStable(std::span<const Target *const> Engines, BootTime Now);
+
+  StagePlannerOptions m_Options;
+  std::map<std::string, Pending> m_Pending;
+  std::vector<std::string> m_View;
+  BootTime m_ViewSince{};
+};
+
+} // namespace figlift::dispatch
--- a/Libraries/LibDispatch/Target.h
+++ b/Libraries/LibDispatch/Target.h
@@ -35,8 +35,6 @@
   /// It leaves soon and takes no new work.
   bool Draining = false;
   Stage Does = Stage::None;
-  /// Orders that it has accepted since its start.
-  uint64_t OrderSequence = 0;
 
   bool operator==(const Target &) const = default;
 };
--- a/Libraries/LibPlanner/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -1,16 +1,16 @@
-//===- LeaseKeeper.cpp - The lease of one shard, kept in the table --------===//
+//===- LeaseKeeper.cpp - A lease that is a row of the table ---------------===//
 //
 // The row is {"holder","epoch","durationMilliseconds"}; its version, which the
 // table keeps, is what observers watch.
 //
 //===----------------------------------------------------------------------===//
 
-#include "LibPlanner/LeaseKeeper.h"
+#include "LibLease/LeaseKeeper.h"
 
 #include <nlohmann/json.hpp>
 
 using namespace figlift;
-using namespace figlift::planner;
+using namespace figlift::lease;
 using nlohmann::json;
 
 namespace {
@@ -38,9 +38,9 @@
 
 } // namespace
 
-LeaseKeeper::LeaseKeeper(platform::Table &Store, Post Run, const ShardId &Shard,
-                         lease::LeaseOptions Options, Observer Told)
-    : m_Store(Store), m_Run(std::move(Run)), m_Key("lease/" + Shard.toString()),
+LeaseKeeper::LeaseKeeper(platform::Table &Store, Post Run, std::string Key,
+                         LeaseOptions Options, Observer Told)
+    : m_Store(Store), m_Run(std::move(Run)), m_Key(std::move(Key)),
       m_Machine(std::move(Options)), m_Told(std::move(Told)) {}
 
 void LeaseKeeper::tick() { step(lease::Tick{}); }
--- a/Libraries/LibPlanner/LeaseKeeper.h
+++ b/Libraries/LibLease/LeaseKeeper.h
@@ -1,13 +1,12 @@
-//===- LeaseKeeper.h - The lease of one shard, kept in the table *- C++ -*-===//
+//===- LeaseKeeper.h - A lease that is a row of the table -------*- C++ -*-===//
 //
-// Carries out the actions of a LeaseMachine on the row lease/<shard>.
+// Carries out the actions of a LeaseMachine on one row.
 //
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
 #include "LibLease/LeaseMachine.h"
-#include "LibPlanner/ShardView.h"
 #include "LibPlatform/Platform.h"
 
 #include <functional>
@@ -15,9 +14,12 @@
 #include <optional>
 #include <string>
 
-namespace figlift::planner {
+namespace figlift::lease {
 
-/// Lives on the planner's thread; answers of the table that come after its end
+/// Runs a function on the thread that owns the keeper.
+using Post = std::function<void(std::function<void()>)>;
+
+/// Lives on one thread; answers of the table that come after its end
 /// are dropped.
 class LeaseKeeper : public std::enable_shared_from_this<LeaseKeeper> {
 public:
@@ -26,8 +28,9 @@
     std::function<void(uint64_t Epoch)> Lost;
   };
 
-  LeaseKeeper(platform::Table &Store, Post Run, const ShardId &Shard,
-              lease::LeaseOptions Options, Observer Told);
+  /// \p Key names the row.
+  LeaseKeeper(platform::Table &Store, Post Run, std::string Key,
+              LeaseOptions Options, Observer Told);
 
   void tick();
   /// Gives the lease back, so that a successor need not wait for its end.
@@ -37,20 +40,20 @@
   std::optional<uint64_t> epoch() const;
 
 private:
-  void step(const lease::Event &What);
-  void act(const lease::ReadRow &);
-  void act(const lease::CommitRow &What);
-  void act(const lease::BecomeHolder &What);
-  void act(const lease::LoseAuthority &What);
-  void act(const lease::Released &) {}
+  void step(const Event &What);
+  void act(const ReadRow &);
+  void act(const CommitRow &What);
+  void act(const BecomeHolder &What);
+  void act(const LoseAuthority &What);
+  void act(const Released &) {}
   void rowRead(const Result<platform::Row> &Read);
   void committed(const Result<std::monostate> &Done);
 
   platform::Table &m_Store;
   Post m_Run;
   const std::string m_Key;
-  lease::LeaseMachine m_Machine;
+  LeaseMachine m_Machine;
   Observer m_Told;
 };
 
-} // namespace figlift::planner
+} // namespace figlift::lease
--- a/Libraries/LibPlanner/ShardPlanner.cpp
+++ b/Libraries/LibPlanner/ShardPlanner.cpp
@@ -48,11 +48,12 @@
   // The keeper outlives no planner: both live on the planner's thread, and the
   // planner owns it.
   ShardPlanner *Self = Made.get();
-  LeaseKeeper::Observer Told{[Self](uint64_t Epoch) { Self->gained(Epoch); },
+  lease::LeaseKeeper::Observer Told{[Self](uint64_t Epoch) { Self->gained(Epoch); },
                              [Self](uint64_t Epoch) { Self->lost(Epoch); }};
   const ShardParts &Kept = Made->m_Parts;
-  Made->m_Lease = std::make_shared<LeaseKeeper>(
-      Kept.Store, Kept.Run, Made->m_Shard, Kept.Lease, std::move(Told));
+  Made->m_Lease = std::make_shared<lease::LeaseKeeper>(
+      Kept.Store, Kept.Run, "lease/" + Made->m_Shard.toString(), Kept.Lease,
+      std::move(Told));
   return Made;
 }
 
--- a/Libraries/LibPlanner/ShardPlanner.h
+++ b/Libraries/LibPlanner/ShardPlanner.h
@@ -10,7 +10,7 @@
 #include "LibCore/Ids.h"
 #include "LibPlan/DemandEstimator.h"
 #include "LibPlan/Planner.h"
-#include "LibPlanner/LeaseKeeper.h"
+#include "LibLease/LeaseKeeper.h"
 #include "LibPlanner/SliceAssigner.h"
 
 #include <map>
@@ -63,7 +63,7 @@
 
   const ShardId m_Shard;
   ShardParts m_Parts;
-  std::shared_ptr<LeaseKeeper> m_Lease;
+  std::shared_ptr<lease::LeaseKeeper> m_Lease;
   std::shared_ptr<SliceAssigner> m_Slices;
   /// Fresh with each tenure; absent without the lease.
   std::optional<plan::Planner> m_Planner;
--- a/Libraries/LibPlanner/ShardView.h
+++ b/Libraries/LibPlanner/ShardView.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "LibLease/LeaseKeeper.h"
 #include "LibPlan/PlanTypes.h"
 #include "LibWire/Messages.pb.h"
 
@@ -88,6 +89,6 @@
 };
 
 /// Runs a task on the planner's thread; may be called from any thread.
-using Post = std::function<void(std::function<void()>)>;
+using lease::Post;
 
 } // namespace figlift::planner
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -25,6 +25,7 @@
 
 void ServerConnection::exchange(std::string Bytes, bool BodyInResponse,
                                 std::shared_ptr<ExchangeSink> Sink) {
+  ++m_Exchanges;
   m_Outgoing = std::move(Bytes);
   m_Sink = std::move(Sink);
   m_Written = false;
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -80,6 +80,8 @@
 
   bool isOpen() const { return m_State != State::Closed; }
   bool isFree() const { return m_State == State::Idle; }
+  /// Exchanges begun on this connection; names the one at hand.
+  uint64_t exchanges() const { return m_Exchanges; }
   /// When the last exchange ended.
   BootTime idleSince() const { return m_IdleSince; }
   /// How long the server keeps the connection open when idle, if it said so.
@@ -127,6 +129,7 @@
   std::shared_ptr<ExchangeSink> m_Sink;
   std::optional<std::chrono::seconds> m_IdleTimeout;
   BootTime m_IdleSince{};
+  uint64_t m_Exchanges = 0;
   std::function<void(ServerConnection &)> m_Listener;
 };
 
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -9,6 +9,7 @@
 #include "DecisionLog.h"
 
 #include "LibDispatch/Configuration.h"
+#include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/LoadBook.h"
 #include "LibDispatch/PeerReport.h"
 #include "LibDispatch/PromptPlanner.h"
@@ -67,9 +68,22 @@
   std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
   /// Parts that were computed since the last report to the peers.
   std::vector<dispatch::CachedPart> NewlyCached;
+  /// Demand on each service of engines through this gateway.
+  std::map<std::string, dispatch::DemandMeter> Demands;
+  /// Time from the first event to the end of a stream, by route: a running
+  /// mean. What callers allow as the most output says little about it.
+  std::map<std::string, dispatch::Milliseconds> GenerationTimes;
+  /// What the other gateways told of theirs, by gateway.
+  std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
+  /// Engines that this gateway had change their stage, and until when they
+  /// take no work.
+  std::map<std::string, BootTime> Away;
   DecisionLog Log;
   metrics::Registry Metrics;
   std::mt19937_64 Random;
+  /// How long this gateway leaves to others to order what all of them want;
+  /// grows with its place in the order of names.
+  std::chrono::milliseconds OrderTurnDelay{0};
   /// SIGTERM has come.
   bool Stopping = false;
 };
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -40,6 +40,9 @@
 /// connection that is being closed still counts at the server.
 constexpr double ConnectionShare = 0.85;
 constexpr size_t MinimumConnections = 2;
+/// A wanted order that the first gateway has not given after this is given by
+/// the next: a lease and an order take a fifth of it.
+constexpr milliseconds OrderTurn{2500};
 
 } // namespace
 
@@ -58,7 +61,8 @@
                         [this](const auto &Rows) { changedServers(Rows); },
                         [this] { m_Shared.Targets.storeLost(); }},
                        {}, [this] { return m_Shared.draw(); }),
-      m_Peers(m_Shared, m_Store), m_Acceptor(m_Shared.Loop),
+      m_Leases(m_Store, "figlift-leases"), m_Peers(m_Shared, m_Store),
+      m_Stages(m_Shared, m_Leases), m_Acceptor(m_Shared.Loop),
       m_AcceptTimer(m_Shared.Loop),
       m_ReadyServer(m_Shared.Loop,
                     [this](const auto &) {
@@ -214,8 +218,7 @@
     void operator()(const dispatch::TargetChanged &Event) const {
       log::logEvent(log::Level::Info, "target-changed",
                     {{"target", Event.Which.Id},
-                     {"stage", static_cast<int>(Event.Which.Does)},
-                     {"orders", Event.Which.OrderSequence}});
+                     {"stage", static_cast<int>(Event.Which.Does)}});
     }
     void operator()(const dispatch::TargetDrains &Event) const {
       log::logEvent(log::Level::Info, "target-drains", {{"target", Event.Id}});
@@ -300,6 +303,9 @@
   apply(m_Shared.Targets.tick(Now));
   m_Shared.Budget.setProcesses(m_Peers.live(Now), Now);
   limitPools();
+  m_Shared.OrderTurnDelay =
+      OrderTurn * static_cast<int>(m_Peers.liveBefore(Now));
+  m_Stages.tick(Now);
   m_Shared.Log.tick(Now);
   if (m_Shared.Stopping)
     stopTick(Now);
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -10,10 +10,12 @@
 #include "Context.h"
 #include "OutputWriter.h"
 #include "PeerLink.h"
+#include "StageDirector.h"
 #include "StoreFollower.h"
 #include "TextServer.h"
 
 #include "LibProxy/CallerConnection.h"
+#include "platform/StoreTable.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -63,7 +65,9 @@
   slopes::StoreClient m_Store;
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
+  slopes::StoreTable m_Leases;
   PeerLink m_Peers;
+  StageDirector m_Stages;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   boost::asio::steady_timer m_AcceptTimer;
   TextServer m_ReadyServer;
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -135,6 +135,13 @@
   const auto End = Parts.begin() + static_cast<std::ptrdiff_t>(Count);
   What.Cached.assign(Parts.begin(), End);
   Parts.erase(Parts.begin(), End);
+  const BootTime Now = BootClock::now();
+  for (const auto &[Service, Meter] : m_Shared.Demands)
+    What.Demands.push_back({Service, Meter.demand(Now)});
+  for (const auto &[Id, Until] : m_Shared.Away)
+    if (Now < Until)
+      What.Away.push_back(
+          {Id, std::chrono::duration_cast<milliseconds>(Until - Now)});
   const std::string Bytes = encodePeerReport(What);
   for (const auto &[Id, Each] : m_Peers) {
     // A datagram that can't be sent is made up for by the next one.
@@ -167,6 +174,9 @@
   if (const auto Known = m_Peers.find(What.From); Known != m_Peers.end())
     Known->second.Heard = Now;
   m_Shared.Loads.peerReported(What.From, What.Loads, Now);
+  m_Shared.PeerDemands[What.From] = What.Demands;
+  for (const dispatch::AwayTarget &Each : What.Away)
+    m_Shared.Loads.avoid(Each.TargetId, Now + Each.Left);
   for (const dispatch::CachedPart &Each : What.Cached)
     if (m_Shared.Targets.find(Each.TargetId))
       m_Shared.Loads.cache(Each.TargetId).insert(Each.Part);
@@ -180,4 +190,13 @@
   return Count;
 }
 
+size_t PeerLink::liveBefore(BootTime Now) const {
+  size_t Count = 0;
+  for (const auto &[Id, Each] : m_Peers)
+    if (Now - Each.Heard < PeerLifetime &&
+        Id < m_Shared.Settings.Process.Id)
+      ++Count;
+  return Count;
+}
+
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -28,6 +28,8 @@
   Result<void> start();
   /// Gateways that were heard lately, this one included.
   size_t live(BootTime Now) const;
+  /// Live gateways whose names come before this one's.
+  size_t liveBefore(BootTime Now) const;
 
 private:
   struct Peer {
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -38,6 +38,8 @@
 /// caller has left. Both ends are bounded by the retry budget.
 constexpr double OverdueFactor = 4;
 constexpr Milliseconds OverdueBase{250};
+/// Weight of the newest stream in the mean time of generation of its route.
+constexpr double GenerationSmoothing = 0.05;
 
 std::optional<uint64_t> eventNumber(const std::optional<std::string> &Text) {
   uint64_t Number = 0;
@@ -145,9 +147,7 @@
 dispatch::PromptRequest RequestFlow::promptRequest(BootTime Now) {
   dispatch::PromptRequest Request;
   Request.What = *m_Fields.Prompt;
-  Request.ExpectedOutput = std::min(
-      Request.What.MaximumOutput,
-      m_Fields.OutputHint.value_or(Request.What.MaximumOutput));
+  Request.Generation = generationTime();
   Request.LatencyTarget = m_Route.LatencyTarget;
   Request.OnTimeLeft = std::max(
       Milliseconds(0),
@@ -158,8 +158,39 @@
   return Request;
 }
 
+void RequestFlow::noteDemand(const dispatch::Service &Which) {
+  const dispatch::EngineCosts &Costs = m_Shared.Prompts.costs();
+  const dispatch::Prompt &What = *m_Fields.Prompt;
+  // What other requests share is taken as kept: reading it again is a matter
+  // of where requests go, not of how many engines read.
+  const uint32_t Own = What.Parts.empty() ? What.Tokens : What.Parts.back().Tokens;
+  const uint32_t Shared = What.Tokens - std::min(Own, What.Tokens);
+  m_Shared.Demands[m_Service].requested(
+      Costs.read(What, Shared),
+      Costs.transfer(*Which.Engine, What.Tokens, false) +
+          generationTime() / Which.Engine->Slots,
+      BootClock::now());
+}
+
+Milliseconds RequestFlow::generationTime() const {
+  if (const auto Learned = m_Shared.GenerationTimes.find(m_Route.Name);
+      Learned != m_Shared.GenerationTimes.end())
+    return Learned->second;
+  return Milliseconds(0);
+}
+
+void RequestFlow::noteGeneration() {
+  const Milliseconds Took(BootClock::now() - m_FirstEvent.value_or(m_Started));
+  const auto [Mean, IsNew] =
+      m_Shared.GenerationTimes.try_emplace(m_Route.Name, Took);
+  if (!IsNew)
+    Mean->second += (Took - Mean->second) * GenerationSmoothing;
+}
+
 void RequestFlow::planPrompt(const dispatch::Service &Which) {
   const BootTime Now = BootClock::now();
+  if (m_Sends == 0)
+    noteDemand(Which);
   const auto Open = m_Shared.openTargets(m_Service);
   const auto Plan =
       m_Shared.Prompts.plan(promptRequest(Now), Open, *Which.Engine, Now);
@@ -222,6 +253,7 @@
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId);
   if (m_Send->start(requestBytes(m_Request, Headers), Cost, Expected)) {
+    chargeRepeat(Purpose, Now);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
     return watchSend(Expected);
@@ -230,6 +262,15 @@
   sendEnded(*Unsent, dispatch::NotSent{});
 }
 
+/// The first read and the first run of a request are its own; each further
+/// arrival is a repeat, also where one cycle of both follows a rejected run.
+void RequestFlow::chargeRepeat(SendPurpose Purpose, BootTime Now) {
+  bool &Sent =
+      Purpose == SendPurpose::ReadPrompt ? m_ReadArrived : m_RunArrived;
+  if (std::exchange(Sent, true))
+    m_Shared.Budget.charge(m_Service, Now);
+}
+
 void RequestFlow::watchSend(Milliseconds Expected) {
   m_WatchTimer.expires_after(std::chrono::duration_cast<BootClock::duration>(
       Expected * OverdueFactor + OverdueBase));
@@ -305,6 +346,7 @@
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_Caller->beginStream(Head);
   }
+  noteGeneration();
   m_Caller->writeStream(m_Relay.finish());
   m_Caller->endStream();
   finish("answered", Which.head().Status, "");
@@ -368,6 +410,9 @@
 void RequestFlow::sendEnded(ServerSend &Which, SendEnd How) {
   m_WatchTimer.cancel();
   m_Send = nullptr;
+  if (std::holds_alternative<dispatch::NotSent>(How))
+    (Which.purpose() == SendPurpose::ReadPrompt ? m_ReadArrived
+                                                : m_RunArrived) = false;
   if (Which.purpose() == SendPurpose::Run && !dispatch::mayHaveRun(How) &&
       m_Runs > 0 && Which.started() != BootTime{})
     --m_Runs;
@@ -405,7 +450,7 @@
   return dispatch::decideNext(m_Shared.Repeats, Progress, How, [&] {
     // What reached no server has not used any of the service's time.
     return std::holds_alternative<dispatch::NotSent>(How) ||
-           m_Shared.Budget.spend(m_Service, Now);
+           m_Shared.Budget.left(m_Service, Now) >= 1;
   });
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -48,6 +48,9 @@
   void plan();
   void planPrompt(const dispatch::Service &Which);
   void planPlain();
+  dispatch::Milliseconds generationTime() const;
+  void noteGeneration();
+  void noteDemand(const dispatch::Service &Which);
   void startRead(const dispatch::ReadThenRun &Plan);
   void startRun(const dispatch::RunAt &Plan);
   void readCompleted(ServerSend &Which);
@@ -70,6 +73,7 @@
               std::string_view Reason);
   void armDeadline();
   void deadlinePassed();
+  void chargeRepeat(SendPurpose Purpose, BootTime Now);
   void watchSend(dispatch::Milliseconds Expected);
   void sendOverdue();
   void noteComputed(const std::string &TargetId);
@@ -103,6 +107,9 @@
   dispatch::Milliseconds m_PlannedFirst{0};
   unsigned m_Sends = 0;
   unsigned m_Runs = 0;
+  /// A read, or a run, of this request has reached a server.
+  bool m_ReadArrived = false;
+  bool m_RunArrived = false;
   bool m_AnswerBegun = false;
   bool m_Done = false;
 };
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 bool isSuccess(unsigned Status) { return Status / 100 == 2; }
+/// A target at whose address another server answers has ended; the list of
+/// servers says so within about this time.
+constexpr std::chrono::milliseconds OtherServerTime{5000};
 } // namespace
 
 ServerSend::ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
@@ -103,11 +106,20 @@
   std::exchange(m_Owner, nullptr)->sendCompleted(*this);
 }
 
+void ServerSend::noteRejection(BootTime Now) {
+  if (m_Fields.OtherServer)
+    m_Shared.Loads.avoid(m_TargetId, Now + OtherServerTime);
+  else
+    m_Shared.Loads.turnedAway(m_TargetId, Now);
+}
+
 void ServerSend::end(SendEnd How) {
   const BootTime Now = BootClock::now();
   const bool Blameless =
       std::holds_alternative<dispatch::Rejected>(How) ||
       (std::holds_alternative<dispatch::ServerFailed>(How) && m_Fields.Signed);
+  if (std::holds_alternative<dispatch::Rejected>(How))
+    noteRejection(Now);
   if (Blameless)
     m_Shared.Loads.ended(m_TargetId, m_Ticket);
   else
--- /dev/null
+++ b/Services/figlift-gateway/StageDirector.h
@@ -0,0 +1,63 @@
+//===- StageDirector.h - Gives engines their stages -------------*- C++ -*-===//
+//
+// Carries out what the StagePlanner wants, under a lease in the store: while
+// one gateway holds it, no other gives orders, and a successor waits until
+// none of the holder's orders can still be on its way. The lease is taken only
+// when there is something to order, so an idle fleet costs the store nothing.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "Context.h"
+
+#include "LibDispatch/StagePlanner.h"
+#include "LibLease/LeaseKeeper.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace figlift::gateway {
+
+class StageDirector {
+public:
+  StageDirector(Context &Shared, platform::Table &Leases);
+
+  /// Called regularly, several times a second.
+  void tick(BootTime Now);
+
+private:
+  /// One service of engines.
+  struct Shard {
+    dispatch::StagePlanner Planner;
+    std::shared_ptr<lease::LeaseKeeper> Lease;
+    /// Since when a change has been wanted; unset while there is none.
+    std::optional<BootTime> WantedSince;
+  };
+  class Call;
+
+  Shard &shardOf(const std::string &Service);
+  void tickService(const dispatch::Service &Which, BootTime Now);
+  dispatch::EngineDemand demandOn(const std::string &Service,
+                                  BootTime Now) const;
+  bool settled(const std::string &Service, BootTime Now) const;
+  using Answer = std::function<void(unsigned Status, const std::string &Body)>;
+  /// One call to an engine; false when it could not be made.
+  bool call(const std::string &TargetId, std::string_view Method,
+            std::string_view Path, const std::string &Body, Answer Done);
+  void begin(const std::string &Service, const dispatch::StageChange &What,
+             BootTime Now);
+  void reported(const std::string &Service, const dispatch::StageChange &What,
+                unsigned Status, const std::string &Body);
+  void order(const std::string &Service, const dispatch::StageChange &What,
+             uint64_t AcceptedBefore);
+  void replied(const std::string &Service, const dispatch::StageChange &What,
+               unsigned Status);
+
+  Context &m_Shared;
+  platform::Table &m_Leases;
+  std::map<std::string, Shard> m_Shards;
+};
+
+} // namespace figlift::gateway
