--- a/Libraries/LibDispatch/EngineDemand.cpp
+++ b/Libraries/LibDispatch/EngineDemand.cpp
@@ -35,8 +35,31 @@
   return {m_Sum.Read * Scale, m_Sum.Run * Scale};
 }
 
-bool DemandMeter::settled(BootTime Now) const {
-  return m_First != BootTime{} && Now - m_First >= m_Memory / 4;
+void BusyDemand::observe(const EngineDemand &Current, BootTime Now) {
+  const double Total = Current.Read + Current.Run;
+  if (m_First == BootTime{}) {
+    // An idle fleet says nothing about the mix.
+    if (Total <= 0)
+      return;
+    m_First = m_At = Now;
+  }
+  const Milliseconds Step(Now - m_At);
+  const double Kept = std::exp(-std::max(0.0, Step / m_Memory));
+  const double Weight = Total * Total * Step.count();
+  m_Weighted.Read = m_Weighted.Read * Kept + Current.Read * Weight;
+  m_Weighted.Run = m_Weighted.Run * Kept + Current.Run * Weight;
+  m_Weight = m_Weight * Kept + Weight;
+  m_At = Now;
+}
+
+EngineDemand BusyDemand::demand() const {
+  if (m_Weight <= 0)
+    return {};
+  return {m_Weighted.Read / m_Weight, m_Weighted.Run / m_Weight};
+}
+
+bool BusyDemand::settled(BootTime Now) const {
+  return m_First != BootTime{} && Now - m_First >= SettleTime;
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/EngineDemand.h
+++ b/Libraries/LibDispatch/EngineDemand.h
@@ -32,18 +32,13 @@
 /// Running mean of the demand that this process has seen.
 class DemandMeter {
 public:
-  /// \p Memory: about a period over which the mix is to be averaged. A change
-  /// of an engine takes seconds away from it, so a burst of two or three
-  /// seconds is not worth following.
+  /// \p Memory: long enough to count a hundred requests at the usual rates.
   explicit DemandMeter(std::chrono::milliseconds Memory =
-                           std::chrono::milliseconds(8000))
+                           std::chrono::milliseconds(2000))
       : m_Memory(Memory) {}
 
   void requested(Milliseconds Read, Milliseconds Run, BootTime Now);
   EngineDemand demand(BootTime Now) const;
-  /// How long the meter has been running, at most its memory.
-  bool settled(BootTime Now) const;
-
 private:
   double decay(BootTime Now) const;
 
@@ -53,4 +48,31 @@
   BootTime m_First{};
 };
 
+/// The demand of busy times. The mix of work swings within seconds, and a
+/// change of an engine takes seconds, so the split of engines cannot follow;
+/// and where engines have room to spare, any split will do. So what counts is
+/// the mix of those moments in which most is asked for.
+class BusyDemand {
+public:
+  explicit BusyDemand(std::chrono::milliseconds Memory =
+                          std::chrono::milliseconds(20000))
+      : m_Memory(Memory) {}
+
+  void observe(const EngineDemand &Current, BootTime Now);
+  /// Mean over the memory, each moment weighed by the square of its demand.
+  EngineDemand demand() const;
+  /// Whether enough has been seen to act on.
+  bool settled(BootTime Now) const;
+
+private:
+  /// A fair part of a burst, and more than a start's first requests.
+  static constexpr std::chrono::milliseconds SettleTime{4000};
+
+  std::chrono::milliseconds m_Memory;
+  EngineDemand m_Weighted;
+  double m_Weight = 0;
+  BootTime m_At{};
+  BootTime m_First{};
+};
+
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -94,15 +94,17 @@
 }
 
 Milliseconds PromptPlanner::slotWait(const Target &Which,
-                                     const EngineTraits &Traits,
+                                     const EngineTraits &Traits, double Coming,
                                      BootTime Now) const {
-  const double Items = m_Loads.items(Which.Id, Now);
+  const double Here = m_Loads.items(Which.Id, Now);
+  const double Items = Here + Coming;
   const double Slots = std::max(1U, Traits.Slots);
   if (Items < Slots)
     return Milliseconds(0);
   // Of the work there, what exceeds the slots has to end first; only what is in
   // the slots ends.
-  const double Turnover = m_Loads.turnover(Which.Id, Now) * Slots / Items;
+  const double Turnover = m_Loads.turnover(Which.Id, Now) * Slots /
+                          std::max(Here, Slots);
   return Milliseconds((Items - Slots + 1) / std::max(1e-6, Turnover));
 }
 
@@ -110,6 +112,7 @@
 PromptPlanner::bestLoneRunner(const PromptRequest &Request,
                               std::span<const Target *const> Engines,
                               const EngineTraits &Traits, BootTime Now) const {
+  const double Coming = comingRuns(Engines, Now);
   std::optional<Candidate> Best;
   for (const Target *Which : Engines) {
     if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
@@ -117,7 +120,7 @@
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const Reading How = cheapestReading(Request, *Which, Engines, Traits);
     const Candidate Each{
-        Which, How.Source, slotWait(*Which, Traits, Now) * Slowness,
+        Which, How.Source, slotWait(*Which, Traits, Coming, Now) * Slowness,
         m_Costs.readWhileDecoding(Request.What, How.Kept) * Slowness +
             How.Fetch,
         Request.What.Tokens - std::min(Request.What.Tokens, How.Kept)};
@@ -128,10 +131,31 @@
   return Best;
 }
 
+double PromptPlanner::comingRuns(std::span<const Target *const> Engines,
+                                 BootTime Now) const {
+  double Reads = 0;
+  double Runners = 0;
+  for (const Target *Each : Engines) {
+    if (Each->Does == Stage::Prefill)
+      Reads += m_Loads.items(Each->Id, Now);
+    else
+      ++Runners;
+  }
+  return Runners > 0 ? Reads / Runners : 0;
+}
+
 std::optional<RunAt>
 PromptPlanner::chooseRunner(const PromptRequest &Request, const Target *Reader,
                             std::span<const Target *const> Engines,
                             const EngineTraits &Traits, BootTime Now) const {
+  return runnerAfter(Request, Reader, Engines, Traits, 0, Now);
+}
+
+std::optional<RunAt>
+PromptPlanner::runnerAfter(const PromptRequest &Request, const Target *Reader,
+                           std::span<const Target *const> Engines,
+                           const EngineTraits &Traits, double Coming,
+                           BootTime Now) const {
   std::optional<RunAt> Best;
   for (const Target *Which : Engines) {
     if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
@@ -141,12 +165,12 @@
     const Milliseconds Fetch = m_Costs.transfer(
         Traits, Request.What.Tokens - std::min(Request.What.Tokens, Cached),
         Reader && Reader->Zone == Which->Zone);
+    const Milliseconds Wait = slotWait(*Which, Traits, Coming, Now) * Slowness;
     const Milliseconds Expected =
-        (slotWait(*Which, Traits, Now) + Fetch + m_Costs.generate(1)) *
-        Slowness;
+        Wait + (Fetch + m_Costs.generate(1)) * Slowness;
     if (!Best || Expected < Best->Expected)
       Best = RunAt{Which->Id, {},
-                   Fetch + Request.Generation, Expected};
+                   Fetch + Request.Generation, Expected, Wait};
   }
   return Best;
 }
@@ -186,10 +210,14 @@
   const Milliseconds LoneFirst =
       Lone->Wait + Lone->Cost + m_Options.Travel / 2 + m_Costs.generate(1);
   std::optional<ReadThenRun> Split;
+  Milliseconds SplitWait{0};
   if (Reader) {
     const auto Runner =
-        chooseRunner(Request, Reader->Which, Engines, Traits, Now);
+        runnerAfter(Request, Reader->Which, Engines, Traits,
+                    comingRuns(Engines, Now), Now);
     const Milliseconds Read = Reader->Wait + Reader->Cost;
+    if (Runner)
+      SplitWait = Reader->Wait + Runner->Wait;
     if (Runner)
       Split = ReadThenRun{Reader->Which->Id,
                           Reader->Source ? Reader->Source->Id : std::string(),
@@ -197,9 +225,12 @@
                           Read + Runner->Expected + m_Options.Travel};
   }
   const bool Small = Lone->Computed <= m_Options.MaximumReadWhileDecoding;
-  const bool UseSplit = Split && (!Small || Split->FirstEvent < LoneFirst);
+  // Reading apart takes a call more; a small prompt is worth it only for a
+  // clear gain.
+  const bool UseSplit =
+      Split && (!Small || Split->FirstEvent + m_Options.Travel < LoneFirst);
   const Milliseconds First = UseSplit ? Split->FirstEvent : LoneFirst;
-  const Milliseconds Wait = UseSplit ? Reader->Wait : Lone->Wait;
+  const Milliseconds Wait = UseSplit ? SplitWait : Lone->Wait;
   if (!admits(Request, Wait, First))
     return refuse(Request, "the first token would come too late", First);
   if (UseSplit)
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -58,6 +58,8 @@
   Milliseconds Cost{0};
   /// Until the first event reaches this process.
   Milliseconds Expected{0};
+  /// The part of it that is waiting for a slot.
+  Milliseconds Wait{0};
 };
 struct RefuseNow {
   std::string_view Reason;
@@ -147,8 +149,16 @@
   bestLoneRunner(const PromptRequest &Request,
                  std::span<const Target *const> Engines,
                  const EngineTraits &Traits, BootTime Now) const;
+  /// \p Coming: pieces of work that will be there before this one.
   Milliseconds slotWait(const Target &Which, const EngineTraits &Traits,
-                        BootTime Now) const;
+                        double Coming, BootTime Now) const;
+  /// Prompts that are being read, for each engine that may run them.
+  double comingRuns(std::span<const Target *const> Engines, BootTime Now) const;
+  std::optional<RunAt> runnerAfter(const PromptRequest &Request,
+                                   const Target *Reader,
+                                   std::span<const Target *const> Engines,
+                                   const EngineTraits &Traits, double Coming,
+                                   BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
   RefuseNow refuse(const PromptRequest &Request, std::string_view Reason,
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -137,18 +137,14 @@
   return Sum;
 }
 
-bool StageDirector::settled(const std::string &Service, BootTime Now) const {
-  const auto Own = m_Shared.Demands.find(Service);
-  return Own != m_Shared.Demands.end() && Own->second.settled(Now);
-}
-
 void StageDirector::tickService(const dispatch::Service &Which, BootTime Now) {
   Shard &Of = shardOf(Which.Name);
   const auto Engines = m_Shared.openTargets(Which.Name);
-  const dispatch::EngineDemand Demand = demandOn(Which.Name, Now);
+  Of.Demand.observe(demandOn(Which.Name, Now), Now);
+  const dispatch::EngineDemand Demand = Of.Demand.demand();
   const auto Change = Of.Planner.plan(Engines, Demand, m_Shared.Loads, Now);
   // Without the store's list the view may be old.
-  if (!Change || !settled(Which.Name, Now) ||
+  if (!Change || !Of.Demand.settled(Now) ||
       m_Shared.Targets.storeIsLost()) {
     Of.WantedSince.reset();
     return;
--- a/Services/figlift-gateway/StageDirector.h
+++ b/Services/figlift-gateway/StageDirector.h
@@ -31,6 +31,7 @@
   /// One service of engines.
   struct Shard {
     dispatch::StagePlanner Planner;
+    dispatch::BusyDemand Demand;
     std::shared_ptr<lease::LeaseKeeper> Lease;
     /// Since when a change has been wanted; unset while there is none.
     std::optional<BootTime> WantedSince;
@@ -41,7 +42,6 @@
   void tickService(const dispatch::Service &Which, BootTime Now);
   dispatch::EngineDemand demandOn(const std::string &Service,
                                   BootTime Now) const;
-  bool settled(const std::string &Service, BootTime Now) const;
   using Answer = std::function<void(unsigned Status, const std::string &Body)>;
   /// One call to an engine; false when it could not be made.
   bool call(const std::string &TargetId, std::string_view Method,
--- /dev/null
+++ b/Tests/LibDispatch/TestEngineDemand.cpp
@@ -0,0 +1,53 @@
+//===- TestEngineDemand.cpp - Work that callers ask of engines ------------===//
+//
+// Rates, and the mix that counts.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/EngineDemand.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+using std::chrono::milliseconds;
+
+TEST_GROUP(EngineDemand) {
+  BootTime Now{std::chrono::seconds(100)};
+};
+
+TEST(EngineDemand, MeasuresEngineTimeASecond) {
+  DemandMeter Meter;
+  for (int At = 0; At < 400; ++At) {
+    Meter.requested(Milliseconds(5), Milliseconds(10), Now);
+    Now += milliseconds(10);
+  }
+  DOUBLES_EQUAL(0.5, Meter.demand(Now).Read, 0.05);
+  DOUBLES_EQUAL(1.0, Meter.demand(Now).Run, 0.1);
+}
+
+TEST(EngineDemand, ForgetsWhatIsNoLongerAsked) {
+  DemandMeter Meter;
+  Meter.requested(Milliseconds(5), Milliseconds(10), Now);
+  CHECK(Meter.demand(Now + std::chrono::seconds(20)).Read < 0.001);
+}
+
+// Load: bursts of long prompts alternate with calm spells of long answers.
+// Grounds: the split matters during the bursts; the calm mix must not undo it.
+TEST(EngineDemand, GoesByTheMixOfBusyTimes) {
+  BusyDemand Busy;
+  for (int Second = 0; Second < 20; ++Second) {
+    Busy.observe(Second % 2 ? EngineDemand{6, 3} : EngineDemand{0.5, 1.5}, Now);
+    Now += std::chrono::seconds(1);
+  }
+  CHECK(Busy.demand().Read > 1.7 * Busy.demand().Run);
+}
+
+TEST(EngineDemand, SaysNothingBeforeItHasSeenEnough) {
+  BusyDemand Busy;
+  Busy.observe({0, 0}, Now);
+  Now += std::chrono::seconds(60);
+  Busy.observe({1, 1}, Now);
+  CHECK(!Busy.settled(Now + milliseconds(3000)));
+  CHECK(Busy.settled(Now + milliseconds(4000)));
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -0,0 +1,107 @@
+//===- TestLoadBook.cpp - Work at the targets -----------------------------===//
+//
+// Own and peers' work, measured speed, and targets that turn work away.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/LoadBook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+using std::chrono::milliseconds;
+
+TEST_GROUP(LoadBook) {
+  LoadBook Book;
+  BootTime Now{std::chrono::seconds(100)};
+  Target Engine;
+
+  void setup() override {
+    Engine.Id = "e";
+    Book.targetCame(Engine, 10000);
+  }
+  uint64_t start(double Cost) {
+    return Book.started("e", Milliseconds(Cost), Milliseconds(Cost), Now);
+  }
+};
+
+TEST(LoadBook, AddsWhatPeersTellForAShortTime) {
+  start(10);
+  Book.peerReported("p", {{"e", Milliseconds(5), 2, 0.4}}, Now);
+  DOUBLES_EQUAL(15, Book.backlog("e", Now).count(), 1e-9);
+  DOUBLES_EQUAL(3, Book.items("e", Now), 1e-9);
+  Now += milliseconds(600);
+  DOUBLES_EQUAL(10, Book.backlog("e", Now).count(), 1e-9);
+}
+
+TEST(LoadBook, CountsWorkUntilItEnds) {
+  const uint64_t Ticket = start(10);
+  Book.answered("e", Ticket, Now);
+  LONGS_EQUAL(1, Book.ownItems("e"));
+  Book.ended("e", Ticket);
+  LONGS_EQUAL(0, Book.ownItems("e"));
+}
+
+// Load: one engine of several turns five times slower; its health answers stay
+// good. Grounds: within ten answers it must look at least twice as slow.
+TEST(LoadBook, SeesATargetThatTurnsSlow) {
+  for (int At = 0; At < 10; ++At) {
+    const uint64_t Ticket = start(10);
+    Now += milliseconds(50);
+    Book.answered("e", Ticket, Now);
+    Book.ended("e", Ticket);
+  }
+  CHECK(Book.slowness("e", Now) > 2);
+  Now += std::chrono::seconds(20);
+  DOUBLES_EQUAL(1, Book.slowness("e", Now), 0.01);
+}
+
+// Symptom: the wait for a slot is planned at a second where it is ten
+// milliseconds, and requests are refused.
+// Sequence: a few streams of seconds hold slots; the others hold theirs for
+// milliseconds. Cause: the wait went by the sum of the work.
+TEST(LoadBook, MeasuresHowFastSlotsChangeHands) {
+  start(3000);
+  start(10);
+  DOUBLES_EQUAL(0.1, Book.turnover("e", Now), 0.001);
+}
+
+// Load: an engine answers 503 to everything for three seconds while it changes
+// its stage; each arrival there counts against the budget of repeats.
+TEST(LoadBook, LeavesOutATargetThatTurnsWorkAwayLongerEachTime) {
+  Book.turnedAway("e", Now);
+  CHECK(Book.avoided("e", Now + milliseconds(20)));
+  CHECK(!Book.avoided("e", Now + milliseconds(40)));
+  Book.turnedAway("e", Now);
+  Book.turnedAway("e", Now);
+  CHECK(Book.avoided("e", Now + milliseconds(100)));
+  for (int At = 0; At < 40; ++At)
+    Book.turnedAway("e", Now);
+  CHECK(!Book.avoided("e", Now + milliseconds(1001)));
+}
+
+TEST(LoadBook, ForgetsRefusalsAfterAnAnswer) {
+  Book.turnedAway("e", Now);
+  Book.turnedAway("e", Now);
+  const uint64_t Ticket = start(10);
+  Book.answered("e", Ticket, Now);
+  Now += std::chrono::seconds(1);
+  Book.turnedAway("e", Now);
+  CHECK(!Book.avoided("e", Now + milliseconds(31)));
+}
+
+TEST(LoadBook, RemembersFailures) {
+  for (int At = 0; At < 5; ++At)
+    Book.failed("e", start(1), Now);
+  CHECK(Book.failureShare("e", Now) > 0.4);
+  LONGS_EQUAL(0, Book.ownItems("e"));
+}
+
+TEST(LoadBook, KnowsNothingOfTargetsThatWent) {
+  const uint64_t Ticket = start(10);
+  Book.targetGone("e");
+  Book.ended("e", Ticket);
+  DOUBLES_EQUAL(0, Book.backlog("e", Now).count(), 0);
+  DOUBLES_EQUAL(1, Book.slowness("e", Now), 0);
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -0,0 +1,36 @@
+//===- TestPeerReport.cpp - What gateways tell each other -----------------===//
+//
+// There and back, and bytes that are no report.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/PeerReport.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+
+TEST_GROUP(PeerReport){};
+
+TEST(PeerReport, ComesBackAsItWas) {
+  const PeerReport Sent{"g1",
+                        {{"e", Milliseconds(12.34), 3, 0.25}},
+                        {{"e", {0xffffffffffffffffULL, 7}}},
+                        {{"s", {1.5, 2.5}}},
+                        {{"f", std::chrono::milliseconds(900)}}};
+  const auto Read = decodePeerReport(encodePeerReport(Sent));
+  CHECK(Read.has_value());
+  STRCMP_EQUAL("g1", Read.value().From.c_str());
+  DOUBLES_EQUAL(12.34, Read.value().Loads[0].Cost.count(), 0.01);
+  LONGS_EQUAL(3, Read.value().Loads[0].Items);
+  DOUBLES_EQUAL(0.25, Read.value().Loads[0].Turnover, 0);
+  CHECK(Read.value().Cached[0].Part == (PromptPart{0xffffffffffffffffULL, 7}));
+  DOUBLES_EQUAL(2.5, Read.value().Demands[0].Demand.Run, 0);
+  LONGS_EQUAL(900, Read.value().Away[0].Left.count());
+}
+
+TEST(PeerReport, RefusesOtherBytes) {
+  for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
+    CHECK(!decodePeerReport(Bytes).has_value());
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -0,0 +1,169 @@
+//===- TestPromptPlanner.cpp - Where a prompt is read and run -------------===//
+//
+// One load pattern a test; figures are those of the planner's options.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/PromptPlanner.h"
+
+#include <deque>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+using std::chrono::milliseconds;
+
+TEST_GROUP(PromptPlanner) {
+  LoadBook Loads;
+  PromptPlanner Planner{{}, Loads};
+  std::deque<Target> Targets;
+  std::vector<const Target *> Engines;
+  EngineTraits Traits;
+  PromptRequest Request;
+  BootTime Now{std::chrono::seconds(100)};
+
+  void setup() override {
+    Traits.Slots = 8;
+    Traits.KvCapacityTokens = 1000000;
+    Traits.KvBytesPerToken = 18432;
+    Traits.LinkMbps = 630000;
+    Request.What = {9000, 1, {{1, 2500}, {2, 3500}, {3, 3000}}};
+    Request.Generation = Milliseconds(50);
+    Request.LatencyTarget = Milliseconds(120);
+    Request.OnTimeLeft = Milliseconds(120);
+    Request.TimeLeft = Milliseconds(2000);
+    add("read-1", Stage::Prefill);
+    add("read-2", Stage::Prefill);
+    add("run-1", Stage::Decode);
+    add("run-2", Stage::Decode);
+  }
+  void add(const std::string &Id, Stage Does) {
+    Target Made;
+    Made.Id = Id;
+    Made.Zone = "z";
+    Made.Does = Does;
+    Targets.push_back(Made);
+    Engines.push_back(&Targets.back());
+    Loads.targetCame(Made, Traits.KvCapacityTokens);
+  }
+  PromptPlan plan() { return Planner.plan(Request, Engines, Traits, Now); }
+  std::string reader() {
+    const auto Plan = plan();
+    const auto *Split = std::get_if<ReadThenRun>(&Plan);
+    return Split ? Split->Reader : std::string();
+  }
+  void load(const std::string &Id, double Cost, int Pieces = 1) {
+    for (int At = 0; At < Pieces; ++At)
+      Loads.started(Id, Milliseconds(Cost), Milliseconds(Cost), Now);
+  }
+  void keep(const std::string &Id) {
+    Loads.cache(Id).insert(Request.What.Parts[0]);
+    Loads.cache(Id).insert(Request.What.Parts[1]);
+  }
+};
+
+// Load: calm. Grounds: reading at a decode engine takes three times as long
+// and delays its streams.
+TEST(PromptPlanner, ReadsLargePromptsAtPrefillEngines) {
+  CHECK(!reader().empty());
+}
+
+TEST(PromptPlanner, RunsSmallPromptsAtADecodeEngineAlone) {
+  Request.What = {200, 1, {{9, 200}}};
+  CHECK(std::holds_alternative<RunAt>(plan()));
+}
+
+// Load: many processes see a new subject at the same time. Grounds: they must
+// have it read at one engine, or every engine computes it.
+TEST(PromptPlanner, HasANewSubjectReadAtOneHome) {
+  const std::string Home = reader();
+  LoadBook Other;
+  for (const Target &Each : Targets)
+    Other.targetCame(Each, Traits.KvCapacityTokens);
+  PromptPlanner Peer{{}, Other};
+  const auto Plan = Peer.plan(Request, Engines, Traits, Now);
+  STRCMP_EQUAL(Home.c_str(), std::get<ReadThenRun>(Plan).Reader.c_str());
+}
+
+// Load: one prefill engine has a queue of 60 ms, the other none. Grounds: the
+// shared parts cost 10 ms to compute, which is less than the wait.
+TEST(PromptPlanner, LeavesABusyHome) {
+  const std::string Home = reader();
+  keep(Home);
+  load(Home, 60);
+  CHECK(reader() != Home);
+}
+
+// Load: the home of a subject is busy and another engine has to read it.
+// Grounds: a transfer of 6,000 tokens takes 2 ms, computing them 10 ms.
+TEST(PromptPlanner, FetchesSharedPartsFromAnEngineThatKeepsThem) {
+  const std::string Home = reader();
+  keep(Home);
+  load(Home, 60);
+  const auto Plan = plan();
+  STRCMP_EQUAL(Home.c_str(), std::get<ReadThenRun>(Plan).FetchFrom.c_str());
+}
+
+TEST(PromptPlanner, DoesNotFetchWhatTheEngineKeeps) {
+  keep("read-1");
+  keep("read-2");
+  keep("run-1");
+  const auto Plan = plan();
+  CHECK(std::get<ReadThenRun>(Plan).FetchFrom.empty());
+}
+
+// Load: a burst; both prefill engines have 150 ms of work. Grounds: the first
+// token would come after the target of 120 ms, and reading the prompt would
+// make the next ones late, too.
+TEST(PromptPlanner, RefusesAtOnceWhatWouldBeLate) {
+  load("read-1", 150);
+  load("read-2", 150);
+  const auto Plan = plan();
+  CHECK(std::holds_alternative<RefuseNow>(Plan));
+  CHECK(std::get<RefuseNow>(Plan).RetryAfter >= milliseconds(150));
+}
+
+// Load: the largest tenth of prompts is late by its size alone. Grounds: a
+// door that goes by the first token would starve them; they may wait as long
+// as a small one.
+TEST(PromptPlanner, AdmitsLargePromptsThatAreLateByTheirSizeAlone) {
+  Request.What.Tokens = 90000;
+  Request.What.Parts[2].Tokens = 84000;
+  CHECK(std::holds_alternative<ReadThenRun>(plan()));
+}
+
+// Load: long answers hold all slots of one decode engine. Grounds: a slot there
+// changes hands once in 400 ms.
+TEST(PromptPlanner, RunsWhereSlotsAreFree) {
+  load("run-1", 3000, 8);
+  const auto Runner =
+      Planner.chooseRunner(Request, &Targets[0], Engines, Traits, Now);
+  STRCMP_EQUAL("run-2", Runner->Runner.c_str());
+}
+
+// Load: a burst of reads at engines that are fast, in front of few slots.
+// Grounds: each prompt that is being read needs a slot right after; a door
+// that does not count them admits far more than can run.
+TEST(PromptPlanner, CountsPromptsThatAreBeingReadAsRunsToCome) {
+  load("read-1", 1, 30);
+  load("read-2", 1, 30);
+  load("run-1", 100, 8);
+  load("run-2", 100, 8);
+  CHECK(std::holds_alternative<RefuseNow>(plan()));
+}
+
+// Symptom: one request after the other fails at a server that answers its
+// health checks. Cause: only the load decided where requests go.
+TEST(PromptPlanner, AvoidsAnEngineThatFailsRequests) {
+  const std::string Home = reader();
+  for (int At = 0; At < 6; ++At)
+    Loads.failed(Home, Loads.started(Home, Milliseconds(1), Milliseconds(1), Now),
+                 Now);
+  CHECK(reader() != Home);
+}
+
+TEST(PromptPlanner, RefusesWhereNothingRuns) {
+  Engines.resize(2);
+  CHECK(std::holds_alternative<RefuseNow>(plan()));
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestServicePlanner.cpp
@@ -0,0 +1,82 @@
+//===- TestServicePlanner.cpp - Where a plain request runs ----------------===//
+//
+// Load, speed, failures, and a deadline that cannot be met.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/ServicePlanner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+
+TEST_GROUP(ServicePlanner) {
+  LoadBook Loads;
+  ServicePlanner Planner{{}, Loads};
+  Target A;
+  Target B;
+  std::vector<const Target *> Servers{&A, &B};
+  ServiceRequest Request{Milliseconds(1000), {}, 0};
+  BootTime Now{std::chrono::seconds(100)};
+
+  void setup() override {
+    A.Id = "a";
+    B.Id = "b";
+    A.Slots = B.Slots = 2;
+    Loads.targetCame(A, 0);
+    Loads.targetCame(B, 0);
+  }
+  std::string chosen() {
+    const auto Plan = Planner.plan(Request, Servers, Now);
+    const auto *To = std::get_if<SendTo>(&Plan);
+    return To ? To->TargetId : std::string();
+  }
+  uint64_t start(const std::string &Id) {
+    return Loads.started(Id, Milliseconds(20), Milliseconds(20), Now);
+  }
+};
+
+TEST(ServicePlanner, PrefersFreeSlots) {
+  start("a");
+  start("a");
+  STRCMP_EQUAL("b", chosen().c_str());
+}
+
+TEST(ServicePlanner, DrawsAmongEquals) {
+  const std::string First = chosen();
+  Request.Draw = 0.6;
+  CHECK(chosen() != First);
+}
+
+// Load: one server of two turns slow. Grounds: after ten answers of five times
+// the time it must not be chosen while the other is free.
+TEST(ServicePlanner, LeavesASlowServer) {
+  for (int At = 0; At < 10; ++At) {
+    const uint64_t Ticket = start("a");
+    Now += std::chrono::milliseconds(100);
+    Loads.answered("a", Ticket, Now);
+    Loads.ended("a", Ticket);
+  }
+  STRCMP_EQUAL("b", chosen().c_str());
+}
+
+TEST(ServicePlanner, LeavesAServerThatFails) {
+  Loads.failed("a", start("a"), Now);
+  STRCMP_EQUAL("b", chosen().c_str());
+}
+
+// Load: a burst far above the slots. Grounds: a request that cannot be answered
+// in its time is refused at once and takes no slot from one that can.
+TEST(ServicePlanner, RefusesWhatCannotBeAnsweredInTime) {
+  for (int At = 0; At < 200; ++At) {
+    start("a");
+    start("b");
+  }
+  STRCMP_EQUAL("", chosen().c_str());
+}
+
+TEST(ServicePlanner, RefusesWithoutServers) {
+  Request.Excluded = {"a", "b"};
+  STRCMP_EQUAL("", chosen().c_str());
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestStagePlanner.cpp
@@ -0,0 +1,117 @@
+//===- TestStagePlanner.cpp - How many engines read, how many run ---------===//
+//
+// The split against demand, partial views, and orders in doubt.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/StagePlanner.h"
+
+#include <deque>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+using std::chrono::milliseconds;
+
+TEST_GROUP(StagePlanner) {
+  StagePlanner Planner;
+  LoadBook Loads;
+  std::deque<Target> Targets;
+  std::vector<const Target *> Engines;
+  BootTime Now{std::chrono::seconds(100)};
+
+  void setup() override {
+    for (int At = 0; At < 8; ++At)
+      add(At < 2 ? Stage::Prefill : Stage::Decode);
+    plan({0, 0});
+    Now += milliseconds(2000);
+  }
+  void add(Stage Does) {
+    Target Made;
+    Made.Id = "e" + std::to_string(Targets.size());
+    Made.Does = Does;
+    Targets.push_back(Made);
+    Engines.push_back(&Targets.back());
+  }
+  std::optional<StageChange> plan(EngineDemand Demand) {
+    return Planner.plan(Engines, Demand, Loads, Now);
+  }
+};
+
+// Load: reading and running ask for as much, and two of eight engines read.
+TEST(StagePlanner, MovesOneEngineTowardsTheBusierWork) {
+  const auto Change = plan({3, 3});
+  CHECK(Change.has_value());
+  CHECK(Change->Wanted == Stage::Prefill);
+}
+
+TEST(StagePlanner, LeavesASplitThatFits) { CHECK(!plan({1.5, 4.5})); }
+
+// Load: night. Grounds: an order costs as much as several requests.
+TEST(StagePlanner, LeavesIdleEnginesAlone) { CHECK(!plan({0.2, 0.02})); }
+
+// Load: the mix swings by a tenth. Grounds: an engine is away for seconds.
+TEST(StagePlanner, DoesNotFollowSmallGains) { CHECK(!plan({1.6, 4.2})); }
+
+// Symptom: right after a start engines change back and forth.
+// Sequence: engines register one after the other; the first ones listed read.
+// Cause: the split was planned from a part of the engines.
+TEST(StagePlanner, PlansNothingFromAViewThatChanges) {
+  add(Stage::Decode);
+  CHECK(!plan({3, 3}));
+  Now += milliseconds(1600);
+  CHECK(plan({3, 3}).has_value());
+}
+
+// Load: demand above what is there. Grounds: a second engine may not leave
+// while the first is away.
+TEST(StagePlanner, TakesOneEngineAwayAtATimeUnderLoad) {
+  Planner.ordered(*plan({3, 3}), Now);
+  CHECK(!plan({3, 3}));
+}
+
+TEST(StagePlanner, TakesSeveralWhileTheOthersHaveRoom) {
+  const auto First = plan({0.9, 0.9});
+  Planner.ordered(*First, Now);
+  const auto Second = plan({0.9, 0.9});
+  CHECK(Second.has_value());
+  CHECK(Second->TargetId != First->TargetId);
+}
+
+// Symptom: an engine changes its stage long after the planner gave up on it,
+// and a second one has been changed in its place.
+// Sequence: an order has no answer and is carried out twelve seconds later.
+TEST(StagePlanner, CountsAnOrderInDoubtAsOneThatMayCome) {
+  const auto Change = plan({3, 3});
+  Planner.ordered(*Change, Now);
+  Now += milliseconds(12000);
+  CHECK(!plan({3, 3}));
+  Now += milliseconds(1000);
+  CHECK(plan({3, 3}).has_value());
+}
+
+TEST(StagePlanner, GoesOnWhenTheListShowsTheNewStage) {
+  const auto Change = plan({3, 3});
+  Planner.ordered(*Change, Now);
+  for (Target &Each : Targets)
+    if (Each.Id == Change->TargetId)
+      Each.Does = Stage::Prefill;
+  CHECK(plan({3, 3}).has_value());
+}
+
+TEST(StagePlanner, PausesAfterARefusal) {
+  const auto Change = plan({3, 3});
+  Planner.ordered(*Change, Now);
+  Planner.refused(Change->TargetId, Now);
+  CHECK(!plan({3, 3}));
+  Now += milliseconds(4100);
+  CHECK(plan({3, 3}).has_value());
+}
+
+TEST(StagePlanner, KeepsEnginesToRunAt) {
+  for (Target &Each : Targets)
+    Each.Does = Stage::Prefill;
+  Targets[0].Does = Targets[1].Does = Stage::Decode;
+  CHECK(!plan({10, 0.1}));
+}
--- /dev/null
+++ b/Tests/LibProxy/TestCallerConnection.cpp
@@ -0,0 +1,185 @@
+//===- TestCallerConnection.cpp - Bytes of a caller's connection ----------===//
+//
+// A connected pair of sockets on the loopback; the test is the caller.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibProxy/CallerConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift::proxy;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+class RecordingProcess : public RequestProcess {
+public:
+  void callerGone() override { Gone = true; }
+  void callerReady() override { ++Ready; }
+  bool Gone = false;
+  int Ready = 0;
+};
+
+class RecordingHandler : public RequestHandler {
+public:
+  std::shared_ptr<RequestProcess>
+  handle(Request What, std::shared_ptr<CallerConnection> Caller) override {
+    Requests.push_back(std::move(What));
+    Last = std::move(Caller);
+    Process = std::make_shared<RecordingProcess>();
+    if (AnswerAtOnce)
+      answer("ok");
+    return Process;
+  }
+  void rejected(unsigned Status) override { Rejected = Status; }
+  void closed(CallerConnection &) override { Closed = true; }
+  void answer(std::string_view Body) {
+    ResponseHead Head;
+    Head.Status = 200;
+    Last->respond(Head, Body);
+  }
+
+  bool AnswerAtOnce = true;
+  std::vector<Request> Requests;
+  std::shared_ptr<CallerConnection> Last;
+  std::shared_ptr<RecordingProcess> Process;
+  unsigned Rejected = 0;
+  bool Closed = false;
+};
+
+} // namespace
+
+TEST_GROUP(CallerConnection) {
+  asio::io_context Loop;
+  tcp::acceptor Acceptor{Loop, {asio::ip::address_v4::loopback(), 0}};
+  tcp::socket Caller{Loop};
+  RecordingHandler Handler;
+  CallerLimits Limits;
+
+  void open() {
+    Caller.connect(Acceptor.local_endpoint());
+    std::make_shared<CallerConnection>(Acceptor.accept(), Limits, Handler)
+        ->start();
+    Caller.non_blocking(true);
+  }
+  void send(std::string_view Bytes) { asio::write(Caller, asio::buffer(Bytes)); }
+  /// Runs the loop until \p Done, at most two seconds.
+  template <typename Condition> bool until(Condition Done) {
+    const auto End = std::chrono::steady_clock::now() + milliseconds(2000);
+    while (!Done() && std::chrono::steady_clock::now() < End)
+      Loop.run_for(milliseconds(5));
+    return Done();
+  }
+  /// What has come back so far.
+  std::string Received;
+  bool Ended = false;
+  void receive() {
+    std::array<char, 4096> Buffer;
+    boost::system::error_code Code;
+    while (!Code) {
+      const size_t Count = Caller.read_some(asio::buffer(Buffer), Code);
+      Received.append(Buffer.data(), Count);
+    }
+    Ended = Ended || Code != asio::error::would_block;
+  }
+  bool receives(std::string_view Text) {
+    return until([&] {
+      receive();
+      return Received.find(Text) != std::string::npos;
+    });
+  }
+};
+
+TEST(CallerConnection, AnswersPipelinedRequestsInOrder) {
+  open();
+  send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return Handler.Requests.size() == 2; }));
+  STRCMP_EQUAL("/2", Handler.Requests[1].Head.Target.c_str());
+}
+
+TEST(CallerConnection, SaysThatItClosesAndCloses) {
+  open();
+  send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(receives("Connection: close"));
+  CHECK(until([&] {
+    receive();
+    return Ended;
+  }));
+}
+
+// Symptom: servers work for callers who have left.
+// Sequence: the caller closes while its request is at a server.
+// Cause: the caller's socket was not read until the answer came.
+TEST(CallerConnection, NoticesACallerWhoLeaves) {
+  Handler.AnswerAtOnce = false;
+  open();
+  send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return !Handler.Requests.empty(); }));
+  Caller.close();
+  CHECK(until([&] { return Handler.Process->Gone; }));
+  CHECK(Handler.Closed);
+}
+
+TEST(CallerConnection, StreamsInChunks) {
+  Handler.AnswerAtOnce = false;
+  open();
+  send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return !Handler.Requests.empty(); }));
+  ResponseHead Head;
+  Head.Status = 200;
+  Handler.Last->beginStream(Head);
+  Handler.Last->writeStream("event");
+  CHECK(receives("5\r\nevent\r\n"));
+  Handler.Last->endStream();
+  CHECK(receives("0\r\n\r\n"));
+}
+
+// Symptom: a caller takes a broken stream for a whole one.
+// Cause: the last chunk was written although the stream broke off.
+TEST(CallerConnection, AbortsAStreamWithoutItsLastChunk) {
+  Handler.AnswerAtOnce = false;
+  open();
+  send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return !Handler.Requests.empty(); }));
+  ResponseHead Head;
+  Head.Status = 200;
+  Handler.Last->beginStream(Head);
+  Handler.Last->writeStream("event");
+  CHECK(receives("event"));
+  Handler.Last->abort();
+  CHECK(until([&] {
+    receive();
+    return Ended;
+  }));
+  CHECK(Received.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(CallerConnection, AnswersInputThatCannotBeReadAndCloses) {
+  open();
+  send("nonsense\r\n\r\n");
+  CHECK(receives("HTTP/1.1 400"));
+  LONGS_EQUAL(400, Handler.Rejected);
+  CHECK(Handler.Requests.empty());
+}
+
+TEST(CallerConnection, GivesUpOnAHeadThatDoesNotEnd) {
+  Limits.HeadTimeout = milliseconds(30);
+  open();
+  send("GET / HTTP/1.1\r\nHost");
+  CHECK(receives("HTTP/1.1 408"));
+}
+
+TEST(CallerConnection, ClosesAnIdleConnectionOnly) {
+  Handler.AnswerAtOnce = false;
+  open();
+  send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return !Handler.Requests.empty(); }));
+  Handler.Last->closeIfIdle();
+  Handler.answer("late");
+  CHECK(receives("late"));
+}
--- /dev/null
+++ b/Tests/Platform/TestEngineCalls.cpp
@@ -0,0 +1,63 @@
+//===- TestEngineCalls.cpp - Calls to engines besides requests ------------===//
+//
+// The platform's examples, and malformed answers.
+//
+//===----------------------------------------------------------------------===//
+
+#include "platform/EngineCalls.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::slopes;
+
+TEST_GROUP(EngineCalls){};
+
+TEST(EngineCalls, ReadsTheAnswerToAReadPrompt) {
+  const auto Read = decodePromptRead(
+      R"({"kvHandle":"3fa09c41b7d5","tokens":1460,"version":1})");
+  STRCMP_EQUAL("3fa09c41b7d5", Read.value().Handle.c_str());
+  LONGS_EQUAL(1460, Read.value().Tokens);
+}
+
+TEST(EngineCalls, NamesAMissingHandle) {
+  STRCMP_EQUAL("kvHandle",
+               decodePromptRead(R"({"tokens":1})").error().Field.c_str());
+  CHECK(!decodePromptRead("<html>").has_value());
+}
+
+TEST(EngineCalls, ReadsAReport) {
+  const auto Read = decodeEngineReport(
+      R"({"stage":"decode","models":[],"busy":true,"sequence":2,"queued":1})");
+  CHECK(Read.value().Does == dispatch::Stage::Decode);
+  CHECK(Read.value().Busy);
+  LONGS_EQUAL(2, Read.value().AcceptedOrders);
+  STRCMP_EQUAL("stage", decodeEngineReport("{}").error().Field.c_str());
+}
+
+TEST(EngineCalls, WritesAnOrder) {
+  const auto Body = nlohmann::json::parse(
+      encodeStageOrder({dispatch::Stage::Prefill, "node-7", 41, 2}));
+  STRCMP_EQUAL("stage", Body["operation"].get<std::string>().c_str());
+  STRCMP_EQUAL("prefill", Body["stage"].get<std::string>().c_str());
+  LONGS_EQUAL(41, Body["fence"].get<int>());
+  LONGS_EQUAL(2, Body["expected"].get<int>());
+}
+
+TEST(EngineCalls, TellsRepliesToOrdersApart) {
+  CHECK(decodeOrderReply(202) == OrderReply::Accepted);
+  CHECK(decodeOrderReply(200) == OrderReply::HoldsAlready);
+  for (const unsigned Status : {400U, 409U, 412U, 421U, 503U})
+    CHECK(decodeOrderReply(Status) == OrderReply::Refused);
+}
+
+TEST(EngineCalls, NamesTheServerThatACallIsFor) {
+  dispatch::Target Server;
+  Server.Id = "i-1";
+  Server.Address = {"10.0.0.1", 80};
+  const std::string Text = targetedCallBytes("POST", "/v1/order", Server, "{}");
+  CHECK(Text.find("X-Expect-Instance: i-1\r\n") != std::string::npos);
+  CHECK(Text.find("Content-Length: 2\r\n") != std::string::npos);
+}
