--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -81,6 +81,8 @@
   DecisionLog Log;
   metrics::Registry Metrics;
   std::mt19937_64 Random;
+  /// When the store last answered a question for the servers.
+  BootTime ServersSeen{};
   /// How long this gateway leaves to others to order what all of them want;
   /// grows with its place in the order of names.
   std::chrono::milliseconds OrderTurnDelay{0};
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -75,7 +75,66 @@
                       }),
       m_Signals(m_Shared.Loop), m_TickTimer(m_Shared.Loop) {}
 
+void Gateway::describeMetrics() {
+  metrics::Registry &Metrics = m_Shared.Metrics;
+  Metrics.readGauge(
+      "figlift_gateway_store_age_seconds",
+      "Since the store last answered for the servers", [this] {
+        return std::chrono::duration<double>(BootClock::now() -
+                                             m_ServerFollower.lastAnswer())
+            .count();
+      });
+  Metrics.readGauge("figlift_gateway_configuration_version",
+                    "Version in force; 0 for none", [this] {
+                      return m_Shared.Configuration
+                                 ? double(m_Shared.Configuration->Version)
+                                 : 0;
+                    });
+  Metrics.readGauge("figlift_gateway_targets", "Servers that are listed",
+                    [this] { return double(m_Shared.Targets.all().size()); });
+  Metrics.readGauge(
+      "figlift_gateway_live_gateways", "Gateways heard lately, this one too",
+      [this] { return double(m_Peers.live(BootClock::now())); });
+  Metrics.readGauge("figlift_gateway_callers", "Open connections of callers",
+                    [this] { return double(m_Callers.size()); });
+  Metrics.readGauge("figlift_gateway_connections_open",
+                    "Open connections to servers", [this] {
+                      size_t Sum = 0;
+                      for (const auto &[Id, Pool] : m_Shared.Pools)
+                        Sum += Pool->open();
+                      return double(Sum);
+                    });
+  Metrics.readCounter("figlift_gateway_connections_opened_total",
+                      "Connections made to the servers that are listed", [this] {
+                        uint64_t Sum = 0;
+                        for (const auto &[Id, Pool] : m_Shared.Pools)
+                          Sum += Pool->opened();
+                        return double(Sum);
+                      });
+  Metrics.readCounter("figlift_gateway_store_calls_total",
+                      "Calls to the platform's store",
+                      [this] { return double(m_Store.calls()); });
+  Metrics.readCounter("figlift_gateway_log_lines_left_out_total",
+                      "Lines beyond the allowance of their kind",
+                      [this] { return double(m_Shared.Log.leftOut()); });
+  Metrics.readCounter("figlift_gateway_log_lines_dropped_total",
+                      "Lines that standard output did not take",
+                      [this] { return double(m_Output.dropped()); });
+}
+
+/// One gauge a service; services come with configurations.
+void Gateway::describeBudgets() {
+  for (const dispatch::Service &Each : m_Shared.Configuration->Services)
+    m_Shared.Metrics.readGauge(
+        "figlift_gateway_repeat_budget_left", "Repeats that may be sent now",
+        [this, Name = Each.Name] {
+          return m_Shared.Budget.left(Name, BootClock::now());
+        },
+        {{"service", Each.Name}});
+}
+
 Result<void> Gateway::start() {
+  describeMetrics();
   FIGLIFT_TRY(listen());
   FIGLIFT_TRY(m_Peers.start());
   m_LastTick = BootClock::now();
@@ -177,6 +236,7 @@
                    {"routes", Read.value().Routes.size()}});
     m_Shared.Configuration = std::make_shared<const dispatch::Configuration>(
         std::move(Read.value()));
+    describeBudgets();
     limitPools();
   }
 }
@@ -300,6 +360,7 @@
     m_ServerFollower.distrust();
   }
   m_LastTick = Now;
+  m_Shared.ServersSeen = m_ServerFollower.lastAnswer();
   apply(m_Shared.Targets.tick(Now));
   m_Shared.Budget.setProcesses(m_Peers.live(Now), Now);
   limitPools();
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -34,6 +34,8 @@
   Result<void> start();
   /// Returns when the process has stopped.
   void run();
+  /// Ends run() at once; from any thread.
+  void interrupt() { m_Shared.Loop.stop(); }
 
   std::shared_ptr<proxy::RequestProcess>
   handle(proxy::Request What,
@@ -43,6 +45,8 @@
 
 private:
   Result<void> listen();
+  void describeMetrics();
+  void describeBudgets();
   void accept();
   bool ready() const;
   void configurationRows(const std::vector<slopes::StoreRow> &Rows);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -38,6 +38,11 @@
 /// caller has left. Both ends are bounded by the retry budget.
 constexpr double OverdueFactor = 4;
 constexpr Milliseconds OverdueBase{250};
+/// A stream that pauses this many times as long as its route allows for an
+/// event on time is late already; callers leave after eight times.
+constexpr int EventGapFactor = 3;
+constexpr milliseconds MinimumEventSilence{400};
+constexpr milliseconds DefaultEventGap{200};
 /// Weight of the newest stream in the mean time of generation of its route.
 constexpr double GenerationSmoothing = 0.05;
 
@@ -275,8 +280,12 @@
 }
 
 void RequestFlow::watchSend(Milliseconds Expected) {
-  m_WatchTimer.expires_after(std::chrono::duration_cast<BootClock::duration>(
+  armWatch(std::chrono::duration_cast<BootClock::duration>(
       Expected * OverdueFactor + OverdueBase));
+}
+
+void RequestFlow::armWatch(BootClock::duration After) {
+  m_WatchTimer.expires_after(After);
   m_WatchTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
@@ -285,7 +294,7 @@
 }
 
 void RequestFlow::sendOverdue() {
-  if (m_Done || !m_Send || m_AnswerBegun)
+  if (m_Done || !m_Send)
     return;
   // Silence alone ends nothing: only when the request may go elsewhere is the
   // wait given up.
@@ -319,6 +328,17 @@
 
 void RequestFlow::forwardEvents(const std::string &Events) {
   m_Caller->writeStream(Events);
+  if (m_Route.Resumable)
+    watchNextEvent();
+}
+
+/// A server that loses its power or its network sends no reset; its streams
+/// stand still until the caller leaves. A stream that can go on elsewhere is
+/// watched from event to event.
+void RequestFlow::watchNextEvent() {
+  const milliseconds Gap = m_Route.EventGapTarget.value_or(DefaultEventGap);
+  armWatch(std::max<BootClock::duration>(Gap * EventGapFactor,
+                                         MinimumEventSilence));
 }
 
 bool RequestFlow::wantsMore() const {
@@ -557,6 +577,7 @@
        {"deadlineMs", Milliseconds(m_Deadline - m_Started)},
        {"sends", m_Sends},
        {"runs", m_Runs},
+       {"serversSeenMs", Milliseconds(Now - m_Shared.ServersSeen)},
        {"configuration", m_Configuration ? m_Configuration->Version : 0}});
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -76,6 +76,8 @@
   void deadlinePassed();
   void chargeRepeat(SendPurpose Purpose, BootTime Now);
   void watchSend(dispatch::Milliseconds Expected);
+  void watchNextEvent();
+  void armWatch(BootClock::duration After);
   void sendOverdue();
   void noteComputed(const std::string &TargetId);
 
--- /dev/null
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -0,0 +1,138 @@
+//===- StandInPlatform.h - Store, servers and a caller ----------*- C++ -*-===//
+//
+// Small stand-ins of the platform for one gateway, on the loopback: a store
+// with rows and watches, servers whose behaviour a test sets, and a caller. All
+// of them run on the test's loop; the gateway runs on a thread of its own.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibProxy/CallerConnection.h"
+#include "figlift-gateway/Gateway.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace figlift::testing {
+
+using Caller = std::shared_ptr<proxy::CallerConnection>;
+
+/// Accepts connections at a free port and hands requests to a function.
+class Listener : public proxy::RequestHandler {
+public:
+  using Behaviour = std::function<void(const proxy::Request &, Caller)>;
+
+  Listener(boost::asio::io_context &Loop, Behaviour Act);
+
+  Endpoint address() const;
+  void behave(Behaviour Act) { m_Act = std::move(Act); }
+  std::vector<proxy::Request> Requests;
+  /// Requests whose caller left before the answer.
+  int Abandoned = 0;
+
+  std::shared_ptr<proxy::RequestProcess> handle(proxy::Request What,
+                                                Caller From) override;
+  void rejected(unsigned) override {}
+  void closed(proxy::CallerConnection &) override {}
+
+private:
+  class Process;
+  void accept();
+
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  Behaviour m_Act;
+};
+
+/// Rows of the platform's store.
+class StandInStore {
+public:
+  explicit StandInStore(boost::asio::io_context &Loop);
+
+  Endpoint address() const { return m_Listener.address(); }
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value);
+  void remove(const std::string &Table, const std::string &Key);
+  /// Turns every call away until told otherwise.
+  bool Away = false;
+
+private:
+  struct Row {
+    std::string Value;
+    uint64_t Version = 0;
+    bool Removed = false;
+  };
+
+  void handle(const proxy::Request &What, const Caller &From);
+  void watch(const Caller &From, const std::string &Table, uint64_t After,
+             std::chrono::milliseconds Left);
+  std::string rows(const std::string &Table, uint64_t After, bool Removed);
+  void transact(const proxy::Request &What, const Caller &From);
+
+  boost::asio::io_context &m_Loop;
+  Listener m_Listener;
+  std::map<std::string, std::map<std::string, Row>> m_Tables;
+  uint64_t m_Version = 0;
+};
+
+/// One gateway before stand-ins.
+class GatewayScene {
+public:
+  GatewayScene();
+  ~GatewayScene();
+
+  /// Writes the configuration: routes /safe/, /unsafe/, /stream/ (resumable)
+  /// and /once/ (not), to "plain" and "model".
+  void configure(uint64_t Version = 1);
+  /// A server of \p Service that is listed.
+  Listener &server(const std::string &Id, const std::string &Service,
+                   Listener::Behaviour Act, const std::string &Stage = "");
+  void list(const std::string &Id, const std::string &State);
+  /// Sends one request on a connection of its own and gives the whole answer,
+  /// head and body, once the gateway has closed it.
+  std::string ask(const std::string &Method, const std::string &Path,
+                  const std::string &Fields = "");
+  std::string metrics();
+  /// Waits for the answer of the ready address.
+  bool becomesReady(bool Wanted = true);
+  template <typename Condition> bool until(Condition Done) {
+    const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!Done() && std::chrono::steady_clock::now() < End)
+      Loop.run_for(std::chrono::milliseconds(2));
+    return Done();
+  }
+
+  boost::asio::io_context Loop;
+  StandInStore Store{Loop};
+  settings::GatewaySettings Settings;
+
+private:
+  struct Entry {
+    std::unique_ptr<Listener> Server;
+    std::string Service;
+    std::string Stage;
+  };
+  std::string exchange(const Endpoint &Where, const std::string &Bytes);
+
+  std::map<std::string, Entry> m_Servers;
+  gateway::OutputWriter m_Output;
+  std::unique_ptr<gateway::Gateway> m_Gateway;
+  std::thread m_Thread;
+};
+
+/// A whole, signed answer to \p What.
+void answer(const proxy::Request &What, const Caller &To, unsigned Status,
+            const std::string &Body);
+/// An answer that says that nothing ran.
+void turnAway(const Caller &To);
+/// The head of a stream; events follow by writeStream.
+void beginStream(const proxy::Request &What, const Caller &To);
+
+} // namespace figlift::testing
--- /dev/null
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -0,0 +1,278 @@
+//===- TestGateway.cpp - A gateway before stand-ins -----------------------===//
+//
+// What callers and servers see, on real sockets.
+//
+//===----------------------------------------------------------------------===//
+
+#include "StandInPlatform.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::testing;
+
+namespace {
+
+bool has(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+/// Ends the connection without an answer.
+void breakOff(const proxy::Request &, const Caller &To) { To->abort(); }
+
+Listener::Behaviour answersWith(const std::string &Body) {
+  return [Body](const proxy::Request &What, const Caller &To) {
+    answer(What, To, 200, Body);
+  };
+}
+
+const std::string Prompt = "X-Token-Count: 4000,8\r\n"
+                           "X-Prompt-Prefix: a1:2000,b2:2000\r\n";
+
+} // namespace
+
+TEST_GROUP(Gateway) {
+  GatewayScene Scene;
+
+  void serve() {
+    Scene.configure();
+    CHECK(Scene.becomesReady());
+  }
+};
+
+TEST(Gateway, ForwardsARequestAndItsWholeAnswer) {
+  Listener &Server = Scene.server("s1", "plain", answersWith("body"));
+  serve();
+  const std::string Got = Scene.ask("GET", "/safe/x?y=1", "X-Other: kept\r\n");
+  CHECK(has(Got, "HTTP/1.1 200"));
+  CHECK(has(Got, "X-Response-Signature: s"));
+  CHECK(has(Got, "body"));
+  const proxy::RequestHead &Seen = Server.Requests.at(0).Head;
+  STRCMP_EQUAL("/safe/x?y=1", Seen.Target.c_str());
+  CHECK(Seen.Headers.find("X-Other") == "kept");
+  CHECK(Seen.Headers.find("X-Expect-Instance") == "s1");
+}
+
+// Symptom: callers are told that a route does not exist, right after a start.
+// Cause: no configuration was taken for an empty one.
+TEST(Gateway, RefusesBeforeItHasAConfiguration) {
+  const std::string Got = Scene.ask("GET", "/safe/x");
+  CHECK(has(Got, "HTTP/1.1 503"));
+  CHECK(has(Got, "Retry-After"));
+  CHECK(Scene.becomesReady(false));
+}
+
+TEST(Gateway, KnowsNoOtherRoute) {
+  serve();
+  CHECK(has(Scene.ask("GET", "/elsewhere/x"), "HTTP/1.1 404"));
+}
+
+// Symptom: two vans are sent. Sequence: the server takes an unsafe request and
+// its connection breaks. Cause: the break was taken for a refusal.
+TEST(Gateway, SendsUnsafeWorkOnceAndDoesNotCallItNotRun) {
+  Listener &One = Scene.server("s1", "plain", breakOff);
+  Listener &Two = Scene.server("s2", "plain", breakOff);
+  serve();
+  CHECK(has(Scene.ask("POST", "/unsafe/x"), "HTTP/1.1 502"));
+  LONGS_EQUAL(1, One.Requests.size() + Two.Requests.size());
+}
+
+TEST(Gateway, SendsUnsafeWorkAgainThatWasTurnedAway) {
+  const auto Refuse = [](const proxy::Request &, const Caller &To) {
+    turnAway(To);
+  };
+  Listener &One = Scene.server("s1", "plain", Refuse);
+  Listener &Two = Scene.server("s2", "plain", Refuse);
+  serve();
+  const std::string Got = Scene.ask("POST", "/unsafe/x");
+  CHECK(has(Got, "HTTP/1.1 503"));
+  CHECK(has(Got, "Retry-After"));
+  LONGS_EQUAL(1, One.Requests.size());
+  LONGS_EQUAL(1, Two.Requests.size());
+}
+
+TEST(Gateway, RepeatsSafeWorkElsewhere) {
+  int Calls = 0;
+  const auto FailFirst = [&](const proxy::Request &What, const Caller &To) {
+    if (++Calls == 1)
+      To->abort();
+    else
+      answer(What, To, 200, "good");
+  };
+  Scene.server("s1", "plain", FailFirst);
+  Scene.server("s2", "plain", FailFirst);
+  serve();
+  CHECK(has(Scene.ask("GET", "/safe/x"), "good"));
+  LONGS_EQUAL(2, Calls);
+}
+
+// Symptom: a caller gets another request's answer. Sequence: a late answer of
+// an earlier request comes where the next one's is expected. Cause: the echoed
+// id was not compared.
+TEST(Gateway, DeliversNoAnswerToAnotherRequest) {
+  Scene.server("s1", "plain", [](const proxy::Request &, const Caller &To) {
+    proxy::ResponseHead Head;
+    Head.Status = 200;
+    Head.Headers.add("X-Attempt-Id", "other");
+    Head.Headers.add("X-Response-Signature", "s");
+    To->respond(Head, "other's");
+  });
+  serve();
+  const std::string Got = Scene.ask("POST", "/unsafe/x");
+  CHECK(has(Got, "HTTP/1.1 502"));
+  CHECK(!has(Got, "other's"));
+}
+
+TEST(Gateway, DeliversNoSuccessWithoutASignature) {
+  Scene.server("s1", "plain", [](const proxy::Request &, const Caller &To) {
+    proxy::ResponseHead Head;
+    Head.Status = 200;
+    Head.Headers.add("X-Attempt-Id", "a1");
+    To->respond(Head, "unsigned");
+  });
+  serve();
+  CHECK(has(Scene.ask("POST", "/unsafe/x"), "HTTP/1.1 502"));
+}
+
+TEST(Gateway, PassesAServersOwnFailureOn) {
+  Scene.server("s1", "plain", [](const proxy::Request &What, const Caller &To) {
+    answer(What, To, 500, "sorry");
+  });
+  serve();
+  const std::string Got = Scene.ask("POST", "/unsafe/x");
+  CHECK(has(Got, "HTTP/1.1 500"));
+  CHECK(has(Got, "sorry"));
+}
+
+// Symptom: a stream has a gap or a piece twice after a server was lost.
+// Sequence: the first server stops within its second event.
+TEST(Gateway, ContinuesAStreamAfterItsLastWholeEvent) {
+  std::vector<std::string> After;
+  const auto Act = [&](const proxy::Request &What, const Caller &To) {
+    After.emplace_back(What.Head.Headers.find("Last-Event-Id").value_or("none"));
+    beginStream(What, To);
+    if (After.size() == 1) {
+      To->writeStream("id: 1\ndata: a\n\nid: 2\nda");
+      // The bytes have to leave before the connection does.
+      auto Timer = std::make_shared<boost::asio::steady_timer>(Scene.Loop);
+      Timer->expires_after(std::chrono::milliseconds(20));
+      Timer->async_wait([Timer, To](const auto &) { To->abort(); });
+      return;
+    }
+    To->writeStream("id: 2\ndata: b\n\n");
+    To->endStream();
+  };
+  Scene.server("e1", "model", Act, "decode");
+  Scene.server("e2", "model", Act, "decode");
+  serve();
+  const std::string Got = Scene.ask("POST", "/stream/x");
+  CHECK(has(Got, "id: 1\ndata: a\n\n"));
+  CHECK(has(Got, "id: 2\ndata: b\n\n"));
+  CHECK(!has(Got, "id: 2\nda\r"));
+  LONGS_EQUAL(2, After.size());
+  STRCMP_EQUAL("1", After[1].c_str());
+}
+
+TEST(Gateway, CutsAStreamThatMayNotRunAgain) {
+  Listener &One = Scene.server(
+      "e1", "model",
+      [&](const proxy::Request &What, const Caller &To) {
+        beginStream(What, To);
+        To->writeStream("id: 1\n\n");
+        auto Timer = std::make_shared<boost::asio::steady_timer>(Scene.Loop);
+        Timer->expires_after(std::chrono::milliseconds(20));
+        Timer->async_wait([Timer, To](const auto &) { To->abort(); });
+      },
+      "decode");
+  serve();
+  const std::string Got = Scene.ask("POST", "/once/x");
+  CHECK(has(Got, "id: 1\n\n"));
+  CHECK(!has(Got, "0\r\n\r\n"));
+  LONGS_EQUAL(1, One.Requests.size());
+}
+
+TEST(Gateway, ReadsAPromptAtOneEngineAndRunsItAtAnother) {
+  Listener &Reader = Scene.server(
+      "e1", "model",
+      [](const proxy::Request &, const Caller &To) {
+        proxy::ResponseHead Head;
+        Head.Status = 200;
+        To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
+      },
+      "prefill");
+  Listener &Runner = Scene.server(
+      "e2", "model",
+      [](const proxy::Request &What, const Caller &To) {
+        beginStream(What, To);
+        To->writeStream("id: 1\n\n");
+        To->endStream();
+      },
+      "decode");
+  serve();
+  CHECK(has(Scene.ask("POST", "/stream/x", Prompt), "id: 1"));
+  CHECK(Reader.Requests.at(0).Head.Headers.find("X-Stage") == "prefill");
+  const auto Source = Runner.Requests.at(0).Head.Headers.find("X-Kv-Source");
+  CHECK(Source == Reader.address().toString() + "/k1");
+}
+
+// Symptom: an engine works for a caller who has left.
+TEST(Gateway, CancelsWorkWhoseCallerHasLeft) {
+  Listener &Server = Scene.server(
+      "s1", "plain", [](const proxy::Request &, const Caller &) {});
+  serve();
+  {
+    boost::asio::ip::tcp::socket Caller(Scene.Loop);
+    const Endpoint Where = Scene.Settings.Listen.Callers;
+    Caller.connect({boost::asio::ip::make_address_v4(Where.Address),
+                    Where.Port});
+    const std::string Bytes = "GET /safe/x HTTP/1.1\r\nHost: h\r\n\r\n";
+    Caller.write_some(boost::asio::buffer(Bytes));
+    CHECK(Scene.until([&] { return Server.Requests.size() == 1; }));
+  }
+  CHECK(Scene.until([&] { return Server.Abandoned == 1; }));
+}
+
+// Symptom: a leaving server gets requests until it is gone.
+TEST(Gateway, SendsNothingToALeavingServer) {
+  Listener &One = Scene.server("s1", "plain", answersWith("one"));
+  Scene.server("s2", "plain", answersWith("two"));
+  serve();
+  Scene.list("s1", "draining");
+  CHECK(Scene.until([&] {
+    const size_t Before = One.Requests.size();
+    for (int At = 0; At < 4; ++At)
+      Scene.ask("GET", "/safe/x");
+    return One.Requests.size() == Before;
+  }));
+  const size_t Before = One.Requests.size();
+  for (int At = 0; At < 10; ++At)
+    CHECK(has(Scene.ask("GET", "/safe/x"), "two"));
+  LONGS_EQUAL(Before, One.Requests.size());
+}
+
+// Symptom: a route that was changed is served as before, now and then.
+// Sequence: an old row is read after a newer one, from a store that lags.
+TEST(Gateway, NeverGoesBackToAnOlderConfiguration) {
+  Scene.server("s1", "plain", answersWith("one"));
+  Scene.configure(5);
+  CHECK(Scene.becomesReady());
+  Scene.Store.put("op", "config", R"({"version":3,"routes":[],"services":[]})");
+  for (int At = 0; At < 20; ++At)
+    CHECK(has(Scene.ask("GET", "/safe/x"), "one"));
+}
+
+// Symptom: requests wait or fail while the store is away. Cause: a request
+// asked the store.
+TEST(Gateway, ServesWhileTheStoreIsAway) {
+  Scene.server("s1", "plain", answersWith("one"));
+  serve();
+  Scene.Store.Away = true;
+  for (int At = 0; At < 20; ++At)
+    CHECK(has(Scene.ask("GET", "/safe/x"), "one"));
+  CHECK(Scene.becomesReady());
+}
+
+TEST(Gateway, ServesItsMetrics) {
+  serve();
+  CHECK(has(Scene.metrics(), "figlift_gateway_configuration_version 1"));
+}
