--- a/Libraries/LibDispatch/RepeatRules.h
+++ b/Libraries/LibDispatch/RepeatRules.h
@@ -13,6 +13,7 @@
 #include "LibDispatch/LoadBook.h"
 
 #include <chrono>
+#include <string_view>
 #include <variant>
 
 namespace figlift::dispatch {
@@ -35,6 +36,9 @@
 using SendEnd =
     std::variant<NotSent, Rejected, ServerFailed, BrokeOff, TookTooLong>;
 
+/// A few words for the log.
+std::string_view describe(const SendEnd &How);
+
 /// What is known of the request when a send has ended.
 struct RequestProgress {
   /// It may run more than once.
--- a/Libraries/LibProxy/Message.cpp
+++ b/Libraries/LibProxy/Message.cpp
@@ -11,6 +11,7 @@
 #include <ostream>
 
 #include <boost/beast/http/status.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace figlift::proxy {
 
@@ -95,6 +96,21 @@
   return Kept;
 }
 
+std::string requestText(const RequestHead &Head, const HeaderList &Fields,
+                        std::string_view Body) {
+  std::string Text =
+      fmt::format("{} {} HTTP/1.1\r\n", Head.Method, Head.Target);
+  for (const HeaderField &Field : Fields)
+    Text += fmt::format("{}: {}\r\n", Field.Name, Field.Value);
+  const bool HasBody = !Body.empty() || Head.Headers.has("Content-Length") ||
+                       Head.Headers.has("Transfer-Encoding");
+  if (HasBody)
+    Text += fmt::format("Content-Length: {}\r\n", Body.size());
+  Text += "\r\n";
+  Text += Body;
+  return Text;
+}
+
 std::string_view reasonPhrase(unsigned Status) {
   const auto Text = boost::beast::http::obsolete_reason(
       boost::beast::http::int_to_status(Status));
--- a/Libraries/LibProxy/Message.h
+++ b/Libraries/LibProxy/Message.h
@@ -69,6 +69,11 @@
 /// forwarded one would let a caller speak to the target's connection.
 HeaderList endToEndHeaders(const HeaderList &Headers);
 
+/// A whole request as bytes: the line of \p Head with these fields. A body has
+/// its length, also when it came in chunks.
+std::string requestText(const RequestHead &Head, const HeaderList &Fields,
+                        std::string_view Body);
+
 /// Standard text of a status code; "Unknown" for those that have none.
 std::string_view reasonPhrase(unsigned Status);
 
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -6,7 +6,8 @@
 
 #include "LibProxy/RequestParser.h"
 
-#include <boost/asio/buffer.hpp>
+#include "LibProxy/ConsumeInput.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -88,17 +89,7 @@
   // Empty lines between requests are allowed (RFC 9112, 2.2).
   if (m_State == State::Between)
     m_Input.erase(0, m_Input.find_first_not_of("\r\n"));
-  size_t Used = 0;
-  ErrorCode Code;
-  while (Used < m_Input.size() && !m_Grammar->is_done()) {
-    const size_t Taken = m_Grammar->put(
-        boost::asio::buffer(m_Input.data() + Used, m_Input.size() - Used),
-        Code);
-    Used += Taken;
-    if (Code || Taken == 0)
-      break;
-  }
-  m_Input.erase(0, Used);
+  const ErrorCode Code = consume(*m_Grammar, m_Input);
   if (Code && Code != http::error::need_more) {
     if (Code == http::error::header_limit)
       return fail(431);
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -6,7 +6,8 @@
 
 #include "LibProxy/ResponseParser.h"
 
-#include <boost/asio/buffer.hpp>
+#include "LibProxy/ConsumeInput.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -86,21 +87,12 @@
   m_Input.append(Bytes);
   if (m_State == State::Complete || m_State == State::Failed)
     return m_State;
-  size_t Used = 0;
-  ErrorCode Code;
-  while (Used < m_Input.size() && !m_Grammar->is_done()) {
-    const size_t Taken = m_Grammar->put(
-        boost::asio::buffer(m_Input.data() + Used, m_Input.size() - Used),
-        Code);
-    Used += Taken;
-    if (Code || Taken == 0)
-      break;
-    // An interim response ends with its head and says nothing of the final
-    // one.
-    if (m_Grammar->is_done() && m_Grammar->Head.Status / 100 == 1)
-      reset();
+  ErrorCode Code = consume(*m_Grammar, m_Input);
+  // An interim response ends with its head and says nothing of the final one.
+  while (!Code && m_Grammar->is_done() && m_Grammar->Head.Status / 100 == 1) {
+    reset();
+    Code = consume(*m_Grammar, m_Input);
   }
-  m_Input.erase(0, Used);
   if (Code && Code != http::error::need_more)
     return m_State = State::Failed;
   if (m_Grammar->is_done())
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -1,19 +1,16 @@
 //===- RequestFlow.cpp - One request from its caller to its answer --------===//
 //
-// Each public event ends in exactly one of: another send, a part of the
-// answer, or finish().
+// Plans and sends. Each event ends in exactly one of: another send, a part of
+// the answer, or finish(); see RequestAnswer.cpp for the latter two.
 //
 //===----------------------------------------------------------------------===//
 
 #include "RequestFlow.h"
 
-#include "EngineHousekeeping.h"
-
 #include "LibLog/Log.h"
 #include "platform/EngineCalls.h"
 
 #include <charconv>
-#include <spdlog/fmt/fmt.h>
 
 namespace figlift::gateway {
 
@@ -26,31 +23,19 @@
 /// A request without a deadline of its own ends at its route's timeout; the
 /// final answer leaves this much earlier, so that it arrives in time.
 constexpr milliseconds AnswerMargin{15};
-/// Held back for a caller that does not read; more stays at the server.
-constexpr size_t MaximumUnsentBytes = 256 << 10;
 /// A process without a configuration gets one within a read of the store.
 constexpr milliseconds NotReadyRetryAfter{500};
-/// After a failure that says nothing about when it passes.
-constexpr milliseconds FailureRetryAfter{300};
 /// A send is overdue after this many times its expected time and a fixed
 /// part. Sent again too early, work is done twice under load; too late, the
 /// caller has left. Both ends are bounded by the retry budget.
 constexpr double OverdueFactor = 4;
 constexpr Milliseconds OverdueBase{250};
-/// A stream that pauses this many times as long as its route allows for an
-/// event on time is late already; callers leave after eight times.
-constexpr int EventGapFactor = 3;
-constexpr milliseconds MinimumEventSilence{400};
-constexpr milliseconds DefaultEventGap{200};
 /// What a request needs before the end of a process that is stopping: several
 /// times the usual time to a first token, and to the last one.
 constexpr milliseconds EndingReserve{800};
 constexpr double EndingGenerationFactor = 3;
 /// Another gateway takes it at once.
 constexpr milliseconds EndingRetryAfter{50};
-/// Weight of the newest stream in the mean time of generation of its route.
-constexpr double GenerationSmoothing = 0.05;
-
 std::optional<uint64_t> eventNumber(const std::optional<std::string> &Text) {
   uint64_t Number = 0;
   if (!Text ||
@@ -60,43 +45,6 @@
   return Number;
 }
 
-std::string requestBytes(const proxy::Request &Request,
-                         const proxy::HeaderList &Headers) {
-  std::string Text = fmt::format("{} {} HTTP/1.1\r\n", Request.Head.Method,
-                                 Request.Head.Target);
-  for (const proxy::HeaderField &Field : Headers)
-    Text += fmt::format("{}: {}\r\n", Field.Name, Field.Value);
-  const bool HasBody = !Request.Body.empty() ||
-                       Request.Head.Headers.has("Content-Length") ||
-                       Request.Head.Headers.has("Transfer-Encoding");
-  if (HasBody)
-    Text += fmt::format("Content-Length: {}\r\n", Request.Body.size());
-  Text += "\r\n";
-  Text += Request.Body;
-  return Text;
-}
-
-std::string_view nameOf(const SendEnd &How) {
-  struct Namer {
-    std::string_view operator()(const dispatch::NotSent &) const {
-      return "no connection";
-    }
-    std::string_view operator()(const dispatch::Rejected &) const {
-      return "rejected, not run";
-    }
-    std::string_view operator()(const dispatch::ServerFailed &) const {
-      return "server failed";
-    }
-    std::string_view operator()(const dispatch::BrokeOff &) const {
-      return "broke off";
-    }
-    std::string_view operator()(const dispatch::TookTooLong &) const {
-      return "overdue";
-    }
-  };
-  return std::visit(Namer{}, How);
-}
-
 } // namespace
 
 RequestFlow::RequestFlow(Context &Shared, proxy::Request What,
@@ -201,14 +149,6 @@
   return Milliseconds(0);
 }
 
-void RequestFlow::noteGeneration() {
-  const Milliseconds Took(BootClock::now() - m_FirstEvent.value_or(m_Started));
-  const auto [Mean, IsNew] =
-      m_Shared.GenerationTimes.try_emplace(m_Route.Name, Took);
-  if (!IsNew)
-    Mean->second += (Took - Mean->second) * GenerationSmoothing;
-}
-
 void RequestFlow::planPrompt(const dispatch::Service &Which) {
   const BootTime Now = BootClock::now();
   if (m_Sends == 0)
@@ -277,7 +217,8 @@
   ++m_Sends;
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId);
-  if (m_Send->start(requestBytes(m_Request, Headers), Cost, Expected)) {
+  if (m_Send->start(proxy::requestText(m_Request.Head, Headers, m_Request.Body),
+                    Cost, Expected)) {
     chargeRepeat(Purpose, Now);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
@@ -323,50 +264,6 @@
   sendAgain(*Late);
 }
 
-void RequestFlow::sendAnswered(ServerSend &Which) {
-  if (streaming())
-    Which.streamBody();
-}
-
-void RequestFlow::sendBody(ServerSend &Which, std::string Bytes) {
-  const std::string Events = m_Relay.feed(Bytes);
-  if (Events.empty())
-    return;
-  if (!m_AnswerBegun) {
-    Which.noteSpeed();
-    proxy::ResponseHead Head = Which.head();
-    Head.Headers = proxy::endToEndHeaders(Head.Headers);
-    m_AnswerBegun = true;
-    m_FirstEvent = BootClock::now();
-    m_Caller->beginStream(Head);
-  }
-  forwardEvents(Events);
-}
-
-void RequestFlow::forwardEvents(const std::string &Events) {
-  m_Caller->writeStream(Events);
-  if (m_Route.Resumable)
-    watchNextEvent();
-}
-
-/// A server that loses its power or its network sends no reset; its streams
-/// stand still until the caller leaves. A stream that can go on elsewhere is
-/// watched from event to event.
-void RequestFlow::watchNextEvent() {
-  const milliseconds Gap = m_Route.EventGapTarget.value_or(DefaultEventGap);
-  armWatch(
-      std::max<BootClock::duration>(Gap * EventGapFactor, MinimumEventSilence));
-}
-
-bool RequestFlow::wantsMore() const {
-  return m_Done || m_Caller->unsent() < MaximumUnsentBytes;
-}
-
-void RequestFlow::callerReady() {
-  if (m_Send)
-    m_Send->resumeReading();
-}
-
 void RequestFlow::sendCompleted(ServerSend &Which) {
   m_WatchTimer.cancel();
   m_Send = nullptr;
@@ -380,38 +277,6 @@
   forwardWhole(Which);
 }
 
-void RequestFlow::streamEnded(ServerSend &Which) {
-  if (!m_AnswerBegun) {
-    proxy::ResponseHead Head = Which.head();
-    Head.Headers = proxy::endToEndHeaders(Head.Headers);
-    m_Caller->beginStream(Head);
-  }
-  noteGeneration();
-  m_Caller->writeStream(m_Relay.finish());
-  m_Caller->endStream();
-  finish("answered", Which.head().Status, "");
-}
-
-void RequestFlow::forwardWhole(ServerSend &Which) {
-  proxy::ResponseHead Head = Which.head();
-  Head.Headers = proxy::endToEndHeaders(Head.Headers);
-  m_Caller->respond(Head, Which.body());
-  finish("answered", Head.Status, "");
-}
-
-void RequestFlow::passOn(ServerSend &Which) {
-  proxy::ResponseHead Head = Which.head();
-  Head.Headers = proxy::endToEndHeaders(Head.Headers);
-  // These statuses promise that nothing ran, which this server has not said.
-  const bool Promise = Head.Status == 408 || Head.Status == 421 ||
-                       Head.Status == 429 || Head.Status == 503;
-  if (Promise && !Which.fields().Signed)
-    return giveUp(dispatch::OutcomeUnknownStatus, "server failed",
-                  milliseconds(0));
-  m_Caller->respond(Head, Which.body());
-  finish("server-failed", Head.Status, "");
-}
-
 void RequestFlow::noteComputed(const std::string &TargetId) {
   // The last part is this request's own: no other will ask for it.
   const auto &Parts = m_Fields.Prompt->Parts;
@@ -459,7 +324,7 @@
   if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
     log::logRequest(
         log::Level::Info, "send-ended", m_Fields.AttemptId, {},
-        {{"how", nameOf(How)},
+        {{"how", dispatch::describe(How)},
          {"purpose",
           Which.purpose() == SendPurpose::Run ? "run" : "read-prompt"},
          {"target", Which.targetId()},
@@ -501,8 +366,8 @@
   if (std::holds_alternative<dispatch::PassOn>(Next))
     return passOn(Which);
   if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
-    return giveUp(Final->Status, nameOf(How), FailureRetryAfter);
-  cutOff(nameOf(How));
+    return giveUp(Final->Status, dispatch::describe(How), FailureRetryAfter);
+  cutOff(dispatch::describe(How));
 }
 
 void RequestFlow::sendAgain(const ServerSend &After) {
@@ -511,96 +376,4 @@
   plan();
 }
 
-void RequestFlow::releaseHandle() {
-  if (const auto Held = std::exchange(m_Handle, std::nullopt))
-    releaseKvCache(m_Shared, m_Reader, Held->Handle);
-}
-
-void RequestFlow::giveUp(unsigned Status, std::string_view Reason,
-                         milliseconds RetryAfter) {
-  proxy::ResponseHead Head;
-  Head.Status = Status;
-  slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
-  if (Status == dispatch::NotRunStatus)
-    slopes::addRetryAfter(Head.Headers, RetryAfter);
-  m_Caller->respond(Head, {});
-  finish(Status == dispatch::NotRunStatus ? "refused" : "failed", Status,
-         Reason);
-}
-
-void RequestFlow::cutOff(std::string_view Reason) {
-  const auto Caller = m_Caller;
-  finish("cut-off", 0, Reason);
-  Caller->abort();
-}
-
-void RequestFlow::deadlinePassed() {
-  if (m_Done)
-    return;
-  dropSend();
-  if (m_AnswerBegun)
-    return cutOff("the deadline passed");
-  giveUp(m_Runs == 0 ? dispatch::NotRunStatus : dispatch::TimedOutStatus,
-         "the deadline passed", FailureRetryAfter);
-}
-
-void RequestFlow::processEnds() {
-  // An answer that has begun may still end by itself.
-  if (!m_Done && !m_AnswerBegun)
-    deadlinePassed();
-}
-
-void RequestFlow::dropSend() {
-  if (const auto Send = std::exchange(m_Send, nullptr))
-    Send->cancel();
-  releaseHandle();
-}
-
-void RequestFlow::callerGone() {
-  if (m_Done)
-    return;
-  dropSend();
-  finish("caller-gone", 0, "");
-}
-
-void RequestFlow::finish(std::string_view Outcome, unsigned Status,
-                         std::string_view Reason) {
-  if (std::exchange(m_Done, true))
-    return;
-  m_DeadlineTimer.cancel();
-  m_WatchTimer.cancel();
-  const BootTime Now = BootClock::now();
-  const Milliseconds Took(Now - m_Started);
-  const Milliseconds First =
-      m_FirstEvent ? Milliseconds(*m_FirstEvent - m_Started) : Took;
-  const bool Late = First > Milliseconds(m_Route.LatencyTarget);
-  const bool Refused = Outcome == "refused";
-  const bool Plain = Outcome == "answered" && !Late && m_Sends <= 2;
-  const LineKind Kind = Refused ? LineKind::Refused
-                        : Plain ? LineKind::Plain
-                                : LineKind::Notable;
-  noteRequestEnd(m_Shared, m_Route, Outcome, First);
-  if (!m_Shared.Log.allows(Kind, Now))
-    return;
-  log::logRequest(
-      log::Level::Info, "request-ended", m_Fields.AttemptId, {},
-      {{"outcome", Outcome},
-       {"status", Status},
-       {"reason", Reason},
-       {"route", m_Route.Name},
-       {"service", m_Service},
-       {"reader", m_Reader},
-       {"runner", m_Runner},
-       {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
-       {"plannedFirstMs", m_PlannedFirst},
-       {"firstMs", First},
-       {"tookMs", Took},
-       {"targetMs", m_Route.LatencyTarget},
-       {"deadlineMs", Milliseconds(m_Deadline - m_Started)},
-       {"sends", m_Sends},
-       {"runs", m_Runs},
-       {"serversSeenMs", Milliseconds(Now - m_Shared.ServersSeen)},
-       {"configuration", m_Configuration ? m_Configuration->Version : 0}});
-}
-
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -89,6 +89,10 @@
     return m_Route.Kind == dispatch::RouteKind::Streaming;
   }
 
+  /// What a caller is told to wait after a failure that says nothing about when
+  /// it passes: a crashed server is known as gone about that much later.
+  static constexpr std::chrono::milliseconds FailureRetryAfter{300};
+
   Context &m_Shared;
   proxy::Request m_Request;
   std::shared_ptr<proxy::CallerConnection> m_Caller;
