TargetTable: Count the grace of missing entries from the last failure

Sequence: one gateway alone was turned away by the store until 23.5 s, a server left at 23.4 s, the gateway's next call came at 25.0 s (back-off up to 1.8 s), and the entry, now missing, was kept 2.2 s more. Cause: the grace for entries that lapse with the store counted from the first answer. Ruled out: the pause between watches (the watch had been lost). A test that fails first without it.

--- a/Libraries/LibDispatch/TargetTable.cpp
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -6,17 +6,23 @@
 
 #include "LibDispatch/TargetTable.h"
 
+#include <algorithm>
+
 namespace figlift::dispatch {
 
 TargetTable::TargetTable(TargetTableOptions Options) : m_Options(Options) {}
 
-void TargetTable::storeLost() { m_StoreLost = true; }
+void TargetTable::storeLost(BootTime Now) {
+  m_StoreLost = true;
+  m_LastFailure = Now;
+}
 
 void TargetTable::storeAnswered(BootTime Now) {
   if (!m_StoreLost)
     return;
   m_StoreLost = false;
-  m_GraceUntil = Now + m_Options.ReregistrationTime;
+  m_GraceUntil = std::min(Now + m_Options.ReregistrationTime,
+                          m_LastFailure + m_Options.TimeAfterLastFailure);
 }
 
 void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -42,9 +42,13 @@
     std::variant<TargetCame, TargetChanged, TargetDrains, TargetGone>;
 
 struct TargetTableOptions {
-  /// Servers re-register within two seconds of the store's return; 200 ms are
-  /// left for the read that shows it.
-  std::chrono::milliseconds ReregistrationTime{2200};
+  /// Servers re-register within two seconds of the store's return.
+  std::chrono::milliseconds ReregistrationTime{2000};
+  /// The store may have returned any time after the last call that failed. An
+  /// entry that is missing this long after that call is gone: counted from the
+  /// first answer alone, a server that had left got requests for longer than
+  /// the platform allows, as calls are rare while the store is away.
+  std::chrono::milliseconds TimeAfterLastFailure{2300};
 };
 
 class TargetTable {
@@ -52,7 +56,7 @@
   explicit TargetTable(TargetTableOptions Options = {});
 
   /// The store could not be reached, or turned this process away.
-  void storeLost();
+  void storeLost(BootTime Now);
   bool storeIsLost() const { return m_StoreLost; }
   /// A whole list as of one moment.
   std::vector<TargetEvent> replaceAll(const std::vector<Target> &Listed,
@@ -77,6 +81,8 @@
   /// Entries that the store no longer lists, and may list again.
   std::set<std::string> m_Missing;
   bool m_StoreLost = false;
+  /// The last call that failed.
+  BootTime m_LastFailure{};
   /// Until then a missing entry may be on its way back.
   std::optional<BootTime> m_GraceUntil;
 };
--- a/Services/figlift-gateway/StoreFollower.h
+++ b/Services/figlift-gateway/StoreFollower.h
@@ -39,7 +39,7 @@
   /// The delay doubles with each failure in a row up to this: refused calls are
   /// paid for, too. The platform counts a process as in touch again three
   /// seconds after the store's return.
-  std::chrono::milliseconds MaximumRetryDelay{900};
+  std::chrono::milliseconds MaximumRetryDelay{400};
 };
 
 class StoreFollower {
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -48,19 +48,36 @@
 // Cause: the empty list was taken at its word.
 TEST(TargetTable, KeepsEntriesThatLapsedWhileTheStoreWasAway) {
   Table.replaceAll({target("a"), target("b")}, Now);
-  Table.storeLost();
+  Table.storeLost(Now);
   pass(milliseconds(8000));
+  Table.storeLost(Now);
+  pass(milliseconds(200));
   CHECK(Table.replaceAll({}, Now).empty());
   LONGS_EQUAL(2, Table.all().size());
   pass(milliseconds(1000));
   Table.update(target("a"), Now);
-  pass(milliseconds(1300));
+  CHECK(Table.tick(Now).empty());
+  pass(milliseconds(1000));
   const auto Events = Table.tick(Now);
   LONGS_EQUAL(1, Events.size());
   STRCMP_EQUAL("b", std::get<TargetGone>(Events[0]).Id.c_str());
   CHECK(Table.find("a") != nullptr);
 }
 
+// Symptom: a server gets requests three seconds after its entry was removed.
+// Sequence: this process alone is cut off from the store; a server leaves; the
+// store takes calls again right after the last one that failed, and the next
+// call comes 800 ms later.
+// Cause: the grace for entries that lapsed counted from the first answer.
+TEST(TargetTable, CountsTheGraceFromTheLastFailure) {
+  Table.replaceAll({target("a")}, Now);
+  Table.storeLost(Now);
+  pass(milliseconds(800));
+  CHECK(Table.replaceAll({}, Now).empty());
+  pass(milliseconds(1600));
+  LONGS_EQUAL(1, Table.tick(Now).size());
+}
+
 // Symptom: a server that left long ago gets requests again and again.
 // Cause: the grace after an outage applied to every removal since.
 TEST(TargetTable, DropsEntriesAtOnceWhileTheStoreIsSound) {
@@ -71,9 +88,9 @@
 
 TEST(TargetTable, DoesNotEndTheGraceDuringAnotherOutage) {
   Table.replaceAll({target("a")}, Now);
-  Table.storeLost();
+  Table.storeLost(Now);
   Table.replaceAll({}, Now);
-  Table.storeLost();
+  Table.storeLost(Now);
   pass(milliseconds(5000));
   CHECK(Table.tick(Now).empty());
   CHECK(Table.find("a") != nullptr);
