LibHttp: Bound heads, connections and the depth of JSON

Cause: cpprestsdk's listener gathers the head of a request until its end, however far that is, and JSON bodies were parsed to any depth; an entry grew by over a hundred megabytes (TestEndlessInput, known red).

The listener now stands on LibProxy's connection code, as the gateway does: one listener less in the tree, heads and connections bounded, a caller who leaves noticed at once, a stream that is cut for want of reading never ended as if it were whole. Bodies are counted through before they are parsed.

Ruled out: a bound in front of cpprestsdk (it reads the socket itself).

--- a/Libraries/LibConfig/OperatorService.cpp
+++ b/Libraries/LibConfig/OperatorService.cpp
@@ -8,6 +8,7 @@
 
 #include "LibConfig/ChangeRunner.h"
 #include "LibConfig/OperatorJson.h"
+#include "LibHttp/JsonBody.h"
 #include "LibHttp/Problem.h"
 #include "LibRecord/RecordText.h"
 
@@ -180,7 +181,7 @@
 
 Result<ChangeRequest>
 OperatorService::submission(const http::Request &Request) {
-  Json Body = Json::parse(Request.Body, nullptr, false);
+  FIGLIFT_TRY(Body, http::parseJsonBody(Request.Body));
   auto Invalid = [](const char *Allowed, const char *Field) {
     return failure(ResultCode::InvalidInput, std::string("allowed: ") + Allowed,
                    Field);
--- a/Libraries/LibHttp/Message.h
+++ b/Libraries/LibHttp/Message.h
@@ -1,7 +1,7 @@
 //===- Message.h - HTTP requests and responses ------------------*- C++ -*-===//
 //
 // The form in which handlers see HTTP: plain data, so that they can be tested
-// without a listener and cpprestsdk shows in this library alone.
+// without a listener and the connection code shows in this library alone.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -99,13 +99,11 @@
 }
 
 void CallerConnection::rejectInput(unsigned Status) {
-  m_Handler.rejected(Status);
+  const Rejection Answer = m_Handler.rejected(Status);
   m_CloseWanted = true;
   // What follows input that could not be read has no known beginning.
   m_Lingering = true;
-  ResponseHead Head;
-  Head.Status = Status;
-  respond(Head, {});
+  respond(Answer.Head, Answer.Body);
 }
 
 std::string CallerConnection::headText(const ResponseHead &Head,
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -36,14 +36,26 @@
   virtual void processEnds() {}
 };
 
+/// The answer to input that is no request.
+struct Rejection {
+  ResponseHead Head;
+  std::string Body = {};
+};
+/// Without a body.
+inline Rejection rejectionOf(unsigned Status) {
+  Rejection Answer;
+  Answer.Head.Status = Status;
+  return Answer;
+}
+
 class RequestHandler {
 public:
   virtual ~RequestHandler() = default;
   /// Takes a whole request. The result lives until the response is complete.
   virtual std::shared_ptr<RequestProcess>
   handle(Request What, std::shared_ptr<CallerConnection> Caller) = 0;
-  /// A request that could not be read was answered with \p Status.
-  virtual void rejected(unsigned Status) = 0;
+  /// A request could not be read; returns what is answered, with \p Status.
+  virtual Rejection rejected(unsigned Status) = 0;
   /// The connection is over.
   virtual void closed(CallerConnection &Caller) = 0;
 };
@@ -62,6 +74,8 @@
                    RequestHandler &Handler);
 
   void start();
+  /// All members are called on it alone.
+  auto executor() { return m_Socket.get_executor(); }
 
   /// \name Response to the request at hand; a whole one, or a stream.
   /// @{
--- a/Services/figlift-entry/CompletionRequest.cpp
+++ b/Services/figlift-entry/CompletionRequest.cpp
@@ -8,6 +8,7 @@
 
 #include "figlift-entry/CallerRequest.h"
 
+#include "LibHttp/JsonBody.h"
 #include "figlift-entry/Digest.h"
 #include "figlift-entry/RequestHeaders.h"
 
@@ -164,7 +165,7 @@
                                      const ReadContext &With) {
   CallerRequest Read;
   FIGLIFT_TRY(readHeaders(From, With, Read));
-  const json Body = json::parse(From.Body, nullptr, /*allow_exceptions=*/false);
+  FIGLIFT_TRY(Body, http::parseJsonBody(From.Body));
   if (!Body.is_object())
     return invalid("the body is not a JSON object", "body");
   FIGLIFT_TRY(refuseUnsupported(Body));
--- a/Services/figlift-entry/Entry.cpp
+++ b/Services/figlift-entry/Entry.cpp
@@ -276,6 +276,7 @@
   Options.Listen = m_Settings.Listen.Callers;
   Options.MaximumBodyBytes = m_Settings.Limits.RequestBytes.Bytes;
   Options.MaximumRequests = m_Settings.Limits.RequestsInFlight;
+  Options.Threads = m_Settings.Threads.Http;
   FIGLIFT_TRY(Callers, http::Server::create(Options, std::move(Routes)));
   m_Callers = std::move(Callers);
   return success();
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -219,9 +219,10 @@
   return Flow;
 }
 
-void Gateway::rejected(unsigned Status) {
+proxy::Rejection Gateway::rejected(unsigned Status) {
   if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
     log::logEvent(log::Level::Info, "input-rejected", {{"status", Status}});
+  return proxy::rejectionOf(Status);
 }
 
 void Gateway::closed(proxy::CallerConnection &Caller) {
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -40,7 +40,7 @@
   std::shared_ptr<proxy::RequestProcess>
   handle(proxy::Request What,
          std::shared_ptr<proxy::CallerConnection> Caller) override;
-  void rejected(unsigned Status) override;
+  proxy::Rejection rejected(unsigned Status) override;
   void closed(proxy::CallerConnection &Caller) override;
 
 private:
--- a/Services/figlift-gateway/TextServer.h
+++ b/Services/figlift-gateway/TextServer.h
@@ -39,7 +39,9 @@
   std::shared_ptr<proxy::RequestProcess>
   handle(proxy::Request What,
          std::shared_ptr<proxy::CallerConnection> Caller) override;
-  void rejected(unsigned) override {}
+  proxy::Rejection rejected(unsigned Status) override {
+    return proxy::rejectionOf(Status);
+  }
   void closed(proxy::CallerConnection &) override {}
 
 private:
--- a/Tests/BadInput/TestBadInput.cpp
+++ b/Tests/BadInput/TestBadInput.cpp
@@ -300,6 +300,19 @@
   }
 }
 
+TEST(EndlessInput, DeepJsonIsNotBuilt) {
+  // Symptom: the process grows by a hundred megabytes. Sequence: bodies of
+  // nothing but brackets, within the limit for bodies, to callers' and
+  // operators' paths. Cause: a parser keeps a record for each open bracket.
+  for (const char *Path : {"/v1/completions", "/v1/chat/completions"})
+    for (const char *Bracket : {"[", "{\"a\":"}) {
+      std::string Body;
+      while (Body.size() < 2 * Mebibyte)
+        Body += Bracket;
+      expectNamed(Path, Body, "body");
+    }
+}
+
 TEST(BadInput, GarbageOnHttpListenersEndsTheConnection) {
   for (const Endpoint &Port : httpPorts())
     for (const std::string &Bytes :
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -40,7 +40,9 @@
 
   std::shared_ptr<proxy::RequestProcess> handle(proxy::Request What,
                                                 Caller From) override;
-  void rejected(unsigned) override {}
+  proxy::Rejection rejected(unsigned Status) override {
+    return proxy::rejectionOf(Status);
+  }
   void closed(proxy::CallerConnection &) override {}
 
 private:
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -276,3 +276,52 @@
   Caller.send("GET /timeline?after=yesterday HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(holds(Caller.readUntil("}"), "400"));
 }
+
+TEST(HttpServer, AHeadWithoutAnEndIsRefusedAndNotKept) {
+  // Symptom: the process grows with one header line until it is killed.
+  // Sequence: a caller sends a header that never ends. Cause: the head is
+  // gathered until its end, however far that is.
+  start({route("POST", "/v1/", echo)});
+  Connection Caller(Port);
+  Caller.send("GET /v1/x HTTP/1.1\r\nHost: x\r\nX-Long: ");
+  Caller.send(std::string(1u << 20, 'x'));
+  const std::string Refused = Caller.readUntil("}");
+  CHECK(holds(Refused, "431"));
+  CHECK(holds(Refused, "\"code\":102"));
+}
+
+TEST(HttpServer, ACallerWhoReadsTooSlowlyIsCutOff) {
+  // Symptom: the process holds a whole answer for one caller; or that caller
+  // takes the part it got for the whole. Sequence: a stream is written to a
+  // caller who does not read. Cause: no bound on what is held back, or an end
+  // in good order after a part was left out.
+  std::promise<std::shared_ptr<EventStream>> Opened;
+  std::atomic<bool> Gone{false};
+  start({route("POST", "/v1/", [&](auto Call) {
+    Opened.set_value(Call->startEvents({}, [&] { Gone = true; }));
+  })});
+  Connection Caller(Port);
+  Caller.send("POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  const auto Stream = Opened.get_future().get();
+  const std::string Event(1u << 20, 'x');
+  CHECK(eventually([&] { return !Stream->send(Event); }));
+  CHECK(eventually([&] { return Gone.load(); }));
+  Stream->close();
+  CHECK_EQUAL(0u, Running->requestsInFlight());
+  CHECK_FALSE(holds(Caller.readUntil("\r\n0\r\n\r\n"), "\r\n0\r\n\r\n"));
+}
+
+TEST(HttpServer, AnAnswerGivenBeforeTheStopArrivesWhole) {
+  // Symptom: the last answers of a process that leaves are cut. Sequence: an
+  // answer is given, the count of requests is zero, the server stops. Cause:
+  // connections are closed with bytes that have not left.
+  std::promise<std::shared_ptr<Exchange>> Held;
+  start({route("POST", "/v1/", [&](auto Call) { Held.set_value(Call); })});
+  Connection Caller(Port);
+  Caller.send("POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  const std::string Body(1u << 20, 'x');
+  Held.get_future().get()->reply({.Status = 200, .Body = Body + "END"});
+  std::thread Stopper([&] { Running->stop(); });
+  CHECK(holds(Caller.readUntil("END"), "END"));
+  Stopper.join();
+}
--- a/Tests/LibProxy/TestCallerConnection.cpp
+++ b/Tests/LibProxy/TestCallerConnection.cpp
@@ -36,7 +36,10 @@
       answer("ok");
     return Process;
   }
-  void rejected(unsigned Status) override { Rejected = Status; }
+  Rejection rejected(unsigned Status) override {
+    Rejected = Status;
+    return rejectionOf(Status);
+  }
   void closed(CallerConnection &) override { Closed = true; }
   void answer(std::string_view Body) {
     ResponseHead Head;
