RequestFlow: Log how long the read and the run took, and were planned to

Cause looked for: where the time to the first token goes under a burst. The line of a request named only the whole.

--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -174,6 +174,9 @@
   const Milliseconds Took(Now - m_Started);
   const Milliseconds First =
       m_FirstEvent ? Milliseconds(*m_FirstEvent - m_Started) : Took;
+  const Milliseconds RunFirst =
+      m_FirstEvent && m_RunSent ? Milliseconds(*m_FirstEvent - *m_RunSent)
+                                : Milliseconds(0);
   const bool Late = First > Milliseconds(m_Route.LatencyTarget);
   const bool Refused = Outcome == "refused";
   const bool Plain = Outcome == "answered" && !Late && m_Sends <= 2;
@@ -195,6 +198,10 @@
        {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
        {"plannedFirstMs", m_PlannedFirst},
        {"firstMs", First},
+       {"plannedReadMs", m_PlannedRead},
+       {"readMs", m_ReadTook},
+       {"plannedRunMs", m_PlannedRun},
+       {"runFirstMs", RunFirst},
        {"tookMs", Took},
        {"targetMs", m_Route.LatencyTarget},
        {"deadlineMs", Milliseconds(m_Deadline - m_Started)},
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -188,12 +188,15 @@
 
 void RequestFlow::startRead(const dispatch::ReadThenRun &Plan) {
   m_Reader = Plan.Reader;
+  m_PlannedRead = Plan.Expected;
   send(Plan.Reader, Plan.FetchFrom, SendPurpose::ReadPrompt, Plan.Cost,
        Plan.Expected);
 }
 
 void RequestFlow::startRun(const dispatch::RunAt &Plan) {
   m_Runner = Plan.Runner;
+  m_PlannedRun = Plan.Expected;
+  m_RunSent = BootClock::now();
   send(Plan.Runner, Plan.FetchFrom, SendPurpose::Run, Plan.Cost, Plan.Expected);
 }
 
@@ -295,6 +298,7 @@
   if (!Read || !Reader)
     return sendEnded(Which, dispatch::BrokeOff{});
   noteComputed(Which.targetId());
+  m_ReadTook = BootClock::now() - Which.started();
   m_Handle = slopes::KvSource{Reader->Address.toString(), Read.value().Handle};
   const BootTime Now = BootClock::now();
   const dispatch::Service *Service = m_Configuration->service(m_Service);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -114,6 +114,14 @@
   dispatch::EventRelay m_Relay;
   std::optional<BootTime> m_FirstEvent;
   dispatch::Milliseconds m_PlannedFirst{0};
+  /// \name The newest read of the prompt and the newest run, for the log: as
+  /// planned when they were sent, and when the run was sent.
+  /// @{
+  dispatch::Milliseconds m_PlannedRead{0};
+  dispatch::Milliseconds m_ReadTook{0};
+  dispatch::Milliseconds m_PlannedRun{0};
+  std::optional<BootTime> m_RunSent;
+  /// @}
   unsigned m_Sends = 0;
   unsigned m_Runs = 0;
   /// A read, or a run, of this request has reached a server.
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -1,89 +1,24 @@
 //===- StandInPlatform.h - Store, servers and a caller ----------*- C++ -*-===//
 //
-// Small stand-ins of the platform for one gateway, on the loopback: a store
-// with rows and watches, servers whose behaviour a test sets, and a caller. All
-// of them run on the test's loop; the gateway runs on a thread of its own.
+// Small stand-ins of the platform for one gateway, on the loopback: a store,
+// servers whose behaviour a test sets, and a caller. All of them run on the
+// test's loop; the gateway runs on a thread of its own.
 //
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
-#include "LibProxy/CallerConnection.h"
-#include "figlift-gateway/Gateway.h"
+#include "StandInStore.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "figlift-gateway/Gateway.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace figlift::testing {
 
-using Caller = std::shared_ptr<proxy::CallerConnection>;
-
-/// Accepts connections at a free port and hands requests to a function.
-class Listener : public proxy::RequestHandler {
-public:
-  using Behaviour = std::function<void(const proxy::Request &, Caller)>;
-
-  Listener(boost::asio::io_context &Loop, Behaviour Act);
-
-  Endpoint address() const;
-  void behave(Behaviour Act) { m_Act = std::move(Act); }
-  std::vector<proxy::Request> Requests;
-  /// Requests whose caller left before the answer.
-  int Abandoned = 0;
-
-  std::shared_ptr<proxy::RequestProcess> handle(proxy::Request What,
-                                                Caller From) override;
-  proxy::Rejection rejected(unsigned Status) override {
-    return proxy::rejectionOf(Status);
-  }
-  void closed(proxy::CallerConnection &) override {}
-
-private:
-  class Process;
-  void accept();
-
-  boost::asio::ip::tcp::acceptor m_Acceptor;
-  Behaviour m_Act;
-};
-
-/// Rows of the platform's store.
-class StandInStore {
-public:
-  explicit StandInStore(boost::asio::io_context &Loop);
-
-  Endpoint address() const { return m_Listener.address(); }
-  void put(const std::string &Table, const std::string &Key,
-           const std::string &Value);
-  void remove(const std::string &Table, const std::string &Key);
-  /// Turns every call away until told otherwise.
-  bool Away = false;
-
-private:
-  struct Row {
-    std::string Value;
-    uint64_t Version = 0;
-    bool Removed = false;
-  };
-
-  void handle(const proxy::Request &What, const Caller &From);
-  void watch(const Caller &From, const std::string &Table, uint64_t After,
-             std::chrono::milliseconds Left);
-  std::string rows(const std::string &Table, uint64_t After, bool Removed);
-  void transact(const proxy::Request &What, const Caller &From);
-
-  boost::asio::io_context &m_Loop;
-  Listener m_Listener;
-  std::map<std::string, std::map<std::string, Row>> m_Tables;
-  uint64_t m_Version = 0;
-};
-
 /// One gateway before stand-ins.
 class GatewayScene {
 public:
--- /dev/null
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -0,0 +1,173 @@
+//===- StandInStore.cpp - Listener and store of the platform --------------===//
+//
+// See StandInStore.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "StandInStore.h"
+
+#include "platform/StoreClient.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace figlift::testing {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often a watch looks for changes.
+constexpr milliseconds WatchStep{10};
+
+/// The value of \p Name in the query of a request line's target.
+std::string queryValue(const std::string &Target, const std::string &Name) {
+  const size_t At = Target.find(Name + "=");
+  if (At == std::string::npos)
+    return {};
+  const size_t Begin = At + Name.size() + 1;
+  return Target.substr(Begin, Target.find('&', Begin) - Begin);
+}
+
+void respond(const Caller &To, unsigned Status, const std::string &Body) {
+  proxy::ResponseHead Head;
+  Head.Status = Status;
+  To->respond(Head, Body);
+}
+
+} // namespace
+
+class Listener::Process : public proxy::RequestProcess {
+public:
+  explicit Process(Listener &Owner) : m_Owner(Owner) {}
+  void callerGone() override { ++m_Owner.Abandoned; }
+
+private:
+  Listener &m_Owner;
+};
+
+Listener::Listener(asio::io_context &Loop, Behaviour Act)
+    : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
+      m_Act(std::move(Act)) {
+  accept();
+}
+
+Endpoint Listener::address() const {
+  return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
+}
+
+void Listener::accept() {
+  m_Acceptor.async_accept([this](const auto &Code, tcp::socket Socket) {
+    if (Code)
+      return;
+    std::make_shared<proxy::CallerConnection>(std::move(Socket),
+                                              proxy::CallerLimits{}, *this)
+        ->start();
+    accept();
+  });
+}
+
+std::shared_ptr<proxy::RequestProcess> Listener::handle(proxy::Request What,
+                                                        Caller From) {
+  Requests.push_back(What);
+  m_Act(What, From);
+  return std::make_shared<Process>(*this);
+}
+
+StandInStore::StandInStore(asio::io_context &Loop)
+    : m_Loop(Loop),
+      m_Listener(Loop, [this](const auto &What, const Caller &To) {
+        handle(What, To);
+      }) {}
+
+void StandInStore::put(const std::string &Table, const std::string &Key,
+                       const std::string &Value) {
+  m_Tables[Table][Key] = {Value, ++m_Version, false};
+}
+
+void StandInStore::remove(const std::string &Table, const std::string &Key) {
+  m_Tables[Table][Key] = {"", ++m_Version, true};
+}
+
+std::string StandInStore::rows(const std::string &Table, uint64_t After,
+                               bool Removed) {
+  Json List = Json::array();
+  for (const auto &[Key, Each] : m_Tables[Table])
+    if (Each.Version > After && (Removed || !Each.Removed))
+      List.push_back({{"table", Table},
+                      {"part", ""},
+                      {"key", Key},
+                      {"value", slopes::encodeBase64(Each.Value)},
+                      {"ver", Each.Version},
+                      {"tombstone", Each.Removed}});
+  return Json{{"rows", List}, {"morePages", false}, {"ver", m_Version}}.dump();
+}
+
+void StandInStore::after(milliseconds Time, std::function<void()> Then) {
+  auto Timer = std::make_shared<asio::steady_timer>(m_Loop);
+  Timer->expires_after(Time);
+  Timer->async_wait([Timer, Then = std::move(Then)](const auto &) { Then(); });
+}
+
+void StandInStore::reply(const Caller &To, unsigned Status,
+                         const std::string &Body) {
+  if (Silent)
+    return;
+  if (LosesAnswers > 0 && drand48() < LosesAnswers)
+    return To->abort();
+  respond(To, Status, Body);
+}
+
+void StandInStore::handle(const proxy::Request &What, const Caller &From) {
+  if (Silent)
+    return;
+  if (Delay == milliseconds(0))
+    return serve(What, From);
+  after(Delay, [this, What, From] { serve(What, From); });
+}
+
+void StandInStore::serve(const proxy::Request &What, const Caller &From) {
+  const std::string &Target = What.Head.Target;
+  if (Away)
+    return respond(From, 503, "");
+  const std::string Table = queryValue(Target, "table");
+  if (Target.starts_with("/v1/rows-get"))
+    return reply(From, 200, rows(Table, 0, false));
+  if (Target.starts_with("/v1/rows-feed") && Forgetful)
+    return respond(From, 410, "");
+  if (Target.starts_with("/v1/rows-feed"))
+    return watch(From, Table, std::stoull(queryValue(Target, "after")),
+                 milliseconds(std::stoul(queryValue(Target, "waitMs"))));
+  transact(What, From);
+}
+
+void StandInStore::watch(const Caller &From, const std::string &Table,
+                         uint64_t After, milliseconds Left) {
+  bool Changed = false;
+  for (const auto &[Key, Each] : m_Tables[Table])
+    Changed = Changed || Each.Version > After;
+  if (Changed || Left <= milliseconds(0) || Away)
+    return reply(From, Away ? 503 : 200, rows(Table, After, true));
+  after(WatchStep, [this, From, Table, After, Left] {
+    watch(From, Table, After, Left - WatchStep);
+  });
+}
+
+void StandInStore::transact(const proxy::Request &What, const Caller &From) {
+  const Json Body = Json::parse(What.Body);
+  for (const Json &Each : Body["expected"]) {
+    const Row &Now = m_Tables[Each["table"]][Each["key"]];
+    const uint64_t Version = Now.Removed ? 0 : Now.Version;
+    if (Version != Each["ver"].get<uint64_t>())
+      return reply(From, 412, "{}");
+  }
+  for (const Json &Each : Body["setKeys"])
+    put(Each["table"], Each["key"],
+        slopes::decodeBase64(Each["value"].get<std::string>()).value());
+  reply(From, 200, Json{{"ver", m_Version}}.dump());
+}
+
+} // namespace figlift::testing
--- /dev/null
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -0,0 +1,102 @@
+//===- StandInStore.h - Listener and store of the platform ------*- C++ -*-===//
+//
+// A listener whose behaviour a test sets, and on it a stand-in of the
+// platform's store: rows, watches, transactions, and the ways in which it
+// misbehaves. Both run on the test's loop.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Endpoint.h"
+#include "LibProxy/CallerConnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figlift::testing {
+
+using Caller = std::shared_ptr<proxy::CallerConnection>;
+
+/// Accepts connections at a free port and hands requests to a function.
+class Listener : public proxy::RequestHandler {
+public:
+  using Behaviour = std::function<void(const proxy::Request &, Caller)>;
+
+  Listener(boost::asio::io_context &Loop, Behaviour Act);
+
+  Endpoint address() const;
+  void behave(Behaviour Act) { m_Act = std::move(Act); }
+  std::vector<proxy::Request> Requests;
+  /// Requests whose caller left before the answer.
+  int Abandoned = 0;
+
+  std::shared_ptr<proxy::RequestProcess> handle(proxy::Request What,
+                                                Caller From) override;
+  proxy::Rejection rejected(unsigned Status) override {
+    return proxy::rejectionOf(Status);
+  }
+  void closed(proxy::CallerConnection &) override {}
+
+private:
+  class Process;
+  void accept();
+
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  Behaviour m_Act;
+};
+
+/// Rows of the platform's store.
+class StandInStore {
+public:
+  explicit StandInStore(boost::asio::io_context &Loop);
+
+  Endpoint address() const { return m_Listener.address(); }
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value);
+  void remove(const std::string &Table, const std::string &Key);
+  /// \name How it misbehaves, until told otherwise.
+  /// @{
+  /// Turns every call away.
+  bool Away = false;
+  /// Takes calls and never answers.
+  bool Silent = false;
+  /// Answers this much later.
+  std::chrono::milliseconds Delay{0};
+  /// Does what it is told and breaks the connection instead of answering, for
+  /// this share of the calls.
+  double LosesAnswers = 0;
+  /// Knows no history: watches are told to read anew.
+  bool Forgetful = false;
+  /// @}
+
+private:
+  struct Row {
+    std::string Value;
+    uint64_t Version = 0;
+    bool Removed = false;
+  };
+
+  void handle(const proxy::Request &What, const Caller &From);
+  void serve(const proxy::Request &What, const Caller &From);
+  void reply(const Caller &To, unsigned Status, const std::string &Body);
+  void after(std::chrono::milliseconds Time, std::function<void()> Then);
+  void watch(const Caller &From, const std::string &Table, uint64_t After,
+             std::chrono::milliseconds Left);
+  std::string rows(const std::string &Table, uint64_t After, bool Removed);
+  void transact(const proxy::Request &What, const Caller &From);
+
+  boost::asio::io_context &m_Loop;
+  Listener m_Listener;
+  std::map<std::string, std::map<std::string, Row>> m_Tables;
+  uint64_t m_Version = 0;
+};
+
+} // namespace figlift::testing
--- /dev/null
+++ b/Tests/Soak/Disturber.cpp
@@ -0,0 +1,170 @@
+//===- Disturber.cpp - Seeded faults, one after and over another ----------===//
+//
+// See Disturber.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Disturber.h"
+
+#include <algorithm>
+#include <array>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace figlift::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr size_t MostAtOnce = 3;
+constexpr std::array LinkFaults = {LinkFault::Cut, LinkFault::Freeze,
+                                   LinkFault::LoseRequests,
+                                   LinkFault::LoseAnswers, LinkFault::Delay};
+constexpr std::array Manners = {Manner::Fails,   Manner::BreaksOff,
+                                Manner::Late,    Manner::Garbles,
+                                Manner::Full,    Manner::Silent};
+} // namespace
+
+unsigned Disturber::draw(unsigned From, unsigned To) {
+  return std::uniform_int_distribution<unsigned>(From, To)(m_Random);
+}
+
+BootTime Disturber::later(BootTime Now, unsigned From, unsigned To) {
+  return Now + milliseconds(draw(From, To));
+}
+
+bool Disturber::isOpen(const std::string &Name) const {
+  return std::any_of(m_Open.begin(), m_Open.end(),
+                     [&](const Open &Each) { return Each.Name == Name; });
+}
+
+void Disturber::open(const std::string &Name, const std::string &Whom,
+                     BootTime Until, std::function<void()> Mend) {
+  m_Open.push_back({Name, Whom, Until, std::move(Mend)});
+}
+
+void Disturber::tick(BootTime Now, bool May) {
+  for (const Open &Each : m_Open)
+    m_Book.disturbed(Each.Whom, Now);
+  std::vector<Open> Over;
+  std::erase_if(m_Open, [&](Open &Each) {
+    if (Now < Each.Until)
+      return false;
+    Over.push_back(std::move(Each));
+    return true;
+  });
+  for (const Open &Each : Over)
+    Each.Mend();
+  if (!May || Now < m_Next || m_Open.size() >= MostAtOnce)
+    return;
+  m_Next = later(Now, 50, 1200);
+  begin(Now);
+}
+
+void Disturber::begin(BootTime Now) {
+  switch (draw(0, 9)) {
+  case 0:
+  case 1:
+  case 2:
+    return beginSignal(Now);
+  case 3:
+  case 4:
+    return beginLink(Now);
+  case 5:
+    return beginStore(Now);
+  case 6:
+    return beginServer(Now);
+  case 7:
+    return beginLeaving(Now);
+  default:
+    m_History.push_back("a configuration");
+    m_Fleet.configure();
+  }
+}
+
+void Disturber::beginSignal(BootTime Now) {
+  const unsigned Which = draw(0, m_Fleet.gateways() - 1);
+  const std::string Who = m_Fleet.gatewayName(Which);
+  const auto What = static_cast<Signal>(draw(0, 3));
+  const std::string Name = fmt::format("signal {} to {}",
+                                       static_cast<int>(What), Who);
+  if (isOpen(Name))
+    return;
+  m_History.push_back(Name);
+  if (What != Signal::HangUp && What != Signal::Terminate)
+    m_Book.disturbed(Who, Now);
+  m_Fleet.signal(Which, What);
+  if (What == Signal::Pause)
+    open(Name, Who, later(Now, 100, 4000),
+         [this, Which] { m_Fleet.wake(Which); });
+}
+
+void Disturber::beginLink(BootTime Now) {
+  const LinkFault How = LinkFaults[draw(0, LinkFaults.size() - 1)];
+  const unsigned Kind = draw(0, 2);
+  const unsigned Which =
+      draw(0, (Kind == 2 ? m_Fleet.servers() : m_Fleet.gateways()) - 1);
+  const std::string Name = fmt::format("link {} {}", Kind, Which);
+  if (isOpen(Name))
+    return;
+  m_History.push_back(fmt::format("{} fault {}", Name, static_cast<int>(How)));
+  const auto Set = [this, Kind, Which](LinkFault Fault) {
+    if (Kind == 0)
+      m_Fleet.storeLink(Which, Fault);
+    else if (Kind == 1)
+      m_Fleet.callerLink(Which, Fault);
+    else
+      m_Fleet.serverLink(Which, Fault);
+  };
+  Set(How);
+  open(Name, Kind == 2 ? PromiseBook::Everything : m_Fleet.gatewayName(Which),
+       later(Now, 200, 4000), [Set] { Set(LinkFault::Mended); });
+}
+
+void Disturber::beginStore(BootTime Now) {
+  if (isOpen("store"))
+    return;
+  testing::StandInStore &Store = m_Fleet.store();
+  const unsigned Kind = draw(0, 4);
+  m_History.push_back(fmt::format("store fault {}", Kind));
+  Store.Away = Kind == 0;
+  Store.Silent = Kind == 1;
+  Store.Delay = Kind == 2 ? milliseconds(draw(50, 600)) : milliseconds(0);
+  Store.LosesAnswers = Kind == 3 ? 0.4 : 0;
+  Store.Forgetful = Kind == 4;
+  open("store", PromiseBook::Everything, later(Now, 300, 5000), [&Store] {
+    Store.Away = Store.Silent = Store.Forgetful = false;
+    Store.Delay = milliseconds(0);
+    Store.LosesAnswers = 0;
+  });
+}
+
+void Disturber::beginServer(BootTime Now) {
+  const unsigned Which = draw(0, m_Fleet.servers() - 1);
+  const std::string Name = fmt::format("server {}", Which);
+  if (isOpen(Name))
+    return;
+  const Manner How = Manners[draw(0, Manners.size() - 1)];
+  m_History.push_back(fmt::format("{} manner {}", Name, static_cast<int>(How)));
+  m_Fleet.behave(Which, How);
+  open(Name, PromiseBook::Servers, later(Now, 300, 4000),
+       [this, Which] { m_Fleet.behave(Which, Manner::Good); });
+}
+
+void Disturber::beginLeaving(BootTime Now) {
+  const unsigned Which = draw(0, m_Fleet.servers() - 1);
+  const std::string Name = fmt::format("leaving {}", Which);
+  if (isOpen(Name))
+    return;
+  const bool Planned = draw(0, 1) == 1;
+  m_History.push_back(fmt::format("{} {}", Name, Planned));
+  // A server that leaves by plan takes requests for seconds; one that crashes
+  // has another behind its address at once.
+  if (Planned)
+    m_Fleet.drain(Which);
+  open(Name, Planned ? "nobody" : PromiseBook::Servers,
+       later(Now, Planned ? 3500 : 0, 6000),
+       [this, Which] { m_Fleet.replace(Which); });
+}
+
+} // namespace figlift::soak
--- /dev/null
+++ b/Tests/Soak/Disturber.h
@@ -0,0 +1,59 @@
+//===- Disturber.h - Seeded faults, one after and over another --*- C++ -*-===//
+//
+// Draws faults from a seed, lets several overlap, mends each after its time,
+// and tells the book of promises for how long what is out of order.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "SoakFleet.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace figlift::soak {
+
+class Disturber {
+public:
+  Disturber(SoakFleet &Fleet, PromiseBook &Book, uint64_t Seed)
+      : m_Fleet(Fleet), m_Book(Book), m_Random(Seed) {}
+
+  /// Called about every 50 ms. Begins new faults only if \p May.
+  void tick(BootTime Now, bool May);
+  bool calm() const { return m_Open.empty(); }
+  /// What was done, in order, for the log of a run.
+  const std::vector<std::string> &history() const { return m_History; }
+
+private:
+  struct Open {
+    std::string Name;
+    /// Whom it disturbs while it lasts.
+    std::string Whom;
+    BootTime Until{};
+    std::function<void()> Mend;
+  };
+
+  void begin(BootTime Now);
+  void beginSignal(BootTime Now);
+  void beginLink(BootTime Now);
+  void beginStore(BootTime Now);
+  void beginServer(BootTime Now);
+  void beginLeaving(BootTime Now);
+  void open(const std::string &Name, const std::string &Whom, BootTime Until,
+            std::function<void()> Mend);
+  unsigned draw(unsigned From, unsigned To);
+  BootTime later(BootTime Now, unsigned From, unsigned To);
+  bool isOpen(const std::string &Name) const;
+
+  SoakFleet &m_Fleet;
+  PromiseBook &m_Book;
+  std::mt19937_64 m_Random;
+  std::vector<Open> m_Open;
+  std::vector<std::string> m_History;
+  BootTime m_Next{};
+};
+
+} // namespace figlift::soak
--- /dev/null
+++ b/Tests/Soak/PromiseBook.h
@@ -0,0 +1,161 @@
+//===- PromiseBook.h - The promises, checked as they are kept ---*- C++ -*-===//
+//
+// Takes what callers sent and got, what servers received, and what was
+// disturbed when; says which promise was broken. It knows nothing of the
+// gateways' insides. Pure: times come in with the events.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figlift::soak {
+
+enum class Repeatable { Yes, No };
+
+/// One request of a caller, by its attempt id.
+struct Attempt {
+  std::string Id;
+  /// The gateway that it went to.
+  std::string Gateway;
+  std::string Service;
+  Repeatable Kind = Repeatable::Yes;
+  BootTime Sent{};
+};
+
+/// A request as it reached a server.
+struct Arrival {
+  std::string AttemptId;
+  std::string Server;
+  std::string Service;
+  /// The prompt is read and nothing runs.
+  bool ReadsPrompt = false;
+  /// The server turned it away, so it has not run.
+  bool TurnedAway = false;
+};
+
+/// What a caller saw in the end.
+struct Outcome {
+  std::string AttemptId;
+  /// 0: the connection ended without a whole answer.
+  unsigned Status = 0;
+  bool Signed = false;
+  std::string Body;
+  /// Events of a stream that was due to have this many; 0 for none.
+  unsigned EventsDue = 0;
+};
+
+struct Order {
+  std::string Server;
+  std::string Holder;
+  uint64_t Fence = 0;
+};
+
+struct PromiseTerms {
+  double RepeatRatio = 0.2;
+  double RepeatBase = 30;
+  std::chrono::milliseconds RepeatWindow{10000};
+  /// How long after a disturbance bounds hold again.
+  std::chrono::milliseconds StableWindow{3000};
+  /// From a server's leaving to its last request; the platform's 2 s and the
+  /// delays of a busy test machine.
+  std::chrono::milliseconds DrainBound{2600};
+  /// From a configuration's acknowledgement until it is in force; as above.
+  std::chrono::milliseconds ConfigurationBound{2600};
+  /// After a gateway showed a version, older ones may still be on their way.
+  std::chrono::milliseconds RegressionSlack{500};
+  std::chrono::milliseconds HolderTurn{3000};
+};
+
+class PromiseBook {
+public:
+  explicit PromiseBook(PromiseTerms Terms = {}) : m_Terms(Terms) {}
+
+  void sent(const Attempt &What);
+  void arrived(const Arrival &What, BootTime Now);
+  void ended(const Outcome &What, BootTime Now);
+  void ordered(const Order &What, BootTime Now);
+
+  /// \name What was done to the system.
+  /// @{
+  void disturbed(const std::string &Gateway, BootTime Now);
+  /// The gateway was told to stop, or asked to read its settings.
+  void planned(const std::string &Gateway, BootTime Now);
+  /// Its process is another one from now on.
+  void restarted(const std::string &Gateway);
+  void leaves(const std::string &Server, BootTime Now);
+  void back(const std::string &Server) { m_Leaving.erase(Server); }
+  /// The route that moves with each version goes to \p Service from now on.
+  void configured(uint64_t Version, const std::string &Service, BootTime Now);
+  /// @}
+
+  /// A process ended by itself, or did not recover: found from outside.
+  void broken(std::string What) { m_Broken.push_back(std::move(What)); }
+  const std::vector<std::string> &violations() const { return m_Broken; }
+  uint64_t count(const std::string &What) const;
+
+  /// In place of a gateway, for disturbances: the store and the network, which
+  /// concern all of them, and servers, which only cut what they answer.
+  static constexpr const char *Everything = "everything";
+  static constexpr const char *Servers = "servers";
+  /// Route whose service changes with each version.
+  static constexpr const char *MovingService = "moving";
+
+private:
+  struct Record {
+    Attempt What;
+    unsigned Runs = 0;
+    bool Read = false;
+    bool RunArrived = false;
+    /// Answered with a status that promises that nothing ran.
+    bool PromisedNotRun = false;
+  };
+  struct Version {
+    uint64_t Number = 0;
+    std::string Service;
+    BootTime At{};
+  };
+  struct Seen {
+    uint64_t Number = 0;
+    BootTime At{};
+  };
+
+  using Times = std::map<std::string, BootTime>;
+  bool calm(const Times &Of, const std::string &Who, BootTime Now) const;
+  bool inTouch(const std::string &Gateway, BootTime Now) const;
+  void checkRepeats(const std::string &Service, BootTime Now);
+  void checkDrain(const Record &Of, const Arrival &What, BootTime Now);
+  void checkVersion(const Record &Of, const Arrival &What, BootTime Now);
+  void checkBody(const Outcome &What);
+  void checkEvents(const Outcome &What);
+
+  PromiseTerms m_Terms;
+  std::map<std::string, Record> m_Records;
+  Times m_Disturbed;
+  Times m_Planned;
+  Times m_Leaving;
+  std::deque<Version> m_Versions;
+  std::map<std::string, Seen> m_SeenVersions;
+  std::map<std::string, std::deque<BootTime>> m_Requests;
+  std::map<std::string, std::deque<BootTime>> m_Repeats;
+  struct LastOrder {
+    Order What;
+    BootTime At{};
+  };
+  std::map<std::string, LastOrder> m_Orders;
+  std::map<std::string, uint64_t> m_Counts;
+  std::vector<std::string> m_Broken;
+};
+
+/// Text of the event with this number of a stream.
+std::string eventText(const std::string &AttemptId, unsigned Number);
+
+} // namespace figlift::soak
--- /dev/null
+++ b/Tests/Soak/SoakCaller.h
@@ -0,0 +1,80 @@
+//===- SoakCaller.h - A caller that never stops -----------------*- C++ -*-===//
+//
+// Sends one request after another through any gateway, keeps connections open
+// for as long as the gateway does, leaves some answers early, and tells the
+// book of promises what it sent and got.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Endpoint.h"
+#include "LibProxy/ResponseParser.h"
+#include "PromiseBook.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace figlift::soak {
+
+/// A gateway as callers reach it.
+struct Door {
+  std::string Gateway;
+  Endpoint Address;
+};
+
+class SoakCaller {
+public:
+  SoakCaller(boost::asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
+             std::string Name, std::vector<Door> Doors);
+  void start() { pause(); }
+  void stop() { m_Stopped = true; }
+  bool idle() const { return m_Idle; }
+
+private:
+  struct Choice {
+    std::string Path;
+    std::string Service;
+    Repeatable Kind = Repeatable::Yes;
+    bool Streams = false;
+  };
+
+  void pause();
+  void next();
+  void connect();
+  void send();
+  void read();
+  void received(size_t Count);
+  void done(unsigned Status);
+  void drop();
+  std::string requestText();
+  unsigned draw(unsigned From, unsigned To);
+
+  boost::asio::ip::tcp::socket m_Socket;
+  boost::asio::steady_timer m_Pause;
+  boost::asio::steady_timer m_Patience;
+  PromiseBook &m_Book;
+  std::mt19937_64 m_Random;
+  const std::string m_Name;
+  const std::vector<Door> m_Doors;
+  size_t m_Door = 0;
+  proxy::ResponseParser m_Parser;
+  std::array<char, 8192> m_Buffer;
+  std::string m_Body;
+  std::string m_AttemptId;
+  unsigned m_Events = 0;
+  uint64_t m_Count = 0;
+  /// Answers of an earlier request end nothing of a later one.
+  uint64_t m_Exchange = 0;
+  bool m_Connected = false;
+  bool m_Idle = true;
+  bool m_Stopped = false;
+};
+
+} // namespace figlift::soak
--- /dev/null
+++ b/Tests/Soak/SoakFleet.cpp
@@ -0,0 +1,315 @@
+//===- SoakFleet.cpp - Gateways, servers and links under faults -----------===//
+//
+// See SoakFleet.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "SoakFleet.h"
+
+#include "Support/Caller.h"
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace figlift::soak {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr double GraceSeconds = 4;
+/// Beyond the grace: a busy test machine.
+constexpr milliseconds StopSlack{1500};
+constexpr milliseconds StartLimit{10000};
+constexpr unsigned PlainServers = 3;
+constexpr unsigned MovingServices = 3;
+constexpr unsigned Engines = 4;
+
+Endpoint freePort() {
+  asio::io_context Loop;
+  asio::ip::tcp::acceptor Probe(Loop, {asio::ip::address_v4::loopback(), 0});
+  return {"127.0.0.1", Probe.local_endpoint().port()};
+}
+
+std::string modeName(LinkFault How) {
+  switch (How) {
+  case LinkFault::Cut:
+    return "cut";
+  case LinkFault::Freeze:
+    return "freeze";
+  case LinkFault::LoseRequests:
+    return "drop-up";
+  case LinkFault::LoseAnswers:
+    return "drop-down";
+  case LinkFault::Delay:
+    return "delay";
+  case LinkFault::Mended:
+    return "pass";
+  }
+  return {};
+}
+
+std::string movingService(uint64_t Version) {
+  return fmt::format("moving-{}", Version % MovingServices);
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
+                     unsigned Gateways, std::filesystem::path Folder)
+    : m_Loop(Loop), m_Book(Book), m_Folder(std::move(Folder)), m_Store(Loop),
+      m_Gateways(Gateways) {
+  const auto Add = [&](const std::string &Service, const std::string &Stage) {
+    m_Servers.push_back(std::make_unique<SoakServer>(
+        Loop, Book, Seed + m_Servers.size(), Service, Stage));
+    const auto Which = static_cast<unsigned>(m_Servers.size() - 1);
+    m_Servers.back()->becomes(fmt::format("s{}-{}", Which, ++m_Incarnations));
+    m_Servers.back()->StageChanged = [this, Which] { list(Which, "ready"); };
+  };
+  for (unsigned Each = 0; Each < PlainServers; ++Each)
+    Add("plain", "");
+  for (unsigned Each = 0; Each < MovingServices; ++Each)
+    Add(movingService(Each), "");
+  for (unsigned Each = 0; Each < Engines; ++Each)
+    Add("model", Each == 0 ? "prefill" : "decode");
+}
+
+std::string SoakFleet::gatewayName(unsigned Which) const {
+  return fmt::format("gateway-{}", Which + 1);
+}
+
+std::string SoakFleet::linkFlag(const std::string &Name,
+                                const Endpoint &Target) const {
+  return fmt::format("{}=127.0.0.1:0>{}", Name, Target.toString());
+}
+
+bool SoakFleet::startProxy() {
+  std::vector<std::string> Flags;
+  const auto Add = [&](const std::string &Name, const Endpoint &Target) {
+    Flags.push_back("--link");
+    Flags.push_back(linkFlag(Name, Target));
+  };
+  for (unsigned Each = 0; Each < m_Gateways.size(); ++Each) {
+    m_Gateways[Each].Callers = freePort();
+    Add(fmt::format("store-{}", Each), m_Store.address());
+    Add(fmt::format("callers-{}", Each), m_Gateways[Each].Callers);
+  }
+  for (unsigned Each = 0; Each < m_Servers.size(); ++Each)
+    Add(fmt::format("server-{}", Each), m_Servers[Each]->address());
+  m_Proxy =
+      test::ChildProcess::start("Tests/StandIns/fault-proxy/fault-proxy", Flags,
+                                (m_Folder / "fault-proxy.log").string());
+  if (!m_Proxy.waitForOutput("listening ", StartLimit))
+    return false;
+  const std::string Text = m_Proxy.output();
+  const size_t At = Text.find("listening ") + 10;
+  m_ProxyControl = Text.substr(At, Text.find('\n', At) - At);
+  return true;
+}
+
+Endpoint SoakFleet::linkAddress(const std::string &Name) const {
+  const std::string Text = m_Proxy.output();
+  const std::string Mark = "link " + Name + " ";
+  const size_t At = Text.find(Mark) + Mark.size();
+  return Endpoint::parse(Text.substr(At, Text.find('\n', At) - At)).value();
+}
+
+void SoakFleet::setLink(const std::string &Name, LinkFault How) {
+  test::call(m_ProxyControl, "POST", "/control/links/" + Name,
+             Json{{"mode", modeName(How)}, {"delay", "200ms"}}.dump(), {},
+             StartLimit);
+}
+
+void SoakFleet::list(unsigned Server, const std::string &State) {
+  const SoakServer &Which = *m_Servers[Server];
+  Json Row = {
+      {"service", Which.service()},
+      {"address", linkAddress(fmt::format("server-{}", Server)).toString()},
+      {"zone", "z"},
+      {"slots", 4},
+      {"state", State}};
+  if (!Which.stage().empty())
+    Row["stage"] = Which.stage();
+  m_Store.put("servers", Which.id(), Row.dump());
+}
+
+bool SoakFleet::start() {
+  if (!startProxy())
+    return false;
+  for (unsigned Each = 0; Each < m_Servers.size(); ++Each)
+    list(Each, "ready");
+  configure();
+  for (unsigned Each = 0; Each < m_Gateways.size(); ++Each)
+    startGateway(Each, true);
+  return true;
+}
+
+void SoakFleet::startGateway(unsigned Which, bool FleetStarts) {
+  Gateway &Of = m_Gateways[Which];
+  const std::string Name = gatewayName(Which);
+  const Json Settings = {
+      {"process", {{"id", Name}, {"zone", "z"}}},
+      {"listen",
+       {{"callers", Of.Callers.toString()},
+        {"ready", freePort().toString()},
+        {"metrics", freePort().toString()},
+        {"peers", freePort().toString()}}},
+      {"store",
+       {{"address",
+         linkAddress(fmt::format("store-{}", Which)).toString()}}},
+      {"fleet", {{"starts", FleetStarts}}},
+      {"retry", {{"ratio", 0.2}, {"base", 30}, {"windowSeconds", 10}}},
+      {"drain", {{"graceSeconds", GraceSeconds}}},
+      {"orders", {{"leaseMilliseconds", 3000}}}};
+  const auto File = m_Folder / (Name + ".json");
+  std::ofstream(File) << Settings.dump(1);
+  Of.ToldToEnd = false;
+  Of.Paused = false;
+  Of.Process = test::ChildProcess::start(
+      "Services/figlift-gateway/figlift-gateway",
+      {"--settings", File.string()},
+      (m_Folder / fmt::format("{}.{}.log", Name, ++Of.Starts)).string());
+  m_Book.restarted(Name);
+}
+
+std::vector<Door> SoakFleet::doors() const {
+  std::vector<Door> All;
+  for (unsigned Each = 0; Each < m_Gateways.size(); ++Each)
+    All.push_back(
+        {gatewayName(Each), linkAddress(fmt::format("callers-{}", Each))});
+  return All;
+}
+
+void SoakFleet::signal(unsigned Which, Signal What) {
+  Gateway &Of = m_Gateways[Which];
+  const BootTime Now = BootClock::now();
+  if (!Of.Process.running())
+    return;
+  switch (What) {
+  case Signal::Kill:
+    Of.ToldToEnd = true;
+    return Of.Process.kill();
+  case Signal::Terminate:
+    m_Book.planned(gatewayName(Which), Now);
+    if (!std::exchange(Of.ToldToEnd, true))
+      Of.TerminatedAt = Now;
+    return Of.Process.terminate();
+  case Signal::Pause:
+    Of.Paused = true;
+    return Of.Process.pause();
+  case Signal::HangUp:
+    m_Book.planned(gatewayName(Which), Now);
+    ::kill(Of.Process.pid(), SIGHUP);
+    return;
+  }
+}
+
+void SoakFleet::wake(unsigned Which) {
+  Gateway &Of = m_Gateways[Which];
+  if (std::exchange(Of.Paused, false) && Of.Process.running())
+    Of.Process.resume();
+}
+
+void SoakFleet::storeLink(unsigned Which, LinkFault How) {
+  setLink(fmt::format("store-{}", Which), How);
+}
+
+void SoakFleet::callerLink(unsigned Which, LinkFault How) {
+  setLink(fmt::format("callers-{}", Which), How);
+}
+
+void SoakFleet::serverLink(unsigned Which, LinkFault How) {
+  setLink(fmt::format("server-{}", Which), How);
+}
+
+void SoakFleet::replace(unsigned Which) {
+  SoakServer &Server = *m_Servers[Which];
+  const std::string Before = Server.id();
+  Server.becomes(fmt::format("s{}-{}", Which, ++m_Incarnations));
+  m_Store.remove("servers", Before);
+  list(Which, "ready");
+}
+
+void SoakFleet::drain(unsigned Which) {
+  m_Book.leaves(m_Servers[Which]->id(), BootClock::now());
+  list(Which, "draining");
+}
+
+void SoakFleet::configure() {
+  ++m_Version;
+  Json Routes = Json::array();
+  const auto Add = [&](const char *Name, const char *Kind,
+                       const std::string &Service, bool Resumable) {
+    const bool Once = Kind == std::string("unsafe");
+    Routes.push_back({{"name", Name},
+                      {"host", "h"},
+                      {"prefix", fmt::format("/{}/", Name)},
+                      {"kind", Kind},
+                      {"timeoutMs", 2000},
+                      {"targetLatencyMs", 500},
+                      {"maxAttempts", Once ? 1 : 3},
+                      {"resumable", Resumable},
+                      {"gapAimMs", 150},
+                      {"service", Service}});
+  };
+  Add("safe", "safe", "plain", false);
+  Add("unsafe", "unsafe", "plain", false);
+  Add("moving", "safe", movingService(m_Version), false);
+  Add("stream", "streaming", "model", true);
+  Add("once", "streaming", "model", false);
+  const Json Engine = {{"slots", 8},           {"kvCapacity", 100000},
+                       {"tokenKvBytes", 1000}, {"linkMbps", 10000},
+                       {"kvHoldS", 5},         {"stageSwitchS", 1}};
+  Json Services = {
+      {{"name", "plain"}, {"maxConnections", 100}},
+      {{"name", "model"}, {"maxConnections", 100}, {"engine", Engine}}};
+  for (unsigned Each = 0; Each < MovingServices; ++Each)
+    Services.push_back({{"name", movingService(Each)}, {"maxConnections", 100}});
+  m_Store.put(
+      "op", "config",
+      Json{{"version", m_Version}, {"routes", Routes}, {"services", Services}}
+          .dump());
+  m_Book.configured(m_Version, movingService(m_Version), BootClock::now());
+}
+
+void SoakFleet::ended(unsigned Which, BootTime Now) {
+  Gateway &Of = m_Gateways[Which];
+  const int Code = Of.Process.waitForExit(milliseconds(0)).value_or(0);
+  if (!Of.ToldToEnd)
+    m_Book.broken(
+        fmt::format("{} ended by itself with {}", gatewayName(Which), Code));
+  m_Book.disturbed(gatewayName(Which), Now);
+  startGateway(Which, false);
+}
+
+void SoakFleet::tick(BootTime Now) {
+  for (unsigned Each = 0; Each < m_Gateways.size(); ++Each) {
+    Gateway &Of = m_Gateways[Each];
+    if (!Of.Process.running()) {
+      ended(Each, Now);
+      continue;
+    }
+    if (Of.Paused)
+      continue;
+    if (Of.ToldToEnd && Of.TerminatedAt != BootTime{} &&
+        Now - Of.TerminatedAt >
+            std::chrono::duration<double>(GraceSeconds) + StopSlack) {
+      m_Book.broken(gatewayName(Each) + " did not stop within its grace");
+      Of.Process.kill();
+    }
+  }
+}
+
+bool SoakFleet::allRun() {
+  for (Gateway &Each : m_Gateways)
+    if (!Each.Process.running() || Each.Paused || Each.ToldToEnd)
+      return false;
+  return true;
+}
+
+} // namespace figlift::soak
--- /dev/null
+++ b/Tests/Soak/TestPromiseBook.cpp
@@ -0,0 +1,184 @@
+//===- TestPromiseBook.cpp - The soak sees each broken promise ------------===//
+//
+// For each promise: what keeps it passes, what breaks it is found.
+//
+//===----------------------------------------------------------------------===//
+
+#include "PromiseBook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::soak;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(PromiseBook) {
+  PromiseBook Book;
+  BootTime Now{seconds(100)};
+
+  void send(const std::string &Id, Repeatable Kind,
+            const std::string &Service = "plain") {
+    Book.sent({Id, "g1", Service, Kind, Now});
+  }
+  void arrive(const std::string &Id, const std::string &Service = "plain",
+              const std::string &Server = "s1") {
+    Book.arrived({Id, Server, Service, false, false}, Now);
+  }
+  void end(const std::string &Id, unsigned Status, const std::string &Body = "",
+           unsigned Events = 0) {
+    Book.ended({Id, Status, true, Body, Events}, Now);
+  }
+  void expectBroken(const std::string &Promise) {
+    CHECK_FALSE(Book.violations().empty());
+    STRCMP_EQUAL(Promise.c_str(),
+                 Book.violations().front().substr(0, Promise.size()).c_str());
+  }
+  void expectKept() {
+    STRCMP_EQUAL("", Book.violations().empty()
+                         ? ""
+                         : Book.violations().front().c_str());
+  }
+};
+
+TEST(PromiseBook, WorkThatMayNotBeRepeatedRunsOnce) {
+  send("a", Repeatable::Yes);
+  arrive("a");
+  arrive("a");
+  send("b", Repeatable::No);
+  arrive("b");
+  expectKept();
+  arrive("b");
+  expectBroken("TWICE");
+}
+
+TEST(PromiseBook, ARefusalIsTrueBeforeAndAfter) {
+  send("a", Repeatable::No);
+  Book.arrived({"a", "s1", "plain", false, true}, Now);
+  end("a", 503);
+  expectKept();
+  arrive("a");
+  expectBroken("REFUSED");
+}
+
+TEST(PromiseBook, ARefusalOfWhatHasRunIsFound) {
+  send("a", Repeatable::No);
+  arrive("a");
+  end("a", 503);
+  expectBroken("REFUSED");
+}
+
+TEST(PromiseBook, AnAnswerIsWholeAndTheCallersOwn) {
+  send("a", Repeatable::Yes);
+  end("a", 200, "answer to a");
+  expectKept();
+  send("b", Repeatable::Yes);
+  end("b", 200, "answer to a");
+  expectBroken("MIXED");
+}
+
+TEST(PromiseBook, AStreamHasEachEventOnceAndInOrder) {
+  send("a", Repeatable::Yes);
+  end("a", 200, eventText("a", 1) + eventText("a", 2), 2);
+  expectKept();
+  end("a", 200, eventText("a", 2), 2);
+  expectBroken("ORDER");
+}
+
+TEST(PromiseBook, NobodyElsesRequestRuns) {
+  arrive("unknown");
+  expectBroken("UNASKED");
+}
+
+TEST(PromiseBook, ALeavingServerGetsNothingAfterTheBound) {
+  Book.leaves("s1", Now);
+  Now += seconds(2);
+  send("a", Repeatable::Yes);
+  arrive("a");
+  expectKept();
+  Now += seconds(1);
+  // A gateway that was cut off does not know yet.
+  Book.disturbed("g1", Now);
+  arrive("a");
+  expectKept();
+  Now += seconds(4);
+  arrive("a");
+  expectBroken("DRAIN");
+}
+
+TEST(PromiseBook, AConfigurationIsInForceAfterTheBound) {
+  Book.configured(1, "moving-1", Now);
+  Book.configured(2, "moving-2", Now);
+  Now += seconds(1);
+  send("a", Repeatable::Yes, PromiseBook::MovingService);
+  arrive("a", "moving-1");
+  expectKept();
+  Now += seconds(3);
+  send("b", Repeatable::Yes, PromiseBook::MovingService);
+  arrive("b", "moving-1");
+  expectBroken("CONFIG");
+}
+
+TEST(PromiseBook, AGatewayNeverGoesBack) {
+  Book.configured(1, "moving-1", Now);
+  Book.configured(2, "moving-2", Now);
+  send("a", Repeatable::Yes, PromiseBook::MovingService);
+  arrive("a", "moving-2");
+  Now += seconds(1);
+  send("b", Repeatable::Yes, PromiseBook::MovingService);
+  arrive("b", "moving-1");
+  expectBroken("CONFIG");
+}
+
+TEST(PromiseBook, RepeatsStayWithinTheBudget) {
+  for (int Each = 0; Each < 100; ++Each)
+    send("a" + std::to_string(Each), Repeatable::Yes);
+  // 0.2 for each request, and 30.
+  for (int Each = 0; Each < 50; ++Each) {
+    arrive("a" + std::to_string(Each));
+    arrive("a" + std::to_string(Each));
+  }
+  expectKept();
+  arrive("a0");
+  expectBroken("BUDGET");
+}
+
+TEST(PromiseBook, OrdersComeFromOneHolder) {
+  Book.ordered({"s1", "g1", 1}, Now);
+  Now += seconds(4);
+  Book.ordered({"s1", "g2", 2}, Now);
+  expectKept();
+  Now += seconds(1);
+  Book.ordered({"s1", "g1", 3}, Now);
+  expectBroken("ONE");
+}
+
+TEST(PromiseBook, AnOlderFenceIsFound) {
+  Book.ordered({"s1", "g1", 5}, Now);
+  Now += seconds(10);
+  Book.ordered({"s1", "g2", 4}, Now);
+  expectBroken("ONE");
+}
+
+TEST(PromiseBook, APlannedStopCutsNothing) {
+  send("a", Repeatable::Yes);
+  arrive("a");
+  Book.planned("g1", Now);
+  Now += milliseconds(500);
+  Book.disturbed(PromiseBook::Servers, Now);
+  end("a", 0);
+  expectKept();
+  Now += seconds(10);
+  send("b", Repeatable::Yes);
+  arrive("b");
+  Book.planned("g1", Now);
+  Now += milliseconds(500);
+  end("b", 0);
+  expectBroken("LOST");
+}
+
+TEST(PromiseBook, ARouteThatIsThereIsNotDenied) {
+  send("a", Repeatable::Yes);
+  end("a", 404);
+  expectBroken("DENIED");
+}
