--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -204,7 +204,10 @@
        {"runFirstMs", RunFirst},
        {"tookMs", Took},
        {"targetMs", m_Route.LatencyTarget},
-       {"deadlineMs", Milliseconds(m_Deadline - m_Started)},
+       // A request without a route has no deadline.
+       {"deadlineMs", m_Deadline == BootTime{}
+                          ? Milliseconds(0)
+                          : Milliseconds(m_Deadline - m_Started)},
        {"sends", m_Sends},
        {"runs", m_Runs},
        {"serversSeenMs", Milliseconds(Now - m_Shared.ServersSeen)},
