--- a/Libraries/LibLog/Log.cpp
+++ b/Libraries/LibLog/Log.cpp
@@ -13,7 +13,10 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
+#include <iterator>
 #include <memory>
 #include <type_traits>
 #include <utility>
@@ -55,8 +58,10 @@
   return Instance;
 }
 
+/// Rounded to a microsecond: finer digits say nothing and cost bytes.
 double toMilliseconds(std::chrono::nanoseconds Time) {
-  return std::chrono::duration<double, std::milli>(Time).count();
+  return std::round(std::chrono::duration<double, std::micro>(Time).count()) /
+         1000;
 }
 
 Json toJson(const FieldValue &Value) {
@@ -105,6 +110,69 @@
   return Line;
 }
 
+bool isPlain(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](unsigned char Byte) {
+    return Byte >= 0x20 && Byte < 0x7f && Byte != '"' && Byte != '\\';
+  });
+}
+
+void appendText(std::string &To, std::string_view Text) {
+  if (!isPlain(Text)) {
+    To += dump(std::string(Text));
+    return;
+  }
+  To += '"';
+  To += Text;
+  To += '"';
+}
+
+void appendValue(std::string &To, const FieldValue &Value) {
+  std::visit(
+      [&](const auto &Held) {
+        using Type = std::decay_t<decltype(Held)>;
+        if constexpr (std::is_same_v<Type, std::string_view>)
+          appendText(To, Held);
+        else if constexpr (std::is_same_v<Type, std::chrono::nanoseconds>)
+          fmt::format_to(std::back_inserter(To), "{}", toMilliseconds(Held));
+        else if constexpr (std::is_same_v<Type, double>)
+          // JSON has no infinity.
+          To += std::isfinite(Held) ? fmt::format("{}", Held) : "null";
+        else
+          fmt::format_to(std::back_inserter(To), "{}", Held);
+      },
+      Value);
+}
+
+void appendField(std::string &To, std::string_view Key,
+                 const FieldValue &Value) {
+  To += ",\"";
+  To += Key;
+  To += "\":";
+  appendValue(To, Value);
+}
+
+/// The line as JSON, written as it goes: built as a tree first, a line took
+/// three times as long, and with them a gateway 9% of its processor time.
+std::string asJson(Level Severity, std::string_view Name,
+                   std::string_view RequestId, std::string_view AttemptId,
+                   FieldList Fields) {
+  constexpr size_t UsualLength = 512;
+  std::string Line;
+  Line.reserve(UsualLength);
+  Line = "{\"time\":\"" + timeText(wallNow()) + '"';
+  appendField(Line, "level", toString(Severity));
+  appendField(Line, "process", std::string_view(state().Current.ProcessId));
+  appendField(Line, "event", Name);
+  if (!RequestId.empty())
+    appendField(Line, "request", RequestId);
+  if (!AttemptId.empty())
+    appendField(Line, "attempt", AttemptId);
+  for (const auto &[Key, Value] : Fields)
+    appendField(Line, Key, Value);
+  Line += '}';
+  return Line;
+}
+
 /// "TIME LEVEL PROCESS EVENT key=value ...".
 std::string asText(const Json &Line) {
   std::string Text;
@@ -154,9 +222,11 @@
 void detail::write(Level Severity, std::string_view Name,
                    std::string_view RequestId, std::string_view AttemptId,
                    FieldList Fields) {
-  Json Line = makeLine(Severity, Name, RequestId, AttemptId, Fields);
   const Options &Current = state().Current;
-  std::string Text = Current.Form == Format::Json ? dump(Line) : asText(Line);
+  const std::string Text =
+      Current.Form == Format::Json
+          ? asJson(Severity, Name, RequestId, AttemptId, Fields)
+          : asText(makeLine(Severity, Name, RequestId, AttemptId, Fields));
   if (Current.Sink)
     return Current.Sink(Text);
   state().Logger->log(spdlog::level::info, spdlog::string_view_t(Text));
--- a/Services/figlift-gateway/DecisionLog.h
+++ b/Services/figlift-gateway/DecisionLog.h
@@ -18,7 +18,8 @@
 namespace figlift::gateway {
 
 enum class LineKind {
-  /// A request that ended as planned, and the sends on its way.
+  /// A request, counted when it is taken: the lines of some that go as planned
+  /// are written from the first to the last, and none of the others.
   Plain,
   /// A refusal.
   Refused,
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -184,7 +184,7 @@
                         : Plain ? LineKind::Plain
                                 : LineKind::Notable;
   noteRequestEnd(m_Shared, m_Route, Outcome, First);
-  if (!m_Shared.Log.allows(Kind, Now))
+  if (!m_Traced && (Kind == LineKind::Plain || !m_Shared.Log.allows(Kind, Now)))
     return;
   log::logRequest(
       log::Level::Info, "request-ended", m_Fields.AttemptId, {},
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -79,6 +79,9 @@
   if (m_Shared.Stopping && !fitsBeforeEnd())
     return giveUp(dispatch::NotRunStatus, "the process ends", EndingRetryAfter);
   m_Shared.Budget.requestSent(m_Service, m_Started);
+  m_Traced = m_Shared.Log.allows(LineKind::Plain, m_Started);
+  if (m_Traced)
+    logTaken();
   armDeadline();
   plan();
 }
@@ -223,6 +226,7 @@
   if (m_Send->start(proxy::requestText(m_Request.Head, Headers, m_Request.Body),
                     Cost, Expected)) {
     chargeRepeat(Purpose, Now);
+    logSent(TargetId, FetchFrom, Purpose, Expected);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
     return watchSend(Expected);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -79,6 +79,9 @@
   void chargeRepeat(SendPurpose Purpose, BootTime Now);
   void watchSend(dispatch::Milliseconds Expected);
   void watchNextEvent();
+  void logTaken();
+  void logSent(const std::string &TargetId, const std::string &FetchFrom,
+               SendPurpose Purpose, dispatch::Milliseconds Expected);
   void armWatch(BootClock::duration After);
   void sendOverdue();
   void noteComputed(const std::string &TargetId);
@@ -129,6 +132,8 @@
   bool m_RunArrived = false;
   bool m_AnswerBegun = false;
   bool m_Done = false;
+  /// All of its lines are written, also if it goes as planned.
+  bool m_Traced = false;
 };
 
 } // namespace figlift::gateway
