figlift-gateway, figlift-explain: Tell of sends given up, and of lost processes

A send that was given up because it was overdue had no line, so the first of two targets of a request that ended with 504 was missing. And a request whose process lost its power has no line at all: the tool now names processes that ended without a word, and when.

--- a/Libraries/LibExplain/Story.cpp
+++ b/Libraries/LibExplain/Story.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <map>
 #include <set>
 
 namespace figlift::explain {
@@ -70,6 +71,10 @@
   return std::find(Kinds.begin(), Kinds.end(), Which.Kind) != Kinds.end();
 }
 
+/// A process that lives tells something within this time, if only the lines
+/// that it left out.
+constexpr milliseconds LongestSilence{2000};
+
 class Teller {
 public:
   Teller(const std::vector<Event> &Sorted, std::string_view RequestId,
@@ -81,11 +86,7 @@
       if (isOwn(Each))
         noteOwn(Each);
     if (!m_First)
-      return failure(ResultCode::InvalidInput,
-                     "no line names the request \"" + std::string(m_RequestId) +
-                         "\"; plain requests are logged up to an allowance a "
-                         "second (log.plainLinesPerSecond)",
-                     "request");
+      return failure(ResultCode::InvalidInput, missingText(), "request");
     for (const Event &Each : m_Sorted)
       if (isOwn(Each) || belongs(Each))
         m_Story.Lines.Events.push_back(Each);
@@ -99,6 +100,16 @@
   }
 
 private:
+  std::string missingText() const {
+    std::string Text =
+        "no line names the request \"" + std::string(m_RequestId) +
+        "\"; plain requests are logged up to an allowance a second "
+        "(log.plainLinesPerSecond)";
+    for (const std::string &Each : unannouncedEnds(m_Sorted))
+      Text += "\n" + Each;
+    return Text;
+  }
+
   bool isOwn(const Event &Which) const {
     return Which.About.Type == timeline::SubjectType::Request &&
            Which.About.Name == m_RequestId;
@@ -232,6 +243,28 @@
 
 } // namespace
 
+std::vector<std::string> unannouncedEnds(const std::vector<Event> &Sorted) {
+  std::vector<std::string> Found;
+  std::map<std::string, const Event *> Last;
+  const auto Tell = [&](const Event &Which) {
+    Found.push_back(Which.ProcessId + " wrote its last line at " +
+                    timeline::timeOfDay(Which.When) +
+                    " and had not stopped: what it had at hand has no end "
+                    "in the log.");
+  };
+  for (const Event &Each : Sorted) {
+    const Event *&Before = Last[Each.ProcessId];
+    if (Each.Kind == "started" && Before && Before->Kind != "stopped")
+      Tell(*Before);
+    Before = &Each;
+  }
+  for (const auto &[Process, Which] : Last)
+    if (Which->Kind != "stopped" &&
+        Sorted.back().When.wallTime() - Which->When.wallTime() > LongestSilence)
+      Tell(*Which);
+  return Found;
+}
+
 Result<Story> tellStory(const std::vector<Event> &Sorted,
                         std::string_view RequestId, StoryOptions Options) {
   return Teller(Sorted, RequestId, Options).tell();
--- a/Libraries/LibExplain/Story.h
+++ b/Libraries/LibExplain/Story.h
@@ -32,6 +32,13 @@
   std::vector<std::string> Findings;
 };
 
+/// Processes that ended without saying so, a sentence each: a process that was
+/// killed, or whose machine lost its power, writes no last line for what it had
+/// at hand. It shows as a start without a stop before it, or as silence of two
+/// seconds and more while others went on.
+std::vector<std::string>
+unannouncedEnds(const std::vector<timeline::Event> &Sorted);
+
 /// \p Sorted are the lines of all processes, by time. Fails with InvalidInput
 /// when none of them names the request.
 Result<Story> tellStory(const std::vector<timeline::Event> &Sorted,
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -7,7 +7,6 @@
 
 #include "RequestFlow.h"
 
-#include "LibLog/Log.h"
 #include "platform/EngineCalls.h"
 
 #include <charconv>
@@ -267,6 +266,7 @@
   const SendEnd How = dispatch::TookTooLong{};
   if (!std::holds_alternative<dispatch::SendAgain>(nextStep(How, *Late)))
     return;
+  logSendEnded(*Late, How);
   Late->cancel();
   sendAgain(*Late);
 }
@@ -329,18 +329,7 @@
   if (Which.purpose() == SendPurpose::Run && !dispatch::mayHaveRun(How) &&
       m_Runs > 0 && Which.started() != BootTime{})
     --m_Runs;
-  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
-    log::logRequest(
-        log::Level::Info, "send-ended", m_Fields.AttemptId, {},
-        {{"how", dispatch::describe(How)},
-         {"purpose",
-          Which.purpose() == SendPurpose::Run ? "run" : "read-prompt"},
-         {"target", Which.targetId()},
-         {"status", Which.head().Status},
-         {"tookMs", Milliseconds(BootClock::now() - Which.started())},
-         {"sends", m_Sends},
-         {"runs", m_Runs},
-         {"budgetLeft", m_Shared.Budget.left(m_Service, BootClock::now())}});
+  logSendEnded(Which, How);
   settle(How, Which);
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -80,6 +80,7 @@
   void watchSend(dispatch::Milliseconds Expected);
   void watchNextEvent();
   void logTaken();
+  void logSendEnded(const ServerSend &Which, const dispatch::SendEnd &How);
   void logSent(const std::string &TargetId, const std::string &FetchFrom,
                SendPurpose Purpose, dispatch::Milliseconds Expected);
   void armWatch(BootClock::duration After);
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -44,4 +44,21 @@
        {"budgetLeft", m_Shared.Budget.left(m_Service, Now)}});
 }
 
+void RequestFlow::logSendEnded(const ServerSend &Which,
+                               const dispatch::SendEnd &How) {
+  const BootTime Now = BootClock::now();
+  if (!m_Shared.Log.allows(LineKind::Notable, Now))
+    return;
+  log::logRequest(
+      log::Level::Info, "send-ended", m_Fields.AttemptId, {},
+      {{"how", dispatch::describe(How)},
+       {"purpose", Which.purpose() == SendPurpose::Run ? "run" : "read-prompt"},
+       {"target", Which.targetId()},
+       {"status", Which.head().Status},
+       {"tookMs", Milliseconds(Now - Which.started())},
+       {"sends", m_Sends},
+       {"runs", m_Runs},
+       {"budgetLeft", m_Shared.Budget.left(m_Service, Now)}});
+}
+
 } // namespace figlift::gateway
--- a/Tests/LibExplain/TestStory.cpp
+++ b/Tests/LibExplain/TestStory.cpp
@@ -95,6 +95,21 @@
   CHECK_TRUE(says(Told, "list of servers was 9000.0 ms old"));
 }
 
+// Symptom: a request that a caller complains of has no line at all. Cause: the
+// machine that took it lost its power, and what it had at hand with it.
+TEST(Story, NamesProcessesThatEndedWithoutALine) {
+  const std::string Started =
+      R"({"time":"2026-06-29T04:50:30.000Z","process":"g1","event":"started"})";
+  Lines.add(Started);
+  Lines.sort();
+  const auto Told = tellStory(Lines.Events, "nobody");
+  const std::string &Message = Told.error().Message;
+  CHECK_TRUE(Message.find("g1 wrote its last line at 04:50:22.001") !=
+             std::string::npos);
+  CHECK_TRUE(Message.find("g3 wrote its last line at 04:50:19.700") !=
+             std::string::npos);
+}
+
 TEST(Story, NamesAnUnknownRequest) {
   const auto Told = tellStory(Lines.Events, "nobody");
   CHECK_FALSE(Told.has_value());
