--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -55,7 +55,7 @@
     for (unsigned Each = 0; Each < m_With.Callers; ++Each) {
       Callers.push_back(std::make_unique<SoakCaller>(
           m_Loop, m_Book, m_Seed * 1000 + Each, fmt::format("c{}", Each),
-          Fleet.doors()));
+          Fleet.doors(), promptTokens()));
       Callers.back()->start();
     }
     turn(Fleet, Faults, false, RecoveryLimit,
@@ -72,6 +72,12 @@
   }
 
 private:
+  /// From short prompts, which ask for engines that run, to long ones, which
+  /// ask for engines that read.
+  unsigned promptTokens() const {
+    return 1000 + static_cast<unsigned>(m_Seed % 4) * 4000;
+  }
+
   /// Turns the loop until \p Done or \p Limit.
   template <typename Condition>
   bool turn(SoakFleet &Fleet, Disturber &Faults, bool May, seconds Limit,
@@ -144,6 +150,24 @@
   PromiseBook m_Book;
 };
 
+std::vector<uint64_t> seedsOf(const cxxopts::ParseResult &Given) {
+  std::vector<uint64_t> Seeds;
+  if (Given.count("list")) {
+    std::ifstream File(Given["list"].as<std::string>());
+    // The rest of a line is for its reader.
+    for (std::string Line; std::getline(File, Line);)
+      if (uint64_t Seed = 0; std::sscanf(Line.c_str(), "%lu", &Seed) == 1)
+        Seeds.push_back(Seed);
+    return Seeds;
+  }
+  constexpr unsigned DrawnSeeds = 1000000;
+  uint64_t Seed = Given.count("seed") ? Given["seed"].as<uint64_t>()
+                                      : std::random_device{}() % DrawnSeeds;
+  for (unsigned Each = 0; Each < Given["seeds"].as<unsigned>(); ++Each)
+    Seeds.push_back(Seed++);
+  return Seeds;
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -158,6 +182,10 @@
   Add("callers", "", cxxopts::value<unsigned>()->default_value("24"));
   Add("folder", "logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
+  Add("list",
+      "file with seeds that failed once, one a line, each with its cause; all "
+      "of them are played",
+      cxxopts::value<std::string>());
   Add("help", "");
   const auto Given = Flags.parse(ArgumentCount, Arguments);
   if (Given.count("help")) {
@@ -169,12 +197,10 @@
   With.Callers = Given["callers"].as<unsigned>();
   With.Length = seconds(Given["seconds"].as<unsigned>());
   With.Folder = std::filesystem::absolute(Given["folder"].as<std::string>());
-  uint64_t Seed = Given.count("seed") ? Given["seed"].as<uint64_t>()
-                                      : std::random_device{}() % 1000000;
+  const std::vector<uint64_t> Seeds = seedsOf(Given);
   unsigned Failed = 0;
-  const unsigned Seeds = Given["seeds"].as<unsigned>();
-  for (unsigned Each = 0; Each < Seeds; ++Each)
-    Failed += SeedRun(Seed++, With).play() ? 0 : 1;
-  std::printf("%u passed, %u failed\n", Seeds - Failed, Failed);
+  for (const uint64_t Seed : Seeds)
+    Failed += SeedRun(Seed, With).play() ? 0 : 1;
+  std::printf("%zu passed, %u failed\n", Seeds.size() - Failed, Failed);
   return Failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -24,9 +24,11 @@
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
-                       std::string Name, std::vector<Door> Doors)
+                       std::string Name, std::vector<Door> Doors,
+                       unsigned PromptTokens)
     : m_Socket(Loop), m_Pause(Loop), m_Patience(Loop), m_Book(Book),
-      m_Random(Seed), m_Name(std::move(Name)), m_Doors(std::move(Doors)) {}
+      m_Random(Seed), m_Name(std::move(Name)), m_Doors(std::move(Doors)),
+      m_PromptTokens(PromptTokens) {}
 
 unsigned SoakCaller::draw(unsigned From, unsigned To) {
   return std::uniform_int_distribution<unsigned>(From, To)(m_Random);
@@ -100,9 +102,9 @@
                                  Chosen.Path, m_AttemptId, Deadline.count());
   if (Chosen.Streams)
     Text += fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
-                        "X-Prompt-Prefix: {:x}:3000,{:x}:{}\r\n",
-                        m_Events, 3000 + m_Count % 3000, m_Events, draw(1, 8),
-                        m_Random(), m_Count % 3000);
+                        "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
+                        m_Events, 2 * m_PromptTokens, m_Events, draw(1, 8),
+                        m_PromptTokens, m_Random(), m_PromptTokens);
   if (Chosen.Kind == Repeatable::No)
     Text += "Content-Length: 4\r\n\r\nbody";
   else
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -32,7 +32,7 @@
 class SoakCaller {
 public:
   SoakCaller(boost::asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
-             std::string Name, std::vector<Door> Doors);
+             std::string Name, std::vector<Door> Doors, unsigned PromptTokens);
   void start() { pause(); }
   void stop() { m_Stopped = true; }
   bool idle() const { return m_Idle; }
@@ -63,6 +63,9 @@
   std::mt19937_64 m_Random;
   const std::string m_Name;
   const std::vector<Door> m_Doors;
+  /// Shared part of each prompt: what it is decides whether reading or running
+  /// keeps the engines busy, and so what orders they are given.
+  const unsigned m_PromptTokens;
   size_t m_Door = 0;
   proxy::ResponseParser m_Parser;
   std::array<char, 8192> m_Buffer;
