LoadBook, planners: Let targets that fail rest; weigh errors; never refuse for them all

A server that answers with errors of its own, beyond those that all give, was held against nobody. And where every engine failed a quarter of its work, prompts were refused for about two seconds.

Ruled out: forgetting failures more slowly (the share says nothing of a server that is up again; a probe does).

--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -12,6 +12,18 @@
 
 namespace figlift::dispatch {
 
+namespace {
+
+/// \p First, doubled \p Times, \p Most at most.
+std::chrono::milliseconds doubled(std::chrono::milliseconds First,
+                                  unsigned Times,
+                                  std::chrono::milliseconds Most) {
+  constexpr unsigned MaximumDoublings = 10;
+  return std::min(First * (1U << std::min(Times, MaximumDoublings)), Most);
+}
+
+} // namespace
+
 LoadBook::LoadBook(LoadBookOptions Options) : m_Options(Options) {}
 
 void LoadBook::targetCame(const Target &Which, uint64_t KvCapacityTokens) {
@@ -43,8 +55,11 @@
                  m_Options.MinimumSlowness, m_Options.MaximumSlowness);
   Which.Failures = Failures + Weight * (Failure - Failures);
   Which.LastVerdict = Now;
-  if (Failure == 0)
-    Which.TurnedAway = 0;
+  if (Failure != 0)
+    return;
+  Which.TurnedAway = 0;
+  Which.FailuresInRow /= 2;
+  Which.Errors -= Which.Errors * Weight;
 }
 
 void LoadBook::turnedAway(const std::string &TargetId, BootTime Now) {
@@ -52,13 +67,30 @@
   if (Found == m_Entries.end())
     return;
   Entry &Which = Found->second;
-  constexpr unsigned MaximumDoublings = 10;
-  const unsigned Doublings = std::min(Which.TurnedAway++, MaximumDoublings);
   const auto For =
-      std::min(m_Options.LeftOut * (1U << Doublings), m_Options.MaximumLeftOut);
+      doubled(m_Options.LeftOut, Which.TurnedAway++, m_Options.MaximumLeftOut);
   Which.AvoidedUntil = std::max(Which.AvoidedUntil, Now + For);
 }
 
+bool LoadBook::resting(const std::string &TargetId, BootTime Now) const {
+  const Entry *Which = find(TargetId);
+  return Which && Now < Which->RestsUntil;
+}
+
+void LoadBook::errored(const std::string &TargetId, BootTime Now) {
+  const auto Found = m_Entries.find(TargetId);
+  if (Found == m_Entries.end())
+    return;
+  Entry &Which = Found->second;
+  Which.Errors += (1 - Which.Errors) * m_Options.Smoothing;
+  Which.LastVerdict = Now;
+}
+
+double LoadBook::errorShare(const std::string &TargetId) const {
+  const Entry *Which = find(TargetId);
+  return Which ? Which->Errors : 0;
+}
+
 void LoadBook::avoid(const std::string &TargetId, BootTime Until) {
   if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
     Found->second.AvoidedUntil = std::max(Found->second.AvoidedUntil, Until);
@@ -96,6 +128,11 @@
     return;
   Entry &Which = Found->second;
   verdict(Which, forgiven(Which.Slowness, 1, Which, Now), 1, Now);
+  // All requests at a target fail at once when its connection breaks: they
+  // count as one failure.
+  if (Now >= Which.RestsUntil)
+    Which.RestsUntil = Now + doubled(m_Options.Rest, Which.FailuresInRow++,
+                                     m_Options.MaximumRest);
 }
 
 void LoadBook::peerReported(const std::string &Peer,
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -58,6 +58,13 @@
   /// after about one read of a prompt.
   std::chrono::milliseconds LeftOut{30};
   std::chrono::milliseconds MaximumLeftOut{1000};
+  /// How long a target rests that failed once; doubles with each failure in a
+  /// row, up to MaximumRest, and a success halves it: a target that goes down
+  /// and up by turns earns trust back slowly. One that is down fails at once,
+  /// so it always looks free; without the rest each gateway tried it several
+  /// times a second, and one request in twenty was lost on such a day.
+  std::chrono::milliseconds Rest{200};
+  std::chrono::milliseconds MaximumRest{3200};
   /// Bounds of the ratio between measured and planned time.
   double MinimumSlowness = 0.3;
   double MaximumSlowness = 10;
@@ -78,6 +85,8 @@
   void answered(const std::string &TargetId, uint64_t Ticket, BootTime Now);
   /// It is no longer at the target, for whatever reason.
   void ended(const std::string &TargetId, uint64_t Ticket);
+  /// The target answered it with an error of its own, and may do so by right.
+  void errored(const std::string &TargetId, BootTime Now);
   /// The target failed it; it has ended.
   void failed(const std::string &TargetId, uint64_t Ticket, BootTime Now);
   /// @}
@@ -91,6 +100,8 @@
   /// server has its address.
   void avoid(const std::string &TargetId, BootTime Until);
   bool avoided(const std::string &TargetId, BootTime Now) const;
+  /// It has failed lately, and is tried again later.
+  bool resting(const std::string &TargetId, BootTime Now) const;
   /// @}
 
   /// Replaces what \p Peer told before.
@@ -111,6 +122,8 @@
   double slowness(const std::string &TargetId, BootTime Now) const;
   /// Share of the recent work that failed there.
   double failureShare(const std::string &TargetId, BootTime Now) const;
+  /// Share of its recent answers that were errors.
+  double errorShare(const std::string &TargetId) const;
   KvCacheView &cache(const std::string &TargetId);
   uint32_t cachedTokens(const std::string &TargetId, const Prompt &What) const;
 
@@ -127,6 +140,10 @@
     BootTime AvoidedUntil{};
     /// Times that it turned work away since its last answer.
     unsigned TurnedAway = 0;
+    BootTime RestsUntil{};
+    /// Failures in a row, halved by each success.
+    unsigned FailuresInRow = 0;
+    double Errors = 0;
   };
   struct PeerView {
     BootTime At{};
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -27,12 +27,15 @@
     : m_Options(Options), m_Costs(Options.Speeds), m_Loads(Loads) {}
 
 bool PromptPlanner::usable(const Target &Which, const PromptRequest &Request,
-                           BootTime Now) const {
+                           Trust How, BootTime Now) const {
   if (std::find(Request.Excluded.begin(), Request.Excluded.end(), Which.Id) !=
       Request.Excluded.end())
     return false;
-  return !m_Loads.avoided(Which.Id, Now) &&
-         m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid;
+  if (m_Loads.avoided(Which.Id, Now))
+    return false;
+  return How == Trust::Any ||
+         (!m_Loads.resting(Which.Id, Now) &&
+          m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid);
 }
 
 /// Another engine may keep more of the prompt. Fetching a shared part takes a
@@ -70,7 +73,8 @@
   uint64_t BestWeight = 0;
   const uint64_t Subject = Request.What.subject();
   for (const Target *Which : Engines) {
-    if (Which->Does != Stage::Prefill || !usable(*Which, Request, Now))
+    if (Which->Does != Stage::Prefill ||
+        !usable(*Which, Request, Trust::Proven, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const Reading How = cheapestReading(Request, *Which, Engines, Traits);
@@ -106,14 +110,13 @@
   return Milliseconds((Items - Slots + 1) / std::max(1e-6, Turnover));
 }
 
-std::optional<PromptPlanner::Candidate>
-PromptPlanner::bestLoneRunner(const PromptRequest &Request,
-                              std::span<const Target *const> Engines,
-                              const EngineTraits &Traits, BootTime Now) const {
+std::optional<PromptPlanner::Candidate> PromptPlanner::bestLoneRunner(
+    const PromptRequest &Request, std::span<const Target *const> Engines,
+    const EngineTraits &Traits, Trust Trusted, BootTime Now) const {
   const double Coming = comingRuns(Engines, Now);
   std::optional<Candidate> Best;
   for (const Target *Which : Engines) {
-    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
+    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Trusted, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const Reading How = cheapestReading(Request, *Which, Engines, Traits);
@@ -146,17 +149,20 @@
 PromptPlanner::chooseRunner(const PromptRequest &Request, const Target *Reader,
                             std::span<const Target *const> Engines,
                             const EngineTraits &Traits, BootTime Now) const {
-  return runnerAfter(Request, Reader, Engines, Traits, 0, Now);
+  if (const auto Proven =
+          runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Proven, Now))
+    return Proven;
+  return runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Any, Now);
 }
 
 std::optional<RunAt>
 PromptPlanner::runnerAfter(const PromptRequest &Request, const Target *Reader,
                            std::span<const Target *const> Engines,
                            const EngineTraits &Traits, double Coming,
-                           BootTime Now) const {
+                           Trust Trusted, BootTime Now) const {
   std::optional<RunAt> Best;
   for (const Target *Which : Engines) {
-    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Now))
+    if (Which->Does == Stage::Prefill || !usable(*Which, Request, Trusted, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const uint32_t Cached = m_Loads.cachedTokens(Which->Id, Request.What);
@@ -198,7 +204,12 @@
 PromptPlan PromptPlanner::plan(const PromptRequest &Request,
                                std::span<const Target *const> Engines,
                                const EngineTraits &Traits, BootTime Now) const {
-  const auto Lone = bestLoneRunner(Request, Engines, Traits, Now);
+  Trust Trusted = Trust::Proven;
+  auto Lone = bestLoneRunner(Request, Engines, Traits, Trusted, Now);
+  if (!Lone) {
+    Trusted = Trust::Any;
+    Lone = bestLoneRunner(Request, Engines, Traits, Trusted, Now);
+  }
   if (!Lone)
     return refuse(Request, "no engine takes new requests",
                   Request.LatencyTarget * 2);
@@ -209,7 +220,7 @@
   Milliseconds SplitWait{0};
   if (Reader) {
     const auto Runner = runnerAfter(Request, Reader->Which, Engines, Traits,
-                                    comingRuns(Engines, Now), Now);
+                                    comingRuns(Engines, Now), Trusted, Now);
     const Milliseconds Read = Reader->Wait + Reader->Cost;
     if (Runner)
       SplitWait = Reader->Wait + Runner->Wait;
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -151,7 +151,11 @@
   Reading cheapestReading(const PromptRequest &Request, const Target &At,
                           std::span<const Target *const> Engines,
                           const EngineTraits &Traits) const;
-  bool usable(const Target &Which, const PromptRequest &Request,
+  /// Whether targets that failed lately are looked at. They are when there is
+  /// no other: when all engines fail a part of their work, a request does
+  /// better at any of them than refused.
+  enum class Trust { Proven, Any };
+  bool usable(const Target &Which, const PromptRequest &Request, Trust How,
               BootTime Now) const;
   std::optional<Candidate> bestReader(const PromptRequest &Request,
                                       std::span<const Target *const> Engines,
@@ -160,7 +164,7 @@
   std::optional<Candidate>
   bestLoneRunner(const PromptRequest &Request,
                  std::span<const Target *const> Engines,
-                 const EngineTraits &Traits, BootTime Now) const;
+                 const EngineTraits &Traits, Trust How, BootTime Now) const;
   /// \p Coming: pieces of work that will be there before this one.
   Milliseconds slotWait(const Target &Which, const EngineTraits &Traits,
                         double Coming, BootTime Now) const;
@@ -170,7 +174,7 @@
                                    const Target *Reader,
                                    std::span<const Target *const> Engines,
                                    const EngineTraits &Traits, double Coming,
-                                   BootTime Now) const;
+                                   Trust How, BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
   RefuseNow refuse(const PromptRequest &Request, std::string_view Reason,
--- a/Libraries/LibDispatch/ServicePlanner.h
+++ b/Libraries/LibDispatch/ServicePlanner.h
@@ -45,6 +45,10 @@
   /// A recent failure makes a server look this many times as slow: an answer
   /// from it may be worth nothing.
   double FailurePenalty = 20;
+  /// Errors of its own that a server gives beyond those of the best one weigh
+  /// likewise, from this excess on: some requests fail at every server by
+  /// right, and a share of a few answers is uncertain by about as much.
+  double ErrorMargin = 0.15;
   /// What a refused caller is told to wait.
   std::chrono::milliseconds RetryAfter{200};
 };
@@ -57,6 +61,10 @@
                    std::span<const Target *const> Servers, BootTime Now) const;
 
 private:
+  const Target *choose(const ServiceRequest &Request,
+                       std::span<const Target *const> Servers, bool Resting,
+                       BootTime Now) const;
+  double score(const Target &Which, double LeastErrors, BootTime Now) const;
   Milliseconds expected(const Target &Which, BootTime Now) const;
 
   ServicePlannerOptions m_Options;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -120,6 +120,8 @@
       (std::holds_alternative<dispatch::ServerFailed>(How) && m_Fields.Signed);
   if (std::holds_alternative<dispatch::Rejected>(How))
     noteRejection(Now);
+  if (Blameless && !std::holds_alternative<dispatch::Rejected>(How))
+    m_Shared.Loads.errored(m_TargetId, Now);
   if (Blameless)
     m_Shared.Loads.ended(m_TargetId, m_Ticket);
   else
--- a/Tests/LibDispatch/TestLoadBook.cpp
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -105,3 +105,19 @@
   DOUBLES_EQUAL(0, Book.backlog("e", Now).count(), 0);
   DOUBLES_EQUAL(1, Book.slowness("e", Now), 0);
 }
+
+// Load: servers that go down and up by turns. Grounds: a server that is down
+// fails at once and so looks free; each try of it loses a request.
+TEST(LoadBook, LetsATargetRestLongerEachTimeThatItFails) {
+  Book.failed("e", start(1), Now);
+  CHECK(Book.resting("e", Now));
+  // The rest of what was on the same connection.
+  Book.failed("e", start(1), Now);
+  Now += milliseconds(210);
+  CHECK(!Book.resting("e", Now));
+  Book.failed("e", start(1), Now);
+  Now += milliseconds(210);
+  CHECK(Book.resting("e", Now));
+  Now += milliseconds(200);
+  CHECK(!Book.resting("e", Now));
+}
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -178,3 +178,17 @@
   Engines.resize(2);
   CHECK(std::holds_alternative<RefuseNow>(plan()));
 }
+
+// Symptom: every prompt is refused for two seconds. Sequence: all engines fail
+// more than a quarter of their work. Cause: engines that fail were left out
+// also where there was no other.
+TEST(PromptPlanner, GoesToAnEngineThatFailsWhenAllDo) {
+  for (const Target &Each : Targets)
+    for (int At = 0; At < 6; ++At)
+      Loads.failed(
+          Each.Id,
+          Loads.started(Each.Id, Milliseconds(1), Milliseconds(1), Now), Now);
+  CHECK(!std::holds_alternative<RefuseNow>(plan()));
+  CHECK(Planner.chooseRunner(Request, &Targets[0], Engines, Traits, Now)
+            .has_value());
+}
--- a/Tests/LibDispatch/TestServicePlanner.cpp
+++ b/Tests/LibDispatch/TestServicePlanner.cpp
@@ -80,3 +80,40 @@
   Request.Excluded = {"a", "b"};
   STRCMP_EQUAL("", chosen().c_str());
 }
+
+// Symptom: a third of the notices fail at one of four servers, whose health
+// check is good. Sequence: it answers part of the requests with errors of its
+// own. Cause: an error that a server signed was held against nobody.
+TEST(ServicePlanner, LeavesAServerThatGivesMoreErrorsThanTheOthers) {
+  for (int At = 0; At < 5; ++At) {
+    Loads.errored("a", Now);
+    Loads.answered("b", start("b"), Now);
+  }
+  Loads.ended("b", 0);
+  for (const double Draw : {0.0, 0.6}) {
+    Request.Draw = Draw;
+    STRCMP_EQUAL("b", chosen().c_str());
+  }
+}
+
+// Load: a service whose requests fail by right at every server. Grounds: no
+// server is better for it, and load decides.
+TEST(ServicePlanner, TakesErrorsThatAllGiveForTheRequestsOwn) {
+  for (int At = 0; At < 5; ++At) {
+    Loads.errored("a", Now);
+    Loads.errored("b", Now);
+  }
+  start("a");
+  start("a");
+  STRCMP_EQUAL("b", chosen().c_str());
+  start("b");
+  start("b");
+  start("b");
+  STRCMP_EQUAL("a", chosen().c_str());
+}
+
+TEST(ServicePlanner, GoesToAServerThatFailedWhenThereIsNoOther) {
+  Loads.failed("a", start("a"), Now);
+  Loads.failed("b", start("b"), Now);
+  CHECK(!chosen().empty());
+}
