--- a/Tests/Soak/Disturber.cpp
+++ b/Tests/Soak/Disturber.cpp
@@ -16,7 +16,10 @@
 using std::chrono::milliseconds;
 
 namespace {
-constexpr size_t MostAtOnce = 3;
+constexpr size_t MostAtOnce = 4;
+/// Pause between two faults: about 25 in ten seconds, so that they overlap.
+constexpr unsigned ShortestPauseMs = 30;
+constexpr unsigned LongestPauseMs = 700;
 constexpr std::array LinkFaults = {LinkFault::Cut, LinkFault::Freeze,
                                    LinkFault::LoseRequests,
                                    LinkFault::LoseAnswers, LinkFault::Delay};
@@ -57,12 +60,12 @@
     Each.Mend();
   if (!May || Now < m_Next || m_Open.size() >= MostAtOnce)
     return;
-  m_Next = later(Now, 50, 1200);
+  m_Next = later(Now, ShortestPauseMs, LongestPauseMs);
   begin(Now);
 }
 
 void Disturber::begin(BootTime Now) {
-  switch (draw(0, 9)) {
+  switch (draw(0, 11)) {
   case 0:
   case 1:
   case 2:
@@ -73,8 +76,10 @@
   case 5:
     return beginStore(Now);
   case 6:
-    return beginServer(Now);
   case 7:
+  case 8:
+    return beginServer(Now);
+  case 9:
     return beginLeaving(Now);
   default:
     m_History.push_back("a configuration");
