figlift-gateway, TargetHealth: Take changed settings; probe a target sooner

The platform may change a settings file without a signal; nothing noticed. The file is compared once a second now.

The longest exclusion is 5 s now.

--- a/Libraries/LibRetry/TargetHealth.h
+++ b/Libraries/LibRetry/TargetHealth.h
@@ -24,8 +24,11 @@
   unsigned FailuresToExclude = 3;
   /// Doubles with each failed probe...
   std::chrono::milliseconds FirstExclusion{500};
-  /// ...up to this.
-  std::chrono::milliseconds MaximumExclusion{15000};
+  /// ...up to this. A target that is back gets its first probe after at most
+  /// so long, and all work when that has ended: with 15 s an engine stood idle
+  /// for twenty after its link was mended. One request in five seconds is what
+  /// a target that stays away costs each entry.
+  std::chrono::milliseconds MaximumExclusion{5000};
 };
 
 /// Lock-free; used by all threads of an entry.
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -13,8 +13,6 @@
 #include "platform/Rows.h"
 
 #include <csignal>
-#include <fstream>
-#include <iterator>
 
 namespace figlift::gateway {
 
@@ -25,6 +23,9 @@
 namespace {
 
 constexpr milliseconds TickInterval{100};
+/// How often the settings file is looked at: its changes are not urgent, and a
+/// look costs some system calls.
+constexpr milliseconds SettingsInterval{1000};
 /// A tick this late means that the process stood still: what it believes is as
 /// old as that.
 constexpr milliseconds StandstillBound{1000};
@@ -130,6 +131,9 @@
   Metrics.readCounter("figlift_gateway_store_calls_total",
                       "Calls to the platform's store",
                       [this] { return double(m_Store.calls()); });
+  Metrics.readCounter("figlift_gateway_reloads_total",
+                      "Changes of the settings that were taken",
+                      [this] { return double(m_Reloads); });
   Metrics.readCounter("figlift_gateway_log_lines_left_out_total",
                       "Lines beyond the allowance of their kind",
                       [this] { return double(m_Shared.Log.leftOut()); });
@@ -383,6 +387,7 @@
   m_Shared.OrderTurnDelay =
       OrderTurn * static_cast<int>(m_Peers.liveBefore(Now));
   m_Stages.tick(Now);
+  watchSettings(Now);
   m_Shared.Log.tick(Now);
   if (m_Shared.Stopping)
     stopTick(Now);
@@ -399,20 +404,28 @@
         if (Signal == SIGTERM)
           stop();
         else
-          reloadSettings();
+          reloadSettings(m_SettingsFile.read());
         watchSignals();
       });
 }
 
-void Gateway::reloadSettings() {
-  std::ifstream File(m_SettingsFile, std::ios::binary);
-  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+/// The platform may change the file without a signal.
+void Gateway::watchSettings(BootTime Now) {
+  if (Now - m_SettingsSeen < SettingsInterval)
+    return;
+  m_SettingsSeen = Now;
+  if (const auto Changed = m_SettingsFile.readIfChanged())
+    reloadSettings(*Changed);
+}
+
+void Gateway::reloadSettings(const std::string &Text) {
   auto Read = settings::parseGatewaySettings(Text);
   if (!Read)
     return log::logError(log::Level::Error, "reload-refused", Read.error());
   // Addresses are bound for the life of the process; the rest takes effect.
   m_Shared.Settings.Drain = Read.value().Drain;
   m_Shared.Settings.Orders = Read.value().Orders;
+  ++m_Reloads;
   log::logEvent(log::Level::Info, "reloaded");
 }
 
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "Context.h"
 #include "OutputWriter.h"
 #include "PeerLink.h"
+#include "SettingsFile.h"
 #include "StageDirector.h"
 #include "StoreFollower.h"
 #include "TextServer.h"
@@ -59,13 +60,17 @@
   void scheduleTick();
   void tick();
   void watchSignals();
-  void reloadSettings();
+  void watchSettings(BootTime Now);
+  void reloadSettings(const std::string &Text);
   void stop();
   void stopTick(BootTime Now);
 
   Context m_Shared;
   OutputWriter &m_Output;
-  std::string m_SettingsFile;
+  SettingsFile m_SettingsFile;
+  /// When the file was last looked at.
+  BootTime m_SettingsSeen{};
+  uint64_t m_Reloads = 0;
   slopes::StoreClient m_Store;
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -30,7 +31,8 @@
 } // namespace
 
 GatewayScene::GatewayScene(double Grace)
-    : m_Output(open("/dev/null", O_WRONLY)) {
+    : m_SettingsFile("/tmp/figlift-gateway-" + std::to_string(getpid())),
+      m_Output(open("/dev/null", O_WRONLY)) {
   Settings.Process = {"g1", "z"};
   Settings.Listen = {freePort(), freePort(), freePort(), freePort()};
   Settings.Store = Store.address();
@@ -39,7 +41,8 @@
   log::Options Quiet;
   Quiet.Threshold = log::Level::Off;
   log::configure(Quiet);
-  m_Gateway = std::make_unique<gateway::Gateway>(Settings, m_Output, "");
+  m_Gateway =
+      std::make_unique<gateway::Gateway>(Settings, m_Output, m_SettingsFile);
   m_Gateway->start().value();
   m_Thread = std::thread([this] { m_Gateway->run(); });
 }
@@ -47,6 +50,7 @@
 GatewayScene::~GatewayScene() {
   m_Gateway->interrupt();
   m_Thread.join();
+  unlink(m_SettingsFile.c_str());
 }
 
 void GatewayScene::configure(uint64_t Version) {
@@ -130,6 +134,10 @@
                       Fields + "\r\n");
 }
 
+void GatewayScene::writeSettings(const std::string &Text) {
+  std::ofstream(m_SettingsFile, std::ios::binary) << Text;
+}
+
 void GatewayScene::terminate() { kill(getpid(), SIGTERM); }
 
 void GatewayScene::hangUp() { kill(getpid(), SIGHUP); }
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -24,6 +24,8 @@
 public:
   /// \p Grace: from SIGTERM to the kill.
   explicit GatewayScene(double Grace = 8);
+  /// Writes the gateway's settings file; it exists from the first call on.
+  void writeSettings(const std::string &Text);
   ~GatewayScene();
 
   /// Writes the configuration: routes /safe/, /unsafe/, /stream/ (resumable)
@@ -64,6 +66,7 @@
   std::string exchange(const Endpoint &Where, const std::string &Bytes);
 
   std::map<std::string, Entry> m_Servers;
+  std::string m_SettingsFile;
   gateway::OutputWriter m_Output;
   std::unique_ptr<gateway::Gateway> m_Gateway;
   std::thread m_Thread;
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -315,6 +315,18 @@
   CHECK(has(Scene.ask("POST", "/unsafe/x"), "HTTP/1.1 504"));
 }
 
+// Symptom: a change of the settings has no effect until the next start.
+// Sequence: the platform replaces the file and sends no signal. Cause: the file
+// was read on a signal alone.
+TEST(Gateway, TakesSettingsThatChangeWithoutASignal) {
+  serve();
+  Scene.writeSettings("not settings");
+  const std::string Changed = settings::printSettings(Scene.Settings);
+  Scene.writeSettings(Changed);
+  CHECK(Scene.until(
+      [&] { return has(Scene.metrics(), "figlift_gateway_reloads_total 1"); }));
+}
+
 // Symptom: a process ends by itself, with the number of a signal, while its
 // settings are changed. Sequence: SIGHUP comes several times in a row. Cause:
 // between two waits the signal was not taken, and its usual effect is the end.
