--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -44,6 +44,8 @@
         m_Folder(With.Folder / fmt::format("seed-{}", Seed)) {}
 
   bool play() {
+    // Logs of an earlier play of the seed hold other addresses.
+    std::filesystem::remove_all(m_Folder);
     std::filesystem::create_directories(m_Folder);
     SoakFleet Fleet(m_Loop, m_Book, m_Seed, m_With.Gateways, m_Folder);
     if (!Fleet.start()) {
