--- a/Libraries/LibHttp/CallerLink.cpp
+++ b/Libraries/LibHttp/CallerLink.cpp
@@ -53,18 +53,12 @@
 
 void CallerLink::beginStream(proxy::ResponseHead Head,
                              std::function<void()> Gone) {
-  bool GoneAlready = false;
   {
     std::lock_guard Lock(m_Mutex);
-    GoneAlready = m_CallerGone.load();
-    if (!GoneAlready)
-      m_Gone = std::move(Gone);
-  }
-  if (GoneAlready) {
-    if (Gone)
-      Gone();
-    return;
+    m_Gone = std::move(Gone);
   }
+  if (m_CallerGone.load())
+    return tellGone();
   onStrand([Head = std::move(Head)](proxy::CallerConnection &Caller) {
     Caller.beginStream(Head);
   });
@@ -100,10 +94,14 @@
 
 void CallerLink::callerGone() {
   uncount();
+  m_CallerGone.store(true);
+  tellGone();
+}
+
+void CallerLink::tellGone() {
   std::function<void()> Gone;
   {
     std::lock_guard Lock(m_Mutex);
-    m_CallerGone.store(true);
     Gone = std::exchange(m_Gone, {});
   }
   if (Gone)
--- a/Libraries/LibHttp/CallerLink.h
+++ b/Libraries/LibHttp/CallerLink.h
@@ -56,6 +56,7 @@
 
   void onStrand(Action What);
   void uncount();
+  void tellGone();
   void noteUnsent(const proxy::CallerConnection &Caller);
 
   /// First, so that it outlives the executor of its loop.
