--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -149,7 +149,7 @@
 PromptPlanner::chooseRunner(const PromptRequest &Request, const Target *Reader,
                             std::span<const Target *const> Engines,
                             const EngineTraits &Traits, BootTime Now) const {
-  if (const auto Proven =
+  if (auto Proven =
           runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Proven, Now))
     return Proven;
   return runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Any, Now);
