FleetBudget: Drop the way of spending that nobody used

Repeats are charged as they are sent; taking one beforehand was left to tests alone. They go the way of the product now and hold the same bounds.

--- a/Libraries/LibRetry/FleetBudget.cpp
+++ b/Libraries/LibRetry/FleetBudget.cpp
@@ -48,11 +48,4 @@
   m_Accounts[Service].Repeats.push_back(Now);
 }
 
-bool FleetBudget::spend(const std::string &Service, BootTime Now) {
-  if (left(Service, Now) < 1)
-    return false;
-  charge(Service, Now);
-  return true;
-}
-
 } // namespace figlift::retry
--- a/Libraries/LibRetry/FleetBudget.h
+++ b/Libraries/LibRetry/FleetBudget.h
@@ -38,9 +38,8 @@
   /// How many processes share the fixed part now.
   void setProcesses(size_t Live, BootTime Now);
   void requestSent(const std::string &Service, BootTime Now);
-  /// Takes one repeat, if there is one.
-  bool spend(const std::string &Service, BootTime Now);
-  /// A repeat that was not asked for beforehand, such as a rejected call.
+  /// A repeat has been sent. Callers look at left() first; an arrival that a
+  /// server rejected counts as well, and may use up more than there was.
   void charge(const std::string &Service, BootTime Now);
   double left(const std::string &Service, BootTime Now);
 
--- a/Tests/LibRetry/TestFleetBudget.cpp
+++ b/Tests/LibRetry/TestFleetBudget.cpp
@@ -18,8 +18,8 @@
 
   int spendAll(FleetBudget & Budget) {
     int Count = 0;
-    while (Budget.spend("s", Now))
-      ++Count;
+    for (; Budget.left("s", Now) >= 1; ++Count)
+      Budget.charge("s", Now);
     return Count;
   }
 };
@@ -71,5 +71,5 @@
 TEST(FleetBudget, KeepsServicesApart) {
   FleetBudget Budget(Terms, true, Now);
   spendAll(Budget);
-  CHECK(Budget.spend("other", Now));
+  CHECK(Budget.left("other", Now) >= 1);
 }
