--- a/Tests/Soak/PromiseBook.cpp
+++ b/Tests/Soak/PromiseBook.cpp
@@ -136,14 +136,17 @@
 
 void PromiseBook::checkVersion(const Record &Of, const Arrival &What,
                                BootTime Now) {
-  if (Of.What.Service != MovingService || m_Versions.empty())
+  // What a server turned away was not handled by its service.
+  if (Of.What.Service != MovingService || m_Versions.empty() || What.TurnedAway)
     return;
   // The newest version that sends the route there.
   const auto Handled = std::find_if(
       m_Versions.rbegin(), m_Versions.rend(),
       [&](const auto &Each) { return Each.Service == What.Service; });
   if (Handled == m_Versions.rend())
-    return broken("ROUTE: " + What.AttemptId + " ran at " + What.Service);
+    return broken(fmt::format("ROUTE: {} from {} ran at {} ({}), version {}",
+                              What.AttemptId, Of.What.Gateway, What.Service,
+                              What.Server, m_Versions.back().Number));
   const Version &Newest = m_Versions.back();
   const std::string &Gateway = Of.What.Gateway;
   if (Handled->Number < Newest.Number &&
--- a/Tests/Soak/TestPromiseBook.cpp
+++ b/Tests/Soak/TestPromiseBook.cpp
@@ -118,6 +118,15 @@
   expectBroken("CONFIG");
 }
 
+TEST(PromiseBook, ARouteGoesOnlyWhereAConfigurationSentIt) {
+  Book.configured(1, "moving-1", Now);
+  send("a", Repeatable::Yes, PromiseBook::MovingService);
+  Book.arrived({"a", "s1", "moving-0", false, true}, Now);
+  expectKept();
+  arrive("a", "moving-0");
+  expectBroken("ROUTE");
+}
+
 TEST(PromiseBook, AGatewayNeverGoesBack) {
   Book.configured(1, "moving-1", Now);
   Book.configured(2, "moving-2", Now);
