--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -126,7 +126,15 @@
     return;
   if (Delay == milliseconds(0))
     return serve(What, From);
-  after(Delay, [this, What, From] { serve(What, From); });
+  // Read first and answered late: a newer answer may have come before.
+  const auto Wait =
+      std::chrono::duration_cast<milliseconds>(Delay * 2 * drand48());
+  if (What.Head.Target.starts_with("/v1/rows-get")) {
+    const std::string Read =
+        rows(queryValue(What.Head.Target, "table"), 0, false);
+    return after(Wait, [this, Read, From] { reply(From, 200, Read); });
+  }
+  after(Wait, [this, What, From] { serve(What, From); });
 }
 
 void StandInStore::serve(const proxy::Request &What, const Caller &From) {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -68,7 +68,7 @@
   bool Away = false;
   /// Takes calls and never answers.
   bool Silent = false;
-  /// Answers this much later.
+  /// Answers up to twice this much later, so that answers overtake each other.
   std::chrono::milliseconds Delay{0};
   /// Does what it is told and breaks the connection instead of answering, for
   /// this share of the calls.
--- a/Tests/Soak/Disturber.cpp
+++ b/Tests/Soak/Disturber.cpp
@@ -150,10 +150,19 @@
   if (isOpen(Name))
     return;
   const Manner How = Manners[draw(0, Manners.size() - 1)];
-  m_History.push_back(fmt::format("{} manner {}", Name, static_cast<int>(How)));
-  m_Fleet.behave(Which, How);
+  // Now and then all of them at once: a storm of repeats, which the budget has
+  // to bound.
+  const bool All = draw(0, 4) == 0;
+  const auto Behave = [this, Which, All](Manner Wanted) {
+    for (unsigned Each = 0; Each < m_Fleet.servers(); ++Each)
+      if (All || Each == Which)
+        m_Fleet.behave(Each, Wanted);
+  };
+  m_History.push_back(fmt::format("{}{} manner {}", Name, All ? " and all" : "",
+                                  static_cast<int>(How)));
+  Behave(How);
   open(Name, PromiseBook::Servers, later(Now, 300, 4000),
-       [this, Which] { m_Fleet.behave(Which, Manner::Good); });
+       [Behave] { Behave(Manner::Good); });
 }
 
 void Disturber::beginLeaving(BootTime Now) {
