Tests/Soak: Give each gateway an address of its own

A port that had been found free for a gateway was given to a link of the fault proxy before the gateway bound it, so callers reached the store, or a server, past all gateways. That is also what ROUTE at the first requests of a run was, seen once. Gateways have an address each now, with fixed ports.

--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -12,10 +12,10 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
+#include <unistd.h>
 
 namespace figlift::soak {
 
-namespace asio = boost::asio;
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -30,10 +30,21 @@
 constexpr unsigned MovingServices = 3;
 constexpr unsigned Engines = 4;
 
-Endpoint freePort() {
-  asio::io_context Loop;
-  asio::ip::tcp::acceptor Probe(Loop, {asio::ip::address_v4::loopback(), 0});
-  return {"127.0.0.1", Probe.local_endpoint().port()};
+/// Ports of a gateway, on an address of its own. A port that was found free on
+/// the address that all use may be given to a link of the fault proxy before
+/// the gateway binds it; callers then reach a server or the store past all
+/// gateways.
+constexpr uint16_t CallersPort = 7001;
+constexpr uint16_t ReadyPort = 7002;
+constexpr uint16_t MetricsPort = 7003;
+constexpr uint16_t PeersPort = 7004;
+
+/// 127.64.0.0 to 127.127.255.255, apart for soaks that run at the same time.
+std::string gatewayAddress(unsigned Which) {
+  const auto Pid = static_cast<unsigned>(getpid());
+  constexpr unsigned Hosts = 250;
+  return fmt::format("127.{}.{}.{}", 64 + Pid / Hosts % 64, Pid % Hosts + 1,
+                     Which + 1);
 }
 
 std::string modeName(LinkFault How) {
@@ -60,8 +71,9 @@
 
 } // namespace
 
-SoakFleet::SoakFleet(asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
-                     unsigned Gateways, std::filesystem::path Folder)
+SoakFleet::SoakFleet(boost::asio::io_context &Loop, PromiseBook &Book,
+                     uint64_t Seed, unsigned Gateways,
+                     std::filesystem::path Folder)
     : m_Loop(Loop), m_Book(Book), m_Folder(std::move(Folder)), m_Store(Loop),
       m_Gateways(Gateways) {
   const auto Add = [&](const std::string &Service, const std::string &Stage) {
@@ -95,7 +107,7 @@
     Flags.push_back(linkFlag(Name, Target));
   };
   for (unsigned Each = 0; Each < m_Gateways.size(); ++Each) {
-    m_Gateways[Each].Callers = freePort();
+    m_Gateways[Each].Callers = {gatewayAddress(Each), CallersPort};
     Add(fmt::format("store-{}", Each), m_Store.address());
     Add(fmt::format("callers-{}", Each), m_Gateways[Each].Callers);
   }
@@ -152,13 +164,17 @@
 void SoakFleet::startGateway(unsigned Which, bool FleetStarts) {
   Gateway &Of = m_Gateways[Which];
   const std::string Name = gatewayName(Which);
+  const std::string Address = gatewayAddress(Which);
+  const auto At = [&](uint16_t Port) {
+    return Endpoint{Address, Port}.toString();
+  };
   const Json Settings = {
       {"process", {{"id", Name}, {"zone", "z"}}},
       {"listen",
        {{"callers", Of.Callers.toString()},
-        {"ready", freePort().toString()},
-        {"metrics", freePort().toString()},
-        {"peers", freePort().toString()}}},
+        {"ready", At(ReadyPort)},
+        {"metrics", At(MetricsPort)},
+        {"peers", At(PeersPort)}}},
       {"store",
        {{"address", linkAddress(fmt::format("store-{}", Which)).toString()}}},
       {"fleet", {{"starts", FleetStarts}}},
