--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -229,8 +229,12 @@
 
 void SoakFleet::wake(unsigned Which) {
   Gateway &Of = m_Gateways[Which];
-  if (std::exchange(Of.Paused, false) && Of.Process.running())
-    Of.Process.resume();
+  if (!std::exchange(Of.Paused, false) || !Of.Process.running())
+    return;
+  // A process that stands still takes no signal: its grace begins now.
+  if (Of.TerminatedAt != BootTime{})
+    Of.TerminatedAt = BootClock::now();
+  Of.Process.resume();
 }
 
 void SoakFleet::storeLink(unsigned Which, LinkFault How) {
