--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -27,8 +27,8 @@
 
 namespace {
 
-// CppUTest's leak detector is not safe for threads, and cpprestsdk's pool
-// allocates on its own; so it is off for this suite.
+// CppUTest's leak detector is not safe for threads, and the server's threads
+// allocate on their own; so it is off for this suite.
 const bool LeakDetectorOff = [] {
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return true;
@@ -201,11 +201,11 @@
   CHECK(eventually([&] { return Running->requestsInFlight() == 0; }));
 }
 
-TEST(HttpServer, ACallerWhoHasGoneIsNoticedByWriting) {
+TEST(HttpServer, ACallerWhoHasGoneIsNoticed) {
   // Symptom: an engine goes on decoding for a parent who closed the page.
   // Sequence: the caller's connection closes in mid-answer; the buffer goes
   // on taking bytes, and nothing tells the writer.
-  // Cause: cpprestsdk reports the failure only on the task of the reply.
+  // Cause: nobody reads the connection while the answer is written.
   std::promise<std::shared_ptr<EventStream>> Opened;
   std::atomic<bool> Gone{false};
   start({route("POST", "/v1/", [&](auto Call) {
