LoadBook: Forgive errors with time, and let them put off nothing

Found while reading the diff: an error of a server renewed the time from which its slowness and failures are forgiven, and its share of errors was forgiven by good answers alone, which a server that is left out does not get. The test fails with the old line put back.

--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -82,13 +82,18 @@
   if (Found == m_Entries.end())
     return;
   Entry &Which = Found->second;
-  Which.Errors += (1 - Which.Errors) * m_Options.Smoothing;
-  Which.LastVerdict = Now;
+  const double Before = errorShare(TargetId, Now);
+  Which.Errors = Before + (1 - Before) * m_Options.Smoothing;
+  Which.LastError = Now;
 }
 
-double LoadBook::errorShare(const std::string &TargetId) const {
+double LoadBook::errorShare(const std::string &TargetId, BootTime Now) const {
   const Entry *Which = find(TargetId);
-  return Which ? Which->Errors : 0;
+  if (!Which)
+    return 0;
+  const double HalfLives =
+      Milliseconds(Now - Which->LastError) / m_Options.ForgiveHalfLife;
+  return Which->Errors * std::exp2(-std::max(0.0, HalfLives));
 }
 
 void LoadBook::avoid(const std::string &TargetId, BootTime Until) {
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -122,8 +122,8 @@
   double slowness(const std::string &TargetId, BootTime Now) const;
   /// Share of the recent work that failed there.
   double failureShare(const std::string &TargetId, BootTime Now) const;
-  /// Share of its recent answers that were errors.
-  double errorShare(const std::string &TargetId) const;
+  /// Share of its recent answers that were errors; forgiven like a failure.
+  double errorShare(const std::string &TargetId, BootTime Now) const;
   KvCacheView &cache(const std::string &TargetId);
   uint32_t cachedTokens(const std::string &TargetId, const Prompt &What) const;
 
@@ -144,6 +144,7 @@
     /// Failures in a row, halved by each success.
     unsigned FailuresInRow = 0;
     double Errors = 0;
+    BootTime LastError{};
   };
   struct PeerView {
     BootTime At{};
--- a/Libraries/LibDispatch/ServicePlanner.cpp
+++ b/Libraries/LibDispatch/ServicePlanner.cpp
@@ -26,7 +26,7 @@
   // Occupied slots break ties between servers of one speed.
   const double Crowding =
       1 + 0.2 * m_Loads.items(Which.Id, Now) / std::max(1U, Which.Slots);
-  const double Errors = std::max(0.0, m_Loads.errorShare(Which.Id) -
+  const double Errors = std::max(0.0, m_Loads.errorShare(Which.Id, Now) -
                                           LeastErrors - m_Options.ErrorMargin);
   return expected(Which, Now).count() * Crowding *
          (1 + m_Options.FailurePenalty *
@@ -38,7 +38,7 @@
                                      bool Resting, BootTime Now) const {
   double LeastErrors = 1;
   for (const Target *Each : Servers)
-    LeastErrors = std::min(LeastErrors, m_Loads.errorShare(Each->Id));
+    LeastErrors = std::min(LeastErrors, m_Loads.errorShare(Each->Id, Now));
   const Target *Best = nullptr;
   double BestScore = 0;
   for (size_t At = 0; At < Servers.size(); ++At) {
--- a/Tests/LibDispatch/TestLoadBook.cpp
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -121,3 +121,19 @@
   Now += milliseconds(200);
   CHECK(!Book.resting("e", Now));
 }
+
+// Symptom: a server that failed requests for a while gets none for the rest of
+// the day, and a slow one is never tried again. Sequence: it answers with
+// errors, then with none. Cause: errors were never forgiven, and each of them
+// put off the forgiving of everything else.
+TEST(LoadBook, ForgivesErrorsAndLetsThemPutOffNothing) {
+  Book.failed("e", start(1), Now);
+  const double Failures = Book.failureShare("e", Now);
+  Book.errored("e", Now);
+  CHECK(Book.errorShare("e", Now) > 0.09);
+  Now += milliseconds(2000);
+  Book.errored("e", Now);
+  DOUBLES_EQUAL(Failures / 2, Book.failureShare("e", Now), 1e-9);
+  Now += milliseconds(20000);
+  CHECK(Book.errorShare("e", Now) < 0.001);
+}
