TargetTable, platform: Tell starts of one server apart; refuse entries of other writers

A server may start again under its id. Cache view, load, health, pools and orders under way were kept by id, so work went to a cache that was empty and to connections of the earlier start. A target is now one start; a changed start is a gone target and a new one. Writes that reach the store late are known by the start and the number of the heartbeat; a server whose clock went back is believed at its second heartbeat.

Entries of the list that lack a field that servers write, or have another type or word in it, name no server: counted, logged within the allowance. Until now an unknown state counted as draining and a missing one as ready.

Each test failed before. The platform's decoders join the seeded fuzzing.

--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -120,6 +120,11 @@
   verdict(Found->second, std::min(Ratio, m_Options.MaximumSlowness), 0, Now);
 }
 
+bool LoadBook::knows(const std::string &TargetId, uint64_t Ticket) const {
+  const Entry *Which = find(TargetId);
+  return Which && Which->Own.contains(Ticket);
+}
+
 void LoadBook::ended(const std::string &TargetId, uint64_t Ticket) {
   if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
     Found->second.Own.erase(Ticket);
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -85,6 +85,9 @@
   void answered(const std::string &TargetId, uint64_t Ticket, BootTime Now);
   /// It is no longer at the target, for whatever reason.
   void ended(const std::string &TargetId, uint64_t Ticket);
+  /// Whether the ticket is of work at this start of the target: what comes of
+  /// work that an earlier start had says nothing of this one.
+  bool knows(const std::string &TargetId, uint64_t Ticket) const;
   /// The target answered it with an error of its own, and may do so by right.
   void errored(const std::string &TargetId, BootTime Now);
   /// The target failed it; it has ended.
--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -46,7 +46,8 @@
     const auto Found =
         std::find_if(Engines.begin(), Engines.end(),
                      [&](const Target *One) { return One->Id == Each.first; });
-    return Found == Engines.end() || (*Found)->Does == Order.Wanted;
+    return Found == Engines.end() || (*Found)->Does == Order.Wanted ||
+           (*Found)->Started != Order.Start;
   });
 }
 
@@ -116,11 +117,13 @@
   if (!Chosen || !mayTakeAway(Engines, Demand, *Chosen, Now))
     return std::nullopt;
   return StageChange{Chosen->Id,
-                     From == Stage::Decode ? Stage::Prefill : Stage::Decode};
+                     From == Stage::Decode ? Stage::Prefill : Stage::Decode,
+                     Chosen->Started};
 }
 
 void StagePlanner::ordered(const StageChange &What, BootTime Now) {
-  m_Pending[What.TargetId] = {What.Wanted, Now + m_Options.DoubtTime};
+  m_Pending[What.TargetId] = {What.Wanted, What.Start,
+                              Now + m_Options.DoubtTime};
   m_Changed = true;
 }
 
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -28,6 +28,8 @@
 struct StageChange {
   std::string TargetId;
   Stage Wanted = Stage::Decode;
+  /// The start of the target that it was planned for.
+  std::optional<StartTime> Start = std::nullopt;
   bool operator==(const StageChange &) const = default;
 };
 
@@ -77,6 +79,8 @@
 private:
   struct Pending {
     Stage Wanted = Stage::Decode;
+    /// The start that got the order; a later one knows nothing of it.
+    std::optional<StartTime> Start;
     /// Nothing is known of it after this.
     BootTime Until{};
   };
--- a/Libraries/LibDispatch/Target.h
+++ b/Libraries/LibDispatch/Target.h
@@ -8,7 +8,9 @@
 
 #include "LibCore/Endpoint.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace figlift::dispatch {
@@ -23,10 +25,18 @@
   Decode,
 };
 
+/// When a server started, by the time of day. A server may start again under
+/// the id that it had; then this differs, and it knows nothing of before.
+using StartTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
 /// One start of a server.
 struct Target {
-  /// Differs for each start of a server.
   std::string Id;
+  /// Absent where servers do not tell.
+  std::optional<StartTime> Started;
+  /// Counts what this start wrote about itself: an entry with a lower number
+  /// was written earlier, whenever it arrives.
+  uint64_t Heartbeat = 0;
   std::string Service;
   Endpoint Address;
   std::string Zone;
@@ -37,6 +47,19 @@
   Stage Does = Stage::None;
 
   bool operator==(const Target &) const = default;
+  /// Whether \p Other says the same of the same start, though at another
+  /// heartbeat.
+  bool saysTheSame(Target Other) const {
+    Other.Heartbeat = Heartbeat;
+    return Other == *this;
+  }
+  /// Whether this was written before \p Other, about an earlier start or by an
+  /// earlier heartbeat of the same one.
+  bool isOlderThan(const Target &Other) const {
+    if (Started != Other.Started)
+      return Started < Other.Started;
+    return Heartbeat < Other.Heartbeat;
+  }
 };
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/TargetTable.cpp
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -25,6 +25,23 @@
                           m_LastFailure + m_Options.TimeAfterLastFailure);
 }
 
+bool TargetTable::isLateWrite(const Target &Known, const Target &Entry) {
+  if (!Entry.isOlderThan(Known)) {
+    m_Doubted.erase(Entry.Id);
+    return false;
+  }
+  const auto [Before, IsFirst] = m_Doubted.try_emplace(Entry.Id, Entry);
+  if (IsFirst)
+    return true;
+  const bool Goes = Before->second.Started == Entry.Started &&
+                    Before->second.isOlderThan(Entry);
+  Before->second = Entry;
+  if (!Goes)
+    return true;
+  m_Doubted.erase(Entry.Id);
+  return false;
+}
+
 void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
   m_Missing.erase(Entry.Id);
   const auto [Found, IsNew] = m_Targets.try_emplace(Entry.Id, Entry);
@@ -32,8 +49,18 @@
     Out.emplace_back(TargetCame{Entry});
     return;
   }
-  if (Found->second == Entry)
+  if (isLateWrite(Found->second, Entry))
+    return;
+  if (Found->second.Started != Entry.Started) {
+    Found->second = Entry;
+    Out.emplace_back(TargetGone{Entry.Id});
+    Out.emplace_back(TargetCame{Entry});
+    return;
+  }
+  if (Found->second.saysTheSame(Entry)) {
+    Found->second.Heartbeat = Entry.Heartbeat;
     return;
+  }
   const bool DrainsNow = Entry.Draining && !Found->second.Draining;
   Found->second = Entry;
   if (DrainsNow)
@@ -44,6 +71,7 @@
 
 void TargetTable::drop(const std::string &Id, std::vector<TargetEvent> &Out) {
   m_Missing.erase(Id);
+  m_Doubted.erase(Id);
   if (m_Targets.erase(Id) > 0)
     Out.emplace_back(TargetGone{Id});
 }
--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -6,6 +6,11 @@
 // an entry that is missing then is kept for that time; a server that really
 // left is found by the identity check of its successor, or by its silence.
 //
+// A server that starts again under its id is another target: what was believed
+// of it (work, cache, speed, connections) is dropped. A write that was held up
+// on its way to the store can put an older entry in place of a newer one; taken
+// at its word, it would bring back an earlier start, or a server that leaves.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -74,10 +79,15 @@
 private:
   void storeAnswered(BootTime Now);
   void apply(const Target &Entry, std::vector<TargetEvent> &Out);
+  bool isLateWrite(const Target &Known, const Target &Entry);
   void drop(const std::string &Id, std::vector<TargetEvent> &Out);
 
   TargetTableOptions m_Options;
   std::map<std::string, Target> m_Targets;
+  /// Entries that looked older than what is known of their target, by id. A
+  /// second one that is newer than the first shows a server whose clock or
+  /// count went back, and is believed.
+  std::map<std::string, Target> m_Doubted;
   /// Entries that the store no longer lists, and may list again.
   std::set<std::string> m_Missing;
   bool m_StoreLost = false;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -128,6 +128,9 @@
                           Sum += Pool->opened();
                         return double(Sum);
                       });
+  Metrics.readCounter("figlift_gateway_server_entries_refused_total",
+                      "Entries in the list of servers that name none to use",
+                      [this] { return double(m_RefusedEntries); });
   Metrics.readCounter("figlift_gateway_store_calls_total",
                       "Calls to the platform's store",
                       [this] { return double(m_Store.calls()); });
@@ -262,14 +265,27 @@
   }
 }
 
+/// An entry that cannot be read names no server to use. One bad writer may
+/// leave many, again and again: the counter tells of all, the log of some.
+std::optional<dispatch::Target>
+Gateway::readServer(const slopes::StoreRow &Row) {
+  auto Read = slopes::decodeServer(Row.Key, Row.Value);
+  if (Read)
+    return std::move(Read.value());
+  ++m_RefusedEntries;
+  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+    log::logEvent(log::Level::Warning, "server-entry-refused",
+                  {{"entry", Row.Key},
+                   {"field", Read.error().Field},
+                   {"message", Read.error().Message}});
+  return std::nullopt;
+}
+
 void Gateway::allServers(const std::vector<slopes::StoreRow> &Rows) {
   std::vector<dispatch::Target> Listed;
   for (const slopes::StoreRow &Row : Rows) {
-    auto Read = slopes::decodeServer(Row.Key, Row.Value);
-    if (Read)
-      Listed.push_back(std::move(Read.value()));
-    else
-      log::logError(log::Level::Warning, "server-row-invalid", Read.error());
+    if (auto Read = readServer(Row))
+      Listed.push_back(std::move(*Read));
   }
   m_ServersKnown = true;
   apply(m_Shared.Targets.replaceAll(Listed, BootClock::now()));
@@ -278,15 +294,9 @@
 void Gateway::changedServers(const std::vector<slopes::StoreRow> &Rows) {
   const BootTime Now = BootClock::now();
   for (const slopes::StoreRow &Row : Rows) {
-    if (Row.Removed) {
-      apply(m_Shared.Targets.remove(Row.Key, Now));
-      continue;
-    }
-    const auto Read = slopes::decodeServer(Row.Key, Row.Value);
-    if (Read)
-      apply(m_Shared.Targets.update(Read.value(), Now));
-    else
-      log::logError(log::Level::Warning, "server-row-invalid", Read.error());
+    const auto Read = Row.Removed ? std::nullopt : readServer(Row);
+    apply(Read ? m_Shared.Targets.update(*Read, Now)
+               : m_Shared.Targets.remove(Row.Key, Now));
   }
 }
 
@@ -332,6 +342,7 @@
 
 void Gateway::targetGone(const std::string &Id) {
   log::logEvent(log::Level::Info, "target-gone", {{"target", Id}});
+  m_Shared.Away.erase(Id);
   if (const auto Found = m_Shared.Pools.find(Id);
       Found != m_Shared.Pools.end()) {
     Found->second->retire();
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -51,6 +51,7 @@
   void accept();
   bool ready() const;
   void configurationRows(const std::vector<slopes::StoreRow> &Rows);
+  std::optional<dispatch::Target> readServer(const slopes::StoreRow &Row);
   void allServers(const std::vector<slopes::StoreRow> &Rows);
   void changedServers(const std::vector<slopes::StoreRow> &Rows);
   void apply(const std::vector<dispatch::TargetEvent> &Events);
@@ -71,6 +72,7 @@
   /// When the file was last looked at.
   BootTime m_SettingsSeen{};
   uint64_t m_Reloads = 0;
+  uint64_t m_RefusedEntries = 0;
   slopes::StoreClient m_Store;
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -113,7 +113,11 @@
     m_Shared.Loads.turnedAway(m_TargetId, Now);
 }
 
-void ServerSend::end(SendEnd How) {
+void ServerSend::judge(const SendEnd &How) {
+  // The target may have started again since: the end of its earlier start is
+  // no verdict on this one.
+  if (!m_Shared.Loads.knows(m_TargetId, m_Ticket))
+    return;
   const BootTime Now = BootClock::now();
   const bool Blameless =
       std::holds_alternative<dispatch::Rejected>(How) ||
@@ -126,6 +130,10 @@
     m_Shared.Loads.ended(m_TargetId, m_Ticket);
   else
     m_Shared.Loads.failed(m_TargetId, m_Ticket, Now);
+}
+
+void ServerSend::end(SendEnd How) {
+  judge(How);
   if (auto *const Owner = std::exchange(m_Owner, nullptr))
     Owner->sendEnded(*this, How);
 }
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -73,6 +73,7 @@
 private:
   bool isOwnAnswer() const;
   void noteRejection(BootTime Now);
+  void judge(const dispatch::SendEnd &How);
   void end(dispatch::SendEnd How);
 
   /// Longest body that is gathered whole; longer ones are no answer that the
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -208,6 +208,10 @@
                   {{"target", What.TargetId}, {"status", Status}});
     return Planner.refused(What.TargetId, Now);
   }
+  // It has started again: the number of its orders is not that of the engine
+  // for which the change was planned.
+  if (Report.value().Started != What.Start)
+    return Planner.refused(What.TargetId, Now);
   if (Report.value().Does == What.Wanted)
     return Planner.settled(What.TargetId);
   if (Report.value().Busy)
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -98,13 +98,22 @@
   Json Row = {{"service", Which.Service},
               {"address", Which.Server->address().toString()},
               {"zone", "z"},
+              {"version", "v1"},
               {"slots", 4},
-              {"state", State}};
+              {"state", State},
+              {"coldRemainingMs", 0},
+              {"sequence", ++m_Heartbeats},
+              {"born", Which.Started}};
   if (!Which.Stage.empty())
     Row["stage"] = Which.Stage;
   Store.put("servers", Id, Row.dump());
 }
 
+void GatewayScene::restart(const std::string &Id) {
+  m_Servers[Id].Started += 5000;
+  list(Id, "ready");
+}
+
 std::string GatewayScene::exchange(const Endpoint &Where,
                                    const std::string &Bytes) {
   tcp::socket Socket(Loop);
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -35,6 +35,8 @@
   Listener &server(const std::string &Id, const std::string &Service,
                    Listener::Behaviour Act, const std::string &Stage = "");
   void list(const std::string &Id, const std::string &State);
+  /// The server at \p Id's address starts again: the same id, a later start.
+  void restart(const std::string &Id);
   /// Sends one request on a connection of its own and gives the whole answer,
   /// head and body, once the gateway has closed it.
   std::string ask(const std::string &Method, const std::string &Path,
@@ -62,10 +64,14 @@
     std::unique_ptr<Listener> Server;
     std::string Service;
     std::string Stage;
+    /// Milliseconds since 1970.
+    int64_t Started = 1790000000000;
   };
   std::string exchange(const Endpoint &Where, const std::string &Bytes);
 
   std::map<std::string, Entry> m_Servers;
+  /// Entries written so far; each one's number.
+  uint64_t m_Heartbeats = 0;
   std::string m_SettingsFile;
   gateway::OutputWriter m_Output;
   std::unique_ptr<gateway::Gateway> m_Gateway;
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -251,6 +251,41 @@
   LONGS_EQUAL(Before, One.Requests.size());
 }
 
+// Symptom: a quarter of all prompts wait for an engine that answers nothing.
+// Sequence: something else than a server writes into the list of servers: a
+// whole entry with a word for the state that no server uses, one without a
+// state, one that is no text, and one over the entry of a server.
+// Cause: entries were read for what they have, not refused for what they lack.
+TEST(Gateway, SendsNothingToEntriesOfOtherWriters) {
+  Scene.server("s1", "plain", answersWith("one"));
+  Listener &Unlisted = Scene.server("s2", "plain", answersWith("two"));
+  Scene.list("s2", "retired");
+  Scene.Store.put("servers", "s3",
+                  R"({"service":"plain","address":)" +
+                      std::string(R"("127.0.0.1:1"})"));
+  Scene.Store.put("servers", "s4", "\xff\xfe{");
+  serve();
+  for (int At = 0; At < 20; ++At)
+    CHECK(has(Scene.ask("GET", "/safe/x"), "one"));
+  LONGS_EQUAL(0, Unlisted.Requests.size());
+  CHECK(has(Scene.metrics(), "server_entries_refused_total 3"));
+}
+
+// Symptom: requests to a server that has started again fail or wait, as if it
+// still had the work of its earlier start.
+// Sequence: the server crashes under two requests and starts again under its
+// id before its entry has lapsed.
+// Cause: connections and load were kept by id alone.
+TEST(Gateway, StartsAnewWithAServerThatHasStartedAgain) {
+  Scene.server("s1", "plain", answersWith("one"));
+  serve();
+  CHECK(has(Scene.ask("GET", "/safe/x"), "one"));
+  Scene.restart("s1");
+  CHECK(Scene.until(
+      [&] { return has(Scene.metrics(), "connections_opened_total 0"); }));
+  CHECK(has(Scene.ask("GET", "/safe/x"), "one"));
+}
+
 // Symptom: a route that was changed is served as before, now and then.
 // Sequence: an old row is read after a newer one, from a store that lags.
 TEST(Gateway, NeverGoesBackToAnOlderConfiguration) {
--- a/Tests/Fuzz/Decoders.cpp
+++ b/Tests/Fuzz/Decoders.cpp
@@ -17,6 +17,8 @@
 #include "LibTarget/EventStreamParser.h"
 #include "LibTimeline/MergedTimeline.h"
 #include "LibWire/Messages.pb.h"
+#include "platform/EngineCalls.h"
+#include "platform/Rows.h"
 
 using namespace figlift;
 using namespace figlift::test;
@@ -107,6 +109,22 @@
   return judge(Endpoint::parse(Bytes));
 }
 
+/// What operator, servers and any other writer leave in the platform's store,
+/// and what engines answer. An entry that is taken has an address to use.
+std::string decodePlatform(std::string_view Bytes) {
+  const auto Server = slopes::decodeServer("i-1", Bytes);
+  if (Server && (Server.value().Service.empty() ||
+                 Server.value().Address.Address.empty()))
+    return "a server without a service or an address";
+  for (const std::string &Fault :
+       {judge(Server), judge(slopes::decodeConfiguration(Bytes)),
+        judge(slopes::decodeEngineReport(Bytes)),
+        judge(slopes::decodePromptRead(Bytes))})
+    if (!Fault.empty())
+      return Fault;
+  return {};
+}
+
 std::string goodRun() {
   wire::RunRequest Run;
   Run.set_request_id("r");
@@ -148,6 +166,16 @@
             "order_id": "", "order_state": "done", "boot": "b"})",
         R"({"queued_prefill_tokens": 1, "running": 2, "kv_free_tokens": 3})",
         R"({"events": [{"sequence": 1, "stored": 5}]})"}},
+      {"platform",
+       decodePlatform,
+       {R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1",
+            "slots":8,"state":"ready","coldRemainingMs":0,"stage":"decode",
+            "sequence":4,"born":1790000000000})",
+        R"({"version":7,"routes":[{"host":"h","prefix":"/a/","kind":"safe",
+            "timeoutMs":100,"service":"a"}],"services":[{"name":"a",
+            "engine":{"slots":8}}]})",
+        R"({"stage":"decode","busy":false,"sequence":2,"born":1})",
+        R"({"kvHandle":"3fa0","tokens":1460})"}},
       {"small",
        decodeSmall,
        {"127.0.0.1:80", "018f3a3e-7b2a-7c11-8a55-0123456789ab",
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -95,3 +95,63 @@
   CHECK(Table.tick(Now).empty());
   CHECK(Table.find("a") != nullptr);
 }
+
+TEST_GROUP(RestartedTargets) {
+  TargetTable Table;
+  BootTime Now{std::chrono::seconds(100)};
+
+  static Target entry(int64_t Started, uint64_t Heartbeat) {
+    Target Made;
+    Made.Id = "a";
+    Made.Service = "s";
+    Made.Address = {"10.0.0.1", 80};
+    Made.Started = StartTime(milliseconds(Started));
+    Made.Heartbeat = Heartbeat;
+    return Made;
+  }
+  void expectRestart(const std::vector<TargetEvent> &Events) {
+    LONGS_EQUAL(2, Events.size());
+    CHECK(std::holds_alternative<TargetGone>(Events[0]));
+    CHECK(std::holds_alternative<TargetCame>(Events[1]));
+  }
+};
+
+// Symptom: prompts wait for a cache that is empty; new work counts on slots
+// that an earlier start had taken.
+// Sequence: a server crashes and starts again under its id.
+// Cause: only the id told one start from another.
+TEST(RestartedTargets, AreOtherTargets) {
+  Table.update(entry(1000, 9), Now);
+  expectRestart(Table.update(entry(2000, 1), Now));
+  expectRestart(Table.replaceAll({entry(3000, 1)}, Now));
+  CHECK(Table.update(entry(3000, 2), Now).empty());
+}
+
+// Symptom: connections and cache of a good server are dropped, again and
+// again; or a server that leaves gets work once more.
+// Sequence: a write of an earlier start, or of an earlier heartbeat, reaches
+// the store seconds late.
+// Cause: what was written last was taken for what is newest.
+TEST(RestartedTargets, AreNotUndoneByALateWrite) {
+  Table.update(entry(2000, 1), Now);
+  CHECK(Table.update(entry(1000, 9), Now).empty());
+  CHECK(Table.find("a")->Started == StartTime(milliseconds(2000)));
+  Target Leaving = entry(2000, 3);
+  Leaving.Draining = true;
+  Table.update(Leaving, Now);
+  CHECK(Table.update(entry(2000, 2), Now).empty());
+  CHECK(Table.find("a")->Draining);
+  CHECK(Table.replaceAll({entry(2000, 2)}, Now).empty());
+  CHECK(Table.find("a")->Draining);
+}
+
+// Symptom: nothing that a server says is heard any more.
+// Sequence: its clock goes back, then it starts again: it seems to have
+// started earlier than before.
+// Cause: whatever seemed older was passed over for good.
+TEST(RestartedTargets, AreBelievedWhenTheirClockWentBack) {
+  Table.update(entry(5000, 9), Now);
+  CHECK(Table.update(entry(1000, 1), Now).empty());
+  CHECK(Table.update(entry(1000, 1), Now).empty());
+  expectRestart(Table.update(entry(1000, 2), Now));
+}
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -6,6 +6,8 @@
 
 #include "platform/Rows.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -90,17 +92,56 @@
 }
 
 TEST(Rows, TakesAServerWithoutAStageForAPlainOne) {
-  const auto Read = decodeServer(
-      "i-1", R"({"service":"b","address":"10.0.0.1:1","state":"ready"})");
+  const auto Read =
+      decodeServer("i-1", R"({"service":"b","address":"10.0.0.1:1","zone":"z",
+      "version":"v1","slots":6,"state":"ready","coldRemainingMs":0,
+      "sequence":4})");
   CHECK(Read.value().Does == dispatch::Stage::None);
   CHECK(!Read.value().Draining);
 }
 
-TEST(Rows, NamesFieldsOfAMalformedServer) {
-  refusesServer(R"({"address":"10.0.0.1:1"})", "service");
-  refusesServer(R"({"service":"a","address":"here"})", "address");
-  refusesServer(R"({"service":"a","address":"10.0.0.1:1","slots":-1})",
-                "slots");
-  refusesServer(R"({"service":"a","address":"10.0.0.1:1","stage":"odd"})",
-                "stage");
+// Symptom: requests are sent to addresses at which nobody answers.
+// Sequence: something else than a server writes into the list of servers.
+// Cause: an entry was read for what it has, not refused for what it lacks.
+TEST(Rows, RefusesEntriesOfOtherWriters) {
+  const nlohmann::json Whole = {
+      {"service", "a"},       {"address", "10.0.0.1:1"},
+      {"zone", "z"},          {"version", "v1"},
+      {"slots", 8},           {"state", "ready"},
+      {"coldRemainingMs", 0}, {"stage", "decode"},
+      {"sequence", 4},        {"born", 1790000000000}};
+  CHECK(decodeServer("i-1", Whole.dump()).has_value());
+  for (const auto &[Name, Value] : Whole.items()) {
+    nlohmann::json Changed = Whole;
+    Changed[Name] = nlohmann::json::array();
+    refusesServer(Changed.dump(), Name.c_str());
+    if (Name == "stage" || Name == "born")
+      continue;
+    Changed.erase(Name);
+    refusesServer(Changed.dump(), Name.c_str());
+  }
+  const auto RefusesValue = [&](const char *Name, nlohmann::json Value) {
+    nlohmann::json Changed = Whole;
+    Changed[Name] = std::move(Value);
+    refusesServer(Changed.dump(), Name);
+  };
+  RefusesValue("address", "here");
+  RefusesValue("slots", -1);
+  RefusesValue("stage", "odd");
+  RefusesValue("state", "retired");
+  RefusesValue("born", 1790000000000.5);
+  RefusesValue("born", "1790000000000");
+  refusesServer("\xff\xfe", "");
+  refusesServer("", "");
+  refusesServer("[]", "");
+}
+
+TEST(Rows, ReadsWhenAServerStarted) {
+  const auto Read =
+      decodeServer("i-1", R"({"service":"b","address":"10.0.0.1:1","zone":"z",
+      "version":"v1","slots":6,"state":"ready","coldRemainingMs":0,
+      "sequence":4,"born":1790000000123})");
+  LONGS_EQUAL(4, Read.value().Heartbeat);
+  CHECK(Read.value().Started ==
+        dispatch::StartTime(milliseconds(1790000000123)));
 }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -143,8 +143,11 @@
       {"service", Which.service()},
       {"address", linkAddress(fmt::format("server-{}", Server)).toString()},
       {"zone", "z"},
+      {"version", "v1"},
       {"slots", 4},
-      {"state", State}};
+      {"state", State},
+      {"coldRemainingMs", 0},
+      {"sequence", ++m_Heartbeats}};
   if (!Which.stage().empty())
     Row["stage"] = Which.stage();
   m_Store.put("servers", Which.id(), Row.dump());
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -87,6 +87,8 @@
   test::ChildProcess m_Proxy;
   std::string m_ProxyControl;
   uint64_t m_Version = 0;
+  /// Entries of servers written so far.
+  uint64_t m_Heartbeats = 0;
   unsigned m_Incarnations = 0;
 };
 
