--- a/Libraries/LibDispatch/Configuration.cpp
+++ b/Libraries/LibDispatch/Configuration.cpp
@@ -7,6 +7,8 @@
 
 #include "LibDispatch/Configuration.h"
 
+#include <algorithm>
+
 namespace figlift::dispatch {
 
 const Route *Configuration::match(std::string_view Host,
@@ -27,6 +29,18 @@
   return nullptr;
 }
 
+void Configuration::noteEventGaps() {
+  for (Service &Each : Services) {
+    std::optional<std::chrono::milliseconds> Shortest;
+    for (const Route &Way : Routes)
+      for (const WeightedService &To : Way.Services)
+        if (To.Service == Each.Name && Way.EventGapTarget)
+          Shortest = std::min(Shortest.value_or(*Way.EventGapTarget),
+                              *Way.EventGapTarget);
+    Each.ShortestEventGap = Shortest.value_or(DefaultEventGap);
+  }
+}
+
 const std::string &pickService(const Route &Which, double Draw) {
   double Total = 0;
   for (const WeightedService &Each : Which.Services)
--- a/Libraries/LibDispatch/Configuration.h
+++ b/Libraries/LibDispatch/Configuration.h
@@ -77,6 +77,9 @@
   std::chrono::milliseconds StageSwitch{0};
 };
 
+/// People notice a pause of a fifth of a second in a text that appears.
+inline constexpr std::chrono::milliseconds DefaultEventGap{200};
+
 struct Service {
   std::string Name;
   std::string HealthPath;
@@ -84,6 +87,9 @@
   unsigned MaximumConnections = 0;
   /// Absent for a plain service.
   std::optional<EngineTraits> Engine;
+  /// The shortest pause between events that a route to it allows; routes that
+  /// name none allow DefaultEventGap.
+  std::chrono::milliseconds ShortestEventGap = DefaultEventGap;
 };
 
 struct CallerBounds {
@@ -104,6 +110,8 @@
   /// begins \p Path, or null.
   const Route *match(std::string_view Host, std::string_view Path) const;
   const Service *service(std::string_view Name) const;
+  /// Tells each service what its routes allow; after all of them were read.
+  void noteEventGaps();
 };
 
 /// Picks by weight; \p Draw is uniform in [0, 1).
--- a/Libraries/LibDispatch/EngineCosts.cpp
+++ b/Libraries/LibDispatch/EngineCosts.cpp
@@ -10,35 +10,27 @@
 
 namespace figlift::dispatch {
 
-Milliseconds EngineCosts::read(const Prompt &What, uint32_t Cached) const {
+engine::ReadSize EngineCosts::toCompute(const Prompt &What, uint32_t Cached) {
   const double Total = What.Tokens;
   const double Computed = Total - std::min(Total, static_cast<double>(Cached));
   // Each computed token attends to all before it: on average those that are
   // kept and half of the computed ones.
-  const double Pairs = Computed * (Total - Computed / 2);
-  return m_Speeds.ReadOverhead +
-         Milliseconds(Computed / m_Speeds.PrefillTokensPerMs) +
-         m_Speeds.PerMillionPairs * (Pairs / 1e6);
+  return {Computed, Computed * (Total - Computed / 2) / 1e6};
 }
 
-Milliseconds EngineCosts::readWhileDecoding(const Prompt &What,
-                                            uint32_t Cached) const {
-  return read(What, Cached) * m_Speeds.DecodeReadFactor;
+Milliseconds EngineCosts::reading(const engine::ReadSize &Size) const {
+  return m_Figures.ReadThousandTokens * (Size.Tokens / 1000) +
+         m_Figures.ReadMillionPairs * Size.MillionPairs;
 }
 
-Milliseconds EngineCosts::transfer(const EngineTraits &Traits, uint32_t Tokens,
-                                   bool SameZone) const {
+Milliseconds EngineCosts::onLink(uint32_t Tokens, bool SameZone) const {
   const double Bits = 8.0 * static_cast<double>(Tokens) *
-                      static_cast<double>(Traits.KvBytesPerToken);
+                      static_cast<double>(m_Traits.KvBytesPerToken);
+  if (m_Traits.LinkMbps <= 0)
+    return Milliseconds(0);
   // A megabit a second is a kilobit a millisecond.
-  const Milliseconds OnLink(Traits.LinkMbps > 0 ? Bits / (Traits.LinkMbps * 1e3)
-                                                : 0);
-  return m_Speeds.TransferSetup +
-         OnLink * (SameZone ? 1 : m_Speeds.CrossZoneFactor);
-}
-
-Milliseconds EngineCosts::generate(uint32_t OutputTokens) const {
-  return m_Speeds.TokenStep * static_cast<double>(OutputTokens);
+  return Milliseconds(Bits / (m_Traits.LinkMbps * 1e3)) *
+         (SameZone ? 1 : CrossZoneFactor);
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -37,11 +37,10 @@
   return Found == m_Entries.end() ? nullptr : &Found->second;
 }
 
-uint64_t LoadBook::started(const std::string &TargetId, Milliseconds Cost,
-                           Milliseconds Expected, BootTime Now) {
+uint64_t LoadBook::started(const std::string &TargetId, const Work &What) {
   const uint64_t Ticket = ++m_LastTicket;
   if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
-    Found->second.Own[Ticket] = {Cost, Expected, Now};
+    Found->second.Own[Ticket] = What;
   return Ticket;
 }
 
@@ -112,8 +111,10 @@
   if (Found == m_Entries.end())
     return;
   const auto Item = Found->second.Own.find(Ticket);
-  if (Item == Found->second.Own.end() ||
-      Item->second.Expected <= Milliseconds(0))
+  if (Item == Found->second.Own.end())
+    return;
+  Item->second.Reading = Milliseconds(0);
+  if (Item->second.Expected <= Milliseconds(0))
     return;
   const double Ratio =
       Milliseconds(Now - Item->second.Sent) / Item->second.Expected;
@@ -170,6 +171,7 @@
   Load.Items = static_cast<uint32_t>(Which.Own.size());
   for (const auto &[Ticket, Each] : Which.Own) {
     Load.Cost += Each.Cost;
+    Load.Reading += Each.Reading;
     Load.Turnover += 1 / std::max(ShortestWork, Each.Cost).count();
   }
   return Load;
@@ -188,6 +190,7 @@
     Sum.Cost += Found->second.Cost;
     Sum.Items += Found->second.Items;
     Sum.Turnover += Found->second.Turnover;
+    Sum.Reading += Found->second.Reading;
   }
   return Sum;
 }
@@ -197,6 +200,11 @@
   return total(TargetId, Now).Cost;
 }
 
+Milliseconds LoadBook::readingBacklog(const std::string &TargetId,
+                                      BootTime Now) const {
+  return total(TargetId, Now).Reading;
+}
+
 double LoadBook::items(const std::string &TargetId, BootTime Now) const {
   return total(TargetId, Now).Items;
 }
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -13,6 +13,7 @@
 #include "LibCore/Clock.h"
 #include "LibDispatch/KvCacheView.h"
 #include "LibDispatch/Target.h"
+#include "LibEngine/EngineModel.h"
 
 #include <chrono>
 #include <cstdint>
@@ -22,15 +23,18 @@
 
 namespace figlift::dispatch {
 
-/// Times as the estimates compute them, with fractions.
-using Milliseconds = std::chrono::duration<double, std::milli>;
+using engine::Milliseconds;
 
 /// One piece of work at a target, from its sending to its end.
 struct Work {
   /// Time that the target needs for the part of it that queues.
   Milliseconds Cost{0};
-  /// Expected from sending to the end.
+  /// Expected from sending to the first answer; 0: its time is no verdict on
+  /// the target.
   Milliseconds Expected{0};
+  /// The part of the cost that is reading a prompt: prompts are read one after
+  /// the other, so it holds up those that come later, up to the first answer.
+  Milliseconds Reading{0};
   BootTime Sent{};
 };
 
@@ -41,6 +45,8 @@
   uint32_t Items = 0;
   /// Pieces of it that end in a millisecond, if all of them run.
   double Turnover = 0;
+  /// The part of the cost that is reading prompts.
+  Milliseconds Reading{0};
 };
 
 struct LoadBookOptions {
@@ -79,8 +85,7 @@
 
   /// \name Own work. Tickets name it until its end.
   /// @{
-  uint64_t started(const std::string &TargetId, Milliseconds Cost,
-                   Milliseconds Expected, BootTime Now);
+  uint64_t started(const std::string &TargetId, const Work &What);
   /// The (first part of the) response came: a verdict on the target's speed.
   void answered(const std::string &TargetId, uint64_t Ticket, BootTime Now);
   /// It is no longer at the target, for whatever reason.
@@ -114,6 +119,8 @@
 
   /// Planned time of the work that waits or runs there, of all processes.
   Milliseconds backlog(const std::string &TargetId, BootTime Now) const;
+  /// Planned time of the prompts that wait there to be read, or are being read.
+  Milliseconds readingBacklog(const std::string &TargetId, BootTime Now) const;
   /// Pieces of work there, of all processes.
   double items(const std::string &TargetId, BootTime Now) const;
   /// Pieces that end there in a millisecond, if all of them run. A few long
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -12,13 +12,50 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+Json encodeFigures(const ServiceFigures &What) {
+  const engine::EngineFigures &Of = What.Figures;
+  return {What.Service,
+          Of.ReadFixed.count(),
+          Of.ReadThousandTokens.count(),
+          Of.ReadMillionPairs.count(),
+          Of.FetchFixed.count(),
+          Of.ReadWeight,
+          Of.DecodeReadFactor,
+          Of.DecodeReadWeight,
+          Of.StartFixed.count(),
+          Of.TransferFactor,
+          Of.StartWeight};
+}
+
+ServiceFigures decodeFigures(const Json &From) {
+  const auto Number = [&](size_t At) { return From.at(At).get<double>(); };
+  ServiceFigures Read;
+  Read.Service = From.at(0).get<std::string>();
+  Read.Figures.ReadFixed = Milliseconds(Number(1));
+  Read.Figures.ReadThousandTokens = Milliseconds(Number(2));
+  Read.Figures.ReadMillionPairs = Milliseconds(Number(3));
+  Read.Figures.FetchFixed = Milliseconds(Number(4));
+  Read.Figures.ReadWeight = Number(5);
+  Read.Figures.DecodeReadFactor = Number(6);
+  Read.Figures.DecodeReadWeight = Number(7);
+  Read.Figures.StartFixed = Milliseconds(Number(8));
+  Read.Figures.TransferFactor = Number(9);
+  Read.Figures.StartWeight = Number(10);
+  return Read;
+}
+
+} // namespace
+
 std::string encodePeerReport(const PeerReport &What) {
   Json Loads = Json::array();
   for (const PeerLoad &Each : What.Loads)
     // Hundredths of a millisecond are short in CBOR, and finer than needed.
     Loads.push_back({Each.TargetId,
                      static_cast<uint64_t>(Each.Cost.count() * 100), Each.Items,
-                     Each.Turnover});
+                     Each.Turnover,
+                     static_cast<uint64_t>(Each.Reading.count() * 100)});
   Json Cached = Json::array();
   for (const CachedPart &Each : What.Cached)
     Cached.push_back({Each.TargetId, Each.Part.Id, Each.Part.Tokens});
@@ -28,8 +65,12 @@
   Json Away = Json::array();
   for (const AwayTarget &Each : What.Away)
     Away.push_back({Each.TargetId, Each.Left.count()});
+  Json Engines = Json::array();
+  for (const ServiceFigures &Each : What.Engines)
+    Engines.push_back(encodeFigures(Each));
   std::string Bytes;
-  Json::to_cbor(Json::array({What.From, Loads, Cached, Demands, Away}), Bytes);
+  Json::to_cbor(Json::array({What.From, Loads, Cached, Demands, Away, Engines}),
+                Bytes);
   return Bytes;
 }
 
@@ -41,7 +82,8 @@
     Read.Loads.push_back(
         {Each.at(0).get<std::string>(),
          Milliseconds(static_cast<double>(Each.at(1).get<uint64_t>()) / 100),
-         Each.at(2).get<uint32_t>(), Each.at(3).get<double>()});
+         Each.at(2).get<uint32_t>(), Each.at(3).get<double>(),
+         Milliseconds(static_cast<double>(Each.at(4).get<uint64_t>()) / 100)});
   for (const Json &Each : Root.at(2))
     Read.Cached.push_back(
         {Each.at(0).get<std::string>(),
@@ -53,6 +95,8 @@
   for (const Json &Each : Root.at(4))
     Read.Away.push_back({Each.at(0).get<std::string>(),
                          std::chrono::milliseconds(Each.at(1).get<int64_t>())});
+  for (const Json &Each : Root.at(5))
+    Read.Engines.push_back(decodeFigures(Each));
   return Read;
 } catch (const Json::exception &Thrown) {
   return failure(ResultCode::InvalidInput, Thrown.what(), "peer report");
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -37,12 +37,20 @@
   std::chrono::milliseconds Left{0};
 };
 
+/// What a process measured of the engines of one service.
+struct ServiceFigures {
+  std::string Service;
+  engine::EngineFigures Figures;
+};
+
 struct PeerReport {
   std::string From;
   std::vector<PeerLoad> Loads;
   std::vector<CachedPart> Cached;
   std::vector<ServiceDemand> Demands;
   std::vector<AwayTarget> Away;
+  /// Empty in most reports: they change slowly.
+  std::vector<ServiceFigures> Engines;
 };
 
 /// CBOR.
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadBook &Loads)
-    : m_Options(Options), m_Costs(Options.Speeds), m_Loads(Loads) {}
+    : m_Options(Options), m_Loads(Loads) {}
 
 bool PromptPlanner::usable(const Target &Which, const PromptRequest &Request,
                            Trust How, BootTime Now) const {
@@ -38,37 +38,57 @@
           m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid);
 }
 
-/// Another engine may keep more of the prompt. Fetching a shared part takes a
-/// sixth of the time that computing it again takes at a prefill engine, and
-/// none of the engine's computing time.
-PromptPlanner::Reading
-PromptPlanner::cheapestReading(const PromptRequest &Request, const Target &At,
-                               std::span<const Target *const> Engines,
-                               const EngineTraits &Traits) const {
+/// Another engine may keep more of the prompt. A fetch of 13,000 tokens takes
+/// 10 to 20 ms where computing them again takes 360, and it takes none of the
+/// engine's computing time.
+PromptPlanner::Kept
+PromptPlanner::cheapestParts(const PromptRequest &Request, const Target &At,
+                             std::span<const Target *const> Engines,
+                             const EngineCosts &Costs) const {
   const uint32_t Own = m_Loads.cachedTokens(At.Id, Request.What);
-  Reading Best{Own, nullptr, Milliseconds(0)};
-  Milliseconds BestTime = m_Costs.read(Request.What, Own);
+  Kept Best{Own, nullptr, 0};
+  Milliseconds BestTime = Costs.reading(Request.What, Own);
   for (const Target *Each : Engines) {
     if (Each == &At)
       continue;
     const uint32_t There = m_Loads.cachedTokens(Each->Id, Request.What);
-    if (There <= Own + m_Options.MinimumFetchTokens)
+    if (There <= Own)
       continue;
-    const Milliseconds Fetch =
-        m_Costs.transfer(Traits, There - Own, Each->Zone == At.Zone);
-    if (const Milliseconds Time = Fetch + m_Costs.read(Request.What, There);
-        Time < BestTime) {
-      Best = {There, Each, Fetch};
+    const Milliseconds Time = Costs.fetch(There - Own, Each->Zone == At.Zone) +
+                              Costs.reading(Request.What, There);
+    if (Time < BestTime) {
+      Best = {There, Each, There - Own};
       BestTime = Time;
     }
   }
   return Best;
 }
 
+/// The read of the request at \p At, computed as fast as at a prefill engine.
+PromptPlanner::Candidate
+PromptPlanner::readAt(const PromptRequest &Request, const Target &At,
+                      std::span<const Target *const> Engines,
+                      const EngineCosts &Costs, Milliseconds Wait,
+                      double Slowness) const {
+  const Kept Parts = cheapestParts(Request, At, Engines, Costs);
+  Candidate Found{&At, Parts.Source, {}, Milliseconds(0)};
+  Found.How.Size = EngineCosts::toCompute(Request.What, Parts.Tokens);
+  Found.How.Size.Fetches = Parts.Source != nullptr;
+  Found.How.Wait = Wait;
+  Found.How.Compute = Costs.reading(Found.How.Size) * Slowness;
+  Found.Cost = Found.How.Compute;
+  if (!Parts.Source)
+    return Found;
+  const bool SameZone = Parts.Source->Zone == At.Zone;
+  Found.How.OnLink = Costs.onLink(Parts.Fetched, SameZone);
+  Found.Cost += Costs.fetch(Parts.Fetched, SameZone);
+  return Found;
+}
+
 std::optional<PromptPlanner::Candidate>
 PromptPlanner::bestReader(const PromptRequest &Request,
                           std::span<const Target *const> Engines,
-                          const EngineTraits &Traits, BootTime Now) const {
+                          const EngineCosts &Costs, BootTime Now) const {
   std::optional<Candidate> Best;
   uint64_t BestWeight = 0;
   const uint64_t Subject = Request.What.subject();
@@ -77,10 +97,9 @@
         !usable(*Which, Request, Trust::Proven, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
-    const Reading How = cheapestReading(Request, *Which, Engines, Traits);
-    const Candidate Each{
-        Which, How.Source, m_Loads.backlog(Which->Id, Now) * Slowness,
-        m_Costs.read(Request.What, How.Kept) * Slowness + How.Fetch};
+    const Candidate Each =
+        readAt(Request, *Which, Engines, Costs,
+               m_Loads.readingBacklog(Which->Id, Now) * Slowness, Slowness);
     const uint64_t Weight = homeWeight(Subject, Which->Id);
     const double Scale = m_Options.EngineTimeWeight;
     const Milliseconds Margin =
@@ -112,19 +131,23 @@
 
 std::optional<PromptPlanner::Candidate> PromptPlanner::bestLoneRunner(
     const PromptRequest &Request, std::span<const Target *const> Engines,
-    const EngineTraits &Traits, Trust Trusted, BootTime Now) const {
+    const EngineCosts &Costs, Trust Trusted, BootTime Now) const {
   const double Coming = comingRuns(Engines, Now);
   std::optional<Candidate> Best;
   for (const Target *Which : Engines) {
     if (Which->Does == Stage::Prefill || !usable(*Which, Request, Trusted, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
-    const Reading How = cheapestReading(Request, *Which, Engines, Traits);
-    const Candidate Each{
-        Which, How.Source, slotWait(*Which, Traits, Coming, Now) * Slowness,
-        m_Costs.readWhileDecoding(Request.What, How.Kept) * Slowness +
-            How.Fetch,
-        Request.What.Tokens - std::min(Request.What.Tokens, How.Kept)};
+    // Whatever comes first, a slot or the end of the prompts in front.
+    const Milliseconds Wait =
+        std::max(slotWait(*Which, Costs.traits(), Coming, Now),
+                 m_Loads.readingBacklog(Which->Id, Now)) *
+        Slowness;
+    Candidate Each = readAt(Request, *Which, Engines, Costs, Wait, Slowness);
+    const Milliseconds Beside =
+        Costs.readingWhileDecoding(Each.How.Size) * Slowness;
+    Each.Cost += Beside - Each.How.Compute;
+    Each.How.Compute = Beside;
     if (!Best || Each.score(m_Options.EngineTimeWeight) <
                      Best->score(m_Options.EngineTimeWeight))
       Best = Each;
@@ -148,17 +171,17 @@
 std::optional<RunAt>
 PromptPlanner::chooseRunner(const PromptRequest &Request, const Target *Reader,
                             std::span<const Target *const> Engines,
-                            const EngineTraits &Traits, BootTime Now) const {
+                            const EngineCosts &Costs, BootTime Now) const {
   if (auto Proven =
-          runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Proven, Now))
+          runnerAfter(Request, Reader, Engines, Costs, 0, Trust::Proven, Now))
     return Proven;
-  return runnerAfter(Request, Reader, Engines, Traits, 0, Trust::Any, Now);
+  return runnerAfter(Request, Reader, Engines, Costs, 0, Trust::Any, Now);
 }
 
 std::optional<RunAt>
 PromptPlanner::runnerAfter(const PromptRequest &Request, const Target *Reader,
                            std::span<const Target *const> Engines,
-                           const EngineTraits &Traits, double Coming,
+                           const EngineCosts &Costs, double Coming,
                            Trust Trusted, BootTime Now) const {
   std::optional<RunAt> Best;
   for (const Target *Which : Engines) {
@@ -166,14 +189,22 @@
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const uint32_t Cached = m_Loads.cachedTokens(Which->Id, Request.What);
-    const Milliseconds Fetch = m_Costs.transfer(
-        Traits, Request.What.Tokens - std::min(Request.What.Tokens, Cached),
-        Reader && Reader->Zone == Which->Zone);
-    const Milliseconds Wait = slotWait(*Which, Traits, Coming, Now) * Slowness;
+    const uint32_t Moved =
+        Request.What.Tokens - std::min(Request.What.Tokens, Cached);
+    const bool SameZone = Reader && Reader->Zone == Which->Zone;
+    const Milliseconds Transfer = Costs.transfer(Moved, SameZone);
+    // A prompt that is being read there delays the first token by a piece of it
+    // only, which is part of what a start takes on average.
+    const Milliseconds Wait =
+        slotWait(*Which, Costs.traits(), Coming, Now) * Slowness;
     const Milliseconds Expected =
-        Wait + (Fetch + m_Costs.generate(1)) * Slowness;
+        Wait + (Transfer + Costs.startFixed()) * Slowness;
     if (!Best || Expected < Best->Expected)
-      Best = RunAt{Which->Id, {}, Fetch + Request.Generation, Expected, Wait};
+      Best = RunAt{Which->Id,
+                   {},
+                   Transfer + Request.Generation,
+                   Expected,
+                   {{}, Wait, Milliseconds(0), Costs.onLink(Moved, SameZone)}};
   }
   return Best;
 }
@@ -203,46 +234,47 @@
 
 PromptPlan PromptPlanner::plan(const PromptRequest &Request,
                                std::span<const Target *const> Engines,
-                               const EngineTraits &Traits, BootTime Now) const {
+                               const EngineCosts &Costs, BootTime Now) const {
   Trust Trusted = Trust::Proven;
-  auto Lone = bestLoneRunner(Request, Engines, Traits, Trusted, Now);
+  auto Lone = bestLoneRunner(Request, Engines, Costs, Trusted, Now);
   if (!Lone) {
     Trusted = Trust::Any;
-    Lone = bestLoneRunner(Request, Engines, Traits, Trusted, Now);
+    Lone = bestLoneRunner(Request, Engines, Costs, Trusted, Now);
   }
   if (!Lone)
     return refuse(Request, "no engine takes new requests",
                   Request.LatencyTarget * 2);
-  const auto Reader = bestReader(Request, Engines, Traits, Now);
+  const auto Reader = bestReader(Request, Engines, Costs, Now);
   const Milliseconds LoneFirst =
-      Lone->Wait + Lone->Cost + m_Options.Travel / 2 + m_Costs.generate(1);
+      Lone->How.Wait + Lone->Cost + Costs.readFixed() + Costs.startFixed();
   std::optional<ReadThenRun> Split;
   Milliseconds SplitWait{0};
   if (Reader) {
-    const auto Runner = runnerAfter(Request, Reader->Which, Engines, Traits,
+    const auto Runner = runnerAfter(Request, Reader->Which, Engines, Costs,
                                     comingRuns(Engines, Now), Trusted, Now);
-    const Milliseconds Read = Reader->Wait + Reader->Cost;
+    const Milliseconds Read =
+        Reader->How.Wait + Reader->Cost + Costs.readFixed();
     if (Runner)
-      SplitWait = Reader->Wait + Runner->Wait;
+      SplitWait = Reader->How.Wait + Runner->How.Wait;
     if (Runner)
-      Split = ReadThenRun{Reader->Which->Id,
-                          Reader->Source ? Reader->Source->Id : std::string(),
-                          Reader->Cost, Read,
-                          Read + Runner->Expected + m_Options.Travel};
+      Split = ReadThenRun{Reader->Which->Id,       Reader->sourceId(),
+                          Reader->How.Compute,     Read,
+                          Read + Runner->Expected, Reader->How};
   }
-  const bool Small = Lone->Computed <= m_Options.MaximumReadWhileDecoding;
-  // Reading apart takes a call more; a small prompt is worth it only for a
-  // clear gain.
+  const bool Small =
+      Lone->How.Compute <= Request.EventGap * m_Options.ReadGapShare;
+  // Reading apart takes a call more, of which the fixed part of a read is an
+  // upper bound; a small prompt is worth it only for a clear gain.
   const bool UseSplit =
-      Split && (!Small || Split->FirstEvent + m_Options.Travel < LoneFirst);
+      Split && (!Small || Split->FirstEvent + Costs.readFixed() < LoneFirst);
   const Milliseconds First = UseSplit ? Split->FirstEvent : LoneFirst;
-  const Milliseconds Wait = UseSplit ? SplitWait : Lone->Wait;
+  const Milliseconds Wait = UseSplit ? SplitWait : Lone->How.Wait;
   if (!admits(Request, Wait, First))
     return refuse(Request, "the first token would come too late", First);
   if (UseSplit)
     return *Split;
-  return RunAt{Lone->Which->Id, Lone->Source ? Lone->Source->Id : std::string(),
-               Lone->Cost + Request.Generation, LoneFirst};
+  return RunAt{Lone->Which->Id, Lone->sourceId(),
+               Lone->Cost + Request.Generation, LoneFirst, Lone->How};
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -34,12 +34,26 @@
   Milliseconds TimeLeft{0};
   /// The route's latency target.
   Milliseconds LatencyTarget{0};
+  /// The shortest pause between events that any stream of the service is
+  /// allowed, to be on time.
+  Milliseconds EventGap{200};
   /// Targets that failed this request or must not get it.
   std::vector<std::string> Excluded;
   /// Uniform in [0, 1).
   double Draw = 0;
 };
 
+/// A read as it was planned; its time is measured against this.
+struct ReadPlan {
+  engine::ReadSize Size;
+  /// Until the engine turns to it.
+  Milliseconds Wait{0};
+  /// Engine time of computing it.
+  Milliseconds Compute{0};
+  /// Transfer of what is fetched first, by its size and the link.
+  Milliseconds OnLink{0};
+};
+
 /// Read at Reader; where it runs is chosen when the prompt has been read.
 struct ReadThenRun {
   std::string Reader;
@@ -50,6 +64,7 @@
   Milliseconds Expected{0};
   /// Until the first event reaches the caller.
   Milliseconds FirstEvent{0};
+  ReadPlan How;
 };
 struct RunAt {
   std::string Runner;
@@ -58,8 +73,9 @@
   Milliseconds Cost{0};
   /// Until the first event reaches this process.
   Milliseconds Expected{0};
-  /// The part of it that is waiting for a slot.
-  Milliseconds Wait{0};
+  /// How the runner reads the prompt; of one that was read elsewhere only the
+  /// waiting, and the transfer of its KV cache.
+  ReadPlan How;
 };
 struct RefuseNow {
   std::string_view Reason;
@@ -69,7 +85,6 @@
 using PromptPlan = std::variant<ReadThenRun, RunAt, RefuseNow>;
 
 struct PromptPlannerOptions {
-  EngineSpeeds Speeds;
   /// Share of the time to the latency target that a plan may use up; the rest
   /// covers what the estimate does not see (peers' newest work).
   double TargetShare = 0.9;
@@ -88,17 +103,14 @@
   /// share of the value of all requests that was earned rose from 0.598 to
   /// 0.610 in one load and from 0.742 to 0.765 in another (two runs each).
   double HomeMarginShare = 0.25;
-  /// Fewer tokens than this are not worth a transfer of their own.
-  uint32_t MinimumFetchTokens = 512;
-  /// A prompt with more tokens to compute is read at a prefill engine wherever
-  /// one takes work: at a decode engine it delays every stream there, step by
-  /// step, and streams hold their slots longer. With all prompts free to choose
-  /// by their own time alone, 0.69 of the value of a load with bursts was
-  /// earned, with such prompts kept away from decode engines 0.80 (two runs
+  /// A prompt that would hold up the streams of a decode engine for more than
+  /// this share of the pause that they are allowed is read at a prefill engine,
+  /// wherever one takes work. An event carries several tokens, and a read
+  /// delays each; streams also hold their slots longer. With all prompts free
+  /// to choose by their own time alone, 0.69 of the value of a load with bursts
+  /// was earned, with such prompts kept away from decode engines 0.80 (two runs
   /// each).
-  uint32_t MaximumReadWhileDecoding = 1024;
-  /// Travel between this process and an engine, both ways, twice.
-  Milliseconds Travel{4};
+  double ReadGapShare = 0.04;
   /// Share of failed work from which a target is left out; it is forgiven with
   /// the half-life of the load book.
   double FailureShareToAvoid = 0.25;
@@ -117,40 +129,45 @@
   /// \p Engines are the targets of the service that take new work.
   PromptPlan plan(const PromptRequest &Request,
                   std::span<const Target *const> Engines,
-                  const EngineTraits &Traits, BootTime Now) const;
+                  const EngineCosts &Costs, BootTime Now) const;
 
   /// Where a prompt runs that \p Reader has read; null if nowhere.
   std::optional<RunAt> chooseRunner(const PromptRequest &Request,
                                     const Target *Reader,
                                     std::span<const Target *const> Engines,
-                                    const EngineTraits &Traits,
+                                    const EngineCosts &Costs,
                                     BootTime Now) const;
-  const EngineCosts &costs() const { return m_Costs; }
 
 private:
-  /// The prompt as one engine would compute it.
-  struct Reading {
-    /// Tokens that need not be computed.
-    uint32_t Kept = 0;
-    /// Who sends those that the engine itself does not keep, and how long.
-    const Target *Source = nullptr;
-    Milliseconds Fetch{0};
-  };
+  /// A prompt as one engine would read it.
   struct Candidate {
     const Target *Which = nullptr;
+    /// Who sends parts that the engine itself does not keep; null for none.
     const Target *Source = nullptr;
-    Milliseconds Wait{0};
+    ReadPlan How;
+    /// Computing and fetching.
     Milliseconds Cost{0};
-    /// Tokens that the engine has to compute.
-    uint32_t Computed = 0;
     Milliseconds score(double EngineTimeWeight) const {
-      return Wait + Cost * (1 + EngineTimeWeight);
+      return How.Wait + Cost * (1 + EngineTimeWeight);
     }
+    std::string sourceId() const { return Source ? Source->Id : std::string(); }
+  };
+
+  /// Where the engine gets the parts of the prompt that it does not compute.
+  struct Kept {
+    uint32_t Tokens = 0;
+    const Target *Source = nullptr;
+    /// Tokens that the source sends.
+    uint32_t Fetched = 0;
   };
 
-  Reading cheapestReading(const PromptRequest &Request, const Target &At,
-                          std::span<const Target *const> Engines,
-                          const EngineTraits &Traits) const;
+  Kept cheapestParts(const PromptRequest &Request, const Target &At,
+                     std::span<const Target *const> Engines,
+                     const EngineCosts &Costs) const;
+  Candidate readAt(const PromptRequest &Request, const Target &At,
+                   std::span<const Target *const> Engines,
+                   const EngineCosts &Costs, Milliseconds Wait,
+                   double Slowness) const;
   /// Whether targets that failed lately are looked at. They are when there is
   /// no other: when all engines fail a part of their work, a request does
   /// better at any of them than refused.
@@ -159,12 +176,12 @@
               BootTime Now) const;
   std::optional<Candidate> bestReader(const PromptRequest &Request,
                                       std::span<const Target *const> Engines,
-                                      const EngineTraits &Traits,
+                                      const EngineCosts &Costs,
                                       BootTime Now) const;
   std::optional<Candidate>
   bestLoneRunner(const PromptRequest &Request,
                  std::span<const Target *const> Engines,
-                 const EngineTraits &Traits, Trust How, BootTime Now) const;
+                 const EngineCosts &Costs, Trust How, BootTime Now) const;
   /// \p Coming: pieces of work that will be there before this one.
   Milliseconds slotWait(const Target &Which, const EngineTraits &Traits,
                         double Coming, BootTime Now) const;
@@ -173,7 +190,7 @@
   std::optional<RunAt> runnerAfter(const PromptRequest &Request,
                                    const Target *Reader,
                                    std::span<const Target *const> Engines,
-                                   const EngineTraits &Traits, double Coming,
+                                   const EngineCosts &Costs, double Coming,
                                    Trust How, BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
@@ -181,7 +198,6 @@
                    Milliseconds FirstEvent) const;
 
   PromptPlannerOptions m_Options;
-  EngineCosts m_Costs;
   LoadBook &m_Loads;
 };
 
--- /dev/null
+++ b/Libraries/LibEngine/EngineModel.h
@@ -0,0 +1,101 @@
+//===- EngineModel.h - What engines of one service need ---------*- C++ -*-===//
+//
+// How long the engines of a service take to read prompts, to start a run whose
+// prompt has been read elsewhere, and to read a prompt between the tokens of
+// other requests. Nothing of it is configured: engines of two deployments
+// differ eighteenfold in reading, and figures of one made a gateway refuse half
+// of the requests of the other while its engines were idle.
+//
+// A gateway sees one answer in as many as there are gateways, so gateways tell
+// each other their figures, and one that has just started begins with them.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibEngine/LinearCost.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace figlift::engine {
+
+/// Times as the estimates compute them, with fractions.
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// What an engine has to compute of a prompt.
+struct ReadSize {
+  double Tokens = 0;
+  /// Pairs of a computed token and one before it, in millions: attention.
+  double MillionPairs = 0;
+  /// Parts are fetched from another engine first.
+  bool Fetches = false;
+};
+
+/// What is known of engines; also what gateways tell each other.
+struct EngineFigures {
+  /// Of each read, whatever its size. It does not hold up other prompts.
+  Milliseconds ReadFixed{5};
+  /// Engine time of reading at a prefill engine.
+  Milliseconds ReadThousandTokens{5};
+  Milliseconds ReadMillionPairs{0.1};
+  /// Of a fetch in front of a read, beside the transfer.
+  Milliseconds FetchFixed{1};
+  /// Reading at a decode engine takes this many times as long.
+  double DecodeReadFactor = 3;
+  /// From the sending of a run whose prompt has been read to its first event,
+  /// beside the transfer of the KV cache.
+  Milliseconds StartFixed{5};
+  /// Transfers take this many times as long as their size and the link say.
+  double TransferFactor = 1;
+  /// \name Measurements behind the figures of each kind of work.
+  /// @{
+  double ReadWeight = 0;
+  double DecodeReadWeight = 0;
+  double StartWeight = 0;
+  /// @}
+};
+
+class EngineModel {
+public:
+  EngineModel();
+
+  /// \name Measurements. \p Purity, 0 to 1: the share of the time that belongs
+  /// to the work for sure, not to what stood in front of it.
+  /// @{
+  /// \p Took is without the transfer of parts that were fetched.
+  void observeRead(const ReadSize &Size, Milliseconds Took, double Purity);
+  /// \p AtPrefillEngine: what the same read takes there.
+  void observeDecodeRead(Milliseconds AtPrefillEngine, Milliseconds Took,
+                         double Purity);
+  /// \p Transfer: by its size and the link.
+  void observeStart(Milliseconds Transfer, Milliseconds Took, double Purity);
+  /// @}
+
+  void peerTold(const std::string &Peer, const EngineFigures &Told,
+                BootTime Now);
+  /// What this process measured itself.
+  const EngineFigures &own() const { return m_Own; }
+  /// Of this process and its peers, each by its measurements.
+  EngineFigures figures(BootTime Now) const;
+
+private:
+  struct Told {
+    EngineFigures Figures;
+    BootTime At{};
+  };
+  /// What a process that has gone told is forgotten by then; a peer that is
+  /// cut off for some seconds still counts.
+  static constexpr std::chrono::seconds PeerLifetime{30};
+
+  LinearCost<4> m_Read;
+  LinearCost<1> m_DecodeRead;
+  LinearCost<2> m_Start;
+  /// Equals the figures of the three above.
+  EngineFigures m_Own;
+  std::map<std::string, Told> m_Peers;
+};
+
+} // namespace figlift::engine
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -53,6 +53,11 @@
     return Open;
   }
 
+  /// What prompts cost the engines of \p Which, as far as known.
+  dispatch::EngineCosts costsOf(const dispatch::Service &Which, BootTime Now) {
+    return {EngineModels[Which.Name].figures(Now), *Which.Engine};
+  }
+
   settings::GatewaySettings Settings;
   boost::asio::io_context Loop{1};
   /// Null until the first one was read. Requests keep the one they began with.
@@ -64,6 +69,8 @@
   dispatch::ServicePlanner Services;
   dispatch::RepeatOptions Repeats;
   std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
+  /// What was learned of the engines of each service.
+  std::map<std::string, engine::EngineModel> EngineModels;
   /// Parts that were computed since the last report to the peers.
   std::vector<dispatch::CachedPart> NewlyCached;
   /// Demand on each service of engines through this gateway.
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -258,6 +258,7 @@
                   {{"version", Read.value().Version},
                    {"before", InForce},
                    {"routes", Read.value().Routes.size()}});
+    Read.value().noteEventGaps();
     m_Shared.Configuration = std::make_shared<const dispatch::Configuration>(
         std::move(Read.value()));
     describeBudgets();
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -34,6 +34,10 @@
 constexpr milliseconds FirstListInterval{1000};
 constexpr milliseconds ListInterval{20000};
 constexpr unsigned FirstLists = 5;
+/// How often a report tells what was learned of engines, some 100 bytes a
+/// service. After a start the figures of a process are good within ten answers,
+/// which come in about this time.
+constexpr milliseconds FiguresInterval{250};
 /// Parts in one report; what is beyond waits for the next.
 constexpr size_t MaximumParts = 64;
 
@@ -156,6 +160,11 @@
     if (Now < Until)
       What.Away.push_back(
           {Id, std::chrono::duration_cast<milliseconds>(Until - Now)});
+  if (Now - m_FiguresTold >= FiguresInterval) {
+    m_FiguresTold = Now;
+    for (const auto &[Service, Model] : m_Shared.EngineModels)
+      What.Engines.push_back({Service, Model.own()});
+  }
   const std::string Bytes = encodePeerReport(What);
   for (const auto &[Id, Each] : m_Peers) {
     // A datagram that can't be sent is made up for by the next one.
@@ -190,6 +199,8 @@
   Sender.Heard = Now;
   m_Shared.Loads.peerReported(What.From, What.Loads, Now);
   m_Shared.PeerDemands[What.From] = What.Demands;
+  for (const dispatch::ServiceFigures &Each : What.Engines)
+    m_Shared.EngineModels[Each.Service].peerTold(What.From, Each.Figures, Now);
   for (const dispatch::AwayTarget &Each : What.Away)
     m_Shared.Loads.avoid(Each.TargetId, Now + Each.Left);
   for (const dispatch::CachedPart &Each : What.Cached)
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -56,6 +56,8 @@
   std::array<char, 65536> m_Buffer;
   boost::asio::ip::udp::endpoint m_Sender;
   bool m_Enrolled = false;
+  /// When a report last told what was learned of engines.
+  BootTime m_FiguresTold{};
   /// Times that the list was read.
   unsigned m_Lists = 0;
 };
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -22,7 +22,6 @@
 /// event on time is late already; callers leave after eight times.
 constexpr int EventGapFactor = 3;
 constexpr milliseconds MinimumEventSilence{400};
-constexpr milliseconds DefaultEventGap{200};
 /// Weight of the newest stream in the mean time of generation of its route.
 constexpr double GenerationSmoothing = 0.05;
 
@@ -47,6 +46,7 @@
     return;
   if (!m_AnswerBegun) {
     Which.noteSpeed();
+    learnRun();
     proxy::ResponseHead Head = Which.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_AnswerBegun = true;
@@ -66,7 +66,8 @@
 /// stand still until the caller leaves. A stream that can go on elsewhere is
 /// watched from event to event.
 void RequestFlow::watchNextEvent() {
-  const milliseconds Gap = m_Route.EventGapTarget.value_or(DefaultEventGap);
+  const milliseconds Gap =
+      m_Route.EventGapTarget.value_or(dispatch::DefaultEventGap);
   armWatch(
       std::max<BootClock::duration>(Gap * EventGapFactor, MinimumEventSilence));
 }
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds AnswerMargin{15};
 /// A process without a configuration gets one within a read of the store.
 constexpr milliseconds NotReadyRetryAfter{500};
+/// Measurements that belong to something else for the most part say little of
+/// what they are meant for, and a wrong plan of the rest misleads.
+constexpr double LeastPurity = 0.3;
 /// A send is overdue after this many times its expected time and a fixed
 /// part. Sent again too early, work is done twice under load; too late, the
 /// caller has left. Both ends are bounded by the retry budget.
@@ -124,24 +127,27 @@
       std::max(Milliseconds(0), Milliseconds(m_Route.LatencyTarget) -
                                     Milliseconds(Now - m_Started));
   Request.TimeLeft = timeLeft(Now);
+  if (const auto *Which = m_Configuration->service(m_Service))
+    Request.EventGap = Which->ShortestEventGap;
   Request.Excluded = m_Excluded;
   Request.Draw = m_Shared.draw();
   return Request;
 }
 
 void RequestFlow::noteDemand(const dispatch::Service &Which) {
-  const dispatch::EngineCosts &Costs = m_Shared.Prompts.costs();
+  const BootTime Now = BootClock::now();
+  const dispatch::EngineCosts Costs = m_Shared.costsOf(Which, Now);
   const dispatch::Prompt &What = *m_Fields.Prompt;
   // What other requests share is taken as kept: reading it again is a matter
   // of where requests go, not of how many engines read.
   const uint32_t Own =
       What.Parts.empty() ? What.Tokens : What.Parts.back().Tokens;
   const uint32_t Shared = What.Tokens - std::min(Own, What.Tokens);
-  m_Shared.Demands[m_Service].requested(
-      Costs.read(What, Shared),
-      Costs.transfer(*Which.Engine, What.Tokens, false) +
-          generationTime() / Which.Engine->Slots,
-      BootClock::now());
+  m_Shared.Demands[m_Service].requested(Costs.reading(What, Shared),
+                                        Costs.transfer(What.Tokens, false) +
+                                            generationTime() /
+                                                Which.Engine->Slots,
+                                        Now);
 }
 
 Milliseconds RequestFlow::generationTime() const {
@@ -156,8 +162,8 @@
   if (m_Sends == 0)
     noteDemand(Which);
   const auto Open = m_Shared.openTargets(m_Service);
-  const auto Plan =
-      m_Shared.Prompts.plan(promptRequest(Now), Open, *Which.Engine, Now);
+  const auto Plan = m_Shared.Prompts.plan(promptRequest(Now), Open,
+                                          m_Shared.costsOf(Which, Now), Now);
   if (const auto *Read = std::get_if<dispatch::ReadThenRun>(&Plan)) {
     m_PlannedFirst = Read->FirstEvent;
     return startRead(*Read);
@@ -181,7 +187,7 @@
       {timeLeft(Now), m_Excluded, m_Shared.draw()}, Open, Now);
   if (const auto *Chosen = std::get_if<dispatch::SendTo>(&Plan)) {
     m_PlannedFirst = Chosen->Expected;
-    return startRun({Chosen->TargetId, {}, Chosen->Cost, Chosen->Expected});
+    return startRun({Chosen->TargetId, {}, Chosen->Cost, Chosen->Expected, {}});
   }
   const auto &Refusal = std::get<dispatch::RefuseService>(Plan);
   giveUp(m_Runs == 0 ? dispatch::NotRunStatus : dispatch::OutcomeUnknownStatus,
@@ -191,21 +197,25 @@
 void RequestFlow::startRead(const dispatch::ReadThenRun &Plan) {
   m_Reader = Plan.Reader;
   m_PlannedRead = Plan.Expected;
-  send(Plan.Reader, Plan.FetchFrom, SendPurpose::ReadPrompt, Plan.Cost,
-       Plan.Expected);
+  m_ReadPlan = Plan.How;
+  send(Plan.Reader, Plan.FetchFrom, SendPurpose::ReadPrompt,
+       {Plan.Cost, Plan.Expected, Plan.How.Compute, {}});
 }
 
 void RequestFlow::startRun(const dispatch::RunAt &Plan) {
   m_Runner = Plan.Runner;
   m_PlannedRun = Plan.Expected;
   m_RunSent = BootClock::now();
-  send(Plan.Runner, Plan.FetchFrom, SendPurpose::Run, Plan.Cost, Plan.Expected);
+  m_RunPlan = Plan.How;
+  send(Plan.Runner, Plan.FetchFrom, SendPurpose::Run,
+       {Plan.Cost, Plan.Expected, Plan.How.Compute, {}});
 }
 
 void RequestFlow::send(const std::string &TargetId,
                        const std::string &FetchFrom, SendPurpose Purpose,
-                       Milliseconds Cost, Milliseconds Expected) {
+                       dispatch::Work What) {
   const BootTime Now = BootClock::now();
+  const Milliseconds Expected = What.Expected;
   slopes::SendFields Fields;
   Fields.TimeLeft = std::chrono::duration_cast<milliseconds>(timeLeft(Now));
   Fields.ExpectedTarget = TargetId;
@@ -222,8 +232,10 @@
   ++m_Sends;
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId);
+  if (!enginesKnown(Now))
+    What.Expected = Milliseconds(0);
   if (m_Send->start(proxy::requestText(m_Request.Head, Headers, m_Request.Body),
-                    Cost, Expected)) {
+                    What)) {
     chargeRepeat(Purpose, Now);
     logSent(TargetId, FetchFrom, Purpose, Expected);
     if (Purpose == SendPurpose::Run)
@@ -234,6 +246,13 @@
   sendEnded(*Unsent, dispatch::NotSent{});
 }
 
+/// An engine is not judged by plans that rest on nothing yet: all of them would
+/// look many times as slow, or as fast, as they are, for seconds.
+bool RequestFlow::enginesKnown(BootTime Now) const {
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  return !Which || !Which->Engine || m_Shared.costsOf(*Which, Now).known();
+}
+
 /// The first read and the first run of a request are its own; each further
 /// arrival is a repeat, also where one cycle of both follows a rejected run.
 void RequestFlow::chargeRepeat(SendPurpose Purpose, BootTime Now) {
@@ -303,12 +322,13 @@
     return sendEnded(Which, dispatch::BrokeOff{});
   noteComputed(Which.targetId());
   m_ReadTook = BootClock::now() - Which.started();
+  learnRead();
   m_Handle = slopes::KvSource{Reader->Address.toString(), Read.value().Handle};
   const BootTime Now = BootClock::now();
   const dispatch::Service *Service = m_Configuration->service(m_Service);
   const auto Runner = m_Shared.Prompts.chooseRunner(
       promptRequest(Now), Reader, m_Shared.openTargets(m_Service),
-      *Service->Engine, Now);
+      m_Shared.costsOf(*Service, Now), Now);
   if (!Runner) {
     releaseHandle();
     if (m_AnswerBegun)
@@ -320,6 +340,43 @@
   startRun(*Runner);
 }
 
+/// What stood in front of the read is known in part; of the time measured, the
+/// read gets the share that it had in the plan, and counts by that share.
+void RequestFlow::learnRead() {
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  if (!Which || !Which->Engine || m_ReadTook <= m_ReadPlan.OnLink)
+    return;
+  const Milliseconds Own = m_PlannedRead - m_ReadPlan.Wait - m_ReadPlan.OnLink;
+  const double Share = Own / (Own + m_ReadPlan.Wait);
+  if (Share < LeastPurity)
+    return;
+  m_Shared.EngineModels[m_Service].observeRead(
+      m_ReadPlan.Size, (m_ReadTook - m_ReadPlan.OnLink) * Share, Share * Share);
+}
+
+/// The same of a run, at its first event.
+void RequestFlow::learnRun() {
+  const BootTime Now = BootClock::now();
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  if (!Which || !Which->Engine || !m_Fields.Prompt || !m_RunSent ||
+      m_RunPlan.Wait > Milliseconds(0))
+    return;
+  engine::EngineModel &Model = m_Shared.EngineModels[m_Service];
+  const Milliseconds Took(Now - *m_RunSent);
+  if (m_Handle) {
+    Model.observeStart(m_RunPlan.OnLink, Took, 1);
+    return;
+  }
+  const dispatch::EngineCosts Costs = m_Shared.costsOf(*Which, Now);
+  const Milliseconds Compute =
+      Took - Costs.readFixed() - Costs.startFixed() - m_RunPlan.OnLink;
+  const Milliseconds Alone = Costs.reading(m_RunPlan.Size);
+  const double Share = Alone / (Took + Milliseconds(1));
+  // The rest is known too loosely to tell a small read from it.
+  if (Share >= LeastPurity && Compute > Milliseconds(0))
+    Model.observeDecodeRead(Alone, Compute, Share * Share);
+}
+
 void RequestFlow::sendEnded(ServerSend &Which, SendEnd How) {
   m_WatchTimer.cancel();
   m_Send = nullptr;
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -57,8 +57,10 @@
   void startRun(const dispatch::RunAt &Plan);
   void readCompleted(ServerSend &Which);
   void send(const std::string &TargetId, const std::string &FetchFrom,
-            SendPurpose Purpose, dispatch::Milliseconds Cost,
-            dispatch::Milliseconds Expected);
+            SendPurpose Purpose, dispatch::Work What);
+  bool enginesKnown(BootTime Now) const;
+  void learnRead();
+  void learnRun();
   void streamEnded(ServerSend &Which);
   void forwardEvents(const std::string &Events);
   void forwardWhole(ServerSend &Which);
@@ -124,6 +126,8 @@
   dispatch::Milliseconds m_PlannedRead{0};
   dispatch::Milliseconds m_ReadTook{0};
   dispatch::Milliseconds m_PlannedRun{0};
+  dispatch::ReadPlan m_ReadPlan;
+  dispatch::ReadPlan m_RunPlan;
   std::optional<BootTime> m_RunSent;
   /// @}
   unsigned m_Sends = 0;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -23,8 +23,7 @@
     : m_Shared(Shared), m_Owner(&Owner), m_TargetId(std::move(TargetId)),
       m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)) {}
 
-bool ServerSend::start(std::string Bytes, dispatch::Milliseconds Cost,
-                       dispatch::Milliseconds Expected) {
+bool ServerSend::start(std::string Bytes, dispatch::Work What) {
   const auto Pool = m_Shared.Pools.find(m_TargetId);
   if (Pool == m_Shared.Pools.end())
     return false;
@@ -32,7 +31,8 @@
   m_Connection = Pool->second->take(m_Started);
   if (!m_Connection)
     return false;
-  m_Ticket = m_Shared.Loads.started(m_TargetId, Cost, Expected, m_Started);
+  What.Sent = m_Started;
+  m_Ticket = m_Shared.Loads.started(m_TargetId, What);
   m_Connection->exchange(std::move(Bytes), true, shared_from_this());
   return true;
 }
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -48,8 +48,7 @@
 
   /// Takes a connection and sends; false when this process has none left for
   /// the server, and then nothing was sent.
-  bool start(std::string Bytes, dispatch::Milliseconds Cost,
-             dispatch::Milliseconds Expected);
+  bool start(std::string Bytes, dispatch::Work What);
   /// Closes the connection, which also ends the server's work.
   void cancel();
   void resumeReading();
--- a/Tests/LibDispatch/TestLoadBook.cpp
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -22,7 +22,8 @@
     Book.targetCame(Engine, 10000);
   }
   uint64_t start(double Cost) {
-    return Book.started("e", Milliseconds(Cost), Milliseconds(Cost), Now);
+    return Book.started(
+        "e", {Milliseconds(Cost), Milliseconds(Cost), Milliseconds(0), Now});
   }
 };
 
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -14,11 +14,16 @@
 TEST_GROUP(PeerReport){};
 
 TEST(PeerReport, ComesBackAsItWas) {
-  const PeerReport Sent{"g1",
-                        {{"e", Milliseconds(12.34), 3, 0.25}},
-                        {{"e", {0xffffffffffffffffULL, 7}}},
-                        {{"s", {1.5, 2.5}}},
-                        {{"f", std::chrono::milliseconds(900)}}};
+  engine::EngineFigures Figures;
+  Figures.ReadThousandTokens = Milliseconds(27.2);
+  Figures.StartWeight = 12;
+  const PeerReport Sent{
+      "g1",
+      {{"e", Milliseconds(12.34), 3, 0.25, Milliseconds(5.5)}},
+      {{"e", {0xffffffffffffffffULL, 7}}},
+      {{"s", {1.5, 2.5}}},
+      {{"f", std::chrono::milliseconds(900)}},
+      {{"s", Figures}}};
   const auto Read = decodePeerReport(encodePeerReport(Sent));
   CHECK(Read.has_value());
   STRCMP_EQUAL("g1", Read.value().From.c_str());
@@ -28,6 +33,11 @@
   CHECK(Read.value().Cached[0].Part == (PromptPart{0xffffffffffffffffULL, 7}));
   DOUBLES_EQUAL(2.5, Read.value().Demands[0].Demand.Run, 0);
   LONGS_EQUAL(900, Read.value().Away[0].Left.count());
+  DOUBLES_EQUAL(5.5, Read.value().Loads[0].Reading.count(), 0.01);
+  STRCMP_EQUAL("s", Read.value().Engines[0].Service.c_str());
+  const engine::EngineFigures &Told = Read.value().Engines[0].Figures;
+  DOUBLES_EQUAL(27.2, Told.ReadThousandTokens.count(), 0.001);
+  DOUBLES_EQUAL(12, Told.StartWeight, 0.001);
 }
 
 TEST(PeerReport, RefusesOtherBytes) {
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -20,6 +20,7 @@
   std::deque<Target> Targets;
   std::vector<const Target *> Engines;
   EngineTraits Traits;
+  engine::EngineFigures Figures;
   PromptRequest Request;
   BootTime Now{std::chrono::seconds(100)};
 
@@ -28,6 +29,10 @@
     Traits.KvCapacityTokens = 1000000;
     Traits.KvBytesPerToken = 18432;
     Traits.LinkMbps = 630000;
+    Figures.ReadFixed = Milliseconds(1.5);
+    Figures.ReadThousandTokens = Milliseconds(1.7);
+    Figures.ReadMillionPairs = Milliseconds(0.04);
+    Figures.StartFixed = Milliseconds(4);
     Request.What = {9000, 1, {{1, 2500}, {2, 3500}, {3, 3000}}};
     Request.Generation = Milliseconds(50);
     Request.LatencyTarget = Milliseconds(120);
@@ -47,7 +52,8 @@
     Engines.push_back(&Targets.back());
     Loads.targetCame(Made, Traits.KvCapacityTokens);
   }
-  PromptPlan plan() { return Planner.plan(Request, Engines, Traits, Now); }
+  EngineCosts costs() const { return {Figures, Traits}; }
+  PromptPlan plan() { return Planner.plan(Request, Engines, costs(), Now); }
   std::string reader() {
     const auto Plan = plan();
     const auto *Split = std::get_if<ReadThenRun>(&Plan);
@@ -55,7 +61,8 @@
   }
   void load(const std::string &Id, double Cost, int Pieces = 1) {
     for (int At = 0; At < Pieces; ++At)
-      Loads.started(Id, Milliseconds(Cost), Milliseconds(Cost), Now);
+      Loads.started(Id, {Milliseconds(Cost), Milliseconds(Cost),
+                         Milliseconds(Cost), Now});
   }
   void keep(const std::string &Id) {
     Loads.cache(Id).insert(Request.What.Parts[0]);
@@ -82,7 +89,7 @@
   for (const Target &Each : Targets)
     Other.targetCame(Each, Traits.KvCapacityTokens);
   PromptPlanner Peer{{}, Other};
-  const auto Plan = Peer.plan(Request, Engines, Traits, Now);
+  const auto Plan = Peer.plan(Request, Engines, costs(), Now);
   STRCMP_EQUAL(Home.c_str(), std::get<ReadThenRun>(Plan).Reader.c_str());
 }
 
@@ -149,7 +156,7 @@
 TEST(PromptPlanner, RunsWhereSlotsAreFree) {
   load("run-1", 3000, 8);
   const auto Runner =
-      Planner.chooseRunner(Request, &Targets[0], Engines, Traits, Now);
+      Planner.chooseRunner(Request, &Targets[0], Engines, costs(), Now);
   STRCMP_EQUAL("run-2", Runner->Runner.c_str());
 }
 
@@ -169,8 +176,10 @@
 TEST(PromptPlanner, AvoidsAnEngineThatFailsRequests) {
   const std::string Home = reader();
   for (int At = 0; At < 6; ++At)
-    Loads.failed(
-        Home, Loads.started(Home, Milliseconds(1), Milliseconds(1), Now), Now);
+    Loads.failed(Home,
+                 Loads.started(Home, {Milliseconds(1), Milliseconds(1),
+                                      Milliseconds(0), Now}),
+                 Now);
   CHECK(reader() != Home);
 }
 
@@ -185,10 +194,51 @@
 TEST(PromptPlanner, GoesToAnEngineThatFailsWhenAllDo) {
   for (const Target &Each : Targets)
     for (int At = 0; At < 6; ++At)
-      Loads.failed(
-          Each.Id,
-          Loads.started(Each.Id, Milliseconds(1), Milliseconds(1), Now), Now);
+      Loads.failed(Each.Id,
+                   Loads.started(Each.Id, {Milliseconds(1), Milliseconds(1),
+                                           Milliseconds(0), Now}),
+                   Now);
   CHECK(!std::holds_alternative<RefuseNow>(plan()));
-  CHECK(Planner.chooseRunner(Request, &Targets[0], Engines, Traits, Now)
+  CHECK(Planner.chooseRunner(Request, &Targets[0], Engines, costs(), Now)
             .has_value());
 }
+
+// Load: prompts of 17,000 tokens at engines that read 37 tokens a millisecond,
+// eighteen times as slowly as those above. Grounds: the same engine is known
+// by its figures alone; a door or a queue in constants of other engines admits
+// eighteen times what can be read.
+TEST(PromptPlanner, PlansSlowEnginesByTheirOwnFigures) {
+  Figures.ReadThousandTokens = Milliseconds(27.2);
+  Request.What = {17000, 1, {{1, 13300}, {3, 3700}}};
+  Request.LatencyTarget = Request.OnTimeLeft = Milliseconds(800);
+  Request.TimeLeft = Milliseconds(6000);
+  const auto Plan = plan();
+  const auto &Read = std::get<ReadThenRun>(Plan);
+  DOUBLES_EQUAL(468, Read.Cost.count(), 10);
+  load("read-1", 400);
+  load("read-2", 400);
+  CHECK(std::holds_alternative<RefuseNow>(plan()));
+}
+
+// Load: short prompts beside streams that may pause for 300 ms. Grounds: what
+// one read takes from the streams is time, at whatever speed an engine reads;
+// 600 tokens are 3 ms at one engine and 50 ms at another.
+TEST(PromptPlanner, BoundsReadingBesideStreamsByTheirPauses) {
+  Request.What = {600, 1, {{9, 600}}};
+  Request.EventGap = Milliseconds(300);
+  load("read-1", 20);
+  load("read-2", 20);
+  CHECK(std::holds_alternative<RunAt>(plan()));
+  Figures.ReadThousandTokens = Milliseconds(27.2);
+  CHECK(std::holds_alternative<ReadThenRun>(plan()));
+}
+
+// Load: no prefill engine takes work; prompts are read at decode engines.
+// Grounds: prompts are read one after the other; slots do not show that.
+TEST(PromptPlanner, CountsPromptsThatWaitAtADecodeEngine) {
+  Engines.erase(Engines.begin(), Engines.begin() + 2);
+  load("run-1", 80);
+  STRCMP_EQUAL("run-2", std::get<RunAt>(plan()).Runner.c_str());
+  load("run-2", 100);
+  CHECK(std::holds_alternative<RefuseNow>(plan()));
+}
--- a/Tests/LibDispatch/TestServicePlanner.cpp
+++ b/Tests/LibDispatch/TestServicePlanner.cpp
@@ -33,7 +33,8 @@
     return To ? To->TargetId : std::string();
   }
   uint64_t start(const std::string &Id) {
-    return Loads.started(Id, Milliseconds(20), Milliseconds(20), Now);
+    return Loads.started(
+        Id, {Milliseconds(20), Milliseconds(20), Milliseconds(0), Now});
   }
 };
 
--- /dev/null
+++ b/Tests/LibEngine/TestEngineModel.cpp
@@ -0,0 +1,151 @@
+//===- TestEngineModel.cpp - What engines of one service need -------------===//
+//
+// Engines of very unlike speed, noise, and peers.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibEngine/EngineModel.h"
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::engine;
+using std::chrono::seconds;
+
+namespace {
+
+/// An engine as it really is.
+struct Engine {
+  double FixedMs;
+  double TokensPerMs;
+  double MillionPairsMs;
+  Milliseconds read(const ReadSize &Size) const {
+    return Milliseconds(FixedMs + Size.Tokens / TokensPerMs +
+                        Size.MillionPairs * MillionPairsMs);
+  }
+};
+
+constexpr Engine Slow{28, 36.7, 0.25};
+constexpr Engine Fast{7, 672, 0.04};
+
+/// \p Kept tokens before \p Computed ones.
+ReadSize size(double Computed, double Kept) {
+  return {Computed, Computed * (Kept + Computed / 2) / 1e6};
+}
+
+Milliseconds estimate(const EngineFigures &By, const ReadSize &Size) {
+  return By.ReadFixed + By.ReadThousandTokens * Size.Tokens / 1000 +
+         By.ReadMillionPairs * Size.MillionPairs;
+}
+
+} // namespace
+
+TEST_GROUP(EngineModel) {
+  EngineModel Model;
+  std::mt19937 Random{7};
+  BootTime Now{seconds(100)};
+
+  /// Measures \p Count reads of many sizes, each delayed by up to \p Waits of
+  /// itself by what nobody told of.
+  void measure(const Engine &At, int Count, double Waits = 0) {
+    std::lognormal_distribution<double> Tokens(7.5, 1);
+    std::uniform_real_distribution<double> Kept(0, 13000);
+    std::uniform_real_distribution<double> Wait(0, Waits);
+    for (int Each = 0; Each < Count; ++Each) {
+      const ReadSize Size = size(Tokens(Random), Kept(Random));
+      Model.observeRead(Size, At.read(Size) * (1 + Wait(Random)), 1);
+    }
+  }
+  void expectWithin(double Share, const Engine &At) {
+    for (const ReadSize &Size :
+         {size(1200, 400), size(3700, 13300), size(17000, 0)}) {
+      const double Truth = At.read(Size).count();
+      DOUBLES_EQUAL(Truth, estimate(Model.figures(Now), Size).count(),
+                    Truth * Share);
+    }
+  }
+};
+
+// Load: the first second of a deployment whose engines nobody has described.
+// Grounds: until the estimates hold, requests are sent or refused blindly.
+TEST(EngineModel, KnowsEnginesOfAnySpeedAfterAFewReads) {
+  measure(Slow, 8);
+  expectWithin(0.15, Slow);
+  Model = EngineModel();
+  measure(Fast, 8);
+  expectWithin(0.25, Fast);
+}
+
+// Load: a rush at a cold start: all that comes first are large prompts.
+TEST(EngineModel, TakesOneLargeReadForAFirstHint) {
+  const ReadSize Large = size(17000, 0);
+  Model.observeRead(Large, Slow.read(Large), 1);
+  const double Truth = Slow.read(Large).count();
+  DOUBLES_EQUAL(Truth, estimate(Model.figures(Now), Large).count(),
+                Truth * 0.15);
+}
+
+// Load: several gateways send to one engine within the time in which they
+// tell each other of it. Grounds: the wait is none of the engine's speed.
+TEST(EngineModel, IsNotMisledMuchByWaitsThatNobodyToldOf) {
+  measure(Slow, 30);
+  measure(Slow, 20, 0.2);
+  const ReadSize Common = size(3700, 13300);
+  for (int Each = 0; Each < 3; ++Each)
+    Model.observeRead(Common, Slow.read(Common) * 10, 1);
+  expectWithin(0.35, Slow);
+}
+
+// Sequence: a rollout replaces the engines by ones eighteen times as slow.
+TEST(EngineModel, FollowsEnginesThatChange) {
+  measure(Fast, 100);
+  measure(Slow, 100);
+  expectWithin(0.15, Slow);
+}
+
+// Symptom: a gateway that has just started refuses or crowds, for seconds.
+// Cause: it had to learn anew what the others knew.
+TEST(EngineModel, BeginsWithWhatItsPeersKnow) {
+  EngineModel Peer;
+  std::swap(Model, Peer);
+  measure(Slow, 30);
+  std::swap(Model, Peer);
+  Model.peerTold("other", Peer.own(), Now);
+  expectWithin(0.15, Slow);
+}
+
+TEST(EngineModel, ForgetsPeersThatAreGone) {
+  EngineFigures Odd;
+  Odd.ReadThousandTokens = Milliseconds(1000);
+  Odd.ReadWeight = 50;
+  Model.peerTold("gone", Odd, Now);
+  Now += seconds(60);
+  DOUBLES_EQUAL(5, Model.figures(Now).ReadThousandTokens.count(), 0.001);
+}
+
+TEST(EngineModel, LearnsWhatReadingBesideTokensCosts) {
+  for (int Each = 0; Each < 6; ++Each)
+    Model.observeDecodeRead(Milliseconds(20), Milliseconds(44), 1);
+  DOUBLES_EQUAL(2.2, Model.figures(Now).DecodeReadFactor, 0.1);
+}
+
+TEST(EngineModel, LearnsWhatAStartCostsBesideItsTransfer) {
+  for (int Each = 0; Each < 6; ++Each) {
+    Model.observeStart(Milliseconds(2), Milliseconds(19), 1);
+    Model.observeStart(Milliseconds(10), Milliseconds(27), 1);
+  }
+  DOUBLES_EQUAL(17, Model.figures(Now).StartFixed.count(), 1);
+  DOUBLES_EQUAL(1, Model.figures(Now).TransferFactor, 0.1);
+}
+
+// No measurement makes a cost negative, whatever noise is in it.
+TEST(EngineModel, NeverEstimatesLessThanNothing) {
+  Model.observeRead(size(10000, 0), Milliseconds(1), 1);
+  Model.observeRead(size(100, 0), Milliseconds(500), 1);
+  const EngineFigures Found = Model.figures(Now);
+  CHECK(Found.ReadFixed.count() >= 0);
+  CHECK(Found.ReadThousandTokens.count() >= 0);
+  CHECK(Found.ReadMillionPairs.count() >= 0);
+}
