EngineDemand, StreamTimes, StagePlanner: Count what is asked, doubt it at first

Now parts that no engine keeps count as reading; the time of streams counts those that still run, by Little's law; a change must be right also where the first seconds' demand was off.

--- a/Libraries/LibDispatch/EngineDemand.cpp
+++ b/Libraries/LibDispatch/EngineDemand.cpp
@@ -60,6 +60,10 @@
   return {m_Weighted.Read / m_Weight, m_Weighted.Run / m_Weight};
 }
 
+double BusyDemand::doubt(BootTime Now) const {
+  return 1 + FirstDoubt * std::exp(-Milliseconds(Now - m_First) / DoubtMemory);
+}
+
 bool BusyDemand::settled(BootTime Now) const {
   return m_First != BootTime{} && Now - m_First >= SettleTime;
 }
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -254,12 +254,12 @@
                                     comingRuns(Engines, Now), Trusted, Now);
     const Milliseconds Read =
         Reader->How.Wait + Reader->Cost + Costs.readFixed();
-    if (Runner)
+    if (Runner) {
       SplitWait = Reader->How.Wait + Runner->How.Wait;
-    if (Runner)
       Split = ReadThenRun{Reader->Which->Id,       Reader->sourceId(),
                           Reader->How.Compute,     Read,
                           Read + Runner->Expected, Reader->How};
+    }
   }
   const bool Small =
       Lone->How.Compute <= Request.EventGap * m_Options.ReadGapShare;
--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -78,36 +78,48 @@
   return Left > 0 && Asked / double(Left) < m_Options.RoomForMore;
 }
 
-std::optional<StageChange>
-StagePlanner::plan(std::span<const Target *const> Engines,
-                   const EngineDemand &Demand, const LoadBook &Loads,
-                   BootTime Now) {
-  forgetSettled(Engines, Now);
-  noteChanges(Engines);
-  if (!viewIsStable(Engines, Now))
-    return std::nullopt;
-  size_t Readers = 0;
-  for (const Target *Each : Engines)
-    if (stageOf(*Each) == Stage::Prefill)
-      ++Readers;
-  const size_t All = Engines.size();
+/// Number of reading engines for \p Demand, or \p Readers if no other number is
+/// clearly better.
+size_t StagePlanner::betterSplit(size_t All, size_t Readers,
+                                 const EngineDemand &Demand) const {
   const double Current = busiest(Demand, Readers, All - Readers);
   const double Minimum = m_Changed ? m_Options.MinimumUtilization
                                    : m_Options.MinimumUtilizationAtFirst;
   if (All < 2 || Current < Minimum)
-    return std::nullopt;
+    return Readers;
   const size_t KeptDecode =
       std::min(m_Options.MinimumDecode, std::max<size_t>(1, All / 2));
   size_t BestReaders = Readers;
-  double Best = Current;
+  double Best = Current * (1 - m_Options.MinimumGain);
   for (size_t Try = 1; Try + KeptDecode <= All; ++Try)
     if (const double Each = busiest(Demand, Try, All - Try); Each < Best) {
       Best = Each;
       BestReaders = Try;
     }
-  if (Best > Current * (1 - m_Options.MinimumGain))
+  return BestReaders;
+}
+
+std::optional<StageChange>
+StagePlanner::plan(std::span<const Target *const> Engines,
+                   const EngineDemand &Demand, double Doubt,
+                   const LoadBook &Loads, BootTime Now) {
+  forgetSettled(Engines, Now);
+  noteChanges(Engines);
+  if (!viewIsStable(Engines, Now))
+    return std::nullopt;
+  size_t Readers = 0;
+  for (const Target *Each : Engines)
+    if (stageOf(*Each) == Stage::Prefill)
+      ++Readers;
+  // A change takes engines from one kind of work: it has to be right also when
+  // that work is asked for more than it seems, and the other less.
+  const size_t More = betterSplit(Engines.size(), Readers,
+                                  {Demand.Read / Doubt, Demand.Run * Doubt});
+  const size_t Fewer = betterSplit(Engines.size(), Readers,
+                                   {Demand.Read * Doubt, Demand.Run / Doubt});
+  if (More <= Readers && Fewer >= Readers)
     return std::nullopt;
-  const Stage From = BestReaders > Readers ? Stage::Decode : Stage::Prefill;
+  const Stage From = More > Readers ? Stage::Decode : Stage::Prefill;
   const Target *Chosen = nullptr;
   for (const Target *Each : Engines)
     if (Each->Does == From && !away(Each->Id, Now) &&
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -60,9 +60,11 @@
 public:
   explicit StagePlanner(StagePlannerOptions Options = {});
 
-  /// \p Engines: those of the service, draining ones left out.
+  /// \p Engines: those of the service, draining ones left out. \p Doubt, 1 and
+  /// more: the demand on either kind of work may be this many times what was
+  /// seen, or this part of it.
   std::optional<StageChange> plan(std::span<const Target *const> Engines,
-                                  const EngineDemand &Demand,
+                                  const EngineDemand &Demand, double Doubt,
                                   const LoadBook &Loads, BootTime Now);
 
   /// An order was sent; no other goes out until it shows in the list, was
@@ -85,6 +87,8 @@
     BootTime Until{};
   };
 
+  size_t betterSplit(size_t All, size_t Readers,
+                     const EngineDemand &Demand) const;
   Stage stageOf(const Target &Which) const;
   bool mayTakeAway(std::span<const Target *const> Engines,
                    const EngineDemand &Demand, const Target &Which,
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -15,6 +15,7 @@
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/RepeatRules.h"
 #include "LibDispatch/ServicePlanner.h"
+#include "LibDispatch/StreamTimes.h"
 #include "LibDispatch/TargetTable.h"
 #include "LibMetrics/Registry.h"
 #include "LibRetry/FleetBudget.h"
@@ -75,9 +76,8 @@
   std::vector<dispatch::CachedPart> NewlyCached;
   /// Demand on each service of engines through this gateway.
   std::map<std::string, dispatch::DemandMeter> Demands;
-  /// Time from the first event to the end of a stream, by route: a running
-  /// mean. What callers allow as the most output says little about it.
-  std::map<std::string, dispatch::Milliseconds> GenerationTimes;
+  /// By route.
+  std::map<std::string, dispatch::StreamTimes> StreamTimes;
   /// What the other gateways told of theirs, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines that this gateway had change their stage, and until when they
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -22,19 +22,9 @@
 /// event on time is late already; callers leave after eight times.
 constexpr int EventGapFactor = 3;
 constexpr milliseconds MinimumEventSilence{400};
-/// Weight of the newest stream in the mean time of generation of its route.
-constexpr double GenerationSmoothing = 0.05;
 
 } // namespace
 
-void RequestFlow::noteGeneration() {
-  const Milliseconds Took(BootClock::now() - m_FirstEvent.value_or(m_Started));
-  const auto [Mean, IsNew] =
-      m_Shared.GenerationTimes.try_emplace(m_Route.Name, Took);
-  if (!IsNew)
-    Mean->second += (Took - Mean->second) * GenerationSmoothing;
-}
-
 void RequestFlow::sendAnswered(ServerSend &Which) {
   if (streaming())
     Which.streamBody();
@@ -51,6 +41,7 @@
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_AnswerBegun = true;
     m_FirstEvent = BootClock::now();
+    m_Shared.StreamTimes[m_Route.Name].began(*m_FirstEvent);
     m_Caller->beginStream(Head);
   }
   forwardEvents(Events);
@@ -87,7 +78,6 @@
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_Caller->beginStream(Head);
   }
-  noteGeneration();
   m_Caller->writeStream(m_Relay.finish());
   m_Caller->endStream();
   finish("answered", Which.head().Status, "");
@@ -172,6 +162,8 @@
   m_DeadlineTimer.cancel();
   m_WatchTimer.cancel();
   const BootTime Now = BootClock::now();
+  if (m_FirstEvent)
+    m_Shared.StreamTimes[m_Route.Name].ended(Now);
   const Milliseconds Took(Now - m_Started);
   const Milliseconds First =
       m_FirstEvent ? Milliseconds(*m_FirstEvent - m_Started) : Took;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -138,12 +138,12 @@
   const BootTime Now = BootClock::now();
   const dispatch::EngineCosts Costs = m_Shared.costsOf(Which, Now);
   const dispatch::Prompt &What = *m_Fields.Prompt;
-  // What other requests share is taken as kept: reading it again is a matter
-  // of where requests go, not of how many engines read.
-  const uint32_t Own =
-      What.Parts.empty() ? What.Tokens : What.Parts.back().Tokens;
-  const uint32_t Shared = What.Tokens - std::min(Own, What.Tokens);
-  m_Shared.Demands[m_Service].requested(Costs.reading(What, Shared),
+  // What any engine keeps can be fetched: reading it again is a matter of
+  // where requests go, not of how many engines read.
+  uint32_t Kept = 0;
+  for (const dispatch::Target *Each : m_Shared.openTargets(m_Service))
+    Kept = std::max(Kept, m_Shared.Loads.cachedTokens(Each->Id, What));
+  m_Shared.Demands[m_Service].requested(Costs.reading(What, Kept),
                                         Costs.transfer(What.Tokens, false) +
                                             generationTime() /
                                                 Which.Engine->Slots,
@@ -151,10 +151,10 @@
 }
 
 Milliseconds RequestFlow::generationTime() const {
-  if (const auto Learned = m_Shared.GenerationTimes.find(m_Route.Name);
-      Learned != m_Shared.GenerationTimes.end())
-    return Learned->second;
-  return Milliseconds(0);
+  const auto Known = m_Shared.StreamTimes.find(m_Route.Name);
+  return Known == m_Shared.StreamTimes.end()
+             ? Milliseconds(0)
+             : Known->second.mean(BootClock::now());
 }
 
 void RequestFlow::planPrompt(const dispatch::Service &Which) {
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -51,7 +51,6 @@
   void planPrompt(const dispatch::Service &Which);
   void planPlain();
   dispatch::Milliseconds generationTime() const;
-  void noteGeneration();
   void noteDemand(const dispatch::Service &Which);
   void startRead(const dispatch::ReadThenRun &Plan);
   void startRun(const dispatch::RunAt &Plan);
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -142,7 +142,8 @@
   const auto Engines = m_Shared.openTargets(Which.Name);
   Of.Demand.observe(demandOn(Which.Name, Now), Now);
   const dispatch::EngineDemand Demand = Of.Demand.demand();
-  const auto Change = Of.Planner.plan(Engines, Demand, m_Shared.Loads, Now);
+  const auto Change = Of.Planner.plan(Engines, Demand, Of.Demand.doubt(Now),
+                                      m_Shared.Loads, Now);
   // Without the store's list the view may be old.
   if (!Change || !Of.Demand.settled(Now) || m_Shared.Targets.storeIsLost()) {
     Of.WantedSince.reset();
--- a/Tests/LibDispatch/TestStagePlanner.cpp
+++ b/Tests/LibDispatch/TestStagePlanner.cpp
@@ -16,6 +16,7 @@
 
 TEST_GROUP(StagePlanner) {
   StagePlanner Planner;
+  double Doubt = 1;
   LoadBook Loads;
   std::deque<Target> Targets;
   std::vector<const Target *> Engines;
@@ -35,7 +36,7 @@
     Engines.push_back(&Targets.back());
   }
   std::optional<StageChange> plan(EngineDemand Demand) {
-    return Planner.plan(Engines, Demand, Loads, Now);
+    return Planner.plan(Engines, Demand, Doubt, Loads, Now);
   }
 };
 
@@ -136,3 +137,16 @@
   Targets[5].Does = Stage::Prefill;
   CHECK(!plan({0.4, 2.5}));
 }
+
+// Symptom: three engines are taken from running in the second second of a day,
+// and are missing there from the eighth on.
+// Sequence: a day begins with a rush of prompts; answers that last seconds
+// have only begun.
+// Cause: the first second's demand was taken for the day's.
+TEST(StagePlanner, MovesFewerEnginesWhileDemandIsInDoubt) {
+  Doubt = 2;
+  CHECK(!plan({2.6, 3}));
+  CHECK(plan({5, 1}).has_value());
+  Doubt = 1;
+  CHECK(plan({2.6, 3}).has_value());
+}
