CacheDiscovery, KvCacheView, LibEngine: Know what engines keep, also after a restart

After the loss of all gateways callers were refused, or late, for six seconds before engines that kept nearly all prompts: what they keep was known from our own sends alone.

Requests of a subject that is read for the first time each looked like a whole read. The engine turns to one prompt after the other and finds what those in front of it left (seen in one pair: 246 ms behind the first, 231 by the model); parts on their way count, and peers are told of them.

--- a/Libraries/LibDispatch/EngineCosts.h
+++ b/Libraries/LibDispatch/EngineCosts.h
@@ -31,6 +31,7 @@
   Milliseconds readingWhileDecoding(const engine::ReadSize &Size) const {
     return reading(Size) * m_Figures.DecodeReadFactor;
   }
+  double decodeReadFactor() const { return m_Figures.DecodeReadFactor; }
   /// Of each read besides; other prompts are computed meanwhile.
   Milliseconds readFixed() const { return m_Figures.ReadFixed; }
   /// From the sending of a run to its first event, beside transfer and reading.
--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -239,10 +239,26 @@
   return m_Entries[TargetId].Cache;
 }
 
+void LoadBook::cacheTold(const std::string &TargetId) {
+  if (const auto Found = m_Entries.find(TargetId); Found != m_Entries.end())
+    Found->second.CacheKnown = true;
+}
+
+bool LoadBook::cacheIsKnown(const std::string &TargetId) const {
+  const Entry *Which = find(TargetId);
+  return Which && Which->CacheKnown;
+}
+
 uint32_t LoadBook::cachedTokens(const std::string &TargetId,
                                 const Prompt &What) const {
   const Entry *Which = find(TargetId);
   return Which ? Which->Cache.cachedTokens(What) : 0;
 }
 
+uint32_t LoadBook::cachedTokensInTurn(const std::string &TargetId,
+                                      const Prompt &What, BootTime Now) const {
+  const Entry *Which = find(TargetId);
+  return Which ? Which->Cache.cachedTokensInTurn(What, Now) : 0;
+}
+
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -135,7 +135,15 @@
   /// Share of its recent answers that were errors; forgiven like a failure.
   double errorShare(const std::string &TargetId, BootTime Now) const;
   KvCacheView &cache(const std::string &TargetId);
+  /// The target has told what it keeps, or will not. Until then a prompt that
+  /// it keeps looks like one that it has to compute, and the time that it takes
+  /// says nothing of its speed.
+  void cacheTold(const std::string &TargetId);
+  bool cacheIsKnown(const std::string &TargetId) const;
   uint32_t cachedTokens(const std::string &TargetId, const Prompt &What) const;
+  /// With what is on its way there, in front of a prompt that is sent now.
+  uint32_t cachedTokensInTurn(const std::string &TargetId, const Prompt &What,
+                              BootTime Now) const;
 
 private:
   /// Sums over this process's and its peers' work at one target.
@@ -144,6 +152,7 @@
   struct Entry {
     std::map<uint64_t, Work> Own;
     KvCacheView Cache;
+    bool CacheKnown = false;
     double Slowness = 1;
     double Failures = 0;
     BootTime LastVerdict{};
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -58,7 +58,8 @@
                      static_cast<uint64_t>(Each.Reading.count() * 100)});
   Json Cached = Json::array();
   for (const CachedPart &Each : What.Cached)
-    Cached.push_back({Each.TargetId, Each.Part.Id, Each.Part.Tokens});
+    Cached.push_back(
+        {Each.TargetId, Each.Part.Id, Each.Part.Tokens, Each.Within.count()});
   Json Demands = Json::array();
   for (const ServiceDemand &Each : What.Demands)
     Demands.push_back({Each.Service, Each.Demand.Read, Each.Demand.Run});
@@ -87,7 +88,8 @@
   for (const Json &Each : Root.at(2))
     Read.Cached.push_back(
         {Each.at(0).get<std::string>(),
-         {Each.at(1).get<uint64_t>(), Each.at(2).get<uint32_t>()}});
+         {Each.at(1).get<uint64_t>(), Each.at(2).get<uint32_t>()},
+         std::chrono::milliseconds(Each.at(3).get<int64_t>())});
   for (const Json &Each : Root.at(3))
     Read.Demands.push_back(
         {Each.at(0).get<std::string>(),
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -19,10 +19,12 @@
 
 namespace figlift::dispatch {
 
-/// A part of a prompt that is now in a target's KV cache.
+/// A part of a prompt that is in a target's KV cache, or will be.
 struct CachedPart {
   std::string TargetId;
   PromptPart Part;
+  /// 0: it is there now; otherwise it is expected within this time.
+  std::chrono::milliseconds Within{0};
 };
 
 /// Demand that callers made on one service through one gateway.
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -44,8 +44,8 @@
 PromptPlanner::Kept
 PromptPlanner::cheapestParts(const PromptRequest &Request, const Target &At,
                              std::span<const Target *const> Engines,
-                             const EngineCosts &Costs) const {
-  const uint32_t Own = m_Loads.cachedTokens(At.Id, Request.What);
+                             const EngineCosts &Costs, BootTime Now) const {
+  const uint32_t Own = m_Loads.cachedTokensInTurn(At.Id, Request.What, Now);
   Kept Best{Own, nullptr, 0};
   Milliseconds BestTime = Costs.reading(Request.What, Own);
   for (const Target *Each : Engines) {
@@ -69,8 +69,8 @@
 PromptPlanner::readAt(const PromptRequest &Request, const Target &At,
                       std::span<const Target *const> Engines,
                       const EngineCosts &Costs, Milliseconds Wait,
-                      double Slowness) const {
-  const Kept Parts = cheapestParts(Request, At, Engines, Costs);
+                      double Slowness, BootTime Now) const {
+  const Kept Parts = cheapestParts(Request, At, Engines, Costs, Now);
   Candidate Found{&At, Parts.Source, {}, Milliseconds(0)};
   Found.How.Size = EngineCosts::toCompute(Request.What, Parts.Tokens);
   Found.How.Size.Fetches = Parts.Source != nullptr;
@@ -97,9 +97,9 @@
         !usable(*Which, Request, Trust::Proven, Now))
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
-    const Candidate Each =
-        readAt(Request, *Which, Engines, Costs,
-               m_Loads.readingBacklog(Which->Id, Now) * Slowness, Slowness);
+    const Candidate Each = readAt(
+        Request, *Which, Engines, Costs,
+        m_Loads.readingBacklog(Which->Id, Now) * Slowness, Slowness, Now);
     const uint64_t Weight = homeWeight(Subject, Which->Id);
     const double Scale = m_Options.EngineTimeWeight;
     const Milliseconds Margin =
@@ -143,7 +143,8 @@
         std::max(slotWait(*Which, Costs.traits(), Coming, Now),
                  m_Loads.readingBacklog(Which->Id, Now)) *
         Slowness;
-    Candidate Each = readAt(Request, *Which, Engines, Costs, Wait, Slowness);
+    Candidate Each =
+        readAt(Request, *Which, Engines, Costs, Wait, Slowness, Now);
     const Milliseconds Beside =
         Costs.readingWhileDecoding(Each.How.Size) * Slowness;
     Each.Cost += Beside - Each.How.Compute;
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -163,11 +163,11 @@
 
   Kept cheapestParts(const PromptRequest &Request, const Target &At,
                      std::span<const Target *const> Engines,
-                     const EngineCosts &Costs) const;
+                     const EngineCosts &Costs, BootTime Now) const;
   Candidate readAt(const PromptRequest &Request, const Target &At,
                    std::span<const Target *const> Engines,
-                   const EngineCosts &Costs, Milliseconds Wait,
-                   double Slowness) const;
+                   const EngineCosts &Costs, Milliseconds Wait, double Slowness,
+                   BootTime Now) const;
   /// Whether targets that failed lately are looked at. They are when there is
   /// no other: when all engines fail a part of their work, a request does
   /// better at any of them than refused.
--- /dev/null
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -0,0 +1,89 @@
+//===- EngineCall.cpp - Calls to engines besides requests -----------------===//
+//
+// A connection of the pool, a timer, and the answer as a whole.
+//
+//===----------------------------------------------------------------------===//
+
+#include "EngineCall.h"
+
+#include "platform/EngineCalls.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace figlift::gateway {
+
+namespace {
+
+/// Longer than any connection keeps a call on its way: after this an order
+/// without an answer is treated as one that may come into effect later.
+constexpr std::chrono::milliseconds CallTimeout{1500};
+/// A list of all parts in the largest cache of today takes a tenth of it.
+constexpr size_t LongestBody = 1 << 20;
+
+/// One call; a status of 0 means that there was no answer.
+class Call : public upstream::ExchangeSink,
+                            public std::enable_shared_from_this<Call> {
+public:
+  Call(boost::asio::io_context &Loop, EngineAnswer Done)
+      : m_Timer(Loop), m_Done(std::move(Done)) {}
+
+  void start(std::shared_ptr<upstream::ServerConnection> Connection,
+             std::string Bytes) {
+    m_Connection = std::move(Connection);
+    m_Timer.expires_after(CallTimeout);
+    m_Timer.async_wait([Self = shared_from_this()](const auto &Stopped) {
+      if (Stopped || !Self->m_Done)
+        return;
+      Self->m_Connection->abort();
+      Self->finish(0);
+    });
+    m_Connection->exchange(std::move(Bytes), true, shared_from_this());
+  }
+  void onHead(const proxy::ResponseHead &Head) override {
+    m_Status = Head.Status;
+  }
+  void onBody(std::string Bytes) override {
+    m_Body += Bytes;
+    if (m_Body.size() <= LongestBody || !m_Connection)
+      return;
+    m_Connection->abort();
+    finish(0);
+  }
+  void onEnd(upstream::ExchangeEnd How) override {
+    finish(How == upstream::ExchangeEnd::Complete ? m_Status : 0);
+  }
+
+private:
+  void finish(unsigned Status) {
+    m_Timer.cancel();
+    m_Connection = nullptr;
+    if (const auto Done = std::exchange(m_Done, nullptr))
+      Done(Status, m_Body);
+  }
+
+  boost::asio::steady_timer m_Timer;
+  EngineAnswer m_Done;
+  std::shared_ptr<upstream::ServerConnection> m_Connection;
+  unsigned m_Status = 0;
+  std::string m_Body;
+};
+
+} // namespace
+
+bool callEngine(Context &Shared, const std::string &TargetId,
+                std::string_view Method, std::string_view Path,
+                const std::string &Body, EngineAnswer Done) {
+  const auto Pool = Shared.Pools.find(TargetId);
+  const dispatch::Target *Engine = Shared.Targets.find(TargetId);
+  if (Pool == Shared.Pools.end() || !Engine)
+    return false;
+  auto Connection = Pool->second->take(BootClock::now());
+  if (!Connection)
+    return false;
+  std::make_shared<Call>(Shared.Loop, std::move(Done))
+      ->start(std::move(Connection),
+              slopes::targetedCallBytes(Method, Path, *Engine, Body));
+  return true;
+}
+
+} // namespace figlift::gateway
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -78,8 +78,8 @@
            [this] { m_Shared.Targets.storeLost(BootClock::now()); }},
           serverFollowing(), [this] { return m_Shared.draw(); }),
       m_Leases(m_Store, "figlift-leases"), m_Peers(m_Shared, m_Store),
-      m_Stages(m_Shared, m_Leases), m_Acceptor(m_Shared.Loop),
-      m_AcceptTimer(m_Shared.Loop),
+      m_Stages(m_Shared, m_Leases), m_Caches(m_Shared),
+      m_Acceptor(m_Shared.Loop), m_AcceptTimer(m_Shared.Loop),
       m_ReadyServer(m_Shared.Loop,
                     [this](const auto &) {
                       return TextServer::Answer{ready() ? 200U : 503U, {}};
@@ -339,6 +339,7 @@
       Capacity = Service->Engine->KvCapacityTokens;
   m_Shared.Loads.targetCame(Which, Capacity);
   limitPools();
+  m_Caches.engineCame(Which, BootClock::now());
 }
 
 void Gateway::targetGone(const std::string &Id) {
@@ -399,6 +400,7 @@
   m_Shared.OrderTurnDelay =
       OrderTurn * static_cast<int>(m_Peers.liveBefore(Now));
   m_Stages.tick(Now);
+  m_Caches.tick(Now);
   watchSettings(Now);
   m_Shared.Log.tick(Now);
   if (m_Shared.Stopping)
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "CacheDiscovery.h"
 #include "Context.h"
 #include "OutputWriter.h"
 #include "PeerLink.h"
@@ -79,6 +80,7 @@
   slopes::StoreTable m_Leases;
   PeerLink m_Peers;
   StageDirector m_Stages;
+  CacheDiscovery m_Caches;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   boost::asio::steady_timer m_AcceptTimer;
   TextServer m_ReadyServer;
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -204,7 +204,11 @@
   for (const dispatch::AwayTarget &Each : What.Away)
     m_Shared.Loads.avoid(Each.TargetId, Now + Each.Left);
   for (const dispatch::CachedPart &Each : What.Cached)
-    if (m_Shared.Targets.find(Each.TargetId))
+    if (!m_Shared.Targets.find(Each.TargetId))
+      continue;
+    else if (Each.Within > milliseconds(0))
+      m_Shared.Loads.cache(Each.TargetId).expect(Each.Part, Now + Each.Within);
+    else
       m_Shared.Loads.cache(Each.TargetId).insert(Each.Part);
 }
 
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -143,8 +143,10 @@
 }
 
 void RequestFlow::dropSend() {
-  if (const auto Send = std::exchange(m_Send, nullptr))
+  if (const auto Send = std::exchange(m_Send, nullptr)) {
+    abandonExpected(Send->targetId());
     Send->cancel();
+  }
   releaseHandle();
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -27,6 +27,8 @@
 /// Measurements that belong to something else for the most part say little of
 /// what they are meant for, and a wrong plan of the rest misleads.
 constexpr double LeastPurity = 0.3;
+/// Of a read between the tokens of streams, as a measure of reading alone.
+constexpr double PurityBesideStreams = 0.1;
 /// A send is overdue after this many times its expected time and a fixed
 /// part. Sent again too early, work is done twice under load; too late, the
 /// caller has left. Both ends are bounded by the retry budget.
@@ -198,6 +200,7 @@
   m_Reader = Plan.Reader;
   m_PlannedRead = Plan.Expected;
   m_ReadPlan = Plan.How;
+  m_CacheKnown = m_Shared.Loads.cacheIsKnown(Plan.Reader);
   send(Plan.Reader, Plan.FetchFrom, SendPurpose::ReadPrompt,
        {Plan.Cost, Plan.Expected, Plan.How.Compute, {}});
 }
@@ -207,6 +210,7 @@
   m_PlannedRun = Plan.Expected;
   m_RunSent = BootClock::now();
   m_RunPlan = Plan.How;
+  m_CacheKnown = m_Shared.Loads.cacheIsKnown(Plan.Runner);
   send(Plan.Runner, Plan.FetchFrom, SendPurpose::Run,
        {Plan.Cost, Plan.Expected, Plan.How.Compute, {}});
 }
@@ -237,6 +241,7 @@
   if (m_Send->start(proxy::requestText(m_Request.Head, Headers, m_Request.Body),
                     What)) {
     chargeRepeat(Purpose, Now);
+    expectComputed(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Expected);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
@@ -286,6 +291,7 @@
   if (!std::holds_alternative<dispatch::SendAgain>(nextStep(How, *Late)))
     return;
   logSendEnded(*Late, How);
+  abandonExpected(Late->targetId());
   Late->cancel();
   sendAgain(*Late);
 }
@@ -303,6 +309,33 @@
   forwardWhole(Which);
 }
 
+/// From now on the engine has the prompt in its queue.
+void RequestFlow::expectComputed(const std::string &TargetId,
+                                 Milliseconds Expected) {
+  if (!m_Fields.Prompt || m_Handle)
+    return;
+  const BootTime Now = BootClock::now();
+  const auto Within =
+      std::chrono::ceil<milliseconds>(Expected * OverdueFactor + OverdueBase);
+  const auto &Parts = m_Fields.Prompt->Parts;
+  dispatch::KvCacheView &Cache = m_Shared.Loads.cache(TargetId);
+  // The last part is this request's own: no other will ask for it.
+  for (size_t At = 0; At + 1 < Parts.size(); ++At) {
+    if (Cache.holds(Parts[At].Id))
+      continue;
+    Cache.expect(Parts[At], Now + Within);
+    m_Shared.NewlyCached.push_back({TargetId, Parts[At], Within});
+  }
+}
+
+/// What was expected of a send that has failed does not come.
+void RequestFlow::abandonExpected(const std::string &TargetId) {
+  if (!m_Fields.Prompt || !m_Shared.Targets.find(TargetId))
+    return;
+  for (const dispatch::PromptPart &Each : m_Fields.Prompt->Parts)
+    m_Shared.Loads.cache(TargetId).abandon(Each.Id);
+}
+
 void RequestFlow::noteComputed(const std::string &TargetId) {
   // The last part is this request's own: no other will ask for it.
   const auto &Parts = m_Fields.Prompt->Parts;
@@ -311,7 +344,7 @@
     const bool IsNew = !Cache.holds(Parts[At].Id);
     Cache.insert(Parts[At]);
     if (IsNew && At + 1 < Parts.size())
-      m_Shared.NewlyCached.push_back({TargetId, Parts[At]});
+      m_Shared.NewlyCached.push_back({TargetId, Parts[At], milliseconds(0)});
   }
 }
 
@@ -344,7 +377,8 @@
 /// read gets the share that it had in the plan, and counts by that share.
 void RequestFlow::learnRead() {
   const dispatch::Service *Which = m_Configuration->service(m_Service);
-  if (!Which || !Which->Engine || m_ReadTook <= m_ReadPlan.OnLink)
+  if (!Which || !Which->Engine || !m_CacheKnown ||
+      m_ReadTook <= m_ReadPlan.OnLink)
     return;
   const Milliseconds Own = m_PlannedRead - m_ReadPlan.Wait - m_ReadPlan.OnLink;
   const double Share = Own / (Own + m_ReadPlan.Wait);
@@ -367,13 +401,28 @@
     Model.observeStart(m_RunPlan.OnLink, Took, 1);
     return;
   }
-  const dispatch::EngineCosts Costs = m_Shared.costsOf(*Which, Now);
+  if (m_CacheKnown)
+    learnReadBesideStreams(m_Shared.costsOf(*Which, Now), Took, Model);
+}
+
+/// A read at a decode engine teaches what reading beside streams costs, and, in
+/// case no prompt is read elsewhere, what reading costs at all: with a figure
+/// far too low every prompt seems small enough for decode engines, and nothing
+/// would ever correct it.
+void RequestFlow::learnReadBesideStreams(const dispatch::EngineCosts &Costs,
+                                         Milliseconds Took,
+                                         engine::EngineModel &Model) const {
   const Milliseconds Compute =
       Took - Costs.readFixed() - Costs.startFixed() - m_RunPlan.OnLink;
+  if (Compute <= Milliseconds(0))
+    return;
   const Milliseconds Alone = Costs.reading(m_RunPlan.Size);
-  const double Share = Alone / (Took + Milliseconds(1));
+  Model.observeRead(m_RunPlan.Size,
+                    Costs.readFixed() + Compute / Costs.decodeReadFactor(),
+                    PurityBesideStreams);
+  const double Share = Alone / Took;
   // The rest is known too loosely to tell a small read from it.
-  if (Share >= LeastPurity && Compute > Milliseconds(0))
+  if (Share >= LeastPurity)
     Model.observeDecodeRead(Alone, Compute, Share * Share);
 }
 
@@ -386,6 +435,7 @@
   if (Which.purpose() == SendPurpose::Run && !dispatch::mayHaveRun(How) &&
       m_Runs > 0 && Which.started() != BootTime{})
     --m_Runs;
+  abandonExpected(Which.targetId());
   logSendEnded(Which, How);
   settle(How, Which);
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -60,6 +60,9 @@
   bool enginesKnown(BootTime Now) const;
   void learnRead();
   void learnRun();
+  void learnReadBesideStreams(const dispatch::EngineCosts &Costs,
+                              dispatch::Milliseconds Took,
+                              engine::EngineModel &Model) const;
   void streamEnded(ServerSend &Which);
   void forwardEvents(const std::string &Events);
   void forwardWhole(ServerSend &Which);
@@ -86,6 +89,9 @@
                SendPurpose Purpose, dispatch::Milliseconds Expected);
   void armWatch(BootClock::duration After);
   void sendOverdue();
+  void expectComputed(const std::string &TargetId,
+                      dispatch::Milliseconds Expected);
+  void abandonExpected(const std::string &TargetId);
   void noteComputed(const std::string &TargetId);
 
   dispatch::PromptRequest promptRequest(BootTime Now);
@@ -127,6 +133,8 @@
   dispatch::Milliseconds m_PlannedRun{0};
   dispatch::ReadPlan m_ReadPlan;
   dispatch::ReadPlan m_RunPlan;
+  /// Whether the newest send was planned with the target's cache known.
+  bool m_CacheKnown = false;
   std::optional<BootTime> m_RunSent;
   /// @}
   unsigned m_Sends = 0;
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -6,6 +6,8 @@
 
 #include "StageDirector.h"
 
+#include "EngineCall.h"
+
 #include "LibLog/Log.h"
 #include "platform/EngineCalls.h"
 
@@ -17,9 +19,6 @@
 
 namespace {
 
-/// Longer than any connection keeps an order on its way: after this an order
-/// without an answer is treated as one that may come into effect later.
-constexpr milliseconds CallTimeout{1500};
 /// A holder stops giving orders this much longer than the platform's bound
 /// before a successor may begin, for orders that are on their way.
 constexpr milliseconds OrderTravel{500};
@@ -47,48 +46,6 @@
 
 } // namespace
 
-/// One call; a status of 0 means that there was no answer.
-class StageDirector::Call : public upstream::ExchangeSink,
-                            public std::enable_shared_from_this<Call> {
-public:
-  Call(boost::asio::io_context &Loop, Answer Done)
-      : m_Timer(Loop), m_Done(std::move(Done)) {}
-
-  void start(std::shared_ptr<upstream::ServerConnection> Connection,
-             std::string Bytes) {
-    m_Connection = std::move(Connection);
-    m_Timer.expires_after(CallTimeout);
-    m_Timer.async_wait([Self = shared_from_this()](const auto &Stopped) {
-      if (Stopped || !Self->m_Done)
-        return;
-      Self->m_Connection->abort();
-      Self->finish(0);
-    });
-    m_Connection->exchange(std::move(Bytes), true, shared_from_this());
-  }
-  void onHead(const proxy::ResponseHead &Head) override {
-    m_Status = Head.Status;
-  }
-  void onBody(std::string Bytes) override { m_Body += Bytes; }
-  void onEnd(upstream::ExchangeEnd How) override {
-    finish(How == upstream::ExchangeEnd::Complete ? m_Status : 0);
-  }
-
-private:
-  void finish(unsigned Status) {
-    m_Timer.cancel();
-    m_Connection = nullptr;
-    if (const auto Done = std::exchange(m_Done, nullptr))
-      Done(Status, m_Body);
-  }
-
-  boost::asio::steady_timer m_Timer;
-  Answer m_Done;
-  std::shared_ptr<upstream::ServerConnection> m_Connection;
-  unsigned m_Status = 0;
-  std::string m_Body;
-};
-
 StageDirector::StageDirector(Context &Shared, platform::Table &Leases)
     : m_Shared(Shared), m_Leases(Leases) {}
 
@@ -171,29 +128,13 @@
   }
 }
 
-bool StageDirector::call(const std::string &TargetId, std::string_view Method,
-                         std::string_view Path, const std::string &Body,
-                         Answer Done) {
-  const auto Pool = m_Shared.Pools.find(TargetId);
-  const dispatch::Target *Engine = m_Shared.Targets.find(TargetId);
-  if (Pool == m_Shared.Pools.end() || !Engine)
-    return false;
-  auto Connection = Pool->second->take(BootClock::now());
-  if (!Connection)
-    return false;
-  std::make_shared<Call>(m_Shared.Loop, std::move(Done))
-      ->start(std::move(Connection),
-              slopes::targetedCallBytes(Method, Path, *Engine, Body));
-  return true;
-}
-
 void StageDirector::begin(const std::string &Service,
                           const dispatch::StageChange &What, BootTime Now) {
-  const bool Called =
-      call(What.TargetId, "GET", slopes::ReportTarget, "",
-           [this, Service, What](unsigned Status, const std::string &Body) {
-             reported(Service, What, Status, Body);
-           });
+  const bool Called = callEngine(
+      m_Shared, What.TargetId, "GET", slopes::ReportTarget, "",
+      [this, Service, What](unsigned Status, const std::string &Body) {
+        reported(Service, What, Status, Body);
+      });
   if (Called)
     shardOf(Service).Planner.ordered(What, Now);
 }
@@ -234,10 +175,10 @@
   const std::string Body = slopes::encodeStageOrder(
       {What.Wanted, m_Shared.Settings.Process.Id, *Epoch, AcceptedBefore});
   const bool Called =
-      call(What.TargetId, "POST", slopes::OrderTarget, Body,
-           [this, Service, What](unsigned Status, const std::string &) {
-             replied(Service, What, Status);
-           });
+      callEngine(m_Shared, What.TargetId, "POST", slopes::OrderTarget, Body,
+                 [this, Service, What](unsigned Status, const std::string &) {
+                   replied(Service, What, Status);
+                 });
   if (!Called)
     return Of.Planner.settled(What.TargetId);
   // From the first moment on the engine takes no work that has not begun.
--- a/Services/figlift-gateway/StageDirector.h
+++ b/Services/figlift-gateway/StageDirector.h
@@ -36,16 +36,11 @@
     /// Since when a change has been wanted; unset while there is none.
     std::optional<BootTime> WantedSince;
   };
-  class Call;
 
   Shard &shardOf(const std::string &Service);
   void tickService(const dispatch::Service &Which, BootTime Now);
   dispatch::EngineDemand demandOn(const std::string &Service,
                                   BootTime Now) const;
-  using Answer = std::function<void(unsigned Status, const std::string &Body)>;
-  /// One call to an engine; false when it could not be made.
-  bool call(const std::string &TargetId, std::string_view Method,
-            std::string_view Path, const std::string &Body, Answer Done);
   void begin(const std::string &Service, const dispatch::StageChange &What,
              BootTime Now);
   void reported(const std::string &Service, const dispatch::StageChange &What,
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -72,6 +72,13 @@
 
 std::shared_ptr<proxy::RequestProcess> Listener::handle(proxy::Request What,
                                                         Caller From) {
+  if (What.Head.Target == "/v1/kv-list") {
+    ++CacheListsAsked;
+    proxy::ResponseHead Head;
+    Head.Status = 200;
+    From->respond(Head, CacheList);
+    return std::make_shared<Process>(*this);
+  }
   Requests.push_back(What);
   m_Act(What, From);
   return std::make_shared<Process>(*this);
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -35,6 +35,10 @@
   Endpoint address() const;
   void behave(Behaviour Act) { m_Act = std::move(Act); }
   std::vector<proxy::Request> Requests;
+  /// Answer to a question for the parts in its KV cache; such questions are
+  /// counted apart from requests.
+  std::string CacheList = R"({"epoch":"a","next":0,"held":[]})";
+  int CacheListsAsked = 0;
   /// Requests whose caller left before the answer.
   int Abandoned = 0;
 
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -216,6 +216,42 @@
   CHECK(Source == Reader.address().toString() + "/k1");
 }
 
+// Symptom: after a loss of all gateways callers are refused for seconds while
+// the engines are idle.
+// Sequence: the gateways start again before engines that keep most prompts.
+// Cause: what engines keep was known only from what a gateway had sent itself
+// or heard of; nobody was left who could tell.
+TEST(Gateway, AsksEnginesWhatTheyKeepWhenItStarts) {
+  Listener &Reader = Scene.server(
+      "e1", "model",
+      [](const proxy::Request &, const Caller &To) {
+        proxy::ResponseHead Head;
+        Head.Status = 200;
+        To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
+      },
+      "prefill");
+  Listener &Runner = Scene.server(
+      "e2", "model",
+      [](const proxy::Request &What, const Caller &To) {
+        beginStream(What, To);
+        To->writeStream("id: 1\n\n");
+        To->endStream();
+      },
+      "decode");
+  Runner.CacheList = R"({"epoch":"a","next":4,"held":[["","a1",20000,"m"]]})";
+  Reader.CacheList = "no list";
+  serve();
+  CHECK(Scene.until([&] {
+    return Reader.CacheListsAsked == 1 && Runner.CacheListsAsked == 1;
+  }));
+  CHECK(has(Scene.ask("POST", "/stream/x",
+                      "X-Token-Count: 40000,8\r\n"
+                      "X-Prompt-Prefix: a1:20000,b2:20000\r\n"),
+            "id: 1"));
+  CHECK(Reader.Requests.at(0).Head.Headers.find("Kv-Fetch") ==
+        Runner.address().toString());
+}
+
 // Symptom: an engine works for a caller who has left.
 TEST(Gateway, CancelsWorkWhoseCallerHasLeft) {
   Listener &Server = Scene.server(
--- a/Tests/LibDispatch/TestKvCacheView.cpp
+++ b/Tests/LibDispatch/TestKvCacheView.cpp
@@ -36,3 +36,23 @@
   Cache.setCapacity(10);
   CHECK(!Cache.holds(1));
 }
+
+// Symptom: a rush for a subject that nobody has read yet: its first request is
+// served, the others are refused, or read elsewhere from the start.
+// Sequence: several requests of one subject come while the first is read.
+// Cause: what the engine will keep by the time it turns to them did not count.
+TEST(KvCacheView, CountsWhatIsOnItsWayInFrontOfAPrompt) {
+  const figlift::BootTime Now{std::chrono::seconds(100)};
+  Cache.expect({1, 40}, Now + std::chrono::milliseconds(500));
+  Cache.expect({2, 40}, Now + std::chrono::milliseconds(500));
+  LONGS_EQUAL(80, Cache.cachedTokensInTurn(What, Now));
+  LONGS_EQUAL(0, Cache.cachedTokens(What));
+  Cache.insert({1, 40});
+  LONGS_EQUAL(40, Cache.cachedTokens(What));
+  LONGS_EQUAL(40,
+              Cache.cachedTokensInTurn(What, Now + std::chrono::seconds(1)));
+  Cache.abandon(1);
+  Cache.abandon(2);
+  CHECK(Cache.holds(1));
+  LONGS_EQUAL(40, Cache.cachedTokensInTurn(What, Now));
+}
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -20,7 +20,7 @@
   const PeerReport Sent{
       "g1",
       {{"e", Milliseconds(12.34), 3, 0.25, Milliseconds(5.5)}},
-      {{"e", {0xffffffffffffffffULL, 7}}},
+      {{"e", {0xffffffffffffffffULL, 7}, std::chrono::milliseconds(250)}},
       {{"s", {1.5, 2.5}}},
       {{"f", std::chrono::milliseconds(900)}},
       {{"s", Figures}}};
@@ -31,6 +31,7 @@
   LONGS_EQUAL(3, Read.value().Loads[0].Items);
   DOUBLES_EQUAL(0.25, Read.value().Loads[0].Turnover, 0);
   CHECK(Read.value().Cached[0].Part == (PromptPart{0xffffffffffffffffULL, 7}));
+  LONGS_EQUAL(250, Read.value().Cached[0].Within.count());
   DOUBLES_EQUAL(2.5, Read.value().Demands[0].Demand.Run, 0);
   LONGS_EQUAL(900, Read.value().Away[0].Left.count());
   DOUBLES_EQUAL(5.5, Read.value().Loads[0].Reading.count(), 0.01);
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -242,3 +242,16 @@
   load("run-2", 100);
   CHECK(std::holds_alternative<RefuseNow>(plan()));
 }
+
+// Load: a rush for a subject that no engine keeps yet. Grounds: the second
+// request finds what the first one leaves; counted as a whole read it would be
+// refused, or read from the start at another engine.
+TEST(PromptPlanner, SendsASubjectWhereItIsBeingRead) {
+  const std::string Home = reader();
+  load(Home, 40);
+  CHECK(reader() != Home);
+  Figures.ReadThousandTokens = Milliseconds(10);
+  for (size_t At = 0; At < 2; ++At)
+    Loads.cache(Home).expect(Request.What.Parts[At], Now + milliseconds(500));
+  STRCMP_EQUAL(Home.c_str(), reader().c_str());
+}
--- a/Tests/LibEngine/TestEngineModel.cpp
+++ b/Tests/LibEngine/TestEngineModel.cpp
@@ -140,6 +140,25 @@
   DOUBLES_EQUAL(1, Model.figures(Now).TransferFactor, 0.1);
 }
 
+// Symptom: after a restart of all gateways every prompt goes to the few decode
+// engines, for good, and nine in ten requests fail.
+// Sequence: gateways that know of no cache measure reads of prompts that the
+// engines keep: 17,000 tokens in 30 ms. Now every prompt seems small enough to
+// be read beside streams, and no other read is measured any more.
+// Cause: only reads at prefill engines taught what reading costs.
+TEST(EngineModel, UnlearnsAFigureThatIsFarTooLow) {
+  for (int Each = 0; Each < 10; ++Each)
+    Model.observeRead(size(17000, 0), Milliseconds(30), 1);
+  CHECK(estimate(Model.figures(Now), size(17000, 0)).count() < 50);
+  constexpr double BesideStreams = 0.1;
+  for (int Each = 0; Each < 80; ++Each)
+    Model.observeRead(size(3700, 13300), Slow.read(size(3700, 13300)),
+                      BesideStreams);
+  const double Truth = Slow.read(size(3700, 13300)).count();
+  DOUBLES_EQUAL(Truth, estimate(Model.figures(Now), size(3700, 13300)).count(),
+                Truth * 0.35);
+}
+
 // No measurement makes a cost negative, whatever noise is in it.
 TEST(EngineModel, NeverEstimatesLessThanNothing) {
   Model.observeRead(size(10000, 0), Milliseconds(1), 1);
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -88,6 +88,8 @@
                   .dump());
   if (Target == "/v1/order")
     return takeOrder(What, From);
+  if (Target == "/v1/kv-list")
+    return From->respond(Fine, R"({"epoch":"a","next":0,"held":[]})");
   if (Target.starts_with("/v1/kv-handle/"))
     return From->respond(Fine, "");
   const bool Reads = field(What, "X-Stage") == "prefill";
