--- a/Services/figlift-gateway/CacheDiscovery.cpp
+++ b/Services/figlift-gateway/CacheDiscovery.cpp
@@ -25,8 +25,9 @@
 void CacheDiscovery::engineCame(const dispatch::Target &Which, BootTime Now) {
   if (Which.Does == dispatch::Stage::None)
     return;
-  m_Open.push_back({Which.Id, Now + std::chrono::duration_cast<BootClock::duration>(
-                                        Spread * m_Shared.draw())});
+  m_Open.push_back(
+      {Which.Id, Now + std::chrono::duration_cast<BootClock::duration>(
+                           Spread * m_Shared.draw())});
 }
 
 void CacheDiscovery::tick(BootTime Now) {
@@ -58,9 +59,8 @@
                             {"message", Parts.error().Message}});
     for (const dispatch::PromptPart &Each : Parts.value())
       Shared.Loads.cache(TargetId).insert(Each);
-    log::logEvent(
-        log::Level::Info, "cache-listed",
-        {{"target", TargetId}, {"parts", Parts.value().size()}});
+    log::logEvent(log::Level::Info, "cache-listed",
+                  {{"target", TargetId}, {"parts", Parts.value().size()}});
   };
   // An engine without a free connection is busy for this gateway already; what
   // it keeps will show by its work.
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -22,7 +22,7 @@
 
 /// One call; a status of 0 means that there was no answer.
 class Call : public upstream::ExchangeSink,
-                            public std::enable_shared_from_this<Call> {
+             public std::enable_shared_from_this<Call> {
 public:
   Call(boost::asio::io_context &Loop, EngineAnswer Done)
       : m_Timer(Loop), m_Done(std::move(Done)) {}
--- a/Services/figlift-gateway/OutputWriter.h
+++ b/Services/figlift-gateway/OutputWriter.h
@@ -26,6 +26,8 @@
   uint64_t dropped() const { return m_Dropped; }
 
 private:
+  size_t nextWrite() const;
+
   /// Some seconds of lines at the bound of the log's rate.
   static constexpr size_t MaximumHeld = 256 << 10;
 
