LibRetry: Let a begun answer outlive its engine's restart

Known red: beside a load of 15, 7 of 24 streams of TestSeveralStreamFaults ended with TargetFailed: each attempt at the crashed engine failed at once, and eight runs with 1.1 s of delays were used up before it was back. Runs now end a begun answer only once it has stood still for the time of a restart.

--- a/Libraries/LibRetry/RetryDecision.cpp
+++ b/Libraries/LibRetry/RetryDecision.cpp
@@ -102,7 +102,14 @@
   bool attemptsSpent(bool MayHaveRun) const {
     if (!hasBegun())
       return m_History.Attempts >= m_Settings.MaximumAttempts;
-    return m_History.Runs + (MayHaveRun ? 1 : 0) >= m_Settings.MaximumRuns;
+    return m_History.Runs + (MayHaveRun ? 1 : 0) >= m_Settings.MaximumRuns &&
+           !mayBeRestarting();
+  }
+
+  /// The answer has stood still for no longer than an engine needs to restart.
+  bool mayBeRestarting() const {
+    return m_History.LastToken &&
+           m_Now - *m_History.LastToken < m_Settings.RestartTime;
   }
 
   /// True only when there is time for \p Delay and an attempt.
--- a/Libraries/LibRetry/RetryDecision.h
+++ b/Libraries/LibRetry/RetryDecision.h
@@ -70,6 +70,8 @@
   bool EarlierMayHaveRun = false;
   /// Tokens delivered to the caller, over all attempts.
   uint32_t TokensDelivered = 0;
+  /// When the last of them came.
+  std::optional<BootTime> LastToken;
   std::optional<BootTime> Deadline;
 };
 
@@ -103,11 +105,15 @@
 
 struct RetrySettings {
   unsigned MaximumAttempts = 4;
-  /// Attempts that may have run, for an answer that has begun. More than
-  /// MaximumAttempts: the attempts at an engine that restarts fail at once,
-  /// and with their delays so many outlast a restart of more than a second.
-  /// Still few, as the prompt itself may be what crashes engines.
+  /// Attempts that may have run, for an answer that has begun and has stood
+  /// still for RestartTime. Few, as the prompt itself may be what crashes
+  /// engines.
   unsigned MaximumRuns = 8;
+  /// The attempts at an engine that restarts fail at once. Counted alone, a
+  /// crash beside a cut link used them up in 1.1 s on a busy machine, and seven
+  /// of 24 answers ended in the middle; an engine is back within seconds. With
+  /// MaximumDelay between them, ten more attempts fit in.
+  std::chrono::milliseconds RestartTime{5000};
   /// With their delays they take 300 ms, in which a link that broke for a
   /// moment is restored; a second run costs more than that.
   unsigned MaximumResumes = 5;
--- a/Services/figlift-entry/Call.cpp
+++ b/Services/figlift-entry/Call.cpp
@@ -157,6 +157,7 @@
   if (Expected == 0)
     m_Context.Metrics.FirstTokenTime.observe(BootClock::now() - m_Began);
   m_History.TokensDelivered += Frame.count();
+  m_History.LastToken = BootClock::now();
   m_DeliveredText += Frame.text();
   m_Context.Metrics.Tokens.add(Frame.count());
   m_LastWrite = BootClock::now().time_since_epoch().count();
--- a/Tests/LibRetry/TestRetryDecision.cpp
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -151,6 +151,21 @@
       after(StreamBroke{StreamEnd::ConnectionLost})));
 }
 
+// Symptom: answers end with TargetFailed a second after their engine crashed,
+// a moment before it is back.
+// Sequence: an engine crashes and restarts, the link to the other is cut; each
+// attempt fails at once, on a machine that is busy.
+// Cause: runs were counted, however little time they had taken.
+TEST(RetryDecision, BegunAnswerOutlivesARestart) {
+  Request.TokensDelivered = 12;
+  Request.Deadline = Now + std::chrono::seconds(30);
+  Request.Runs = 3 * Settings.MaximumRuns;
+  Request.LastToken = Now - Settings.RestartTime / 2;
+  CHECK(std::holds_alternative<ContinueElsewhere>(after(TargetFailed{})));
+  Request.LastToken = Now - Settings.RestartTime;
+  CHECK(givesUp(TargetFailed{}).Code == ResultCode::TargetFailed);
+}
+
 // Symptom: answers stop in the middle although an engine is free.
 // Sequence: an engine with many sequences crashes and spends the budget; the
 // targets that are left restart or drain for a moment.
