--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -147,7 +147,8 @@
       {"slots", 4},
       {"state", State},
       {"coldRemainingMs", 0},
-      {"sequence", ++m_Heartbeats}};
+      {"sequence", ++m_Life[Server].Heartbeats},
+      {"born", m_Life[Server].Started}};
   if (!Which.stage().empty())
     Row["stage"] = Which.stage();
   m_Store.put("servers", Which.id(), Row.dump());
@@ -255,6 +256,13 @@
 void SoakFleet::replace(unsigned Which) {
   SoakServer &Server = *m_Servers[Which];
   const std::string Before = Server.id();
+  Life &Of = m_Life[Which];
+  Of.Started += 1000;
+  Of.Heartbeats = 0;
+  // Every second one that was not told to leave comes back under its id, and
+  // knows nothing of before.
+  if (!std::exchange(Of.Leaves, false) && ++m_Incarnations % 2 == 0)
+    return list(Which, "ready");
   Server.becomes(fmt::format("s{}-{}", Which, ++m_Incarnations));
   m_Store.remove("servers", Before);
   list(Which, "ready");
@@ -262,11 +270,25 @@
 
 void SoakFleet::drain(unsigned Which) {
   m_Book.leaves(m_Servers[Which]->id(), BootClock::now());
+  m_Life[Which].Leaves = true;
   list(Which, "draining");
 }
 
+/// Entries in the list of servers that no server wrote: they name none to use,
+/// and must harm no request.
+void SoakFleet::writeForeignEntries() {
+  m_Store.put("servers", "foreign-1", "\xff\xfe");
+  m_Store.put("servers", "foreign-2",
+              R"({"service":"plain","address":"127.0.0.1:1","zone":7})");
+  m_Store.put("servers", "foreign-3",
+              R"({"service":"model","address":"127.0.0.1:1","zone":"z",
+                  "version":"v1","slots":4,"state":"retired",
+                  "coldRemainingMs":0,"sequence":1,"stage":"decode"})");
+}
+
 void SoakFleet::configure() {
   ++m_Version;
+  writeForeignEntries();
   Json Routes = Json::array();
   const auto Add = [&](const char *Name, const char *Kind,
                        const std::string &Service, bool Resumable) {
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -14,6 +14,7 @@
 #include "Support/ChildProcess.h"
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -75,6 +76,7 @@
   Endpoint linkAddress(const std::string &Name) const;
   void setLink(const std::string &Name, LinkFault How);
   void list(unsigned Server, const std::string &State);
+  void writeForeignEntries();
   void ended(unsigned Which, BootTime Now);
 
   boost::asio::io_context &m_Loop;
@@ -87,8 +89,16 @@
   test::ChildProcess m_Proxy;
   std::string m_ProxyControl;
   uint64_t m_Version = 0;
-  /// Entries of servers written so far.
-  uint64_t m_Heartbeats = 0;
+  /// What a server says of its present start.
+  struct Life {
+    /// Milliseconds since 1970.
+    int64_t Started = 1790000000000;
+    /// Entries that it has written.
+    uint64_t Heartbeats = 0;
+    /// It has been drained, and never takes work again under this id.
+    bool Leaves = false;
+  };
+  std::map<unsigned, Life> m_Life;
   unsigned m_Incarnations = 0;
 };
 
