--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -55,9 +55,6 @@
 /// connection that is being closed still counts at the server.
 constexpr double ConnectionShare = 0.85;
 constexpr size_t MinimumConnections = 2;
-/// A change of the learned cost of reading by more than this is told in the
-/// log: plans made before and after it differ visibly.
-constexpr double FiguresChange = 0.15;
 /// A wanted order that the first gateway has not given after this is given by
 /// the next: a lease and an order take a fifth of it.
 constexpr milliseconds OrderTurn{2500};
@@ -94,114 +91,6 @@
           }),
       m_Signals(m_Shared.Loop, SIGTERM, SIGHUP), m_TickTimer(m_Shared.Loop) {}
 
-void Gateway::describeMetrics() {
-  metrics::Registry &Metrics = m_Shared.Metrics;
-  Metrics.readGauge("figlift_gateway_store_age_seconds",
-                    "Since the store last answered for the servers", [this] {
-                      return std::chrono::duration<double>(
-                                 BootClock::now() -
-                                 m_ServerFollower.lastAnswer())
-                          .count();
-                    });
-  Metrics.readGauge("figlift_gateway_configuration_version",
-                    "Version in force; 0 for none", [this] {
-                      return m_Shared.Configuration
-                                 ? double(m_Shared.Configuration->Version)
-                                 : 0;
-                    });
-  Metrics.readGauge("figlift_gateway_targets", "Servers that are listed",
-                    [this] { return double(m_Shared.Targets.all().size()); });
-  Metrics.readGauge("figlift_gateway_live_gateways",
-                    "Gateways heard lately, this one too",
-                    [this] { return double(m_Peers.live(BootClock::now())); });
-  Metrics.readGauge("figlift_gateway_callers", "Open connections of callers",
-                    [this] { return double(m_Callers.size()); });
-  Metrics.readGauge("figlift_gateway_connections_open",
-                    "Open connections to servers", [this] {
-                      size_t Sum = 0;
-                      for (const auto &[Id, Pool] : m_Shared.Pools)
-                        Sum += Pool->open();
-                      return double(Sum);
-                    });
-  Metrics.readCounter("figlift_gateway_connections_opened_total",
-                      "Connections made to the servers that are listed",
-                      [this] {
-                        uint64_t Sum = 0;
-                        for (const auto &[Id, Pool] : m_Shared.Pools)
-                          Sum += Pool->opened();
-                        return double(Sum);
-                      });
-  Metrics.readCounter("figlift_gateway_server_entries_refused_total",
-                      "Entries in the list of servers that name none to use",
-                      [this] { return double(m_RefusedEntries); });
-  Metrics.readCounter("figlift_gateway_store_calls_total",
-                      "Calls to the platform's store",
-                      [this] { return double(m_Store.calls()); });
-  Metrics.readCounter("figlift_gateway_reloads_total",
-                      "Changes of the settings that were taken",
-                      [this] { return double(m_Reloads); });
-  Metrics.readCounter("figlift_gateway_log_lines_left_out_total",
-                      "Lines beyond the allowance of their kind",
-                      [this] { return double(m_Shared.Log.leftOut()); });
-  Metrics.readCounter("figlift_gateway_log_lines_dropped_total",
-                      "Lines that standard output did not take",
-                      [this] { return double(m_Output.dropped()); });
-}
-
-/// Gauges of each service; services come with configurations.
-void Gateway::describeServices() {
-  metrics::Registry &Metrics = m_Shared.Metrics;
-  for (const dispatch::Service &Each : m_Shared.Configuration->Services) {
-    const metrics::Labels Labels = {{"service", Each.Name}};
-    Metrics.readGauge(
-        "figlift_gateway_repeat_budget_left", "Repeats that may be sent now",
-        [this, Name = Each.Name] {
-          return m_Shared.Budget.left(Name, BootClock::now());
-        },
-        Labels);
-    if (!Each.Engine)
-      continue;
-    const auto Figures = [this, Name = Each.Name] {
-      return m_Shared.EngineModels[Name].figures(BootClock::now());
-    };
-    Metrics.readGauge(
-        "figlift_gateway_engine_read_fixed_seconds",
-        "Learned: fixed part of reading a prompt",
-        [Figures] { return Figures().ReadFixed.count() / 1000; }, Labels);
-    Metrics.readGauge(
-        "figlift_gateway_engine_read_thousand_tokens_seconds",
-        "Learned: reading a thousand tokens of a prompt",
-        [Figures] { return Figures().ReadThousandTokens.count() / 1000; },
-        Labels);
-    Metrics.readGauge(
-        "figlift_gateway_engine_start_seconds",
-        "Learned: from a run whose prompt was read to its first event",
-        [Figures] { return Figures().StartFixed.count() / 1000; }, Labels);
-  }
-}
-
-/// A plan is explained by what was believed of engines when it was made.
-void Gateway::noteFigures(BootTime Now) {
-  for (const auto &[Service, Model] : m_Shared.EngineModels) {
-    const engine::EngineFigures Known = Model.figures(Now);
-    const dispatch::Milliseconds Read = Known.ReadThousandTokens;
-    dispatch::Milliseconds &Told = m_FiguresTold[Service];
-    if (std::abs((Read - Told).count()) <= FiguresChange * Told.count())
-      continue;
-    Told = Read;
-    log::logEvent(log::Level::Info, "engine-figures",
-                  {{"service", Service},
-                   {"readFixedMs", Known.ReadFixed},
-                   {"readThousandTokensMs", Known.ReadThousandTokens},
-                   {"readMillionPairsMs", Known.ReadMillionPairs},
-                   {"fetchFixedMs", Known.FetchFixed},
-                   {"decodeReadFactor", Known.DecodeReadFactor},
-                   {"startFixedMs", Known.StartFixed},
-                   {"transferFactor", Known.TransferFactor},
-                   {"measurements", Known.ReadWeight}});
-  }
-}
-
 Result<void> Gateway::start() {
   describeMetrics();
   FIGLIFT_TRY(listen());
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -103,6 +103,11 @@
   /// What a caller is told to wait after a failure that says nothing about when
   /// it passes: a crashed server is known as gone about that much later.
   static constexpr std::chrono::milliseconds FailureRetryAfter{300};
+  /// A send is overdue after this many times its expected time and a fixed
+  /// part. Sent again too early, work is done twice under load; too late, the
+  /// caller has left. Both ends are bounded by the retry budget.
+  static constexpr double OverdueFactor = 4;
+  static constexpr dispatch::Milliseconds OverdueBase{250};
 
   Context &m_Shared;
   proxy::Request m_Request;
--- /dev/null
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -0,0 +1,139 @@
+//===- RequestLearning.cpp - What one request teaches ---------------------===//
+//
+// How fast engines are, what they keep, and what callers ask of them.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestFlow.h"
+
+namespace figlift::gateway {
+
+using dispatch::Milliseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Measurements that belong to something else for the most part say little of
+/// what they are meant for, and a wrong plan of the rest misleads.
+constexpr double LeastPurity = 0.3;
+/// Of a read between the tokens of streams, as a measure of reading alone.
+constexpr double PurityBesideStreams = 0.1;
+
+} // namespace
+
+void RequestFlow::noteDemand(const dispatch::Service &Which) {
+  const BootTime Now = BootClock::now();
+  const dispatch::EngineCosts Costs = m_Shared.costsOf(Which, Now);
+  const dispatch::Prompt &What = *m_Fields.Prompt;
+  // What any engine keeps can be fetched: reading it again is a matter of
+  // where requests go, not of how many engines read.
+  uint32_t Kept = 0;
+  for (const dispatch::Target *Each : m_Shared.openTargets(m_Service))
+    Kept = std::max(Kept, m_Shared.Loads.cachedTokens(Each->Id, What));
+  m_Shared.Demands[m_Service].requested(Costs.reading(What, Kept),
+                                        Costs.transfer(What.Tokens, false) +
+                                            generationTime() /
+                                                Which.Engine->Slots,
+                                        Now);
+}
+
+/// An engine is not judged by plans that rest on nothing yet: all of them would
+/// look many times as slow, or as fast, as they are, for seconds.
+bool RequestFlow::enginesKnown(BootTime Now) const {
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  return !Which || !Which->Engine || m_Shared.costsOf(*Which, Now).known();
+}
+
+/// From now on the engine has the prompt in its queue.
+void RequestFlow::expectComputed(const std::string &TargetId,
+                                 Milliseconds Expected) {
+  if (!m_Fields.Prompt || m_Handle)
+    return;
+  const BootTime Now = BootClock::now();
+  const auto Within =
+      std::chrono::ceil<milliseconds>(Expected * OverdueFactor + OverdueBase);
+  const auto &Parts = m_Fields.Prompt->Parts;
+  dispatch::KvCacheView &Cache = m_Shared.Loads.cache(TargetId);
+  // The last part is this request's own: no other will ask for it.
+  for (size_t At = 0; At + 1 < Parts.size(); ++At) {
+    if (Cache.holds(Parts[At].Id))
+      continue;
+    Cache.expect(Parts[At], Now + Within);
+    m_Shared.NewlyCached.push_back({TargetId, Parts[At], Within});
+  }
+}
+
+/// What was expected of a send that has failed does not come.
+void RequestFlow::abandonExpected(const std::string &TargetId) {
+  if (!m_Fields.Prompt || !m_Shared.Targets.find(TargetId))
+    return;
+  for (const dispatch::PromptPart &Each : m_Fields.Prompt->Parts)
+    m_Shared.Loads.cache(TargetId).abandon(Each.Id);
+}
+
+void RequestFlow::noteComputed(const std::string &TargetId) {
+  // The last part is this request's own: no other will ask for it.
+  const auto &Parts = m_Fields.Prompt->Parts;
+  dispatch::KvCacheView &Cache = m_Shared.Loads.cache(TargetId);
+  for (size_t At = 0; At < Parts.size(); ++At) {
+    const bool IsNew = !Cache.holds(Parts[At].Id);
+    Cache.insert(Parts[At]);
+    if (IsNew && At + 1 < Parts.size())
+      m_Shared.NewlyCached.push_back({TargetId, Parts[At], milliseconds(0)});
+  }
+}
+
+/// What stood in front of the read is known in part; of the time measured, the
+/// read gets the share that it had in the plan, and counts by that share.
+void RequestFlow::learnRead() {
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  if (!Which || !Which->Engine || !m_CacheKnown ||
+      m_ReadTook <= m_ReadPlan.OnLink)
+    return;
+  const Milliseconds Own = m_PlannedRead - m_ReadPlan.Wait - m_ReadPlan.OnLink;
+  const double Share = Own / (Own + m_ReadPlan.Wait);
+  if (Share < LeastPurity)
+    return;
+  m_Shared.EngineModels[m_Service].observeRead(
+      m_ReadPlan.Size, (m_ReadTook - m_ReadPlan.OnLink) * Share, Share * Share);
+}
+
+/// The same of a run, at its first event.
+void RequestFlow::learnRun() {
+  const BootTime Now = BootClock::now();
+  const dispatch::Service *Which = m_Configuration->service(m_Service);
+  if (!Which || !Which->Engine || !m_Fields.Prompt || !m_RunSent ||
+      m_RunPlan.Wait > Milliseconds(0))
+    return;
+  engine::EngineModel &Model = m_Shared.EngineModels[m_Service];
+  const Milliseconds Took(Now - *m_RunSent);
+  if (m_Handle) {
+    Model.observeStart(m_RunPlan.OnLink, Took, 1);
+    return;
+  }
+  if (m_CacheKnown)
+    learnReadBesideStreams(m_Shared.costsOf(*Which, Now), Took, Model);
+}
+
+/// A read at a decode engine teaches what reading beside streams costs, and, in
+/// case no prompt is read elsewhere, what reading costs at all: with a figure
+/// far too low every prompt seems small enough for decode engines, and nothing
+/// would ever correct it.
+void RequestFlow::learnReadBesideStreams(const dispatch::EngineCosts &Costs,
+                                         Milliseconds Took,
+                                         engine::EngineModel &Model) const {
+  const Milliseconds Compute =
+      Took - Costs.readFixed() - Costs.startFixed() - m_RunPlan.OnLink;
+  if (Compute <= Milliseconds(0))
+    return;
+  const Milliseconds Alone = Costs.reading(m_RunPlan.Size);
+  Model.observeRead(m_RunPlan.Size,
+                    Costs.readFixed() + Compute / Costs.decodeReadFactor(),
+                    PurityBesideStreams);
+  const double Share = Alone / Took;
+  // The rest is known too loosely to tell a small read from it.
+  if (Share >= LeastPurity)
+    Model.observeDecodeRead(Alone, Compute, Share * Share);
+}
+
+} // namespace figlift::gateway
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -20,6 +20,20 @@
 /// Ends the connection without an answer.
 void breakOff(const proxy::Request &, const Caller &To) { To->abort(); }
 
+/// An engine that has read a prompt.
+void readsPrompt(const proxy::Request &, const Caller &To) {
+  proxy::ResponseHead Head;
+  Head.Status = 200;
+  To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
+}
+
+/// An engine that runs a request to its end.
+void streamsOneEvent(const proxy::Request &What, const Caller &To) {
+  beginStream(What, To);
+  To->writeStream("id: 1\n\n");
+  To->endStream();
+}
+
 Listener::Behaviour answersWith(const std::string &Body) {
   return [Body](const proxy::Request &What, const Caller &To) {
     answer(What, To, 200, Body);
@@ -193,22 +207,8 @@
 }
 
 TEST(Gateway, ReadsAPromptAtOneEngineAndRunsItAtAnother) {
-  Listener &Reader = Scene.server(
-      "e1", "model",
-      [](const proxy::Request &, const Caller &To) {
-        proxy::ResponseHead Head;
-        Head.Status = 200;
-        To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
-      },
-      "prefill");
-  Listener &Runner = Scene.server(
-      "e2", "model",
-      [](const proxy::Request &What, const Caller &To) {
-        beginStream(What, To);
-        To->writeStream("id: 1\n\n");
-        To->endStream();
-      },
-      "decode");
+  Listener &Reader = Scene.server("e1", "model", readsPrompt, "prefill");
+  Listener &Runner = Scene.server("e2", "model", streamsOneEvent, "decode");
   serve();
   CHECK(has(Scene.ask("POST", "/stream/x", Prompt), "id: 1"));
   CHECK(Reader.Requests.at(0).Head.Headers.find("X-Stage") == "prefill");
@@ -222,22 +222,8 @@
 // Cause: what engines keep was known only from what a gateway had sent itself
 // or heard of; nobody was left who could tell.
 TEST(Gateway, AsksEnginesWhatTheyKeepWhenItStarts) {
-  Listener &Reader = Scene.server(
-      "e1", "model",
-      [](const proxy::Request &, const Caller &To) {
-        proxy::ResponseHead Head;
-        Head.Status = 200;
-        To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
-      },
-      "prefill");
-  Listener &Runner = Scene.server(
-      "e2", "model",
-      [](const proxy::Request &What, const Caller &To) {
-        beginStream(What, To);
-        To->writeStream("id: 1\n\n");
-        To->endStream();
-      },
-      "decode");
+  Listener &Reader = Scene.server("e1", "model", readsPrompt, "prefill");
+  Listener &Runner = Scene.server("e2", "model", streamsOneEvent, "decode");
   Runner.CacheList = R"({"epoch":"a","next":4,"held":[["","a1",20000,"m"]]})";
   Reader.CacheList = "no list";
   serve();
