PromptPlanner: Look up once for a request what engines keep

Cause: each engine that may read a prompt looked up what every other engine keeps, in the same plan: the square of the engines in map look-ups, on the path of every request. Ruled out as a change of policy: the choice is the same, in the same order of engines; TestLibDispatch passes unchanged (91 of 91).

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -38,26 +38,36 @@
           m_Loads.failureShare(Which.Id, Now) < m_Options.FailureShareToAvoid);
 }
 
+/// Looked up once for a request: each engine that may read it compares all of
+/// them, and at 54 engines the look-ups were some thousands for each plan.
+std::vector<PromptPlanner::Source>
+PromptPlanner::sources(const PromptRequest &Request,
+                       std::span<const Target *const> Engines) const {
+  std::vector<Source> Found;
+  for (const Target *Each : Engines)
+    if (const uint32_t There = m_Loads.cachedTokens(Each->Id, Request.What);
+        There > 0)
+      Found.push_back({Each, There});
+  return Found;
+}
+
 /// Another engine may keep more of the prompt. A fetch of 13,000 tokens takes
 /// 10 to 20 ms where computing them again takes 360, and it takes none of the
 /// engine's computing time.
 PromptPlanner::Kept
 PromptPlanner::cheapestParts(const PromptRequest &Request, const Target &At,
-                             std::span<const Target *const> Engines,
+                             std::span<const Source> Sources,
                              const EngineCosts &Costs, BootTime Now) const {
   const uint32_t Own = m_Loads.cachedTokensInTurn(At.Id, Request.What, Now);
   Kept Best{Own, nullptr, 0};
   Milliseconds BestTime = Costs.reading(Request.What, Own);
-  for (const Target *Each : Engines) {
-    if (Each == &At)
-      continue;
-    const uint32_t There = m_Loads.cachedTokens(Each->Id, Request.What);
-    if (There <= Own)
+  for (const auto &[Which, There] : Sources) {
+    if (Which == &At || There <= Own)
       continue;
-    const Milliseconds Time = Costs.fetch(There - Own, Each->Zone == At.Zone) +
+    const Milliseconds Time = Costs.fetch(There - Own, Which->Zone == At.Zone) +
                               Costs.reading(Request.What, There);
     if (Time < BestTime) {
-      Best = {There, Each, There - Own};
+      Best = {There, Which, There - Own};
       BestTime = Time;
     }
   }
@@ -67,19 +77,18 @@
 /// The read of the request at \p At, computed as fast as at a prefill engine.
 PromptPlanner::Candidate
 PromptPlanner::readAt(const PromptRequest &Request, const Target &At,
-                      std::span<const Target *const> Engines,
-                      const EngineCosts &Costs, Milliseconds Wait,
-                      double Slowness, BootTime Now) const {
-  const Kept Parts = cheapestParts(Request, At, Engines, Costs, Now);
-  Candidate Found{&At, Parts.Source, {}, Milliseconds(0)};
+                      std::span<const Source> Sources, const EngineCosts &Costs,
+                      Milliseconds Wait, double Slowness, BootTime Now) const {
+  const Kept Parts = cheapestParts(Request, At, Sources, Costs, Now);
+  Candidate Found{&At, Parts.From, {}, Milliseconds(0)};
   Found.How.Size = EngineCosts::toCompute(Request.What, Parts.Tokens);
-  Found.How.Size.Fetches = Parts.Source != nullptr;
+  Found.How.Size.Fetches = Parts.From != nullptr;
   Found.How.Wait = Wait;
   Found.How.Compute = Costs.reading(Found.How.Size) * Slowness;
   Found.Cost = Found.How.Compute;
-  if (!Parts.Source)
+  if (!Parts.From)
     return Found;
-  const bool SameZone = Parts.Source->Zone == At.Zone;
+  const bool SameZone = Parts.From->Zone == At.Zone;
   Found.How.OnLink = Costs.onLink(Parts.Fetched, SameZone);
   Found.Cost += Costs.fetch(Parts.Fetched, SameZone);
   return Found;
@@ -88,6 +97,7 @@
 std::optional<PromptPlanner::Candidate>
 PromptPlanner::bestReader(const PromptRequest &Request,
                           std::span<const Target *const> Engines,
+                          std::span<const Source> Sources,
                           const EngineCosts &Costs, BootTime Now) const {
   std::optional<Candidate> Best;
   uint64_t BestWeight = 0;
@@ -98,7 +108,7 @@
       continue;
     const double Slowness = m_Loads.slowness(Which->Id, Now);
     const Candidate Each = readAt(
-        Request, *Which, Engines, Costs,
+        Request, *Which, Sources, Costs,
         m_Loads.readingBacklog(Which->Id, Now) * Slowness, Slowness, Now);
     const uint64_t Weight = homeWeight(Subject, Which->Id);
     const double Scale = m_Options.EngineTimeWeight;
@@ -131,7 +141,8 @@
 
 std::optional<PromptPlanner::Candidate> PromptPlanner::bestLoneRunner(
     const PromptRequest &Request, std::span<const Target *const> Engines,
-    const EngineCosts &Costs, Trust Trusted, BootTime Now) const {
+    std::span<const Source> Sources, const EngineCosts &Costs, Trust Trusted,
+    BootTime Now) const {
   const double Coming = comingRuns(Engines, Now);
   std::optional<Candidate> Best;
   for (const Target *Which : Engines) {
@@ -144,7 +155,7 @@
                  m_Loads.readingBacklog(Which->Id, Now)) *
         Slowness;
     Candidate Each =
-        readAt(Request, *Which, Engines, Costs, Wait, Slowness, Now);
+        readAt(Request, *Which, Sources, Costs, Wait, Slowness, Now);
     const Milliseconds Beside =
         Costs.readingWhileDecoding(Each.How.Size) * Slowness;
     Each.Cost += Beside - Each.How.Compute;
@@ -237,15 +248,16 @@
                                std::span<const Target *const> Engines,
                                const EngineCosts &Costs, BootTime Now) const {
   Trust Trusted = Trust::Proven;
-  auto Lone = bestLoneRunner(Request, Engines, Costs, Trusted, Now);
+  const std::vector<Source> Sources = sources(Request, Engines);
+  auto Lone = bestLoneRunner(Request, Engines, Sources, Costs, Trusted, Now);
   if (!Lone) {
     Trusted = Trust::Any;
-    Lone = bestLoneRunner(Request, Engines, Costs, Trusted, Now);
+    Lone = bestLoneRunner(Request, Engines, Sources, Costs, Trusted, Now);
   }
   if (!Lone)
     return refuse(Request, "no engine takes new requests",
                   Request.LatencyTarget * 2);
-  const auto Reader = bestReader(Request, Engines, Costs, Now);
+  const auto Reader = bestReader(Request, Engines, Sources, Costs, Now);
   const Milliseconds LoneFirst =
       Lone->How.Wait + Lone->Cost + Costs.readFixed() + Costs.startFixed();
   std::optional<ReadThenRun> Split;
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -144,31 +144,38 @@
   struct Candidate {
     const Target *Which = nullptr;
     /// Who sends parts that the engine itself does not keep; null for none.
-    const Target *Source = nullptr;
+    const Target *From = nullptr;
     ReadPlan How;
     /// Computing and fetching.
     Milliseconds Cost{0};
     Milliseconds score(double EngineTimeWeight) const {
       return How.Wait + Cost * (1 + EngineTimeWeight);
     }
-    std::string sourceId() const { return Source ? Source->Id : std::string(); }
+    std::string sourceId() const { return From ? From->Id : std::string(); }
   };
 
   /// Where the engine gets the parts of the prompt that it does not compute.
   struct Kept {
     uint32_t Tokens = 0;
-    const Target *Source = nullptr;
-    /// Tokens that the source sends.
+    const Target *From = nullptr;
+    /// Tokens that it sends.
     uint32_t Fetched = 0;
   };
 
+  /// An engine that keeps leading parts of the prompt, and their tokens.
+  struct Source {
+    const Target *Which = nullptr;
+    uint32_t Tokens = 0;
+  };
+  std::vector<Source> sources(const PromptRequest &Request,
+                              std::span<const Target *const> Engines) const;
+
   Kept cheapestParts(const PromptRequest &Request, const Target &At,
-                     std::span<const Target *const> Engines,
-                     const EngineCosts &Costs, BootTime Now) const;
+                     std::span<const Source> Sources, const EngineCosts &Costs,
+                     BootTime Now) const;
   Candidate readAt(const PromptRequest &Request, const Target &At,
-                   std::span<const Target *const> Engines,
-                   const EngineCosts &Costs, Milliseconds Wait, double Slowness,
-                   BootTime Now) const;
+                   std::span<const Source> Sources, const EngineCosts &Costs,
+                   Milliseconds Wait, double Slowness, BootTime Now) const;
   /// Whether targets that failed lately are looked at. They are when there is
   /// no other: when all engines fail a part of their work, a request does
   /// better at any of them than refused.
@@ -177,12 +184,14 @@
               BootTime Now) const;
   std::optional<Candidate> bestReader(const PromptRequest &Request,
                                       std::span<const Target *const> Engines,
+                                      std::span<const Source> Sources,
                                       const EngineCosts &Costs,
                                       BootTime Now) const;
   std::optional<Candidate>
   bestLoneRunner(const PromptRequest &Request,
                  std::span<const Target *const> Engines,
-                 const EngineCosts &Costs, Trust How, BootTime Now) const;
+                 std::span<const Source> Sources, const EngineCosts &Costs,
+                 Trust How, BootTime Now) const;
   /// \p Coming: pieces of work that will be there before this one.
   Milliseconds slotWait(const Target &Which, const EngineTraits &Traits,
                         double Coming, BootTime Now) const;
