LibEngine, RequestFlow: Form the fleet's figures when they change, not for each question

Cause: a request asked four or five times for the mean over all peers, and listed the open engines twice. Now the mean is kept until a measurement or a peer changes it, a second at most, and the list is passed on.

--- a/Libraries/LibEngine/EngineModel.cpp
+++ b/Libraries/LibEngine/EngineModel.cpp
@@ -55,6 +55,7 @@
   m_Own.ReadMillionPairs = Milliseconds(Found[2]);
   m_Own.FetchFixed = Milliseconds(Found[3]);
   m_Own.ReadWeight = m_Read.weight();
+  m_MeanAt.reset();
 }
 
 void EngineModel::observeDecodeRead(Milliseconds AtPrefillEngine,
@@ -62,6 +63,7 @@
   m_DecodeRead.observe({AtPrefillEngine.count()}, Took.count(), Purity);
   m_Own.DecodeReadFactor = m_DecodeRead.figures()[0];
   m_Own.DecodeReadWeight = m_DecodeRead.weight();
+  m_MeanAt.reset();
 }
 
 void EngineModel::observeStart(Milliseconds Transfer, Milliseconds Took,
@@ -70,14 +72,24 @@
   m_Own.StartFixed = Milliseconds(m_Start.figures()[0]);
   m_Own.TransferFactor = m_Start.figures()[1];
   m_Own.StartWeight = m_Start.weight();
+  m_MeanAt.reset();
 }
 
 void EngineModel::peerTold(const std::string &Peer, const EngineFigures &Told,
                            BootTime Now) {
   m_Peers[Peer] = {Told, Now};
+  m_MeanAt.reset();
 }
 
-EngineFigures EngineModel::figures(BootTime Now) const {
+const EngineFigures &EngineModel::figures(BootTime Now) {
+  if (!m_MeanAt || Now - *m_MeanAt >= MeanLifetime) {
+    m_Mean = mean(Now);
+    m_MeanAt = Now;
+  }
+  return m_Mean;
+}
+
+EngineFigures EngineModel::mean(BootTime Now) const {
   const double Read = m_Own.ReadWeight + NoWeight;
   Mean Fixed(m_Own.ReadFixed.count(), Read);
   Mean Tokens(m_Own.ReadThousandTokens.count(), Read);
--- a/Libraries/LibEngine/EngineModel.h
+++ b/Libraries/LibEngine/EngineModel.h
@@ -18,6 +18,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace figlift::engine {
@@ -79,7 +80,7 @@
   /// What this process measured itself.
   const EngineFigures &own() const { return m_Own; }
   /// Of this process and its peers, each by its measurements.
-  EngineFigures figures(BootTime Now) const;
+  const EngineFigures &figures(BootTime Now);
 
 private:
   struct Told {
@@ -89,6 +90,10 @@
   /// What a process that has gone told is forgotten by then; a peer that is
   /// cut off for some seconds still counts.
   static constexpr std::chrono::seconds PeerLifetime{30};
+  /// Without news the mean is formed anew after this, for peers that have gone.
+  static constexpr std::chrono::seconds MeanLifetime{1};
+
+  EngineFigures mean(BootTime Now) const;
 
   LinearCost<4> m_Read;
   LinearCost<1> m_DecodeRead;
@@ -96,6 +101,10 @@
   /// Equals the figures of the three above.
   EngineFigures m_Own;
   std::map<std::string, Told> m_Peers;
+  /// Asked for several times with each request, and changed more seldom.
+  EngineFigures m_Mean;
+  /// When m_Mean was formed; unset once a measurement or a peer has changed it.
+  std::optional<BootTime> m_MeanAt;
 };
 
 } // namespace figlift::engine
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -109,7 +109,7 @@
 
 /// A plan is explained by what was believed of engines when it was made.
 void Gateway::noteFigures(BootTime Now) {
-  for (const auto &[Service, Model] : m_Shared.EngineModels) {
+  for (auto &[Service, Model] : m_Shared.EngineModels) {
     const engine::EngineFigures Known = Model.figures(Now);
     const dispatch::Milliseconds Read = Known.ReadThousandTokens;
     dispatch::Milliseconds &Told = m_FiguresTold[Service];
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -135,11 +135,11 @@
 
 void RequestFlow::planPrompt(const dispatch::Service &Which) {
   const BootTime Now = BootClock::now();
-  if (m_Sends == 0)
-    noteDemand(Which);
   const auto Open = m_Shared.openTargets(m_Service);
-  const auto Plan = m_Shared.Prompts.plan(promptRequest(Now), Open,
-                                          m_Shared.costsOf(Which, Now), Now);
+  const dispatch::EngineCosts Costs = m_Shared.costsOf(Which, Now);
+  if (m_Sends == 0)
+    noteDemand(Costs, Open, Now);
+  const auto Plan = m_Shared.Prompts.plan(promptRequest(Now), Open, Costs, Now);
   if (const auto *Read = std::get_if<dispatch::ReadThenRun>(&Plan)) {
     m_PlannedFirst = Read->FirstEvent;
     return startRead(*Read);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -20,6 +20,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,7 +52,8 @@
   void planPrompt(const dispatch::Service &Which);
   void planPlain();
   dispatch::Milliseconds generationTime() const;
-  void noteDemand(const dispatch::Service &Which);
+  void noteDemand(const dispatch::EngineCosts &Costs,
+                  std::span<const dispatch::Target *const> Open, BootTime Now);
   void startRead(const dispatch::ReadThenRun &Plan);
   void startRun(const dispatch::RunAt &Plan);
   void readCompleted(ServerSend &Which);
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -21,19 +21,19 @@
 
 } // namespace
 
-void RequestFlow::noteDemand(const dispatch::Service &Which) {
-  const BootTime Now = BootClock::now();
-  const dispatch::EngineCosts Costs = m_Shared.costsOf(Which, Now);
+void RequestFlow::noteDemand(const dispatch::EngineCosts &Costs,
+                             std::span<const dispatch::Target *const> Open,
+                             BootTime Now) {
   const dispatch::Prompt &What = *m_Fields.Prompt;
   // What any engine keeps can be fetched: reading it again is a matter of
   // where requests go, not of how many engines read.
   uint32_t Kept = 0;
-  for (const dispatch::Target *Each : m_Shared.openTargets(m_Service))
+  for (const dispatch::Target *Each : Open)
     Kept = std::max(Kept, m_Shared.Loads.cachedTokens(Each->Id, What));
   m_Shared.Demands[m_Service].requested(Costs.reading(What, Kept),
                                         Costs.transfer(What.Tokens, false) +
                                             generationTime() /
-                                                Which.Engine->Slots,
+                                                Costs.traits().Slots,
                                         Now);
 }
 
