ServerSend, RequestFlow: Take no answer of an engine's earlier start

Cause: handles and cache entries were kept by the engine's id; an answer that came after a restart under the same id led to a run that fetches a KV cache which is gone, and filled the view of an empty cache. Ruled out: closing the connections of the earlier start at once; a whole answer may be in them.

--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -269,7 +269,7 @@
   if (Which.purpose() == SendPurpose::ReadPrompt)
     return readCompleted(Which);
   m_Handle.reset();
-  if (m_Fields.Prompt)
+  if (m_Fields.Prompt && !Which.targetStartedAgain())
     noteComputed(Which.targetId());
   if (streaming())
     return streamEnded(Which);
@@ -279,7 +279,7 @@
 void RequestFlow::readCompleted(ServerSend &Which) {
   const auto Read = slopes::decodePromptRead(Which.body());
   const dispatch::Target *Reader = m_Shared.Targets.find(Which.targetId());
-  if (!Read || !Reader)
+  if (!Read || !Reader || Which.targetStartedAgain())
     return sendEnded(Which, dispatch::BrokeOff{});
   noteComputed(Which.targetId());
   m_ReadTook = BootClock::now() - Which.started();
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -33,10 +33,17 @@
     return false;
   What.Sent = m_Started;
   m_Ticket = m_Shared.Loads.started(m_TargetId, What);
+  if (const dispatch::Target *Which = m_Shared.Targets.find(m_TargetId))
+    m_TargetStart = Which->Started;
   m_Connection->exchange(std::move(Bytes), true, shared_from_this());
   return true;
 }
 
+bool ServerSend::targetStartedAgain() const {
+  const dispatch::Target *Which = m_Shared.Targets.find(m_TargetId);
+  return Which && Which->Started != m_TargetStart;
+}
+
 void ServerSend::cancel() {
   m_Owner = nullptr;
   m_Shared.Loads.ended(m_TargetId, m_Ticket);
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -14,6 +14,7 @@
 #include "platform/Headers.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace figlift::gateway {
@@ -63,6 +64,9 @@
   const slopes::ServerFields &fields() const { return m_Fields; }
   std::string &body() { return m_Body; }
   BootTime started() const { return m_Started; }
+  /// Whether the target has started again since it was sent to: what it had
+  /// computed is gone.
+  bool targetStartedAgain() const;
 
   void onHead(const proxy::ResponseHead &Head) override;
   void onBody(std::string Bytes) override;
@@ -88,6 +92,8 @@
   std::shared_ptr<upstream::ServerConnection> m_Connection;
   uint64_t m_Ticket = 0;
   BootTime m_Started{};
+  /// The start of the target that this was sent to.
+  std::optional<dispatch::StartTime> m_TargetStart;
   proxy::ResponseHead m_Head;
   slopes::ServerFields m_Fields;
   std::string m_Body;
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -216,6 +216,32 @@
   CHECK(Source == Reader.address().toString() + "/k1");
 }
 
+// Symptom: a run is turned away by the engine that is to fetch its KV cache.
+// Sequence: an engine is asked to read a prompt, starts again under its id, and
+// its answer of before arrives late.
+// Cause: the answer of the earlier start was taken for one of the present.
+TEST(Gateway, UsesNoKvCacheOfAnEarlierStart) {
+  Caller Waiting;
+  Listener &Reader = Scene.server(
+      "e1", "model",
+      [&](const proxy::Request &, const Caller &To) { Waiting = To; },
+      "prefill");
+  Listener &Runner = Scene.server("e2", "model", streamsOneEvent, "decode");
+  serve();
+  boost::asio::ip::tcp::socket Asking(Scene.Loop);
+  const Endpoint Where = Scene.Settings.Listen.Callers;
+  Asking.connect({boost::asio::ip::make_address_v4(Where.Address), Where.Port});
+  Asking.write_some(boost::asio::buffer(
+      "POST /stream/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + Prompt +
+      "\r\n"));
+  CHECK(Scene.until([&] { return Reader.Requests.size() == 1; }));
+  Scene.restart("e1");
+  CHECK(Scene.until([&] { return Reader.CacheListsAsked == 2; }));
+  readsPrompt(Reader.Requests.at(0), Waiting);
+  CHECK(Scene.until([&] { return Runner.Requests.size() == 1; }));
+  CHECK(!Runner.Requests.at(0).Head.Headers.find("X-Kv-Source"));
+}
+
 // Symptom: after a loss of all gateways callers are refused for seconds while
 // the engines are idle.
 // Sequence: the gateways start again before engines that keep most prompts.
