Tests: Let pauses of stand-ins and load end with a stop

Cause: three sleeps: two are the time for which a crashed stand-in is down, one keeps callers from spinning after a refusal. They now wait for the signal or the flag that ends them, with the former time as deadline. Ruled out as a source of verdicts: none of them stands before a check.

--- a/Tests/FaultMatrix/Load.cpp
+++ b/Tests/FaultMatrix/Load.cpp
@@ -33,7 +33,11 @@
 }
 
 void Load::stop() {
-  m_Stop = true;
+  {
+    const std::lock_guard Guard(m_Lock);
+    m_Stop = true;
+  }
+  m_Stopped.notify_all();
   for (std::thread &Each : m_Threads)
     if (Each.joinable())
       Each.join();
@@ -77,8 +81,11 @@
   }
   // A refusal comes at once; without a pause the callers would only spin.
   constexpr std::chrono::milliseconds PauseAfterFailure{50};
-  if (!What.Whole)
-    std::this_thread::sleep_for(PauseAfterFailure);
+  if (What.Whole)
+    return;
+  std::unique_lock Guard(m_Lock);
+  m_Stopped.wait_for(Guard, PauseAfterFailure,
+                     [this] { return m_Stop.load(); });
 }
 
 void Load::blame(const std::string &What) {
--- a/Tests/FaultMatrix/Load.h
+++ b/Tests/FaultMatrix/Load.h
@@ -12,6 +12,7 @@
 #include "Support/Fleet.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -58,6 +59,8 @@
 
   Fleet &m_Fleet;
   std::atomic<bool> m_Stop{false};
+  /// With m_Lock: m_Stop has been set.
+  std::condition_variable m_Stopped;
   std::atomic<size_t> m_Whole{0};
   mutable std::mutex m_Lock;
   std::vector<Sample> m_Samples;
--- a/Tests/StandIns/StandInCommon/Server.cpp
+++ b/Tests/StandIns/StandInCommon/Server.cpp
@@ -191,17 +191,34 @@
 }
 
 void Server::crashNow() {
-  std::this_thread::sleep_for(CrashAnswerTime);
+  downUnlessStopped(CrashAnswerTime);
   cutConnections();
   OnCrash();
   m_Listener->close().wait();
   // What slipped in while the listener closed must not live on either.
   OnCrash();
-  std::this_thread::sleep_for(
+  downUnlessStopped(
       std::chrono::microseconds(m_RestartAfterMicroseconds.load()));
   open();
 }
 
+/// A crashed process takes nothing but the signal that ends it.
+void Server::downUnlessStopped(std::chrono::microseconds For) {
+  using Clock = std::chrono::steady_clock;
+  const sigset_t Signals = handledSignals();
+  const Clock::time_point Until = Clock::now() + For;
+  for (auto Left = For; Left > Left.zero();
+       Left =
+           std::chrono::ceil<std::chrono::microseconds>(Until - Clock::now())) {
+    const auto Seconds = std::chrono::floor<std::chrono::seconds>(Left);
+    const std::chrono::nanoseconds Rest = Left - Seconds;
+    const timespec Limit{Seconds.count(), Rest.count()};
+    const int Signal = ::sigtimedwait(&Signals, nullptr, &Limit);
+    if (Signal > 0 && Signal != SIGUSR1)
+      std::_Exit(EXIT_SUCCESS);
+  }
+}
+
 void Server::cutConnections() const {
   // Closing the listener alone would end streamed answers in good order; a
   // crashed process leaves them torn.
--- a/Tests/StandIns/StandInCommon/Server.h
+++ b/Tests/StandIns/StandInCommon/Server.h
@@ -71,6 +71,7 @@
   void open();
   void dispatch(const web::http::http_request &Request);
   void crashNow();
+  static void downUnlessStopped(std::chrono::microseconds For);
   void cutConnections() const;
 
   std::string m_Address;
