LibConfig: Put a committed change in force from what was written

Cause: the entry that committed a change knew its revision alone and fetched the change from the store. Ruled out: peers, who take a change from whoever has it, and nobody had it. The writer now hands on the delta that it proposed, and the service takes it as it takes one of a peer.

--- a/Libraries/LibConfig/ConfigService.cpp
+++ b/Libraries/LibConfig/ConfigService.cpp
@@ -45,6 +45,12 @@
   m_Shared->post(PushedByPeer{std::move(Changes)});
 }
 
+void ConfigService::committed(const ChangeOutcome &What) {
+  if (What.Changes.Head > 0)
+    push(What.Changes);
+  sawRevision(What.Revision);
+}
+
 void ConfigService::sawRevision(uint64_t Revision) {
   if (Revision > m_Shared->Revision)
     return m_Shared->post(SeenRevision{Revision});
--- a/Libraries/LibConfig/ConfigService.h
+++ b/Libraries/LibConfig/ConfigService.h
@@ -9,6 +9,7 @@
 
 #include "LibConfig/ConfigFollower.h"
 #include "LibConfig/ConfigSource.h"
+#include "LibConfig/ConfigWriter.h"
 #include "LibConfig/SnapshotCell.h"
 
 #include <atomic>
@@ -47,6 +48,10 @@
 
   /// Changes that a peer sent unasked (SyncUp).
   void push(Delta Changes);
+  /// This process has committed a change. It knows what it wrote, and takes it
+  /// from there: read back from the store, a change that was acknowledged right
+  /// before an outage was in force nowhere until the store returned.
+  void committed(const ChangeOutcome &What);
   /// Of every message from another process; cheap when it is nothing new.
   void sawRevision(uint64_t Revision);
 
--- a/Libraries/LibConfig/ConfigWriter.cpp
+++ b/Libraries/LibConfig/ConfigWriter.cpp
@@ -132,8 +132,11 @@
       return finish(failure(ResultCode::KeyReusedForOtherRequest,
                             "the operation id was used for another change",
                             "operationId"));
+    // The commit whose answer was lost is the one that was proposed.
+    if (Applied.value().Revision == m_Proposed.Revision)
+      return finish(m_Proposed);
     return finish(
-        ChangeOutcome{Applied.value().Revision, Applied.value().Records});
+        ChangeOutcome{Applied.value().Revision, Applied.value().Records, {}});
   }
   if (m_PendingHead && Head.Version > *m_PendingHead)
     m_PendingHead.reset();
@@ -162,6 +165,7 @@
   platform::Transaction What;
   OperationRow Done;
   Done.Digest = m_Digest;
+  m_Proposed.Changes = {Revision, 0, false, {}};
   for (size_t Index = 0; Index < Found.size(); ++Index) {
     const Change &Wanted = m_Request.Changes[Index];
     const platform::Row &Row = Rows[Index + 1];
@@ -179,9 +183,12 @@
       What.Writes.push_back(
           {changeKey(Revision - m_Options.ChangesKept), std::nullopt});
     Done.Records.push_back({Next.Kind, Next.Name, Next.Version});
+    m_Proposed.Changes.Entries.push_back(std::move(Next));
   }
   Done.Revision = Revision;
-  m_Proposed = {Revision, Done.Records};
+  m_Proposed.Changes.Head = Revision;
+  m_Proposed.Revision = Revision;
+  m_Proposed.Records = Done.Records;
   std::string Operation = operationKey(m_Request.OperationId);
   What.Conditions.push_back({Head.Key, Head.Version});
   What.Conditions.push_back({Operation, 0});
--- a/Libraries/LibConfig/ConfigWriter.h
+++ b/Libraries/LibConfig/ConfigWriter.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include "LibConfig/ConfigRows.h"
+#include "LibConfig/Delta.h"
 #include "LibCore/Clock.h"
 #include "LibPlatform/Platform.h"
 
@@ -52,6 +53,10 @@
   /// The change is in force where this revision is.
   uint64_t Revision = 0;
   std::vector<ChangedRecord> Records;
+  /// The change itself, for those who were at the revision before. Empty, with
+  /// a Head of 0, for an operation that was found done: what it changed is
+  /// known by its revision only.
+  Delta Changes = {};
 };
 
 namespace writer {
--- a/Libraries/LibConfig/OperatorService.cpp
+++ b/Libraries/LibConfig/OperatorService.cpp
@@ -323,7 +323,7 @@
       Why = carriedOutAnyway(std::move(Why), *Next.Wish);
     return Next.Done(http::problemResponse(Why, ""));
   }
-  m_Context.OnCommitted(Outcome.value().Revision);
+  m_Context.OnCommitted(Outcome.value());
   Next.Done(jsonResponse(jsonOf(Outcome.value())));
 }
 
--- a/Libraries/LibConfig/OperatorService.h
+++ b/Libraries/LibConfig/OperatorService.h
@@ -50,8 +50,8 @@
   std::function<SnapshotPointer()> Current;
   /// Why this entry takes no new work, or empty.
   std::function<std::string()> WhyNotServing;
-  /// A change was committed with this revision; see ConfigService.
-  std::function<void(uint64_t)> OnCommitted;
+  /// A change was committed; see ConfigService::committed().
+  std::function<void(const ChangeOutcome &)> OnCommitted;
   /// Asks a target's agent itself to drain, or to serve again when \p Undo,
   /// without a record. False when the agent can't be reached from here.
   std::function<bool(const std::string &Target, bool Undo)> AskAgentToDrain =
--- a/Services/figlift-entry/Entry.cpp
+++ b/Services/figlift-entry/Entry.cpp
@@ -212,7 +212,9 @@
             const Result<void> State = ready();
             return State ? std::string() : State.error().Message;
           },
-          [this](uint64_t Revision) { m_Configuration->sawRevision(Revision); },
+          [this](const config::ChangeOutcome &What) {
+            m_Configuration->committed(What);
+          },
           [this](const std::string &Target, bool Undo) {
             return askAgentToDrain(Target, Undo);
           }});
--- a/Tests/LibConfig/FakeTable.h
+++ b/Tests/LibConfig/FakeTable.h
@@ -15,12 +15,14 @@
 namespace figlift::test {
 
 /// LateEffect: no answer, and the effect comes only with the next commit.
+/// DownAfterwards: the commit is answered, and every later call fails.
 enum class Fault {
   None,
   Down,
   EffectWithoutAnswer,
   LostBeforeEffect,
-  LateEffect
+  LateEffect,
+  DownAfterwards
 };
 
 class FakeTable : public platform::Table {
@@ -75,6 +77,8 @@
     if (Now == Fault::LostBeforeEffect || Now == Fault::LateEffect)
       return Done(failure(ResultCode::StoreOutcomeUnknown, "answer lost"));
     bool Applied = apply(What);
+    if (Now == Fault::DownAfterwards)
+      setDown(true);
     if (Now == Fault::EffectWithoutAnswer)
       return Done(failure(ResultCode::StoreOutcomeUnknown, "answer lost"));
     if (!Applied)
--- a/Tests/LibConfig/TestConfigService.cpp
+++ b/Tests/LibConfig/TestConfigService.cpp
@@ -45,7 +45,7 @@
         Operator(
             {Table, Status, [this] { return Service.current(); },
              [] { return std::string(); },
-             [this](uint64_t Revision) { Service.sawRevision(Revision); }}) {}
+             [this](const ChangeOutcome &What) { Service.committed(What); }}) {}
 
   static PeerFetcher failing() {
     return [](uint64_t, bool, platform::Callback<Delta> Done) {
@@ -93,6 +93,18 @@
 
 TEST_GROUP(ConfigService){};
 
+// Symptom: an acknowledged change is in force nowhere for as long as the store
+// is down.
+// Sequence: the change is committed and acknowledged; the store goes down at
+// once. Cause: the entry that had committed it read it back from the store.
+TEST(ConfigService, PutsItsOwnChangeIntoForceThoughTheStoreGoesDown) {
+  FakeTable Table;
+  Node First(Table);
+  Table.CommitFaults = {test::Fault::DownAfterwards};
+  CHECK_EQUAL(200, First.call("POST", "records", submission(Workspace)).Status);
+  CHECK_TRUE(First.reaches(1));
+}
+
 TEST(ConfigService, PutsAnAcceptedChangeIntoForceAtEveryEntry) {
   FakeTable Table;
   Node First(Table), Second(Table);
--- a/Tests/LibConfig/TestConfigWriter.cpp
+++ b/Tests/LibConfig/TestConfigWriter.cpp
@@ -69,6 +69,26 @@
   STRCMP_EQUAL("b", fetch(1).Entries[0].Name.c_str());
 }
 
+// Symptom: a change that was acknowledged is in force nowhere for as long as an
+// outage of the store lasts.
+// Sequence: the change is committed; the store goes down before the process
+// that committed it has read it back.
+// Cause: of its own change it knew only the revision.
+TEST(ConfigWriter, TellsWhatItChangedWithoutAnotherRead) {
+  const auto First = apply(request("op-1", wishFor("t1", "serve")));
+  SnapshotPointer Known = Snapshot::empty()->with(First.value().Changes);
+  CHECK(Known != nullptr);
+  LONGS_EQUAL(First.value().Revision, Known->revision());
+  const auto Second = apply(request("op-2", wishFor("t2", "drain")));
+  Known = Known->with(Second.value().Changes);
+  CHECK(Known != nullptr);
+  LONGS_EQUAL(Second.value().Revision, Known->revision());
+  // An operation that is found done says nothing of what it changed.
+  const auto Again = apply(request("op-1", wishFor("t1", "serve")));
+  LONGS_EQUAL(First.value().Revision, Again.value().Revision);
+  LONGS_EQUAL(0, Again.value().Changes.Head);
+}
+
 TEST(ConfigWriter, LetsOneOfTwoRacingOperatorsWin) {
   // Symptom: an operator's change is overwritten and nobody is told.
   // Sequence: both read version 1, both write. Cause: the second write does
