LibSettings, LibTimeline: Let programs share the end of main, and readers of lines one function

Cause: three programs wrote the same eight lines after reading their command line, and LibExplain read values of fields as LibTimeline does. Ruled out: a shared main with signals and threads, in which the three differ.

--- a/Libraries/LibExplain/LogLines.cpp
+++ b/Libraries/LibExplain/LogLines.cpp
@@ -41,20 +41,6 @@
                   std::chrono::milliseconds(Milli));
 }
 
-timeline::OwnedValue readValue(const Json &Value) {
-  if (Value.is_string())
-    return Value.get<std::string>();
-  if (Value.is_boolean())
-    return Value.get<bool>();
-  if (Value.is_number_unsigned())
-    return Value.get<uint64_t>();
-  if (Value.is_number_integer())
-    return Value.get<int64_t>();
-  if (Value.is_number())
-    return Value.get<double>();
-  return Value.dump();
-}
-
 std::string text(const Json &Line, const char *Name) {
   const auto Found = Line.find(Name);
   return Found != Line.end() && Found->is_string() ? Found->get<std::string>()
@@ -84,7 +70,7 @@
   for (const auto &[Name, Value] : Parsed.items())
     if (Name != "time" && Name != "process" && Name != "event" &&
         Name != "request" && Name != "level")
-      Read.Fields.push_back({Name, readValue(Value)});
+      Read.Fields.push_back({Name, timeline::valueFromJson(Value)});
   return Read;
 }
 
--- a/Libraries/LibSettings/CommandLine.h
+++ b/Libraries/LibSettings/CommandLine.h
@@ -11,6 +11,7 @@
 #include "LibSettings/GatewaySettings.h"
 #include "LibSettings/Settings.h"
 
+#include <cstdio>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -41,6 +42,20 @@
 /// exit with.
 int reportFailure(std::string_view Program, const Error &Reason);
 
+/// The end of each program's main(): runs \p Body with the settings, or does
+/// what the command line asked for instead. The result is the exit status.
+template <typename Settings, typename Run>
+int runProgram(std::string_view Program, Result<Startup<Settings>> Read,
+               Run Body) {
+  if (!Read)
+    return reportFailure(Program, Read.error());
+  if (const auto *Exit = std::get_if<ExitRequest>(&Read.value())) {
+    std::fputs(Exit->Output.c_str(), stdout);
+    return Exit->Status;
+  }
+  return Body(std::get<Settings>(Read.value()));
+}
+
 /// Version of this build, "0.1.0".
 std::string_view version();
 
--- a/Libraries/LibTimeline/Event.cpp
+++ b/Libraries/LibTimeline/Event.cpp
@@ -33,6 +33,15 @@
       Value);
 }
 
+SubjectType subjectTypeFrom(std::string_view Name) {
+  for (size_t I = 0; I < SubjectNames.size(); ++I)
+    if (SubjectNames[I] == Name)
+      return static_cast<SubjectType>(I);
+  return SubjectType::Process;
+}
+
+} // namespace
+
 OwnedValue valueFromJson(const Json &Value) {
   if (Value.is_boolean())
     return Value.get<bool>();
@@ -47,15 +56,6 @@
   return Value.dump();
 }
 
-SubjectType subjectTypeFrom(std::string_view Name) {
-  for (size_t I = 0; I < SubjectNames.size(); ++I)
-    if (SubjectNames[I] == Name)
-      return static_cast<SubjectType>(I);
-  return SubjectType::Process;
-}
-
-} // namespace
-
 std::string_view toString(SubjectType Type) {
   return SubjectNames[static_cast<size_t>(Type)];
 }
--- a/Libraries/LibTimeline/Event.h
+++ b/Libraries/LibTimeline/Event.h
@@ -114,6 +114,8 @@
 /// {"stamp","process","kind","subject":{"type","name"},"cause"?,"fields":{}}.
 /// Durations become milliseconds.
 nlohmann::ordered_json toJson(const Event &Which);
+/// The value of one field; a list or an object comes as its text.
+OwnedValue valueFromJson(const nlohmann::ordered_json &Value);
 
 /// Reads toJson()'s form; durations come back as numbers. Unknown members are
 /// ignored, since the processes of a roll-out may be of two versions.
--- a/Services/figlift-agent/Main.cpp
+++ b/Services/figlift-agent/Main.cpp
@@ -15,7 +15,6 @@
 #include <pplx/threadpool.h>
 
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <thread>
 
@@ -89,12 +88,7 @@
   const sigset_t Set = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  auto Startup = settings::readAgentCommandLine(ArgumentCount, Arguments);
-  if (!Startup)
-    return settings::reportFailure(ProgramName, Startup.error());
-  if (const auto *Exit = std::get_if<settings::ExitRequest>(&Startup.value())) {
-    std::fputs(Exit->Output.c_str(), stdout);
-    return Exit->Status;
-  }
-  return run(std::get<settings::AgentSettings>(Startup.value()));
+  return settings::runProgram<settings::AgentSettings>(
+      ProgramName, settings::readAgentCommandLine(ArgumentCount, Arguments),
+      run);
 }
--- a/Services/figlift-entry/Main.cpp
+++ b/Services/figlift-entry/Main.cpp
@@ -13,7 +13,6 @@
 #include <pplx/threadpool.h>
 
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 
 using namespace figlift;
@@ -61,12 +60,7 @@
   const sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  auto Startup = settings::readEntryCommandLine(ArgumentCount, Arguments);
-  if (!Startup)
-    return settings::reportFailure(ProgramName, Startup.error());
-  if (const auto *Exit = std::get_if<settings::ExitRequest>(&Startup.value())) {
-    std::fputs(Exit->Output.c_str(), stdout);
-    return Exit->Status;
-  }
-  return run(std::get<settings::EntrySettings>(Startup.value()));
+  return settings::runProgram<settings::EntrySettings>(
+      ProgramName, settings::readEntryCommandLine(ArgumentCount, Arguments),
+      run);
 }
--- a/Services/figlift-gateway/Main.cpp
+++ b/Services/figlift-gateway/Main.cpp
@@ -10,7 +10,6 @@
 #include "LibSettings/CommandLine.h"
 
 #include <csignal>
-#include <iostream>
 #include <string_view>
 
 using namespace figlift;
@@ -51,13 +50,9 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  auto Startup = settings::readGatewayCommandLine(Count, Arguments);
-  if (!Startup)
-    return settings::reportFailure(Program, Startup.error());
-  if (const auto *Exit = std::get_if<settings::ExitRequest>(&Startup.value())) {
-    std::cout << Exit->Output;
-    return Exit->Status;
-  }
-  return serve(std::get<settings::GatewaySettings>(Startup.value()),
-               settingsFile(Count, Arguments));
+  return settings::runProgram<settings::GatewaySettings>(
+      Program, settings::readGatewayCommandLine(Count, Arguments),
+      [&](const settings::GatewaySettings &Given) {
+        return serve(Given, settingsFile(Count, Arguments));
+      });
 }
