LoadBook: Keep running sums over peers

Cause: a question for an engine's work walked all peers, 102 look-ups of strings for each of 58 engines, several times a request; planning took more of a gateway of 0.09 cores the more gateways there were.

Now each report is added to a sum by target and taken back by the next; sums are whole numbers, so nothing is left behind. Ruled out: sums of doubles, which drift.

The test fails where the report before is not taken back.

--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -146,13 +146,55 @@
                                      m_Options.MaximumRest);
 }
 
+LoadBook::Sum LoadBook::Sum::of(const PeerLoad &Load) {
+  const auto Micros = [](Milliseconds Time) {
+    return std::llround(Time.count() * 1e3);
+  };
+  return {Micros(Load.Cost), Micros(Load.Reading), Load.Items,
+          std::llround(Load.Turnover * 1e6)};
+}
+
+void LoadBook::Sum::add(const Sum &Other, int64_t Sign) {
+  CostMicros += Sign * Other.CostMicros;
+  ReadingMicros += Sign * Other.ReadingMicros;
+  Items += Sign * Other.Items;
+  EndsInMillionMillis += Sign * Other.EndsInMillionMillis;
+}
+
+void LoadBook::addToSums(const PeerView &View, int64_t Sign) const {
+  for (const auto &[Id, Each] : View.Loads) {
+    const auto Found = m_PeerSums.try_emplace(Id).first;
+    Found->second.add(Each, Sign);
+    if (Found->second == Sum{})
+      m_PeerSums.erase(Found);
+  }
+}
+
 void LoadBook::peerReported(const std::string &Peer,
                             const std::vector<PeerLoad> &Loads, BootTime Now) {
   PeerView &View = m_Peers[Peer];
+  addToSums(View, -1);
   View.At = Now;
   View.Loads.clear();
   for (const PeerLoad &Each : Loads)
-    View.Loads[Each.TargetId] = Each;
+    View.Loads.emplace_back(Each.TargetId, Sum::of(Each));
+  addToSums(View, 1);
+  m_OldestReport = m_Peers.size() == 1 ? Now : std::min(m_OldestReport, Now);
+}
+
+void LoadBook::forgetSilentPeers(BootTime Now) const {
+  if (m_Peers.empty() || Now - m_OldestReport <= m_Options.PeerLifetime)
+    return;
+  m_OldestReport = Now;
+  std::erase_if(m_Peers, [&](const auto &Each) {
+    const PeerView &View = Each.second;
+    if (Now - View.At > m_Options.PeerLifetime) {
+      addToSums(View, -1);
+      return true;
+    }
+    m_OldestReport = std::min(m_OldestReport, View.At);
+    return false;
+  });
 }
 
 std::vector<PeerLoad> LoadBook::ownLoads() const {
@@ -178,21 +220,19 @@
 }
 
 PeerLoad LoadBook::total(const std::string &TargetId, BootTime Now) const {
-  PeerLoad Sum;
+  forgetSilentPeers(Now);
+  PeerLoad Total;
   if (const Entry *Which = find(TargetId))
-    Sum = ownLoad(TargetId, *Which);
-  for (const auto &[Peer, View] : m_Peers) {
-    if (Now - View.At > m_Options.PeerLifetime)
-      continue;
-    const auto Found = View.Loads.find(TargetId);
-    if (Found == View.Loads.end())
-      continue;
-    Sum.Cost += Found->second.Cost;
-    Sum.Items += Found->second.Items;
-    Sum.Turnover += Found->second.Turnover;
-    Sum.Reading += Found->second.Reading;
-  }
-  return Sum;
+    Total = ownLoad(TargetId, *Which);
+  const auto Peers = m_PeerSums.find(TargetId);
+  if (Peers == m_PeerSums.end())
+    return Total;
+  const Sum &Told = Peers->second;
+  Total.Cost += std::chrono::microseconds(Told.CostMicros);
+  Total.Reading += std::chrono::microseconds(Told.ReadingMicros);
+  Total.Items += static_cast<uint32_t>(Told.Items);
+  Total.Turnover += static_cast<double>(Told.EndsInMillionMillis) / 1e6;
+  return Total;
 }
 
 Milliseconds LoadBook::backlog(const std::string &TargetId,
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -19,6 +19,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace figlift::dispatch {
@@ -165,11 +167,25 @@
     double Errors = 0;
     BootTime LastError{};
   };
+  /// Work at one target, in whole numbers: what is added to a sum and taken
+  /// away again later leaves nothing behind, as rounded numbers would.
+  struct Sum {
+    int64_t CostMicros = 0;
+    int64_t ReadingMicros = 0;
+    int64_t Items = 0;
+    int64_t EndsInMillionMillis = 0;
+
+    static Sum of(const PeerLoad &Load);
+    void add(const Sum &Other, int64_t Sign);
+    bool operator==(const Sum &) const = default;
+  };
   struct PeerView {
     BootTime At{};
-    std::map<std::string, PeerLoad> Loads;
+    std::vector<std::pair<std::string, Sum>> Loads;
   };
 
+  void addToSums(const PeerView &View, int64_t Sign) const;
+  void forgetSilentPeers(BootTime Now) const;
   static PeerLoad ownLoad(const std::string &Id, const Entry &Which);
   const Entry *find(const std::string &TargetId) const;
   double forgiven(double Value, double Rest, const Entry &Which,
@@ -178,7 +194,17 @@
 
   LoadBookOptions m_Options;
   std::map<std::string, Entry> m_Entries;
-  std::map<std::string, PeerView> m_Peers;
+  /// \name Peers' work. A question adds one sum to the own work: walking all
+  /// peers took some 100 look-ups for each engine, and a plan asks for each
+  /// engine several times. Silent peers are forgotten by the next question, so
+  /// questions change both.
+  /// @{
+  mutable std::map<std::string, PeerView> m_Peers;
+  /// Equals the sum over m_Peers, by target.
+  mutable std::unordered_map<std::string, Sum> m_PeerSums;
+  /// No peer was heard before this.
+  mutable BootTime m_OldestReport{};
+  /// @}
   uint64_t m_LastTicket = 0;
 };
 
--- a/Tests/LibDispatch/TestLoadBook.cpp
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -36,6 +36,27 @@
   DOUBLES_EQUAL(10, Book.backlog("e", Now).count(), 1e-9);
 }
 
+// Symptom: an engine without work looks busy for ever, or one with work free.
+// Sequence: peers report again and again, fall silent at unlike times, and come
+// back. Cause: sums are kept, so each report has to take back the one before.
+TEST(LoadBook, KeepsItsSumsEqualToWhatPeersToldLast) {
+  for (int Round = 0; Round < 100; ++Round) {
+    Book.peerReported("p", {{"e", Milliseconds(0.1 * Round), 3, 0.1}}, Now);
+    Book.peerReported("q", {{"e", Milliseconds(0.7), 1, 1 / 3.0}}, Now);
+    Now += milliseconds(10);
+  }
+  DOUBLES_EQUAL(10.6, Book.backlog("e", Now).count(), 0.01);
+  DOUBLES_EQUAL(4, Book.items("e", Now), 1e-9);
+  Now += milliseconds(300);
+  Book.peerReported("q", {}, Now);
+  DOUBLES_EQUAL(9.9, Book.backlog("e", Now).count(), 0.01);
+  Now += milliseconds(300);
+  DOUBLES_EQUAL(0, Book.backlog("e", Now).count(), 1e-9);
+  DOUBLES_EQUAL(0, Book.turnover("e", Now), 1e-9);
+  Book.peerReported("p", {{"e", Milliseconds(5), 2, 0.4}}, Now);
+  DOUBLES_EQUAL(2, Book.items("e", Now), 1e-9);
+}
+
 TEST(LoadBook, CountsWorkUntilItEnds) {
   const uint64_t Ticket = start(10);
   Book.answered("e", Ticket, Now);
