PromptPlanner, RequestFlow: Spread runs by homes, and admit by measured lateness

Symptom: at four times the usual load nearly nobody is answered in time, and engines reject as many runs as they do.

Cause, by lines of 36 gateways (second 18.5 to 19.5): three of 35 engines get half of the runs of each 50 ms, another three in the next. A run went to the engine with the least planned wait, equal ones to the first by name; views are as old as the reports (147 ms at 103 gateways), in which time each engine's slots change hands three times, so all gateways meet at the same engine. Plans stay good meanwhile (run planned at 56 ms, 234 measured), the door admits, and a rejected run has its prompt read once more: 33,635 of 56,395 arrivals were not run.

Changes: the subject's home decides among runners, too, in the reader's zone first; the lateness that four of five answers stay below counts at the door (StartLag); a run that a full engine rejected goes elsewhere with what was read, as long as that mostly works (KvReuse); the start counts as slot time.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -196,6 +196,15 @@
                            const EngineCosts &Costs, double Coming,
                            Trust Trusted, BootTime Now) const {
   std::optional<RunAt> Best;
+  // Everybody's view of the engines is as old as the reports, in which time
+  // each engine's work has changed hands several times over: whoever takes the
+  // engine that looks least busy meets all others there. So the subject has a
+  // home among them, too, in the zone of its reader first, where a transfer
+  // takes half as long and the parts that an engine has run stay.
+  Milliseconds BestScore{0};
+  uint64_t BestWeight = 0;
+  const uint64_t Subject = Request.What.subject();
+  const Milliseconds Margin = Request.LatencyTarget * m_Options.HomeMarginShare;
   for (const Target *Which : Engines) {
     if (Which->Does == Stage::Prefill || !usable(*Which, Request, Trusted, Now))
       continue;
@@ -211,12 +220,18 @@
         slotWait(*Which, Costs.traits(), Coming, Now) * Slowness;
     const Milliseconds Expected =
         Wait + (Transfer + Costs.startFixed()) * Slowness;
-    if (!Best || Expected < Best->Expected)
-      Best = RunAt{Which->Id,
-                   {},
-                   Transfer + Request.Generation,
-                   Expected,
-                   {{}, Wait, Milliseconds(0), Costs.onLink(Moved, SameZone)}};
+    const Milliseconds Score = Expected + (SameZone ? Milliseconds(0) : Margin);
+    const uint64_t Weight = homeWeight(Subject, Which->Id);
+    if (Best && !(Score + Margin < BestScore ||
+                  (Score < BestScore + Margin && Weight > BestWeight)))
+      continue;
+    BestScore = Score;
+    BestWeight = Weight;
+    Best = RunAt{Which->Id,
+                 {},
+                 Transfer + Costs.startFixed() + Request.Generation,
+                 Expected,
+                 {{}, Wait, Milliseconds(0), Costs.onLink(Moved, SameZone)}};
   }
   return Best;
 }
@@ -282,12 +297,14 @@
       Split && (!Small || Split->FirstEvent + Costs.readFixed() < LoneFirst);
   const Milliseconds First = UseSplit ? Split->FirstEvent : LoneFirst;
   const Milliseconds Wait = UseSplit ? SplitWait : Lone->How.Wait;
-  if (!admits(Request, Wait, First))
-    return refuse(Request, "the first token would come too late", First);
+  if (!admits(Request, Wait + Request.Lag, First + Request.Lag))
+    return refuse(Request, "the first token would come too late",
+                  First + Request.Lag);
   if (UseSplit)
     return *Split;
   return RunAt{Lone->Which->Id, Lone->sourceId(),
-               Lone->Cost + Request.Generation, LoneFirst, Lone->How};
+               Lone->Cost + Costs.startFixed() + Request.Generation, LoneFirst,
+               Lone->How};
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -37,6 +37,8 @@
   /// The shortest pause between events that any stream of the service is
   /// allowed, to be on time.
   Milliseconds EventGap{200};
+  /// How much later than planned answers of the service began lately.
+  Milliseconds Lag{0};
   /// Targets that failed this request or must not get it.
   std::vector<std::string> Excluded;
   /// Uniform in [0, 1).
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -10,12 +10,14 @@
 
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
+#include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadBook.h"
 #include "LibDispatch/PeerReport.h"
 #include "LibDispatch/ProcessStop.h"
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/RepeatRules.h"
 #include "LibDispatch/ServicePlanner.h"
+#include "LibDispatch/StartLag.h"
 #include "LibDispatch/StreamTimes.h"
 #include "LibDispatch/TargetTable.h"
 #include "LibMetrics/Registry.h"
@@ -73,6 +75,10 @@
   std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
   /// What was learned of the engines of each service.
   std::map<std::string, engine::EngineModel> EngineModels;
+  /// How late answers of each service of engines begin.
+  std::map<std::string, dispatch::StartLag> StartLags;
+  /// By service of engines.
+  std::map<std::string, dispatch::KvReuse> KvReuses;
   /// Parts that were computed since the last report to the peers.
   std::vector<dispatch::CachedPart> NewlyCached;
   /// Demand on each service of engines through this gateway.
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -100,6 +100,14 @@
         "Learned: reading a thousand tokens of a prompt",
         [Figures] { return Figures().ReadThousandTokens.count() / 1000; },
         Labels);
+    Metrics.readGauge(
+        "figlift_gateway_start_lag_seconds",
+        "Lateness of first events that plans allow for",
+        [this, Name = Each.Name] {
+          return m_Shared.StartLags[Name].current(BootClock::now()).count() /
+                 1000;
+        },
+        Labels);
     Metrics.readGauge(
         "figlift_gateway_engine_start_seconds",
         "Learned: from a run whose prompt was read to its first event",
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -35,6 +35,7 @@
   if (!m_AnswerBegun) {
     Which.noteSpeed();
     learnRun();
+    learnLateness();
     proxy::ResponseHead Head = Which.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_AnswerBegun = true;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -155,6 +155,7 @@
   Request.TimeLeft = timeLeft(Now);
   if (const auto *Which = m_Configuration->service(m_Service))
     Request.EventGap = Which->ShortestEventGap;
+  Request.Lag = m_Shared.StartLags[m_Service].current(Now);
   Request.Excluded = m_Excluded;
   Request.Draw = m_Shared.draw();
   return Request;
@@ -173,6 +174,8 @@
     noteDemand(m_Shared.costsOf(Which, Now), m_Shared.openTargets(m_Service),
                Now);
   const auto Plan = promptPlan(Which, Now);
+  m_PlannedAt = Now;
+  m_PlannedLag = m_Shared.StartLags[m_Service].current(Now);
   if (const auto *Read = std::get_if<dispatch::ReadThenRun>(&Plan)) {
     m_PlannedFirst = Read->FirstEvent;
     return startRead(*Read);
@@ -254,7 +257,7 @@
     logSent(TargetId, FetchFrom, Purpose, Expected);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
-    return watchSend(Expected);
+    return watchSend(Expected + m_PlannedLag);
   }
   const auto Unsent = m_Send;
   sendEnded(*Unsent, dispatch::NotSent{});
@@ -311,6 +314,8 @@
   m_Send = nullptr;
   if (Which.purpose() == SendPurpose::ReadPrompt)
     return readCompleted(Which);
+  if (m_Handle && m_HandleRejected)
+    m_Shared.KvReuses[m_Service].tried(true, BootClock::now());
   m_Handle.reset();
   if (m_Fields.Prompt && !Which.targetStartedAgain())
     noteComputed(Which.targetId());
@@ -328,6 +333,7 @@
   m_ReadTook = BootClock::now() - Which.started();
   learnRead();
   m_Handle = slopes::KvSource{Reader->Address.toString(), Read.value().Handle};
+  m_HandleRejected = false;
   const BootTime Now = BootClock::now();
   // SIGTERM may have come while the prompt was read.
   if (!mayBegin(Milliseconds(0), Now))
@@ -352,11 +358,31 @@
       Now);
 }
 
-/// A run that reached no engine has not used up the KV cache that was read for
-/// it: another engine runs it, as its first run. Planned anew, the prompt would
-/// be read once more, and nobody had asked the budget for that repeat.
+/// A run that reached no engine, or a full one, has not used up the KV cache
+/// that was read for it. After a rejection that is tried once.
+bool RequestFlow::mayUseHandleAgain(const SendEnd &How, BootTime Now) {
+  if (!m_Handle)
+    return false;
+  if (std::holds_alternative<dispatch::NotSent>(How))
+    return true;
+  if (!std::holds_alternative<dispatch::Rejected>(How))
+    return false;
+  dispatch::KvReuse &Reuse = m_Shared.KvReuses[m_Service];
+  if (std::exchange(m_HandleRejected, true)) {
+    Reuse.tried(false, Now);
+    return false;
+  }
+  return Reuse.worthTrying(Now) &&
+         timeLeft(Now) >= m_Shared.Repeats.MinimumTimeLeft &&
+         m_Shared.Budget.left(m_Service, Now) >= 1;
+}
+
+/// Another engine runs what was read, as the request's first run. Planned anew,
+/// the prompt would be read once more: two arrivals where one is enough, and of
+/// a run that was not sent nobody had asked the budget for them. Under four
+/// times the usual load that second read was a tenth of all reads.
 bool RequestFlow::runsAtAnother(const ServerSend &Than, BootTime Now) {
-  if (!m_Handle || m_Sends >= m_Shared.Repeats.MaximumSends ||
+  if (m_Sends >= m_Shared.Repeats.MaximumSends ||
       !mayBegin(Milliseconds(0), Now))
     return false;
   m_Excluded.push_back(Than.targetId());
@@ -407,8 +433,10 @@
 }
 
 void RequestFlow::settle(const SendEnd &How, ServerSend &Which) {
-  if (std::holds_alternative<dispatch::NotSent>(How) &&
-      runsAtAnother(Which, BootClock::now()))
+  const BootTime Now = BootClock::now();
+  if (std::holds_alternative<dispatch::Rejected>(How) && engineService())
+    m_Shared.StartLags[m_Service].turnedAway(m_Route.LatencyTarget, Now);
+  if (mayUseHandleAgain(How, Now) && runsAtAnother(Which, Now))
     return;
   const auto Next = nextStep(How, Which);
   if (std::holds_alternative<dispatch::SendAgain>(Next))
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -65,12 +65,14 @@
   void startRun(const dispatch::RunAt &Plan);
   void readCompleted(ServerSend &Which);
   std::optional<dispatch::RunAt> chooseRunner(BootTime Now);
+  bool mayUseHandleAgain(const dispatch::SendEnd &How, BootTime Now);
   bool runsAtAnother(const ServerSend &Than, BootTime Now);
   void send(const std::string &TargetId, const std::string &FetchFrom,
             SendPurpose Purpose, dispatch::Work What);
   bool enginesKnown(BootTime Now) const;
   void learnRead();
   void learnRun();
+  void learnLateness();
   void learnReadBesideStreams(const dispatch::EngineCosts &Costs,
                               dispatch::Milliseconds Took,
                               engine::EngineModel &Model) const;
@@ -150,6 +152,9 @@
   dispatch::EventRelay m_Relay;
   std::optional<BootTime> m_FirstEvent;
   dispatch::Milliseconds m_PlannedFirst{0};
+  /// What was allowed for the service's lateness besides, and when that was.
+  dispatch::Milliseconds m_PlannedLag{0};
+  BootTime m_PlannedAt{};
   /// Only of a request that came while the process was stopping, for the log:
   /// from there to its end.
   std::optional<dispatch::Milliseconds> m_EndsIn;
@@ -161,6 +166,8 @@
   dispatch::Milliseconds m_PlannedRun{0};
   dispatch::ReadPlan m_ReadPlan;
   dispatch::ReadPlan m_RunPlan;
+  /// An engine has rejected the run of m_Handle.
+  bool m_HandleRejected = false;
   /// Whether the newest send was planned with the target's cache known.
   bool m_CacheKnown = false;
   std::optional<BootTime> m_RunSent;
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -115,6 +115,16 @@
     learnReadBesideStreams(m_Shared.costsOf(*Which, Now), Took, Model);
 }
 
+/// Of the whole way from the plan to the first event: what is waited for
+/// between the read and the run belongs to it, too.
+void RequestFlow::learnLateness() {
+  const BootTime Now = BootClock::now();
+  if (!engineService() || m_PlannedAt == BootTime{} || !enginesKnown(Now))
+    return;
+  m_Shared.StartLags[m_Service].observe(m_PlannedFirst, Now - m_PlannedAt,
+                                        m_Route.LatencyTarget, Now);
+}
+
 /// A read at a decode engine teaches what reading beside streams costs, and, in
 /// case no prompt is read elsewhere, what reading costs at all: with a figure
 /// far too low every prompt seems small enough for decode engines, and nothing
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -368,6 +368,29 @@
 /// A gateway that has no repeats to spend.
 TEST_GROUP(GatewayWithoutRepeats) { GatewayScene Scene{8, 0}; };
 
+// Symptom: under a burst engines read every tenth prompt twice.
+// Sequence: a prompt has been read, and the engine that is to run it is full.
+// Cause: the request was planned anew, though what was read is still there.
+TEST(Gateway, RunsElsewhereWhatWasReadForARunThatWasRejected) {
+  Listener &Reader = Scene.server("e1", "model", readsPrompt, "prefill");
+  unsigned Rejections = 0;
+  const auto FullAtFirst = [&](const proxy::Request &What, const Caller &To) {
+    if (Rejections++ == 0)
+      turnAway(To);
+    else
+      streamsOneEvent(What, To);
+  };
+  Listener &One = Scene.server("e2", "model", FullAtFirst, "decode");
+  Listener &Other = Scene.server("e3", "model", FullAtFirst, "decode");
+  serve();
+  CHECK(has(Scene.ask("POST", "/stream/x", Prompt), "id: 1"));
+  LONGS_EQUAL(1, Reader.Requests.size());
+  LONGS_EQUAL(1, One.Requests.size());
+  LONGS_EQUAL(1, Other.Requests.size());
+  for (const Listener *Each : {&One, &Other})
+    CHECK(Each->Requests.at(0).Head.Headers.find("X-Kv-Source").has_value());
+}
+
 // Symptom: engines get more repeats than the fleet's budget allows.
 // Sequence: a prompt has been read; no connection to the engine that is to run
 // it can be had; the request is planned anew, and its prompt is read once more.
--- /dev/null
+++ b/Tests/LibDispatch/TestKvReuse.cpp
@@ -0,0 +1,34 @@
+//===- TestKvReuse.cpp - Whether a rejected run is worth sending again ----===//
+//
+// Full engines against caches that are gone.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/KvReuse.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+
+TEST_GROUP(KvReuse) {
+  KvReuse Reuse;
+  BootTime Now{std::chrono::seconds(100)};
+};
+
+// Load: a burst; one engine in three is full.
+TEST(KvReuse, GoesOnWhileMostRunsBegin) {
+  for (int At = 0; At < 60; ++At)
+    Reuse.tried(At % 3 != 0, Now);
+  CHECK(Reuse.worthTrying(Now));
+}
+
+// Symptom: callers are refused by engines that have room. Sequence: engines
+// drop the KV cache of reads at once; each run is rejected by two engines.
+// Cause: the rejections were taken for those of full engines.
+TEST(KvReuse, StopsWhenCachesAreGone) {
+  for (int At = 0; At < 5; ++At)
+    Reuse.tried(false, Now);
+  CHECK(!Reuse.worthTrying(Now));
+  CHECK(Reuse.worthTrying(Now + std::chrono::seconds(2)));
+}
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -7,6 +7,7 @@
 #include "LibDispatch/PromptPlanner.h"
 
 #include <deque>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -160,6 +161,43 @@
   STRCMP_EQUAL("run-2", Runner->Runner.c_str());
 }
 
+// Symptom: in a burst engines reject half of the runs, one engine in this
+// moment, another in the next. Sequence: a hundred processes look for the
+// engine with the least work, with views as old as their reports. Cause: all
+// of them find the same one.
+TEST(PromptPlanner, SpreadsTheRunsOfUnlikeSubjects) {
+  std::map<std::string, int> Runs;
+  for (uint64_t Subject = 0; Subject < 100; ++Subject) {
+    Request.What.Parts[1].Id = 1000 + Subject;
+    ++Runs[Planner.chooseRunner(Request, &Targets[0], Engines, costs(), Now)
+               ->Runner];
+  }
+  LONGS_EQUAL(2, Runs.size());
+  for (const auto &[Id, Count] : Runs)
+    CHECK(Count >= 35);
+}
+
+// Grounds: a transfer between availability zones takes twice as long, on the
+// links of both engines.
+TEST(PromptPlanner, RunsInTheZoneOfTheReader) {
+  Targets[0].Zone = Targets[3].Zone = "y";
+  for (uint64_t Subject = 0; Subject < 20; ++Subject) {
+    Request.What.Parts[1].Id = 1000 + Subject;
+    STRCMP_EQUAL(
+        "run-2",
+        Planner.chooseRunner(Request, &Targets[0], Engines, costs(), Now)
+            ->Runner.c_str());
+  }
+}
+
+// Load: answers begin 100 ms later than planned, whatever the plan. Grounds:
+// 16 ms of reading and starting are planned, of 108 ms that the target leaves.
+TEST(PromptPlanner, RefusesWhatWouldBeLateByTheLatenessOfOthers) {
+  CHECK(!std::holds_alternative<RefuseNow>(plan()));
+  Request.Lag = Milliseconds(100);
+  CHECK(std::holds_alternative<RefuseNow>(plan()));
+}
+
 // Load: a burst of reads at engines that are fast, in front of few slots.
 // Grounds: each prompt that is being read needs a slot right after; a door
 // that does not count them admits far more than can run.
