LoadBook, PeerLink: Let the expiry of reports follow their interval

Cause: reports come each 25 ms + 1.2 ms for each peer; loads were forgotten after 500 ms, which is less than the interval from 396 gateways on, and peers after 1 s, less from 813 on: each would believe itself alone.

Now four intervals, and the fixed times at least. The test fails with the fixed time.

--- a/Libraries/LibDispatch/LoadBook.cpp
+++ b/Libraries/LibDispatch/LoadBook.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-LoadBook::LoadBook(LoadBookOptions Options) : m_Options(Options) {}
+LoadBook::LoadBook(LoadBookOptions Options)
+    : m_Options(Options), m_PeerLifetime(Options.PeerLifetime) {}
 
 void LoadBook::targetCame(const Target &Which, uint64_t KvCapacityTokens) {
   m_Entries[Which.Id].Cache.setCapacity(KvCapacityTokens);
@@ -170,6 +171,11 @@
   }
 }
 
+void LoadBook::reportsCome(std::chrono::microseconds Interval) {
+  m_PeerLifetime = std::max<BootClock::duration>(
+      m_Options.PeerLifetime, Interval * m_Options.ReportsMissed);
+}
+
 void LoadBook::peerReported(const std::string &Peer,
                             const std::vector<PeerLoad> &Loads, BootTime Now) {
   PeerView &View = m_Peers[Peer];
@@ -183,12 +189,12 @@
 }
 
 void LoadBook::forgetSilentPeers(BootTime Now) const {
-  if (m_Peers.empty() || Now - m_OldestReport <= m_Options.PeerLifetime)
+  if (m_Peers.empty() || Now - m_OldestReport <= m_PeerLifetime)
     return;
   m_OldestReport = Now;
   std::erase_if(m_Peers, [&](const auto &Each) {
     const PeerView &View = Each.second;
-    if (Now - View.At > m_Options.PeerLifetime) {
+    if (Now - View.At > m_PeerLifetime) {
       addToSums(View, -1);
       return true;
     }
--- a/Libraries/LibDispatch/LoadBook.h
+++ b/Libraries/LibDispatch/LoadBook.h
@@ -56,8 +56,11 @@
   /// target that turns slow within about ten answers, and one stray answer
   /// moves it by a tenth only.
   double Smoothing = 0.1;
-  /// What peers told is forgotten after this: ten of their usual intervals.
+  /// What peers told is forgotten after this, or after ReportsMissed of their
+  /// intervals, whichever is longer. With a fixed time peers of a large fleet,
+  /// which report more seldom, would be forgotten between two reports.
   std::chrono::milliseconds PeerLifetime{500};
+  int ReportsMissed = 4;
   /// A target that looked slow and gets no work is believed to be as fast as
   /// planned again with this half-life, so that it is tried again.
   std::chrono::milliseconds ForgiveHalfLife{2000};
@@ -114,6 +117,8 @@
   bool resting(const std::string &TargetId, BootTime Now) const;
   /// @}
 
+  /// How often peers report.
+  void reportsCome(std::chrono::microseconds Interval);
   /// Replaces what \p Peer told before.
   void peerReported(const std::string &Peer, const std::vector<PeerLoad> &Loads,
                     BootTime Now);
@@ -193,6 +198,7 @@
   void verdict(Entry &Which, double Slowness, double Failure, BootTime Now);
 
   LoadBookOptions m_Options;
+  BootClock::duration m_PeerLifetime;
   std::map<std::string, Entry> m_Entries;
   /// \name Peers' work. A question adds one sum to the own work: walking all
   /// peers took some 100 look-ups for each engine, and a plan asks for each
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -38,8 +38,9 @@
 /// 31 gateways this is a report each 61 ms; with one each 250 ms the gateways
 /// sent new work to the same engines, and planned waits were off by half.
 constexpr std::chrono::microseconds ReportIntervalPerPeer{1200};
-/// Forty missed reports at the usual interval.
+/// Forty missed reports at the usual interval, and four at least.
 constexpr milliseconds PeerLifetime{1000};
+constexpr int ReportsMissed = 4;
 /// New gateways make themselves known by their reports; the list serves those
 /// that start at the same time and learn of each other from nobody. It is read
 /// soon after a start, when rows still come in, and rarely from then on.
@@ -143,7 +144,7 @@
   // Rows are never removed: of a gateway that is gone only its reports tell.
   std::map<std::string, Peer> Listed;
   for (const auto &[Id, Each] : m_Peers)
-    if (Now - Each.Heard < PeerLifetime)
+    if (isLive(Each, Now))
       Listed[Id] = Each;
   bool HasSecret = false;
   std::string First = m_Shared.Settings.Process.Id;
@@ -168,7 +169,7 @@
       continue;
     }
     Peer &Entry = Listed[Row.Key];
-    if (Now - Entry.Heard < PeerLifetime)
+    if (isLive(Entry, Now))
       continue;
     Entry.Address = {Number, Address.value().Port};
   }
@@ -182,7 +183,14 @@
   return ReportInterval + ReportIntervalPerPeer * m_Peers.size();
 }
 
+bool PeerLink::isLive(const Peer &Which, BootTime Now) const {
+  return Now - Which.Heard <
+         std::max<BootClock::duration>(PeerLifetime,
+                                       reportInterval() * ReportsMissed);
+}
+
 void PeerLink::scheduleReport() {
+  m_Shared.Loads.reportsCome(reportInterval());
   m_ReportTimer.expires_after(reportInterval());
   m_ReportTimer.async_wait([this](const boost::system::error_code &Stopped) {
     if (Stopped)
@@ -293,7 +301,7 @@
 size_t PeerLink::live(BootTime Now) const {
   size_t Count = 1;
   for (const auto &[Id, Each] : m_Peers)
-    if (Now - Each.Heard < PeerLifetime)
+    if (isLive(Each, Now))
       ++Count;
   return Count;
 }
@@ -305,7 +313,7 @@
 size_t PeerLink::liveBefore(BootTime Now) const {
   size_t Count = 0;
   for (const auto &[Id, Each] : m_Peers)
-    if (Now - Each.Heard < PeerLifetime && Id < m_Shared.Settings.Process.Id)
+    if (isLive(Each, Now) && Id < m_Shared.Settings.Process.Id)
       ++Count;
   return Count;
 }
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -65,6 +65,7 @@
   void reportReceived(std::string_view Body);
   void newsReceived(std::string_view Body);
   std::chrono::microseconds reportInterval() const;
+  bool isLive(const Peer &Which, BootTime Now) const;
 
   Context &m_Shared;
   slopes::StoreClient &m_Store;
--- a/Tests/LibDispatch/TestLoadBook.cpp
+++ b/Tests/LibDispatch/TestLoadBook.cpp
@@ -57,6 +57,16 @@
   DOUBLES_EQUAL(2, Book.items("e", Now), 1e-9);
 }
 
+// Symptom: in a fleet of 400 each process plans as if it were alone.
+// Sequence: reports come each 515 ms; each is forgotten before the next.
+// Cause: a lifetime that did not follow the interval.
+TEST(LoadBook, KeepsPeersThatReportSeldom) {
+  Book.reportsCome(milliseconds(515));
+  Book.peerReported("p", {{"e", Milliseconds(5), 2, 0.4}}, Now);
+  DOUBLES_EQUAL(2, Book.items("e", Now + milliseconds(1500)), 1e-9);
+  DOUBLES_EQUAL(0, Book.items("e", Now + milliseconds(2500)), 1e-9);
+}
+
 TEST(LoadBook, CountsWorkUntilItEnds) {
   const uint64_t Ticket = start(10);
   Book.answered("e", Ticket, Now);
