PeerList: Keep the list of gateways apart from their datagrams

PeerLink did two things in 321 lines: who the others are (rows, secret, live, shares) and what is said between them. Now one class each.

And a fault of the change before: reads of the list that failed counted as the first ones after a start, so a gateway that started during an outage of some seconds knew the fleet's secret only a minute later, and was deaf until then. Its test fails with the count of before.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -54,9 +54,9 @@
       m_ServerFollower(m_Shared.Loop, m_Store, std::string(slopes::ServerTable),
                        serverListener(), {},
                        [this] { return m_Shared.draw(); }),
-      m_Leases(m_Store, "figlift-leases"),
-      m_Peers(m_Shared, m_Store,
-              [this](const auto &News) { storeNewsHeard(News); }),
+      m_Leases(m_Store, "figlift-leases"), m_Peers(m_Shared, m_Store),
+      m_PeerLink(m_Shared, m_Peers,
+                 [this](const auto &News) { storeNewsHeard(News); }),
       m_Stages(m_Shared, m_Leases), m_Caches(m_Shared),
       m_Acceptor(m_Shared.Loop), m_AcceptTimer(m_Shared.Loop),
       m_ReadyServer(m_Shared.Loop,
@@ -73,7 +73,8 @@
 Result<void> Gateway::start() {
   describeMetrics();
   FIGLIFT_TRY(listen());
-  FIGLIFT_TRY(m_Peers.start());
+  FIGLIFT_TRY(m_PeerLink.start());
+  m_Peers.start();
   m_LastTick = BootClock::now();
   m_TickBefore = m_LastTick;
   m_ConfigurationFollower.start();
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include "Context.h"
 #include "OutputWriter.h"
 #include "PeerLink.h"
+#include "PeerList.h"
 #include "SettingsFile.h"
 #include "StageDirector.h"
 #include "StoreFollower.h"
@@ -92,7 +93,8 @@
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
   slopes::StoreTable m_Leases;
-  PeerLink m_Peers;
+  PeerList m_Peers;
+  PeerLink m_PeerLink;
   StageDirector m_Stages;
   CacheDiscovery m_Caches;
   boost::asio::ip::tcp::acceptor m_Acceptor;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -63,7 +63,7 @@
                       [this] { return double(m_RefusedEntries); });
   Metrics.readCounter("figlift_gateway_datagrams_refused_total",
                       "Datagrams that no gateway of this fleet has sealed",
-                      [this] { return double(m_Peers.refused()); });
+                      [this] { return double(m_PeerLink.refused()); });
   Metrics.readCounter("figlift_gateway_store_calls_total",
                       "Calls to the platform's store",
                       [this] { return double(m_Store.calls()); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -151,7 +151,7 @@
   News.Configuration = {
       m_Shared.Configuration ? m_Shared.Configuration->Version : 0,
       std::chrono::ceil<milliseconds>(Now - m_ConfigurationKnownAt)};
-  m_Peers.tell(News);
+  m_PeerLink.tell(News);
 }
 
 void Gateway::storeNewsHeard(const dispatch::StoreNews &News) {
--- a/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
+++ b/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
@@ -125,3 +125,23 @@
   // The oldest that knowledge may be, and some time for a busy machine.
   CHECK(std::chrono::steady_clock::now() - Silent < milliseconds(2000));
 }
+
+// Symptom: a gateway shares nobody's load for a minute after an outage.
+// Sequence: it starts while the store is away; the list of gateways, with the
+// secret, is read some times in vain, and then seldom.
+// Cause: reads that failed counted as the first ones after a start.
+TEST(StoreNewsOfPeers, AreHeardSoonThoughTheStoreWasAwayAtTheStart) {
+  GatewayScene Late;
+  Late.Store.Away = true;
+  Late.Loop.run_for(milliseconds(4200));
+  Late.Store.put("figlift-gateways", "#secret", Secret);
+  Late.Store.Away = false;
+  const Endpoint To = Late.Settings.Listen.Peers;
+  dispatch::PeerReport Report;
+  Report.From = "a";
+  CHECK(Late.until([&] {
+    Peer.send_to(boost::asio::buffer(Seal.seal('R', encodePeerReport(Report))),
+                 {boost::asio::ip::make_address_v4(To.Address), To.Port});
+    return has(Late.metrics(), "figlift_gateway_live_gateways 2");
+  }));
+}
