PeerList: Look for the fleet's secret ten times a second until it is there

Cause, by budgetLeft in the lines: gateway 2 had 7.4 of a base of 10 left where three share it. The first gateway of the list makes the secret; the others had read the list before that and read it again a second later, and until then nobody's datagrams were believed: each was alone.

Ruled out: restarts and the store's outage (both later than the repeats).

Now the list is read each 100 ms while the store answers and has no secret. The test fails with a second.

--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -40,6 +40,10 @@
 /// that start at the same time and learn of each other from nobody. It is read
 /// soon after a start, when rows still come in, and rarely from then on.
 constexpr milliseconds FirstListInterval{1000};
+/// While the store answers and has no secret: another gateway makes it at this
+/// moment. Until then each one hears nobody, and would take the whole budget of
+/// repeats for itself.
+constexpr milliseconds SecretListInterval{100};
 constexpr milliseconds ListInterval{60000};
 constexpr unsigned FirstLists = 3;
 } // namespace
@@ -92,9 +96,7 @@
 }
 
 void PeerList::scheduleList() {
-  // Without the secret this gateway is deaf, however long it has run.
-  const milliseconds Interval =
-      m_Lists < FirstLists || !m_Seal ? FirstListInterval : ListInterval;
+  const milliseconds Interval = listInterval();
   m_ListTimer.expires_after(std::chrono::duration_cast<BootClock::duration>(
       Interval * (0.75 + 0.5 * m_Shared.draw())));
   m_ListTimer.async_wait([this](const boost::system::error_code &Stopped) {
@@ -106,9 +108,17 @@
   });
 }
 
+milliseconds PeerList::listInterval() const {
+  // Without the secret this gateway is deaf, however long it has run.
+  if (!m_Seal)
+    return m_Reached ? SecretListInterval : FirstListInterval;
+  return m_Lists < FirstLists ? FirstListInterval : ListInterval;
+}
+
 void PeerList::list() {
   m_Store.readAll(PeerTable, "", [this](Result<slopes::RowsRead> Read) {
     // Without the store the known peers are kept: reports say who is live.
+    m_Reached = Read.has_value();
     if (Read) {
       ++m_Lists;
       learn(Read.value().Rows);
--- a/Services/figlift-gateway/PeerList.h
+++ b/Services/figlift-gateway/PeerList.h
@@ -61,6 +61,7 @@
   void takeSecret(const std::string &Secret);
   void scheduleList();
   void list();
+  std::chrono::milliseconds listInterval() const;
   void learn(const std::vector<slopes::StoreRow> &Rows);
   void learnAddress(const slopes::StoreRow &Row, Peer &Which);
   bool isLive(const Peer &Which, BootTime Now) const;
@@ -73,6 +74,8 @@
   bool m_Enrolled = false;
   /// Gateways that the store listed last, this one included.
   size_t m_Listed = 1;
+  /// The store answered the last question for the list.
+  bool m_Reached = false;
   /// Times that the list was read.
   unsigned m_Lists = 0;
 };
--- a/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
+++ b/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
@@ -75,6 +75,18 @@
                ? -1
                : std::stod(Text.substr(At + Name.size() + 2));
   }
+  /// Whether the gateway of \p Where comes to count the peer as live.
+  bool isHeard(GatewayScene & Where) {
+    const Endpoint To = Where.Settings.Listen.Peers;
+    dispatch::PeerReport Report;
+    Report.From = "a";
+    return Where.until([&] {
+      Peer.send_to(
+          boost::asio::buffer(Seal.seal('R', encodePeerReport(Report))),
+          {boost::asio::ip::make_address_v4(To.Address), To.Port});
+      return has(Where.metrics(), "figlift_gateway_live_gateways 2");
+    });
+  }
   /// Lets the peer tell, each tenth of a second, what the store would say.
   void tellFor(milliseconds Time) {
     const auto End = std::chrono::steady_clock::now() + Time;
@@ -126,6 +138,22 @@
   CHECK(std::chrono::steady_clock::now() - Silent < milliseconds(2000));
 }
 
+// Symptom: engines get more repeats than the fleet's budget allows, in the
+// first second of a fleet.
+// Sequence: gateways start together; one makes the secret while the others read
+// the list, and they look for it a second later.
+// Cause: until then each one heard nobody and took the whole budget.
+TEST(StoreNewsOfPeers, AreHeardWithinHalfASecondOfAStart) {
+  GatewayScene Late;
+  // It is not the first by name, so it waits for the other's secret.
+  Late.Store.put("figlift-gateways", "a", "127.0.0.1:9");
+  Late.Loop.run_for(milliseconds(30));
+  Late.Store.put("figlift-gateways", "#secret", Secret);
+  const auto Since = std::chrono::steady_clock::now();
+  CHECK(isHeard(Late));
+  CHECK(std::chrono::steady_clock::now() - Since < milliseconds(500));
+}
+
 // Symptom: a gateway shares nobody's load for a minute after an outage.
 // Sequence: it starts while the store is away; the list of gateways, with the
 // secret, is read some times in vain, and then seldom.
@@ -136,12 +164,5 @@
   Late.Loop.run_for(milliseconds(4200));
   Late.Store.put("figlift-gateways", "#secret", Secret);
   Late.Store.Away = false;
-  const Endpoint To = Late.Settings.Listen.Peers;
-  dispatch::PeerReport Report;
-  Report.From = "a";
-  CHECK(Late.until([&] {
-    Peer.send_to(boost::asio::buffer(Seal.seal('R', encodePeerReport(Report))),
-                 {boost::asio::ip::make_address_v4(To.Address), To.Port});
-    return has(Late.metrics(), "figlift_gateway_live_gateways 2");
-  }));
+  CHECK(isHeard(Late));
 }
