StoreClient, Gateway: Say how much of an answer came, and what a configuration cost

A read of the configuration that failed was told as "no answer from the store", whether nothing had come or nearly all of it, and nothing told what receiving and decoding take where a read succeeds. So the record of small gateways that kept an old configuration could not be told apart from a store that says nothing, or a processor that is too slow.

No change of what is decided.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -31,6 +31,8 @@
 /// A tick this late means that the process stood still: what it believes is as
 /// old as that.
 constexpr milliseconds StandstillBound{1000};
+/// A delay of the loop that callers notice.
+constexpr milliseconds NotableDelay{250};
 /// Pause after an accept that failed for want of descriptors.
 constexpr milliseconds AcceptPause{50};
 /// Share of a server's connections that all gateways together use: a
@@ -247,6 +249,7 @@
     m_ConfigurationFollower.distrust();
     m_ServerFollower.distrust();
   }
+  noteDelay(Now - m_LastTick - TickInterval);
   m_TickBefore = std::exchange(m_LastTick, Now);
   m_Shared.ServersSeen = m_ServerJournal.knownAt();
   apply(m_Shared.Targets.tick(Now));
@@ -264,6 +267,12 @@
   m_Output.flush();
 }
 
+void Gateway::noteDelay(BootClock::duration Delay) {
+  m_Delays += std::max(Delay, BootClock::duration::zero());
+  if (Delay >= NotableDelay && Delay <= StandstillBound)
+    log::logEvent(log::Level::Info, "loop-delayed", {{"for", Delay}});
+}
+
 void Gateway::watchSignals() {
   // Taken from the process's start to its end: were they given back between
   // two waits, one that came just then would end the process.
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -57,7 +57,7 @@
   bool ready() const;
   StoreFollower::Listener configurationListener();
   StoreFollower::Listener serverListener();
-  void configurationRows(const std::vector<slopes::StoreRow> &Rows);
+  void configurationRows(const slopes::RowsRead &Answer);
   void configurationRead(const slopes::RowsRead &Read, BootTime KnownAt);
   std::optional<dispatch::Target> readServer(const slopes::StoreRow &Row);
   void allServers(const slopes::RowsRead &Read, BootTime KnownAt);
@@ -72,6 +72,8 @@
   void limitPools();
   void scheduleTick();
   void tick();
+  /// \p Delay: from when the loop should have called tick() to when it did.
+  void noteDelay(BootClock::duration Delay);
   void watchSignals();
   void watchSettings(BootTime Now);
   void reloadSettings(const std::string &Text);
@@ -108,6 +110,8 @@
   /// SIGTERM is noticed after the tick that ends a standstill, so it may have
   /// come at any time since the one before.
   BootTime m_TickBefore{};
+  /// Sum of the delays of all ticks.
+  BootClock::duration m_Delays{};
   bool m_ServersKnown = false;
   /// What is known of the servers, as of when, to tell peers.
   dispatch::ServerJournal m_ServerJournal;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -67,6 +67,10 @@
   Metrics.readCounter("figlift_gateway_store_calls_total",
                       "Calls to the platform's store",
                       [this] { return double(m_Store.calls()); });
+  Metrics.readCounter(
+      "figlift_gateway_loop_delay_seconds_total",
+      "Time by which ten looks a second at the clock were late",
+      [this] { return std::chrono::duration<double>(m_Delays).count(); });
   Metrics.readCounter("figlift_gateway_reloads_total",
                       "Changes of the settings that were taken",
                       [this] { return double(m_Reloads); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -57,15 +57,16 @@
 
 void Gateway::configurationRead(const slopes::RowsRead &Read,
                                 BootTime KnownAt) {
-  configurationRows(Read.Rows);
+  configurationRows(Read);
   m_ConfigurationKnownAt = std::max(m_ConfigurationKnownAt, KnownAt);
   tellStoreNews();
 }
 
-void Gateway::configurationRows(const std::vector<slopes::StoreRow> &Rows) {
-  for (const slopes::StoreRow &Row : Rows) {
+void Gateway::configurationRows(const slopes::RowsRead &Answer) {
+  for (const slopes::StoreRow &Row : Answer.Rows) {
     if (Row.Key != slopes::ConfigurationKey || Row.Removed)
       continue;
+    const BootTime Begun = BootClock::now();
     auto Read = slopes::decodeConfiguration(Row.Value);
     if (!Read) {
       log::logError(log::Level::Error, "configuration-invalid", Read.error());
@@ -76,10 +77,14 @@
     // A slow answer may come after a newer one; versions only go up.
     if (Read.value().Version <= InForce)
       continue;
-    log::logEvent(log::Level::Info, "configuration-in-force",
-                  {{"version", Read.value().Version},
-                   {"before", InForce},
-                   {"routes", Read.value().Routes.size()}});
+    log::logEvent(
+        log::Level::Info, "configuration-in-force",
+        {{"version", Read.value().Version},
+         {"before", InForce},
+         {"routes", Read.value().Routes.size()},
+         {"bytes", Answer.Cost.Bytes},
+         {"receivingMs", Answer.Cost.Receiving},
+         {"decodingMs", Answer.Cost.Decoding + (BootClock::now() - Begun)}});
     Read.value().noteEventGaps();
     m_Shared.Configuration = std::make_shared<const dispatch::Configuration>(
         std::move(Read.value()));
