Tests: A configuration that outgrows its link is never in force (known red)

A stand-in of the store that sends its answers at the rate of such a link, or stops in the middle of one, brings it about without any other fault. The tests hold the bound of three seconds in which a change has to be in force.

--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -82,13 +82,14 @@
 
 void GatewayScene::configure(uint64_t Version, const std::string &Without) {
   Json Routes = Json::array();
-  const auto Add = [&](const char *Name, const char *Kind, const char *Service,
-                       bool Resumable, int TimeoutMs = 2000) {
+  const auto Add = [&](const std::string &Name, const char *Kind,
+                       const char *Service, bool Resumable,
+                       int TimeoutMs = 2000) {
     if (Service == Without)
       return;
     Routes.push_back({{"name", Name},
                       {"host", "h"},
-                      {"prefix", "/" + std::string(Name) + "/"},
+                      {"prefix", "/" + Name + "/"},
                       {"kind", Kind},
                       {"timeoutMs", TimeoutMs},
                       {"targetLatencyMs", 500},
@@ -101,6 +102,8 @@
   Add("stream", "streaming", "model", true);
   Add("once", "streaming", "model", false);
   Add("long", "streaming", "model", false, 15000);
+  for (unsigned Each = 1; Each <= MoreRoutes; ++Each)
+    Add("more-" + std::to_string(Each), "safe", "plain", false);
   const Json Engine = {{"slots", 8},           {"kvCapacity", 100000},
                        {"tokenKvBytes", 1000}, {"linkMbps", 10000},
                        {"kvHoldS", 5},         {"stageSwitchS", 3}};
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -68,6 +68,9 @@
 
   boost::asio::io_context Loop;
   StandInStore Store{Loop};
+  /// Routes of configurations besides the ones above; a request to the last of
+  /// them asks for "/more-N/".
+  unsigned MoreRoutes = 0;
   settings::GatewaySettings Settings;
 
 private:
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -22,6 +22,8 @@
 
 /// How often a watch looks for changes.
 constexpr milliseconds WatchStep{10};
+/// Between two pieces of an answer that a small link carries.
+constexpr milliseconds PieceInterval{10};
 
 /// The value of \p Name in the query of a request line's target.
 std::string queryValue(const std::string &Target, const std::string &Name) {
@@ -125,7 +127,28 @@
     return;
   if (LosesAnswers > 0 && drand48() < LosesAnswers)
     return To->abort();
-  respond(To, Status, Body);
+  ++Answers;
+  if (BytesPerSecond == 0)
+    return respond(To, Status, Body);
+  proxy::ResponseHead Head;
+  Head.Status = Status;
+  To->beginStream(Head);
+  trickle(To, std::make_shared<const std::string>(Body), 0);
+}
+
+void StandInStore::trickle(const Caller &To,
+                           std::shared_ptr<const std::string> Body,
+                           size_t Sent) {
+  const size_t Piece =
+      BytesPerSecond * static_cast<size_t>(PieceInterval.count()) / 1000;
+  const std::string_view Rest = std::string_view(*Body).substr(Sent);
+  To->writeStream(Rest.substr(0, Piece));
+  if (Rest.size() <= Piece)
+    return To->endStream();
+  const size_t Middle = Body->size() / 2;
+  const bool Stops = Sent < Middle && Sent + Piece >= Middle;
+  after(Stops ? Pause + PieceInterval : PieceInterval,
+        [this, To, Body, Next = Sent + Piece] { trickle(To, Body, Next); });
 }
 
 void StandInStore::handle(const proxy::Request &What, const Caller &From) {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -78,9 +78,15 @@
   /// Does what it is told and breaks the connection instead of answering, for
   /// this share of the calls.
   double LosesAnswers = 0;
+  /// What its answers pass through carries this much; 0 is no bound.
+  size_t BytesPerSecond = 0;
+  /// A large answer stops for this long in its middle.
+  std::chrono::milliseconds Pause{0};
   /// Knows no history: watches are told to read anew.
   bool Forgetful = false;
   /// @}
+  /// Answers to reads and watches, begun or whole.
+  int Answers = 0;
 
 private:
   struct Row {
@@ -92,6 +98,9 @@
   void handle(const proxy::Request &What, const Caller &From);
   void serve(const proxy::Request &What, const Caller &From);
   void reply(const Caller &To, unsigned Status, const std::string &Body);
+  /// Writes \p Body from \p Sent on, piece by piece.
+  void trickle(const Caller &To, std::shared_ptr<const std::string> Body,
+               size_t Sent);
   void after(std::chrono::milliseconds Time, std::function<void()> Then);
   void watch(const Caller &From, const std::string &Table, uint64_t After,
              std::chrono::milliseconds Left);
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -327,6 +327,44 @@
 
 // Symptom: requests wait or fail while the store is away. Cause: a request
 // asked the store.
+// Symptom: requests go on by routes that a change has moved, or find none that
+// it has added, at gateways with a small link, for the rest of the day.
+// Sequence: the configuration grows until the link needs longer for it than the
+// time allowed for a call to the store; each read is broken off, begun anew
+// from its first byte, and fills the link.
+// Cause: the time bounded the whole answer, not the store's silence.
+// Proof: the store had answered each of these reads; bytes went on coming at
+// the rate of the link, and the processor was idle.
+TEST(Gateway, TakesAConfigurationThatOutgrowsItsLink) {
+  Scene.server("a", "plain", answersWith("one"));
+  Scene.configure();
+  CHECK(Scene.becomesReady());
+  // Some 2 MB, at 10 Mbit/s.
+  Scene.MoreRoutes = 10000;
+  Scene.Store.BytesPerSecond = 1'250'000;
+  Scene.configure(2);
+  const auto Changed = std::chrono::steady_clock::now();
+  CHECK(Scene.until([&] {
+    return has(Scene.metrics(), "figlift_gateway_configuration_version 2\n");
+  }));
+  CHECK(std::chrono::steady_clock::now() - Changed < std::chrono::seconds(3));
+  CHECK(has(Scene.ask("GET", "/more-10000/x"), "one"));
+}
+
+// Failure: a configuration never arrives over a link that stops now and then.
+TEST(Gateway, TakesAConfigurationOverALinkThatStops) {
+  Scene.server("a", "plain", answersWith("one"));
+  Scene.configure();
+  CHECK(Scene.becomesReady());
+  Scene.MoreRoutes = 500;
+  Scene.Store.BytesPerSecond = 1'250'000;
+  Scene.Store.Pause = std::chrono::milliseconds(1300);
+  Scene.configure(2);
+  CHECK(Scene.until([&] {
+    return has(Scene.metrics(), "figlift_gateway_configuration_version 2\n");
+  }));
+}
+
 TEST(Gateway, ServesWhileTheStoreIsAway) {
   Scene.server("s1", "plain", answersWith("one"));
   serve();
