StoreClient: Bound the store's silence, not the length of its answer

Cause: a call had 700 ms for everything, its whole answer included, and a call that ran out was begun anew from its first byte. What is larger than the link carries in that time can then never arrive, and the attempts fill the link for callers, too. Ruled out: the processor (1 to 2% of a core at the gateways that kept the old version), the store (it answered each of their calls) and lost news (they asked). Class: a deadline over a whole transfer, repeated from the start without end.

Now a call is given up after 700 ms without a byte, before the answer and within it, and a read that follows failed ones bears twice the silence within its answer each time, up to 2.8 s, so that a link which stops for longer now and then lets it through as well. A store that says nothing is noticed as soon as before.

--- a/Services/figlift-gateway/StoreFollower.cpp
+++ b/Services/figlift-gateway/StoreFollower.cpp
@@ -55,7 +55,7 @@
 
 void StoreFollower::readWhole() {
   const BootTime AskedAt = BootClock::now();
-  m_Store.readAll(m_Table, "", [this, AskedAt](Result<slopes::RowsRead> Read) {
+  const auto Answered = [this, AskedAt](Result<slopes::RowsRead> Read) {
     if (!Read)
       return failed(Read.error());
     answered();
@@ -67,7 +67,8 @@
     m_WasQuiet = true;
     m_Told.Whole(Read.value(), AskedAt);
     next();
-  });
+  };
+  m_Store.readAll(m_Table, "", Answered, m_Failures);
 }
 
 void StoreFollower::watch() {
@@ -90,7 +91,8 @@
         m_Told.Changes(Read.value(),
                        m_WasQuiet ? AskedAt + m_Options.WatchTime : AskedAt);
         next();
-      });
+      },
+      m_Failures);
 }
 
 void StoreFollower::answered() {
