HttpCalls: Bound the silence of large answers, not their length

Ranges of rows, objects and the VM list grow with the fleet; one that the link carries in more than that would be broken off and asked for again from its first byte, for ever.

For these the timeout bounds the time to the first byte and each pause after it; the client's own timeout starts anew with each piece, of 4 KiB now. Single rows and commits, by which leases are judged, stay bounded as a whole, which a test says. A process that stops gives up answers that have begun.

HttpPlatform.ReadsAnswersThatOutgrowTheirLink failed before: an answer of 0.9 s with a timeout of 0.3 s never came. Looked at, and left: engines' lists of cached parts (1.5 s, one question for each engine that comes, not repeated), rounds of questions to other entries (connections that stay), ctl's calls.

--- a/Libraries/LibPlatform/HttpCalls.cpp
+++ b/Libraries/LibPlatform/HttpCalls.cpp
@@ -1,7 +1,8 @@
 //===- HttpCalls.cpp - Bounded HTTP calls with a deadline -----------------===//
 //
 // The calls run on cpprestsdk's pool; an Asio timer bounds each as a whole,
-// because the client's own timeout starts anew with every piece it reads.
+// because the client's own timeout starts anew with every piece it reads. For a
+// large answer that is what is wanted, from its first byte on.
 //
 //===----------------------------------------------------------------------===//
 
@@ -22,6 +23,10 @@
 static constexpr uint64_t QuestionHeadBytes = 120;
 static constexpr uint64_t AnswerHeadBytes = 100;
 
+/// The client's timeout starts anew with each piece of an answer; with its
+/// usual 64 KiB a link of 10 Mbit/s that callers use, too, could miss it.
+static constexpr size_t PieceBytes = 4096;
+
 /// One call from its submission to its answer.
 struct HttpCalls::Call {
   Call(HttpQuestion What, Handler Completion)
@@ -80,6 +85,7 @@
 configuration(const HttpCallOptions &Options) {
   http::client::http_client_config Config;
   Config.set_timeout(Options.Timeout);
+  Config.set_chunksize(PieceBytes);
   return Config;
 }
 
@@ -122,8 +128,16 @@
 }
 
 void HttpCalls::stop() {
+  std::vector<std::weak_ptr<Call>> Begun;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Stopped = true;
+    Begun = std::move(m_Begun);
+  }
+  for (const auto &Each : Begun)
+    if (const auto What = Each.lock())
+      expire(What);
   std::unique_lock Lock(m_Mutex);
-  m_Stopped = true;
   m_Idle.wait(Lock, [this] { return m_Running == 0 && m_Queue.empty(); });
 }
 
@@ -163,7 +177,10 @@
     auto Client = clientFor(What->Question);
     auto Answer = std::make_shared<HttpAnswer>();
     Client->request(Request, What->Cancellation.get_token())
-        .then([Answer](http::http_response Response) {
+        .then([Self = shared_from_this(), What,
+               Answer](http::http_response Response) {
+          if (What->Question.HasLargeAnswer)
+            Self->boundSilenceOnly(What);
           Answer->Status = Response.status_code();
           Answer->RetryAfter = retryAfterOf(Response);
           if (const auto Tag = Response.headers().find("ETag");
@@ -192,6 +209,19 @@
   What->Cancellation.cancel();
 }
 
+void HttpCalls::boundSilenceOnly(const CallPointer &What) {
+  bool Stopped = false;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    std::erase_if(m_Begun, [](const auto &Each) { return Each.expired(); });
+    m_Begun.push_back(What);
+    Stopped = m_Stopped;
+  }
+  if (Stopped)
+    return expire(What);
+  What->Timer.cancel();
+}
+
 void HttpCalls::finish(const CallPointer &What, HttpOutcome Outcome) {
   if (What->Finished.exchange(true))
     return;
--- a/Libraries/LibPlatform/HttpCalls.h
+++ b/Libraries/LibPlatform/HttpCalls.h
@@ -1,8 +1,9 @@
 //===- HttpCalls.h - Bounded HTTP calls with a deadline ---------*- C++ -*-===//
 //
 // Sends requests to one HTTP server: a bounded number at once, a bounded queue
-// behind them, and for each call one answer within its timeout. A failed call
-// says whether the server may have seen the request.
+// behind them, and for each call one answer within its timeout, or within the
+// server's silence where the answer may be large. A failed call says whether
+// the server may have seen the request.
 //
 //===----------------------------------------------------------------------===//
 
@@ -20,6 +21,7 @@
 #include <mutex>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <condition_variable>
 
@@ -31,7 +33,9 @@
 
 struct HttpCallOptions {
   Endpoint Server;
-  /// From the submission of a call to its answer, the queue included.
+  /// From the submission of a call to its answer, the queue included. For
+  /// large answers it bounds the time to the first byte, and from then on each
+  /// pause in the answer.
   std::chrono::milliseconds Timeout{500};
   size_t MaximumConcurrentCalls = 16;
   size_t MaximumQueuedCalls = 256;
@@ -49,6 +53,10 @@
   bool Repeatable = true;
   /// Tag of the copy that the caller has; 304 says that it still holds.
   std::string IfNoneMatch;
+  /// The answer grows with what is stored, and may take longer than a timeout
+  /// over a small link. Broken off, it would be asked for again from its first
+  /// byte, and never come.
+  bool HasLargeAnswer = false;
 };
 
 struct HttpAnswer {
@@ -92,6 +100,7 @@
 
   void launch(const CallPointer &What);
   void expire(const CallPointer &What);
+  void boundSilenceOnly(const CallPointer &What);
   void finish(const CallPointer &What, HttpOutcome Outcome);
   void release();
   std::shared_ptr<web::http::client::http_client>
@@ -107,6 +116,8 @@
   size_t m_Running = 0;
   /// Calls that wait for a place; expired ones stay until they are reached.
   std::deque<CallPointer> m_Queue;
+  /// Calls whose large answer has begun; others end by their timeout.
+  std::vector<std::weak_ptr<Call>> m_Begun;
   bool m_Stopped = false;
 };
 
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -22,6 +22,14 @@
   return {ResultCode::StoreUnavailable, std::move(Message), {}, std::nullopt};
 }
 
+/// A question whose answer grows with the fleet or its configuration.
+static HttpQuestion largeQuestion(std::string Path) {
+  HttpQuestion Question;
+  Question.Path = std::move(Path);
+  Question.HasLargeAnswer = true;
+  return Question;
+}
+
 /// The body of a 200 answer to a question that changes nothing.
 static Result<std::string> readAnswer(HttpOutcome Outcome) {
   if (auto *Failure = std::get_if<HttpFailure>(&Outcome))
@@ -191,11 +199,10 @@
   std::string Path = "/v1/table/range?prefix=" + encoded(Prefix) +
                      "&after=" + encoded(After) +
                      "&limit=" + std::to_string(Limit);
-  m_Calls->submit({HttpVerb::Get, std::move(Path), {}},
-                  [Done = std::move(Done)](HttpOutcome Outcome) {
-                    Done(
-                        parsed<std::vector<Row>>(std::move(Outcome), rowsFrom));
-                  });
+  m_Calls->submit(largeQuestion(std::move(Path)), [Done = std::move(Done)](
+                                                      HttpOutcome Outcome) {
+    Done(parsed<std::vector<Row>>(std::move(Outcome), rowsFrom));
+  });
 }
 
 void HttpPlatform::commit(Transaction What, Callback<std::monostate> Done) {
@@ -215,14 +222,14 @@
 }
 
 void HttpPlatform::get(std::string Name, Callback<std::string> Done) {
-  m_Calls->submit({HttpVerb::Get, "/v1/objects/" + encoded(Name), {}},
+  m_Calls->submit(largeQuestion("/v1/objects/" + encoded(Name)),
                   [Done = std::move(Done)](HttpOutcome Outcome) {
                     Done(readAnswer(std::move(Outcome)));
                   });
 }
 
 void HttpPlatform::list(Callback<std::vector<Vm>> Done) {
-  HttpQuestion Question{HttpVerb::Get, "/v1/vms", {}};
+  HttpQuestion Question = largeQuestion("/v1/vms");
   Question.IfNoneMatch = m_List->tag();
   m_Calls->submit(std::move(Question), [Cache = m_List, Done = std::move(Done)](
                                            HttpOutcome Outcome) {
--- a/Libraries/LibPlatform/Platform.h
+++ b/Libraries/LibPlatform/Platform.h
@@ -4,8 +4,9 @@
 // weight store. Tests put mocks behind them; processes use HttpPlatform.
 //
 // All calls are asynchronous: the callback runs on a platform thread, exactly
-// once, within the call's timeout. No call is ever made for a single request
-// of a caller.
+// once: within the call's timeout for single rows and writes, and within that
+// silence of the platform for what may be large. No call is ever made for a
+// single request of a caller.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Tests/LibPlatform/RawServer.h
+++ b/Tests/LibPlatform/RawServer.h
@@ -10,9 +10,12 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -27,6 +30,8 @@
   std::string Body = "{}";
   /// Lines with their ends.
   std::string Headers{};
+  /// Before each of twenty pieces of the body; without it all leave at once.
+  std::chrono::milliseconds Pace{0};
 };
 
 class RawServer {
@@ -123,11 +128,29 @@
         "Content-Length: " +
         std::to_string(Now.Body.size()) + "\r\n" + Now.Headers + "\r\n" +
         Now.Body);
-    boost::asio::async_write(From->Socket, boost::asio::buffer(*Text),
-                             [this, From, Text](auto Code, size_t) {
-                               if (!Code)
-                                 receive(From);
-                             });
+    write(From, Text, 0, Text->size() - Now.Body.size(), Now.Pace);
+  }
+
+  /// Writes \p Text from \p Begin on, first up to \p End.
+  void write(const Pointer &From, std::shared_ptr<std::string> Text,
+             size_t Begin, size_t End, std::chrono::milliseconds Pace) {
+    if (Pace == std::chrono::milliseconds(0))
+      End = Text->size();
+    boost::asio::async_write(
+        From->Socket, boost::asio::buffer(Text->data() + Begin, End - Begin),
+        [this, From, Text, End, Pace](auto Code, size_t) {
+          if (Code)
+            return;
+          if (End == Text->size())
+            return receive(From);
+          auto Timer = std::make_shared<boost::asio::steady_timer>(m_Context);
+          Timer->expires_after(Pace);
+          Timer->async_wait([this, From, Text, End, Pace, Timer](auto Stopped) {
+            if (!Stopped)
+              write(From, Text, End,
+                    std::min(Text->size(), End + 1 + Text->size() / 20), Pace);
+          });
+        });
   }
 
   /// First, so that every socket is gone before it.
--- a/Tests/LibPlatform/TestHttpPlatform.cpp
+++ b/Tests/LibPlatform/TestHttpPlatform.cpp
@@ -8,7 +8,9 @@
 #include "LibPlatform/HttpPlatform.h"
 #include "RawServer.h"
 
+#include <chrono>
 #include <future>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -165,3 +167,62 @@
   CHECK_TRUE(std::chrono::steady_clock::now() - Start < 2s);
   CHECK_TRUE(Server.requests() <= 2);
 }
+
+// Failure: rows, objects and the VM list that take longer than the timeout of a
+// call are broken off and asked for again, for ever.
+TEST(HttpPlatform, ReadsAnswersThatOutgrowTheirLink) {
+  // Each answer takes three times the timeout.
+  const auto Slowly = [](const std::string &Body) {
+    return Step{Says, 200, Body + std::string(100'000, ' '), {}, 45ms};
+  };
+  RawServer Server(
+      {Slowly(R"({"rows":[]})"), Slowly("object"), Slowly(R"({"vms":[]})")});
+  auto Platform = platformAt(Server.port(), 300ms);
+  Answer<std::vector<Row>> Range;
+  Platform->readRange("a", "", 10, Range.callback());
+  CHECK_TRUE(Range.get().has_value());
+  Answer<std::string> Object;
+  Platform->get("o", Object.callback());
+  CHECK_TRUE(Object.get().has_value());
+  Answer<std::vector<Vm>> List;
+  Platform->list(List.callback());
+  CHECK_TRUE(List.get().has_value());
+}
+
+// Failure: a lease is judged by a row whose answer took longer than the timeout
+// of its call.
+TEST(HttpPlatform, BoundsTheWholeAnswerOfASingleRow) {
+  const std::string Body = R"({"key":"a","version":0,"value":""})";
+  RawServer Server({{Says, 200, Body + std::string(400, ' '), {}, 45ms}});
+  auto Platform = platformAt(Server.port(), 300ms);
+  Answer<Row> Read;
+  const auto Begun = std::chrono::steady_clock::now();
+  Platform->read("a", Read.callback());
+  CHECK_TRUE(Read.get().error().Code == ResultCode::StoreUnavailable);
+  CHECK_TRUE(std::chrono::steady_clock::now() - Begun < 900ms);
+}
+
+// Failure: an answer that falls silent is waited for without end.
+TEST(HttpPlatform, GivesAnAnswerUpThatFallsSilent) {
+  RawServer Server({{Says, 200, R"({"rows":[]})", {}, 10s}});
+  auto Platform = platformAt(Server.port(), 300ms);
+  Answer<std::vector<Row>> Range;
+  const auto Begun = std::chrono::steady_clock::now();
+  Platform->readRange("a", "", 10, Range.callback());
+  CHECK_TRUE(Range.get().error().Code == ResultCode::StoreUnavailable);
+  CHECK_TRUE(std::chrono::steady_clock::now() - Begun < 3s);
+}
+
+// Failure: a process does not end while an answer trickles in.
+TEST(HttpPlatform, EndsThoughAnAnswerTricklesIn) {
+  RawServer Server({{Says, 200, std::string(100'000, ' '), {}, 200ms}});
+  auto Platform = platformAt(Server.port(), 300ms);
+  Answer<std::vector<Row>> Range;
+  Platform->readRange("a", "", 10, Range.callback());
+  while (Server.requests() == 0)
+    std::this_thread::yield();
+  const auto Begun = std::chrono::steady_clock::now();
+  Platform.reset();
+  CHECK_TRUE(std::chrono::steady_clock::now() - Begun < 3s);
+  CHECK_TRUE(Range.get().error().Code == ResultCode::StoreUnavailable);
+}
