Call, Completions: Never refuse an answer that has begun for its expected end

Cause: when a stream has to go on elsewhere, entry and agent compared the time left with an estimate of the whole answer, tokens included that the caller has already, at a speed that was measured on a busy machine. The refusal of an answer that can't be refused any more was repeated each half second until the deadline. Now the estimate counts what is left, and chooses among targets, but refuses nothing that has begun; the deadline itself ends it as before.

Call.ABegunAnswerGoesOnThoughItsEndIsExpectedTooLate failed before.

--- a/Services/figlift-agent/Completions.cpp
+++ b/Services/figlift-agent/Completions.cpp
@@ -73,10 +73,17 @@
 admission::Work Completions::describe(const Run &Which) const {
   admission::Work Out;
   Out.Class = static_cast<record::ServiceClass>(Which.Priority);
-  Out.PromptTokens = promptTokensOf(Which.Work);
+  const uint32_t Delivered = Which.Work.first_token();
+  Out.PromptTokens = promptTokensOf(Which.Work) + Delivered;
   Out.ExpectedCachedTokens = Which.ExpectedCached;
-  Out.MaximumTokens = Which.Work.maximum_tokens();
-  Out.Deadline = Which.Deadline;
+  // No tokens at all would be a call to a plain service.
+  const uint32_t Maximum = Which.Work.maximum_tokens();
+  Out.MaximumTokens =
+      Maximum > Delivered ? Maximum - Delivered : std::min(Maximum, 1u);
+  // An answer that has begun elsewhere can't be refused for its expected end;
+  // it is ended at its deadline all the same.
+  if (Delivered == 0)
+    Out.Deadline = Which.Deadline;
   return Out;
 }
 
--- a/Services/figlift-entry/CallAttempts.cpp
+++ b/Services/figlift-entry/CallAttempts.cpp
@@ -39,15 +39,21 @@
   Shape.BackEnd = m_Request.BackEnd;
   Shape.Workspace = m_Request.Workspace;
   Shape.Class = m_Request.Class;
-  Shape.TimeLeft = timeLeft();
+  const uint32_t Delivered = m_History.TokensDelivered;
+  // An answer that has begun can't be refused any more, however late its end is
+  // expected: a refusal here would only be repeated until its deadline.
+  if (Delivered == 0)
+    Shape.TimeLeft = timeLeft();
   const auto *Work = std::get_if<CompletionWork>(&m_Request.Work);
   if (!Work) {
     Shape.PromptTokens = 1;
     return Shape;
   }
   Shape.Model = m_PinnedModel.empty() ? Work->Model : m_PinnedModel;
-  Shape.PromptTokens = promptTokens(*Work);
-  Shape.MaximumTokens = Work->MaximumTokens;
+  // What the caller has is read again and not made again.
+  Shape.PromptTokens = promptTokens(*Work) + Delivered;
+  Shape.MaximumTokens =
+      Work->MaximumTokens - std::min(Delivered, Work->MaximumTokens);
   Shape.PrefixHashes = m_PrefixHashes;
   return Shape;
 }
--- a/Tests/FigliftEntry/EntryFixtures.h
+++ b/Tests/FigliftEntry/EntryFixtures.h
@@ -113,6 +113,10 @@
   /// Makes the target the home of every slice of its back end.
   void makeHome(const std::string &Id, const std::string &BackEnd);
   void publish();
+  /// What the target reports from now on, until it reports again.
+  void report(const std::string &Id, const route::TargetLoad &Load) {
+    m_Book.gauge(Id)->report(Load, BootClock::now());
+  }
   std::shared_ptr<FakeCaller> call(entry::CallerRequest Request);
 
   entry::CallerRequest completion(uint32_t MaximumTokens,
--- a/Tests/FigliftEntry/TestCall.cpp
+++ b/Tests/FigliftEntry/TestCall.cpp
@@ -117,6 +117,33 @@
                Other.asked()[0].Run.completion().delivered_text().c_str());
 }
 
+// Failure: an answer ends in the middle, as no target is expected to finish it
+// in time: it can't be refused any more, and goes on until its deadline.
+TEST(Call, ABegunAnswerGoesOnThoughItsEndIsExpectedTooLate) {
+  auto Script = [](const Asked &Call) {
+    if (Call.Run.completion().first_token() > 0)
+      return sendWhole(Call, 4);
+    Call.accept();
+    Call.token(0, "0");
+    Call.token(1, "1");
+  };
+  FakeAgent First(Script), Second(Script);
+  Bench.add("t1", "lm-desk", First);
+  Bench.add("t2", "lm-desk", Second);
+  const auto Caller = Bench.call(Bench.completion(4));
+  CHECK_TRUE(eventually([&] { return Bench.Counters.Tokens.value() == 2.0; }));
+  // Measured while the machine was busy: a minute for each token.
+  route::TargetLoad Slow;
+  Slow.PrefillTokensPerSecond = 1000;
+  Slow.MaximumSequences = 8;
+  Slow.DecodeTokensPerSecond = 8.0 / 60;
+  Bench.report("t1", Slow);
+  Bench.report("t2", Slow);
+  (First.count() == 1 ? First : Second).stop();
+  CHECK_TRUE(eventually([&] { return Caller->answered(); }));
+  CHECK_TRUE(hasText(*Caller, "0123"));
+}
+
 TEST(Call, AStreamOfEventsEndsWithDone) {
   FakeAgent Agent([](const Asked &Call) { sendWhole(Call, 2); });
   Bench.add("t1", "lm-desk", Agent);
