MixedCallers: Let one caller hold slots while completions are refused

Read in the load: each thread repeats a refused call for 30 s before it goes on, so once every thread is at a completion nobody holds a slot, and the test waits for work that its own load no longer sends.

The check stays as it is; one thread of the load now holds slots all the time, so that the withdrawal meets work, as the test wants.

--- a/Tests/PlannedChanges/TestPlannedChanges.cpp
+++ b/Tests/PlannedChanges/TestPlannedChanges.cpp
@@ -66,7 +66,10 @@
 
   void setup() override {
     CHECK_TEXT(m_Fleet.ready(), m_Fleet.problem().c_str());
-    m_Callers = std::make_unique<MixedCallers>(m_Fleet, CallerMix{});
+    CallerMix Mix;
+    // While completions are refused the plain service still has work.
+    Mix.HoldingThreads = 1;
+    m_Callers = std::make_unique<MixedCallers>(m_Fleet, Mix);
     CHECK_TRUE(m_Callers->waitForMore(1, Limit));
   }
   void teardown() override { m_Callers.reset(); }
--- a/Tests/Support/MixedCallers.cpp
+++ b/Tests/Support/MixedCallers.cpp
@@ -85,7 +85,8 @@
     return Wanted{"/v1/completions", completionBody("desk", Prompt, Tokens), "",
                   expectedText(Prompt, Tokens)};
   };
-  switch ((Thread + Number) % Kinds) {
+  const bool HoldsOnly = Thread < m_Mix.HoldingThreads;
+  switch (HoldsOnly ? Kinds - 1 : (Thread + Number) % Kinds) {
   case 0:
     return Completion(Name + " long", m_Mix.LongTokens);
   case 1:
--- a/Tests/Support/MixedCallers.h
+++ b/Tests/Support/MixedCallers.h
@@ -24,6 +24,9 @@
   unsigned ShortTokens = 6;
   /// Whether every fourth call holds a slot at a plain service.
   bool Holds = true;
+  /// So many of the threads do nothing else: the others wait for completions
+  /// that are refused, and hold none meanwhile.
+  unsigned HoldingThreads = 0;
 };
 
 /// What became of all calls so far.
