TargetTable: Take no old entry of a server that is gone

A store that comes back from a copy lists servers again that had left since, and a write that was held up on its way may do the same. The table forgot a server at once when it went, so that such an entry made it come again, and requests went to nobody until the store noticed its silence. The last entry is now kept for 30 s: one that says nothing later is passed over; a later heartbeat or start is believed, as is a second one of a count that began anew.

TargetTable.TakesNoOldEntryOfAServerThatIsGone tells it.

--- a/Libraries/LibDispatch/TargetTable.cpp
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -44,6 +44,8 @@
 
 void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
   m_Missing.erase(Entry.Id);
+  if (isOfTheGone(Entry))
+    return;
   const auto [Found, IsNew] = m_Targets.try_emplace(Entry.Id, Entry);
   if (IsNew) {
     Out.emplace_back(TargetCame{Entry});
@@ -69,11 +71,29 @@
     Out.emplace_back(TargetChanged{Entry});
 }
 
-void TargetTable::drop(const std::string &Id, std::vector<TargetEvent> &Out) {
+void TargetTable::drop(const std::string &Id, BootTime Now,
+                       std::vector<TargetEvent> &Out) {
   m_Missing.erase(Id);
   m_Doubted.erase(Id);
-  if (m_Targets.erase(Id) > 0)
-    Out.emplace_back(TargetGone{Id});
+  const auto Found = m_Targets.find(Id);
+  if (Found == m_Targets.end())
+    return;
+  m_Gone.insert_or_assign(Id, std::pair(Found->second, Now));
+  m_Targets.erase(Found);
+  Out.emplace_back(TargetGone{Id});
+}
+
+/// Whether \p Entry says nothing later of a server than was known when it went.
+bool TargetTable::isOfTheGone(const Target &Entry) {
+  const auto Found = m_Gone.find(Entry.Id);
+  if (Found == m_Gone.end())
+    return false;
+  const Target &Last = Found->second.first;
+  if (!Last.isOlderThan(Entry) &&
+      (Entry.Heartbeat == Last.Heartbeat || isLateWrite(Last, Entry)))
+    return true;
+  m_Gone.erase(Found);
+  return false;
 }
 
 std::vector<TargetEvent>
@@ -91,7 +111,7 @@
     if (m_GraceUntil && Now < *m_GraceUntil)
       m_Missing.insert(Id);
     else
-      drop(Id, Out);
+      drop(Id, Now, Out);
   }
   return Out;
 }
@@ -111,17 +131,20 @@
   if (m_GraceUntil && Now < *m_GraceUntil && m_Targets.contains(Id))
     m_Missing.insert(Id);
   else
-    drop(Id, Out);
+    drop(Id, Now, Out);
   return Out;
 }
 
 std::vector<TargetEvent> TargetTable::tick(BootTime Now) {
   std::vector<TargetEvent> Out;
+  std::erase_if(m_Gone, [&](const auto &Each) {
+    return Now - Each.second.second > m_Options.RememberGone;
+  });
   if (!m_GraceUntil || Now < *m_GraceUntil || m_StoreLost)
     return Out;
   m_GraceUntil.reset();
   for (const std::string &Id : std::set<std::string>(std::move(m_Missing)))
-    drop(Id, Out);
+    drop(Id, Now, Out);
   m_Missing.clear();
   return Out;
 }
--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -10,6 +10,7 @@
 // of it (work, cache, speed, connections) is dropped. A write that was held up
 // on its way to the store can put an older entry in place of a newer one; taken
 // at its word, it would bring back an earlier start, or a server that leaves.
+// A store that comes back from a copy lists again what was gone before.
 //
 //===----------------------------------------------------------------------===//
 
@@ -23,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -54,6 +56,8 @@
   /// first answer alone, a server that had left got requests for longer than
   /// the platform allows, as calls are rare while the store is away.
   std::chrono::milliseconds TimeAfterLastFailure{2300};
+  /// A copy that is older than this brings back servers that were gone.
+  std::chrono::milliseconds RememberGone{30000};
 };
 
 class TargetTable {
@@ -80,7 +84,8 @@
   void storeAnswered(BootTime Now);
   void apply(const Target &Entry, std::vector<TargetEvent> &Out);
   bool isLateWrite(const Target &Known, const Target &Entry);
-  void drop(const std::string &Id, std::vector<TargetEvent> &Out);
+  void drop(const std::string &Id, BootTime Now, std::vector<TargetEvent> &Out);
+  bool isOfTheGone(const Target &Entry);
 
   TargetTableOptions m_Options;
   std::map<std::string, Target> m_Targets;
@@ -88,6 +93,8 @@
   /// second one that is newer than the first shows a server whose clock or
   /// count went back, and is believed.
   std::map<std::string, Target> m_Doubted;
+  /// Servers that are gone, with their last entries and since when.
+  std::map<std::string, std::pair<Target, BootTime>> m_Gone;
   /// Entries that the store no longer lists, and may list again.
   std::set<std::string> m_Missing;
   bool m_StoreLost = false;
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -155,3 +155,35 @@
   CHECK(Table.update(entry(1000, 1), Now).empty());
   expectRestart(Table.update(entry(1000, 2), Now));
 }
+
+// Failure: a server that had left gets requests again, as a store that came
+// back from a copy lists it.
+TEST(TargetTable, TakesNoOldEntryOfAServerThatIsGone) {
+  Target Last = target("a");
+  Last.Heartbeat = 7;
+  Table.replaceAll({Last}, Now);
+  Table.remove("a", Now);
+  pass(milliseconds(5000));
+  Target Copied = Last;
+  Copied.Heartbeat = 5;
+  CHECK(Table.replaceAll({Copied}, Now).empty());
+  CHECK(Table.replaceAll({Last}, Now).empty());
+  CHECK(Table.all().empty());
+}
+
+// Failure: a server that goes on, or starts again, is never used.
+TEST(TargetTable, TakesAGoneServerBackThatWrites) {
+  Target Last = target("a");
+  Last.Heartbeat = 7;
+  Table.replaceAll({Last}, Now);
+  Table.remove("a", Now);
+  Target Next = Last;
+  Next.Heartbeat = 8;
+  LONGS_EQUAL(1, Table.update(Next, Now).size());
+  Table.remove("a", Now);
+  // Its count begins anew, and it does not tell when it started.
+  Next.Heartbeat = 1;
+  CHECK(Table.update(Next, Now).empty());
+  Next.Heartbeat = 2;
+  LONGS_EQUAL(1, Table.update(Next, Now).size());
+}
