LeaseMachine: Give a lease up when the store comes back from a copy

A store that comes back from a copy forgets who holds a lease, and gives the versions of its row and, by them, epochs out again: a second holder takes the lease while the first one goes on, and engines get orders of two holders with one fencing number.

A machine that sees a later era ends its authority, forgets the row and takes none for a whole duration, in which a holder that has not seen it yet comes to its end; the epochs of an era begin above all that earlier eras can have given out. A process whose first era is not the store's first waits likewise. An answer to a commit of an earlier era proves nothing.

The exploration of two candidates has a copy at any moment and a return from it (LeaseExploration.HoldersOfTwoErasNeverMeet); without eras it finds two holders (WithoutErasHoldersMeet). On the way it found that a delayed commit of the old era, carried out in the new one, was taken for authority counted from before the return; that is mended here, too.

--- a/Libraries/LibLease/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -21,6 +21,7 @@
                         std::chrono::milliseconds DefaultDuration) {
   lease::RowRead Row;
   Row.Version = Read.Version;
+  Row.Era = Read.Era;
   Row.Duration = DefaultDuration;
   if (Read.Version == 0)
     return Row;
--- a/Libraries/LibLease/LeaseKeeper.h
+++ b/Libraries/LibLease/LeaseKeeper.h
@@ -33,6 +33,8 @@
               LeaseOptions Options, Observer Told);
 
   void tick();
+  /// The store came back from a copy: authority ends, and is taken anew.
+  void storeCameBack(uint64_t Era) { step(StoreCameBack{Era}); }
   /// Gives the lease back, so that a successor need not wait for its end.
   void stop();
   bool stopped() const { return m_Machine.stopped(); }
--- a/Libraries/LibLease/LeaseMachine.cpp
+++ b/Libraries/LibLease/LeaseMachine.cpp
@@ -47,7 +47,7 @@
 /// It began to count before its write, and so before this machine saw the
 /// version, and it stops a margin earlier.
 bool LeaseMachine::mayAcquire(BootTime Now) const {
-  if (!m_RowKnown)
+  if (!m_RowKnown || Now < m_QuietUntil)
     return false;
   if (m_Row.Holder.empty() || m_Row.Holder == m_Options.Self)
     return true;
@@ -75,11 +75,34 @@
   read(Now, Out);
 }
 
+void LeaseMachine::on(const StoreCameBack &What, BootTime Now, Actions &Out) {
+  enterEra(What.Era, Now, Out);
+}
+
+/// What this machine knew of the row is of another history. The first era that
+/// is seen may have begun a moment ago, unless it is the store's first one.
+void LeaseMachine::enterEra(uint64_t Era, BootTime Now, Actions &Out) {
+  if (Era <= m_Era)
+    return;
+  m_Era = Era;
+  if (Era == 1)
+    return;
+  if (m_Phase == Phase::Holding)
+    loseAuthority(Out);
+  m_RowKnown = false;
+  m_QuietUntil = Now + m_Options.Duration;
+  m_NextCall = Now;
+}
+
 void LeaseMachine::on(const RowRead &Row, BootTime Now, Actions &Out) {
   m_Waiting = Waiting::Nothing;
+  enterEra(Row.Era, Now, Out);
   bool Changed = !m_RowKnown || Row.Version != m_Row.Version;
   if (Changed)
     m_FirstSeen = Now;
+  // A commit of an earlier era may land in this one, as versions are given out
+  // again; authority that began before the return is over all the same.
+  m_InDoubt = m_InDoubt && m_AttemptEra == m_Era;
   bool Landed = m_InDoubt && Row.Version == m_Attempt.ExpectedVersion + 1 &&
                 Row.Holder == m_Attempt.Holder && Row.Epoch == m_Attempt.Epoch;
   bool StillOpen = m_InDoubt && Row.Version == m_Attempt.ExpectedVersion;
@@ -89,6 +112,8 @@
   m_NextCall = Now + renewInterval();
   if (BootTime Expiry = m_FirstSeen + Row.Duration; Expiry > Now)
     m_NextCall = std::min(m_NextCall, Expiry);
+  if (m_QuietUntil > Now)
+    m_NextCall = std::min(m_NextCall, m_QuietUntil);
 
   if (m_Phase == Phase::Releasing && Row.Holder != m_Options.Self)
     return finish(true, Out);
@@ -114,8 +139,11 @@
 void LeaseMachine::on(const CommitSucceeded &, BootTime Now, Actions &Out) {
   m_Waiting = Waiting::Nothing;
   m_InDoubt = false;
+  // Sent in an earlier era, it was carried out in this one, or forgotten.
+  if (m_AttemptEra != m_Era)
+    return read(Now, Out);
   m_Row = RowRead{m_Attempt.ExpectedVersion + 1, m_Attempt.Holder,
-                  m_Attempt.Epoch, m_Attempt.Duration};
+                  m_Attempt.Epoch, m_Attempt.Duration, m_Era};
   m_FirstSeen = Now;
   if (m_Phase == Phase::Releasing)
     return finish(true, Out);
@@ -195,14 +223,22 @@
   if (m_Attempt != What)
     m_FirstAttempt = Now;
   m_Attempt = What;
+  m_AttemptEra = m_Era;
   m_CommitSent = Now;
   m_Waiting = Waiting::Commit;
   Out.push_back(std::move(What));
 }
 
 void LeaseMachine::acquire(BootTime Now, Actions &Out) {
-  commit({m_Row.Version, m_Options.Self, m_Row.Epoch + 1, m_Options.Duration},
-         Now, Out);
+  commit({m_Row.Version, m_Options.Self, nextEpoch(), m_Options.Duration}, Now,
+         Out);
+}
+
+uint64_t LeaseMachine::nextEpoch() const {
+  // Four thousand million tenures in one era.
+  constexpr unsigned EraShift = 32;
+  const uint64_t First = m_Era > 1 ? m_Era << EraShift : 0;
+  return std::max(m_Row.Epoch + 1, First);
 }
 
 void LeaseMachine::renew(BootTime Now, Actions &Out) {
--- a/Libraries/LibLease/LeaseMachine.h
+++ b/Libraries/LibLease/LeaseMachine.h
@@ -37,6 +37,13 @@
   std::string Holder;
   uint64_t Epoch = 0;
   std::chrono::milliseconds Duration{0};
+  /// Of the store; 0 for one that never comes back from a copy.
+  uint64_t Era = 0;
+};
+/// The store has come back from a copy: the row may be an earlier one, and its
+/// versions are given out again.
+struct StoreCameBack {
+  uint64_t Era = 0;
 };
 struct ReadFailed {};
 struct CommitSucceeded {};
@@ -49,9 +56,9 @@
 struct StopRequested {};
 /// @}
 
-using Event =
-    std::variant<Tick, RowRead, ReadFailed, CommitSucceeded, CommitConflicted,
-                 CommitOutcomeUnknown, StoreFailed, StopRequested>;
+using Event = std::variant<Tick, RowRead, ReadFailed, CommitSucceeded,
+                           CommitConflicted, CommitOutcomeUnknown, StoreFailed,
+                           StopRequested, StoreCameBack>;
 
 /// \name Actions.
 /// @{
@@ -127,7 +134,7 @@
     Put(m_Row.Duration, m_RowKnown, m_FirstSeen, m_CommitSent, m_NextCall);
     Put(m_InDoubt, m_Attempt.ExpectedVersion, m_Attempt.Holder);
     Put(m_Attempt.Epoch, m_FirstAttempt, m_HeldSince, m_HeldEpoch);
-    Put(m_StopRequested);
+    Put(m_StopRequested, m_Era, m_AttemptEra, m_QuietUntil);
   }
 
 private:
@@ -141,10 +148,14 @@
   void on(const CommitOutcomeUnknown &, BootTime Now, Actions &Out);
   void on(const StoreFailed &, BootTime Now, Actions &Out);
   void on(const StopRequested &, BootTime Now, Actions &Out);
+  void on(const StoreCameBack &, BootTime Now, Actions &Out);
 
   bool mayAcquire(BootTime Now) const;
   BootTime validUntil() const;
   std::chrono::nanoseconds renewInterval() const;
+  void enterEra(uint64_t Era, BootTime Now, Actions &Out);
+  /// Greater than all of earlier eras.
+  uint64_t nextEpoch() const;
   void failed(BootTime Now, Actions &Out);
   void becomeHolder(BootTime CountedFrom, BootTime Now, Actions &Out);
   void loseAuthority(Actions &Out);
@@ -180,6 +191,12 @@
   /// Epoch of the last tenure.
   uint64_t m_HeldEpoch = 0;
   bool m_StopRequested = false;
+  /// Newest one that was seen, and that of the last commit.
+  uint64_t m_Era = 0;
+  uint64_t m_AttemptEra = 0;
+  /// A holder of an earlier era, whose row the store has forgotten, may act
+  /// until then.
+  BootTime m_QuietUntil{};
 };
 
 } // namespace figlift::lease
--- a/Libraries/LibPlatform/Platform.h
+++ b/Libraries/LibPlatform/Platform.h
@@ -30,6 +30,9 @@
   std::string Key;
   uint64_t Version = 0;
   std::string Value;
+  /// Rises when the store comes back from a copy, and versions begin to be
+  /// given out again; 0 for a store that never does.
+  uint64_t Era = 0;
 };
 
 /// The row must have exactly this version when the transaction commits.
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -82,6 +82,12 @@
       tickService(Each, Now);
 }
 
+void StageDirector::storeCameBack(uint64_t Era) {
+  for (auto &[Service, Of] : m_Shards)
+    if (Of.Lease)
+      Of.Lease->storeCameBack(Era);
+}
+
 dispatch::EngineDemand StageDirector::demandOn(const std::string &Service,
                                                BootTime Now) const {
   dispatch::EngineDemand Sum;
--- a/Services/figlift-gateway/StageDirector.h
+++ b/Services/figlift-gateway/StageDirector.h
@@ -26,6 +26,8 @@
 
   /// Called regularly, several times a second.
   void tick(BootTime Now);
+  /// The store came back from a copy, in \p Era.
+  void storeCameBack(uint64_t Era);
 
 private:
   /// One service of engines.
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseWorld.h
@@ -16,6 +16,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace figlift::test {
@@ -35,8 +36,13 @@
   int StoreFailures = 0;
   int Stops = 0;
   int OrdersEach = 1;
+  /// Times that the store comes back from a copy of any moment before.
+  int Returns = 0;
+  /// Answers say of which era they are.
+  bool TellsEra = true;
   AgentCheck Check = AgentCheck::LeaseRow;
   std::chrono::milliseconds Margin{1000};
+  std::chrono::milliseconds Duration{3000};
 };
 
 class LeaseWorld {
@@ -48,6 +54,9 @@
   template <typename Sink> void describe(Sink &&Put) const {
     Put(m_Time, m_Row.Version, m_Row.Holder, m_Row.Epoch, m_Lost, m_Failed);
     Put(m_Stops, m_HighestAccepted, m_Late.size(), m_Broken);
+    Put(m_Row.Era, m_Returns, m_Copy.has_value());
+    if (m_Copy)
+      put(*m_Copy, Put);
     for (const Side &One : m_Sides) {
       One.Machine.describe(Put);
       Put(One.Orders, One.Decided.value_or(0));
@@ -56,7 +65,7 @@
         Put(One.Answer->index());
       if (One.Answer && std::holds_alternative<lease::RowRead>(*One.Answer))
         put(std::get<lease::RowRead>(*One.Answer), Put);
-      Put(One.Answer.has_value());
+      Put(One.Answer.has_value(), One.AnswerEra, One.KnownEra);
     }
     for (const lease::CommitRow &Commit : m_Late)
       Put(Commit.ExpectedVersion, Commit.Holder, Commit.Epoch);
@@ -88,6 +97,8 @@
         W.apply(Commit);
         return true;
       });
+    if (m_Returns < m_Bounds.Returns)
+      returnSteps(Try);
     for (size_t I = 0; I != 2; ++I)
       sideSteps(I, Try);
   }
@@ -102,8 +113,11 @@
     lease::LeaseMachine Machine;
     /// The read or commit that is on its way to the table.
     std::optional<lease::Action> Call;
-    /// Its answer, on the way back.
+    /// Its answer, on the way back, and the era that it tells.
     std::optional<lease::Event> Answer;
+    uint64_t AnswerEra = 0;
+    /// Newest era that an answer told.
+    uint64_t KnownEra = 0;
     /// Epoch of an order that passed mayPlan() and was not sent yet.
     std::optional<uint64_t> Decided;
     int Orders = 0;
@@ -111,12 +125,12 @@
 
   static lease::LeaseOptions options(std::string Self,
                                      const LeaseBounds &Bounds) {
-    return {std::move(Self), std::chrono::seconds(3), Bounds.Margin};
+    return {std::move(Self), Bounds.Duration, Bounds.Margin};
   }
 
   template <typename Sink>
   static void put(const lease::RowRead &Row, Sink &&Put) {
-    Put(Row.Version, Row.Holder, Row.Epoch);
+    Put(Row.Version, Row.Holder, Row.Epoch, Row.Era);
   }
 
   /// The two clocks have nothing in common but their rate.
@@ -127,7 +141,8 @@
   bool apply(const lease::CommitRow &Commit) {
     if (Commit.ExpectedVersion != m_Row.Version)
       return false;
-    m_Row = {m_Row.Version + 1, Commit.Holder, Commit.Epoch, Commit.Duration};
+    m_Row = {m_Row.Version + 1, Commit.Holder, Commit.Epoch, Commit.Duration,
+             m_Row.Era};
     return true;
   }
 
@@ -142,8 +157,12 @@
   }
 
   lease::Event answer(const lease::Action &Call) {
-    if (std::holds_alternative<lease::ReadRow>(Call))
-      return m_Row;
+    if (std::holds_alternative<lease::ReadRow>(Call)) {
+      lease::RowRead Told = m_Row;
+      if (!m_Bounds.TellsEra)
+        Told.Era = 0;
+      return Told;
+    }
     if (apply(std::get<lease::CommitRow>(Call)))
       return lease::CommitSucceeded{};
     return lease::CommitConflicted{};
@@ -157,12 +176,46 @@
       return;
     if (Epoch < m_HighestAccepted)
       m_Broken = "orders accepted out of epoch order";
-    else if (Epoch < m_Row.Epoch)
+    else if (m_Bounds.Returns == 0 && Epoch < m_Row.Epoch)
       m_Broken = "an order took effect after the lease of its epoch had "
                  "ended";
     m_HighestAccepted = std::max(m_HighestAccepted, Epoch);
   }
 
+  template <typename TryStep> void returnSteps(TryStep &&Try) const {
+    if (!m_Copy)
+      return Try("a copy is made", [](LeaseWorld &W) {
+        W.m_Copy = W.m_Row;
+        return true;
+      });
+    Try("the store comes back from the copy", [](LeaseWorld &W) {
+      const uint64_t Era = W.m_Row.Era + 1;
+      W.m_Row = *W.m_Copy;
+      W.m_Row.Era = Era;
+      ++W.m_Returns;
+      return true;
+    });
+  }
+
+  /// As the store's client does: the first answer of an era tells of it, and
+  /// what is of an era that is over says nothing.
+  void getAnswer(size_t I) {
+    Side &One = m_Sides[I];
+    lease::Event Answer = *std::exchange(One.Answer, std::nullopt);
+    if (One.AnswerEra < One.KnownEra) {
+      if (std::holds_alternative<lease::RowRead>(Answer))
+        Answer = lease::ReadFailed{};
+      else
+        Answer = lease::CommitOutcomeUnknown{};
+    }
+    const bool IsFirst =
+        One.AnswerEra >
+        std::exchange(One.KnownEra, std::max(One.KnownEra, One.AnswerEra));
+    if (IsFirst)
+      feed(I, lease::StoreCameBack{One.AnswerEra});
+    feed(I, Answer);
+  }
+
   template <typename TryStep> void sideSteps(size_t I, TryStep &&Try) const {
     const std::string Name = I == 0 ? "a: " : "b: ";
     const Side &One = m_Sides[I];
@@ -173,6 +226,7 @@
     if (One.Call) {
       Try(Name + "the table carries out the call", [&](LeaseWorld &W) {
         W.m_Sides[I].Answer = W.answer(*One.Call);
+        W.m_Sides[I].AnswerEra = m_Bounds.TellsEra ? W.m_Row.Era : 0;
         W.m_Sides[I].Call.reset();
         return true;
       });
@@ -200,8 +254,7 @@
     }
     if (One.Answer)
       Try(Name + "gets the answer", [&](LeaseWorld &W) {
-        W.m_Sides[I].Answer.reset();
-        W.feed(I, *One.Answer);
+        W.getAnswer(I);
         return true;
       });
     if (m_Stops < m_Bounds.Stops && I == 0)
@@ -227,7 +280,9 @@
 
   LeaseBounds m_Bounds;
   int m_Time = 0;
-  lease::RowRead m_Row;
+  lease::RowRead m_Row{0, "", 0, {}, 1};
+  std::optional<lease::RowRead> m_Copy;
+  int m_Returns = 0;
   std::array<Side, 2> m_Sides;
   std::vector<lease::CommitRow> m_Late;
   int m_Lost = 0;
--- a/Tests/LibLease/TestLeaseExploration.cpp
+++ b/Tests/LibLease/TestLeaseExploration.cpp
@@ -74,3 +74,31 @@
   Result.print("lease, holder counts two seconds too long");
   CHECK_FALSE(Result.Violation.empty());
 }
+
+// Failure: the store forgets who holds the lease, and another takes it while
+// the holder goes on; or gives an epoch out again.
+TEST(LeaseExploration, HoldersOfTwoErasNeverMeet) {
+  LeaseBounds Bounds;
+  Bounds.Returns = 1;
+  Bounds.Check = AgentCheck::HighestSeen;
+  Bounds.Duration = std::chrono::seconds(2);
+  Bounds.LastTime = 3;
+  Bounds.OrdersEach = 0;
+  expectNone("lease, store that comes back from a copy", Bounds);
+  Bounds.LastTime = 2;
+  Bounds.OrdersEach = 1;
+  expectNone("lease, the same with orders", Bounds);
+  Bounds.OrdersEach = 0;
+  Bounds.LostAnswers = 1;
+  expectNone("lease, store from a copy and a lost answer", Bounds);
+}
+
+TEST(LeaseExploration, WithoutErasHoldersMeet) {
+  LeaseBounds Bounds;
+  Bounds.Returns = 1;
+  Bounds.Check = AgentCheck::HighestSeen;
+  Bounds.TellsEra = false;
+  Exploration Result = explore(LeaseWorld(Bounds), Limit);
+  Result.print("lease, store from a copy that tells no era");
+  CHECK_FALSE(Result.Violation.empty());
+}
--- a/Tests/LibLease/TestLeaseMachine.cpp
+++ b/Tests/LibLease/TestLeaseMachine.cpp
@@ -160,3 +160,20 @@
   CHECK_TRUE(Machine.step(StoreFailed{}, at(200ms)).at(0) ==
              Action(Released{false}));
 }
+
+// Failure: a holder gives orders on while another, who finds no trace of it,
+// takes the lease.
+TEST(LeaseMachine, GivesItsLeaseUpWhenTheStoreComesBackFromACopy) {
+  LeaseMachine Machine = holder();
+  const auto Actions = Machine.step(StoreCameBack{2}, at(20ms));
+  CHECK_TRUE(contains<LoseAuthority>(Actions));
+  CHECK_FALSE(Machine.mayPlan(at(21ms)));
+  // Its own row, in the copy, is not taken before any other holder's time is
+  // over, and then with an epoch that no earlier era has given out.
+  CHECK_TRUE(contains<ReadRow>(Machine.step(Tick{}, at(30ms))));
+  CHECK_FALSE(contains<CommitRow>(
+      Machine.step(RowRead{5, "self", 8, 3s, 2}, at(40ms))));
+  const auto Later = Machine.step(Tick{}, at(3020ms));
+  CHECK_TRUE(Later.at(0) ==
+             Action(CommitRow{5, "self", uint64_t{2} << 32, 3s}));
+}
