Gateway: Take the last of the configurations that a read brings

Cause: the change that decodes configurations beside the loop looked for the first configuration among the rows of an answer. A feed has each change since the version that is known, so of several configurations in quick succession the oldest came into force, and the others had to wait for another one or the next whole read. The lines showed it: 89,921 bytes for 32 routes.

The newest row is taken; and a process that hears of a newer configuration reads the table, which has one, in place of its changes, which have each of them. Gateway.TakesTheLastOfConfigurationsThatComeTogether failed before.

--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -58,14 +58,15 @@
 
 namespace {
 
-/// The operator's configuration, if it is among \p Rows.
+/// The operator's newest configuration, if there is one among \p Rows. Changes
+/// come in order, each of several in quick succession among them.
 const slopes::StoreRow *
 findConfiguration(const std::vector<slopes::StoreRow> &Rows) {
-  const auto Found =
-      std::find_if(Rows.begin(), Rows.end(), [](const slopes::StoreRow &Each) {
+  const auto Found = std::find_if(
+      Rows.rbegin(), Rows.rend(), [](const slopes::StoreRow &Each) {
         return Each.Key == slopes::ConfigurationKey && !Each.Removed;
       });
-  return Found == Rows.end() ? nullptr : &*Found;
+  return Found == Rows.rend() ? nullptr : &*Found;
 }
 
 struct DecodedConfiguration {
@@ -219,7 +220,8 @@
   const uint64_t InForce =
       m_Shared.Configuration ? m_Shared.Configuration->Version : 0;
   if (News.Configuration.Version > InForce)
-    m_ConfigurationFollower.readNow();
+    // Its changes would have each version since the one that is known.
+    m_ConfigurationFollower.readWholeNow();
   else if (News.Configuration.Version == InForce)
     m_ConfigurationKnownAt =
         std::max(m_ConfigurationKnownAt, Now - News.Configuration.Age);
--- a/Services/figlift-gateway/StoreFollower.cpp
+++ b/Services/figlift-gateway/StoreFollower.cpp
@@ -47,6 +47,12 @@
   wait(BootClock::duration::zero());
 }
 
+void StoreFollower::readWholeNow() {
+  if (m_Waits)
+    m_NextWhole = {};
+  readNow();
+}
+
 void StoreFollower::distrust() {
   m_NextWhole = {};
   m_Hurries = true;
--- a/Services/figlift-gateway/StoreFollower.h
+++ b/Services/figlift-gateway/StoreFollower.h
@@ -60,6 +60,8 @@
   void distrust();
   /// It has changed, or may have: it is read although it is not due.
   void readNow();
+  /// The same, and only what it has now is of interest.
+  void readWholeNow();
   /// All up to \p Version is known from elsewhere.
   void advance(dispatch::StoreVersion Version) {
     // A later era has to be read whole first.
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -89,25 +89,56 @@
 
 void StandInStore::put(const std::string &Table, const std::string &Key,
                        const std::string &Value) {
-  m_Tables[Table][Key] = {Value, ++m_Version, false};
+  write(Table, Key, {Value, ++m_Version, false});
 }
 
 void StandInStore::remove(const std::string &Table, const std::string &Key) {
-  m_Tables[Table][Key] = {"", ++m_Version, true};
+  write(Table, Key, {"", ++m_Version, true});
 }
 
-std::string StandInStore::rows(const std::string &Table, uint64_t After,
-                               bool Removed) {
+void StandInStore::write(const std::string &Table, const std::string &Key,
+                         Row Written) {
+  m_Tables[Table][Key] = Written;
+  m_History.push_back({Table, Key, std::move(Written)});
+}
+
+std::vector<std::string> StandInStore::keys(const std::string &Table) const {
+  std::vector<std::string> Names;
+  if (const auto Found = m_Tables.find(Table); Found != m_Tables.end())
+    for (const auto &[Key, Each] : Found->second)
+      if (!Each.Removed)
+        Names.push_back(Key);
+  return Names;
+}
+
+namespace {
+Json rowOf(const std::string &Table, const std::string &Key,
+           const std::string &Value, uint64_t Version, bool Removed) {
+  return {{"table", Table}, {"part", ""},
+          {"key", Key},     {"value", slopes::encodeBase64(Value)},
+          {"ver", Version}, {"tombstone", Removed}};
+}
+} // namespace
+
+std::string StandInStore::rows(const std::string &Table) {
   Json List = Json::array();
   for (const auto &[Key, Each] : m_Tables[Table])
-    if (Each.Version > After && (Removed || !Each.Removed))
-      List.push_back({{"table", Table},
-                      {"part", ""},
-                      {"key", Key},
-                      {"value", slopes::encodeBase64(Each.Value)},
-                      {"ver", Each.Version},
-                      {"tombstone", Each.Removed}});
-  return Json{{"rows", List}, {"morePages", false}, {"ver", m_Version}}.dump();
+    if (!Each.Removed)
+      List.push_back(rowOf(Table, Key, Each.Value, Each.Version, false));
+  return body(List);
+}
+
+std::string StandInStore::changes(const std::string &Table, uint64_t After) {
+  Json List = Json::array();
+  for (const Write &Each : m_History)
+    if (Each.Table == Table && Each.Written.Version > After)
+      List.push_back(rowOf(Table, Each.Key, Each.Written.Value,
+                           Each.Written.Version, Each.Written.Removed));
+  return body(List);
+}
+
+std::string StandInStore::body(const Json &Rows) const {
+  return Json{{"rows", Rows}, {"morePages", false}, {"ver", m_Version}}.dump();
 }
 
 void StandInStore::after(milliseconds Time, std::function<void()> Then) {
@@ -138,6 +169,9 @@
 
 void StandInStore::comeBackFromCopy() {
   std::tie(m_Tables, m_Version) = m_Copy;
+  std::erase_if(m_History, [this](const Write &Each) {
+    return Each.Written.Version > m_Version;
+  });
   ++m_Era;
 }
 
@@ -165,8 +199,7 @@
   const auto Wait =
       std::chrono::duration_cast<milliseconds>(Delay * 2 * drand48());
   if (What.Head.Target.starts_with("/v1/rows-get")) {
-    const std::string Read =
-        rows(queryValue(What.Head.Target, "table"), 0, false);
+    const std::string Read = rows(queryValue(What.Head.Target, "table"));
     return after(Wait, [this, Read, From] { reply(From, 200, Read); });
   }
   after(Wait, [this, What, From] { serve(What, From); });
@@ -178,7 +211,7 @@
     return respond(From, 503, "");
   const std::string Table = queryValue(Target, "table");
   if (Target.starts_with("/v1/rows-get"))
-    return reply(From, 200, rows(Table, 0, false));
+    return reply(From, 200, rows(Table));
   if (Target.starts_with("/v1/rows-feed") && Forgetful)
     return respond(From, 410, "");
   if (Target.starts_with("/v1/rows-feed")) {
@@ -198,7 +231,7 @@
   for (const auto &[Key, Each] : m_Tables[Table])
     Changed = Changed || Each.Version > After;
   if (Changed || Left <= milliseconds(0) || Away)
-    return reply(From, Away ? 503 : 200, rows(Table, After, true));
+    return reply(From, Away ? 503 : 200, changes(Table, After));
   after(WatchStep, [this, From, Table, After, Left] {
     watch(From, Table, After, Left - WatchStep);
   });
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <functional>
@@ -73,6 +74,7 @@
   std::string value(const std::string &Table, const std::string &Key) {
     return m_Tables[Table][Key].Value;
   }
+  std::vector<std::string> keys(const std::string &Table) const;
   /// Keeps a copy of all rows as they are.
   void copy() { m_Copy = {m_Tables, m_Version}; }
   /// All that was written since copy() is gone; versions count on from there,
@@ -106,6 +108,11 @@
     bool Removed = false;
   };
   using Tables = std::map<std::string, std::map<std::string, Row>>;
+  struct Write {
+    std::string Table;
+    std::string Key;
+    Row Written;
+  };
 
   void handle(const proxy::Request &What, const Caller &From);
   void serve(const proxy::Request &What, const Caller &From);
@@ -120,12 +127,18 @@
   void after(std::chrono::milliseconds Time, std::function<void()> Then);
   void watch(const Caller &From, const std::string &Table, uint64_t After,
              std::chrono::milliseconds Left);
-  std::string rows(const std::string &Table, uint64_t After, bool Removed);
+  void write(const std::string &Table, const std::string &Key, Row Written);
+  /// The rows that there are.
+  std::string rows(const std::string &Table);
+  /// Each write after a version, in order, those that others followed too.
+  std::string changes(const std::string &Table, uint64_t After);
+  std::string body(const nlohmann::json &Rows) const;
   void transact(const proxy::Request &What, const Caller &From);
 
   boost::asio::io_context &m_Loop;
   Listener m_Listener;
   Tables m_Tables;
+  std::vector<Write> m_History;
   uint64_t m_Version = 0;
   uint64_t m_Era = 1;
   std::pair<Tables, uint64_t> m_Copy;
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -351,6 +351,18 @@
   CHECK(has(Scene.ask("GET", "/more-10000/x"), "one"));
 }
 
+// Failure: of configurations in quick succession an earlier one stays in force.
+TEST(Gateway, TakesTheLastOfConfigurationsThatComeTogether) {
+  serve();
+  for (uint64_t Version = 2; Version <= 5; ++Version)
+    Scene.configure(Version);
+  const auto Changed = std::chrono::steady_clock::now();
+  CHECK(Scene.until([&] {
+    return has(Scene.metrics(), "figlift_gateway_configuration_version 5\n");
+  }));
+  CHECK(std::chrono::steady_clock::now() - Changed < std::chrono::seconds(2));
+}
+
 // Failure: a configuration never arrives over a link that stops now and then.
 TEST(Gateway, TakesAConfigurationOverALinkThatStops) {
   Scene.server("a", "plain", answersWith("one"));
--- a/Tests/Soak/Disturber.cpp
+++ b/Tests/Soak/Disturber.cpp
@@ -169,17 +169,27 @@
     return;
   testing::StandInStore &Store = m_Fleet.store();
   const unsigned Kind = draw(0, 4);
-  m_History.push_back(fmt::format("store fault {}", Kind));
+  // It comes back from a copy of this moment.
+  const bool Forgets = m_CopyRandom() % 3 == 0;
+  if (Forgets)
+    Store.copy();
+  m_History.push_back(fmt::format("store fault {}{}", Kind,
+                                  Forgets ? ", back from a copy" : ""));
   Store.Away = Kind == 0;
   Store.Silent = Kind == 1;
   Store.Delay = Kind == 2 ? milliseconds(draw(50, 600)) : milliseconds(0);
   Store.LosesAnswers = Kind == 3 ? 0.4 : 0;
   Store.Forgetful = Kind == 4;
-  open("store", PromiseBook::Everything, later(Now, 300, 5000), [&Store] {
+  const auto Mend = [this, &Store, Forgets] {
     Store.Away = Store.Silent = Store.Forgetful = false;
     Store.Delay = milliseconds(0);
     Store.LosesAnswers = 0;
-  });
+    if (!Forgets)
+      return;
+    Store.comeBackFromCopy();
+    m_Fleet.writeAgain();
+  };
+  open("store", PromiseBook::Everything, later(Now, 300, 5000), Mend);
 }
 
 void Disturber::beginServer(BootTime Now) {
--- a/Tests/Soak/Disturber.h
+++ b/Tests/Soak/Disturber.h
@@ -21,7 +21,7 @@
 public:
   Disturber(SoakFleet &Fleet, PromiseBook &Book, uint64_t Seed)
       : m_Fleet(Fleet), m_Book(Book), m_PlannedOnly(Seed % 3 == 0),
-        m_Random(Seed) {}
+        m_Random(Seed), m_CopyRandom(Seed) {}
 
   /// Called about every 50 ms. Begins new faults only if \p May.
   void tick(BootTime Now, bool May);
@@ -58,6 +58,8 @@
   PromiseBook &m_Book;
   const bool m_PlannedOnly;
   std::mt19937_64 m_Random;
+  /// Apart, so that seeds of old go on drawing what they drew.
+  std::mt19937_64 m_CopyRandom;
   std::vector<Open> m_Open;
   std::vector<std::string> m_History;
   BootTime m_Next{};
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -291,6 +291,16 @@
   list(Which, "ready");
 }
 
+void SoakFleet::writeAgain() {
+  for (const std::string &Id : m_Store.keys("servers"))
+    if (std::none_of(m_Servers.begin(), m_Servers.end(),
+                     [&](const auto &Each) { return Each->id() == Id; }))
+      m_Store.remove("servers", Id);
+  for (unsigned Each = 0; Each < m_Servers.size(); ++Each)
+    list(Each, m_Life[Each].Leaves ? "draining" : "ready");
+  configure();
+}
+
 void SoakFleet::drain(unsigned Which) {
   m_Book.leaves(m_Servers[Which]->id(), BootClock::now());
   m_Life[Which].Leaves = true;
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -51,6 +51,9 @@
   void replace(unsigned Server);
   /// Says that it leaves.
   void drain(unsigned Server);
+  /// The store came back from a copy: servers and operator write theirs again,
+  /// and servers that are gone are taken away again.
+  void writeAgain();
   /// Routes move: the next version of the configuration.
   void configure();
   testing::StandInStore &store() { return m_Store; }
