Gateway: Tell a configuration that no peer has told at once

Peers learned of a change by their own reads, up to 1.25 s later, when somebody who knew the version before had told of it in the last 0.9 s: news were left out by the age of what was told, whatever it said.

A version that neither this gateway nor a peer has told is told as soon as it is in force.

--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -126,6 +126,8 @@
   unsigned m_ConfigurationsDecoded = 0;
   /// The configuration in force was the newest one then.
   BootTime m_ConfigurationKnownAt{};
+  /// Newest version that this gateway or a peer has told.
+  uint64_t m_ConfigurationTold = 0;
   /// \name As of when peers knew what they told.
   /// @{
   BootTime m_ServersToldAt{};
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -200,7 +200,10 @@
 }
 
 void Gateway::tellStoreNews() {
+  const uint64_t InForce =
+      m_Shared.Configuration ? m_Shared.Configuration->Version : 0;
   const bool WasTold =
+      m_ConfigurationTold >= InForce &&
       m_ServerJournal.knownAt() - m_ServersToldAt < AsGoodAs &&
       m_ConfigurationKnownAt - m_ConfigurationToldAt < AsGoodAs;
   if (!m_ServersKnown || WasTold)
@@ -210,8 +213,8 @@
   News.From = m_Shared.Settings.Process.Id;
   News.Servers = m_ServerJournal.news(Now);
   News.Configuration = {
-      m_Shared.Configuration ? m_Shared.Configuration->Version : 0,
-      std::chrono::ceil<milliseconds>(Now - m_ConfigurationKnownAt)};
+      InForce, std::chrono::ceil<milliseconds>(Now - m_ConfigurationKnownAt)};
+  m_ConfigurationTold = InForce;
   m_PeerLink.tell(News);
 }
 
@@ -230,6 +233,8 @@
     return;
   const auto Verdict = m_ServerJournal.heard(News.Servers, Now);
   m_ServerFollower.advance(m_ServerJournal.version());
+  m_ConfigurationTold =
+      std::max(m_ConfigurationTold, News.Configuration.Version);
   m_ServersToldAt = std::max(m_ServersToldAt, Now - News.Servers.Age);
   m_ConfigurationToldAt =
       std::max(m_ConfigurationToldAt, Now - News.Configuration.Age);
--- a/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
+++ b/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
@@ -13,6 +13,9 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <array>
+#include <optional>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -169,3 +172,42 @@
   Late.Store.Away = false;
   CHECK(isHeard(Late));
 }
+
+// Failure: peers learn of a change only by their own reads, up to 1.25 s later,
+// as one that knows the version before has just told of it.
+TEST(StoreNewsOfPeers, TellANewerConfigurationAtOnce) {
+  Peer.non_blocking(true);
+  dispatch::PeerReport Report;
+  Report.From = "z";
+  const dispatch::StoreVersion At{Scene.Store.era(), Scene.Store.version()};
+  std::optional<std::chrono::steady_clock::time_point> Changed;
+  const auto Age = [&] {
+    return Changed ? std::chrono::ceil<milliseconds>(
+                         std::chrono::steady_clock::now() - *Changed)
+                   : milliseconds(0);
+  };
+  // The peer goes on telling of the version before, as of before the change.
+  bool Found = false;
+  const auto TellsOfTwo = [&] {
+    send('R', encodePeerReport(Report));
+    send('N',
+         dispatch::encodeStoreNews({"z", {At, At, Age(), {}}, {1, Age()}}));
+    Scene.Loop.run_for(milliseconds(20));
+    std::array<char, 65536> Bytes;
+    boost::system::error_code Code;
+    while (const size_t Count =
+               Peer.receive(boost::asio::buffer(Bytes), 0, Code))
+      if (const auto Opened = Seal.open({Bytes.data(), Count});
+          Opened && Opened->Kind == 'N')
+        Found = Found || dispatch::decodeStoreNews(Opened->Body)
+                                 .value()
+                                 .Configuration.Version == 2;
+    return Found;
+  };
+  for (int Each = 0; Each < 20; ++Each)
+    CHECK(!TellsOfTwo());
+  Scene.configure(2);
+  Changed = std::chrono::steady_clock::now();
+  CHECK(Scene.until(TellsOfTwo));
+  CHECK(Age() < milliseconds(700));
+}
