--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -50,7 +50,8 @@
        &Of.Platform.Timeout,
        Optional,
        {10, Minute},
-       "How long one call to the platform may take."},
+       "How long one call to the platform may take; a large answer may pause "
+       "for as long."},
       {"platform.pollInterval",
        &Of.Platform.PollInterval,
        Optional,
