--- a/Tests/FigliftEntry/TestCall.cpp
+++ b/Tests/FigliftEntry/TestCall.cpp
@@ -26,6 +26,15 @@
   Call.finish(Total);
 }
 
+/// Of four tokens two come, and nothing more; who goes on gets the rest.
+void streamHalf(const Asked &Call) {
+  if (Call.Run.completion().first_token() > 0)
+    return sendWhole(Call, 4);
+  Call.accept();
+  Call.token(0, "0");
+  Call.token(1, "1");
+}
+
 bool hasText(const test::FakeCaller &Caller, const std::string &Text) {
   return Caller.Answer.Body.find("\"text\":\"" + Text + "\"") !=
          std::string::npos;
@@ -95,14 +104,7 @@
   // Symptom: a plant supervisor's answer stops in the middle of a sentence.
   // Sequence: the agent that streams it dies; a resume finds nobody.
   // Cause: the answer was bound to one target.
-  auto Script = [](const Asked &Call) {
-    if (Call.Run.completion().first_token() > 0)
-      return sendWhole(Call, 4);
-    Call.accept();
-    Call.token(0, "0");
-    Call.token(1, "1");
-  };
-  FakeAgent First(Script), Second(Script);
+  FakeAgent First(streamHalf), Second(streamHalf);
   Bench.add("t1", "lm-desk", First);
   Bench.add("t2", "lm-desk", Second);
   const auto Caller = Bench.call(Bench.completion(4));
@@ -120,14 +122,7 @@
 // Failure: an answer ends in the middle, as no target is expected to finish it
 // in time: it can't be refused any more, and goes on until its deadline.
 TEST(Call, ABegunAnswerGoesOnThoughItsEndIsExpectedTooLate) {
-  auto Script = [](const Asked &Call) {
-    if (Call.Run.completion().first_token() > 0)
-      return sendWhole(Call, 4);
-    Call.accept();
-    Call.token(0, "0");
-    Call.token(1, "1");
-  };
-  FakeAgent First(Script), Second(Script);
+  FakeAgent First(streamHalf), Second(streamHalf);
   Bench.add("t1", "lm-desk", First);
   Bench.add("t2", "lm-desk", Second);
   const auto Caller = Bench.call(Bench.completion(4));
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -32,6 +32,14 @@
     Scene.configure();
     CHECK(Scene.becomesReady());
   }
+  /// Whether a configuration is in force \p Within its writing, just now.
+  bool takes(uint64_t Version, std::chrono::seconds Within) {
+    const auto Written = std::chrono::steady_clock::now();
+    const std::string Line = "figlift_gateway_configuration_version " +
+                             std::to_string(Version) + "\n";
+    return Scene.until([&] { return has(Scene.metrics(), Line); }) &&
+           std::chrono::steady_clock::now() - Written < Within;
+  }
 };
 
 TEST(Gateway, ForwardsARequestAndItsWholeAnswer) {
@@ -337,17 +345,12 @@
 // the rate of the link, and the processor was idle.
 TEST(Gateway, TakesAConfigurationThatOutgrowsItsLink) {
   Scene.server("a", "plain", answersWith("one"));
-  Scene.configure();
-  CHECK(Scene.becomesReady());
+  serve();
   // Some 2 MB, at 10 Mbit/s.
   Scene.MoreRoutes = 10000;
   Scene.Store.BytesPerSecond = 1'250'000;
   Scene.configure(2);
-  const auto Changed = std::chrono::steady_clock::now();
-  CHECK(Scene.until([&] {
-    return has(Scene.metrics(), "figlift_gateway_configuration_version 2\n");
-  }));
-  CHECK(std::chrono::steady_clock::now() - Changed < std::chrono::seconds(3));
+  CHECK(takes(2, std::chrono::seconds(3)));
   CHECK(has(Scene.ask("GET", "/more-10000/x"), "one"));
 }
 
@@ -356,25 +359,18 @@
   serve();
   for (uint64_t Version = 2; Version <= 5; ++Version)
     Scene.configure(Version);
-  const auto Changed = std::chrono::steady_clock::now();
-  CHECK(Scene.until([&] {
-    return has(Scene.metrics(), "figlift_gateway_configuration_version 5\n");
-  }));
-  CHECK(std::chrono::steady_clock::now() - Changed < std::chrono::seconds(2));
+  CHECK(takes(5, std::chrono::seconds(2)));
 }
 
 // Failure: a configuration never arrives over a link that stops now and then.
 TEST(Gateway, TakesAConfigurationOverALinkThatStops) {
   Scene.server("a", "plain", answersWith("one"));
-  Scene.configure();
-  CHECK(Scene.becomesReady());
+  serve();
   Scene.MoreRoutes = 500;
   Scene.Store.BytesPerSecond = 1'250'000;
   Scene.Store.Pause = std::chrono::milliseconds(1300);
   Scene.configure(2);
-  CHECK(Scene.until([&] {
-    return has(Scene.metrics(), "figlift_gateway_configuration_version 2\n");
-  }));
+  CHECK(takes(2, std::chrono::seconds(6)));
 }
 
 TEST(Gateway, ServesWhileTheStoreIsAway) {
