StandInStore: Pace answers through a small link by the clock

Gateway.TakesAConfigurationThatOutgrowsItsLink failed beside a load of 26: each piece of an answer waited for a timer, and timers were late, so the link carried much less than the 10 Mbit/s that the test sets, and 2 MB took over three seconds. The stand-in now writes what is due by the clock.

--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -157,7 +157,8 @@
   if (BytesPerSecond == 0)
     return respond(To, Status, Body);
   To->beginStream(head(Status));
-  trickle(To, std::make_shared<const std::string>(Body), 0);
+  trickle(std::make_shared<Trickle>(
+      Trickle{To, Body, 0, std::chrono::steady_clock::now(), false}));
 }
 
 proxy::ResponseHead StandInStore::head(unsigned Status) const {
@@ -175,19 +176,27 @@
   ++m_Era;
 }
 
-void StandInStore::trickle(const Caller &To,
-                           std::shared_ptr<const std::string> Body,
-                           size_t Sent) {
-  const size_t Piece =
-      BytesPerSecond * static_cast<size_t>(PieceInterval.count()) / 1000;
-  const std::string_view Rest = std::string_view(*Body).substr(Sent);
-  To->writeStream(Rest.substr(0, Piece));
-  if (Rest.size() <= Piece)
-    return To->endStream();
-  const size_t Middle = Body->size() / 2;
-  const bool Stops = Sent < Middle && Sent + Piece >= Middle;
-  after(Stops ? Pause + PieceInterval : PieceInterval,
-        [this, To, Body, Next = Sent + Piece] { trickle(To, Body, Next); });
+void StandInStore::trickle(const std::shared_ptr<Trickle> &What) {
+  // By the clock: timers of a busy machine are late.
+  const std::chrono::duration<double> Passed =
+      std::chrono::steady_clock::now() - What->Begun;
+  const auto Due =
+      std::min(What->Body.size(),
+               static_cast<size_t>(Passed.count() *
+                                   static_cast<double>(BytesPerSecond)));
+  const size_t Middle = What->Body.size() / 2;
+  const bool Stops = Pause > milliseconds(0) && !What->Stopped && Due >= Middle;
+  const size_t End = Stops ? std::max(Middle, What->Sent) : Due;
+  What->To->writeStream(
+      std::string_view(What->Body).substr(What->Sent, End - What->Sent));
+  What->Sent = End;
+  if (End == What->Body.size())
+    return What->To->endStream();
+  if (Stops) {
+    What->Stopped = true;
+    What->Begun += Pause;
+  }
+  after(Stops ? Pause : PieceInterval, [this, What] { trickle(What); });
 }
 
 void StandInStore::handle(const proxy::Request &What, const Caller &From) {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -121,9 +121,15 @@
   void respond(const Caller &To, unsigned Status, const std::string &Body) {
     To->respond(head(Status), Body);
   }
-  /// Writes \p Body from \p Sent on, piece by piece.
-  void trickle(const Caller &To, std::shared_ptr<const std::string> Body,
-               size_t Sent);
+  /// An answer on its way through a small link.
+  struct Trickle {
+    Caller To;
+    std::string Body;
+    size_t Sent = 0;
+    std::chrono::steady_clock::time_point Begun;
+    bool Stopped = false;
+  };
+  void trickle(const std::shared_ptr<Trickle> &What);
   void after(std::chrono::milliseconds Time, std::function<void()> Then);
   void watch(const Caller &From, const std::string &Table, uint64_t After,
              std::chrono::milliseconds Left);
