Gateway: Tell no list that lacks an entry as one without news

Cause: a gateway that the store had turned away reads the list again 0.2 s after the server's removal. The entry is missing, but has two seconds to come back there, so the list makes no event, and was told to peers as "nothing has changed up to this version". Ruled out: their own reach of the store (no store-lost) and delay of their loops.

Such a list is told as one that has to be read.

--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -78,6 +78,8 @@
   std::vector<TargetEvent> tick(BootTime Now);
 
   const std::map<std::string, Target> &all() const { return m_Targets; }
+  /// Whether servers are kept that the store no longer lists.
+  bool keepsMissing() const { return !m_Missing.empty(); }
   const Target *find(const std::string &Id) const;
 
 private:
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -163,8 +163,9 @@
   m_ServersKnown = true;
   const auto Events = m_Shared.Targets.replaceAll(Listed, BootClock::now());
   // A list that says nothing new continues what is known; of one that does,
-  // peers have to read in which order it came.
-  if (Events.empty())
+  // peers have to read in which order it came. One that lacks a server which is
+  // kept here for a while has a removal that peers must not pass over.
+  if (Events.empty() && !m_Shared.Targets.keepsMissing())
     m_ServerJournal.changesRead(Read.Version, KnownAt, {});
   else
     m_ServerJournal.wholeRead(Read.Version, KnownAt);
--- a/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
+++ b/Tests/FigliftGateway/TestStoreNewsOfPeers.cpp
@@ -13,6 +13,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 
@@ -43,6 +44,18 @@
     Peer.send_to(boost::asio::buffer(Seal.seal(Kind, Body)),
                  {boost::asio::ip::make_address_v4(To.Address), To.Port});
   }
+  /// News that the gateway has sent to the peer.
+  std::vector<dispatch::StoreNews> heard() {
+    std::vector<dispatch::StoreNews> All;
+    std::array<char, 65536> Bytes;
+    boost::system::error_code Code;
+    while (const size_t Count =
+               Peer.receive(boost::asio::buffer(Bytes), 0, Code))
+      if (const auto Opened = Seal.open({Bytes.data(), Count});
+          Opened && Opened->Kind == 'N')
+        All.push_back(dispatch::decodeStoreNews(Opened->Body).value());
+    return All;
+  }
   /// The peer's name comes before the gateway's, so reading is its turn.
   void tell(std::vector<dispatch::ServerChange> Changes,
             uint64_t Configuration = 0) {
@@ -193,15 +206,8 @@
     send('N',
          dispatch::encodeStoreNews({"z", {At, At, Age(), {}}, {1, Age()}}));
     Scene.Loop.run_for(milliseconds(20));
-    std::array<char, 65536> Bytes;
-    boost::system::error_code Code;
-    while (const size_t Count =
-               Peer.receive(boost::asio::buffer(Bytes), 0, Code))
-      if (const auto Opened = Seal.open({Bytes.data(), Count});
-          Opened && Opened->Kind == 'N')
-        Found = Found || dispatch::decodeStoreNews(Opened->Body)
-                                 .value()
-                                 .Configuration.Version == 2;
+    for (const dispatch::StoreNews &Each : heard())
+      Found = Found || Each.Configuration.Version == 2;
     return Found;
   };
   for (int Each = 0; Each < 20; ++Each)
@@ -211,3 +217,40 @@
   CHECK(Scene.until(TellsOfTwo));
   CHECK(Age() < milliseconds(700));
 }
+
+// Symptom: requests go on to a server that has left, until the next whole read.
+// Sequence: a gateway that the store had turned away reads the list again; an
+// entry is missing, and has some time to come back there. It tells its peers,
+// who reach the store, that nothing has changed, before they read the removal.
+// Cause: a list without an event was taken for one that says nothing new.
+TEST(StoreNewsOfPeers, DoNotCoverAnEntryThatIsMissing) {
+  Peer.non_blocking(true);
+  dispatch::PeerReport Report;
+  Report.From = "z";
+  Scene.server("e2", "plain", answersWith("two"));
+  CHECK(Scene.until([&] { return hasTargets(2); }));
+  Scene.Store.Away = true;
+  Scene.Loop.run_for(milliseconds(900));
+  Scene.Store.remove("servers", "e2");
+  const dispatch::StoreVersion Removal{Scene.Store.era(),
+                                       Scene.Store.version()};
+  Scene.Store.Away = false;
+  bool Tells = false;
+  bool Covers = false;
+  CHECK(Scene.until([&] {
+    send('R', encodePeerReport(Report));
+    Scene.Loop.run_for(milliseconds(20));
+    for (const dispatch::StoreNews &Each : heard())
+      if (Each.Servers.UpTo >= Removal) {
+        Tells = true;
+        const bool TellsRemoval = std::any_of(
+            Each.Servers.Changes.begin(), Each.Servers.Changes.end(),
+            [](const dispatch::ServerChange &Change) {
+              return Change.Id == "e2" && !Change.Entry;
+            });
+        Covers = Covers || (Each.Servers.After < Removal && !TellsRemoval);
+      }
+    return Tells;
+  }));
+  CHECK(!Covers);
+}
