Revert "TargetGauge: Believe measured speeds less while a target is idle"

Its effect is not shown, and what the guess costs mixed fleets was not measured; so it is taken back.

--- a/Libraries/LibRoute/TargetGauge.cpp
+++ b/Libraries/LibRoute/TargetGauge.cpp
@@ -7,8 +7,6 @@
 #include "LibRoute/TargetGauge.h"
 
 #include <algorithm>
-#include <chrono>
-#include <cmath>
 
 namespace figlift::route {
 
@@ -17,12 +15,6 @@
 constexpr double TrustWeight = 0.1;
 /// Some trust is left, so that a target whose cache has recovered is found.
 constexpr double MinimumTrust = 0.1;
-/// Measured speeds hold for so long without work.
-constexpr std::chrono::seconds SpeedsHold{5};
-/// From then on they are taken for twice as high each time.
-constexpr std::chrono::seconds HopeDoubles{2};
-/// A target that really is slow gets little work by it: its next report tells.
-constexpr double MaximumHope = 1024;
 
 } // namespace
 
@@ -37,23 +29,6 @@
   m_PrefillRate.store(Load.PrefillTokensPerSecond, Relaxed);
   m_DecodeRate.store(Load.DecodeTokensPerSecond, Relaxed);
   m_ReportedAt.store(Now.time_since_epoch().count(), Relaxed);
-  m_Hope.store(hope(Load, Now), Relaxed);
-}
-
-double TargetGauge::hope(const TargetLoad &Load, BootTime Now) {
-  const BootTime::rep Ticks = Now.time_since_epoch().count();
-  if (Load.RunningSequences + Load.WaitingRequests > 0) {
-    m_IdleSince.store(0, Relaxed);
-    return 1;
-  }
-  BootTime::rep Since = 0;
-  if (m_IdleSince.compare_exchange_strong(Since, Ticks, Relaxed))
-    return 1;
-  const std::chrono::duration<double> Beyond =
-      BootTime::duration(Ticks - Since) - SpeedsHold;
-  if (Beyond.count() <= 0)
-    return 1;
-  return std::min(MaximumHope, std::exp2(Beyond / HopeDoubles));
 }
 
 TargetLoad TargetGauge::reported() const {
@@ -94,8 +69,6 @@
     Load.PrefillTokensWaiting[I] += m_SentPrefill[I].load(Relaxed);
   Load.DecodeTokensWaiting += m_SentDecode.load(Relaxed);
   Load.WaitingRequests += m_SentRequests.load(Relaxed);
-  Load.PrefillTokensPerSecond *= m_Hope.load(Relaxed);
-  Load.DecodeTokensPerSecond *= m_Hope.load(Relaxed);
   return Load;
 }
 
--- a/Libraries/LibRoute/TargetGauge.h
+++ b/Libraries/LibRoute/TargetGauge.h
@@ -42,10 +42,7 @@
   /// attempt ended before one. Exactly once for each sent().
   void settled(const SentWork &Work);
 
-  /// The last report plus the work sent and not yet accounted for. Of a target
-  /// that has long been idle the speeds are taken for higher than measured:
-  /// only work measures them, and one that was measured too low on a busy
-  /// machine would get none again.
+  /// The last report plus the work sent and not yet accounted for.
   TargetLoad corrected() const;
   uint64_t unaccountedRequests() const;
 
@@ -59,8 +56,6 @@
   const RecentPrefixes &recentPrefixes() const { return m_RecentPrefixes; }
 
 private:
-  double hope(const TargetLoad &Load, BootTime Now);
-
   static constexpr auto Relaxed = std::memory_order_relaxed;
 
   std::array<std::atomic<uint64_t>, ServiceClassCount> m_PrefillWaiting{};
@@ -72,10 +67,6 @@
   std::atomic<double> m_PrefillRate{0};
   std::atomic<double> m_DecodeRate{0};
   std::atomic<BootTime::rep> m_ReportedAt{0};
-  /// When a report first showed no work; 0 while there is some.
-  std::atomic<BootTime::rep> m_IdleSince{0};
-  /// Factor on measured speeds.
-  std::atomic<double> m_Hope{1};
 
   std::array<std::atomic<uint64_t>, ServiceClassCount> m_SentPrefill{};
   std::atomic<uint64_t> m_SentDecode{0};
