--- a/Libraries/LibDispatch/TargetTable.cpp
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -44,7 +44,7 @@
 
 void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
   m_Missing.erase(Entry.Id);
-  if (isOfTheGone(Entry))
+  if (isStaleEntryOfGone(Entry))
     return;
   const auto [Found, IsNew] = m_Targets.try_emplace(Entry.Id, Entry);
   if (IsNew) {
@@ -84,7 +84,7 @@
 }
 
 /// Whether \p Entry says nothing later of a server than was known when it went.
-bool TargetTable::isOfTheGone(const Target &Entry) {
+bool TargetTable::isStaleEntryOfGone(const Target &Entry) {
   const auto Found = m_Gone.find(Entry.Id);
   if (Found == m_Gone.end())
     return false;
--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -87,7 +87,7 @@
   void apply(const Target &Entry, std::vector<TargetEvent> &Out);
   bool isLateWrite(const Target &Known, const Target &Entry);
   void drop(const std::string &Id, BootTime Now, std::vector<TargetEvent> &Out);
-  bool isOfTheGone(const Target &Entry);
+  bool isStaleEntryOfGone(const Target &Entry);
 
   TargetTableOptions m_Options;
   std::map<std::string, Target> m_Targets;
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -122,8 +122,7 @@
   dispatch::ServerJournal m_ServerJournal;
   /// Of the text of the configuration that was decoded last.
   size_t m_ConfigurationDigest = 0;
-  /// Configurations that the worker is at.
-  unsigned m_ConfigurationsDecoded = 0;
+  unsigned m_ConfigurationsBeingDecoded = 0;
   /// The configuration in force was the newest one then.
   BootTime m_ConfigurationKnownAt{};
   /// Newest version that this gateway or a peer has told.
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -90,11 +90,11 @@
   if (!Row || Digest == m_ConfigurationDigest)
     return configurationKnown(KnownAt);
   m_ConfigurationDigest = Digest;
-  ++m_ConfigurationsDecoded;
+  ++m_ConfigurationsBeingDecoded;
   m_Shared.Worker.run(
       [Text = Row->Value] { return decode(Text); },
       [this, KnownAt, Cost = Read.Cost](DecodedConfiguration Decoded) {
-        --m_ConfigurationsDecoded;
+        --m_ConfigurationsBeingDecoded;
         if (Decoded.What)
           putIntoForce(
               std::move(Decoded.What.value()),
@@ -112,7 +112,7 @@
 /// The configuration in force was the newest one at \p KnownAt, unless a newer
 /// one is still being decoded.
 void Gateway::configurationKnown(BootTime KnownAt) {
-  if (m_ConfigurationsDecoded > 0)
+  if (m_ConfigurationsBeingDecoded > 0)
     return;
   m_ConfigurationKnownAt = std::max(m_ConfigurationKnownAt, KnownAt);
   tellStoreNews();
