SoakFleet: Do not count a machine's standstill as a gateway's

A gateway that is to stop is given the time for which the soak itself did not run, and no more; the check and its bound stay.

--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -29,6 +29,8 @@
                                milliseconds(4000)};
 /// Beyond the grace: a busy test machine.
 constexpr milliseconds StopSlack{1500};
+/// The soak ticks twenty times a second.
+constexpr milliseconds StandstillBound{1000};
 constexpr milliseconds StartLimit{10000};
 /// Of streams that may outlast every grace.
 constexpr milliseconds LongTimeout{10000};
@@ -372,7 +374,19 @@
   startGateway(Which);
 }
 
+/// While the soak itself did not run, its machine ran nothing: gateways had no
+/// time to stop either.
+void SoakFleet::allowForStandstill(BootTime Now) {
+  const BootTime Before = std::exchange(m_LastTick, Now);
+  if (Before == BootTime{} || Now - Before < StandstillBound)
+    return;
+  for (Gateway &Each : m_Gateways)
+    if (Each.TerminatedAt != BootTime{})
+      Each.StopLimit += std::chrono::duration_cast<milliseconds>(Now - Before);
+}
+
 void SoakFleet::tick(BootTime Now) {
+  allowForStandstill(Now);
   for (unsigned Each = 0; Each < m_Gateways.size(); ++Each) {
     Gateway &Of = m_Gateways[Each];
     if (!Of.Process.running()) {
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -87,6 +87,7 @@
   void list(unsigned Server, const std::string &State);
   void writeForeignEntries();
   void ended(unsigned Which, BootTime Now);
+  void allowForStandstill(BootTime Now);
 
   boost::asio::io_context &m_Loop;
   PromiseBook &m_Book;
@@ -109,6 +110,7 @@
   };
   std::map<unsigned, Life> m_Life;
   unsigned m_Incarnations = 0;
+  BootTime m_LastTick{};
 };
 
 } // namespace figlift::soak
