Gateway: Tell which requests are the same, and that a server ended

RequestFingerprint names a request over its attempts, at all gateways alike: a keyed hash of method, host, target, credentials and body. Prompt parts, deadline and attempt id are left out; they may differ between two attempts of one request, and the body holds the prompt. The key is derived from the fleet's secret: with the secret itself, a fingerprint in the log would be a checksum that DatagramSeal believes.

Two tries, as a killed process may lose its connections before its listener. Nothing is decided by it yet.

--- a/Libraries/LibDispatch/DatagramSeal.cpp
+++ b/Libraries/LibDispatch/DatagramSeal.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/DatagramSeal.h"
 
+#include "LibDispatch/FleetSecret.h"
+
 #include <sodium.h>
 
 #include <algorithm>
@@ -25,13 +27,7 @@
 }
 
 Result<DatagramSeal> DatagramSeal::fromSecret(const std::string &Secret) {
-  Key Read;
-  size_t Count = 0;
-  if (sodium_hex2bin(Read.data(), Read.size(), Secret.data(), Secret.size(),
-                     nullptr, &Count, nullptr) != 0 ||
-      Count != Read.size())
-    return failure(ResultCode::InvalidInput,
-                   "not a secret of 16 bytes in hexadecimal", "secret");
+  FIGLIFT_TRY(Read, parseFleetSecret(Secret));
   return DatagramSeal(Read);
 }
 
--- a/Libraries/LibDispatch/Target.h
+++ b/Libraries/LibDispatch/Target.h
@@ -9,6 +9,7 @@
 #include "LibCore/Endpoint.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,14 @@
 /// the id that it had; then this differs, and it knows nothing of before.
 using StartTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Names one start of a server.
+struct ServerStart {
+  std::string TargetId;
+  std::optional<StartTime> Started;
+
+  auto operator<=>(const ServerStart &) const = default;
+};
+
 /// One start of a server.
 struct Target {
   std::string Id;
@@ -46,6 +55,7 @@
   bool Draining = false;
   Stage Does = Stage::None;
 
+  ServerStart start() const { return {Id, Started}; }
   bool operator==(const Target &) const = default;
   /// Whether \p Other says the same of the same start, though at another
   /// heartbeat.
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "CrashWatch.h"
 #include "DecisionLog.h"
 
 #include "LibCore/BackgroundWorker.h"
@@ -93,6 +94,7 @@
   /// take no work.
   std::map<std::string, BootTime> Away;
   DecisionLog Log;
+  CrashWatch Crashes{Loop, Log};
   metrics::Registry Metrics;
   std::mt19937_64 Random;
   /// When the store last answered a question for the servers.
--- /dev/null
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -0,0 +1,142 @@
+//===- CrashWatch.cpp - Whether a server ended under a request ------------===//
+//
+// One connection attempt for each doubt, closed as soon as it stands.
+//
+//===----------------------------------------------------------------------===//
+
+#include "CrashWatch.h"
+
+#include "LibLog/Log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace figlift::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using dispatch::ServerStart;
+using ErrorCode = boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Many round trips; a server that does not answer in this time is cut off or
+/// without power, which a refusal would have told.
+constexpr milliseconds ProbeTimeout{600};
+/// A process that is killed may lose its connections before its listener: one
+/// that stands then proves nothing, and is tried once more after a pause.
+constexpr unsigned ProbeTries = 2;
+constexpr milliseconds ProbePause{50};
+/// Until the store has dropped a server that ended without refusing anybody.
+constexpr milliseconds DoubtLifetime{6000};
+
+/// A connection attempt, and what ends it.
+struct Probe {
+  explicit Probe(asio::io_context &Loop) : Socket(Loop), Timer(Loop) {}
+
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+};
+
+} // namespace
+
+void CrashWatch::useSecret(const std::string &Secret) {
+  const auto Made = dispatch::Fingerprinter::fromSecret(Secret);
+  if (!Made)
+    return log::logError(log::Level::Error, "peer-secret-invalid",
+                         Made.error());
+  m_Fingerprinter = Made.value();
+}
+
+std::optional<dispatch::RequestFingerprint>
+CrashWatch::fingerprintOf(const proxy::Request &What) const {
+  if (!m_Fingerprinter)
+    return std::nullopt;
+  const proxy::HeaderList &Fields = What.Head.Headers;
+  return m_Fingerprinter->of(
+      {What.Head.Method, Fields.find("Host").value_or(""), What.Head.Target,
+       Fields.find("Authorization").value_or(""), What.Body});
+}
+
+void CrashWatch::brokeOff(const dispatch::RequestFingerprint &What,
+                          const dispatch::Target &Which, BootTime Now) {
+  if (m_Ended.contains(Which.start()))
+    return;
+  const auto [Found, IsFirst] =
+      m_Doubts.try_emplace(Which.start(), Doubt{Now, {}});
+  Found->second.Requests.push_back(What);
+  if (IsFirst)
+    probe(Which.start(), Which.Address, 1);
+}
+
+void CrashWatch::probe(const ServerStart &Which, const Endpoint &Where,
+                       unsigned Try) {
+  ErrorCode Code;
+  const auto Address = asio::ip::make_address_v4(Where.Address, Code);
+  if (Code)
+    return;
+  const auto Each = std::make_shared<Probe>(m_Loop);
+  Each->Timer.expires_after(ProbeTimeout);
+  Each->Timer.async_wait([Each](const ErrorCode &Stopped) {
+    ErrorCode Ignored; // The attempt is given up either way.
+    if (!Stopped)
+      Each->Socket.close(Ignored);
+  });
+  Each->Socket.async_connect(
+      {Address, Where.Port},
+      [this, Each, Which, Where, Try](const ErrorCode &Result) {
+        Each->Timer.cancel();
+        if (Result == asio::error::connection_refused ||
+            Result == asio::error::connection_reset)
+          serverEnded(Which, "refuses connections");
+        else if (!Result)
+          probeAgain(Which, Where, Try);
+      });
+}
+
+void CrashWatch::probeAgain(const ServerStart &Which, const Endpoint &Where,
+                            unsigned Try) {
+  if (Try == ProbeTries) {
+    m_Doubts.erase(Which);
+    return;
+  }
+  const auto Timer = std::make_shared<asio::steady_timer>(m_Loop, ProbePause);
+  Timer->async_wait([this, Timer, Which, Where, Try](const ErrorCode &Stopped) {
+    if (!Stopped)
+      probe(Which, Where, Try + 1);
+  });
+}
+
+void CrashWatch::targetGone(const std::string &TargetId) {
+  const auto Found = m_Doubts.lower_bound(ServerStart{TargetId, std::nullopt});
+  if (Found != m_Doubts.end() && Found->first.TargetId == TargetId)
+    serverEnded(ServerStart(Found->first), "is listed no more");
+}
+
+void CrashWatch::serverEnded(const ServerStart &Which, std::string_view How) {
+  const auto Found = m_Doubts.find(Which);
+  if (Found == m_Doubts.end())
+    return;
+  ++m_Crashes;
+  m_Ended[Which] = BootClock::now();
+  if (m_Log.allows(LineKind::Belief, BootClock::now()))
+    log::logEvent(log::Level::Info, "server-ended",
+                  {{"target", Which.TargetId},
+                   {"how", How},
+                   {"brokeOff", Found->second.Requests.size()}});
+  m_Doubts.erase(Found);
+}
+
+void CrashWatch::tick(BootTime Now) {
+  std::erase_if(m_Doubts, [&](const auto &Each) {
+    return Now - Each.second.Since > DoubtLifetime;
+  });
+  std::erase_if(m_Ended, [&](const auto &Each) {
+    return Now - Each.second > DoubtLifetime;
+  });
+}
+
+} // namespace figlift::gateway
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -203,6 +203,7 @@
 void Gateway::targetGone(const std::string &Id) {
   log::logEvent(log::Level::Info, "target-gone", {{"target", Id}});
   m_Shared.Away.erase(Id);
+  m_Shared.Crashes.targetGone(Id);
   if (const auto Found = m_Shared.Pools.find(Id);
       Found != m_Shared.Pools.end()) {
     Found->second->retire();
@@ -261,6 +262,7 @@
   noteFigures(Now);
   m_Stages.tick(Now);
   m_Caches.tick(Now);
+  m_Shared.Crashes.tick(Now);
   watchSettings(Now);
   m_Shared.Log.tick(Now);
   if (m_Shared.Stop.begun())
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -64,6 +64,9 @@
   Metrics.readCounter("figlift_gateway_datagrams_refused_total",
                       "Datagrams that no gateway of this fleet has sealed",
                       [this] { return double(m_PeerLink.refused()); });
+  Metrics.readCounter("figlift_gateway_server_crashes_total",
+                      "Servers that ended under requests of this gateway",
+                      [this] { return double(m_Shared.Crashes.crashes()); });
   Metrics.readGauge("figlift_gateway_store_era",
                     "Rises whenever the store comes back from a copy",
                     [this] { return double(m_Store.era()); });
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -105,6 +105,7 @@
                          Seal.error());
   m_Seal = Seal.value();
   m_Secret = Secret;
+  m_Shared.Crashes.useSecret(Secret);
 }
 
 void PeerList::scheduleList() {
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -401,10 +401,25 @@
       m_Runs > 0 && Which.started() != BootTime{})
     --m_Runs;
   abandonExpected(Which.targetId());
+  if (std::holds_alternative<dispatch::BrokeOff>(How))
+    noteBrokenOff(Which);
   logSendEnded(Which, How);
   settle(How, Which);
 }
 
+const std::optional<dispatch::RequestFingerprint> &RequestFlow::fingerprint() {
+  if (!m_Fingerprint)
+    m_Fingerprint = m_Shared.Crashes.fingerprintOf(m_Request);
+  return m_Fingerprint;
+}
+
+/// The server may have ended, and this request may be why.
+void RequestFlow::noteBrokenOff(const ServerSend &Which) {
+  if (Which.target() && fingerprint())
+    m_Shared.Crashes.brokeOff(*m_Fingerprint, *Which.target(),
+                              BootClock::now());
+}
+
 dispatch::NextStep RequestFlow::nextStep(const SendEnd &How,
                                          const ServerSend &Which) {
   const BootTime Now = BootClock::now();
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -70,6 +70,12 @@
   void send(const std::string &TargetId, const std::string &FetchFrom,
             SendPurpose Purpose, dispatch::Work What);
   bool enginesKnown(BootTime Now) const;
+  const std::optional<dispatch::RequestFingerprint> &fingerprint();
+  /// For the log; empty if nobody has asked for it.
+  std::string fingerprintText() const {
+    return m_Fingerprint ? m_Fingerprint->toString() : std::string();
+  }
+  void noteBrokenOff(const ServerSend &Which);
   void learnRead();
   void learnRun();
   void learnLateness();
@@ -133,6 +139,8 @@
   proxy::Request m_Request;
   std::shared_ptr<proxy::CallerConnection> m_Caller;
   slopes::CallerFields m_Fields;
+  /// Absent until it is asked for, and while the fleet's secret is not known.
+  std::optional<dispatch::RequestFingerprint> m_Fingerprint;
   /// The configuration that the request began with; m_Route is its copy.
   std::shared_ptr<const dispatch::Configuration> m_Configuration;
   dispatch::Route m_Route;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -34,14 +34,14 @@
   What.Sent = m_Started;
   m_Ticket = m_Shared.Loads.started(m_TargetId, What);
   if (const dispatch::Target *Which = m_Shared.Targets.find(m_TargetId))
-    m_TargetStart = Which->Started;
+    m_Target = *Which;
   m_Connection->exchange(std::move(Bytes), true, shared_from_this());
   return true;
 }
 
 bool ServerSend::targetStartedAgain() const {
   const dispatch::Target *Which = m_Shared.Targets.find(m_TargetId);
-  return Which && Which->Started != m_TargetStart;
+  return Which && (!m_Target || Which->Started != m_Target->Started);
 }
 
 void ServerSend::cancel() {
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -64,6 +64,8 @@
   const slopes::ServerFields &fields() const { return m_Fields; }
   std::string &body() { return m_Body; }
   BootTime started() const { return m_Started; }
+  /// Null if the target was not listed any more.
+  const std::optional<dispatch::Target> &target() const { return m_Target; }
   /// Whether the target has started again since it was sent to: what it had
   /// computed is gone.
   bool targetStartedAgain() const;
@@ -92,8 +94,8 @@
   std::shared_ptr<upstream::ServerConnection> m_Connection;
   uint64_t m_Ticket = 0;
   BootTime m_Started{};
-  /// The start of the target that this was sent to.
-  std::optional<dispatch::StartTime> m_TargetStart;
+  /// As it was listed when this was sent.
+  std::optional<dispatch::Target> m_Target;
   proxy::ResponseHead m_Head;
   slopes::ServerFields m_Fields;
   std::string m_Body;
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -158,6 +158,20 @@
   list(Id, "ready");
 }
 
+void GatewayScene::crash(const std::string &Id) {
+  m_Servers[Id].Server->crash();
+}
+
+void GatewayScene::comeBack(const std::string &Id, const std::string &NewId) {
+  Entry &Ended = m_Servers[Id];
+  Entry &Started = m_Servers[NewId];
+  Started = {std::make_unique<Listener>(Loop, Ended.Server->behaviour(),
+                                        Ended.Server->address().Port),
+             Ended.Service, Ended.Stage, Ended.Started + 5000};
+  Store.remove("servers", Id);
+  list(NewId, "ready");
+}
+
 std::string GatewayScene::exchange(const Endpoint &Where,
                                    const std::string &Bytes) {
   tcp::socket Socket(Loop);
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -46,6 +46,13 @@
   void listMissingEngine(const std::string &Id, const std::string &Stage);
   /// The server at \p Id's address starts again: the same id, a later start.
   void restart(const std::string &Id);
+  void behave(const std::string &Id, Listener::Behaviour Act) {
+    m_Servers[Id].Server->behave(std::move(Act));
+  }
+  /// The server ends, and nobody says so in the store.
+  void crash(const std::string &Id);
+  /// It starts again, as \p NewId at the same address.
+  void comeBack(const std::string &Id, const std::string &NewId);
   /// Sends one request on a connection of its own and gives the whole answer,
   /// head and body, once the gateway has closed it.
   std::string ask(const std::string &Method, const std::string &Path,
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -46,27 +46,31 @@
   Listener &m_Owner;
 };
 
-Listener::Listener(asio::io_context &Loop, Behaviour Act)
-    : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
+Listener::Listener(asio::io_context &Loop, Behaviour Act, uint16_t Port)
+    : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), Port}),
+      m_Address{"127.0.0.1", m_Acceptor.local_endpoint().port()},
       m_Act(std::move(Act)) {
   accept();
 }
 
-Endpoint Listener::address() const {
-  return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
-}
-
 void Listener::accept() {
   m_Acceptor.async_accept([this](const auto &Code, tcp::socket Socket) {
-    if (Code)
+    if (Code || !m_Acceptor.is_open())
       return;
-    std::make_shared<proxy::CallerConnection>(std::move(Socket),
-                                              proxy::CallerLimits{}, *this)
-        ->start();
+    const auto Connection = std::make_shared<proxy::CallerConnection>(
+        std::move(Socket), proxy::CallerLimits{}, *this);
+    m_Connections.insert(Connection.get());
+    Connection->start();
     accept();
   });
 }
 
+void Listener::crash() {
+  m_Acceptor.close();
+  for (proxy::CallerConnection *Each : std::set(m_Connections))
+    Each->abort();
+}
+
 std::shared_ptr<proxy::RequestProcess> Listener::handle(proxy::Request What,
                                                         Caller From) {
   if (What.Head.Target == "/v1/kv-list") {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,10 +33,14 @@
 public:
   using Behaviour = std::function<void(const proxy::Request &, Caller)>;
 
-  Listener(boost::asio::io_context &Loop, Behaviour Act);
+  /// \p Port 0: any free one.
+  Listener(boost::asio::io_context &Loop, Behaviour Act, uint16_t Port = 0);
 
-  Endpoint address() const;
+  Endpoint address() const { return m_Address; }
+  /// Ends as a killed process does: all connections break, and nobody listens.
+  void crash();
   void behave(Behaviour Act) { m_Act = std::move(Act); }
+  const Behaviour &behaviour() const { return m_Act; }
   std::vector<proxy::Request> Requests;
   /// Answer to a question for the parts in its KV cache; such questions are
   /// counted apart from requests.
@@ -49,14 +54,18 @@
   proxy::Rejection rejected(unsigned Status) override {
     return proxy::rejectionOf(Status);
   }
-  void closed(proxy::CallerConnection &) override {}
+  void closed(proxy::CallerConnection &From) override {
+    m_Connections.erase(&From);
+  }
 
 private:
   class Process;
   void accept();
 
   boost::asio::ip::tcp::acceptor m_Acceptor;
+  Endpoint m_Address;
   Behaviour m_Act;
+  std::set<proxy::CallerConnection *> m_Connections;
 };
 
 /// Rows of the platform's store.
