Gateway: Refuse requests under which three servers ended

Cause: nothing remembered a request beyond its own attempt. One that crashes whoever runs it came again under new attempt ids, at any gateway, and was new each time, with a full right to a server.

CrashSuspects counts the starts of servers that ended while they had a request, over attempts and gateways. After the third it is refused at the door, before its prompt is read, with 503 (nothing of this attempt ran) and a Retry-After that says when it may be tried again. Before that it runs alone in the fleet, and is not repeated within an attempt when that could be one too many. A run that comes to its end clears it: whoever was beside the guilty one goes on. Gateways tell each other at once, again by turns, in sealed datagrams of their own; one crash told twice counts once, as it is named by the server's start.

A 4xx of our own was ruled out: it says that the caller is wrong, which is not known.

--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -66,6 +66,9 @@
                    "it has in force and must fetch it first."},
     ResultCodeInfo{LimitReached, "LimitReached", 429, NotRun, true,
                    "The workspace has as many requests in flight as it may."},
+    ResultCodeInfo{CrashesTargets, "CrashesTargets", 503, NotRun, true,
+                   "Targets ended under this request, each time it was run; "
+                   "it is tried again, once, when Retry-After is over."},
 
     ResultCodeInfo{OutcomeUnknown, "OutcomeUnknown", 502, MayHaveRun, false,
                    "The request was handed over and its outcome was lost; it "
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -38,6 +38,7 @@
   HomeMoved = 208,
   StaleConfiguration = 209,
   LimitReached = 210,
+  CrashesTargets = 211,
 
   OutcomeUnknown = 301,
   TargetFailed = 302,
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds ProbePause{50};
 /// Until the store has dropped a server that ended without refusing anybody.
 constexpr milliseconds DoubtLifetime{6000};
+/// Some 90 bytes each.
+constexpr size_t MostRepeated = 10;
 
 /// A connection attempt, and what ends it.
 struct Probe {
@@ -63,8 +65,10 @@
 
 void CrashWatch::brokeOff(const dispatch::RequestFingerprint &What,
                           const dispatch::Target &Which, BootTime Now) {
-  if (m_Ended.contains(Which.start()))
-    return;
+  if (m_Ended.contains(Which.start())) {
+    blame(What, Which.start(), Now);
+    return tellFresh(Now);
+  }
   const auto [Found, IsFirst] =
       m_Doubts.try_emplace(Which.start(), Doubt{Now, {}});
   Found->second.Requests.push_back(What);
@@ -120,14 +124,60 @@
   const auto Found = m_Doubts.find(Which);
   if (Found == m_Doubts.end())
     return;
+  const BootTime Now = BootClock::now();
+  const Doubt Settled = std::move(Found->second);
+  m_Doubts.erase(Found);
+  m_Ended[Which] = Now;
   ++m_Crashes;
-  m_Ended[Which] = BootClock::now();
-  if (m_Log.allows(LineKind::Belief, BootClock::now()))
+  if (m_Log.allows(LineKind::Belief, Now))
     log::logEvent(log::Level::Info, "server-ended",
                   {{"target", Which.TargetId},
                    {"how", How},
-                   {"brokeOff", Found->second.Requests.size()}});
-  m_Doubts.erase(Found);
+                   {"brokeOff", Settled.Requests.size()}});
+  for (const dispatch::RequestFingerprint &Each : Settled.Requests)
+    blame(Each, Which, Now);
+  tellFresh(Now);
+}
+
+void CrashWatch::blame(const dispatch::RequestFingerprint &What,
+                       const ServerStart &Server, BootTime Now) {
+  m_Suspects.crashed(What, Server, Now);
+  if (m_Log.allows(LineKind::Notable, Now))
+    log::logEvent(log::Level::Info, "request-suspected",
+                  {{"fingerprint", What.toString()},
+                   {"target", Server.TargetId},
+                   {"crashes", m_Suspects.crashes(What)}});
+}
+
+void CrashWatch::sent(const dispatch::RequestFingerprint &What, BootTime Now) {
+  m_Suspects.sent(What, Now);
+  tellFresh(Now);
+}
+
+void CrashWatch::completed(const dispatch::RequestFingerprint &What,
+                           BootTime Now) {
+  m_Suspects.completed(What, Now);
+  tellFresh(Now);
+}
+
+void CrashWatch::tellFresh(BootTime Now) {
+  const auto Fresh = m_Suspects.takeFresh(Now);
+  if (!Fresh.empty() && m_Tell)
+    m_Tell(Fresh);
+}
+
+void CrashWatch::heard(const std::vector<dispatch::SuspectNews> &News,
+                       BootTime Now) {
+  for (const dispatch::SuspectNews &Each : News) {
+    m_Suspects.heard(Each, Now);
+    // Own sends broke off there, too.
+    for (const dispatch::SuspectNews::Crash &Crash : Each.Crashes)
+      serverEnded(Crash.Server, "told by a peer");
+  }
+}
+
+std::vector<dispatch::SuspectNews> CrashWatch::repeats(BootTime Now) {
+  return m_Suspects.repeats(MostRepeated, Now);
 }
 
 void CrashWatch::tick(BootTime Now) {
@@ -137,6 +187,7 @@
   std::erase_if(m_Ended, [&](const auto &Each) {
     return Now - Each.second > DoubtLifetime;
   });
+  m_Suspects.tick(Now);
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -3,7 +3,8 @@
 // An answer that breaks off is an everyday failure: servers cut some, links
 // reset some. A crash is a server that has ended, and that shows at once: its
 // address refuses connections. So after a send that broke off its server is
-// asked for a connection, once for all sends that broke off together.
+// asked for a connection, once for all sends that broke off together. What is
+// found goes into CrashSuspects, which decides, and to the peers.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,13 +13,13 @@
 #include "DecisionLog.h"
 
 #include "LibCore/Clock.h"
-#include "LibDispatch/RequestFingerprint.h"
-#include "LibDispatch/Target.h"
+#include "LibDispatch/CrashSuspects.h"
 #include "LibProxy/RequestParser.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,15 +30,27 @@
 
 class CrashWatch {
 public:
+  using Teller =
+      std::function<void(const std::vector<dispatch::SuspectNews> &)>;
+
   CrashWatch(boost::asio::io_context &Loop, DecisionLog &Log)
       : m_Loop(Loop), m_Log(Log) {}
 
+  /// Called with what peers are to know at once.
+  void onNews(Teller Tell) { m_Tell = std::move(Tell); }
+
   /// Fingerprints are made with the fleet's secret from now on.
   void useSecret(const std::string &Secret);
   /// Absent while the secret is not known.
   std::optional<dispatch::RequestFingerprint>
   fingerprintOf(const proxy::Request &What) const;
 
+  const dispatch::CrashSuspects &suspects() const { return m_Suspects; }
+  void countHeldBack() { ++m_HeldBack; }
+  /// The request is being sent to a server.
+  void sent(const dispatch::RequestFingerprint &What, BootTime Now);
+  /// A server has run it to an end, and goes on.
+  void completed(const dispatch::RequestFingerprint &What, BootTime Now);
   /// A send of \p What to \p Which broke off.
   void brokeOff(const dispatch::RequestFingerprint &What,
                 const dispatch::Target &Which, BootTime Now);
@@ -45,8 +58,13 @@
   void targetGone(const std::string &TargetId);
   void tick(BootTime Now);
 
+  void heard(const std::vector<dispatch::SuspectNews> &News, BootTime Now);
+  /// News that peers may have missed.
+  std::vector<dispatch::SuspectNews> repeats(BootTime Now);
+
   /// Servers that have ended under a request.
   uint64_t crashes() const { return m_Crashes; }
+  uint64_t heldBack() const { return m_HeldBack; }
 
 private:
   /// Sends that broke off at one start of a server, until it is known whether
@@ -61,15 +79,21 @@
   void probeAgain(const dispatch::ServerStart &Which, const Endpoint &Where,
                   unsigned Try);
   void serverEnded(const dispatch::ServerStart &Which, std::string_view How);
+  void blame(const dispatch::RequestFingerprint &What,
+             const dispatch::ServerStart &Server, BootTime Now);
+  void tellFresh(BootTime Now);
 
   boost::asio::io_context &m_Loop;
   DecisionLog &m_Log;
+  Teller m_Tell;
   std::optional<dispatch::Fingerprinter> m_Fingerprinter;
+  dispatch::CrashSuspects m_Suspects;
   std::map<dispatch::ServerStart, Doubt> m_Doubts;
   /// Starts that have ended, and since when that is known: the ends of their
   /// other sends come in behind.
   std::map<dispatch::ServerStart, BootTime> m_Ended;
   uint64_t m_Crashes = 0;
+  uint64_t m_HeldBack = 0;
 };
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -67,6 +67,13 @@
   Metrics.readCounter("figlift_gateway_server_crashes_total",
                       "Servers that ended under requests of this gateway",
                       [this] { return double(m_Shared.Crashes.crashes()); });
+  Metrics.readGauge(
+      "figlift_gateway_suspected_requests",
+      "Requests under which servers ended, of the whole fleet",
+      [this] { return double(m_Shared.Crashes.suspects().size()); });
+  Metrics.readCounter("figlift_gateway_requests_held_back_total",
+                      "Requests refused because servers ended under them",
+                      [this] { return double(m_Shared.Crashes.heldBack()); });
   Metrics.readGauge("figlift_gateway_store_era",
                     "Rises whenever the store comes back from a copy",
                     [this] { return double(m_Store.era()); });
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -21,11 +21,15 @@
 /// @{
 constexpr char ReportKind = 'R';
 constexpr char NewsKind = 'N';
+constexpr char SuspectsKind = 'S';
 /// @}
 /// How often a report tells what was learned of engines, some 100 bytes a
 /// service. After a start the figures of a process are good within ten answers,
 /// which come in about this time.
 constexpr milliseconds FiguresInterval{250};
+/// Suspects are told at once; again with each of so many reports, a tenth of a
+/// second at four gateways and half a second at a hundred.
+constexpr unsigned ReportsPerRepeat = 4;
 /// Parts in one report; what is beyond waits for the next.
 constexpr size_t MaximumParts = 64;
 
@@ -48,6 +52,7 @@
     return failure(ResultCode::SettingsInvalid,
                    "cannot listen at " + Own.toString() + ": " + Code.message(),
                    "listen.peers");
+  m_Shared.Crashes.onNews([this](const auto &What) { tellSuspects(What); });
   receive();
   scheduleReport();
   return success();
@@ -86,6 +91,26 @@
       What.Engines.push_back({Service, Model.own()});
   }
   sendToAll(ReportKind, encodePeerReport(What));
+  if (++m_ReportsSinceRepeat >= ReportsPerRepeat)
+    repeatSuspects(Now);
+}
+
+void PeerLink::tellSuspects(const std::vector<dispatch::SuspectNews> &What) {
+  sendToAll(SuspectsKind, encodeSuspectNews(What));
+}
+
+void PeerLink::repeatSuspects(BootTime Now) {
+  m_ReportsSinceRepeat = 0;
+  if (const auto Repeats = m_Shared.Crashes.repeats(Now); !Repeats.empty())
+    tellSuspects(Repeats);
+}
+
+void PeerLink::suspectsReceived(std::string_view Body) {
+  const auto Read = dispatch::decodeSuspectNews(Body);
+  if (!Read)
+    return log::logError(log::Level::Warning, "suspect-news-invalid",
+                         Read.error());
+  m_Shared.Crashes.heard(Read.value(), BootClock::now());
 }
 
 void PeerLink::tell(const dispatch::StoreNews &What) {
@@ -128,6 +153,8 @@
     reportReceived(Opened->Body);
   else if (Opened->Kind == NewsKind)
     newsReceived(Opened->Body);
+  else if (Opened->Kind == SuspectsKind)
+    suspectsReceived(Opened->Body);
 }
 
 void PeerLink::newsReceived(std::string_view Body) {
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -41,6 +41,9 @@
   void received(std::string_view Bytes);
   void reportReceived(std::string_view Body);
   void newsReceived(std::string_view Body);
+  void tellSuspects(const std::vector<dispatch::SuspectNews> &What);
+  void repeatSuspects(BootTime Now);
+  void suspectsReceived(std::string_view Body);
 
   Context &m_Shared;
   PeerList &m_Peers;
@@ -50,6 +53,8 @@
   std::array<char, 65536> m_Buffer;
   boost::asio::ip::udp::endpoint m_Sender;
   uint64_t m_Refused = 0;
+  /// Reports since suspects were last told again.
+  unsigned m_ReportsSinceRepeat = 0;
   /// When a report last told what was learned of engines.
   BootTime m_FiguresTold{};
 };
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -114,6 +114,8 @@
 }
 
 void RequestFlow::plan() {
+  if (heldBack())
+    return;
   if (const dispatch::Service *Which = engineService())
     return planPrompt(*Which);
   planPlain();
@@ -218,6 +220,9 @@
 }
 
 void RequestFlow::startRun(const dispatch::RunAt &Plan) {
+  // Another attempt may have ended a server while the prompt was read.
+  if (heldBack())
+    return;
   m_Runner = Plan.Runner;
   m_PlannedRun = Plan.Expected;
   m_RunSent = BootClock::now();
@@ -257,6 +262,8 @@
     logSent(TargetId, FetchFrom, Purpose, Expected);
     if (Purpose == SendPurpose::Run)
       ++m_Runs;
+    if (isSuspected())
+      m_Shared.Crashes.sent(*m_Fingerprint, Now);
     return watchSend(Expected + m_PlannedLag);
   }
   const auto Unsent = m_Send;
@@ -317,6 +324,7 @@
   if (m_Handle && m_HandleRejected)
     m_Shared.KvReuses[m_Service].tried(true, BootClock::now());
   m_Handle.reset();
+  noteCompleted();
   if (m_Fields.Prompt && !Which.targetStartedAgain())
     noteComputed(Which.targetId());
   if (streaming())
@@ -420,6 +428,42 @@
                               BootClock::now());
 }
 
+/// A server ran the request to an end, well or badly, and goes on.
+void RequestFlow::noteCompleted() {
+  if (isSuspected())
+    m_Shared.Crashes.completed(*m_Fingerprint, BootClock::now());
+}
+
+/// Calm days cost no fingerprints.
+bool RequestFlow::isSuspected() {
+  const dispatch::CrashSuspects &Suspects = m_Shared.Crashes.suspects();
+  return !Suspects.empty() && fingerprint() &&
+         Suspects.crashes(*m_Fingerprint) > 0;
+}
+
+/// Whether the request may not be sent, as servers ended under it; ends it
+/// then.
+bool RequestFlow::heldBack() {
+  if (!isSuspected())
+    return false;
+  const dispatch::CrashSuspects &Suspects = m_Shared.Crashes.suspects();
+  const BootTime Now = BootClock::now();
+  const auto Held = m_Sends == 0 ? Suspects.holdsBack(*m_Fingerprint, Now)
+                                 : Suspects.refuses(*m_Fingerprint, Now);
+  if (!Held)
+    return false;
+  m_Shared.Crashes.countHeldBack();
+  m_Code = ResultCode::CrashesTargets;
+  releaseHandle();
+  if (m_AnswerBegun)
+    cutOff(Held->Reason);
+  else
+    giveUp(m_Runs == 0 ? dispatch::NotRunStatus
+                       : dispatch::OutcomeUnknownStatus,
+           Held->Reason, Held->RetryAfter);
+  return true;
+}
+
 dispatch::NextStep RequestFlow::nextStep(const SendEnd &How,
                                          const ServerSend &Which) {
   const BootTime Now = BootClock::now();
@@ -429,7 +473,9 @@
   Progress.TimeLeft = timeLeft(Now);
   Progress.Runs = m_Runs;
   Progress.MaximumRuns = m_Route.MaximumAttempts;
-  Progress.Repeatable = m_Route.repeatable();
+  Progress.Repeatable =
+      m_Route.repeatable() &&
+      (!isSuspected() || m_Shared.Crashes.suspects().mayRepeat(*m_Fingerprint));
   Progress.EndsInTime = mayBegin(m_PlannedFirst, Now);
   if (Which.purpose() == SendPurpose::ReadPrompt && m_Runs == 0) {
     // Reading a prompt runs nothing.
@@ -456,8 +502,10 @@
   if (std::holds_alternative<dispatch::SendAgain>(Next))
     return sendAgain(Which);
   releaseHandle();
-  if (std::holds_alternative<dispatch::PassOn>(Next))
+  if (std::holds_alternative<dispatch::PassOn>(Next)) {
+    noteCompleted();
     return passOn(Which);
+  }
   if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
     return giveUp(Final->Status, dispatch::describe(How), FailureRetryAfter);
   cutOff(dispatch::describe(How));
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -76,6 +76,9 @@
     return m_Fingerprint ? m_Fingerprint->toString() : std::string();
   }
   void noteBrokenOff(const ServerSend &Which);
+  void noteCompleted();
+  bool heldBack();
+  bool isSuspected();
   void learnRead();
   void learnRun();
   void learnLateness();
@@ -186,6 +189,8 @@
   bool m_ReadArrived = false;
   bool m_RunArrived = false;
   bool m_AnswerBegun = false;
+  /// Of a refusal that has a code of its own.
+  ResultCode m_Code = ResultCode::Success;
   bool m_Done = false;
   /// All of its lines are written, also if it goes as planned.
   bool m_Traced = false;
