Gateway: Keep to the limits that servers name

What was seen: a server that had named 25.9 requests a second got 167 in 4 s, where 160 are tolerated, one with 3.7 got 52 (27 tolerated), from gateways that had passed such answers on for three seconds.

Cause: nobody read the limit. What arrived was what the mix brought.

ServerLimits keeps a token bucket for each server that names one; the answer to the request that was sent last holds, so one that was overtaken neither lifts a limit nor brings it back. Peers hear of limits four times a second. A server whose part is used up for the moment is passed over by both planners, and still sends parts of prompts to others. All arrivals count, also orders and releases of KV cache. One that names 0 is still asked every four seconds by the fleet: only an answer tells that it takes requests again.

--- a/Libraries/LibDispatch/EngineDemand.h
+++ b/Libraries/LibDispatch/EngineDemand.h
@@ -27,6 +27,7 @@
     Run += Other.Run;
     return *this;
   }
+  double sum() const { return Read + Run; }
 };
 
 /// Running mean of the demand that this process has seen.
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -46,6 +46,28 @@
   return Read;
 }
 
+Json encodeLimit(const LimitNews &What) {
+  Json Started = nullptr;
+  if (What.Server.Started)
+    Started = What.Server.Started->time_since_epoch().count();
+  Json PerSecond = nullptr;
+  if (What.PerSecond)
+    PerSecond = *What.PerSecond;
+  return {What.Server.TargetId, Started, PerSecond, What.Age.count()};
+}
+
+LimitNews decodeLimit(const Json &From) {
+  LimitNews Read;
+  Read.Server.TargetId = From.at(0).get<std::string>();
+  if (!From.at(1).is_null())
+    Read.Server.Started =
+        StartTime(std::chrono::milliseconds(From.at(1).get<int64_t>()));
+  if (!From.at(2).is_null())
+    Read.PerSecond = From.at(2).get<double>();
+  Read.Age = std::chrono::milliseconds(From.at(3).get<int64_t>());
+  return Read;
+}
+
 } // namespace
 
 std::string encodePeerReport(const PeerReport &What) {
@@ -69,9 +91,13 @@
   Json Engines = Json::array();
   for (const ServiceFigures &Each : What.Engines)
     Engines.push_back(encodeFigures(Each));
+  Json Limits = Json::array();
+  for (const LimitNews &Each : What.Limits)
+    Limits.push_back(encodeLimit(Each));
   std::string Bytes;
-  Json::to_cbor(Json::array({What.From, Loads, Cached, Demands, Away, Engines}),
-                Bytes);
+  Json::to_cbor(
+      Json::array({What.From, Loads, Cached, Demands, Away, Engines, Limits}),
+      Bytes);
   return Bytes;
 }
 
@@ -99,6 +125,10 @@
                          std::chrono::milliseconds(Each.at(1).get<int64_t>())});
   for (const Json &Each : Root.at(5))
     Read.Engines.push_back(decodeFigures(Each));
+  // Earlier processes tell no limits.
+  if (Root.size() > 6)
+    for (const Json &Each : Root.at(6))
+      Read.Limits.push_back(decodeLimit(Each));
   return Read;
 } catch (const Json::exception &Thrown) {
   return failure(ResultCode::InvalidInput, Thrown.what(), "peer report");
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -12,6 +12,7 @@
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/LoadBook.h"
 #include "LibDispatch/Prompt.h"
+#include "LibDispatch/ServerLimits.h"
 
 #include <string>
 #include <string_view>
@@ -53,6 +54,8 @@
   std::vector<AwayTarget> Away;
   /// Empty in most reports: they change slowly.
   std::vector<ServiceFigures> Engines;
+  /// Empty in most reports.
+  std::vector<LimitNews> Limits;
 };
 
 /// CBOR.
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -18,6 +18,7 @@
 #include "LibDispatch/ProcessStop.h"
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/RepeatRules.h"
+#include "LibDispatch/ServerLimits.h"
 #include "LibDispatch/ServicePlanner.h"
 #include "LibDispatch/StartLag.h"
 #include "LibDispatch/StreamTimes.h"
@@ -71,6 +72,7 @@
   std::shared_ptr<const dispatch::Configuration> Configuration;
   dispatch::TargetTable Targets;
   dispatch::LoadBook Loads;
+  dispatch::ServerLimits Limits;
   retry::FleetBudget Budget;
   dispatch::PromptPlanner Prompts;
   dispatch::ServicePlanner Services;
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -40,11 +40,14 @@
   const dispatch::Target *Which = Shared.Targets.find(Engine);
   if (Pool == Shared.Pools.end() || !Which)
     return;
-  if (const auto Connection = Pool->second->take(BootClock::now()))
+  const BootTime Now = BootClock::now();
+  if (const auto Connection = Pool->second->take(Now)) {
+    Shared.Limits.sent(Engine, Now);
     Connection->exchange(slopes::callBytes("DELETE",
                                            slopes::releaseHandleTarget(Handle),
                                            Which->Address.toString(), ""),
                          true, std::make_shared<IgnoredAnswer>());
+  }
 }
 
 void noteRequestEnd(Context &Shared, const dispatch::Route &Which,
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -204,6 +204,7 @@
   log::logEvent(log::Level::Info, "target-gone", {{"target", Id}});
   m_Shared.Away.erase(Id);
   m_Shared.Crashes.targetGone(Id);
+  m_Shared.Limits.targetGone(Id);
   if (const auto Found = m_Shared.Pools.find(Id);
       Found != m_Shared.Pools.end()) {
     Found->second->retire();
@@ -263,6 +264,7 @@
   m_Stages.tick(Now);
   m_Caches.tick(Now);
   m_Shared.Crashes.tick(Now);
+  shareLimits(Now);
   watchSettings(Now);
   m_Shared.Log.tick(Now);
   if (m_Shared.Stop.begun())
@@ -270,6 +272,13 @@
   m_Output.flush();
 }
 
+void Gateway::shareLimits(BootTime Now) {
+  for (const auto &[Id, PerSecond] : m_Shared.Limits.inForce())
+    m_Shared.Limits.share(
+        Id, dispatch::limitShare(m_Peers.limitFleet(Id, Now), Id, PerSecond),
+        Now);
+}
+
 void Gateway::noteDelay(BootClock::duration Delay) {
   m_Delays += std::max(Delay, BootClock::duration::zero());
   if (Delay >= NotableDelay && Delay <= StandstillBound)
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -75,6 +75,8 @@
   void targetCame(const dispatch::Target &Which);
   void targetGone(const std::string &Id);
   void limitPools();
+  /// Which part of each server's limit is this gateway's.
+  void shareLimits(BootTime Now);
   void scheduleTick();
   void tick();
   /// \p Delay: from when the loop should have called tick() to when it did.
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -74,6 +74,10 @@
   Metrics.readCounter("figlift_gateway_requests_held_back_total",
                       "Requests refused because servers ended under them",
                       [this] { return double(m_Shared.Crashes.heldBack()); });
+  Metrics.readGauge("figlift_gateway_limited_servers",
+                    "Servers that name how many requests they take", [this] {
+                      return double(m_Shared.Limits.inForce().size());
+                    });
   Metrics.readGauge("figlift_gateway_store_era",
                     "Rises whenever the store comes back from a copy",
                     [this] { return double(m_Store.era()); });
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -23,7 +23,8 @@
 constexpr char NewsKind = 'N';
 constexpr char SuspectsKind = 'S';
 /// @}
-/// How often a report tells what was learned of engines, some 100 bytes a
+/// How often a report tells limits of servers, some 30 bytes each, and what was
+/// learned of engines, some 100 bytes a
 /// service. After a start the figures of a process are good within ten answers,
 /// which come in about this time.
 constexpr milliseconds FiguresInterval{250};
@@ -89,6 +90,7 @@
     m_FiguresTold = Now;
     for (const auto &[Service, Model] : m_Shared.EngineModels)
       What.Engines.push_back({Service, Model.own()});
+    What.Limits = m_Shared.Limits.news(Now);
   }
   sendToAll(ReportKind, encodePeerReport(What));
   if (++m_ReportsSinceRepeat >= ReportsPerRepeat)
@@ -178,6 +180,9 @@
   m_Shared.PeerDemands[What.From] = What.Demands;
   for (const dispatch::ServiceFigures &Each : What.Engines)
     m_Shared.EngineModels[Each.Service].peerTold(What.From, Each.Figures, Now);
+  for (const dispatch::LimitNews &Each : What.Limits)
+    if (m_Shared.Targets.find(Each.Server.TargetId))
+      m_Shared.Limits.heard(Each, Now);
   for (const dispatch::AwayTarget &Each : What.Away)
     m_Shared.Loads.avoid(Each.TargetId, Now + Each.Left);
   for (const dispatch::CachedPart &Each : What.Cached)
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -218,6 +218,30 @@
   return std::max(live(Now), m_Listed);
 }
 
+dispatch::LimitFleet PeerList::limitFleet(const std::string &TargetId,
+                                          BootTime Now) const {
+  dispatch::LimitFleet Fleet;
+  Fleet.Own = m_Shared.Settings.Process.Id;
+  Fleet.Sharers = sharers(Now);
+  const dispatch::Target *Which = m_Shared.Targets.find(TargetId);
+  const std::string Service = Which ? Which->Service : std::string();
+  if (const auto Own = m_Shared.Demands.find(Service);
+      Own != m_Shared.Demands.end())
+    Fleet.OwnDemand = Own->second.demand(Now).sum();
+  Fleet.AllDemand = Fleet.OwnDemand;
+  for (const auto &[Id, Each] : m_Peers) {
+    if (!isLive(Each, Now))
+      continue;
+    Fleet.Others.push_back(Id);
+    if (const auto Told = m_Shared.PeerDemands.find(Id);
+        Told != m_Shared.PeerDemands.end())
+      for (const dispatch::ServiceDemand &Of : Told->second)
+        if (Of.Service == Service)
+          Fleet.AllDemand += Of.Demand.sum();
+  }
+  return Fleet;
+}
+
 size_t PeerList::liveBefore(BootTime Now) const {
   size_t Count = 0;
   for (const auto &[Id, Each] : m_Peers)
--- a/Services/figlift-gateway/PeerList.h
+++ b/Services/figlift-gateway/PeerList.h
@@ -55,6 +55,9 @@
   /// those heard lately, and at least as many as the store lists. One that is
   /// cut off from its peers hears nobody, and would take all for itself.
   size_t sharers(BootTime Now) const;
+  /// The fleet as it shares the limit of one server.
+  dispatch::LimitFleet limitFleet(const std::string &TargetId,
+                                  BootTime Now) const;
   /// Between two reports of a gateway to all others.
   std::chrono::microseconds reportInterval() const;
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -128,8 +128,15 @@
                                m_Shared.costsOf(Which, Now), Now);
 }
 
+/// Those that failed it, and those whose limit is used up for this moment.
+std::vector<std::string> RequestFlow::excluded(BootTime Now) const {
+  std::vector<std::string> All = m_Shared.Limits.exhausted(Now);
+  All.insert(All.end(), m_Excluded.begin(), m_Excluded.end());
+  return All;
+}
+
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
-  return m_Shared.Services.plan({timeLeft(Now), m_Excluded, m_Shared.draw()},
+  return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
                                 m_Shared.openTargets(m_Service), Now);
 }
 
@@ -158,7 +165,7 @@
   if (const auto *Which = m_Configuration->service(m_Service))
     Request.EventGap = Which->ShortestEventGap;
   Request.Lag = m_Shared.StartLags[m_Service].current(Now);
-  Request.Excluded = m_Excluded;
+  Request.Excluded = excluded(Now);
   Request.Draw = m_Shared.draw();
   return Request;
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -55,6 +55,8 @@
   const dispatch::Service *engineService() const;
   dispatch::PromptPlan promptPlan(const dispatch::Service &Which, BootTime Now);
   dispatch::ServicePlan servicePlan(BootTime Now);
+  /// Targets that must not get this request now.
+  std::vector<std::string> excluded(BootTime Now) const;
   bool findsAnother(const std::string &ThanTargetId, BootTime Now);
   void planPrompt(const dispatch::Service &Which);
   void planPlain();
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -6,6 +6,8 @@
 
 #include "ServerSend.h"
 
+#include "LibLog/Log.h"
+
 namespace figlift::gateway {
 
 using dispatch::SendEnd;
@@ -35,6 +37,7 @@
   m_Ticket = m_Shared.Loads.started(m_TargetId, What);
   if (const dispatch::Target *Which = m_Shared.Targets.find(m_TargetId))
     m_Target = *Which;
+  m_Shared.Limits.sent(m_TargetId, m_Started);
   m_Connection->exchange(std::move(Bytes), true, shared_from_this());
   return true;
 }
@@ -78,10 +81,29 @@
       Connection->abort();
     return end(dispatch::BrokeOff{});
   }
+  noteLimit();
   if (Run && isSuccess(Head.Status))
     m_Owner->sendAnswered(*this);
 }
 
+void ServerSend::noteLimit() {
+  if (!m_Target || m_Fields.OtherServer)
+    return;
+  const BootTime Now = BootClock::now();
+  if (m_Fields.LimitInvalid) {
+    if (m_Shared.Log.allows(LineKind::Notable, Now))
+      log::logEvent(log::Level::Warning, "server-limit-invalid",
+                    {{"target", m_TargetId}});
+    return;
+  }
+  if (m_Shared.Limits.told(m_Target->start(), m_Fields.Limit, m_Started, Now) &&
+      m_Shared.Log.allows(LineKind::Belief, Now))
+    log::logEvent(log::Level::Info, "server-limit",
+                  {{"target", m_TargetId},
+                   {"named", m_Fields.Limit.has_value()},
+                   {"perSecond", m_Fields.Limit.value_or(0)}});
+}
+
 void ServerSend::onBody(std::string Bytes) {
   if (!m_Owner)
     return;
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -78,6 +78,7 @@
 private:
   bool isOwnAnswer() const;
   void noteRejection(BootTime Now);
+  void noteLimit();
   void judge(const dispatch::SendEnd &How);
   void end(dispatch::SendEnd How);
 
--- a/Tests/FigliftGateway/TestServerLimits.cpp
+++ b/Tests/FigliftGateway/TestServerLimits.cpp
@@ -15,7 +15,7 @@
 
 /// Answers at once, and names \p Limit.
 Listener::Behaviour names(const std::string &Limit) {
-  return [Limit](const proxy::Request &What, const Caller &To) {
+  return [Limit](const proxy::Request &, const Caller &To) {
     proxy::ResponseHead Head;
     Head.Status = 200;
     Head.Headers.add("X-Attempt-Id", "a1");
@@ -66,3 +66,30 @@
   CHECK(Good > 60);
   CHECK(Other.Requests.size() > 50);
 }
+
+// Failure: a server that is well again is left with what it took in need.
+TEST(ServerLimits, AreLifted) {
+  Listener &Server = Scene.server("s1", "plain", names("0"));
+  serve();
+  ask(std::chrono::milliseconds(300));
+  CHECK(has(Scene.metrics(), "figlift_gateway_limited_servers 1"));
+  const size_t Before = Server.Requests.size();
+  CHECK(has(Scene.ask("GET", "/safe/x"), "HTTP/1.1 503"));
+  LONGS_EQUAL(Before, Server.Requests.size());
+  Server.behave(answersWith("good"));
+  // It is asked at least every four seconds.
+  CHECK(Scene.until([&] { return has(Scene.ask("GET", "/safe/x"), "good"); }));
+  CHECK(has(Scene.metrics(), "figlift_gateway_limited_servers 0"));
+  CHECK(ask(std::chrono::milliseconds(300)) > 8);
+}
+
+// Failure: what is no limit is taken for one.
+TEST(ServerLimits, AreNotTakenFromWhatCannotBeRead) {
+  Listener &Server = Scene.server("s1", "plain", names("-1"));
+  serve();
+  for (const char *Text : {"-1", "five", "1e300", "", "nan"}) {
+    Server.behave(names(Text));
+    CHECK(has(Scene.ask("GET", "/safe/x"), "good"));
+    CHECK(has(Scene.metrics(), "figlift_gateway_limited_servers 0"));
+  }
+}
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -23,7 +23,11 @@
       {{"e", {0xffffffffffffffffULL, 7}, std::chrono::milliseconds(250)}},
       {{"s", {1.5, 2.5}}},
       {{"f", std::chrono::milliseconds(900)}},
-      {{"s", Figures}}};
+      {{"s", Figures}},
+      {{{"t", StartTime(std::chrono::milliseconds(5))},
+        2.5,
+        std::chrono::milliseconds(7)},
+       {{"u", std::nullopt}, std::nullopt, std::chrono::milliseconds(8)}}};
   const auto Read = decodePeerReport(encodePeerReport(Sent));
   CHECK(Read.has_value());
   STRCMP_EQUAL("g1", Read.value().From.c_str());
@@ -39,6 +43,10 @@
   const engine::EngineFigures &Told = Read.value().Engines[0].Figures;
   DOUBLES_EQUAL(27.2, Told.ReadThousandTokens.count(), 0.001);
   DOUBLES_EQUAL(12, Told.StartWeight, 0.001);
+  CHECK(Read.value().Limits[0].Server == Sent.Limits[0].Server);
+  DOUBLES_EQUAL(2.5, *Read.value().Limits[0].PerSecond, 0);
+  LONGS_EQUAL(7, Read.value().Limits[0].Age.count());
+  CHECK(!Read.value().Limits[1].PerSecond);
 }
 
 TEST(PeerReport, RefusesOtherBytes) {
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -92,6 +92,22 @@
   CHECK(!decodeServerFields(Head).NotRun);
 }
 
+TEST(Headers, ReadsTheLimitOfAServer) {
+  proxy::ResponseHead Head;
+  CHECK(!decodeServerFields(Head).Limit);
+  Head.Headers.add("Server-Limit", "26.7");
+  DOUBLES_EQUAL(26.7, *decodeServerFields(Head).Limit, 0);
+  Head.Headers.add("server-limit", "30");
+  CHECK(!decodeServerFields(Head).Limit);
+  CHECK(decodeServerFields(Head).LimitInvalid);
+  for (const char *Text : {"-1", "", "many", "inf", "nan", "1e99", "5/s"}) {
+    Head.Headers.remove("Server-Limit");
+    Head.Headers.add("Server-Limit", Text);
+    CHECK(!decodeServerFields(Head).Limit);
+    CHECK(decodeServerFields(Head).LimitInvalid);
+  }
+}
+
 TEST(Headers, WritesFractionsOfASecond) {
   addRetryAfter(Fields, milliseconds(250));
   CHECK(Fields.find("Retry-After") == "0.250");
