CrashWatch: Take a server that the list drops for one that ended

Where something else takes a server's connections, a load balancer or a proxy, the probe always succeeds, and no crash would ever be proved. A send that broke off stays in doubt for six seconds after a probe that succeeded; when the list drops the server, or lists another start of it, that had not said that it leaves, the crash is counted. A refusal blames only sends that broke off in the last second, so cuts that a server lived through are not counted with a later crash.

--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <utility>
 
 namespace figlift::gateway {
 
@@ -32,6 +33,9 @@
 constexpr milliseconds ProbePause{50};
 /// Until the store has dropped a server that ended without refusing anybody.
 constexpr milliseconds DoubtLifetime{6000};
+/// Sends that broke off this long before their server refused a connection did
+/// so with it; earlier ones it cut and lived on.
+constexpr milliseconds BrokeWithIt{1000};
 /// Some 90 bytes each.
 constexpr size_t MostRepeated = 10;
 
@@ -69,10 +73,9 @@
     blame(What, Which.start(), Now);
     return tellFresh(Now);
   }
-  const auto [Found, IsFirst] =
-      m_Doubts.try_emplace(Which.start(), Doubt{Now, {}});
-  Found->second.Requests.push_back(What);
-  if (IsFirst)
+  Doubt &Of = m_Doubts[Which.start()];
+  Of.Sends.push_back({What, Now});
+  if (!std::exchange(Of.Probing, true))
     probe(Which.start(), Which.Address, 1);
 }
 
@@ -95,16 +98,19 @@
         Each->Timer.cancel();
         if (Result == asio::error::connection_refused ||
             Result == asio::error::connection_reset)
-          serverEnded(Which, "refuses connections");
+          serverEnded(Which, "refuses connections", BrokeWithIt);
         else if (!Result)
           probeAgain(Which, Where, Try);
+        else if (const auto Of = m_Doubts.find(Which); Of != m_Doubts.end())
+          Of->second.Probing = false;
       });
 }
 
 void CrashWatch::probeAgain(const ServerStart &Which, const Endpoint &Where,
                             unsigned Try) {
   if (Try == ProbeTries) {
-    m_Doubts.erase(Which);
+    if (const auto Of = m_Doubts.find(Which); Of != m_Doubts.end())
+      Of->second.Probing = false;
     return;
   }
   const auto Timer = std::make_shared<asio::steady_timer>(m_Loop, ProbePause);
@@ -114,13 +120,25 @@
   });
 }
 
-void CrashWatch::targetGone(const std::string &TargetId) {
+CrashWatch::Doubts::iterator CrashWatch::doubtOf(const std::string &TargetId) {
   const auto Found = m_Doubts.lower_bound(ServerStart{TargetId, std::nullopt});
-  if (Found != m_Doubts.end() && Found->first.TargetId == TargetId)
-    serverEnded(ServerStart(Found->first), "is listed no more");
+  return Found != m_Doubts.end() && Found->first.TargetId == TargetId
+             ? Found
+             : m_Doubts.end();
+}
+
+void CrashWatch::targetLeaves(const std::string &TargetId) {
+  if (const auto Found = doubtOf(TargetId); Found != m_Doubts.end())
+    m_Doubts.erase(Found);
 }
 
-void CrashWatch::serverEnded(const ServerStart &Which, std::string_view How) {
+void CrashWatch::targetGone(const std::string &TargetId) {
+  if (const auto Found = doubtOf(TargetId); Found != m_Doubts.end())
+    serverEnded(ServerStart(Found->first), "is listed no more", DoubtLifetime);
+}
+
+void CrashWatch::serverEnded(const ServerStart &Which, std::string_view How,
+                             milliseconds Within) {
   const auto Found = m_Doubts.find(Which);
   if (Found == m_Doubts.end())
     return;
@@ -133,9 +151,10 @@
     log::logEvent(log::Level::Info, "server-ended",
                   {{"target", Which.TargetId},
                    {"how", How},
-                   {"brokeOff", Settled.Requests.size()}});
-  for (const dispatch::RequestFingerprint &Each : Settled.Requests)
-    blame(Each, Which, Now);
+                   {"brokeOff", Settled.Sends.size()}});
+  for (const Doubt::Broken &Each : Settled.Sends)
+    if (Now - Each.At <= Within)
+      blame(Each.Request, Which, Now);
   tellFresh(Now);
 }
 
@@ -172,7 +191,7 @@
     m_Suspects.heard(Each, Now);
     // Own sends broke off there, too.
     for (const dispatch::SuspectNews::Crash &Crash : Each.Crashes)
-      serverEnded(Crash.Server, "told by a peer");
+      serverEnded(Crash.Server, "told by a peer", BrokeWithIt);
   }
 }
 
@@ -181,9 +200,12 @@
 }
 
 void CrashWatch::tick(BootTime Now) {
-  std::erase_if(m_Doubts, [&](const auto &Each) {
-    return Now - Each.second.Since > DoubtLifetime;
-  });
+  for (auto &[Which, Of] : m_Doubts)
+    std::erase_if(Of.Sends, [&](const Doubt::Broken &Each) {
+      return Now - Each.At > DoubtLifetime;
+    });
+  std::erase_if(m_Doubts,
+                [](const auto &Each) { return Each.second.Sends.empty(); });
   std::erase_if(m_Ended, [&](const auto &Each) {
     return Now - Each.second > DoubtLifetime;
   });
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -1,9 +1,11 @@
 //===- CrashWatch.h - Whether a server ended under a request ----*- C++ -*-===//
 //
 // An answer that breaks off is an everyday failure: servers cut some, links
-// reset some. A crash is a server that has ended, and that shows at once: its
-// address refuses connections. So after a send that broke off its server is
-// asked for a connection, once for all sends that broke off together. What is
+// reset some. A crash is a server that has ended, and that mostly shows at
+// once: its address refuses connections. So after a send that broke off its
+// server is asked for a connection, once for all sends that broke off together.
+// Where something else takes connections in its place, the store's list tells
+// seconds later: the server is gone, and had not said that it leaves. What is
 // found goes into CrashSuspects, which decides, and to the peers.
 //
 //===----------------------------------------------------------------------===//
@@ -54,7 +56,9 @@
   /// A send of \p What to \p Which broke off.
   void brokeOff(const dispatch::RequestFingerprint &What,
                 const dispatch::Target &Which, BootTime Now);
-  /// The store lists the target no more.
+  /// The target leaves by plan: what it cuts then is no crash.
+  void targetLeaves(const std::string &TargetId);
+  /// The store lists the target, or this start of it, no more.
   void targetGone(const std::string &TargetId);
   void tick(BootTime Now);
 
@@ -67,18 +71,26 @@
   uint64_t heldBack() const { return m_HeldBack; }
 
 private:
-  /// Sends that broke off at one start of a server, until it is known whether
+  /// Sends that broke off at one start of a server, while it may turn out that
   /// it has ended.
   struct Doubt {
-    BootTime Since{};
-    std::vector<dispatch::RequestFingerprint> Requests;
+    struct Broken {
+      dispatch::RequestFingerprint Request;
+      BootTime At{};
+    };
+    bool Probing = false;
+    std::vector<Broken> Sends;
   };
+  using Doubts = std::map<dispatch::ServerStart, Doubt>;
 
+  Doubts::iterator doubtOf(const std::string &TargetId);
   void probe(const dispatch::ServerStart &Which, const Endpoint &Where,
              unsigned Try);
   void probeAgain(const dispatch::ServerStart &Which, const Endpoint &Where,
                   unsigned Try);
-  void serverEnded(const dispatch::ServerStart &Which, std::string_view How);
+  /// \p Within: what broke off that long ago, at most, did so with it.
+  void serverEnded(const dispatch::ServerStart &Which, std::string_view How,
+                   std::chrono::milliseconds Within);
   void blame(const dispatch::RequestFingerprint &What,
              const dispatch::ServerStart &Server, BootTime Now);
   void tellFresh(BootTime Now);
@@ -88,7 +100,7 @@
   Teller m_Tell;
   std::optional<dispatch::Fingerprinter> m_Fingerprinter;
   dispatch::CrashSuspects m_Suspects;
-  std::map<dispatch::ServerStart, Doubt> m_Doubts;
+  Doubts m_Doubts;
   /// Starts that have ended, and since when that is known: the ends of their
   /// other sends come in behind.
   std::map<dispatch::ServerStart, BootTime> m_Ended;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -172,6 +172,7 @@
     }
     void operator()(const dispatch::TargetDrains &Event) const {
       log::logEvent(log::Level::Info, "target-drains", {{"target", Event.Id}});
+      Self.m_Shared.Crashes.targetLeaves(Event.Id);
     }
     void operator()(const dispatch::TargetGone &Event) const {
       Self.targetGone(Event.Id);
