Soak: Requests that crash servers, and a check of them

The proxy in front of servers takes connections all the while, so a gateway has to learn of the crash from the list. The book counts sends from gateways in touch later than the stable window after the third crash.

The check itself: PromiseBook.RequestsThatCrashServersReachFewOfThem.

--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -67,6 +67,10 @@
 
 void Listener::crash() {
   m_Acceptor.close();
+  breakConnections();
+}
+
+void Listener::breakConnections() {
   for (proxy::CallerConnection *Each : std::set(m_Connections))
     Each->abort();
 }
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -37,6 +37,7 @@
   Listener(boost::asio::io_context &Loop, Behaviour Act, uint16_t Port = 0);
 
   Endpoint address() const { return m_Address; }
+  void breakConnections();
   /// Ends as a killed process does: all connections break, and nobody listens.
   void crash();
   void behave(Behaviour Act) { m_Act = std::move(Act); }
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -63,7 +63,7 @@
     for (unsigned Each = 0; Each < m_With.Callers; ++Each) {
       Callers.push_back(std::make_unique<SoakCaller>(
           m_Loop, m_Book, m_Seed * 1000 + Each, fmt::format("c{}", Each),
-          Fleet.doors(), promptTokens()));
+          Fleet.doors(), promptTokens(), crashingRequests()));
       Callers.back()->start();
     }
     turn(Fleet, Faults, false, RecoveryLimit,
@@ -86,6 +86,13 @@
     return 1000 + static_cast<unsigned>(m_Seed % 4) * 4000;
   }
 
+  /// Every fourth seed; none of those with planned work alone, which excuses
+  /// nothing.
+  CrashingRequests crashingRequests() const {
+    return m_Seed % 4 == 1 && m_Seed % 3 != 0 ? CrashingRequests::Some
+                                              : CrashingRequests::None;
+  }
+
   /// Turns the loop until \p Done or \p Limit.
   template <typename Condition>
   bool turn(SoakFleet &Fleet, Disturber &Faults, bool May, seconds Limit,
@@ -138,9 +145,9 @@
 
   bool report(const std::vector<std::string> &History) {
     std::string Counts;
-    for (const char *What :
-         {"requests", "repeats", "orders", "status 200", "status 500",
-          "status 502", "status 503", "status 504", "without an answer"})
+    for (const char *What : {"requests", "repeats", "orders", "crashes",
+                             "status 200", "status 500", "status 502",
+                             "status 503", "status 504", "without an answer"})
       Counts += fmt::format(" {}: {};", What, m_Book.count(What));
     std::printf("seed %lu: %zu faults,%s stood still: %ld ms; %zu broken\n",
                 static_cast<unsigned long>(m_Seed), History.size(),
--- a/Tests/Soak/PromiseBook.cpp
+++ b/Tests/Soak/PromiseBook.cpp
@@ -105,6 +105,7 @@
     ++m_Counts["repeats"];
     checkRepeats(What.Service, Now);
   }
+  checkCrashes(Of, Now);
   checkDrain(Of, What, Now);
   checkVersion(Of, What, Now);
   if (What.ReadsPrompt || What.TurnedAway)
@@ -134,6 +135,30 @@
                        Repeats.size(), Service, Allowed));
 }
 
+void PromiseBook::crashed(const std::string &AttemptId, BootTime Now) {
+  const auto Found = m_Records.find(AttemptId);
+  if (Found == m_Records.end())
+    return;
+  Crashes &Of = m_Crashes[Found->second.What.Crashing];
+  ++m_Counts["crashes"];
+  if (++Of.Servers == m_Terms.CrashLimit)
+    Of.Last = Now;
+}
+
+void PromiseBook::checkCrashes(const Record &Of, BootTime Now) {
+  const auto Found = m_Crashes.find(Of.What.Crashing);
+  if (Found == m_Crashes.end() || Of.What.Crashing.empty() ||
+      Found->second.Servers < m_Terms.CrashLimit ||
+      Now - Found->second.Last < m_Terms.StableWindow ||
+      !inTouch(Of.What.Gateway, Now))
+    return;
+  if (++Found->second.SentAfter > m_Terms.SendsAfterCrashes)
+    broken(fmt::format("BUDGET: {} was sent to a server {} times more after "
+                       "the third crash, {} crashes in all",
+                       Of.What.Crashing, Found->second.SentAfter,
+                       Found->second.Servers));
+}
+
 void PromiseBook::checkDrain(const Record &Of, const Arrival &What,
                              BootTime Now) {
   const auto Left = m_Leaving.find(What.Server);
--- a/Tests/Soak/PromiseBook.h
+++ b/Tests/Soak/PromiseBook.h
@@ -31,6 +31,9 @@
   BootTime Sent{};
   /// Its deadline, or the timeout of its route if that is shorter.
   std::chrono::milliseconds Allowed{2000};
+  /// What all attempts of one request that crashes servers have in common;
+  /// empty for the others.
+  std::string Crashing = {};
 };
 
 /// A request as it reached a server.
@@ -83,6 +86,10 @@
   /// before the first, and still runs after the second, may be cut by a stop.
   double EarlyShare = 3.0 / 8;
   double LastShare = 5.0 / 6;
+  /// Sends of a request later than the stable window after it has crashed so
+  /// many servers, and how many of them are allowed.
+  unsigned CrashLimit = 3;
+  unsigned SendsAfterCrashes = 3;
   /// From SIGHUP until a gateway has read its settings.
   std::chrono::milliseconds ReloadSlack{200};
 };
@@ -95,6 +102,8 @@
   void arrived(const Arrival &What, BootTime Now);
   void ended(const Outcome &What, BootTime Now);
   void ordered(const Order &What, BootTime Now);
+  /// A server ended under the attempt.
+  void crashed(const std::string &AttemptId, BootTime Now);
 
   /// \name What was done to the system.
   /// @{
@@ -153,12 +162,20 @@
     BootTime At{};
   };
 
+  /// Of one request that crashes servers.
+  struct Crashes {
+    unsigned Servers = 0;
+    BootTime Last{};
+    unsigned SentAfter = 0;
+  };
+
   using Times = std::map<std::string, BootTime>;
   bool calm(const Times &Of, const std::string &Who, BootTime Now) const;
   bool inTouch(const std::string &Gateway, BootTime Now) const;
   bool outlastsStop(const Attempt &What, BootTime Now);
   void checkLost(const Record &Of, BootTime Now);
   void checkRepeats(const std::string &Service, BootTime Now);
+  void checkCrashes(const Record &Of, BootTime Now);
   void checkDrain(const Record &Of, const Arrival &What, BootTime Now);
   void checkVersion(const Record &Of, const Arrival &What, BootTime Now);
   void checkBody(const Outcome &What);
@@ -166,6 +183,7 @@
 
   PromiseTerms m_Terms;
   std::map<std::string, Record> m_Records;
+  std::map<std::string, Crashes> m_Crashes;
   Times m_Disturbed;
   Times m_Planned;
   std::map<std::string, Stop> m_Stops;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -6,6 +6,8 @@
 
 #include "SoakCaller.h"
 
+#include "SoakServer.h"
+
 #include <boost/asio/write.hpp>
 
 #include <spdlog/fmt/fmt.h>
@@ -20,14 +22,16 @@
 namespace {
 /// Beyond the deadline: answers that come a little late are looked at, too.
 constexpr milliseconds Patience{500};
+constexpr unsigned CrashesAmongUnsafe = 20;
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
                        std::string Name, std::vector<Door> Doors,
-                       unsigned PromptTokens)
+                       unsigned PromptTokens, CrashingRequests MayCrash)
     : m_Socket(Loop), m_Pause(Loop), m_Patience(Loop), m_Book(Book),
       m_Random(Seed), m_Name(std::move(Name)), m_Doors(std::move(Doors)),
-      m_PromptTokens(PromptTokens), m_IgnoresClose(Seed % 2 == 0) {}
+      m_PromptTokens(PromptTokens), m_IgnoresClose(Seed % 2 == 0),
+      m_MayCrash(MayCrash == CrashingRequests::Some) {}
 
 unsigned SoakCaller::draw(unsigned From, unsigned To) {
   return std::uniform_int_distribution<unsigned>(From, To)(m_Random);
@@ -101,17 +105,23 @@
        {"/once/", "model", Repeatable::No, true},
        {"/long/", "model", Repeatable::No, true, 1000, 9000}}};
   const Choice &Chosen = Choices[draw(0, Choices.size() - 1)];
+  // Requests that crash servers come from any caller, again and again.
+  const bool Crashes = m_MayCrash && Chosen.Path == "/unsafe/" &&
+                       draw(1, CrashesAmongUnsafe) == 1;
+  const std::string Crashing =
+      Crashes ? fmt::format("{}{}", CrashingPath, draw(1, 2)) : "";
   m_AttemptId = fmt::format("{}-{}", m_Name, ++m_Count);
   m_Events = Chosen.Streams ? draw(1, 30) : 0;
   const milliseconds Deadline(
       draw(Chosen.ShortestDeadlineMs, Chosen.LongestDeadlineMs));
   leaveAfter(Deadline + Patience);
   m_Book.sent({m_AttemptId, m_Doors[m_Door].Gateway, Chosen.Service,
-               Chosen.Kind, BootClock::now(), Deadline});
-  std::string Text = fmt::format("{} {}x HTTP/1.1\r\nHost: h\r\n"
-                                 "X-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
-                                 Chosen.Kind == Repeatable::No ? "POST" : "GET",
-                                 Chosen.Path, m_AttemptId, Deadline.count());
+               Chosen.Kind, BootClock::now(), Deadline, Crashing});
+  std::string Text =
+      fmt::format("{} {}{} HTTP/1.1\r\nHost: h\r\n"
+                  "X-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
+                  Chosen.Kind == Repeatable::No ? "POST" : "GET", Chosen.Path,
+                  Crashes ? Crashing : "x", m_AttemptId, Deadline.count());
   if (Chosen.Streams)
     Text += fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
                         "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -30,10 +30,14 @@
   Endpoint Address;
 };
 
+/// Whether a caller sends requests that crash servers.
+enum class CrashingRequests { None, Some };
+
 class SoakCaller {
 public:
   SoakCaller(boost::asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
-             std::string Name, std::vector<Door> Doors, unsigned PromptTokens);
+             std::string Name, std::vector<Door> Doors, unsigned PromptTokens,
+             CrashingRequests MayCrash);
   void start() { pause(); }
   void stop() { m_Stopped = true; }
   bool idle() const { return m_Idle; }
@@ -71,6 +75,7 @@
   /// keeps the engines busy, and so what orders they are given.
   const unsigned m_PromptTokens;
   const bool m_IgnoresClose;
+  const bool m_MayCrash;
   size_t m_Door = 0;
   proxy::ResponseParser m_Parser;
   std::array<char, 8192> m_Buffer;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -8,6 +8,8 @@
 
 #include "Support/Caller.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -89,6 +91,7 @@
         Loop, Book, Seed + m_Servers.size(), Service, Stage));
     const auto Which = static_cast<unsigned>(m_Servers.size() - 1);
     m_Servers.back()->becomes(fmt::format("s{}-{}", Which, ++m_Incarnations));
+    m_Servers.back()->Crashed = [this, Which] { comeBack(Which); };
     m_Servers.back()->StageChanged = [this, Which] { list(Which, "ready"); };
   };
   for (unsigned Each = 0; Each < PlainServers; ++Each)
@@ -278,6 +281,13 @@
   Of.Process.resume();
 }
 
+void SoakFleet::comeBack(unsigned Which) {
+  // From a tenth of a second to more than a second, by turns.
+  const milliseconds Away(100 + 400 * (++m_Crashes % 4));
+  const auto Timer = std::make_shared<boost::asio::steady_timer>(m_Loop, Away);
+  Timer->async_wait([this, Timer, Which](const auto &) { replace(Which); });
+}
+
 void SoakFleet::replace(unsigned Which) {
   SoakServer &Server = *m_Servers[Which];
   const std::string Before = Server.id();
@@ -286,8 +296,10 @@
   Of.Heartbeats = 0;
   // Every second one that was not told to leave comes back under its id, and
   // knows nothing of before.
-  if (!std::exchange(Of.Leaves, false) && ++m_Incarnations % 2 == 0)
+  if (!std::exchange(Of.Leaves, false) && ++m_Incarnations % 2 == 0) {
+    Server.becomes(Before);
     return list(Which, "ready");
+  }
   Server.becomes(fmt::format("s{}-{}", Which, ++m_Incarnations));
   m_Store.remove("servers", Before);
   list(Which, "ready");
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -85,6 +85,8 @@
   std::string linkFlag(const std::string &Name, const Endpoint &Target) const;
   Endpoint linkAddress(const std::string &Name) const;
   void list(unsigned Server, const std::string &State);
+  /// It starts again some time after it has crashed.
+  void comeBack(unsigned Server);
   void writeForeignEntries();
   void ended(unsigned Which, BootTime Now);
   void allowForStandstill(BootTime Now);
@@ -110,6 +112,8 @@
   };
   std::map<unsigned, Life> m_Life;
   unsigned m_Incarnations = 0;
+  /// Servers that requests have crashed.
+  unsigned m_Crashes = 0;
   BootTime m_LastTick{};
 };
 
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -73,7 +73,20 @@
       BootClock::now());
 }
 
+/// What runs here breaks off with it.
+void SoakServer::crash(const Request &Under) {
+  if (std::exchange(m_Dark, true))
+    return;
+  m_Book.crashed(field(Under, "X-Attempt-Id"), BootClock::now());
+  m_Book.disturbed(PromiseBook::Servers, BootClock::now());
+  m_Listener.breakConnections();
+  Crashed();
+}
+
 void SoakServer::serve(const Request &What, const Caller &From) {
+  // The proxy in front takes connections all the same.
+  if (m_Dark)
+    return From->abort();
   const std::string &Target = What.Head.Target;
   if (const std::string Expected = field(What, "X-Expect-Instance");
       !Expected.empty() && Expected != m_Id) {
@@ -120,6 +133,8 @@
 }
 
 void SoakServer::run(const Request &What, const Caller &From) {
+  if (What.Head.Target.find(CrashingPath) != std::string::npos)
+    return crash(What);
   const std::string AttemptId = field(What, "X-Attempt-Id");
   if (const std::string Source = field(What, "X-Kv-Source");
       !Source.empty() && !Source.ends_with("/h" + AttemptId))
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -13,9 +13,13 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace figlift::soak {
 
+/// Part of the path of requests that crash the server that runs them.
+inline constexpr std::string_view CrashingPath = "crashing-";
+
 enum class Manner {
   Good,
   /// Runs requests and answers with a failure of its own.
@@ -42,13 +46,20 @@
   const std::string &stage() const { return m_Stage; }
   const std::string &id() const { return m_Id; }
   /// Another incarnation at the same address.
-  void becomes(std::string Id) { m_Id = std::move(Id); }
+  void becomes(std::string Id) {
+    m_Id = std::move(Id);
+    m_Dark = false;
+  }
   void behave(Manner How) { m_Manner = How; }
+  /// Called when a request has crashed the server; it is dark from then on,
+  /// until it becomes another start.
+  std::function<void()> Crashed;
   /// Called when an order has changed the stage.
   std::function<void()> StageChanged;
 
 private:
   void serve(const proxy::Request &What, const testing::Caller &From);
+  void crash(const proxy::Request &Under);
   void run(const proxy::Request &What, const testing::Caller &From);
   void readPrompt(const proxy::Request &What, const testing::Caller &From);
   void takeOrder(const proxy::Request &What, const testing::Caller &From);
@@ -68,6 +79,8 @@
   std::string m_Id;
   Manner m_Manner = Manner::Good;
   uint64_t m_Orders = 0;
+  /// It has ended and not come back.
+  bool m_Dark = false;
   testing::Listener m_Listener;
 };
 
--- a/Tests/Soak/TestPromiseBook.cpp
+++ b/Tests/Soak/TestPromiseBook.cpp
@@ -49,6 +49,26 @@
   }
 };
 
+TEST(PromiseBook, RequestsThatCrashServersReachFewOfThem) {
+  const auto Send = [&](const std::string &Id) {
+    Book.sent({Id, "g1", "plain", Repeatable::No, Now, seconds(10), "x"});
+    arrive(Id);
+  };
+  for (const char *Id : {"a", "b", "c"}) {
+    Send(Id);
+    Book.crashed(Id, Now);
+  }
+  // These may have been on their way.
+  for (const char *Id : {"d", "e", "f", "g"})
+    Send(Id);
+  Now += seconds(4);
+  for (const char *Id : {"h", "i", "j"})
+    Send(Id);
+  expectKept();
+  Send("k");
+  expectBroken("BUDGET");
+}
+
 TEST(PromiseBook, WorkThatMayNotBeRepeatedRunsOnce) {
   send("a", Repeatable::Yes);
   arrive("a");
