Soak: Servers that name limits, and a check of them

Every fourth seed that is disturbed (not those of the list of regressions) has servers that name a limit of four requests a second for four to nine seconds, beside kills, cuts, crashes and configurations; the book counts what they get from gateways that were told, by the platform's bound. The requests that crash servers move to the same seeds, so that the listed seeds draw what they drew.

The check itself: PromiseBook.ServersThatNameALimitGetNoMore.

--- a/Tests/Soak/Disturber.cpp
+++ b/Tests/Soak/Disturber.cpp
@@ -26,6 +26,8 @@
 constexpr std::array Manners = {Manner::Fails, Manner::BreaksOff,
                                 Manner::Late,  Manner::Garbles,
                                 Manner::Full,  Manner::Silent};
+/// A limit binds three seconds after it was first named.
+constexpr unsigned LongestLimitMs = 9000;
 } // namespace
 
 unsigned Disturber::draw(unsigned From, unsigned To) {
@@ -197,7 +199,9 @@
   const std::string Name = fmt::format("server {}", Which);
   if (isOpen(Name))
     return;
-  const Manner How = Manners[draw(0, Manners.size() - 1)];
+  const Manner Drawn = Manners[draw(0, Manners.size() - 1)];
+  const bool Limits = m_HasServersInNeed && m_LimitRandom() % 3 == 0;
+  const Manner How = Limits ? Manner::Limited : Drawn;
   // Now and then all of them at once: a storm of repeats, which the budget has
   // to bound.
   const bool All = draw(0, 4) == 0;
@@ -209,8 +213,9 @@
   m_History.push_back(fmt::format("{}{} manner {}", Name, All ? " and all" : "",
                                   static_cast<int>(How)));
   Behave(How);
-  open(Name, PromiseBook::Servers, later(Now, 300, 4000),
-       [Behave] { Behave(Manner::Good); });
+  const auto Until = How == Manner::Limited ? later(Now, 4000, LongestLimitMs)
+                                            : later(Now, 300, 4000);
+  open(Name, PromiseBook::Servers, Until, [Behave] { Behave(Manner::Good); });
 }
 
 void Disturber::beginLeaving(BootTime Now) {
--- a/Tests/Soak/Disturber.h
+++ b/Tests/Soak/Disturber.h
@@ -17,11 +17,18 @@
 
 namespace figlift::soak {
 
+/// Every fourth seed has servers that name limits, and requests that crash
+/// whoever runs them; none of those that have planned work alone.
+inline bool hasServersInNeed(uint64_t Seed) {
+  return Seed % 4 == 3 && Seed % 3 != 0;
+}
+
 class Disturber {
 public:
   Disturber(SoakFleet &Fleet, PromiseBook &Book, uint64_t Seed)
       : m_Fleet(Fleet), m_Book(Book), m_PlannedOnly(Seed % 3 == 0),
-        m_Random(Seed), m_CopyRandom(Seed) {}
+        m_HasServersInNeed(hasServersInNeed(Seed)), m_Random(Seed),
+        m_CopyRandom(Seed), m_LimitRandom(Seed) {}
 
   /// Called about every 50 ms. Begins new faults only if \p May.
   void tick(BootTime Now, bool May);
@@ -57,9 +64,12 @@
   SoakFleet &m_Fleet;
   PromiseBook &m_Book;
   const bool m_PlannedOnly;
+  const bool m_HasServersInNeed;
   std::mt19937_64 m_Random;
   /// Apart, so that seeds of old go on drawing what they drew.
   std::mt19937_64 m_CopyRandom;
+  /// Likewise of servers that name a limit.
+  std::mt19937_64 m_LimitRandom;
   std::vector<Open> m_Open;
   std::vector<std::string> m_History;
   BootTime m_Next{};
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -86,11 +86,9 @@
     return 1000 + static_cast<unsigned>(m_Seed % 4) * 4000;
   }
 
-  /// Every fourth seed; none of those with planned work alone, which excuses
-  /// nothing.
   CrashingRequests crashingRequests() const {
-    return m_Seed % 4 == 1 && m_Seed % 3 != 0 ? CrashingRequests::Some
-                                              : CrashingRequests::None;
+    return hasServersInNeed(m_Seed) ? CrashingRequests::Some
+                                    : CrashingRequests::None;
   }
 
   /// Turns the loop until \p Done or \p Limit.
--- a/Tests/Soak/PromiseBook.cpp
+++ b/Tests/Soak/PromiseBook.cpp
@@ -106,6 +106,7 @@
     checkRepeats(What.Service, Now);
   }
   checkCrashes(Of, Now);
+  checkLimit(Of, What, Now);
   checkDrain(Of, What, Now);
   checkVersion(Of, What, Now);
   if (What.ReadsPrompt || What.TurnedAway)
@@ -159,6 +160,42 @@
                        Found->second.Servers));
 }
 
+void PromiseBook::limitNamed(const std::string &Server, double PerSecond,
+                             const std::string &AttemptId, BootTime Now) {
+  const auto Found = m_Records.find(AttemptId);
+  if (Found == m_Records.end())
+    return;
+  const auto [Of, IsFirst] = m_Limits.try_emplace(Server);
+  if (IsFirst)
+    Of->second.Since = Now;
+  Of->second.PerSecond = PerSecond;
+  Of->second.Told.try_emplace(Found->second.What.Gateway, Now);
+}
+
+void PromiseBook::checkLimit(const Record &Of, const Arrival &What,
+                             BootTime Now) {
+  const auto Found = m_Limits.find(What.Server);
+  if (Found == m_Limits.end())
+    return;
+  Limit &Named = Found->second;
+  const auto Told = Named.Told.find(Of.What.Gateway);
+  if (Told == Named.Told.end() || Now - Told->second < m_Terms.LimitKnown ||
+      !inTouch(Of.What.Gateway, Now))
+    return;
+  Named.Arrivals.push_back(Now);
+  forgetBefore(Named.Arrivals, Now - m_Terms.LimitWindow);
+  const double Allowed =
+      m_Terms.LimitFactor * Named.PerSecond *
+          std::chrono::duration<double>(m_Terms.LimitWindow).count() +
+      m_Terms.LimitSlack;
+  if (Now - Named.Since >= m_Terms.StableWindow &&
+      static_cast<double>(Named.Arrivals.size()) > Allowed)
+    broken(fmt::format(
+        "LIMIT: {} named {} a second and got {} requests, {:.0f} "
+        "allowed",
+        What.Server, Named.PerSecond, Named.Arrivals.size(), Allowed));
+}
+
 void PromiseBook::checkDrain(const Record &Of, const Arrival &What,
                              BootTime Now) {
   const auto Left = m_Leaving.find(What.Server);
--- a/Tests/Soak/PromiseBook.h
+++ b/Tests/Soak/PromiseBook.h
@@ -90,6 +90,12 @@
   /// many servers, and how many of them are allowed.
   unsigned CrashLimit = 3;
   unsigned SendsAfterCrashes = 3;
+  /// Of a limit that a server names: requests in so long may be so many times
+  /// what it allows, and some more; of gateways that were told so long ago.
+  std::chrono::milliseconds LimitWindow{4000};
+  double LimitFactor = 1.5;
+  double LimitSlack = 5;
+  std::chrono::milliseconds LimitKnown{500};
   /// From SIGHUP until a gateway has read its settings.
   std::chrono::milliseconds ReloadSlack{200};
 };
@@ -105,6 +111,12 @@
   /// A server ended under the attempt.
   void crashed(const std::string &AttemptId, BootTime Now);
 
+  /// The server has named its limit in the answer to the attempt.
+  void limitNamed(const std::string &Server, double PerSecond,
+                  const std::string &AttemptId, BootTime Now);
+  /// It names none any more.
+  void limitEnds(const std::string &Server) { m_Limits.erase(Server); }
+
   /// \name What was done to the system.
   /// @{
   void disturbed(const std::string &Gateway, BootTime Now);
@@ -169,6 +181,15 @@
     unsigned SentAfter = 0;
   };
 
+  /// A limit that a server names now.
+  struct Limit {
+    double PerSecond = 0;
+    BootTime Since{};
+    /// By gateway, when it first passed on an answer with the limit.
+    std::map<std::string, BootTime> Told;
+    std::deque<BootTime> Arrivals;
+  };
+
   using Times = std::map<std::string, BootTime>;
   bool calm(const Times &Of, const std::string &Who, BootTime Now) const;
   bool inTouch(const std::string &Gateway, BootTime Now) const;
@@ -176,6 +197,7 @@
   void checkLost(const Record &Of, BootTime Now);
   void checkRepeats(const std::string &Service, BootTime Now);
   void checkCrashes(const Record &Of, BootTime Now);
+  void checkLimit(const Record &Of, const Arrival &What, BootTime Now);
   void checkDrain(const Record &Of, const Arrival &What, BootTime Now);
   void checkVersion(const Record &Of, const Arrival &What, BootTime Now);
   void checkBody(const Outcome &What);
@@ -184,6 +206,7 @@
   PromiseTerms m_Terms;
   std::map<std::string, Record> m_Records;
   std::map<std::string, Crashes> m_Crashes;
+  std::map<std::string, Limit> m_Limits;
   Times m_Disturbed;
   Times m_Planned;
   std::map<std::string, Stop> m_Stops;
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -7,6 +7,7 @@
 #include "SoakServer.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace figlift::soak {
 
@@ -21,6 +22,7 @@
 constexpr milliseconds LateBy{1000};
 constexpr milliseconds StageChangeTime{300};
 constexpr milliseconds ShortestGap{2};
+constexpr double LimitPerSecond = 4;
 
 std::string field(const Request &Of, std::string_view Name) {
   return std::string(Of.Head.Headers.find(Name).value_or(""));
@@ -73,6 +75,15 @@
       BootClock::now());
 }
 
+ResponseHead SoakServer::successHead(const std::string &AttemptId) {
+  ResponseHead Head = signedHead(AttemptId, 200);
+  if (m_Manner != Manner::Limited)
+    return Head;
+  Head.Headers.add("Server-Limit", fmt::format("{:.1f}", LimitPerSecond));
+  m_Book.limitNamed(m_Id, LimitPerSecond, AttemptId, BootClock::now());
+  return Head;
+}
+
 /// What runs here breaks off with it.
 void SoakServer::crash(const Request &Under) {
   if (std::exchange(m_Dark, true))
@@ -147,8 +158,8 @@
   const std::string Echoed =
       m_Manner == Manner::Garbles ? AttemptId + "x" : AttemptId;
   if (Events.empty())
-    return From->respond(signedHead(Echoed, 200), "answer to " + Echoed);
-  ResponseHead Head = signedHead(Echoed, 200);
+    return From->respond(successHead(Echoed), "answer to " + Echoed);
+  ResponseHead Head = successHead(Echoed);
   Head.Headers.add("Content-Type", "text/event-stream");
   From->beginStream(Head);
   const std::string Before = field(What, "Last-Event-Id");
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -34,6 +34,8 @@
   Full,
   /// Takes requests and says nothing.
   Silent,
+  /// Names a limit in its answers, far below what it gets.
+  Limited,
 };
 
 class SoakServer {
@@ -50,7 +52,10 @@
     m_Id = std::move(Id);
     m_Dark = false;
   }
-  void behave(Manner How) { m_Manner = How; }
+  void behave(Manner How) {
+    m_Manner = How;
+    m_Book.limitEnds(m_Id);
+  }
   /// Called when a request has crashed the server; it is dark from then on,
   /// until it becomes another start.
   std::function<void()> Crashed;
@@ -60,6 +65,7 @@
 private:
   void serve(const proxy::Request &What, const testing::Caller &From);
   void crash(const proxy::Request &Under);
+  proxy::ResponseHead successHead(const std::string &AttemptId);
   void run(const proxy::Request &What, const testing::Caller &From);
   void readPrompt(const proxy::Request &What, const testing::Caller &From);
   void takeOrder(const proxy::Request &What, const testing::Caller &From);
--- a/Tests/Soak/TestPromiseBook.cpp
+++ b/Tests/Soak/TestPromiseBook.cpp
@@ -49,6 +49,18 @@
   }
 };
 
+TEST(PromiseBook, ServersThatNameALimitGetNoMore) {
+  sendOn("a");
+  Book.limitNamed("s1", 2, "a", Now);
+  // 1.5 times four seconds of two, and five.
+  Now += seconds(3);
+  for (int Each = 0; Each < 17; ++Each)
+    sendOn("b" + std::to_string(Each));
+  expectKept();
+  sendOn("c");
+  expectBroken("LIMIT");
+}
+
 TEST(PromiseBook, RequestsThatCrashServersReachFewOfThem) {
   const auto Send = [&](const std::string &Id) {
     Book.sent({Id, "g1", "plain", Repeatable::No, Now, seconds(10), "x"});
