--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/PeerReport.h"
 
+#include "LibDispatch/StartTimeJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace figlift::dispatch {
@@ -47,21 +49,17 @@
 }
 
 Json encodeLimit(const LimitNews &What) {
-  Json Started = nullptr;
-  if (What.Server.Started)
-    Started = What.Server.Started->time_since_epoch().count();
   Json PerSecond = nullptr;
   if (What.PerSecond)
     PerSecond = *What.PerSecond;
-  return {What.Server.TargetId, Started, PerSecond, What.Age.count()};
+  return {What.Server.TargetId, encodeStartTime(What.Server.Started), PerSecond,
+          What.Age.count()};
 }
 
 LimitNews decodeLimit(const Json &From) {
   LimitNews Read;
   Read.Server.TargetId = From.at(0).get<std::string>();
-  if (!From.at(1).is_null())
-    Read.Server.Started =
-        StartTime(std::chrono::milliseconds(From.at(1).get<int64_t>()));
+  Read.Server.Started = decodeStartTime(From.at(1));
   if (!From.at(2).is_null())
     Read.PerSecond = From.at(2).get<double>();
   Read.Age = std::chrono::milliseconds(From.at(3).get<int64_t>());
--- a/Libraries/LibDispatch/StoreNews.cpp
+++ b/Libraries/LibDispatch/StoreNews.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/StoreNews.h"
 
+#include "LibDispatch/StartTimeJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace figlift::dispatch {
@@ -18,10 +20,7 @@
 Json encodeEntry(const std::optional<Target> &Entry) {
   if (!Entry)
     return nullptr;
-  Json Started = nullptr;
-  if (Entry->Started)
-    Started = Entry->Started->time_since_epoch().count();
-  return {Started,
+  return {encodeStartTime(Entry->Started),
           Entry->Heartbeat,
           Entry->Service,
           Entry->Address.Address,
@@ -48,8 +47,7 @@
     return Read;
   Target Which;
   Which.Id = Read.Id;
-  if (!Entry.at(0).is_null())
-    Which.Started = StartTime(milliseconds(Entry.at(0).get<int64_t>()));
+  Which.Started = decodeStartTime(Entry.at(0));
   Which.Heartbeat = Entry.at(1).get<uint64_t>();
   Which.Service = Entry.at(2).get<std::string>();
   Which.Address = {Entry.at(3).get<std::string>(), Entry.at(4).get<uint16_t>()};
--- a/Libraries/LibDispatch/SuspectNews.cpp
+++ b/Libraries/LibDispatch/SuspectNews.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/SuspectNews.h"
 
+#include "LibDispatch/StartTimeJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -18,10 +20,8 @@
 namespace {
 
 Json encodeCrash(const SuspectNews::Crash &What) {
-  Json Started = nullptr;
-  if (What.Server.Started)
-    Started = What.Server.Started->time_since_epoch().count();
-  return {What.Server.TargetId, Started, What.Age.count()};
+  return {What.Server.TargetId, encodeStartTime(What.Server.Started),
+          What.Age.count()};
 }
 
 /// Fails for a time that no sender writes: of the future, or absurd.
@@ -39,8 +39,7 @@
 Result<SuspectNews::Crash> decodeCrash(const Json &From) {
   SuspectNews::Crash Read;
   Read.Server.TargetId = From.at(0).get<std::string>();
-  if (!From.at(1).is_null())
-    Read.Server.Started = StartTime(milliseconds(From.at(1).get<int64_t>()));
+  Read.Server.Started = decodeStartTime(From.at(1));
   FIGLIFT_TRY(Age, decodeTime(From.at(2)));
   Read.Age = Age;
   return Read;
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -72,6 +72,9 @@
   void send(const std::string &TargetId, const std::string &FetchFrom,
             SendPurpose Purpose, dispatch::Work What);
   bool enginesKnown(BootTime Now) const;
+  /// \name Servers that end under this request.
+  /// @{
+  /// Absent while the fleet's secret is not known.
   const std::optional<dispatch::RequestFingerprint> &fingerprint();
   /// For the log; empty if nobody has asked for it.
   std::string fingerprintText() const {
@@ -79,8 +82,9 @@
   }
   void noteBrokenOff(const ServerSend &Which);
   void noteCompleted();
-  bool heldBack();
   bool isSuspected();
+  bool heldBack();
+  /// @}
   void learnRead();
   void learnRun();
   void learnLateness();
