--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -22,7 +22,7 @@
 namespace {
 /// Beyond the deadline: answers that come a little late are looked at, too.
 constexpr milliseconds Patience{500};
-constexpr unsigned CrashesAmongUnsafe = 20;
+constexpr unsigned CrashesAmongUnsafe = 4;
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context &Loop, PromiseBook &Book, uint64_t Seed,
