--- a/Libraries/LibDispatch/CrashSuspects.cpp
+++ b/Libraries/LibDispatch/CrashSuspects.cpp
@@ -117,7 +117,7 @@
 BootTime CrashSuspects::refusedUntil(const Entry &Which) const {
   if (Which.Crashes.size() >= m_Options.LastTrial)
     return Which.lastCrash() + m_Options.RefusedFor;
-  std::chrono::minutes Pause = m_Options.FirstPause;
+  std::chrono::seconds Pause = m_Options.FirstPause;
   for (size_t Crash = m_Options.CrashLimit; Crash < Which.Crashes.size();
        ++Crash)
     Pause *= m_Options.PauseFactor;
--- a/Libraries/LibDispatch/CrashSuspects.h
+++ b/Libraries/LibDispatch/CrashSuspects.h
@@ -38,7 +38,7 @@
   std::chrono::milliseconds RunsAlone{500};
   /// A refused request is tried once this long after its last crash; after each
   /// further crash the pause is PauseFactor times as long.
-  std::chrono::minutes FirstPause{10};
+  std::chrono::seconds FirstPause{30};
   int PauseFactor = 6;
   /// Crashes from which a request is not tried any more: the limit and three.
   size_t LastTrial = 6;
