TestCrashSuspects: Tell again before the first trial

It looks after 10 s now: ten times as long as news are told again for being new, which is what it is about.

--- a/Tests/LibDispatch/TestCrashSuspects.cpp
+++ b/Tests/LibDispatch/TestCrashSuspects.cpp
@@ -152,7 +152,8 @@
   for (unsigned Each = 100; Each < 200; ++Each)
     Table.crashed(request(Each), server(50), Now);
   CrashSuspects Started;
-  Now += 1min;
+  // Long after the telling that was lost, and before the first trial.
+  Now += 10s;
   for (const SuspectNews &Each : Table.repeats(8, Now))
     Started.heard(Each, Now);
   CHECK(Started.refuses(Guilty, Now).has_value());
