CrashSuspects: Count what was under way together once

Callers saw a request that many of them send alike refused by all gateways for 30 s and longer ("servers crash under it"), beside requests that really crash servers.

Cause: one count stood for what a request may cost and for what is known against it. In the logs of a failing play one gateway learns from the list that three servers have ended, and the common request goes from two crashes to five within a millisecond; runs that came to their end before that was known were forgotten. Ruled out: ends known late by a refused connection (all were known from the list), two requests with one fingerprint (four for four paths).

A crash has a rank now, one more than the highest that its sender knew of, and three ranks refuse. Servers that ended bound the sends all the same: after the third, how one ended is waited for, and sends draw on the same three as trials. A crash counts from when its send broke off; ends of runs are remembered while one may become known.

Its bounds are as they were.

--- a/Libraries/LibDispatch/CrashSuspects.cpp
+++ b/Libraries/LibDispatch/CrashSuspects.cpp
@@ -7,6 +7,7 @@
 #include "LibDispatch/CrashSuspects.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace figlift::dispatch {
@@ -27,11 +28,17 @@
 
 BootTime CrashSuspects::Entry::lastCrash() const {
   BootTime Last{};
-  for (const auto &[Server, At] : Crashes)
-    Last = std::max(Last, At);
+  for (const auto &[Server, Each] : Crashes)
+    Last = std::max(Last, Each.At);
   return Last;
 }
 
+unsigned CrashSuspects::Entry::rankKnown(BootTime At) const {
+  return static_cast<unsigned>(
+      std::count_if(RankKnown.begin(), RankKnown.end(),
+                    [&](BootTime Since) { return Since < At; }));
+}
+
 CrashSuspects::Entries::value_type &
 CrashSuspects::entry(const RequestFingerprint &What, BootTime Now) {
   if (const auto Found = m_Entries.find(What); Found != m_Entries.end())
@@ -40,6 +47,8 @@
     evict();
   Entry Made;
   Made.Changed = Now;
+  if (const auto Done = m_Completed.find(What); Done != m_Completed.end())
+    Made.Cleared = Done->second;
   return *m_Entries.emplace(What, std::move(Made)).first;
 }
 
@@ -65,61 +74,122 @@
 }
 
 /// False if nothing is new in it.
-bool CrashSuspects::note(Entry &Of, const ServerStart &Server,
-                         BootTime At) const {
-  if (Of.Cleared && At <= *Of.Cleared)
-    return false;
-  if (const auto Known = Of.Crashes.find(Server); Known != Of.Crashes.end()) {
-    // Told over, an age grows by the way.
-    Known->second = std::min(Known->second, At);
+bool CrashSuspects::note(Entry &Of, const ServerStart &Server, Crash What,
+                         BootTime Now) const {
+  if (Of.Cleared && What.At <= *Of.Cleared)
     return false;
-  }
-  if (Of.Crashes.size() >= m_Options.LastTrial)
-    return false;
-  Of.Crashes.emplace(Server, At);
-  // The one that was being tried has ended.
-  Of.AloneUntil = {};
-  return true;
+  What.Rank = std::min(What.Rank, m_Options.CrashLimit);
+  const auto [Which, IsNew] = Of.Crashes.try_emplace(Server, What);
+  Crash &Known = Which->second;
+  // Of two sends to the server the one that knew more tells more; told over, an
+  // age grows by the way.
+  const bool RanksHigher = What.Rank > Known.Rank;
+  Known = {std::min(Known.At, What.At), std::max(Known.Rank, What.Rank)};
+  // The send that others waited for has ended; one of those before it has not
+  // a higher rank.
+  if (What.Rank > 1 && What.Rank > Of.RankKnown.size())
+    Of.AloneUntil = {};
+  while (Of.RankKnown.size() < What.Rank)
+    Of.RankKnown.push_back(Now);
+  if (Of.Crashes.size() > m_Options.MaximumCrashes)
+    dropOneBetween(Of);
+  return (IsNew && Of.Crashes.contains(Server)) || RanksHigher;
+}
+
+/// The first ones and those after the limit are counted; of the others the
+/// newest goes, everywhere alike.
+void CrashSuspects::dropOneBetween(Entry &Of) const {
+  const BootTime First = *limitReached(Of);
+  auto Between = Of.Crashes.end();
+  for (auto Each = Of.Crashes.begin(); Each != Of.Crashes.end(); ++Each)
+    if (const BootTime At = Each->second.At;
+        At > First && At <= First + m_Options.AfterLimit &&
+        (Between == Of.Crashes.end() || At > Between->second.At))
+      Between = Each;
+  // None: all are at or after the limit, and as many as are ever counted.
+  Of.Crashes.erase(Between != Of.Crashes.end() ? Between
+                                               : std::prev(Of.Crashes.end()));
 }
 
 void CrashSuspects::clear(Entry &Which, BootTime At) {
-  Which.Cleared = Which.Cleared ? std::max(*Which.Cleared, At) : At;
+  if (Which.Cleared && At <= *Which.Cleared)
+    return;
+  Which.Cleared = At;
+  // The run that others waited for is over.
+  Which.AloneUntil = {};
   std::erase_if(Which.Crashes, [&](const auto &Each) {
-    return Each.second <= *Which.Cleared;
+    return Each.second.At <= *Which.Cleared;
   });
-  if (Which.Crashes.empty())
-    Which.AloneUntil = {};
+  Which.RankKnown.clear();
 }
 
 void CrashSuspects::crashed(const RequestFingerprint &What,
-                            const ServerStart &Server, BootTime Now) {
+                            const BrokenSend &Send, BootTime Now) {
   Entries::value_type &Of = entry(What, Now);
-  if (note(Of.second, Server, Now))
+  const unsigned Rank = Of.second.rankKnown(Send.Began) + 1;
+  if (note(Of.second, Send.Server, {Send.BrokeOff, Rank}, Now))
     changed(Of, Now);
 }
 
 void CrashSuspects::completed(const RequestFingerprint &What, BootTime Now) {
   const auto Found = m_Entries.find(What);
-  if (Found == m_Entries.end() || Found->second.Crashes.empty())
-    return;
-  clear(Found->second, Now);
-  changed(*Found, Now);
+  if (Found != m_Entries.end() && !Found->second.Crashes.empty()) {
+    clear(Found->second, Now);
+    return changed(*Found, Now);
+  }
+  if (m_Completed.size() < m_Options.MaximumCompleted ||
+      m_Completed.contains(What))
+    m_Completed[What] = Now;
+  if (Found != m_Entries.end())
+    clear(Found->second, Now);
 }
 
 void CrashSuspects::sent(const RequestFingerprint &What, BootTime Now) {
   const auto Found = m_Entries.find(What);
   if (Found == m_Entries.end() || Found->second.Crashes.empty())
     return;
-  Found->second.AloneUntil = Now + m_Options.RunsAlone;
+  Found->second.AloneUntil =
+      Now + (Found->second.Crashes.size() < m_Options.CrashLimit
+                 ? m_Options.RunsAlone
+                 : m_Options.RunsAloneAtLimit);
   changed(*Found, Now);
 }
 
+/// Whether enough is known of it to refuse it.
+bool CrashSuspects::isGuilty(const Entry &Which) const {
+  return Which.Crashes.size() >= m_Options.CrashLimit &&
+         (Which.RankKnown.size() >= m_Options.CrashLimit ||
+          sendsAfterLimit(Which) >= m_Options.SendsAfterLimit);
+}
+
+std::optional<BootTime> CrashSuspects::limitReached(const Entry &Which) const {
+  if (Which.Crashes.size() < m_Options.CrashLimit)
+    return std::nullopt;
+  std::vector<BootTime> Ends;
+  for (const auto &[Server, Each] : Which.Crashes)
+    Ends.push_back(Each.At);
+  const auto Limit =
+      Ends.begin() + static_cast<std::ptrdiff_t>(m_Options.CrashLimit - 1);
+  std::nth_element(Ends.begin(), Limit, Ends.end());
+  return *Limit;
+}
+
+size_t CrashSuspects::sendsAfterLimit(const Entry &Which) const {
+  const auto Reached = limitReached(Which);
+  if (!Reached)
+    return 0;
+  return static_cast<size_t>(std::count_if(
+      Which.Crashes.begin(), Which.Crashes.end(), [&](const auto &Each) {
+        return Each.second.At > *Reached + m_Options.AfterLimit;
+      }));
+}
+
 BootTime CrashSuspects::refusedUntil(const Entry &Which) const {
-  if (Which.Crashes.size() >= m_Options.LastTrial)
+  const size_t Sends = sendsAfterLimit(Which);
+  if (Sends >= m_Options.SendsAfterLimit)
     return Which.lastCrash() + m_Options.RefusedFor;
   std::chrono::seconds Pause = m_Options.FirstPause;
-  for (size_t Crash = m_Options.CrashLimit; Crash < Which.Crashes.size();
-       ++Crash)
+  for (size_t Each = 0; Each < Sends; ++Each)
     Pause *= m_Options.PauseFactor;
   return Which.lastCrash() + Pause;
 }
@@ -127,8 +197,7 @@
 std::optional<HeldBack> CrashSuspects::refuses(const RequestFingerprint &What,
                                                BootTime Now) const {
   const auto Found = m_Entries.find(What);
-  if (Found == m_Entries.end() ||
-      Found->second.Crashes.size() < m_Options.CrashLimit)
+  if (Found == m_Entries.end() || !isGuilty(Found->second))
     return std::nullopt;
   const BootTime Until = refusedUntil(Found->second);
   if (Now >= Until)
@@ -152,16 +221,25 @@
   return Found == m_Entries.end() ? 0 : Found->second.Crashes.size();
 }
 
+size_t CrashSuspects::evidence(const RequestFingerprint &What) const {
+  const auto Found = m_Entries.find(What);
+  return Found == m_Entries.end() ? 0 : Found->second.RankKnown.size();
+}
+
 void CrashSuspects::heard(const SuspectNews &News, BootTime Now) {
   Entry &Of = entry(News.Request, Now).second;
   if (News.Cleared)
     clear(Of, Now - *News.Cleared);
   bool IsNew = false;
-  for (const SuspectNews::Crash &Each : News.Crashes)
-    IsNew = note(Of, Each.Server, Now - Each.Age) || IsNew;
+  for (const SuspectNews::Crash &Each : News.Crashes) {
+    const BootTime At = Now - Each.Age;
+    // The teller does not know of a run that came to its end.
+    const bool IsExcused = Of.Cleared && At <= *Of.Cleared;
+    IsNew = note(Of, Each.Server, {At, Each.Rank}, Now) || IsExcused || IsNew;
+  }
   if (!Of.Crashes.empty() && News.Alone > milliseconds(0))
-    Of.AloneUntil = std::max(Of.AloneUntil,
-                             Now + std::min(News.Alone, m_Options.RunsAlone));
+    Of.AloneUntil = std::max(
+        Of.AloneUntil, Now + std::min(News.Alone, m_Options.RunsAloneAtLimit));
   // Whoever found it tells everybody; here it is only told again later.
   if (IsNew)
     Of.Changed = Now;
@@ -172,8 +250,8 @@
 SuspectNews CrashSuspects::news(const Entries::value_type &Of, BootTime Now) {
   SuspectNews Told;
   Told.Request = Of.first;
-  for (const auto &[Server, At] : Of.second.Crashes)
-    Told.Crashes.push_back({Server, rounded(Now - At)});
+  for (const auto &[Server, Each] : Of.second.Crashes)
+    Told.Crashes.push_back({Server, rounded(Now - Each.At), Each.Rank});
   if (Of.second.Cleared)
     Told.Cleared = rounded(Now - *Of.second.Cleared);
   Told.Alone = rounded(Of.second.AloneUntil - Now);
@@ -224,6 +302,9 @@
 void CrashSuspects::tick(BootTime Now) {
   std::erase_if(m_Entries,
                 [&](const auto &Each) { return over(Each.second, Now); });
+  std::erase_if(m_Completed, [&](const auto &Each) {
+    return Now - Each.second > m_Options.CompletedKept;
+  });
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/SuspectNews.cpp
+++ b/Libraries/LibDispatch/SuspectNews.cpp
@@ -21,7 +21,7 @@
 
 Json encodeCrash(const SuspectNews::Crash &What) {
   return {What.Server.TargetId, encodeStartTime(What.Server.Started),
-          What.Age.count()};
+          What.Age.count(), What.Rank};
 }
 
 /// Fails for a time that no sender writes: of the future, or absurd.
@@ -42,6 +42,12 @@
   Read.Server.Started = decodeStartTime(From.at(1));
   FIGLIFT_TRY(Age, decodeTime(From.at(2)));
   Read.Age = Age;
+  // Earlier versions of the program tell none.
+  if (From.size() > 3)
+    Read.Rank = From.at(3).get<unsigned>();
+  if (Read.Rank == 0)
+    return failure(ResultCode::InvalidInput, "ranks begin with 1",
+                   "suspect news");
   return Read;
 }
 
--- a/Libraries/LibDispatch/SuspectNews.h
+++ b/Libraries/LibDispatch/SuspectNews.h
@@ -22,7 +22,10 @@
 struct SuspectNews {
   struct Crash {
     ServerStart Server;
+    /// How long ago the send broke off.
     std::chrono::milliseconds Age{0};
+    /// See CrashSuspects: one more than what its sender knew of.
+    unsigned Rank = 1;
   };
 
   RequestFingerprint Request;
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -68,13 +68,15 @@
 }
 
 void CrashWatch::brokeOff(const dispatch::RequestFingerprint &What,
-                          const dispatch::Target &Which, BootTime Now) {
+                          const dispatch::Target &Which, BootTime Began,
+                          BootTime Now) {
+  const Doubt::Broken Send{What, Began, Now};
   if (m_Ended.contains(Which.start())) {
-    blame(What, Which.start(), Now);
+    blame(Which.start(), Send, Now);
     return tellFresh(Now);
   }
   Doubt &Of = m_Doubts[Which.start()];
-  Of.Sends.push_back({What, Now});
+  Of.Sends.push_back(Send);
   if (!std::exchange(Of.Probing, true))
     probe(Which.start(), Which.Address, 1);
 }
@@ -98,7 +100,8 @@
         Each->Timer.cancel();
         if (Result == asio::error::connection_refused ||
             Result == asio::error::connection_reset)
-          serverEnded(Which, "refuses connections", BrokeWithIt);
+          serverEnded(Which, "refuses connections",
+                      BootClock::now() - BrokeWithIt);
         else if (!Result)
           probeAgain(Which, Where, Try);
         else if (const auto Of = m_Doubts.find(Which); Of != m_Doubts.end())
@@ -134,11 +137,12 @@
 
 void CrashWatch::targetGone(const std::string &TargetId) {
   if (const auto Found = doubtOf(TargetId); Found != m_Doubts.end())
-    serverEnded(ServerStart(Found->first), "is listed no more", DoubtLifetime);
+    serverEnded(ServerStart(Found->first), "is listed no more",
+                BootClock::now() - DoubtLifetime);
 }
 
 void CrashWatch::serverEnded(const ServerStart &Which, std::string_view How,
-                             milliseconds Within) {
+                             BootTime Since) {
   const auto Found = m_Doubts.find(Which);
   if (Found == m_Doubts.end())
     return;
@@ -153,19 +157,25 @@
                    {"how", How},
                    {"brokeOff", Settled.Sends.size()}});
   for (const Doubt::Broken &Each : Settled.Sends)
-    if (Now - Each.At <= Within)
-      blame(Each.Request, Which, Now);
+    if (Each.At >= Since)
+      blame(Which, Each, Now);
   tellFresh(Now);
 }
 
-void CrashWatch::blame(const dispatch::RequestFingerprint &What,
-                       const ServerStart &Server, BootTime Now) {
-  m_Suspects.crashed(What, Server, Now);
+void CrashWatch::blame(const ServerStart &Server, const Doubt::Broken &Send,
+                       BootTime Now) {
+  m_Suspects.crashed(Send.Request, {Server, Send.Began, Send.At}, Now);
+  const auto Age = [&](BootTime At) {
+    return std::chrono::duration_cast<milliseconds>(Now - At).count();
+  };
   if (m_Log.allows(LineKind::Notable, Now))
     log::logEvent(log::Level::Info, "request-suspected",
-                  {{"fingerprint", What.toString()},
+                  {{"fingerprint", Send.Request.toString()},
                    {"target", Server.TargetId},
-                   {"crashes", m_Suspects.crashes(What)}});
+                   {"sentMsAgo", Age(Send.Began)},
+                   {"brokeOffMsAgo", Age(Send.At)},
+                   {"evidence", m_Suspects.evidence(Send.Request)},
+                   {"crashes", m_Suspects.crashes(Send.Request)}});
 }
 
 void CrashWatch::sent(const dispatch::RequestFingerprint &What, BootTime Now) {
@@ -189,9 +199,10 @@
                        BootTime Now) {
   for (const dispatch::SuspectNews &Each : News) {
     m_Suspects.heard(Each, Now);
-    // Own sends broke off there, too.
+    // Own sends broke off there, too, about when the peer's did.
     for (const dispatch::SuspectNews::Crash &Crash : Each.Crashes)
-      serverEnded(Crash.Server, "told by a peer", BrokeWithIt);
+      serverEnded(Crash.Server, "told by a peer",
+                  Now - Crash.Age - BrokeWithIt);
   }
 }
 
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -51,11 +51,16 @@
   void countHeldBack() { ++m_HeldBack; }
   /// The request is being sent to a server.
   void sent(const dispatch::RequestFingerprint &What, BootTime Now);
+  /// Whether a crash may become known for which it matters what runs came to
+  /// their end since.
+  bool wantsCompletions() const {
+    return !m_Doubts.empty() || !m_Suspects.empty();
+  }
   /// A server has run it to an end, and goes on.
   void completed(const dispatch::RequestFingerprint &What, BootTime Now);
-  /// A send of \p What to \p Which broke off.
+  /// A send of \p What to \p Which that began at \p Began broke off.
   void brokeOff(const dispatch::RequestFingerprint &What,
-                const dispatch::Target &Which, BootTime Now);
+                const dispatch::Target &Which, BootTime Began, BootTime Now);
   /// The target leaves by plan: what it cuts then is no crash.
   void targetLeaves(const std::string &TargetId);
   /// The store lists the target, or this start of it, no more.
@@ -76,6 +81,7 @@
   struct Doubt {
     struct Broken {
       dispatch::RequestFingerprint Request;
+      BootTime Began{};
       BootTime At{};
     };
     bool Probing = false;
@@ -88,11 +94,11 @@
              unsigned Try);
   void probeAgain(const dispatch::ServerStart &Which, const Endpoint &Where,
                   unsigned Try);
-  /// \p Within: what broke off that long ago, at most, did so with it.
+  /// What broke off from \p Since on did so with it.
   void serverEnded(const dispatch::ServerStart &Which, std::string_view How,
-                   std::chrono::milliseconds Within);
-  void blame(const dispatch::RequestFingerprint &What,
-             const dispatch::ServerStart &Server, BootTime Now);
+                   BootTime Since);
+  void blame(const dispatch::ServerStart &Server, const Doubt::Broken &Send,
+             BootTime Now);
   void tellFresh(BootTime Now);
 
   boost::asio::io_context &m_Loop;
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -17,13 +17,13 @@
 /// The server may have ended, and this request may be why.
 void RequestFlow::noteBrokenOff(const ServerSend &Which) {
   if (Which.target() && fingerprint())
-    m_Shared.Crashes.brokeOff(*m_Fingerprint, *Which.target(),
+    m_Shared.Crashes.brokeOff(*m_Fingerprint, *Which.target(), Which.started(),
                               BootClock::now());
 }
 
 /// A server ran the request to an end, well or badly, and goes on.
 void RequestFlow::noteCompleted() {
-  if (isSuspected())
+  if (m_Shared.Crashes.wantsCompletions() && fingerprint())
     m_Shared.Crashes.completed(*m_Fingerprint, BootClock::now());
 }
 
--- a/Tests/LibDispatch/TestCrashSuspects.cpp
+++ b/Tests/LibDispatch/TestCrashSuspects.cpp
@@ -31,6 +31,14 @@
   return {"s" + std::to_string(Number), std::nullopt};
 }
 
+/// Longer than any datagram is on its way.
+constexpr auto RunTime = 60ms;
+
+/// A send that has just broken off.
+CrashSuspects::BrokenSend brokenNow(unsigned Server, BootTime Now) {
+  return {server(Server), Now - RunTime, Now};
+}
+
 } // namespace
 
 TEST_GROUP(CrashSuspects) {
@@ -38,9 +46,12 @@
   CrashSuspects Table;
   BootTime Now{1h};
 
+  /// One send after another, each in knowledge of how the last one ended.
   void crash(unsigned Times, unsigned From = 0) {
-    for (unsigned Each = 0; Each < Times; ++Each)
-      Table.crashed(Guilty, server(From + Each), Now);
+    for (unsigned Each = 0; Each < Times; ++Each) {
+      Now += RunTime + 1ms;
+      Table.crashed(Guilty, brokenNow(From + Each, Now), Now);
+    }
   }
   bool refused() { return Table.refuses(Guilty, Now).has_value(); }
   /// What one table knows goes to the other.
@@ -67,6 +78,79 @@
   LONGS_EQUAL(1, Table.crashes(Guilty));
 }
 
+// Failure: a request that many callers send alike is refused, as copies of it
+// were at three servers that another request ended.
+TEST(CrashSuspects, CountSendsThatWereUnderWayTogetherOnce) {
+  const BootTime Began = Now;
+  for (unsigned Each = 0; Each < 6; ++Each) {
+    Now += 200ms;
+    Table.crashed(Guilty, {server(Each), Began, Now}, Now);
+  }
+  LONGS_EQUAL(6, Table.crashes(Guilty));
+  LONGS_EQUAL(1, Table.evidence(Guilty));
+  CHECK(!refused());
+  crash(1, 10);
+  crash(1, 11);
+  CHECK(refused());
+}
+
+// Failure: a crash that becomes known late is held against a request that has
+// run to its end since.
+TEST(CrashSuspects, ExcuseWhatHasRunToAnEndSinceTheCrash) {
+  const BootTime BrokeOff = Now;
+  Now += 5ms;
+  Table.completed(Guilty, Now);
+  Now += 1s;
+  Table.crashed(Guilty, {server(1), BrokeOff - RunTime, BrokeOff}, Now);
+  LONGS_EQUAL(0, Table.crashes(Guilty));
+  crash(1, 2);
+  LONGS_EQUAL(1, Table.crashes(Guilty));
+}
+
+// Failure: only the gateway that saw the good end knows of it, and its peers
+// hold the crash against the request.
+TEST(CrashSuspects, TellThePeerOfARunThatEndedSince) {
+  CrashSuspects Other;
+  crash(1);
+  Now += 5ms;
+  Other.completed(Guilty, Now);
+  Now += 1s;
+  tell(Table, Other);
+  for (const SuspectNews &Each : Other.repeats(8, Now))
+    Table.heard(Each, Now);
+  LONGS_EQUAL(0, Table.crashes(Guilty));
+}
+
+// Failure: with many copies under way at first, sends that show who is guilty
+// and trials add up to more than three after the third server.
+TEST(CrashSuspects, CountSendsAfterTheThirdServerAgainstTheTrials) {
+  const BootTime Began = Now;
+  for (unsigned Each = 0; Each < 3; ++Each)
+    Table.crashed(Guilty, {server(Each), Began, Now}, Now);
+  unsigned Sends = 0;
+  for (Now += 3s; Now < BootTime{24h}; Now += 4s) {
+    Table.tick(Now);
+    if (Table.holdsBack(Guilty, Now))
+      continue;
+    ++Sends;
+    Table.sent(Guilty, Now);
+    crash(1, 10 + Sends);
+  }
+  LONGS_EQUAL(3, Sends);
+}
+
+// Failure: how the last send ended is known late, and others follow meanwhile.
+TEST(CrashSuspects, WaitForTheLastSendAfterTheThirdServer) {
+  const BootTime Began = Now;
+  for (unsigned Each = 0; Each < 3; ++Each)
+    Table.crashed(Guilty, {server(Each), Began, Now}, Now);
+  Table.sent(Guilty, Now);
+  Now += 4s;
+  CHECK(Table.holdsBack(Guilty, Now).has_value());
+  Now += 2s;
+  CHECK(!Table.holdsBack(Guilty, Now));
+}
+
 TEST(CrashSuspects, ClearsARequestThatRunsToAnEnd) {
   crash(2);
   Table.completed(Guilty, Now);
@@ -120,12 +204,14 @@
   CrashSuspects Other;
   CrashSuspects Third;
   crash(1);
-  Other.crashed(Guilty, server(0), Now);
+  Other.crashed(Guilty, brokenNow(0, Now), Now);
   tell(Table, Third);
   tell(Other, Third);
   LONGS_EQUAL(1, Third.crashes(Guilty));
-  Third.crashed(Guilty, server(1), Now);
-  Third.crashed(Guilty, server(2), Now);
+  for (unsigned Each = 1; Each < 3; ++Each) {
+    Now += RunTime + 1ms;
+    Third.crashed(Guilty, brokenNow(Each, Now), Now);
+  }
   tell(Third, Table);
   CHECK(refused());
 }
@@ -150,7 +236,7 @@
   crash(3);
   Table.takeFresh(Now);
   for (unsigned Each = 100; Each < 200; ++Each)
-    Table.crashed(request(Each), server(50), Now);
+    Table.crashed(request(Each), brokenNow(50, Now), Now);
   CrashSuspects Started;
   // Long after the telling that was lost, and before the first trial.
   Now += 10s;
@@ -163,7 +249,7 @@
 TEST(CrashSuspects, KeepTheWorstWhenTheyAreMany) {
   crash(3);
   for (unsigned Each = 0; Each < 10000; ++Each)
-    Table.crashed(request(100 + Each), server(50), Now);
+    Table.crashed(request(100 + Each), brokenNow(50, Now), Now);
   CHECK(Table.size() <= CrashSuspectOptions{}.MaximumSuspects);
   CHECK(refused());
 }
@@ -181,6 +267,8 @@
   SuspectNews Future;
   Future.Crashes.push_back({server(1), -5ms});
   CHECK(!decodeSuspectNews(encodeSuspectNews({Future})));
+  Future.Crashes = {{server(1), 5ms, 0}};
+  CHECK(!decodeSuspectNews(encodeSuspectNews({Future})));
   Future.Crashes.clear();
   Future.Alone = std::chrono::milliseconds(INT64_MAX);
   CHECK(!decodeSuspectNews(encodeSuspectNews({Future})));
@@ -202,7 +290,7 @@
   }
   /// A new start ends under these; its gateways tell all others.
   void crash(const std::vector<std::pair<unsigned, unsigned>> &RequestsAt) {
-    const ServerStart Ended = server(1000 + ++m_Starts);
+    const auto Ended = brokenNow(1000 + ++m_Starts, Now);
     for (const auto &[Request, Gateway] : RequestsAt) {
       m_Tables[Gateway].crashed(request(Request), Ended, Now);
       tell(Gateway);
@@ -283,7 +371,6 @@
 // Failure: later than three seconds after the third crash the request is sent
 // to more than three servers.
 TEST(CrashSuspectsOfAFleet, SendAGuiltyRequestToNoMoreThanThreeServers) {
-  const auto RunTime = 60ms;
   for (const unsigned Gateways : {1U, 4U, 30U, 103U})
     for (uint64_t Seed = 1; Seed <= (Gateways < 30 ? 5 : 2); ++Seed) {
       CrashModel Fleet(Gateways, Seed);
