ChooseTarget: Tell what a choice weighed

Two listed tests end with an engine that gets no stream for 20 s while it is idle, connected and accepting. Whether its speeds, its exclusion or the work in flight keep it out cannot be told: a choice left no line. At debug level each choice now tells every target that it weighed, with its cost, its parts and the speeds measured there, and what was excluded.

--- a/Libraries/LibRoute/ChooseTarget.cpp
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -53,6 +53,8 @@
   const RequestShape &Request;
   const Eligible &Targets;
   uint64_t Seed;
+  /// May be null.
+  std::vector<Considered> *Account;
 
   Result<Choice> operator()(const RandomPolicy &) const {
     return describe(*Targets[scramble(Seed) % Targets.size()]);
@@ -234,11 +236,25 @@
     }
     for (Scored &One : All)
       One.Cost += displacement(Settings, One.Chosen, MostBelieved);
+    if (Account)
+      account(All);
     return *std::ranges::min_element(All, {}, [](const Scored &One) {
       return std::pair(!acceptable(One), One.Cost);
     });
   }
 
+  void account(const std::vector<Scored> &All) const {
+    Account->clear();
+    for (const Scored &One : All) {
+      const TargetLoad Load = One.Chosen.Target->Gauge->corrected();
+      Account->push_back({One.Chosen.Target->Id, One.Chosen.ExpectedWait,
+                          One.Chosen.ExpectedTotal, One.Cost, acceptable(One),
+                          Load.RunningSequences + Load.WaitingRequests,
+                          Load.PrefillTokensPerSecond,
+                          Load.DecodeTokensPerSecond});
+    }
+  }
+
   static microseconds displacement(const FigliftPolicy &Settings,
                                    const Choice &Chosen,
                                    uint32_t MostBelieved) {
@@ -272,7 +288,8 @@
 Result<Choice> chooseTarget(const Policy &Which, const RoutingTable &Table,
                             const RequestShape &Request,
                             std::span<const std::string> Excluded,
-                            uint64_t RandomSeed) {
+                            uint64_t RandomSeed,
+                            std::vector<Considered> *Account) {
   if (Table.targets(Request.BackEnd).empty())
     return refuse(ResultCode::NoTargetAvailable,
                   "no target of the back end is known", RetryWithoutTarget);
@@ -281,7 +298,8 @@
     return refuse(ResultCode::NoTargetAvailable,
                   "no target of the back end takes this work now",
                   RetryWithoutTarget);
-  return std::visit(Chooser{Table, Request, Targets, RandomSeed}, Which);
+  return std::visit(Chooser{Table, Request, Targets, RandomSeed, Account},
+                    Which);
 }
 
 } // namespace figlift::route
--- a/Libraries/LibRoute/ChooseTarget.h
+++ b/Libraries/LibRoute/ChooseTarget.h
@@ -52,14 +52,32 @@
   InFlightTicket enter(const RequestShape &Request) const;
 };
 
+/// What a choice looked at, to explain it.
+struct Considered {
+  std::string Target;
+  std::chrono::microseconds Wait{0};
+  std::chrono::microseconds Total{0};
+  /// Wait and total with what they are weighed by; the least is chosen.
+  std::chrono::microseconds Cost{0};
+  /// Its queue takes the work, and it is expected to end in time.
+  bool Acceptable = true;
+  /// Sequences that run there or wait, own work in flight included.
+  uint32_t Sequences = 0;
+  /// As measured there; 0: nothing is.
+  double PrefillTokensPerSecond = 0;
+  double DecodeTokensPerSecond = 0;
+};
+
 /// Chooses among the accepting targets that are not in \p Excluded. Fails with
 /// NoTargetAvailable, Overloaded or DeadlineUnreachable, each with
 /// RetryAfter. Nothing was sent then, so "not run" is true.
-/// \p RandomSeed differs from attempt to attempt.
+/// \p RandomSeed differs from attempt to attempt. \p Account gets what was
+/// weighed, if the policy weighs.
 Result<Choice> chooseTarget(const Policy &Which, const RoutingTable &Table,
                             const RequestShape &Request,
                             std::span<const std::string> Excluded,
-                            uint64_t RandomSeed);
+                            uint64_t RandomSeed,
+                            std::vector<Considered> *Account = nullptr);
 
 /// The estimate behind a choice; \p Load decides whether own work in flight is
 /// in it.
--- a/Services/figlift-entry/Call.h
+++ b/Services/figlift-entry/Call.h
@@ -71,6 +71,9 @@
 
   Result<Destination> choose();
   Result<Destination> chooseTarget(const ServingState &Now);
+  void logChosen(const route::TargetView &Target,
+                 const std::vector<route::Considered> &Account,
+                 const std::vector<std::string> &Excluded) const;
   Result<Destination> chooseHome(const ServingState &Now);
   Result<Destination> destination(const ServingState &Now,
                                   const route::Choice &Best);
--- a/Services/figlift-entry/CallAttempts.cpp
+++ b/Services/figlift-entry/CallAttempts.cpp
@@ -12,6 +12,8 @@
 #include "LibLog/Log.h"
 #include "LibRoute/ChooseTarget.h"
 
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -86,15 +88,19 @@
   Excluded.insert(Excluded.end(), m_Excluded.begin(), m_Excluded.end());
   const uint64_t Seed = XXH64(m_Request.RequestId.data(),
                               m_Request.RequestId.size(), m_History.Attempts);
+  std::vector<route::Considered> Account;
   auto Choose = [&](std::span<const std::string> Without) {
-    return route::chooseTarget(m_Context.Routing, Now.Table, Shape, Without,
-                               Seed);
+    return route::chooseTarget(
+        m_Context.Routing, Now.Table, Shape, Without, Seed,
+        log::isOn(log::Level::Debug) ? &Account : nullptr);
   };
   if (std::vector<std::string> Others = withoutPreferred(Now, Shape);
       !Others.empty()) {
     Others.insert(Others.end(), Excluded.begin(), Excluded.end());
-    if (auto Preferred = Choose(Others))
+    if (auto Preferred = Choose(Others)) {
+      logChosen(*Preferred.value().Target, Account, Others);
       return destination(Now, Preferred.value());
+    }
   }
   auto Chosen = Choose(Excluded);
   // A target that failed is better than none: with a single target left, its
@@ -104,9 +110,32 @@
     Chosen = Choose({});
   if (!Chosen)
     return outcome::failure(Chosen.error());
+  logChosen(*Chosen.value().Target, Account, Excluded);
   return destination(Now, Chosen.value());
 }
 
+/// All that the choice weighed, and what was left out of it.
+void Call::logChosen(const route::TargetView &Target,
+                     const std::vector<route::Considered> &Account,
+                     const std::vector<std::string> &Excluded) const {
+  if (!log::isOn(log::Level::Debug))
+    return;
+  std::string Weighed;
+  for (const route::Considered &Each : Account)
+    Weighed += fmt::format(
+        "{}{}: cost {} us (wait {}, total {}), {} sequences, {:.0f} prompt and "
+        "{:.0f} decode tokens/s{}",
+        Weighed.empty() ? "" : "; ", Each.Target, Each.Cost.count(),
+        Each.Wait.count(), Each.Total.count(), Each.Sequences,
+        Each.PrefillTokensPerSecond, Each.DecodeTokensPerSecond,
+        Each.Acceptable ? "" : ", not acceptable");
+  log::logRequest(log::Level::Debug, "target-chosen", m_Request.RequestId, {},
+                  {{"target", Target.Id},
+                   {"attempt", m_History.Attempts},
+                   {"weighed", Weighed},
+                   {"excluded", fmt::format("{}", fmt::join(Excluded, " "))}});
+}
+
 Result<Call::Destination> Call::destination(const ServingState &Now,
                                             const route::Choice &Best) {
   const auto Link = Now.Links.find(Best.Target->Id);
