BackgroundWorker: Leave signals to the loop's thread

Cause: since long computations run on a thread of their own, two threads may take one signal each, and the loop sees them in either order. Then stop() reads the changed file itself, takes the change for one that came later, and believes the earlier kill.

The worker's thread, and any that is made under SignalsBlocked, takes none. The entry and the agent block theirs before they make threads; no other program has both. That a file which changed without a signal is taken for a later change stays: a stream that ends a little early is the smaller error than all that are under way at a kill that was not expected.

BackgroundWorker.LeavesSignalsToOthers failed before. `reloaded` and `stopping` tell the grace in force.

--- a/Libraries/LibCore/BackgroundWorker.h
+++ b/Libraries/LibCore/BackgroundWorker.h
@@ -2,12 +2,14 @@
 //
 // A computation that takes as long as many requests do would hold all of them
 // up on their loop. It runs on a thread of its own here, with nothing shared,
-// and its result comes back to the loop.
+// and its result comes back to the loop. The thread takes no signals.
 //
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
+#include "LibCore/SignalsBlocked.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -38,8 +40,13 @@
   }
 
 private:
+  static boost::asio::thread_pool startThread() {
+    const SignalsBlocked Inherited;
+    return boost::asio::thread_pool(1);
+  }
+
   boost::asio::io_context &m_Loop;
-  boost::asio::thread_pool m_Thread{1};
+  boost::asio::thread_pool m_Thread = startThread();
 };
 
 } // namespace figlift
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -319,7 +319,7 @@
   m_Shared.Stop.graceChanged(grace());
   m_Shared.Settings.Orders = Read.value().Orders;
   ++m_Reloads;
-  log::logEvent(log::Level::Info, "reloaded");
+  log::logEvent(log::Level::Info, "reloaded", {{"grace", grace()}});
 }
 
 milliseconds Gateway::grace() const {
@@ -342,6 +342,7 @@
   log::logEvent(log::Level::Info, "stopping",
                 {{"callers", m_Callers.size()},
                  {"busy", busyCallers()},
+                 {"grace", grace()},
                  {"endsInMs", *m_Shared.Stop.timeLeft(Now)}});
 }
 
--- a/Tests/LibCore/TestBackgroundWorker.cpp
+++ b/Tests/LibCore/TestBackgroundWorker.cpp
@@ -8,8 +8,11 @@
 #include "LibCore/BackgroundWorker.h"
 
 #include <chrono>
+#include <csignal>
 #include <future>
+#include <optional>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -38,6 +41,29 @@
   CHECK(until([&] { return Found == 7; }));
 }
 
+// Failure: of two signals that follow each other the worker's thread takes one,
+// and the loop sees the later one first.
+TEST(BackgroundWorker, LeavesSignalsToOthers) {
+  std::optional<std::vector<bool>> Blocked;
+  Worker.run(
+      [] {
+        sigset_t Own;
+        pthread_sigmask(SIG_BLOCK, nullptr, &Own);
+        return std::vector<bool>{sigismember(&Own, SIGHUP) == 1,
+                                 sigismember(&Own, SIGTERM) == 1};
+      },
+      [&](std::vector<bool> Found) { Blocked = std::move(Found); });
+  CHECK(until([&] { return Blocked.has_value(); }));
+  CHECK(Blocked == std::vector<bool>({true, true}));
+}
+
+// Failure: the thread that makes the worker takes no signals either.
+TEST(BackgroundWorker, LeavesTheSignalsOfItsMakerAsTheyWere) {
+  sigset_t Own;
+  pthread_sigmask(SIG_BLOCK, nullptr, &Own);
+  LONGS_EQUAL(0, sigismember(&Own, SIGTERM));
+}
+
 TEST(BackgroundWorker, GivesResultsOnTheLoopInOrder) {
   std::vector<int> Found;
   bool OnLoop = true;
--- /dev/null
+++ b/Tests/StoppingGateway/TestSignalOrder.cpp
@@ -0,0 +1,91 @@
+//===- TestSignalOrder.cpp - Signals that follow each other ---------------===//
+//
+// Real processes: in a test's own process other threads would take signals,
+// too.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Support/ChildProcess.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::seconds Limit{10};
+constexpr int ShortGrace = 4;
+constexpr int LongGrace = 8;
+
+} // namespace
+
+TEST_GROUP(SignalOrder) {
+  const std::filesystem::path Folder =
+      "/tmp/figlift-signal-order-" + std::to_string(getpid());
+
+  void setup() override { std::filesystem::create_directories(Folder); }
+  void teardown() override { std::filesystem::remove_all(Folder); }
+
+  /// An address of this test process alone; nobody listens at the store's port.
+  std::string address(unsigned Port) const {
+    constexpr int Hosts = 250;
+    return "127.200." + std::to_string(getpid() / Hosts % Hosts) + "." +
+           std::to_string(getpid() % Hosts + 1) + ":" + std::to_string(Port);
+  }
+  std::string settingsFile() const { return (Folder / "settings").string(); }
+  void writeGrace(int Seconds) const {
+    const Json Settings = {{"process", {{"id", "g1"}, {"zone", "z"}}},
+                           {"listen",
+                            {{"callers", address(7001)},
+                             {"ready", address(7002)},
+                             {"metrics", address(7003)},
+                             {"peers", address(7004)}}},
+                           {"store", {{"address", address(7005)}}},
+                           {"drain", {{"graceSeconds", Seconds}}}};
+    std::ofstream(Folder / "new") << Settings.dump();
+    std::filesystem::rename(Folder / "new", settingsFile());
+  }
+  /// The value of a numeric field of a line with \p Event.
+  static double field(const std::string &Log, const std::string &Event,
+                      const std::string &Name) {
+    const size_t Line = Log.find(Event);
+    const size_t At = Log.find(Name, Line);
+    return std::stod(
+        Log.substr(Log.find_first_of("0123456789", At + Name.size())));
+  }
+};
+
+// Failure: streams are cut seconds early by a stop.
+// Sequence: the settings get a longer grace, SIGHUP follows, SIGTERM right
+// behind it. Cause: two threads took one signal each; the gateway saw SIGTERM
+// first and believed the shorter grace, from which the change seemed to come
+// later.
+TEST(SignalOrder, TakesTheNewGraceWhenTerminationFollowsAHangUp) {
+  constexpr int Rounds = 40;
+  int Longer = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    writeGrace(ShortGrace);
+    const std::string Log =
+        (Folder / ("log-" + std::to_string(Round))).string();
+    auto Process =
+        test::ChildProcess::start("Services/figlift-gateway/figlift-gateway",
+                                  {"--settings", settingsFile()}, Log);
+    CHECK(Process.waitForOutput("started", Limit));
+    writeGrace(LongGrace);
+    kill(Process.pid(), SIGHUP);
+    Process.terminate();
+    CHECK(Process.waitForOutput("endsInMs", Limit));
+    const double EndsInMs = field(Process.output(), "stopping", "endsInMs");
+    Longer += EndsInMs > ShortGrace * 1000 ? 1 : 0;
+  }
+  LONGS_EQUAL(Rounds, Longer);
+}
