ChooseTarget: Take an unmeasured target for as fast as its peers

After a fault an idle engine got no stream for 20 s, while the other ran 43 (StreamFaults.SurviveAFaultyLinkToTheAgent, listed).

Cause, from the lines of such a run: the engine's agent had taken no work for a moment and forgotten its speeds, so an estimate used the assumed 1,000 decode tokens a second where its peer had measured 8,000. At 19.2 s against 2.1 s it was never chosen, and what gets no work measures nothing. Ruled out in that run: its exclusion (none), its link, the work in flight.

Unknown speeds are now the mean of those that the back end's targets have measured; the assumed ones are left for a back end without any. The unit test chose "busy" before.

Tests that keep their logs run the processes at debug level.

--- a/Libraries/LibRoute/ChooseTarget.cpp
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -47,6 +47,22 @@
   return Targets;
 }
 
+/// Of values above 0; 0 without any.
+class Mean {
+public:
+  void add(double Value) {
+    if (Value <= 0)
+      return;
+    m_Sum += Value;
+    ++m_Count;
+  }
+  double value() const { return m_Count == 0 ? 0 : m_Sum / m_Count; }
+
+private:
+  double m_Sum = 0;
+  unsigned m_Count = 0;
+};
+
 /// Chooses for one policy; \p Targets is never empty.
 struct Chooser {
   const RoutingTable &Table;
@@ -55,6 +71,8 @@
   uint64_t Seed;
   /// May be null.
   std::vector<Considered> *Account;
+  /// Absent until a target is met that has not measured its own.
+  mutable std::optional<PeerSpeeds> Peers = {};
 
   Result<Choice> operator()(const RandomPolicy &) const {
     return describe(*Targets[scramble(Seed) % Targets.size()]);
@@ -184,7 +202,11 @@
     const TargetLoad Load = Settings.InFlightCorrection
                                 ? Target.Gauge->corrected()
                                 : Target.Gauge->reported();
-    const WaitEstimate Estimate = estimateWait(Settings, Target, Load, Request);
+    const bool Measured =
+        Load.PrefillTokensPerSecond > 0 && Load.DecodeTokensPerSecond > 0;
+    const WaitEstimate Estimate =
+        estimateWait(Settings, Target, Load, Request,
+                     Measured ? PeerSpeeds() : peerSpeeds());
     Scored Result;
     Result.Chosen = {&Target, Estimate.Wait, Estimate.Total,
                      Estimate.PrefixTokensSaved, Estimate.PrefixTokensBelieved};
@@ -195,6 +217,25 @@
     return Result;
   }
 
+  /// A target that has measured nothing is as fast as its peers until it says
+  /// otherwise. Taken for much slower it gets no work, and so never measures.
+  const PeerSpeeds &peerSpeeds() const {
+    if (Peers)
+      return *Peers;
+    Peers.emplace();
+    Mean Prefill;
+    Mean Decode;
+    for (const TargetView &Each : Table.targets(Request.BackEnd)) {
+      const TargetLoad Load = Each.Gauge->reported();
+      Prefill.add(Load.PrefillTokensPerSecond);
+      if (Load.MaximumSequences > 0)
+        Decode.add(Load.DecodeTokensPerSecond / Load.MaximumSequences);
+    }
+    Peers->PrefillTokensPerSecond = Prefill.value();
+    Peers->DecodeTokensPerSequence = Decode.value();
+    return *Peers;
+  }
+
   void judge(const FigliftPolicy &Settings, const TargetLoad &Load,
              const WaitEstimate &Estimate, Scored &Result) const {
     const auto Class = static_cast<size_t>(Request.Class);
--- a/Libraries/LibRoute/ChooseTarget.h
+++ b/Libraries/LibRoute/ChooseTarget.h
@@ -89,8 +89,16 @@
   /// Both rates were measured by the target.
   bool Measured = false;
 };
+/// Means over a back end's targets that have measured theirs; 0: none has.
+struct PeerSpeeds {
+  double PrefillTokensPerSecond = 0;
+  /// Divided by MaximumSequences.
+  double DecodeTokensPerSequence = 0;
+};
+/// \p Peers stand in for what the target has not measured.
 WaitEstimate estimateWait(const FigliftPolicy &Settings,
                           const TargetView &Target, const TargetLoad &Load,
-                          const RequestShape &Request);
+                          const RequestShape &Request,
+                          const PeerSpeeds &Peers = {});
 
 } // namespace figlift::route
--- a/Libraries/LibRoute/EstimateWait.cpp
+++ b/Libraries/LibRoute/EstimateWait.cpp
@@ -21,16 +21,24 @@
   double Sequences;
 };
 
-Rates ratesOf(const FigliftPolicy &Settings, const TargetLoad &Load) {
-  Rates Result{Load.PrefillTokensPerSecond, Load.DecodeTokensPerSecond,
-               static_cast<double>(Load.MaximumSequences)};
-  if (Result.Prefill <= 0)
-    Result.Prefill = Settings.AssumedPrefillTokensPerSecond;
-  if (Result.Decode <= 0)
-    Result.Decode = Settings.AssumedDecodeTokensPerSecond;
-  if (Result.Sequences <= 0)
-    Result.Sequences = Settings.AssumedMaximumSequences;
-  return Result;
+/// The first of the three that is known; the last one always is.
+double firstKnown(double Own, double OfPeers, double Assumed) {
+  if (Own > 0)
+    return Own;
+  return OfPeers > 0 ? OfPeers : Assumed;
+}
+
+Rates ratesOf(const FigliftPolicy &Settings, const TargetLoad &Load,
+              const PeerSpeeds &Peers) {
+  const double Sequences = Load.MaximumSequences > 0
+                               ? Load.MaximumSequences
+                               : Settings.AssumedMaximumSequences;
+  return {firstKnown(Load.PrefillTokensPerSecond, Peers.PrefillTokensPerSecond,
+                     Settings.AssumedPrefillTokensPerSecond),
+          firstKnown(Load.DecodeTokensPerSecond,
+                     Peers.DecodeTokensPerSequence * Sequences,
+                     Settings.AssumedDecodeTokensPerSecond),
+          Sequences};
 }
 
 uint32_t tokensBelieved(const FigliftPolicy &Settings, const TargetView &Target,
@@ -72,8 +80,9 @@
 
 WaitEstimate estimateWait(const FigliftPolicy &Settings,
                           const TargetView &Target, const TargetLoad &Load,
-                          const RequestShape &Request) {
-  const Rates Rate = ratesOf(Settings, Load);
+                          const RequestShape &Request,
+                          const PeerSpeeds &Peers) {
+  const Rates Rate = ratesOf(Settings, Load, Peers);
   const uint32_t Believed = tokensBelieved(Settings, Target, Request);
   const auto Saved =
       static_cast<uint32_t>(Believed * Target.Gauge->prefixTrust());
--- a/Tests/LibRoute/TestChooseTarget.cpp
+++ b/Tests/LibRoute/TestChooseTarget.cpp
@@ -126,6 +126,23 @@
         ResultCode::DeadlineUnreachable);
 }
 
+// Failure: an engine that has measured nothing stands idle for as long as
+// another one has room, as it is taken for eight times slower.
+TEST(ChooseTarget, TakesAnUnmeasuredTargetForAsFastAsItsPeers) {
+  TargetLoad Busy = measuredLoad();
+  Busy.MaximumSequences = 64;
+  Busy.DecodeTokensPerSecond = 8000;
+  Busy.RunningSequences = 43;
+  Busy.DecodeTokensWaiting = 6000;
+  TargetLoad Unmeasured;
+  Unmeasured.MaximumSequences = 64;
+  add("busy", Busy);
+  add("idle", Unmeasured);
+  const auto Chosen = choose(request(10, 300));
+  STRCMP_EQUAL("idle", Chosen.value().Target->Id.c_str());
+  CHECK(Chosen.value().ExpectedTotal < std::chrono::seconds(4));
+}
+
 TEST(ChooseTarget, AssumedSpeedsNeverRefuse) {
   add("fresh", TargetLoad{});
   RequestShape Request = request(100000, 1000);
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -79,6 +79,9 @@
   return Options;
 }
 
+/// For a person who looks into a failed test.
+static bool keepsLogs() { return std::getenv("FIGLIFT_KEEP_LOGS") != nullptr; }
+
 Fleet::Fleet(FleetOptions Options) : m_Options(std::move(Options)) {
   std::string Template =
       std::filesystem::temp_directory_path() / "figlift-XXXXXX";
@@ -104,8 +107,7 @@
 Fleet::~Fleet() {
   m_Processes.clear();
   close(m_Guard);
-  // For a person who looks into a failed test.
-  if (std::getenv("FIGLIFT_KEEP_LOGS"))
+  if (keepsLogs())
     return;
   std::error_code Ignored;
   std::filesystem::remove_all(m_Folder, Ignored);
@@ -208,6 +210,7 @@
   std::string PlatformLink = address(Octet, PlatformLinkPort);
   addLink("platform:" + Id, PlatformLink, platform());
   return {{"process", {{"id", Id}, {"zone", Zone}, {"region", "blue-ridge"}}},
+          {"log", {{"level", keepsLogs() ? "debug" : "info"}}},
           {"platform", {{"address", PlatformLink}}}};
 }
 
