ChooseTarget: Let a stream's cost grow with the runs beside it

Of two equal engines one stood idle while the other ran 24 to 43 streams, after faults, for 20 s (StreamFaults.SurviveAFaultyLinkToTheAgent and ...ToTheEngine, listed).

Cause, from the lines of such runs: the idle engine was measured at 6,984 decode tokens a second, the other at 9,445, as happens to equal ones on a busy machine. Until the batch is full nothing else weighs: 2.75 s against 2.03 s for each stream, and the idle engine is never measured again. Ruled out in these lines: an unknown speed, the queue.

Decode in a full batch counts as twice as long when targets are compared, in proportion before that; what is told to callers and what is refused rest on the times as before. The unit test chose "crowded" with the factor at 0.

--- a/Libraries/LibRoute/ChooseTarget.cpp
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -210,13 +210,26 @@
     Scored Result;
     Result.Chosen = {&Target, Estimate.Wait, Estimate.Total,
                      Estimate.PrefixTokensSaved, Estimate.PrefixTokensBelieved};
-    Result.Cost = Estimate.Total;
+    Result.Cost = Estimate.Total + crowding(Settings, Load, Estimate);
     if (Target.Zone != Table.ownZone())
       Result.Cost += Settings.OtherZonePenalty;
     judge(Settings, Load, Estimate, Result);
     return Result;
   }
 
+  static microseconds crowding(const FigliftPolicy &Settings,
+                               const TargetLoad &Load,
+                               const WaitEstimate &Estimate) {
+    const double Places = Load.MaximumSequences > 0
+                              ? Load.MaximumSequences
+                              : Settings.AssumedMaximumSequences;
+    const double Taken =
+        std::min(1.0, (Load.RunningSequences + Load.WaitingRequests) / Places);
+    const microseconds Decode = Estimate.Total - Estimate.Wait;
+    return std::chrono::duration_cast<microseconds>(
+        Decode * (Settings.CrowdedDecodeFactor * Taken));
+  }
+
   /// A target that has measured nothing is as fast as its peers until it says
   /// otherwise. Taken for much slower it gets no work, and so never measures.
   const PeerSpeeds &peerSpeeds() const {
--- a/Libraries/LibRoute/Policy.h
+++ b/Libraries/LibRoute/Policy.h
@@ -45,6 +45,11 @@
   /// the cache that takes it, to be computed anew later: its cost counts this
   /// much more.
   double DisplacementFactor = 1.0;
+  /// Sequences in a batch slow each other: decode in a full one is taken for
+  /// this much longer than alone when targets are compared. Measured speeds of
+  /// equal targets differ by tens of percent; without this the one that was
+  /// measured faster gets all work until its batch is full.
+  double CrowdedDecodeFactor = 1.0;
   /// Added to the expected wait of targets in another zone.
   std::chrono::microseconds OtherZonePenalty{2000};
   /// Expected prefill and decode time count this much more on a target whose
--- a/Tests/LibRoute/TestChooseTarget.cpp
+++ b/Tests/LibRoute/TestChooseTarget.cpp
@@ -126,6 +126,35 @@
         ResultCode::DeadlineUnreachable);
 }
 
+// Failure: of two equal engines the one that was measured a little faster gets
+// all streams, and the other stands idle.
+TEST(ChooseTarget, PrefersAnIdleTargetToACrowdedOneThatWasMeasuredFaster) {
+  TargetLoad Crowded = measuredLoad();
+  Crowded.MaximumSequences = 64;
+  Crowded.DecodeTokensPerSecond = 9400;
+  Crowded.RunningSequences = 43;
+  Crowded.DecodeTokensWaiting = 6000;
+  TargetLoad Idle = measuredLoad();
+  Idle.MaximumSequences = 64;
+  Idle.DecodeTokensPerSecond = 7000;
+  add("crowded", Crowded);
+  add("idle", Idle);
+  STRCMP_EQUAL("idle", choose(request(10, 300)).value().Target->Id.c_str());
+}
+
+// Failure: work that ends in time is refused, as what only weighs targets
+// against each other counts as time.
+TEST(ChooseTarget, RefusesNoWorkForACrowdedBatch) {
+  TargetLoad Crowded = measuredLoad();
+  Crowded.RunningSequences = 15;
+  Crowded.DecodeTokensWaiting = 150;
+  add("crowded", Crowded);
+  RequestShape Request = request(10, 100);
+  // 100 tokens of 20 ms each.
+  Request.TimeLeft = milliseconds(2100);
+  CHECK(choose(Request).has_value());
+}
+
 // Failure: an engine that has measured nothing stands idle for as long as
 // another one has room, as it is taken for eight times slower.
 TEST(ChooseTarget, TakesAnUnmeasuredTargetForAsFastAsItsPeers) {
