Call: Send a probe to the target that wants it

An engine that was back got no stream for 20 s and longer (StreamFaults.SurviveAFaultyLinkToTheAgent and ...ToTheEngine, listed).

When an exclusion passes, the first attempt that asks may be the probe, and with that its permit is used up; the attempt then goes where it is cheapest, which is the other engine, and the next permit is five seconds away.

A first attempt of repeatable work now goes to a target that wants a probe, whatever it costs, and the permit is taken as it is sent. Work that may run once is no probe unless five seconds have brought nothing else; before, any was.

The book's test asks excluded() and wantingProbes() apart: excluded() took the permit by being asked, which was the fault. Call.AProbeGoesToItsTargetThough... and Call.AProbeIsNoWorkThatMayNotBeRepeated failed before (0 and 1 sends).

--- a/Libraries/LibRetry/TargetHealth.cpp
+++ b/Libraries/LibRetry/TargetHealth.cpp
@@ -62,6 +62,11 @@
   return true;
 }
 
+bool TargetHealth::wantsProbe(BootTime Now) const {
+  const int64_t Until = m_ExcludedUntil.load(std::memory_order_relaxed);
+  return Until != 0 && ticks(Now) >= Until;
+}
+
 bool TargetHealth::excluded() const {
   return m_ExcludedUntil.load(std::memory_order_relaxed) != 0;
 }
@@ -74,15 +79,25 @@
   return Slot;
 }
 
-std::vector<std::string> HealthBook::excluded(BootTime Now) {
+template <typename Predicate>
+std::vector<std::string> HealthBook::targets(Predicate IsWanted) const {
   std::lock_guard Lock(m_Mutex);
   std::vector<std::string> Targets;
   for (const auto &[Target, Health] : m_Health)
-    if (!Health->allows(Now))
+    if (IsWanted(*Health))
       Targets.push_back(Target);
   return Targets;
 }
 
+std::vector<std::string> HealthBook::excluded() const {
+  return targets([](const TargetHealth &Each) { return Each.excluded(); });
+}
+
+std::vector<std::string> HealthBook::wantingProbes(BootTime Now) const {
+  return targets(
+      [Now](const TargetHealth &Each) { return Each.wantsProbe(Now); });
+}
+
 void HealthBook::forget(const std::string &Target) {
   std::lock_guard Lock(m_Mutex);
   m_Health.erase(Target);
--- a/Libraries/LibRetry/TargetHealth.h
+++ b/Libraries/LibRetry/TargetHealth.h
@@ -29,6 +29,9 @@
   /// for twenty after its link was mended. One request in five seconds is what
   /// a target that stays away costs each entry.
   std::chrono::milliseconds MaximumExclusion{5000};
+  /// A probe is wanted for so long before work that may not be repeated is
+  /// one: it comes to nothing if the probe fails.
+  std::chrono::milliseconds ProbeOverdue{5000};
 };
 
 /// Lock-free; used by all threads of an entry.
@@ -45,6 +48,13 @@
   /// probe has succeeded or another exclusion has passed, so a probe that its
   /// caller never sent blocks nothing for long.
   bool allows(BootTime Now);
+  /// Whether an exclusion has passed and a probe is wanted: allows() would make
+  /// an attempt one.
+  bool wantsProbe(BootTime Now) const;
+  /// The same for ProbeOverdue: no work came that may be repeated.
+  bool probeIsOverdue(BootTime Now) const {
+    return wantsProbe(Now - m_Settings.ProbeOverdue);
+  }
   bool excluded() const;
 
 private:
@@ -66,14 +76,19 @@
 
   /// Made on first use; keep it beside the attempt.
   std::shared_ptr<TargetHealth> health(const std::string &Target);
-  /// Targets that get no attempt now; to be appended to the exclusions of
-  /// route::chooseTarget. Call once for each attempt: see allows().
-  std::vector<std::string> excluded(BootTime Now);
+  /// Targets that get no attempt but a probe; to be appended to the exclusions
+  /// of route::chooseTarget.
+  std::vector<std::string> excluded() const;
+  /// Those of them that want one now. Whoever sends it asks allows() first.
+  std::vector<std::string> wantingProbes(BootTime Now) const;
   void forget(const std::string &Target);
 
 private:
   HealthSettings m_Settings;
-  std::mutex m_Mutex;
+  template <typename Predicate>
+  std::vector<std::string> targets(Predicate IsWanted) const;
+
+  mutable std::mutex m_Mutex;
   std::map<std::string, std::shared_ptr<TargetHealth>> m_Health;
 };
 
--- a/Libraries/LibRoute/ChooseTarget.cpp
+++ b/Libraries/LibRoute/ChooseTarget.cpp
@@ -42,6 +42,7 @@
   Eligible Targets;
   for (const TargetView &Target : Table.targets(Request.BackEnd))
     if (Target.Accepting && Target.serves(Request.Model) &&
+        (Request.OnlyTarget.empty() || Target.Id == Request.OnlyTarget) &&
         std::ranges::find(Excluded, Target.Id) == Excluded.end())
       Targets.push_back(&Target);
   return Targets;
--- a/Libraries/LibRoute/ChooseTarget.h
+++ b/Libraries/LibRoute/ChooseTarget.h
@@ -31,6 +31,8 @@
   uint32_t MaximumTokens = 0;
   /// Hashes of the prompt's whole leading blocks, see prefixHashes().
   std::vector<uint64_t> PrefixHashes;
+  /// No other target is looked at; empty: any.
+  std::string OnlyTarget;
   /// Time left until the caller needs the whole answer.
   std::optional<std::chrono::milliseconds> TimeLeft;
 };
--- a/Services/figlift-entry/Call.h
+++ b/Services/figlift-entry/Call.h
@@ -71,6 +71,12 @@
 
   Result<Destination> choose();
   Result<Destination> chooseTarget(const ServingState &Now);
+  std::optional<route::Choice>
+  chooseProbe(const ServingState &Now,
+              const std::vector<std::string> &NotPreferred);
+  /// Those that failed this request, or others of late.
+  std::vector<std::string> excludedTargets();
+  uint64_t routingSeed() const;
   void logChosen(const route::TargetView &Target,
                  const std::vector<route::Considered> &Account,
                  const std::vector<std::string> &Excluded) const;
--- a/Services/figlift-entry/CallerRequest.h
+++ b/Services/figlift-entry/CallerRequest.h
@@ -30,6 +30,9 @@
   std::string Model;
   std::string Prompt;
   uint32_t MaximumTokens = 0;
+
+  /// Estimated from its length.
+  uint32_t promptTokens() const;
 };
 
 struct ServiceWork {
--- a/Services/figlift-entry/CompletionRequest.cpp
+++ b/Services/figlift-entry/CompletionRequest.cpp
@@ -9,6 +9,7 @@
 #include "figlift-entry/CallerRequest.h"
 
 #include "LibHttp/JsonBody.h"
+#include "LibRoute/PrefixHash.h"
 #include "figlift-entry/Digest.h"
 #include "figlift-entry/RequestHeaders.h"
 
@@ -190,4 +191,9 @@
   return Read;
 }
 
+uint32_t CompletionWork::promptTokens() const {
+  return static_cast<uint32_t>((Prompt.size() + route::BytesPerToken - 1) /
+                               route::BytesPerToken);
+}
+
 } // namespace figlift::entry
--- a/Tests/FigliftEntry/EntryFixtures.h
+++ b/Tests/FigliftEntry/EntryFixtures.h
@@ -117,6 +117,7 @@
   void report(const std::string &Id, const route::TargetLoad &Load) {
     m_Book.gauge(Id)->report(Load, BootClock::now());
   }
+  retry::HealthBook &health() { return m_Health; }
   std::shared_ptr<FakeCaller> call(entry::CallerRequest Request);
 
   entry::CallerRequest completion(uint32_t MaximumTokens,
--- a/Tests/FigliftEntry/TestCall.cpp
+++ b/Tests/FigliftEntry/TestCall.cpp
@@ -139,6 +139,60 @@
   CHECK_TRUE(hasText(*Caller, "0123"));
 }
 
+// Failure: an engine that is back gets no work for as long as another is
+// measured better: the attempt that may be its probe goes there.
+TEST(Call, AProbeGoesToItsTargetThoughAnotherIsMeasuredBetter) {
+  const auto Answer = [](const Asked &Call) { sendWhole(Call, 1); };
+  FakeAgent Back(Answer), Better(Answer);
+  Bench.add("back", "lm-desk", Back);
+  Bench.add("better", "lm-desk", Better);
+  route::TargetLoad Load;
+  Load.PrefillTokensPerSecond = 8000;
+  Load.MaximumSequences = 8;
+  Load.DecodeTokensPerSecond = 80;
+  Bench.report("back", Load);
+  Load.DecodeTokensPerSecond = 800;
+  Bench.report("better", Load);
+  for (int Each = 0; Each < 3; ++Each)
+    Bench.health().health("back")->failed(BootClock::now() -
+                                          std::chrono::seconds(1));
+  for (unsigned Each = 1; Each <= 3; ++Each) {
+    const auto Caller = Bench.call(Bench.completion(1));
+    CHECK_TRUE(eventually([&] { return Caller->answered(); }));
+  }
+  CHECK_EQUAL(1u, Back.count());
+  CHECK_EQUAL(2u, Better.count());
+}
+
+// Failure: work that may run once is lost in a probe.
+TEST(Call, AProbeIsNoWorkThatMayNotBeRepeated) {
+  FakeAgent Back([](const Asked &Call) { Call.answer("back"); });
+  FakeAgent Other([](const Asked &Call) { Call.answer("other"); });
+  Bench.add("back", "booking-core", Back);
+  Bench.add("other", "booking-core", Other);
+  for (int Each = 0; Each < 3; ++Each)
+    Bench.health().health("back")->failed(BootClock::now() -
+                                          std::chrono::seconds(1));
+  const auto Caller = Bench.call(Bench.slotHold());
+  CHECK_TRUE(eventually([&] { return Caller->answered(); }));
+  CHECK_EQUAL(0u, Back.count());
+}
+
+// Failure: a service that only gets work which may run once never uses a target
+// again that is back.
+TEST(Call, WorkThatMayNotBeRepeatedProbesWhenNothingElseComes) {
+  FakeAgent Back([](const Asked &Call) { Call.answer("back"); });
+  FakeAgent Other([](const Asked &Call) { Call.answer("other"); });
+  Bench.add("back", "booking-core", Back);
+  Bench.add("other", "booking-core", Other);
+  for (int Each = 0; Each < 3; ++Each)
+    Bench.health().health("back")->failed(BootClock::now() -
+                                          std::chrono::seconds(10));
+  const auto Caller = Bench.call(Bench.slotHold());
+  CHECK_TRUE(eventually([&] { return Caller->answered(); }));
+  CHECK_EQUAL(1u, Back.count());
+}
+
 TEST(Call, AStreamOfEventsEndsWithDone) {
   FakeAgent Agent([](const Asked &Call) { sendWhole(Call, 2); });
   Bench.add("t1", "lm-desk", Agent);
--- a/Tests/LibRetry/TestBudgetAndHealth.cpp
+++ b/Tests/LibRetry/TestBudgetAndHealth.cpp
@@ -157,9 +157,21 @@
   for (int I = 0; I < 3; ++I)
     Book.health("bad")->failed(Now);
   Book.health("good")->succeeded();
-  LONGS_EQUAL(1, Book.excluded(Now).size());
-  LONGS_EQUAL(0, Book.excluded(Now + milliseconds(500)).size());
-  LONGS_EQUAL(1, Book.excluded(Now + milliseconds(500)).size());
+  LONGS_EQUAL(1, Book.excluded().size());
+  LONGS_EQUAL(0, Book.wantingProbes(Now).size());
+  Now += milliseconds(500);
+  // Asking takes nothing from whoever sends the probe, which is one.
+  for (int Times = 0; Times < 2; ++Times) {
+    LONGS_EQUAL(1, Book.excluded().size());
+    LONGS_EQUAL(1, Book.wantingProbes(Now).size());
+  }
+  CHECK(Book.health("bad")->allows(Now));
+  LONGS_EQUAL(1, Book.excluded().size());
+  LONGS_EQUAL(0, Book.wantingProbes(Now).size());
+  Book.health("bad")->succeeded();
+  LONGS_EQUAL(0, Book.excluded().size());
+  for (int I = 0; I < 3; ++I)
+    Book.health("bad")->failed(Now);
   Book.forget("bad");
-  LONGS_EQUAL(0, Book.excluded(Now).size());
+  LONGS_EQUAL(0, Book.excluded().size());
 }
