--- a/Tests/Leaving/TestOutage.cpp
+++ b/Tests/Leaving/TestOutage.cpp
@@ -137,3 +137,22 @@
   const CallerTally Tally = Load.stop();
   CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
 }
+
+// Failure: completions that may be repeated end with an unknown outcome, as
+// agents stand still beside a busy machine and their links are given up.
+TEST(Outage, LosesNoCompletionWhenAgentsStandStill) {
+  MixedCallers Load(m_Fleet, LeavingMix);
+  CHECK_TRUE(Load.waitForMore(30, Limit));
+  m_Fleet.platformFault("down");
+  for (const char *Each : {"lm-desk-1", "lm-desk-2", "lm-desk-3", "lm-desk-1",
+                           "lm-desk-2", "lm-desk-3"}) {
+    m_Fleet.process(Each).pause();
+    CHECK_TRUE(Load.waitForMore(60, Limit));
+    CHECK_TRUE(waitUntil(Limit, [&] { return stateOf(Each) != "serving"; }));
+    m_Fleet.process(Each).resume();
+    CHECK_TRUE(reaches(Each, "serving"));
+  }
+  m_Fleet.platformFault("none");
+  const CallerTally Tally = Load.stop();
+  CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
+}
