RetryDecision: Outlive links that are lost together

Cause, in a scene where all agents stand still one after the other: a request's attempts went from one link that was about to be given up to the next and were used up in 0.4 s (attempts 3, no retry_after_ms), or there was no budget for them (retry_after_ms 500). Ruled out: agents and engines that give up; one agent or one entry that stands still.

Work that may have run and can be repeated goes on while agents may be back, for 5 s since the links were lost, and waits for the budget. Any frame of an agent brings the bounds back, so a prompt that crashes engines gets no more of them; what has not run is refused at once as before.

--- a/Libraries/LibRetry/RetryDecision.cpp
+++ b/Libraries/LibRetry/RetryDecision.cpp
@@ -79,8 +79,9 @@
     // only repeat the answer. A home may be on its way, though.
     // Nor can an answer that has begun be refused.
     if ((m_History.Keyed && Nothing.Code == ResultCode::HomeMoved) ||
-        (hasBegun() && !isFinal(Nothing.Code)))
-      return runAgain(Nothing.Code, false, Nothing.RetryAfter, false);
+        ((hasBegun() || waitsForLinks(false)) && !isFinal(Nothing.Code)))
+      return runAgain(Nothing.Code, false, Nothing.RetryAfter,
+                      Nothing.Code == ResultCode::RetryBudgetSpent);
     return giveUp(Nothing.Code, false, Nothing.RetryAfter);
   }
 
@@ -101,11 +102,21 @@
   /// \p MayHaveRun is about the last attempt.
   bool attemptsSpent(bool MayHaveRun) const {
     if (!hasBegun())
-      return m_History.Attempts >= m_Settings.MaximumAttempts;
+      return m_History.Attempts >= m_Settings.MaximumAttempts &&
+             !waitsForLinks(MayHaveRun);
     return m_History.Runs + (MayHaveRun ? 1 : 0) >= m_Settings.MaximumRuns &&
            !mayBeRestarting();
   }
 
+  /// What may have run can be repeated, and agents may be back in a moment: to
+  /// give up now would tell the caller less than a little patience does. What
+  /// has surely not run is refused at once instead, and comes again.
+  bool waitsForLinks(bool LastMayHaveRun) const {
+    return m_History.Repeatable && someMayHaveRun(LastMayHaveRun) &&
+           m_History.LinksLost &&
+           m_Now - *m_History.LinksLost < m_Settings.RestartTime;
+  }
+
   /// The answer has stood still for no longer than an engine needs to restart.
   bool mayBeRestarting() const {
     return m_History.LastToken &&
@@ -153,8 +164,11 @@
     if (!hasTime(Delay))
       return giveUpForTime(Code, MayHaveRun, RetryAfter);
     if (Costs && !hasBegun() && !m_Budget.spend())
-      return giveUp(MayHaveRun ? Code : ResultCode::RetryBudgetSpent,
-                    MayHaveRun, RetryAfter.value_or(m_Settings.MaximumDelay));
+      return waitsForLinks(MayHaveRun)
+                 ? Decision(WaitForBudget{m_Settings.MaximumDelay})
+                 : giveUp(MayHaveRun ? Code : ResultCode::RetryBudgetSpent,
+                          MayHaveRun,
+                          RetryAfter.value_or(m_Settings.MaximumDelay));
     if (m_History.Keyed)
       return AskHomeAgain{Delay};
     if (m_History.TokensDelivered > 0)
--- a/Libraries/LibRetry/RetryDecision.h
+++ b/Libraries/LibRetry/RetryDecision.h
@@ -72,6 +72,9 @@
   uint32_t TokensDelivered = 0;
   /// When the last of them came.
   std::optional<BootTime> LastToken;
+  /// Since when one attempt after another has lost its link, or found no
+  /// target: no agent has said anything since.
+  std::optional<BootTime> LinksLost;
   std::optional<BootTime> Deadline;
 };
 
@@ -93,6 +96,11 @@
 struct AskHomeAgain {
   std::chrono::milliseconds Delay{0};
 };
+/// Another attempt is due and the budget is spent: to be decided again, as
+/// NothingSent with RetryBudgetSpent.
+struct WaitForBudget {
+  std::chrono::milliseconds Delay{0};
+};
 /// The request ends with this code.
 struct GiveUp {
   ResultCode Code = ResultCode::Internal;
@@ -101,7 +109,7 @@
 };
 
 using Decision = std::variant<RetryElsewhere, ResumeSame, ContinueElsewhere,
-                              AskHomeAgain, GiveUp>;
+                              AskHomeAgain, WaitForBudget, GiveUp>;
 
 struct RetrySettings {
   unsigned MaximumAttempts = 4;
@@ -112,7 +120,9 @@
   /// The attempts at an engine that restarts fail at once. Counted alone, a
   /// crash beside a cut link used them up in 1.1 s on a busy machine, and seven
   /// of 24 answers ended in the middle; an engine is back within seconds. With
-  /// MaximumDelay between them, ten more attempts fit in.
+  /// MaximumDelay between them, ten more attempts fit in. The same for links
+  /// that are lost one after the other, where what runs may be repeated: agents
+  /// that stood still are back as soon.
   std::chrono::milliseconds RestartTime{5000};
   /// With their delays they take 300 ms, in which a link that broke for a
   /// moment is restored; a second run costs more than that.
--- a/Services/figlift-entry/Call.cpp
+++ b/Services/figlift-entry/Call.cpp
@@ -140,12 +140,14 @@
 
 void Call::onAccepted() {
   m_History.AcceptedSeen = true;
+  m_History.LinksLost.reset();
   m_Accepted.store(true);
 }
 
 bool Call::onTokens(Attempt &From, const wire::Tokens &Frame) {
   takeOver(From);
   m_History.AcceptedSeen = true;
+  m_History.LinksLost.reset();
   m_Accepted.store(true);
   const uint32_t Expected = m_History.TokensDelivered;
   if (Frame.first_index() + Frame.count() <= Expected) {
@@ -215,6 +217,7 @@
 }
 
 void Call::onRefusal(Attempt &From, const wire::Refusal &Frame) {
+  m_History.LinksLost.reset();
   m_LastMessage = Frame.message();
   retry::AgentRefused End;
   End.Code = resultCodeFromNumber(static_cast<int>(Frame.code()))
@@ -227,6 +230,7 @@
 }
 
 void Call::onFailure(Attempt &From, const wire::Failure &Frame) {
+  m_History.LinksLost.reset();
   m_LastMessage = Frame.message();
   ResultCode Code = resultCodeFromNumber(static_cast<int>(Frame.code()))
                         .value_or(ResultCode::TargetFailed);
@@ -241,8 +245,12 @@
 
 void Call::onBroken(Attempt &From, wire::StreamEnd End) {
   if (End == wire::StreamEnd::ConnectionLost ||
-      End == wire::StreamEnd::NeverSent)
-    From.link()->health().failed(BootClock::now());
+      End == wire::StreamEnd::NeverSent) {
+    const BootTime Now = BootClock::now();
+    From.link()->health().failed(Now);
+    if (!m_History.LinksLost)
+      m_History.LinksLost = Now;
+  }
   // Without a last frame an end in good order says no more than a broken one.
   if (End == wire::StreamEnd::Finished)
     End = wire::StreamEnd::ResetByPeer;
--- a/Services/figlift-entry/Call.h
+++ b/Services/figlift-entry/Call.h
@@ -112,6 +112,7 @@
   void perform(const retry::ResumeSame &Next);
   void perform(const retry::ContinueElsewhere &Next);
   void perform(const retry::AskHomeAgain &Next);
+  void perform(const retry::WaitForBudget &Next);
   void perform(const retry::GiveUp &Next);
   void newAttemptAfter(std::chrono::milliseconds Delay);
   void runAfter(std::chrono::milliseconds Delay, EventLoop::Task What);
--- a/Services/figlift-entry/CallAttempts.cpp
+++ b/Services/figlift-entry/CallAttempts.cpp
@@ -206,6 +206,13 @@
            [Self = shared_from_this()] { Self->resume(Self->m_LastLink); });
 }
 
+void Call::perform(const retry::WaitForBudget &Next) {
+  runAfter(Next.Delay, [Self = shared_from_this()] {
+    Self->afterEnd(nullptr,
+                   retry::NothingSent{ResultCode::RetryBudgetSpent, {}});
+  });
+}
+
 void Call::perform(const retry::GiveUp &Next) {
   std::string Message(resultCodeInfo(Next.Code).Meaning);
   if (!m_LastMessage.empty())
--- a/Tests/Leaving/TestOutage.cpp
+++ b/Tests/Leaving/TestOutage.cpp
@@ -10,11 +10,14 @@
 #include "Support/FullService.h"
 #include "Support/WaitUntil.h"
 
+#include <array>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift::test;
 using namespace std::chrono_literals;
 using nlohmann::json;
+using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 namespace {
@@ -139,7 +142,7 @@
 }
 
 // Failure: completions that may be repeated end with an unknown outcome, as
-// agents stand still beside a busy machine and their links are given up.
+// agents stand still in turn and their links are given up.
 TEST(Outage, LosesNoCompletionWhenAgentsStandStill) {
   MixedCallers Load(m_Fleet, LeavingMix);
   CHECK_TRUE(Load.waitForMore(30, Limit));
@@ -156,3 +159,33 @@
   const CallerTally Tally = Load.stop();
   CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
 }
+
+// Failure: completions that may be repeated end with an unknown outcome, with
+// nearly all of their time left.
+// Sequence: all agents stand still, one after the other, and go on. Cause: the
+// attempts of a request went from one link that was about to be given up to the
+// next, and were used up within a second.
+TEST(Outage, LosesNoCompletionWhenAllAgentsStandStill) {
+  const std::array Engines = {"lm-desk-1", "lm-desk-2", "lm-desk-3",
+                              "lm-desk-4"};
+  const auto Passes = [](milliseconds Time) {
+    const auto End = steady_clock::now() + Time;
+    return waitUntil(Limit, [&] { return steady_clock::now() >= End; });
+  };
+  MixedCallers Load(m_Fleet, LeavingMix);
+  CHECK_TRUE(Load.waitForMore(30, Limit));
+  m_Fleet.platformFault("down");
+  for (int Times = 0; Times < 4; ++Times) {
+    for (const char *Each : Engines) {
+      m_Fleet.process(Each).pause();
+      CHECK_TRUE(Passes(300ms));
+    }
+    CHECK_TRUE(Passes(2200ms));
+    for (const char *Each : Engines)
+      m_Fleet.process(Each).resume();
+    CHECK_TRUE(Load.waitForMore(30, Limit));
+  }
+  m_Fleet.platformFault("none");
+  const CallerTally Tally = Load.stop();
+  CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
+}
--- a/Tests/LibRetry/TestRetryDecision.cpp
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -192,6 +192,58 @@
     CHECK(givesUp(End).Code == ResultCode::DeadlineExceeded);
 }
 
+// Failure: a completion with a minute left ends with an unknown outcome, as the
+// links of three agents that stood still were given up one after the other.
+TEST(RetryDecision, RepeatableWorkOutlivesLinksThatAreLostTogether) {
+  Request.Deadline = Now + std::chrono::seconds(57);
+  Request.EarlierMayHaveRun = true;
+  Request.Attempts = Settings.MaximumAttempts;
+  Request.LinksLost = Now - Settings.RestartTime + milliseconds(1);
+  const std::vector<AttemptEnd> Lost{StreamBroke{StreamEnd::ConnectionLost},
+                                     StreamBroke{StreamEnd::NeverSent},
+                                     NothingSent{}};
+  for (const AttemptEnd &End : Lost)
+    CHECK(std::holds_alternative<RetryElsewhere>(after(End)));
+  Request.LinksLost = Now - Settings.RestartTime;
+  for (const AttemptEnd &End : Lost)
+    CHECK(givesUp(End).Executed == Execution::MayHaveRun);
+}
+
+// Failure: as above, for more requests than the budget has retries.
+TEST(RetryDecision, RepeatableWorkWaitsForTheBudgetWhenLinksAreLost) {
+  while (Budget.spend()) {
+  }
+  Request.Deadline = Now + std::chrono::seconds(57);
+  Request.LinksLost = Now;
+  CHECK(std::holds_alternative<WaitForBudget>(
+      after(StreamBroke{StreamEnd::ConnectionLost})));
+  Request.EarlierMayHaveRun = true;
+  const NothingSent Waited{ResultCode::RetryBudgetSpent, {}};
+  CHECK(std::holds_alternative<WaitForBudget>(after(Waited)));
+  Budget.earn();
+  CHECK(std::holds_alternative<RetryElsewhere>(after(Waited)));
+  Request.LinksLost = Now - Settings.RestartTime;
+  CHECK(givesUp(Waited).Executed == Execution::MayHaveRun);
+}
+
+// Failure: a prompt under which engines crash gets one after the other.
+TEST(RetryDecision, AnswersOfAgentsKeepTheBoundOnAttempts) {
+  Request.Deadline = Now + std::chrono::seconds(57);
+  Request.EarlierMayHaveRun = true;
+  Request.Attempts = Settings.MaximumAttempts;
+  CHECK(givesUp(TargetFailed{}).Code == ResultCode::TargetFailed);
+  CHECK(givesUp(StreamBroke{StreamEnd::ResetByPeer}).Code ==
+        ResultCode::OutcomeUnknown);
+}
+
+// Failure: what has not run waits for a target that may never come, though its
+// caller could go elsewhere.
+TEST(RetryDecision, WorkThatHasNotRunIsRefusedAtOnceForWantOfATarget) {
+  Request.Deadline = Now + std::chrono::seconds(57);
+  Request.LinksLost = Now;
+  CHECK(givesUp(NothingSent{}).Executed == Execution::NotRun);
+}
+
 TEST(RetryDecision, CallersFaultsAreNotRetried) {
   for (const ResultCode Code :
        {ResultCode::InvalidInput, ResultCode::UnknownModel,
