--- a/Tests/FigliftEntry/TestCall.cpp
+++ b/Tests/FigliftEntry/TestCall.cpp
@@ -42,7 +42,28 @@
 
 } // namespace
 
-TEST_GROUP(Call) { CallBench Bench; };
+TEST_GROUP(Call) {
+  CallBench Bench;
+
+  /// The target has failed so often that it is left out; the last time \p Ago.
+  void excludeTarget(const std::string &Id, std::chrono::seconds Ago) {
+    for (unsigned Each = 0; Each < retry::HealthSettings().FailuresToExclude;
+         ++Each)
+      Bench.health().health(Id)->failed(BootClock::now() - Ago);
+  }
+  /// One slot is held, with a target that failed \p Ago and another one; how
+  /// many holds the first of them gets.
+  size_t holdsAtTargetThatFailed(std::chrono::seconds Ago) {
+    FakeAgent Back([](const Asked &Call) { Call.answer("back"); });
+    FakeAgent Other([](const Asked &Call) { Call.answer("other"); });
+    Bench.add("back", "booking-core", Back);
+    Bench.add("other", "booking-core", Other);
+    excludeTarget("back", Ago);
+    const auto Caller = Bench.call(Bench.slotHold());
+    CHECK_TRUE(eventually([&] { return Caller->answered(); }));
+    return Back.count();
+  }
+};
 
 TEST(Call, FramesOfOthersAndOfThePastAreDropped) {
   // Symptom: a family reads a part of another family's note, or a word twice.
@@ -153,9 +174,7 @@
   Bench.report("back", Load);
   Load.DecodeTokensPerSecond = 800;
   Bench.report("better", Load);
-  for (int Each = 0; Each < 3; ++Each)
-    Bench.health().health("back")->failed(BootClock::now() -
-                                          std::chrono::seconds(1));
+  excludeTarget("back", std::chrono::seconds(1));
   for (unsigned Each = 1; Each <= 3; ++Each) {
     const auto Caller = Bench.call(Bench.completion(1));
     CHECK_TRUE(eventually([&] { return Caller->answered(); }));
@@ -166,31 +185,13 @@
 
 // Failure: work that may run once is lost in a probe.
 TEST(Call, AProbeIsNoWorkThatMayNotBeRepeated) {
-  FakeAgent Back([](const Asked &Call) { Call.answer("back"); });
-  FakeAgent Other([](const Asked &Call) { Call.answer("other"); });
-  Bench.add("back", "booking-core", Back);
-  Bench.add("other", "booking-core", Other);
-  for (int Each = 0; Each < 3; ++Each)
-    Bench.health().health("back")->failed(BootClock::now() -
-                                          std::chrono::seconds(1));
-  const auto Caller = Bench.call(Bench.slotHold());
-  CHECK_TRUE(eventually([&] { return Caller->answered(); }));
-  CHECK_EQUAL(0u, Back.count());
+  CHECK_EQUAL(0u, holdsAtTargetThatFailed(std::chrono::seconds(1)));
 }
 
 // Failure: a service that only gets work which may run once never uses a target
 // again that is back.
 TEST(Call, WorkThatMayNotBeRepeatedProbesWhenNothingElseComes) {
-  FakeAgent Back([](const Asked &Call) { Call.answer("back"); });
-  FakeAgent Other([](const Asked &Call) { Call.answer("other"); });
-  Bench.add("back", "booking-core", Back);
-  Bench.add("other", "booking-core", Other);
-  for (int Each = 0; Each < 3; ++Each)
-    Bench.health().health("back")->failed(BootClock::now() -
-                                          std::chrono::seconds(10));
-  const auto Caller = Bench.call(Bench.slotHold());
-  CHECK_TRUE(eventually([&] { return Caller->answered(); }));
-  CHECK_EQUAL(1u, Back.count());
+  CHECK_EQUAL(1u, holdsAtTargetThatFailed(std::chrono::seconds(10)));
 }
 
 TEST(Call, AStreamOfEventsEndsWithDone) {
