LibProxy: Drop the fields of trailers

A trailer was merged into the head of a chunked request after the head had been checked: a caller could add any field there, its credentials too. RFC 9110 (6.5.1) lets a recipient drop them. Test: RequestParser.DropsTrailers.

--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -31,9 +31,12 @@
   void on_response_impl(int, StringView, int, ErrorCode &) override {}
   void on_field_impl(http::field, StringView Name, StringView Value,
                      ErrorCode &) override {
-    Parsed.Head.Headers.add(std::string(Name), std::string(Value));
+    // The fields of a trailer are dropped (RFC 9110, 6.5.1).
+    if (!m_HeadComplete)
+      Parsed.Head.Headers.add(std::string(Name), std::string(Value));
   }
   void on_header_impl(ErrorCode &Code) override {
+    m_HeadComplete = true;
     // Boost.Beast ignores an unknown transfer coding and would then parse the
     // body as the next request.
     unsigned TransferCodings = 0;
@@ -61,6 +64,8 @@
     return Body.size();
   }
   void on_finish_impl(ErrorCode &) override {}
+
+  bool m_HeadComplete = false;
 };
 
 RequestParser::RequestParser(RequestBounds Bounds) : m_Bounds(Bounds) {
--- a/Tests/LibProxy/TestRequestParser.cpp
+++ b/Tests/LibProxy/TestRequestParser.cpp
@@ -49,6 +49,15 @@
   STRCMP_EQUAL("abc", Parser.take().Body.c_str());
 }
 
+// Failure: a trailer replaces a field that was checked in the head, such as a
+// caller's credentials.
+TEST(RequestParser, DropsTrailers) {
+  Parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "1\r\na\r\n0\r\nX-Late: 1\r\n\r\n");
+  CHECK(Parser.state() == State::Complete);
+  CHECK(!Parser.take().Head.Headers.has("X-Late"));
+}
+
 // Symptom: a server runs a request that no caller sent (request smuggling).
 // Sequence: a head has both a length and a chunked coding; gateway and server
 // each apply another one, and the rest of the body is parsed as a request.
