--- a/Libraries/LibRecord/FieldReader.cpp
+++ b/Libraries/LibRecord/FieldReader.cpp
@@ -46,10 +46,18 @@
 
 FieldReader::FieldReader(const Json &Object, std::string Path,
                          unsigned SchemaVersion)
-    : m_Object(Object), m_Path(std::move(Path)),
-      m_SchemaVersion(SchemaVersion) {
+    : FieldReader(Object, std::move(Path), SchemaVersion, false) {}
+
+FieldReader::FieldReader(const Json &Object, std::string Path,
+                         unsigned SchemaVersion, bool HidesValues)
+    : m_Object(Object), m_Path(std::move(Path)), m_SchemaVersion(SchemaVersion),
+      m_HidesValues(HidesValues) {
   if (!Object.is_object())
-    fail(m_Path, "found " + quoted(Object) + "; expected an object");
+    fail(m_Path, "found " + shown(Object) + "; expected an object");
+}
+
+std::string FieldReader::shown(const Json &Value) const {
+  return m_HidesValues ? "a value that is not shown" : quoted(Value);
 }
 
 bool FieldReader::has(const std::string &Name) const {
@@ -67,7 +75,7 @@
 }
 
 void FieldReader::reject(const std::string &Name, const std::string &Expected) {
-  std::string Found = has(Name) ? quoted(m_Object.at(Name)) : "nothing";
+  std::string Found = has(Name) ? shown(m_Object.at(Name)) : "nothing";
   fail(pathOf(Name), "found " + Found + "; expected " + Expected);
 }
 
@@ -182,7 +190,7 @@
     const Json &Element = (*Value)[Index];
     if (!Element.is_string() || !IsValid(Element.get<std::string>()))
       return fail(pathOf(Name) + "[" + std::to_string(Index) + "]",
-                  "found " + quoted(Element) + "; expected " + Expected);
+                  "found " + shown(Element) + "; expected " + Expected);
     Output.push_back(Element.get<std::string>());
   }
 }
@@ -198,7 +206,7 @@
   for (size_t Index = 0; Index < Value->size(); ++Index) {
     FieldReader Child((*Value)[Index],
                       pathOf(Name) + "[" + std::to_string(Index) + "]",
-                      m_SchemaVersion);
+                      m_SchemaVersion, m_HidesValues);
     ReadElement(Child);
     takeErrorOf(Child);
   }
@@ -210,7 +218,7 @@
   const Json *Value = member(Name);
   if (!Value)
     return;
-  FieldReader Child(*Value, pathOf(Name), m_SchemaVersion);
+  FieldReader Child(*Value, pathOf(Name), m_SchemaVersion, m_HidesValues);
   ReadMembers(Child);
   takeErrorOf(Child);
 }
--- a/Libraries/LibRecord/FieldReader.h
+++ b/Libraries/LibRecord/FieldReader.h
@@ -42,6 +42,10 @@
   /// \p Object must outlive the reader and its child readers.
   FieldReader(const Json &Object, std::string Path, unsigned SchemaVersion);
 
+  /// From now on, errors of this reader and of new child readers do not quote
+  /// the values found. For objects that contain secrets.
+  void hideValues() { m_HidesValues = true; }
+
   bool has(const std::string &Name) const;
   std::string pathOf(const std::string &Name) const;
   unsigned schemaVersion() const { return m_SchemaVersion; }
@@ -106,7 +110,11 @@
   bool readText(const std::string &Name, std::string &Output);
   std::optional<uint64_t> readUnsigned(const std::string &Name,
                                        uint64_t Minimum, uint64_t Maximum);
+  FieldReader(const Json &Object, std::string Path, unsigned SchemaVersion,
+              bool HidesValues);
   void takeErrorOf(const FieldReader &Child);
+  /// \p Value as an error message shows it.
+  std::string shown(const Json &Value) const;
 
   template <typename T, size_t Count>
   static std::string quotedNames(const NamedValues<T, Count> &Choices) {
@@ -119,6 +127,7 @@
   const Json &m_Object;
   const std::string m_Path;
   const unsigned m_SchemaVersion;
+  bool m_HidesValues = false;
   /// Members that were read or declared.
   std::set<std::string> m_KnownNames;
   std::optional<Error> m_Error;
