LibTenant, platform, figlift-gateway: Tenants and API keys

Without tenants nothing changes. - A request on a route that is not public needs exactly one valid key, else 401 with code 107 at once. - Errors in tenants do not quote the values found. - Crash suspects go by the tenant in place of the credentials.

--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -40,6 +40,9 @@
     ResultCodeInfo{KeyTooFarAhead, "KeyTooFarAhead", 400, NotRun, false,
                    "The timestamp of the idempotency key is too far in the "
                    "future; the clock of its creator is wrong."},
+    ResultCodeInfo{Unauthenticated, "Unauthenticated", 401, NotRun, false,
+                   "The request presents no API key, more than one, or one "
+                   "that no tenant of the configuration in force holds."},
 
     ResultCodeInfo{Overloaded, "Overloaded", 429, NotRun, true,
                    "No target currently has capacity for the request."},
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -27,6 +27,7 @@
   UnknownModel = 104,
   KeyReusedForOtherRequest = 105,
   KeyTooFarAhead = 106,
+  Unauthenticated = 107,
 
   Overloaded = 201,
   DeadlineUnreachable = 202,
--- a/Libraries/LibDispatch/Configuration.h
+++ b/Libraries/LibDispatch/Configuration.h
@@ -8,8 +8,11 @@
 
 #pragma once
 
+#include "LibTenant/Authentication.h"
+
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,6 +51,8 @@
   unsigned MaximumAttempts = 1;
   /// 0 is the most urgent.
   unsigned Priority = 0;
+  /// Whether requests have to present a tenant's API key.
+  tenant::Access Access = tenant::Access::Tenants;
   /// Requests carry a prompt, and are routed to engines that have its parts in
   /// the KV cache.
   bool CarriesPrompts = false;
@@ -108,6 +113,8 @@
   std::vector<Route> Routes;
   std::vector<Service> Services;
   CallerBounds Bounds;
+  /// Null if the operator configures no tenants: no request needs an API key.
+  std::shared_ptr<const tenant::TenantTable> Tenants;
 
   /// The route of \p Host (its port is ignored) with the longest prefix of \p
   /// Path, or null. Valid after finalize().
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -8,6 +8,7 @@
 
 #include "CrashWatch.h"
 #include "DecisionLog.h"
+#include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
 #include "LibDispatch/Configuration.h"
@@ -100,6 +101,7 @@
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
   metrics::Registry Metrics;
+  TenantMetrics Tenants{Metrics};
   std::mt19937_64 Random;
   /// When the cached view of the server list was last known to be current.
   BootTime ServersKnownAt{};
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -64,13 +64,16 @@
 }
 
 std::optional<dispatch::RequestFingerprint>
-CrashWatch::fingerprintOf(const proxy::Request &Request) const {
+CrashWatch::fingerprintOf(const proxy::Request &Request,
+                          const std::optional<std::string> &Tenant) const {
   if (!m_Fingerprinter)
     return std::nullopt;
   const proxy::HeaderList &Fields = Request.Head.Headers;
   return m_Fingerprinter->of(
       {Request.Head.Method, Fields.find("Host").value_or(""),
-       Request.Head.Target, Fields.find("Authorization").value_or(""),
+       Request.Head.Target,
+       Tenant ? std::string_view(*Tenant)
+              : Fields.find("Authorization").value_or(""),
        Request.Body});
 }
 
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -44,9 +44,11 @@
 
   /// Fingerprints are computed with the fleet's secret from now on.
   void useSecret(const std::string &Secret);
+  /// \p Tenant identifies the caller; without a tenant, its credentials do.
   /// Empty while the secret is not known.
   std::optional<dispatch::RequestFingerprint>
-  fingerprintOf(const proxy::Request &Request) const;
+  fingerprintOf(const proxy::Request &Request,
+                const std::optional<std::string> &Tenant) const;
 
   const dispatch::CrashSuspects &suspects() const { return m_Suspects; }
   void recordRejected() { ++m_Rejected; }
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -61,6 +61,8 @@
   if (!Route)
     return respondWithError(404, "no route", milliseconds(0));
   m_Route = *Route;
+  if (!authenticate())
+    return;
   m_Relay = dispatch::EventRelay(eventNumber(m_Fields.LastEventId));
   m_Service = dispatch::pickService(m_Route, m_Shared.draw());
   milliseconds Allowed = m_Route.Timeout;
@@ -256,6 +258,7 @@
   Fields.PrefillOnly = Purpose == SendPurpose::Prefill;
   if (Purpose == SendPurpose::Execute)
     Fields.Source = m_Handle;
+  Fields.Tenant = m_Tenant;
   if (const dispatch::Target *Source = m_Shared.Targets.find(FetchFrom))
     Fields.FetchFrom = Source->Address.toString();
   if (const auto LastEvent = m_Relay.lastEvent();
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -47,6 +47,9 @@
   bool wantsMore() const override;
 
 private:
+  /// Sets m_Tenant. Otherwise rejects the request and returns false.
+  bool authenticate();
+  void rejectUnauthenticated(std::string_view Reason);
   bool mayStart(dispatch::Milliseconds Expected, BootTime Now) const;
   void rejectStopping();
   void plan();
@@ -158,6 +161,8 @@
   std::shared_ptr<const dispatch::Configuration> m_Configuration;
   dispatch::Route m_Route;
   std::string m_Service;
+  /// Empty for a request that belongs to no tenant.
+  std::optional<std::string> m_Tenant;
   boost::asio::steady_timer m_DeadlineTimer;
   boost::asio::steady_timer m_SilenceTimer;
   /// Maximum silence of the current attempt.
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -11,7 +11,7 @@
 
 const std::optional<dispatch::RequestFingerprint> &RequestFlow::fingerprint() {
   if (!m_Fingerprint)
-    m_Fingerprint = m_Shared.Crashes.fingerprintOf(m_Request);
+    m_Fingerprint = m_Shared.Crashes.fingerprintOf(m_Request, m_Tenant);
   return m_Fingerprint;
 }
 
--- /dev/null
+++ b/Services/figlift-gateway/RequestTenant.cpp
@@ -0,0 +1,52 @@
+//===- RequestTenant.cpp - Tenant of one request --------------------------===//
+//
+// Authenticates a request with the configuration that it starts with: a key
+// that is removed later does not interrupt it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestFlow.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figlift::gateway {
+
+namespace {
+
+constexpr unsigned UnauthenticatedStatus = 401;
+
+} // namespace
+
+bool RequestFlow::authenticate() {
+  const auto Outcome =
+      tenant::authenticate(m_Configuration->Tenants.get(), m_Route.Access,
+                           std::exchange(m_Fields.Credential, {}));
+  if (const auto *Known = std::get_if<tenant::Authenticated>(&Outcome)) {
+    m_Tenant = Known->Holder->Name;
+    if (Known->Holder->Priority)
+      m_Route.Priority = *Known->Holder->Priority;
+    m_Shared.Tenants.recordAuthenticated(*m_Tenant);
+  } else if (const auto *Failed =
+                 std::get_if<tenant::Unauthenticated>(&Outcome)) {
+    rejectUnauthenticated(Failed->Reason);
+    return false;
+  }
+  return true;
+}
+
+void RequestFlow::rejectUnauthenticated(std::string_view Reason) {
+  m_Shared.Tenants.recordRejected();
+  m_Code = ResultCode::Unauthenticated;
+  proxy::ResponseHead Head;
+  Head.Status = UnauthenticatedStatus;
+  Head.Headers.add("Content-Type", "application/json");
+  Head.Headers.add("WWW-Authenticate", "ApiKey");
+  slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
+  const nlohmann::json Body = {{"code", static_cast<int>(m_Code)},
+                               {"reason", Reason},
+                               {"executed", "not run"}};
+  m_Caller->respond(Head, Body.dump());
+  finish("refused", UnauthenticatedStatus, Reason);
+}
+
+} // namespace figlift::gateway
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -106,6 +106,10 @@
   Add("long", "streaming", "model", false, 15000);
   for (unsigned Number = 1; Number <= AdditionalRoutes; ++Number)
     Add("more-" + std::to_string(Number), "safe", "plain", false);
+  if (!Tenants.empty()) {
+    Add("open", "safe", "plain", false);
+    Routes.back()["public"] = true;
+  }
   const Json Engine = {{"slots", 8},           {"kvCapacity", 100000},
                        {"tokenKvBytes", 1000}, {"linkMbps", 10000},
                        {"kvHoldS", 5},         {"stageSwitchS", 3}};
@@ -115,10 +119,11 @@
   if (OmittedService != "model")
     Services.push_back(
         {{"name", "model"}, {"maxConnections", 100}, {"engine", Engine}});
-  Store.put(
-      "op", "config",
-      Json{{"version", Version}, {"routes", Routes}, {"services", Services}}
-          .dump());
+  Json Configuration = {
+      {"version", Version}, {"routes", Routes}, {"services", Services}};
+  if (!Tenants.empty())
+    Configuration["tenants"] = Json::parse(Tenants);
+  Store.put("op", "config", Configuration.dump());
 }
 
 Listener &GatewayFixture::addServer(const std::string &Id,
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -83,6 +83,9 @@
   /// Number of additional routes in each configuration, named "/more-1/" to
   /// "/more-N/".
   unsigned AdditionalRoutes = 0;
+  /// JSON of the tenants in each configuration, which then also has the public
+  /// route /open/; empty for a configuration without tenants.
+  std::string Tenants;
   settings::GatewaySettings Settings;
 
 private:
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -65,6 +65,29 @@
   LONGS_EQUAL(2, std::distance(Forwarded.begin(), Forwarded.end()));
 }
 
+TEST(Headers, ReadsTheCredential) {
+  LONGS_EQUAL(0, decodeCallerFields(Fields).value().Credential.Fields);
+  Fields.add("x-credential", " key ");
+  STRCMP_EQUAL("key",
+               decodeCallerFields(Fields).value().Credential.Key.c_str());
+  Fields.add("X-Credential", "other");
+  LONGS_EQUAL(2, decodeCallerFields(Fields).value().Credential.Fields);
+}
+
+// If the key were forwarded, any server could impersonate its tenant.
+TEST(Headers, ForwardsNeitherCredentialsNorTheTenantOfTheCaller) {
+  Fields.add("Connection", "X-Tenant, X-Credential, close");
+  Fields.add("x-credential", "key");
+  Fields.add("X-Credential", "key");
+  Fields.add("x-tenant", "somebody");
+  auto Forwarded = forwardedFields(Fields);
+  CHECK(!Forwarded.has("X-Credential") && !Forwarded.has("X-Tenant"));
+  SendFields Send;
+  Send.Tenant = "a";
+  applySendFields(Forwarded, Send);
+  CHECK(Forwarded.find("X-Tenant") == "a");
+}
+
 TEST(Headers, ReplacesTheCallersDeadline) {
   Fields.add("x-deadline-ms", "2000");
   SendFields Send;
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -80,6 +80,43 @@
                        "services[0].engine.slots");
 }
 
+TEST(Rows, ReadsTenants) {
+  CHECK(!decodeConfiguration(R"({"version":1})").value().Tenants);
+  const auto Decoded = decodeConfiguration(
+      R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"safe",
+      "timeoutMs":1,"service":"a","public":true}],
+      "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":3},
+      {"name":"u","apiKeys":[]}]})");
+  CHECK(Decoded.has_value());
+  CHECK(Decoded.value().Routes.at(0).Access == tenant::Access::Public);
+  const tenant::TenantTable &Tenants = *Decoded.value().Tenants;
+  LONGS_EQUAL(2, Tenants.tenantCount());
+  LONGS_EQUAL(3, *Tenants.find("k2")->Priority);
+}
+
+// Errors are logged; one that quotes the value found would reveal a key.
+TEST(Rows, RejectsMalformedTenantsWithoutQuotingKeys) {
+  const auto Rejects = [](const std::string &Tenants, const char *Field) {
+    const auto Decoded =
+        decodeConfiguration(R"({"version":1,"tenants":)" + Tenants + "}");
+    CHECK(!Decoded.has_value());
+    STRCMP_EQUAL(Field, Decoded.error().Field.c_str());
+    CHECK(Decoded.error().Message.find("sesame") == std::string::npos);
+  };
+  Rejects(R"("sesame")", "tenants");
+  Rejects(R"(["sesame"])", "tenants[0]");
+  Rejects(R"([{"apiKeys":["sesame"]}])", "tenants[0].name");
+  Rejects(R"([{"name":"t","apiKeys":"sesame"}])", "tenants[0].apiKeys");
+  Rejects(R"([{"name":"t","apiKeys":["x",{"sesame":1}]}])",
+          "tenants[0].apiKeys[1]");
+  Rejects(R"([{"name":"t","apiKeys":[""]}])", "tenants[0].apiKeys[0]");
+  Rejects(R"([{"name":"t","apiKeys":["sesame"]},
+              {"name":"u","apiKeys":["sesame"]}])",
+          "tenants[1].apiKeys");
+  Rejects(R"([{"name":"t"},{"name":"t"}])", "tenants[1].name");
+  Rejects(R"([{"name":"t","priority":"sesame"}])", "tenants[0].priority");
+}
+
 TEST(Rows, ReadsAServer) {
   const auto Decoded = decodeServer(
       "i-1", R"({"service":"a","address":"10.128.0.9:8080","zone":"z",
