figlift-gateway: Report the fleet's usage

- Each gateway counts what servers began to run: a stream from its first event, other requests from the send unless the server says that it was not run.
Windows are in fleet time, the median of the gateways' clocks.
- The holder of a lease (fencing token: its epoch) collects and reports; two standbys watch the lease and get the sums, too.
- A stopping holder gives the lease up only when its last call lies leaseMs back, so that holders never alternate within it.

--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -69,6 +69,14 @@
   return Limit;
 }
 
+template <typename T> Json encodeOptional(const std::optional<T> &Value) {
+  return Value ? Json(*Value) : Json(nullptr);
+}
+
+template <typename T> std::optional<T> decodeOptional(const Json &Encoded) {
+  return Encoded.is_null() ? std::nullopt : std::optional<T>(Encoded.get<T>());
+}
+
 } // namespace
 
 std::string encodePeerReport(const PeerReport &Report) {
@@ -96,10 +104,14 @@
   Json Limits = Json::array();
   for (const LimitUpdate &Limit : Report.Limits)
     Limits.push_back(encodeLimit(Limit));
+  Json Items = Json::array(
+      {Report.Sender, Loads, Cached, Demands, Unavailable, Engines, Limits});
+  if (Report.Clock) {
+    Items.push_back(Report.Clock->time_since_epoch().count());
+    Items.push_back(encodeOptional(Report.UsageSettledThrough));
+  }
   std::string Bytes;
-  Json::to_cbor(Json::array({Report.Sender, Loads, Cached, Demands, Unavailable,
-                             Engines, Limits}),
-                Bytes);
+  Json::to_cbor(Items, Bytes);
   return Bytes;
 }
 
@@ -132,6 +144,11 @@
   if (Root.size() > 6)
     for (const Json &Item : Root.at(6))
       Report.Limits.push_back(decodeLimit(Item));
+  if (Root.size() > 8) {
+    Report.Clock =
+        WallTime(std::chrono::milliseconds(Root.at(7).get<int64_t>()));
+    Report.UsageSettledThrough = decodeOptional<uint64_t>(Root.at(8));
+  }
   return Report;
 } catch (const Json::exception &Exception) {
   return failure(ResultCode::InvalidInput, Exception.what(), "peer report");
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -8,12 +8,14 @@
 
 #pragma once
 
+#include "LibCore/Clock.h"
 #include "LibCore/Result.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/Prompt.h"
 #include "LibDispatch/ServerLimits.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +58,11 @@
   std::vector<ServiceMeasurements> Engines;
   /// Empty in most reports.
   std::vector<LimitUpdate> Limits;
+  /// Time of day at the sender; empty if no duty needs it.
+  std::optional<WallTime> Clock;
+  /// Set by the gateway that reports usage: number of the window up to which
+  /// everything has been reported.
+  std::optional<uint64_t> UsageSettledThrough;
 };
 
 /// Encodes as CBOR.
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -8,6 +8,8 @@
 
 #include "LibSettings/FieldTable.h"
 
+#include <algorithm>
+
 namespace figlift::settings {
 
 using enum Presence;
@@ -82,6 +84,27 @@
        {500, 60000},
        "Time without orders from one gateway after which an engine accepts "
        "orders from another."},
+      {"duties.kinds",
+       &Settings.Duties.Kinds,
+       Optional,
+       {},
+       "Comma-separated duties that one gateway at a time carries out: "
+       "\"usage\" reports each tenant's requests. Others are ignored."},
+      {"duties.address",
+       &Settings.Duties.Address,
+       Optional,
+       {},
+       "Address that receives the calls of the duties."},
+      {"duties.usageWindowSeconds",
+       &Settings.Duties.UsageWindow,
+       Optional,
+       {1, 3600},
+       "Length of the windows in which usage is reported."},
+      {"duties.usageDueSeconds",
+       &Settings.Duties.UsageDue,
+       Optional,
+       {1, 3600},
+       "Time from the end of a window until its report is due."},
       {"log.level",
        &Settings.Log.Level,
        Optional,
@@ -95,6 +118,17 @@
        "failures and late responses have ten times as many."}};
 }
 
+bool GatewayDuties::includes(std::string_view Name) const {
+  std::string_view Rest = Kinds;
+  while (!Rest.empty()) {
+    const size_t Comma = std::min(Rest.find(','), Rest.size());
+    if (Rest.substr(0, Comma) == Name)
+      return true;
+    Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+  }
+  return false;
+}
+
 Result<GatewaySettings> parseGatewaySettings(std::string_view Json) {
   GatewaySettings Parsed;
   FIGLIFT_TRY(readFields(fieldTable(Parsed), Json));
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -57,6 +57,19 @@
   PlainMilliseconds Lease{3000};
 };
 
+/// Calls to the platform that one gateway at a time makes for the fleet.
+struct GatewayDuties {
+  /// Comma-separated names; "none" if the platform assigns none.
+  std::string Kinds = "none";
+  Endpoint Address{"0.0.0.0", 0};
+  /// Length of the windows in which usage is reported.
+  PlainSeconds UsageWindow{5};
+  /// A report is due this long after the end of its window.
+  PlainSeconds UsageDue{10};
+
+  bool includes(std::string_view Name) const;
+};
+
 struct GatewayLog {
   log::Level Level = log::Level::Info;
   /// Log lines per second for requests that ended as planned. Refusals,
@@ -72,6 +85,7 @@
   GatewayRetry Retry;
   GatewayDrain Drain;
   GatewayOrders Orders;
+  GatewayDuties Duties;
   GatewayLog Log;
 };
 
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -28,17 +28,36 @@
 #include "LibRetry/FleetRetryBudget.h"
 #include "LibSettings/GatewaySettings.h"
 #include "LibUpstream/ConnectionPool.h"
+#include "LibUsage/FleetClock.h"
+#include "LibUsage/UsageMeter.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace figlift::gateway {
 
+/// What the components of a gateway share about the duty to report usage.
+struct UsageState {
+  /// Empty if the platform does not assign the duty.
+  std::optional<usage::UsageMeter> Meter;
+  usage::FleetClock Clock;
+  /// \name The latest report of the gateway that holds the duty.
+  /// @{
+  std::string Holder;
+  BootTime HolderHeardAt = BootClock::now();
+  usage::WindowNumber SettledThrough = 0;
+  /// @}
+  /// Set while this gateway holds the duty: the windows that need no more
+  /// counts.
+  std::optional<usage::WindowNumber> OwnSettledThrough;
+};
+
 struct Context {
   explicit Context(settings::GatewaySettings Values)
       : Settings(std::move(Values)),
@@ -102,6 +121,7 @@
   CrashWatch Crashes{Loop, Log};
   metrics::Registry Metrics;
   TenantMetrics Tenants{Metrics};
+  UsageState Usage;
   std::mt19937_64 Random;
   /// When the cached view of the server list was last known to be current.
   BootTime ServersKnownAt{};
--- /dev/null
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -0,0 +1,76 @@
+//===- ControlCall.cpp - A call of the gateway itself ---------------------===//
+//
+// Combines a connection, a timer and a buffer for the response.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ControlCall.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace figlift::gateway {
+
+namespace {
+
+/// Ten times the size of a cache list with all parts of the largest cache in
+/// use.
+constexpr size_t MaximumBodyBytes = 1 << 20;
+
+class Call : public upstream::ExchangeSink,
+             public std::enable_shared_from_this<Call> {
+public:
+  Call(boost::asio::io_context &Loop, CallCallback Done)
+      : m_Timer(Loop), m_Done(std::move(Done)) {}
+
+  void start(std::shared_ptr<upstream::ServerConnection> Connection,
+             std::string Bytes, std::chrono::milliseconds Timeout) {
+    m_Connection = std::move(Connection);
+    m_Timer.expires_after(Timeout);
+    m_Timer.async_wait([Self = shared_from_this()](const auto &Stopped) {
+      if (Stopped || !Self->m_Done)
+        return;
+      Self->m_Connection->abort();
+      Self->finish(0);
+    });
+    m_Connection->exchange(std::move(Bytes), true, shared_from_this());
+  }
+  void onHead(const proxy::ResponseHead &Head) override {
+    m_Status = Head.Status;
+  }
+  void onBody(std::string Bytes) override {
+    m_Body += Bytes;
+    if (m_Body.size() <= MaximumBodyBytes || !m_Connection)
+      return;
+    m_Connection->abort();
+    finish(0);
+  }
+  void onEnd(upstream::ExchangeOutcome End) override {
+    finish(End == upstream::ExchangeOutcome::Complete ? m_Status : 0);
+  }
+
+private:
+  void finish(unsigned Status) {
+    m_Timer.cancel();
+    m_Connection = nullptr;
+    if (const auto Done = std::exchange(m_Done, nullptr))
+      Done(Status, m_Body);
+  }
+
+  boost::asio::steady_timer m_Timer;
+  CallCallback m_Done;
+  std::shared_ptr<upstream::ServerConnection> m_Connection;
+  unsigned m_Status = 0;
+  std::string m_Body;
+};
+
+} // namespace
+
+void startControlCall(
+    boost::asio::io_context &Loop,
+    std::shared_ptr<upstream::ServerConnection> Connection, std::string Bytes,
+    std::chrono::milliseconds Timeout, CallCallback Done) {
+  std::make_shared<Call>(Loop, std::move(Done))
+      ->start(std::move(Connection), std::move(Bytes), Timeout);
+}
+
+} // namespace figlift::gateway
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -61,8 +61,10 @@
       m_Leases(m_Store, "figlift-leases"), m_Peers(m_Shared, m_Store),
       m_PeerLink(m_Shared, m_Peers,
                  [this](const auto &Update) { storeUpdateReceived(Update); }),
-      m_Stages(m_Shared, m_Leases), m_Caches(m_Shared),
-      m_Acceptor(m_Shared.Loop), m_AcceptTimer(m_Shared.Loop),
+      m_Stages(m_Shared, m_Leases), m_UsageRecords(m_Store, "figlift-usage"),
+      m_Usage(m_Shared, m_UsageRecords, m_Peers, m_PeerLink),
+      m_Caches(m_Shared), m_Acceptor(m_Shared.Loop),
+      m_AcceptTimer(m_Shared.Loop),
       m_ReadyServer(m_Shared.Loop,
                     [this](const auto &) {
                       return TextServer::Answer{ready() ? 200U : 503U, {}};
@@ -268,6 +270,7 @@
       OrderTurnTime * static_cast<int>(m_Peers.liveBefore(Now));
   logEngineCosts(Now);
   m_Stages.tick(Now);
+  m_Usage.tick(Now);
   m_Caches.tick(Now);
   m_Shared.Crashes.tick(Now);
   shareLimits(Now);
@@ -374,6 +377,7 @@
                 {{"callers", Callers.size()}, {"cut", busyCallers()}});
   for (proxy::CallerConnection *Caller : Callers)
     Caller->closeForExit();
+  m_Usage.sendSums(Now);
   m_Output.flush();
   m_Shared.Loop.stop();
 }
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -16,6 +16,7 @@
 #include "StageDirector.h"
 #include "StoreFollower.h"
 #include "TextServer.h"
+#include "UsageDirector.h"
 
 #include "LibDispatch/ServerJournal.h"
 #include "LibProxy/CallerConnection.h"
@@ -105,6 +106,8 @@
   PeerList m_Peers;
   PeerLink m_PeerLink;
   StageDirector m_Stages;
+  slopes::StoreTable m_UsageRecords;
+  UsageDirector m_Usage;
   CacheDiscovery m_Caches;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   boost::asio::steady_timer m_AcceptTimer;
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -201,6 +201,7 @@
   m_ConfigurationFollower.resync();
   m_ServerFollower.resync();
   m_Stages.storeRestored(m_Store.era());
+  m_Usage.storeRestored(m_Store.era());
   m_Peers.refreshSoon();
 }
 
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -23,6 +23,7 @@
 constexpr char ReportKind = 'R';
 constexpr char StoreUpdateKind = 'N';
 constexpr char SuspectsKind = 'S';
+constexpr char UsageKind = 'U';
 /// @}
 /// How often a report includes server limits, about 30 bytes each, and the
 /// learned engine costs, about 100 bytes per service. After a start the
@@ -97,6 +98,10 @@
       Report.Engines.push_back({Service, Model.localParameters()});
     Report.Limits = m_Shared.Limits.makeUpdates(Now);
   }
+  if (m_Shared.Usage.Meter) {
+    Report.Clock = wallNow();
+    Report.UsageSettledThrough = m_Shared.Usage.OwnSettledThrough;
+  }
   sendToAll(ReportKind, encodePeerReport(Report));
   if (++m_ReportsSinceReannouncement >= ReportsPerReannouncement)
     reannounceSuspects(Now);
@@ -131,11 +136,35 @@
   if (!Seal)
     return;
   const std::string Bytes = Seal->seal(Kind, Body);
-  for (const auto &[Id, Peer] : m_Peers.all()) {
-    // The next datagram compensates for one that could not be sent.
-    boost::system::error_code Ignored;
-    m_Socket.send_to(asio::buffer(Bytes), Peer.Address, 0, Ignored);
-  }
+  for (const auto &[Id, Peer] : m_Peers.all())
+    sendTo(Peer, Bytes);
+}
+
+void PeerLink::sendTo(const PeerList::Peer &Peer, const std::string &Bytes) {
+  // The next datagram compensates for one that could not be sent.
+  boost::system::error_code Ignored;
+  m_Socket.send_to(asio::buffer(Bytes), Peer.Address, 0, Ignored);
+}
+
+void PeerLink::sendUsage(const usage::UsageUpdate &Update,
+                         const std::vector<std::string> &Receivers) {
+  const dispatch::DatagramSeal *Seal = m_Peers.seal();
+  if (!Seal || Receivers.empty())
+    return;
+  const std::string Bytes =
+      Seal->seal(UsageKind, usage::encodeUsageUpdate(Update));
+  for (const std::string &Id : Receivers)
+    if (const auto Peer = m_Peers.all().find(Id); Peer != m_Peers.all().end())
+      sendTo(Peer->second, Bytes);
+}
+
+void PeerLink::usageReceived(std::string_view Body) {
+  const auto Read = usage::decodeUsageUpdate(Body);
+  if (!Read)
+    return log::logError(log::Level::Warning, "usage-update-invalid",
+                         Read.error());
+  if (m_UsageHandler)
+    m_UsageHandler(Read.value());
 }
 
 void PeerLink::receive() {
@@ -164,6 +193,8 @@
     storeUpdateReceived(Opened->Body);
   else if (Opened->Kind == SuspectsKind)
     suspectsReceived(Opened->Body);
+  else if (Opened->Kind == UsageKind)
+    usageReceived(Opened->Body);
 }
 
 void PeerLink::storeUpdateReceived(std::string_view Body) {
@@ -185,6 +216,13 @@
   m_Peers.reportReceived(Report.Sender, m_Sender, Now);
   m_Shared.Loads.recordPeerReport(Report.Sender, Report.Loads, Now);
   m_Shared.PeerDemands[Report.Sender] = Report.Demands;
+  if (Report.Clock)
+    m_Shared.Usage.Clock.recordPeer(Report.Sender, *Report.Clock, Now);
+  if (Report.UsageSettledThrough) {
+    m_Shared.Usage.Holder = Report.Sender;
+    m_Shared.Usage.HolderHeardAt = Now;
+    m_Shared.Usage.SettledThrough = *Report.UsageSettledThrough;
+  }
   for (const dispatch::ServiceMeasurements &Costs : Report.Engines)
     m_Shared.EngineModels[Costs.Service].recordPeerParameters(
         Report.Sender, Costs.Figures, Now);
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -12,6 +12,7 @@
 #include "PeerList.h"
 
 #include "LibDispatch/StoreUpdate.h"
+#include "LibUsage/UsageUpdate.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,23 +20,33 @@
 #include <array>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace figlift::gateway {
 
 class PeerLink {
 public:
   using UpdateHandler = std::function<void(const dispatch::StoreUpdate &)>;
+  using UsageHandler = std::function<void(const usage::UsageUpdate &)>;
 
   PeerLink(Context &Shared, PeerList &Peers, UpdateHandler OnStoreUpdate);
 
   Result<void> start();
   /// Announces the state of the store to all peers.
   void announce(const dispatch::StoreUpdate &Update);
+  /// \p Handler is called with the usage sums of other gateways.
+  void onUsageUpdate(UsageHandler Handler) {
+    m_UsageHandler = std::move(Handler);
+  }
+  /// Sends usage sums to the given gateways.
+  void sendUsage(const usage::UsageUpdate &Update,
+                 const std::vector<std::string> &Receivers);
   /// Datagrams without a valid seal of this fleet.
   uint64_t rejected() const { return m_Rejected; }
 
 private:
   void sendToAll(char Kind, const std::string &Body);
+  void sendTo(const PeerList::Peer &Peer, const std::string &Bytes);
   void scheduleReport();
   void report();
   void receive();
@@ -45,10 +56,12 @@
   void announceSuspects(const std::vector<dispatch::SuspectUpdate> &Updates);
   void reannounceSuspects(BootTime Now);
   void suspectsReceived(std::string_view Body);
+  void usageReceived(std::string_view Body);
 
   Context &m_Shared;
   PeerList &m_Peers;
   UpdateHandler m_StoreUpdateHandler;
+  UsageHandler m_UsageHandler;
   boost::asio::ip::udp::socket m_Socket;
   boost::asio::steady_timer m_ReportTimer;
   std::array<char, 65536> m_Buffer;
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -251,6 +251,22 @@
   return Fleet;
 }
 
+std::vector<std::string> PeerList::livePeers(BootTime Now) const {
+  std::vector<std::string> Live;
+  for (const auto &[Id, Entry] : m_Peers)
+    if (isLive(Entry, Now))
+      Live.push_back(Id);
+  return Live;
+}
+
+std::vector<std::string> PeerList::heardSince(BootTime Since) const {
+  std::vector<std::string> Heard;
+  for (const auto &[Id, Entry] : m_Peers)
+    if (Entry.LastReport >= Since)
+      Heard.push_back(Id);
+  return Heard;
+}
+
 size_t PeerList::liveBefore(BootTime Now) const {
   size_t Count = 0;
   for (const auto &[Id, Entry] : m_Peers)
--- a/Services/figlift-gateway/PeerList.h
+++ b/Services/figlift-gateway/PeerList.h
@@ -51,6 +51,10 @@
 
   /// Live gateways, including this one.
   size_t liveCount(BootTime Now) const;
+  /// Ids of the other live gateways, in order.
+  std::vector<std::string> livePeers(BootTime Now) const;
+  /// Ids of the other gateways that have reported since \p Since.
+  std::vector<std::string> heardSince(BootTime Since) const;
   /// Live gateways whose ids sort before this one's.
   size_t liveBefore(BootTime Now) const;
   /// Gateways that may be using a share of the fleet's common budgets: the
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -34,6 +34,7 @@
   const std::string Events = m_Relay.feed(Bytes);
   if (Events.empty())
     return;
+  recordUsage();
   if (!m_ResponseStarted) {
     Send.recordLatency();
     learnExecutionStart();
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -278,8 +278,12 @@
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Expected);
-    if (Purpose == SendPurpose::Execute)
+    m_UsageWindow.reset();
+    if (Purpose == SendPurpose::Execute) {
       ++m_Executions;
+      if (!streaming())
+        recordUsage();
+    }
     if (isSuspected())
       m_Shared.Crashes.sent(*m_Fingerprint, Now);
     return armSendTimeout(Expected + m_PlannedLag);
@@ -431,6 +435,8 @@
   if (Send.purpose() == SendPurpose::Execute && !dispatch::mayHaveRun(End) &&
       m_Executions > 0 && Send.started() != BootTime{})
     --m_Executions;
+  if (!dispatch::mayHaveRun(End))
+    undoUsage();
   abandonExpectedCache(Send.targetId());
   if (std::holds_alternative<dispatch::ConnectionLost>(End))
     recordConnectionLost(Send);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -50,6 +50,12 @@
   /// Sets m_Tenant. Otherwise rejects the request and returns false.
   bool authenticate();
   void rejectUnauthenticated(std::string_view Reason);
+  /// \name Usage: a stream counts from its first event, another request from
+  /// the moment at which it is sent.
+  /// @{
+  void recordUsage();
+  void undoUsage();
+  /// @}
   bool mayStart(dispatch::Milliseconds Expected, BootTime Now) const;
   void rejectStopping();
   void plan();
@@ -208,6 +214,8 @@
   bool m_ResponseStarted = false;
   /// Set for rejections that have their own result code.
   ResultCode m_Code = ResultCode::Success;
+  /// Window in which the latest attempt was counted as executed.
+  std::optional<usage::WindowNumber> m_UsageWindow;
   bool m_Done = false;
   /// All events of this request are logged, even if it proceeds as planned.
   bool m_Traced = false;
--- a/Services/figlift-gateway/RequestTenant.cpp
+++ b/Services/figlift-gateway/RequestTenant.cpp
@@ -1,7 +1,7 @@
 //===- RequestTenant.cpp - Tenant of one request --------------------------===//
 //
 // Authenticates a request with the configuration that it starts with: a key
-// that is removed later does not interrupt it.
+// that is removed later does not interrupt it. Counts the request as usage.
 //
 //===----------------------------------------------------------------------===//
 
@@ -34,6 +34,19 @@
   return true;
 }
 
+void RequestFlow::recordUsage() {
+  UsageState &Usage = m_Shared.Usage;
+  if (!m_Tenant || !Usage.Meter || m_UsageWindow)
+    return;
+  m_UsageWindow =
+      Usage.Meter->recordStart(*m_Tenant, Usage.Clock.at(BootClock::now()));
+}
+
+void RequestFlow::undoUsage() {
+  if (const auto Window = std::exchange(m_UsageWindow, std::nullopt))
+    m_Shared.Usage.Meter->undoStart(*m_Tenant, *Window);
+}
+
 void RequestFlow::rejectUnauthenticated(std::string_view Reason) {
   m_Shared.Tenants.recordRejected();
   m_Code = ResultCode::Unauthenticated;
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -40,14 +40,22 @@
 
 } // namespace
 
-GatewayFixture::GatewayFixture(double Grace, double RetryBase)
-    : m_SettingsFile("/tmp/figlift-gateway-" + std::to_string(getpid())),
+GatewayFixture::GatewayFixture(
+    double Grace, double RetryBase,
+    std::optional<std::chrono::milliseconds> UsageWindow)
+    : UsageReceiver(Loop, respondWith("")),
+      m_SettingsFile("/tmp/figlift-gateway-" + std::to_string(getpid())),
       m_Output(open("/dev/null", O_WRONLY)) {
   Settings.Process = {"g1", "z"};
   Settings.Store = Store.address();
   Settings.Fleet.Starts = true;
   Settings.Drain.Grace = settings::PlainSeconds(Grace);
   Settings.Retry.Base = RetryBase;
+  if (UsageWindow) {
+    Settings.Duties.Kinds = "usage";
+    Settings.Duties.Address = UsageReceiver.address();
+    Settings.Duties.UsageWindow = *UsageWindow;
+  }
   log::Options Quiet;
   Quiet.Threshold = log::Level::Off;
   log::configure(Quiet);
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -13,8 +13,10 @@
 #include "figlift-gateway/Gateway.h"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -25,7 +27,11 @@
 public:
   /// \p Grace: seconds from SIGTERM to SIGKILL. \p RetryBase: base of the retry
   /// budget, the retries allowed in each window regardless of load.
-  explicit GatewayFixture(double Grace = 8, double RetryBase = 50);
+  /// \p UsageWindow: length of the windows in which the gateway reports usage
+  /// to UsageReceiver; without it, reporting is not its duty.
+  explicit GatewayFixture(
+      double Grace = 8, double RetryBase = 50,
+      std::optional<std::chrono::milliseconds> UsageWindow = std::nullopt);
   /// Writes the gateway's settings file, which does not exist before the first
   /// call.
   void writeSettings(const std::string &Text);
@@ -80,6 +86,8 @@
 
   boost::asio::io_context Loop;
   StandInStore Store{Loop};
+  /// Accepts usage reports.
+  Listener UsageReceiver;
   /// Number of additional routes in each configuration, named "/more-1/" to
   /// "/more-N/".
   unsigned AdditionalRoutes = 0;
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -51,6 +51,18 @@
   CHECK(!Decoded.value().Limits[1].PerSecond);
 }
 
+TEST(PeerReport, CarriesClockAndUsageOnlyWhenSet) {
+  PeerReport Sent;
+  Sent.Sender = "g1";
+  CHECK(!decodePeerReport(encodePeerReport(Sent)).value().Clock);
+  Sent.Clock = WallTime(std::chrono::milliseconds(1790000000123));
+  CHECK(!decodePeerReport(encodePeerReport(Sent)).value().UsageSettledThrough);
+  Sent.UsageSettledThrough = 355936210;
+  const auto Decoded = decodePeerReport(encodePeerReport(Sent));
+  CHECK(Decoded.value().Clock == Sent.Clock);
+  CHECK(Decoded.value().UsageSettledThrough == Sent.UsageSettledThrough);
+}
+
 TEST(PeerReport, RejectsInvalidInput) {
   for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
     CHECK(!decodePeerReport(Bytes).has_value());
--- a/Tests/LibTenant/TestTenantTable.cpp
+++ b/Tests/LibTenant/TestTenantTable.cpp
@@ -74,8 +74,8 @@
 
 TEST(TenantTable, AuthenticatesByExactlyOneKey) {
   add("a", {"k"});
-  STRCMP_EQUAL("a", std::get<Authenticated>(present({1, "k"}))
-                        .Holder->Name.c_str());
+  STRCMP_EQUAL("a",
+               std::get<Authenticated>(present({1, "k"})).Holder->Name.c_str());
   CHECK(std::holds_alternative<Unauthenticated>(present({0, ""})));
   CHECK(std::holds_alternative<Unauthenticated>(present({1, ""})));
   CHECK(std::holds_alternative<Unauthenticated>(present({1, "other"})));
