LibDispatch, figlift-gateway: Choose among a part of thousands of servers

A server that was added set the limits of all pools, so that the first list cost the square of its length; each tick went over all of them again; each request planned over all engines, three times; each gateway planned stages ten times a second; and each asked all engines for their caches, which opened 2,760 connections.

- Limits of pools are set when the list, the configuration or the number of gateways changes.
- Beyond 128 servers of a service, a request chooses among 128 of them: prompts by their subject, the same part at all gateways; other requests by the place of the gateway.
- Stages are planned at intervals in proportion to the engines, by the gateways whose turn to give orders comes within 20 s.

Ruled out: the reports between gateways, which did not change.

--- a/Libraries/LibUsage/UsageDuty.cpp
+++ b/Libraries/LibUsage/UsageDuty.cpp
@@ -75,8 +75,8 @@
   if (!isClosed(Window, At) || (Row.Record && Row.Record->Window > Window))
     return false;
   const auto Sent = m_Sent.find(Window);
-  m_Written = {Window, Sent == m_Sent.end() ? m_Source.totals(Window)
-                                            : Sent->second};
+  m_Written = {Window,
+               Sent == m_Sent.end() ? m_Source.totals(Window) : Sent->second};
   // A window without requests needs no report.
   if (m_Written.Requests.empty())
     return false;
@@ -161,9 +161,8 @@
 void UsageDuty::settle() {
   while (m_Accepted.erase(m_Settled + 1) > 0)
     ++m_Settled;
-  std::erase_if(m_Sent, [this](const auto &Entry) {
-    return Entry.first <= m_Settled;
-  });
+  std::erase_if(m_Sent,
+                [this](const auto &Entry) { return Entry.first <= m_Settled; });
 }
 
 } // namespace figlift::usage
--- a/Libraries/LibUsage/UsageLedger.h
+++ b/Libraries/LibUsage/UsageLedger.h
@@ -1,6 +1,7 @@
 //===- UsageLedger.h - Usage sums of the fleet ------------------*- C++ -*-===//
 //
-// Collects the sums of all gateways. The sums of a gateway that was killed stay.
+// Collects the sums of all gateways. The sums of a gateway that was killed
+// stay.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Services/figlift-gateway/CacheDiscovery.cpp
+++ b/Services/figlift-gateway/CacheDiscovery.cpp
@@ -37,7 +37,7 @@
   for (const Query &Scheduled : std::exchange(m_Pending, {})) {
     if (Now < Scheduled.Due)
       Later.push_back(Scheduled);
-    else
+    else if (m_Shared.Open.uses(Scheduled.TargetId))
       queryCache(Scheduled.TargetId);
   }
   m_Pending.insert(m_Pending.end(), Later.begin(), Later.end());
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -8,6 +8,7 @@
 
 #include "CrashWatch.h"
 #include "DecisionLog.h"
+#include "OpenTargets.h"
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
@@ -70,16 +71,6 @@
 
   /// Returns a uniform random number in [0, 1).
   double draw() { return std::uniform_real_distribution<double>(0, 1)(Random); }
-  /// Targets of \p ServiceName that accept new work.
-  std::vector<const dispatch::Target *>
-  openTargets(const std::string &ServiceName) const {
-    std::vector<const dispatch::Target *> Open;
-    for (const auto &[Id, Target] : Targets.all())
-      if (Target.Service == ServiceName && !Target.Draining)
-        Open.push_back(&Target);
-    return Open;
-  }
-
   /// Cost model of the engines of \p Service, from the measurements so far.
   dispatch::EngineCosts costsOf(const dispatch::Service &Service,
                                 BootTime Now) {
@@ -93,6 +84,7 @@
   /// configuration that it started with.
   std::shared_ptr<const dispatch::Configuration> Configuration;
   dispatch::TargetTable Targets;
+  OpenTargets Open{Targets};
   dispatch::LoadTracker Loads;
   dispatch::ServerLimits Limits;
   retry::FleetRetryBudget Budget;
--- a/Services/figlift-gateway/ControlCall.cpp
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -65,10 +65,10 @@
 
 } // namespace
 
-void startControlCall(
-    boost::asio::io_context &Loop,
-    std::shared_ptr<upstream::ServerConnection> Connection, std::string Bytes,
-    std::chrono::milliseconds Timeout, CallCallback Done) {
+void startControlCall(boost::asio::io_context &Loop,
+                      std::shared_ptr<upstream::ServerConnection> Connection,
+                      std::string Bytes, std::chrono::milliseconds Timeout,
+                      CallCallback Done) {
   std::make_shared<Call>(Loop, std::move(Done))
       ->start(std::move(Connection), std::move(Bytes), Timeout);
 }
--- a/Services/figlift-gateway/ControlCall.h
+++ b/Services/figlift-gateway/ControlCall.h
@@ -24,9 +24,9 @@
 
 /// Sends \p Bytes, a whole request. At the timeout the connection is aborted,
 /// so that bytes which are still in transit are not delivered later.
-void startControlCall(
-    boost::asio::io_context &Loop,
-    std::shared_ptr<upstream::ServerConnection> Connection, std::string Bytes,
-    std::chrono::milliseconds Timeout, CallCallback Done);
+void startControlCall(boost::asio::io_context &Loop,
+                      std::shared_ptr<upstream::ServerConnection> Connection,
+                      std::string Bytes, std::chrono::milliseconds Timeout,
+                      CallCallback Done);
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -6,8 +6,6 @@
 
 #include "EngineCall.h"
 
-#include "ControlCall.h"
-
 #include "platform/EngineCalls.h"
 
 namespace figlift::gateway {
@@ -22,7 +20,7 @@
 
 bool callEngine(Context &Shared, const std::string &TargetId,
                 std::string_view Method, std::string_view Path,
-                const std::string &Body, EngineCallback Done) {
+                const std::string &Body, CallCallback Done) {
   const auto Pool = Shared.Pools.find(TargetId);
   const dispatch::Target *Engine = Shared.Targets.find(TargetId);
   if (Pool == Shared.Pools.end() || !Engine)
--- a/Services/figlift-gateway/EngineCall.h
+++ b/Services/figlift-gateway/EngineCall.h
@@ -7,22 +7,18 @@
 #pragma once
 
 #include "Context.h"
+#include "ControlCall.h"
 
-#include <functional>
 #include <string>
 #include <string_view>
 
 namespace figlift::gateway {
 
-/// A status of 0 means that no response was received.
-using EngineCallback =
-    std::function<void(unsigned Status, const std::string &Body)>;
-
 /// Calls one start of an engine; if the engine has restarted, it rejects the
 /// call. Returns false if the call could not be sent; \p Done is not called
 /// then.
 bool callEngine(Context &Shared, const std::string &TargetId,
                 std::string_view Method, std::string_view Path,
-                const std::string &Body, EngineCallback Done);
+                const std::string &Body, CallCallback Done);
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -167,6 +167,10 @@
 }
 
 void Gateway::apply(const std::vector<dispatch::TargetEvent> &Events) {
+  if (Events.empty())
+    return;
+  m_Shared.Open.invalidate();
+  m_PoolLimitsStale = true;
   struct Visitor {
     Gateway &Self;
     void operator()(const dispatch::TargetAdded &Event) const {
@@ -204,7 +208,6 @@
         Service && Service->Engine)
       Capacity = Service->Engine->KvCapacityTokens;
   m_Shared.Loads.targetAdded(Target, Capacity);
-  limitPools();
   m_Caches.engineAdded(Target, BootClock::now());
 }
 
@@ -220,25 +223,43 @@
   m_Shared.Loads.targetRemoved(Id);
 }
 
+/// Visits all targets, so it does nothing while nothing has changed: with
+/// thousands of servers, one pass takes milliseconds.
 void Gateway::limitPools() {
   if (!m_Shared.Configuration)
     return;
-  const auto SharingGateways =
-      static_cast<double>(m_Peers.sharingGateways(BootClock::now()));
-  for (const auto &[Id, Target] : m_Shared.Targets.all()) {
-    const auto *Service = m_Shared.Configuration->service(Target.Service);
-    if (!Service || Service->MaximumConnections == 0)
-      continue;
-    const auto Share = static_cast<size_t>(
-        ConnectionShare * Service->MaximumConnections / SharingGateways);
+  const size_t Sharing = m_Peers.sharingGateways(BootClock::now());
+  const bool IsUnchanged = Sharing == m_PoolsSharedBy && !m_PoolLimitsStale;
+  if (IsUnchanged)
+    return;
+  m_PoolsSharedBy = Sharing;
+  m_PoolLimitsStale = false;
+  for (const dispatch::Service &Service : m_Shared.Configuration->Services)
+    limitPools(Service, Sharing);
+}
+
+void Gateway::limitPools(const dispatch::Service &Service, size_t Sharing) {
+  const OpenTargets::List &All = m_Shared.Open.all(Service.Name);
+  if (All.empty() || Service.MaximumConnections == 0)
+    return;
+  // Each server is used by a part of the gateways if each gateway uses a part
+  // of the servers.
+  const double Users = std::max(
+      1.0, static_cast<double>(Sharing) *
+               static_cast<double>(m_Shared.Open.used(Service.Name).size()) /
+               static_cast<double>(All.size()));
+  const auto Share =
+      static_cast<size_t>(ConnectionShare * Service.MaximumConnections / Users);
+  for (const dispatch::Target *Target : All) {
     // When several targets are added at once, those whose event has not been
     // handled yet have no pool. Dereferencing it unchecked crashed a gateway
     // that restarted in a running fleet.
-    if (const auto Pool = m_Shared.Pools.find(Id); Pool != m_Shared.Pools.end())
+    if (const auto Pool = m_Shared.Pools.find(Target->Id);
+        Pool != m_Shared.Pools.end())
       Pool->second->setLimit(std::max(MinimumConnections, Share));
     // A target may be added before the configuration has been read.
-    if (Service->Engine)
-      m_Shared.Loads.targetAdded(Target, Service->Engine->KvCapacityTokens);
+    if (Service.Engine)
+      m_Shared.Loads.targetAdded(*Target, Service.Engine->KvCapacityTokens);
   }
 }
 
@@ -265,6 +286,7 @@
   m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
   apply(m_Shared.Targets.tick(Now));
   m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
+  m_Shared.Open.setPlace(m_Peers.place());
   limitPools();
   m_Shared.OrderTurnDelay =
       OrderTurnTime * static_cast<int>(m_Peers.liveBefore(Now));
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -76,6 +76,7 @@
   void targetAdded(const dispatch::Target &Target);
   void targetRemoved(const std::string &Id);
   void limitPools();
+  void limitPools(const dispatch::Service &Service, size_t Sharing);
   /// Computes this gateway's share of each server's request limit.
   void shareLimits(BootTime Now);
   void scheduleTick();
@@ -123,6 +124,11 @@
   /// Sum of the delays of all ticks.
   BootClock::duration m_TotalLoopDelay{};
   bool m_ServersKnown = false;
+  /// \name Inputs of the limits of the pools when these were set last.
+  /// @{
+  size_t m_PoolsSharedBy = 0;
+  bool m_PoolLimitsStale = true;
+  /// @}
   /// Recent changes of the server list and the time as of which it is known,
   /// for announcements to peers.
   dispatch::ServerJournal m_ServerJournal;
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -135,6 +135,7 @@
   m_Shared.Configuration =
       std::make_shared<const dispatch::Configuration>(std::move(Candidate));
   describeServices();
+  m_PoolLimitsStale = true;
   limitPools();
 }
 
@@ -172,6 +173,7 @@
   else
     m_ServerJournal.recordFullRead(Read.Version, KnownAt);
   apply(Events);
+  limitPools();
   announceStoreState();
 }
 
@@ -188,6 +190,7 @@
       Changes.push_back({Row.Version, Row.Key, Entry});
     apply(Events);
   }
+  limitPools();
   m_ServerJournal.recordChanges(Read.Version, KnownAt, std::move(Changes));
   announceStoreState();
 }
@@ -252,6 +255,7 @@
     for (const dispatch::ServerChange &Change : Missed->Changes)
       apply(Change.Entry ? m_Shared.Targets.update(*Change.Entry, Now)
                          : m_Shared.Targets.remove(Change.Id, Now));
+  limitPools();
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -223,6 +223,12 @@
   return Count;
 }
 
+dispatch::GatewayPlace PeerList::place() const {
+  const auto Own = m_Peers.lower_bound(m_Shared.Settings.Process.Id);
+  return {static_cast<size_t>(std::distance(m_Peers.begin(), Own)),
+          m_Peers.size() + 1};
+}
+
 size_t PeerList::sharingGateways(BootTime Now) const {
   return std::max(liveCount(Now), m_Listed);
 }
--- a/Services/figlift-gateway/PeerList.h
+++ b/Services/figlift-gateway/PeerList.h
@@ -57,6 +57,8 @@
   std::vector<std::string> heardSince(BootTime Since) const;
   /// Live gateways whose ids sort before this one's.
   size_t liveBefore(BootTime Now) const;
+  /// This gateway's place among all that are known.
+  dispatch::GatewayPlace place() const;
   /// Gateways that may be using a share of the fleet's common budgets: the
   /// live ones, and at least as many as the store lists. A gateway that is
   /// partitioned from its peers receives no reports and would use the whole
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -126,8 +126,7 @@
 
 dispatch::PromptPlan RequestFlow::promptPlan(const dispatch::Service &Service,
                                              BootTime Now) {
-  return m_Shared.Prompts.plan(promptRequest(Now),
-                               m_Shared.openTargets(m_Service),
+  return m_Shared.Prompts.plan(promptRequest(Now), promptTargets(),
                                m_Shared.costsOf(Service, Now), Now);
 }
 
@@ -141,7 +140,7 @@
 
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
   return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
-                                m_Shared.openTargets(m_Service), Now);
+                                m_Shared.Open.used(m_Service), Now);
 }
 
 /// Whether there is a plan for the request that avoids this target.
@@ -185,8 +184,7 @@
 void RequestFlow::planPrompt(const dispatch::Service &Service) {
   const BootTime Now = BootClock::now();
   if (m_Sends == 0)
-    recordDemand(m_Shared.costsOf(Service, Now),
-                 m_Shared.openTargets(m_Service), Now);
+    recordDemand(m_Shared.costsOf(Service, Now), promptTargets(), Now);
   const auto Plan = promptPlan(Service, Now);
   m_PlannedAt = Now;
   m_PlannedLag = m_Shared.StartLags[m_Service].current(Now);
@@ -388,8 +386,7 @@
 RequestFlow::chooseDecodeTarget(BootTime Now) {
   return m_Shared.Prompts.chooseDecodeTarget(
       promptRequest(Now), m_Shared.Targets.find(m_PrefillTarget),
-      m_Shared.openTargets(m_Service), m_Shared.costsOf(*engineService(), Now),
-      Now);
+      promptTargets(), m_Shared.costsOf(*engineService(), Now), Now);
 }
 
 /// An execution that reached no engine, or was rejected, has not consumed the
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -64,6 +64,10 @@
   dispatch::PromptPlan promptPlan(const dispatch::Service &Service,
                                   BootTime Now);
   dispatch::ServicePlan servicePlan(BootTime Now);
+  /// Engines that this request with a prompt may use.
+  OpenTargets::List promptTargets() const {
+    return m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject());
+  }
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -29,6 +29,11 @@
 /// time, the change has failed.
 constexpr milliseconds ListingSlack{2000};
 
+/// Each gateway before this one adds 2.5 s.
+constexpr std::chrono::seconds MaximumTurnDelay{20};
+/// Time between two plans, for each engine of the service.
+constexpr std::chrono::microseconds PlanTimePerEngine{500};
+
 lease::LeaseOptions leaseOptions(const Context &Shared, uint64_t RandomSuffix) {
   const auto Bound =
       std::chrono::duration_cast<milliseconds>(Shared.Settings.Orders.Lease);
@@ -105,8 +110,15 @@
 
 void StageDirector::updateService(const dispatch::Service &Service,
                                   BootTime Now) {
+  // A gateway whose turn to give orders comes later than this does not plan.
+  if (m_Shared.OrderTurnDelay > MaximumTurnDelay)
+    return;
   ServiceState &State = stateOf(Service.Name);
-  const auto Engines = m_Shared.openTargets(Service.Name);
+  // A plan visits each engine.
+  if (Now < State.NextPlan)
+    return;
+  const OpenTargets::List &Engines = m_Shared.Open.all(Service.Name);
+  State.NextPlan = Now + PlanTimePerEngine * Engines.size();
   State.Demand.observe(fleetDemand(Service.Name, Now), Now);
   const dispatch::EngineDemand Demand = State.Demand.demand();
   const auto Change = State.Planner.plan(
--- a/Services/figlift-gateway/StageDirector.h
+++ b/Services/figlift-gateway/StageDirector.h
@@ -40,6 +40,7 @@
     /// Since when the planner has proposed a change without interruption; empty
     /// while it proposes none.
     std::optional<BootTime> WantedSince;
+    BootTime NextPlan{};
   };
 
   ServiceState &stateOf(const std::string &Service);
--- a/Services/figlift-gateway/UsageDirector.cpp
+++ b/Services/figlift-gateway/UsageDirector.cpp
@@ -63,26 +63,26 @@
   // A restarted process must not mistake its predecessor's row for its own.
   Options.Self =
       fmt::format("{}#{:x}", m_Shared.Settings.Process.Id, m_Incarnation);
-  Options.Margin = std::chrono::duration_cast<milliseconds>(
-                       m_Shared.Settings.Orders.Lease) +
-                   CallTimeout;
+  Options.Margin =
+      std::chrono::duration_cast<milliseconds>(m_Shared.Settings.Orders.Lease) +
+      CallTimeout;
   Options.Duration = Options.Margin + Authority;
   // The store calls back on the event loop already.
   m_Lease = std::make_shared<lease::LeaseKeeper>(
       m_Records, [](const std::function<void()> &Run) { Run(); }, "lease",
       std::move(Options),
-      lease::LeaseKeeper::Observer{
-          [](uint64_t Epoch) {
-            log::logEvent(log::Level::Info, "usage-duty-taken",
-                          {{"epoch", Epoch}});
-          },
-          [](uint64_t Epoch) {
-            log::logEvent(log::Level::Info, "usage-duty-lost",
-                          {{"epoch", Epoch}});
-          }});
-  m_Link.onUsageUpdate([this](const usage::UsageUpdate &Update) {
-    m_Ledger.apply(Update);
-  });
+      lease::LeaseKeeper::Observer{[](uint64_t Epoch) {
+                                     log::logEvent(log::Level::Info,
+                                                   "usage-duty-taken",
+                                                   {{"epoch", Epoch}});
+                                   },
+                                   [](uint64_t Epoch) {
+                                     log::logEvent(log::Level::Info,
+                                                   "usage-duty-lost",
+                                                   {{"epoch", Epoch}});
+                                   }});
+  m_Link.onUsageUpdate(
+      [this](const usage::UsageUpdate &Update) { m_Ledger.apply(Update); });
   describeMetrics();
 }
 
@@ -234,16 +234,15 @@
   if (!Connection)
     return callEnded(Send, 0);
   m_LastCallEnds = Now + CallTimeout;
-  startControlCall(m_Shared.Loop, Connection,
-                   slopes::usageCallBytes(
-                       m_Shared.Settings.Duties.Address.toString(),
-                       {m_Shared.Settings.Process.Id, Send.Epoch},
-                       Send.Recorded),
-                   CallTimeout,
-                   [this, Send](unsigned Status, const std::string &) {
-                     m_LastCallEnds = BootClock::now();
-                     callEnded(Send, Status);
-                   });
+  startControlCall(
+      m_Shared.Loop, Connection,
+      slopes::usageCallBytes(m_Shared.Settings.Duties.Address.toString(),
+                             {m_Shared.Settings.Process.Id, Send.Epoch},
+                             Send.Recorded),
+      CallTimeout, [this, Send](unsigned Status, const std::string &) {
+        m_LastCallEnds = BootClock::now();
+        callEnded(Send, Status);
+      });
 }
 
 void UsageDirector::callEnded(const usage::SendReport &Sent, unsigned Status) {
--- a/Tests/FigliftGateway/TestUsageReports.cpp
+++ b/Tests/FigliftGateway/TestUsageReports.cpp
@@ -72,18 +72,16 @@
 
 // Failure: a tenant is billed for requests that a server rejected.
 TEST(UsageReports, LeaveOutWhatServersRejected) {
-  Fixture.addServer("s1", "plain",
-                    [](const proxy::Request &, const Caller &To) {
-                      rejectUnexecuted(To);
-                    });
+  Fixture.addServer(
+      "s1", "plain",
+      [](const proxy::Request &, const Caller &To) { rejectUnexecuted(To); });
   CHECK(Fixture.waitUntilReady());
   serve(3);
   Fixture.setBehaviour("s1", respondWith("good"));
   // For a moment no request is sent to a server that has rejected some.
   bool IsServed = false;
-  CHECK(Fixture.waitUntil([&] {
-    return IsServed || (IsServed = contains(get("other"), "good"));
-  }));
+  CHECK(Fixture.waitUntil(
+      [&] { return IsServed || (IsServed = contains(get("other"), "good")); }));
   CHECK(Fixture.waitUntil([&] { return reported("board") == 1; }));
   LONGS_EQUAL(0, reported("ski"));
 }
--- a/Tests/LibUsage/TestUsageDuty.cpp
+++ b/Tests/LibUsage/TestUsageDuty.cpp
@@ -90,8 +90,8 @@
   auto Actions = step(Tick{});
   while (std::holds_alternative<ReadRecord>(Actions.at(0))) {
     const bool IsRow = std::get<ReadRecord>(Actions[0]).Row == 1000 % 4;
-    Actions = step(RecordRead{
-        IsRow ? RecordRow{5, Report{1000, {{"t", 6}}}} : RecordRow{}});
+    Actions = step(RecordRead{IsRow ? RecordRow{5, Report{1000, {{"t", 6}}}}
+                                    : RecordRow{}});
   }
   CHECK(Actions.at(0) == Action(SendReport{{1000, {{"t", 6}}}, 3}));
 }
--- a/Tests/LibUsage/UsageSimulation.h
+++ b/Tests/LibUsage/UsageSimulation.h
@@ -201,8 +201,7 @@
         usage::Reply::Failed};
   }
 
-  template <typename TryStep>
-  void gatewaySteps(size_t I, TryStep &&Try) const {
+  template <typename TryStep> void gatewaySteps(size_t I, TryStep &&Try) const {
     const std::string Name = I == 0 ? "a: " : "b: ";
     const Gateway &Self = m_Gateways[I];
     if (Self.DutyCall) {
