figlift-gateway: Drop requests whose callers left before they were read

A request that is read while the loop is behind is dropped if its caller has closed the connection. Test: CallerConnection.NoticesACallerThatLeftBeforeItsRequestWasRead. Tried and left out: a check of the deadline before each send. Its test passed without it, as the timer of the deadline runs before the send does.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -279,6 +279,13 @@
 
 void CallerConnection::abort() { close(); }
 
+bool CallerConnection::hasCallerLeft() {
+  char Next = 0;
+  const ssize_t Count =
+      recv(m_Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void CallerConnection::closeForExit() {
   if (const auto Active = m_Request)
     Active->processExiting();
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -94,6 +94,10 @@
   void endStream();
   /// Closes the connection so that the caller sees an incomplete response.
   void abort();
+  /// Whether the caller has closed the connection and everything that it sent
+  /// has been read. Needs a system call; for requests that may have waited for
+  /// the event loop.
+  bool hasCallerLeft();
   /// @}
 
   /// Response bytes that have not been passed to the kernel yet.
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -144,6 +144,15 @@
 std::shared_ptr<proxy::ActiveRequest>
 Gateway::handle(proxy::Request Request,
                 std::shared_ptr<proxy::CallerConnection> Caller) {
+  // A request that was sent while the loop was behind may have waited longer
+  // than its caller did.
+  const bool IsLoopBehind =
+      BootClock::now() - m_LastTick > TickInterval + LoggedDelay;
+  if (IsLoopBehind && Caller->hasCallerLeft()) {
+    ++m_AbandonedRequests;
+    Caller->abort();
+    return nullptr;
+  }
   if (m_Shared.Stop.begun())
     Caller->closeAfterResponse();
   auto Flow = std::make_shared<RequestFlow>(m_Shared, std::move(Request),
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -100,6 +100,8 @@
   BootTime m_SettingsCheckedAt{};
   uint64_t m_Reloads = 0;
   uint64_t m_RejectedEntries = 0;
+  /// Requests whose callers had left before they were read.
+  uint64_t m_AbandonedRequests = 0;
   slopes::StoreClient m_Store;
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -89,6 +89,10 @@
   Metrics.registerCounter("figlift_gateway_store_calls_total",
                           "Calls to the platform's store",
                           [this] { return double(m_Store.calls()); });
+  Metrics.registerCounter(
+      "figlift_gateway_abandoned_requests_total",
+      "Requests that were read late, after their callers had left",
+      [this] { return double(m_AbandonedRequests); });
   Metrics.registerCounter(
       "figlift_gateway_loop_delay_seconds_total",
       "Time by which ten looks a second at the clock were late", [this] {
--- a/Tests/LibProxy/TestCallerConnection.cpp
+++ b/Tests/LibProxy/TestCallerConnection.cpp
@@ -150,6 +150,23 @@
   }
 };
 
+// Failure: a process that was suspended reads requests whose callers left long
+// ago, and sends them to servers.
+TEST(CallerConnection, NoticesACallerThatLeftBeforeItsRequestWasRead) {
+  Handler.RespondImmediately = false;
+  open();
+  asio::write(Caller, asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                               "Host: h\r\n\r\n")));
+  while (Handler.Requests.empty())
+    Loop.run_one();
+  CHECK(!Handler.LastCaller->hasCallerLeft());
+  Caller.close();
+  bool HasLeft = false;
+  for (int Try = 0; Try < 1000 && !HasLeft; ++Try)
+    HasLeft = Handler.LastCaller->hasCallerLeft();
+  CHECK(HasLeft);
+}
+
 TEST(CallerConnection, AnswersPipelinedRequestsInOrder) {
   open();
   send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
