LibDispatch, figlift-gateway: Prefill late prompts at idle decode engines

A prompt that would be late at every prefill engine goes to a decode engine that has no queue, if its prefill takes at most a quarter of the gap that streams may pause, in a share that rises with each such prompt that is in time and falls with each late one.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -260,6 +260,18 @@
          Wait <= Request.LatencyTarget * m_Options.LargePromptWaitShare;
 }
 
+bool PromptPlanner::spills(const PromptRequest &Request,
+                           const Candidate &Single,
+                           Milliseconds SingleFirstEvent,
+                           Milliseconds SplitWait,
+                           Milliseconds SplitFirstEvent) const {
+  const Milliseconds Lag = Request.ExpectedStartLag;
+  return Request.MaySpill && Single.Prefill.Wait <= Milliseconds(0) &&
+         Single.Prefill.Compute <= Request.EventGap * m_Options.SpillGapShare &&
+         !admits(Request, SplitWait + Lag, SplitFirstEvent + Lag) &&
+         admits(Request, Single.Prefill.Wait + Lag, SingleFirstEvent + Lag);
+}
+
 Rejection PromptPlanner::reject(const PromptRequest &Request,
                                 std::string_view Reason,
                                 Milliseconds FirstEvent) const {
@@ -314,9 +326,12 @@
       Single->Prefill.Compute <= Request.EventGap * m_Options.PrefillGapShare;
   // A separate prefill needs one more call, whose cost is at most the fixed
   // cost of a prefill. For a small prompt the gain has to exceed that.
+  const bool Spills = SplitPlan && spills(Request, *Single, SingleFirstEvent,
+                                          SplitWait, SplitPlan->FirstEvent);
   const bool UseSplitPlan =
-      SplitPlan && (!IsSmall || SplitPlan->FirstEvent + Costs.prefillFixed() <
-                                    SingleFirstEvent);
+      SplitPlan && !Spills &&
+      (!IsSmall ||
+       SplitPlan->FirstEvent + Costs.prefillFixed() < SingleFirstEvent);
   const Milliseconds FirstEvent =
       UseSplitPlan ? SplitPlan->FirstEvent : SingleFirstEvent;
   const Milliseconds Wait = UseSplitPlan ? SplitWait : Single->Prefill.Wait;
@@ -326,10 +341,13 @@
                   FirstEvent + Request.ExpectedStartLag);
   if (UseSplitPlan)
     return *SplitPlan;
-  return DecodePlan{Single->Engine->Id, Single->fetchSourceId(),
+  return DecodePlan{Single->Engine->Id,
+                    Single->fetchSourceId(),
                     Single->Cost + Costs.decodeStartFixed() +
                         Request.GenerationTime,
-                    SingleFirstEvent, Single->Prefill};
+                    SingleFirstEvent,
+                    Single->Prefill,
+                    Spills};
 }
 
 } // namespace figlift::dispatch
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -17,6 +17,7 @@
 #include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/PeerReport.h"
+#include "LibDispatch/PrefillSpill.h"
 #include "LibDispatch/ProcessStop.h"
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/RetryRules.h"
@@ -98,6 +99,8 @@
   std::map<std::string, dispatch::StartLag> StartLags;
   /// By engine service.
   std::map<std::string, dispatch::KvReuse> KvReuses;
+  /// By engine service.
+  std::map<std::string, dispatch::PrefillSpill> PrefillSpills;
   /// Prompt parts that were cached since the last report to the peers.
   std::vector<dispatch::CachedPart> NewlyCached;
   /// Demand on each engine service that passes through this gateway.
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -39,6 +39,7 @@
     Send.recordLatency();
     learnExecutionStart();
     learnStartLag();
+    learnSpill();
     proxy::ResponseHead Head = Send.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_ResponseStarted = true;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -169,6 +169,8 @@
   if (const auto *Service = m_Configuration->service(m_Service))
     Request.EventGap = Service->ShortestEventGap;
   Request.ExpectedStartLag = m_Shared.StartLags[m_Service].current(Now);
+  Request.MaySpill =
+      m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
   Request.Excluded = excluded(Now);
   Request.Draw = m_Shared.draw();
   return Request;
@@ -240,6 +242,9 @@
   m_PlannedExecution = Plan.Expected;
   m_ExecutionSent = BootClock::now();
   m_ExecutionPlan = Plan.Prefill;
+  m_Spilled = Plan.Spilled;
+  if (m_Spilled)
+    m_Shared.PrefillSpills[m_Service].recordPlaced(BootClock::now());
   m_CacheKnown = m_Shared.Loads.cacheReported(Plan.DecodeTarget);
   send(Plan.DecodeTarget, Plan.FetchFrom, SendPurpose::Execute,
        {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, {}});
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -102,6 +102,7 @@
   void learnPrefill();
   void learnExecutionStart();
   void learnStartLag();
+  void learnSpill();
   void learnPrefillBesideStreams(const dispatch::EngineCosts &Costs,
                                  dispatch::Milliseconds FirstEventTime,
                                  engine::EngineModel &Model) const;
@@ -203,6 +204,8 @@
   dispatch::Milliseconds m_PlannedExecution{0};
   dispatch::PrefillPlan m_PrefillPlan;
   dispatch::PrefillPlan m_ExecutionPlan;
+  /// The execution includes a prefill that no prefill engine does in time.
+  bool m_Spilled = false;
   /// An engine has rejected the execution that uses m_Handle.
   bool m_HandleRejected = false;
   /// Whether the cache contents of the target were known when the latest
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -122,7 +122,9 @@
                              1);
     return;
   }
-  if (m_CacheKnown)
+  // Prompts are spilled in bursts, when they wait for more than the plan knows.
+  // Learned from them, the costs are those of a small prompt for all prompts.
+  if (m_CacheKnown && !m_Spilled)
     learnPrefillBesideStreams(m_Shared.costsOf(*Service, Now), FirstEventTime,
                               Model);
 }
@@ -137,6 +139,17 @@
                                         m_Route.LatencyTarget, Now);
 }
 
+void RequestFlow::learnSpill() {
+  if (!engineService() || m_Handle)
+    return;
+  dispatch::PrefillSpill &Spill = m_Shared.PrefillSpills[m_Service];
+  const bool InTime = BootClock::now() - m_Started <= m_Route.LatencyTarget;
+  if (m_Spilled)
+    Spill.recordSpilled(InTime);
+  else if (!InTime)
+    Spill.recordLateSmallPrompt();
+}
+
 /// A prefill at a decode engine measures the cost of prefill beside streams
 /// and, when there is no prefill elsewhere, the prefill cost itself. If the
 /// learned cost is far too low, every prompt seems small enough for decode
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -123,8 +123,11 @@
   const dispatch::EngineDemand Demand = State.Demand.demand();
   const auto Change = State.Planner.plan(
       Engines, Demand, State.Demand.uncertainty(Now), m_Shared.Loads, Now);
+  const bool RemovesShortStage =
+      Change && Change->DesiredStage == dispatch::Stage::Decode &&
+      m_Shared.PrefillSpills[Service.Name].isPrefillShort(Now);
   // Without a current server list the view may be outdated.
-  if (!Change || !State.Demand.established(Now) ||
+  if (!Change || RemovesShortStage || !State.Demand.established(Now) ||
       m_Shared.Targets.storeUnavailable()) {
     State.WantedSince.reset();
     return;
--- a/Tests/FleetModel/FleetModel.cpp
+++ b/Tests/FleetModel/FleetModel.cpp
@@ -162,6 +162,8 @@
   PromptRequest &Details = Call->Details;
   Call->PlannedAt = m_Now;
   Details.ExpectedStartLag = gateway(Call).Lag.current(m_Now);
+  Details.MaySpill =
+      m_Options.Spills && randomFraction() < gateway(Call).Spill.share();
   const auto Plan =
       gateway(Call).Planner.plan(Details, m_Targets, costs(), m_Now);
   if (const auto *PrefillFirst = std::get_if<PrefillThenDecode>(&Plan)) {
@@ -170,6 +172,7 @@
   }
   if (const auto *DirectDecode = std::get_if<DecodePlan>(&Plan)) {
     Call->ExpectedFirst = DirectDecode->Expected;
+    Call->Spilled = DirectDecode->Spilled;
     return decode(Call, *DirectDecode, false);
   }
   handleRejection(Call, std::get<Rejection>(Plan).RetryAfter);
@@ -283,21 +286,21 @@
   ++Host.Decoding;
   const Prompt &Input = Call->Details.Input;
   const uint32_t Missing = Input.Tokens - Host.Cache.cachedTokens(Input);
-  const Milliseconds PreparationTime =
-      HasPrefilled ? fetch(Host, Call->PrefillEngine, Missing)
-                   : costs().prefillWhileDecoding(EngineCosts::uncachedSize(
-                         Input, Input.Tokens - Missing));
+  Milliseconds PreparationTime;
+  if (HasPrefilled) {
+    PreparationTime = fetch(Host, Call->PrefillEngine, Missing);
+  } else {
+    // An engine prefills one prompt after the other.
+    Host.PrefillsUntil =
+        std::max(m_Now, Host.PrefillsUntil) +
+        toClockDuration(costs().prefillWhileDecoding(
+            EngineCosts::uncachedSize(Input, Input.Tokens - Missing)));
+    PreparationTime = Milliseconds(Host.PrefillsUntil - m_Now);
+  }
   const Milliseconds First = PreparationTime + m_Parameters.DecodeStartFixed;
-  after(First + NetworkDelay, [this, Call, &Host] {
+  after(First + NetworkDelay, [this, Call, &Host, HasPrefilled] {
     gateway(Call).Loads.recordAnswer(Host.Info.Id, Call->Ticket, m_Now);
-    gateway(Call).Lag.observe(Call->ExpectedFirst,
-                              Milliseconds(m_Now - Call->PlannedAt),
-                              LatencyTarget, m_Now);
-    if (Call->Arrived < m_Start + std::chrono::seconds(1))
-      return;
-    const bool OnTime =
-        m_Now - Call->ReceivedAt <= toClockDuration(LatencyTarget);
-    ++(OnTime ? m_Result.OnTime : m_Result.Late);
+    recordFirstEvent(Call, HasPrefilled);
   });
   after(First + Call->Generation, [this, Call, &Host] {
     for (const PromptPart &Part : Call->Details.Input.Parts)
@@ -313,6 +316,22 @@
   });
 }
 
+void FleetModel::recordFirstEvent(const RequestPointer &Call,
+                                  bool HasPrefilled) {
+  Gateway &Planning = gateway(Call);
+  Planning.Lag.observe(Call->ExpectedFirst,
+                       Milliseconds(m_Now - Call->PlannedAt), LatencyTarget,
+                       m_Now);
+  const bool OnTime =
+      m_Now - Call->ReceivedAt <= toClockDuration(LatencyTarget);
+  if (Call->Spilled)
+    Planning.Spill.recordSpilled(OnTime);
+  else if (!HasPrefilled && !OnTime)
+    Planning.Spill.recordLateSmallPrompt();
+  if (Call->Arrived >= m_Start + std::chrono::seconds(1))
+    ++(OnTime ? m_Result.OnTime : m_Result.Late);
+}
+
 void FleetModel::finishDecode(const RequestPointer &Call, Engine &Host) {
   gateway(Call).Loads.recordEnd(Host.Info.Id, Call->Ticket);
   recordCached(Call, Host);
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include "LibDispatch/PrefillSpill.h"
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/StartLag.h"
 
@@ -40,6 +41,9 @@
   /// this duration; with 0 it stays constant.
   std::chrono::milliseconds SwingPeriod{0};
   std::chrono::milliseconds Duration{3000};
+  /// Prompts that are late at all prefill engines may be prefilled at decode
+  /// engines.
+  bool Spills = true;
   unsigned Seed = 1;
 };
 
@@ -88,6 +92,7 @@
     LoadTracker Loads;
     PromptPlanner Planner;
     StartLag Lag;
+    PrefillSpill Spill;
     /// Prompt parts that engines computed for it since its last report.
     std::vector<std::pair<std::string, PromptPart>> NewlyCached;
   };
@@ -97,6 +102,7 @@
     unsigned GatewayIndex = 0;
     bool Retried = false;
     bool Resent = false;
+    bool Spilled = false;
     std::string PrefillEngine;
     /// Ticket of the present prefill or decode in the load tracker.
     uint64_t Ticket = 0;
@@ -125,6 +131,7 @@
               bool HasPrefilled);
   void startDecode(const RequestPointer &Call, const DecodePlan &Plan,
                    bool HasPrefilled);
+  void recordFirstEvent(const RequestPointer &Call, bool HasPrefilled);
   void finishDecode(const RequestPointer &Call, Engine &Host);
   void handleEngineRejection(const RequestPointer &Call, Engine &Host);
   void recordCached(const RequestPointer &Call, Engine &Host);
--- a/Tests/FleetModel/TestBursts.cpp
+++ b/Tests/FleetModel/TestBursts.cpp
@@ -100,6 +100,33 @@
   checkGoodput(Options);
 }
 
+// A burst of long prompts with few prefill engines: decode engines prefill what
+// is late there.
+TEST(Bursts, DecodeEnginesTakePromptsThatFewPrefillEnginesCannot) {
+  FleetOptions Options;
+  Options.Gateways = 20;
+  Options.ReportInterval = milliseconds(50);
+  Options.Rate = 460;
+  Options.PrefillEngines = 5;
+  Options.DecodeEngines = 25;
+  Options.Load = 3;
+  const double Goodput = FleetModel(Options).run().Goodput;
+  Options.Spills = false;
+  CHECK(Goodput > 1.2 * FleetModel(Options).run().Goodput);
+}
+
+// The same with few decode engines: what they would prefill delays the prompts
+// that others have prefilled for them.
+TEST(Bursts, FewDecodeEnginesAreNotOverloadedWithPrefills) {
+  FleetOptions Options;
+  Options.PrefillEngines = 40;
+  Options.DecodeEngines = 18;
+  Options.Load = 3;
+  const double Goodput = FleetModel(Options).run().Goodput;
+  Options.Spills = false;
+  CHECK(Goodput > 0.95 * FleetModel(Options).run().Goodput);
+}
+
 // At normal load, all requests are served on time.
 TEST(Bursts, RejectsNothingAtNormalLoad) {
   const FleetResult Result = FleetModel({}).run();
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -295,3 +295,37 @@
                                  Now + milliseconds(500));
   STRCMP_EQUAL(Home.c_str(), prefillTarget().c_str());
 }
+
+// A burst of long prompts: the prefill engines have a queue that no prompt can
+// wait for, while decode engines are idle.
+TEST(PromptPlanner, PrefillsAtAnIdleDecodeEngineWhatIsLateElsewhere) {
+  Request.EventGap = Milliseconds(150);
+  cache("run-2");
+  load("read-1", 200);
+  load("read-2", 200);
+  CHECK(std::holds_alternative<Rejection>(plan()));
+  Request.MaySpill = true;
+  const auto Plan = plan();
+  STRCMP_EQUAL("run-2", std::get<DecodePlan>(Plan).DecodeTarget.c_str());
+  CHECK(std::get<DecodePlan>(Plan).Spilled);
+  load("run-2", 20);
+  load("run-1", 20);
+  CHECK(std::holds_alternative<Rejection>(plan()));
+}
+
+// Streams would pause for a large part of the gap that their callers accept.
+TEST(PromptPlanner, PrefillsNoLongPromptBesideStreams) {
+  Request.EventGap = Milliseconds(60);
+  Request.MaySpill = true;
+  cache("run-2");
+  load("read-1", 200);
+  load("read-2", 200);
+  CHECK(std::holds_alternative<Rejection>(plan()));
+}
+
+TEST(PromptPlanner, PrefersPrefillEnginesThatAreInTime) {
+  Request.EventGap = Milliseconds(150);
+  Request.MaySpill = true;
+  cache("run-2");
+  CHECK(!prefillTarget().empty());
+}
