Tests: Let the prefill of a large prompt take its time

GatewayWithoutRetries.ReusesThePrefillWhenADecodeIsNotSent failed in 1 of 150 runs beside a load of 12 (and twice in whole runs): the engine's cache list had arrived before the first request, so that a prefill of 0.1 ms for 40,000 tokens was learned, all prompts counted as small and went to the decode engine directly, without a KV cache to reuse. The stand-in now takes 60 ms.

--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -353,6 +353,18 @@
 }
 } // namespace
 
+Listener::Behaviour completePrefillAfter(asio::io_context &Loop,
+                                         std::chrono::milliseconds Time) {
+  return [&Loop, Time](const proxy::Request &Request, const Caller &To) {
+    auto Timer = std::make_shared<asio::steady_timer>(Loop, Time);
+    Timer->async_wait(
+        [Timer, Request, To](const boost::system::error_code &Stopped) {
+          if (!Stopped)
+            completePrefill(Request, To);
+        });
+  };
+}
+
 Listener::Behaviour streamFor(asio::io_context &Loop,
                               std::chrono::milliseconds Time) {
   return [&Loop, Time](const proxy::Request &Request, const Caller &To) {
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -160,6 +160,9 @@
 Listener::Behaviour respondWith(const std::string &Body);
 /// An engine that completes a prefill.
 void completePrefill(const proxy::Request &Request, const Caller &To);
+/// The same after \p Time.
+Listener::Behaviour completePrefillAfter(boost::asio::io_context &Loop,
+                                         std::chrono::milliseconds Time);
 /// An engine whose stream lasts for \p Time, with an event every 20 ms.
 Listener::Behaviour streamFor(boost::asio::io_context &Loop,
                               std::chrono::milliseconds Time);
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -471,7 +471,12 @@
 // Cause: a request that reached no server is retried without the budget, though
 // the retry begins with a prefill that does reach an engine.
 TEST(GatewayWithoutRetries, ReusesThePrefillWhenADecodeIsNotSent) {
-  Fixture.addServer("e1", "model", completePrefill, "prefill");
+  // As long as such prompts take. From a prefill without any delay the gateway
+  // would learn that all prompts are small.
+  Fixture.addServer(
+      "e1", "model",
+      completePrefillAfter(Fixture.Loop, std::chrono::milliseconds(60)),
+      "prefill");
   Fixture.listUnreachableEngine("e2", "decode");
   Listener &DecodeEngine =
       Fixture.addServer("e3", "model", streamOneEvent, "decode");
--- a/Tests/LibDispatch/TestPrefillSpill.cpp
+++ b/Tests/LibDispatch/TestPrefillSpill.cpp
@@ -36,8 +36,8 @@
   CHECK(Spill.share() > 0.7);
 }
 
-// Failure: prompts at decode engines lengthen the streams there, prefill engines
-// become decode engines, and still more prompts go to decode engines.
+// Failure: prompts at decode engines lengthen the streams there, prefill
+// engines become decode engines, and still more prompts go to decode engines.
 TEST(PrefillSpill, RemembersThatPrefillEnginesAreShort) {
   const figlift::BootTime Now(std::chrono::seconds(100));
   CHECK(!Spill.isPrefillShort(Now));
