LibDispatch: Spill prompts that are clearly earlier at a decode engine

A prompt was spilled only when it would be late at every prefill engine, so the queue there grew to the whole target before decode engines helped. It is spilled now when its first event is earlier by a tenth of the target.

--- a/Libraries/LibDispatch/PrefillSpill.h
+++ b/Libraries/LibDispatch/PrefillSpill.h
@@ -1,7 +1,7 @@
 //===- PrefillSpill.h - Prompts that decode engines prefill -----*- C++ -*-===//
 //
-// In a burst of long prompts, decode engines have free slots while the prefill
-// engines have a queue that no prompt can wait for. Whether such a prompt is in
+// In a burst of long prompts, decode engines have free slots while prompts wait
+// at the prefill engines, longer than they can. Whether such a prompt is in
 // time at a decode engine depends on the engines and on the other work there,
 // so the share of prompts that are placed so follows their outcomes.
 //
@@ -21,13 +21,13 @@
 /// falls within a few late prompts.
 class PrefillSpill {
 public:
-  /// Share of the prompts that are late at all prefill engines which may be
+  /// Share of the prompts that wait at all prefill engines which may be
   /// prefilled at a decode engine.
   double share() const { return m_Share; }
 
   /// A prompt is being placed so.
   void recordPlaced(BootTime Now) { m_PlacedAt = Now; }
-  /// Whether prompts were late at all prefill engines lately. Streams at decode
+  /// Whether prompts were placed so lately. Streams at decode
   /// engines then last longer, which looks like demand for more decode engines;
   /// a prefill engine that became one would make more prompts late.
   bool isPrefillShort(BootTime Now) const {
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -266,9 +266,13 @@
                            Milliseconds SplitWait,
                            Milliseconds SplitFirstEvent) const {
   const Milliseconds Lag = Request.ExpectedStartLag;
+  const bool IsClearlyEarlier =
+      SplitFirstEvent - SingleFirstEvent >
+      Request.LatencyTarget * m_Options.SpillGainShare;
   return Request.MaySpill && Single.Prefill.Wait <= Milliseconds(0) &&
          Single.Prefill.Compute <= Request.EventGap * m_Options.SpillGapShare &&
-         !admits(Request, SplitWait + Lag, SplitFirstEvent + Lag) &&
+         (IsClearlyEarlier ||
+          !admits(Request, SplitWait + Lag, SplitFirstEvent + Lag)) &&
          admits(Request, Single.Prefill.Wait + Lag, SingleFirstEvent + Lag);
 }
 
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -39,8 +39,8 @@
   /// Current start lag of the service: how much later than planned its answers
   /// begin.
   Milliseconds ExpectedStartLag{0};
-  /// Whether a prompt that would be late at every prefill engine may be
-  /// prefilled at a decode engine; see PrefillSpill.h.
+  /// Whether a prompt that waits at every prefill engine may be prefilled at a
+  /// decode engine; see PrefillSpill.h.
   bool MaySpill = false;
   /// Targets that failed this request or must not receive it.
   std::vector<std::string> Excluded;
@@ -84,7 +84,7 @@
   /// Prefill on the decode engine. After a prefill on another engine this holds
   /// only the queue time and the transfer of the KV cache.
   PrefillPlan Prefill;
-  /// The prompt would be late at every prefill engine.
+  /// The prompt would wait longer at every prefill engine.
   bool Spilled = false;
 };
 struct Rejection {
@@ -122,8 +122,11 @@
   /// prompts overload the prefill engines and 0.03 less is earned in two loads;
   /// 0.07 is no better than 0.04.
   double PrefillGapShare = 0.04;
-  /// The same for a prompt that would be late at every prefill engine.
+  /// The same for a prompt that waits at every prefill engine.
   double SpillGapShare = 0.25;
+  /// Such a prompt goes to a decode engine if its first event is earlier there
+  /// by more than this share of the latency target.
+  double SpillGainShare = 0.1;
   /// A target with at least this share of failed work is avoided. The share
   /// decays with the half-life of the load tracker.
   double MaximumFailureShare = 0.25;
@@ -224,8 +227,8 @@
                    HealthFilter Filter, BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
-  /// Whether the prompt is in time only if \p Single prefills it, where it
-  /// delays streams little.
+  /// Whether \p Single should prefill the prompt although it is large: its
+  /// first event is clearly earlier, and streams are delayed little.
   bool spills(const PromptRequest &Request, const Candidate &Single,
               Milliseconds SingleFirstEvent, Milliseconds SplitWait,
               Milliseconds SplitFirstEvent) const;
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -41,7 +41,7 @@
   /// this duration; with 0 it stays constant.
   std::chrono::milliseconds SwingPeriod{0};
   std::chrono::milliseconds Duration{3000};
-  /// Prompts that are late at all prefill engines may be prefilled at decode
+  /// Prompts that wait at all prefill engines may be prefilled at decode
   /// engines.
   bool Spills = true;
   unsigned Seed = 1;
--- a/Tests/FleetModel/TestBursts.cpp
+++ b/Tests/FleetModel/TestBursts.cpp
@@ -101,7 +101,7 @@
 }
 
 // A burst of long prompts with few prefill engines: decode engines prefill what
-// is late there.
+// waits there.
 TEST(Bursts, DecodeEnginesTakePromptsThatFewPrefillEnginesCannot) {
   FleetOptions Options;
   Options.Gateways = 20;
