--- a/Libraries/LibUsage/UsageDuty.h
+++ b/Libraries/LibUsage/UsageDuty.h
@@ -7,8 +7,8 @@
 // no I/O.
 //
 // Records are kept in a few rows that are used in turn. A row is written only
-// under the version at which it was read, so that of two processes that believe
-// to hold the lease one finds the other's record.
+// under the version at which it was read, so that of two processes that act as
+// holders one finds the other's record.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Libraries/LibUsage/UsageMeter.cpp
+++ b/Libraries/LibUsage/UsageMeter.cpp
@@ -15,7 +15,7 @@
 /// A request that a server rejects is rejected within this time, so a sum does
 /// not change later than this after the end of its window.
 constexpr std::chrono::milliseconds SettlingTime{800};
-/// Windows that are kept although nobody has reported them.
+/// Number of windows that are kept while no process reports them.
 constexpr WindowNumber KeptWindows = 5;
 
 } // namespace
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -72,6 +72,7 @@
 
   /// Returns a uniform random number in [0, 1).
   double draw() { return std::uniform_real_distribution<double>(0, 1)(Random); }
+
   /// Cost model of the engines of \p Service, from the measurements so far.
   dispatch::EngineCosts costsOf(const dispatch::Service &Service,
                                 BootTime Now) {
--- /dev/null
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -0,0 +1,72 @@
+//===- RequestPlanning.cpp - Inputs of the planners for one request -------===//
+//
+// Describes the request to the planners of prompts and of plain services.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestFlow.h"
+
+namespace figlift::gateway {
+
+using dispatch::Milliseconds;
+
+dispatch::PromptPlan RequestFlow::promptPlan(const dispatch::Service &Service,
+                                             BootTime Now) {
+  return m_Shared.Prompts.plan(promptRequest(Now), promptTargets(),
+                               m_Shared.costsOf(Service, Now), Now);
+}
+
+/// Targets that failed this request, and those whose request limit is used up
+/// at present.
+std::vector<std::string> RequestFlow::excluded(BootTime Now) const {
+  std::vector<std::string> All = m_Shared.Limits.exhausted(Now);
+  All.insert(All.end(), m_Excluded.begin(), m_Excluded.end());
+  return All;
+}
+
+dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
+  return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
+                                m_Shared.Open.used(m_Service), Now);
+}
+
+/// Whether there is a plan for the request that avoids this target.
+bool RequestFlow::hasAlternative(const std::string &AvoidedTargetId,
+                                 BootTime Now) {
+  m_Excluded.push_back(AvoidedTargetId);
+  const dispatch::Service *Service = engineService();
+  const bool HasPlan =
+      Service ? !std::holds_alternative<dispatch::Rejection>(
+                    promptPlan(*Service, Now))
+              : !std::holds_alternative<dispatch::ServiceRejection>(
+                    servicePlan(Now));
+  m_Excluded.pop_back();
+  return HasPlan;
+}
+
+dispatch::PromptRequest RequestFlow::promptRequest(BootTime Now) {
+  dispatch::PromptRequest Request;
+  Request.Input = *m_Fields.Prompt;
+  Request.GenerationTime = generationTime();
+  Request.LatencyTarget = m_Route.LatencyTarget;
+  Request.TimeToLatencyTarget =
+      std::max(Milliseconds(0), Milliseconds(m_Route.LatencyTarget) -
+                                    Milliseconds(Now - m_Started));
+  Request.TimeLeft = timeLeft(Now);
+  if (const auto *Service = m_Configuration->service(m_Service))
+    Request.EventGap = Service->ShortestEventGap;
+  Request.ExpectedStartLag = m_Shared.StartLags[m_Service].current(Now);
+  Request.MaySpill =
+      m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
+  Request.Excluded = excluded(Now);
+  Request.Draw = m_Shared.draw();
+  return Request;
+}
+
+Milliseconds RequestFlow::generationTime() const {
+  const auto Times = m_Shared.StreamTimes.find(m_Route.Name);
+  return Times == m_Shared.StreamTimes.end()
+             ? Milliseconds(0)
+             : Times->second.mean(BootClock::now());
+}
+
+} // namespace figlift::gateway
