figlift-gateway, platform: Report what servers say about themselves

All exchanges with servers now start in one place, which reads Retry-After of 503 and 429, Server-Leaving, and the names of fields that nothing reads. Lines and metrics tell backoffs, what is sent in spite of them, and unknown fields. Nothing is decided by them yet. Releases of KV cache name the engine that they are meant for, as other calls do.

--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -9,6 +9,7 @@
 #include "CrashWatch.h"
 #include "DecisionLog.h"
 #include "OpenTargets.h"
+#include "ServerFeedback.h"
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
@@ -115,6 +116,7 @@
   std::map<std::string, BootTime> Switching;
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
+  ServerFeedback Feedback{Log};
   metrics::Registry Metrics;
   TenantMetrics Tenants{Metrics};
   UsageState Usage;
--- a/Services/figlift-gateway/ControlCall.cpp
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -22,9 +22,10 @@
   Call(boost::asio::io_context &Loop, CallCallback Done)
       : m_Timer(Loop), m_Done(std::move(Done)) {}
 
-  void start(std::shared_ptr<upstream::ServerConnection> Connection,
-             std::string Bytes, std::chrono::milliseconds Timeout) {
-    m_Connection = std::move(Connection);
+  bool start(const ExchangeStarter &Start, std::chrono::milliseconds Timeout) {
+    m_Connection = Start(shared_from_this());
+    if (!m_Connection)
+      return false;
     m_Timer.expires_after(Timeout);
     m_Timer.async_wait([Self = shared_from_this()](const auto &Stopped) {
       if (Stopped || !Self->m_Done)
@@ -32,7 +33,7 @@
       Self->m_Connection->abort();
       Self->finish(0);
     });
-    m_Connection->exchange(std::move(Bytes), true, shared_from_this());
+    return true;
   }
   void onHead(const proxy::ResponseHead &Head) override {
     m_Status = Head.Status;
@@ -65,12 +66,10 @@
 
 } // namespace
 
-void startControlCall(boost::asio::io_context &Loop,
-                      std::shared_ptr<upstream::ServerConnection> Connection,
-                      std::string Bytes, std::chrono::milliseconds Timeout,
-                      CallCallback Done) {
-  std::make_shared<Call>(Loop, std::move(Done))
-      ->start(std::move(Connection), std::move(Bytes), Timeout);
+bool startControlCall(boost::asio::io_context &Loop,
+                      const ExchangeStarter &Start,
+                      std::chrono::milliseconds Timeout, CallCallback Done) {
+  return std::make_shared<Call>(Loop, std::move(Done))->start(Start, Timeout);
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/ControlCall.h
+++ b/Services/figlift-gateway/ControlCall.h
@@ -22,11 +22,17 @@
 using CallCallback =
     std::function<void(unsigned Status, const std::string &Body)>;
 
-/// Sends \p Bytes, a whole request. At the timeout the connection is aborted,
-/// so that bytes which are still in transit are not delivered later.
-void startControlCall(boost::asio::io_context &Loop,
-                      std::shared_ptr<upstream::ServerConnection> Connection,
-                      std::string Bytes, std::chrono::milliseconds Timeout,
-                      CallCallback Done);
+/// Sends a whole request whose response goes to the sink, and returns the
+/// connection; null if the request could not be sent.
+using ExchangeStarter =
+    std::function<std::shared_ptr<upstream::ServerConnection>(
+        std::shared_ptr<upstream::ExchangeSink>)>;
+
+/// Returns false if \p Start could not send; \p Done is not called then. At the
+/// timeout the connection is aborted, so that bytes which are still in transit
+/// are not delivered later.
+bool startControlCall(boost::asio::io_context &Loop,
+                      const ExchangeStarter &Start,
+                      std::chrono::milliseconds Timeout, CallCallback Done);
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -6,6 +6,8 @@
 
 #include "EngineCall.h"
 
+#include "ServerExchange.h"
+
 #include "platform/EngineCalls.h"
 
 namespace figlift::gateway {
@@ -21,18 +23,17 @@
 bool callEngine(Context &Shared, const std::string &TargetId,
                 std::string_view Method, std::string_view Path,
                 const std::string &Body, CallCallback Done) {
-  const auto Pool = Shared.Pools.find(TargetId);
   const dispatch::Target *Engine = Shared.Targets.find(TargetId);
-  if (Pool == Shared.Pools.end() || !Engine)
-    return false;
-  auto Connection = Pool->second->acquire(BootClock::now());
-  if (!Connection)
+  if (!Engine)
     return false;
-  Shared.Limits.recordSend(TargetId, BootClock::now());
-  startControlCall(Shared.Loop, std::move(Connection),
-                   slopes::targetedCallBytes(Method, Path, *Engine, Body),
-                   CallTimeout, std::move(Done));
-  return true;
+  const auto Start = [&](std::shared_ptr<upstream::ExchangeSink> Sink) {
+    return startExchange(
+        Shared,
+        {TargetId, slopes::targetedCallBytes(Method, Path, *Engine, Body),
+         std::move(Sink), slopes::isTargetsAnswer},
+        BootClock::now());
+  };
+  return startControlCall(Shared.Loop, Start, CallTimeout, std::move(Done));
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -6,6 +6,8 @@
 
 #include "EngineHousekeeping.h"
 
+#include "ServerExchange.h"
+
 #include "platform/EngineCalls.h"
 
 namespace figlift::gateway {
@@ -36,18 +38,16 @@
 
 void releaseKvCache(Context &Shared, const std::string &Engine,
                     const std::string &Handle) {
-  const auto Pool = Shared.Pools.find(Engine);
   const dispatch::Target *Target = Shared.Targets.find(Engine);
-  if (Pool == Shared.Pools.end() || !Target)
+  if (!Target)
     return;
-  const BootTime Now = BootClock::now();
-  if (const auto Connection = Pool->second->acquire(Now)) {
-    Shared.Limits.recordSend(Engine, Now);
-    Connection->exchange(slopes::callBytes("DELETE",
-                                           slopes::releaseHandleTarget(Handle),
-                                           Target->Address.toString(), ""),
-                         true, std::make_shared<DiscardedResponse>());
-  }
+  startExchange(
+      Shared,
+      {Engine,
+       slopes::targetedCallBytes("DELETE", slopes::releaseHandleTarget(Handle),
+                                 *Target, ""),
+       std::make_shared<DiscardedResponse>(), slopes::isTargetsAnswer},
+      BootClock::now());
 }
 
 void recordRequestEnd(Context &Shared, const dispatch::Route &Route,
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -83,6 +83,24 @@
       "figlift_gateway_limited_servers",
       "Servers that name how many requests they take",
       [this] { return double(m_Shared.Limits.activeLimits().size()); });
+  Metrics.registerGauge(
+      "figlift_gateway_backing_off_servers",
+      "Servers that have asked this gateway for a pause", [this] {
+        return double(
+            m_Shared.Feedback.backoffs().activeCount(BootClock::now()));
+      });
+  Metrics.registerCounter(
+      "figlift_gateway_backoffs_received_total",
+      "Responses in which a server asked for a pause",
+      [this] { return double(m_Shared.Feedback.backoffsReceived()); });
+  Metrics.registerCounter(
+      "figlift_gateway_sends_during_backoff_total",
+      "Requests and calls sent to a server that had asked for a pause",
+      [this] { return double(m_Shared.Feedback.sendsDuringBackoff()); });
+  Metrics.registerCounter(
+      "figlift_gateway_unknown_fields_total",
+      "Header fields in responses of servers that nothing reads",
+      [this] { return double(m_Shared.Feedback.unknownFields()); });
   Metrics.registerGauge("figlift_gateway_store_era",
                         "Rises whenever the store comes back from a copy",
                         [this] { return double(m_Store.era()); });
--- /dev/null
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -0,0 +1,60 @@
+//===- ServerExchange.cpp - Every exchange with a server ------------------===//
+//
+// Puts a sink in front of the one that waits for the response.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ServerExchange.h"
+
+namespace figlift::gateway {
+
+namespace {
+
+/// Reads what the server says about itself and forwards everything.
+class FeedbackReader : public upstream::ExchangeSink {
+public:
+  FeedbackReader(Context &Shared, const dispatch::Target &Server,
+                 ServerRequest Request)
+      : m_Shared(Shared), m_Server(Server), m_Sink(std::move(Request.Sink)),
+        m_IsServersAnswer(std::move(Request.IsServersAnswer)) {}
+
+  void onHead(const proxy::ResponseHead &Head) override {
+    m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, BootClock::now());
+    m_Sink->onHead(Head);
+  }
+  void onBody(std::string Bytes) override { m_Sink->onBody(std::move(Bytes)); }
+  void onEnd(upstream::ExchangeOutcome Outcome) override {
+    m_Sink->onEnd(Outcome);
+  }
+  bool wantsMore() const override { return m_Sink->wantsMore(); }
+
+private:
+  Context &m_Shared;
+  /// As listed when the request was sent.
+  dispatch::Target m_Server;
+  std::shared_ptr<upstream::ExchangeSink> m_Sink;
+  ServerFeedback::AnswerCheck m_IsServersAnswer;
+};
+
+} // namespace
+
+std::shared_ptr<upstream::ServerConnection>
+startExchange(Context &Shared, ServerRequest Request, BootTime Now) {
+  const dispatch::Target *Server = Shared.Targets.find(Request.TargetId);
+  const auto Pool = Shared.Pools.find(Request.TargetId);
+  if (!Server || Pool == Shared.Pools.end())
+    return nullptr;
+  auto Connection = Pool->second->acquire(Now);
+  if (!Connection)
+    return nullptr;
+  if (Shared.Feedback.backoffs().isBackingOff(Server->start(), Now))
+    Shared.Feedback.recordSendDuringBackoff(Server->Id, Now);
+  Shared.Limits.recordSend(Server->Id, Now);
+  std::string Bytes = std::move(Request.Bytes);
+  Connection->exchange(
+      std::move(Bytes), true,
+      std::make_shared<FeedbackReader>(Shared, *Server, std::move(Request)));
+  return Connection;
+}
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/ServerExchange.h
@@ -0,0 +1,33 @@
+//===- ServerExchange.h - Every exchange with a server ----------*- C++ -*-===//
+//
+// The only way in which a gateway sends anything to a server: requests of
+// callers and calls of its own. What a server says about itself in a response
+// is read here, whatever the response is for and whoever still waits for it.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "Context.h"
+
+#include "LibUpstream/ServerConnection.h"
+
+#include <memory>
+#include <string>
+
+namespace figlift::gateway {
+
+struct ServerRequest {
+  std::string TargetId;
+  /// The serialized request.
+  std::string Bytes;
+  std::shared_ptr<upstream::ExchangeSink> Sink;
+  ServerFeedback::AnswerCheck IsServersAnswer;
+};
+
+/// Takes a connection from the server's pool and sends the request. Returns
+/// null, without sending, if the server is not listed or its pool is exhausted.
+std::shared_ptr<upstream::ServerConnection>
+startExchange(Context &Shared, ServerRequest Request, BootTime Now);
+
+} // namespace figlift::gateway
--- /dev/null
+++ b/Services/figlift-gateway/ServerFeedback.cpp
@@ -0,0 +1,68 @@
+//===- ServerFeedback.cpp - What servers say about themselves -------------===//
+//
+// See ServerFeedback.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ServerFeedback.h"
+
+#include "LibLog/Log.h"
+
+namespace figlift::gateway {
+
+void ServerFeedback::read(const dispatch::Target &Server,
+                          const proxy::ResponseHead &Head,
+                          const AnswerCheck &IsServersAnswer, BootTime Now) {
+  const slopes::ServerNotices Notices = slopes::decodeServerNotices(Head);
+  for (const std::string_view Name : Notices.Invalid)
+    recordInvalid(Server, Name, Now);
+  for (const std::string &Name : Notices.Unknown)
+    recordUnknown(Server, Name, Now);
+  if (Notices.Backoff)
+    recordBackoff(Server, *Notices.Backoff, Now);
+  if (Notices.ShuttingDown && m_Log.allows(LineKind::Notable, Now))
+    log::logEvent(
+        log::Level::Info, "server-shutting-down",
+        {{"target", Server.Id}, {"certain", IsServersAnswer(Head)}});
+}
+
+void ServerFeedback::recordBackoff(const dispatch::Target &Server,
+                                   std::chrono::milliseconds Time,
+                                   BootTime Now) {
+  ++m_BackoffsReceived;
+  if (m_Backoffs.record(Server.start(), Time, Now) &&
+      m_Log.allows(LineKind::State, Now))
+    log::logEvent(log::Level::Info, "server-backoff",
+                  {{"target", Server.Id},
+                   {"forMs", std::chrono::duration<double, std::milli>(Time)},
+                   {"backingOff", m_Backoffs.activeCount(Now)}});
+}
+
+void ServerFeedback::recordUnknown(const dispatch::Target &Server,
+                                   const std::string &Name, BootTime Now) {
+  ++m_UnknownFields;
+  if (m_UnknownNames.size() >= MaximumUnknownNames)
+    return;
+  const std::string Shortened = Name.substr(0, MaximumNameLength);
+  if (m_UnknownNames.insert(Shortened).second &&
+      m_Log.allows(LineKind::State, Now))
+    log::logEvent(log::Level::Warning, "server-field-unknown",
+                  {{"target", Server.Id}, {"field", Shortened}});
+}
+
+void ServerFeedback::recordInvalid(const dispatch::Target &Server,
+                                   std::string_view Name, BootTime Now) {
+  if (m_Log.allows(LineKind::Notable, Now))
+    log::logEvent(log::Level::Warning, "server-field-invalid",
+                  {{"target", Server.Id}, {"field", Name}});
+}
+
+void ServerFeedback::recordSendDuringBackoff(const std::string &TargetId,
+                                             BootTime Now) {
+  ++m_SendsDuringBackoff;
+  if (m_Log.allows(LineKind::Notable, Now))
+    log::logEvent(log::Level::Info, "sent-during-backoff",
+                  {{"target", TargetId}});
+}
+
+} // namespace figlift::gateway
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -6,6 +6,8 @@
 
 #include "ServerSend.h"
 
+#include "ServerExchange.h"
+
 #include "LibLog/Log.h"
 
 namespace figlift::gateway {
@@ -26,19 +28,22 @@
       m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)) {}
 
 bool ServerSend::start(std::string Bytes, dispatch::Work Work) {
-  const auto Pool = m_Shared.Pools.find(m_TargetId);
-  if (Pool == m_Shared.Pools.end())
-    return false;
   m_Started = BootClock::now();
-  m_Connection = Pool->second->acquire(m_Started);
+  // The exchange keeps this object for as long as it may call the check.
+  const auto IsServersAnswer = [this](const proxy::ResponseHead &Head) {
+    const slopes::ServerFields Fields = slopes::decodeServerFields(Head);
+    return !Fields.Misdirected && isMatchingResponse(Head, Fields);
+  };
+  m_Connection = startExchange(
+      m_Shared,
+      {m_TargetId, std::move(Bytes), shared_from_this(), IsServersAnswer},
+      m_Started);
   if (!m_Connection)
     return false;
   Work.SentAt = m_Started;
   m_Ticket = m_Shared.Loads.recordSent(m_TargetId, Work);
   if (const dispatch::Target *Target = m_Shared.Targets.find(m_TargetId))
     m_Target = *Target;
-  m_Shared.Limits.recordSend(m_TargetId, m_Started);
-  m_Connection->exchange(std::move(Bytes), true, shared_from_this());
   return true;
 }
 
@@ -63,11 +68,15 @@
   m_Shared.Loads.recordAnswer(m_TargetId, m_Ticket, BootClock::now());
 }
 
-bool ServerSend::isMatchingResponse() const {
-  // Without an echoed id only a rejection is accepted.
-  if (m_Fields.AttemptId.empty())
-    return !isSuccess(m_Head.Status) || m_Purpose == SendPurpose::Prefill;
-  return m_Fields.AttemptId == m_AttemptId;
+bool ServerSend::isMatchingResponse(const proxy::ResponseHead &Head,
+                                    const slopes::ServerFields &Fields) const {
+  const bool IsExecuted =
+      m_Purpose == SendPurpose::Execute && isSuccess(Head.Status);
+  if (IsExecuted && !Fields.Signed)
+    return false;
+  // Without an echoed id only a rejection or a prefill is accepted.
+  return Fields.AttemptId.empty() ? !IsExecuted
+                                  : Fields.AttemptId == m_AttemptId;
 }
 
 void ServerSend::onHead(const proxy::ResponseHead &Head) {
@@ -76,8 +85,7 @@
   m_Head = Head;
   m_Fields = slopes::decodeServerFields(Head);
   const bool IsExecution = m_Purpose == SendPurpose::Execute;
-  if (!isMatchingResponse() ||
-      (IsExecution && isSuccess(Head.Status) && !m_Fields.Signed)) {
+  if (!isMatchingResponse(Head, m_Fields)) {
     if (const auto Connection = std::exchange(m_Connection, nullptr))
       Connection->abort();
     return end(dispatch::ConnectionLost{});
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -78,7 +78,8 @@
   bool wantsMore() const override { return !m_Owner || m_Owner->wantsMore(); }
 
 private:
-  bool isMatchingResponse() const;
+  bool isMatchingResponse(const proxy::ResponseHead &Head,
+                          const slopes::ServerFields &Fields) const;
   void recordRejection(BootTime Now);
   void recordLimit();
   void recordOutcome(const dispatch::SendOutcome &End);
--- a/Services/figlift-gateway/UsageDirector.cpp
+++ b/Services/figlift-gateway/UsageDirector.cpp
@@ -234,15 +234,19 @@
   if (!Connection)
     return callEnded(Send, 0);
   m_LastCallEnds = Now + CallTimeout;
-  startControlCall(
-      m_Shared.Loop, Connection,
-      slopes::usageCallBytes(m_Shared.Settings.Duties.Address.toString(),
-                             {m_Shared.Settings.Process.Id, Send.Epoch},
-                             Send.Recorded),
-      CallTimeout, [this, Send](unsigned Status, const std::string &) {
-        m_LastCallEnds = BootClock::now();
-        callEnded(Send, Status);
-      });
+  const auto Start = [&](std::shared_ptr<upstream::ExchangeSink> Sink) {
+    Connection->exchange(
+        slopes::usageCallBytes(m_Shared.Settings.Duties.Address.toString(),
+                               {m_Shared.Settings.Process.Id, Send.Epoch},
+                               Send.Recorded),
+        true, std::move(Sink));
+    return Connection;
+  };
+  startControlCall(m_Shared.Loop, Start, CallTimeout,
+                   [this, Send](unsigned Status, const std::string &) {
+                     m_LastCallEnds = BootClock::now();
+                     callEnded(Send, Status);
+                   });
 }
 
 void UsageDirector::callEnded(const usage::SendReport &Sent, unsigned Status) {
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -131,6 +131,63 @@
   }
 }
 
+namespace {
+ServerNotices noticesOf(unsigned Status, const std::string &Name,
+                        const std::string &Value) {
+  proxy::ResponseHead Head;
+  Head.Status = Status;
+  Head.Headers.add(Name, Value);
+  return decodeServerNotices(Head);
+}
+} // namespace
+
+TEST(Headers, ReadsForHowLongAServerWantsNoRequests) {
+  CHECK(noticesOf(503, "Retry-After", "3").Backoff == milliseconds(3000));
+  CHECK(noticesOf(503, "retry-after", " 0.2504 ").Backoff == milliseconds(251));
+  CHECK(noticesOf(429, "Retry-After", "0").Backoff == milliseconds(0));
+  // Other statuses do not reject load.
+  CHECK(!noticesOf(200, "Retry-After", "3").Backoff);
+  CHECK(!noticesOf(500, "Retry-After", "3").Backoff);
+}
+
+TEST(Headers, TakesTheLongestOfSeveralTimes) {
+  proxy::ResponseHead Head;
+  Head.Status = 503;
+  for (const char *Text : {"1", "2.5", "soon", "2"})
+    Head.Headers.add("Retry-After", Text);
+  CHECK(decodeServerNotices(Head).Backoff == milliseconds(2500));
+  LONGS_EQUAL(1, decodeServerNotices(Head).Invalid.size());
+}
+
+TEST(Headers, IgnoresTimesThatNoServerMeans) {
+  for (const char *Text : {"-1", "", "soon", "inf", "nan", "1e99", "3 s",
+                           "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+    const ServerNotices Notices = noticesOf(503, "Retry-After", Text);
+    CHECK(!Notices.Backoff);
+    CHECK(Notices.Invalid == std::vector<std::string_view>{"Retry-After"});
+  }
+}
+
+TEST(Headers, ReadsThatAServerShutsDown) {
+  CHECK(noticesOf(200, "Server-Leaving", "1").ShuttingDown);
+  CHECK(noticesOf(503, "server-leaving", " 1 ").ShuttingDown);
+  CHECK(!noticesOf(200, "Server-Leaving", "0").ShuttingDown);
+  CHECK(noticesOf(200, "Server-Leaving", "0").Invalid.empty());
+  CHECK(!noticesOf(200, "Server-Leaving", "soon").ShuttingDown);
+  LONGS_EQUAL(1, noticesOf(200, "Server-Leaving", "soon").Invalid.size());
+}
+
+// Failure: a new field of the platform is read by nothing, and nobody notices.
+TEST(Headers, NamesFieldsThatNothingReads) {
+  CHECK(noticesOf(200, "Server-Mood", "calm").Unknown ==
+        std::vector<std::string>{"Server-Mood"});
+  for (const char *Known :
+       {"X-Attempt-Id", "X-Response-Signature", "X-Not-Executed", "Retry-After",
+        "Server-Limit", "Server-Leaving", "X-Instance-Id", "X-Weight-Versions",
+        "content-type", "Connection", "Keep-Alive"})
+    CHECK(noticesOf(200, Known, "1").Unknown.empty());
+}
+
 TEST(Headers, WritesFractionsOfASecond) {
   addRetryAfter(Fields, milliseconds(250));
   CHECK(Fields.find("Retry-After") == "0.250");
