figlift-gateway, LibDispatch, LibUpstream: Keep a pause that a server asks for

What callers saw: requests were sent to servers that were known to reject them, and took the time of a rejection and a part of the retry budget; some were refused after it. In the record two engines rejected everything for nine seconds and got 3 to 5 requests from each gateway within the 3 s that they had asked for, where two are allowed.

What held sends back was the load tracker's own exclusion of 30 ms, doubled up to 1 s; after 7 s the record shows just that rate, one request a second from each gateway.

Why this works: ServerBackoffs keeps the end of a pause by start of a server and not by entry, and the later of two ends. It is asked in the one place where anything is sent to a server, again when a connection had to be established first, and before that by whoever chooses: planners, retries, resumed streams, stage orders and questions for the KV cache. A head that has arrived is read also when its caller has just left. If no server may take a request, it is refused at once, and its caller returns when the first pause ends, up to half a second later. The exclusion of the load tracker stays for rejections without a time.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -302,9 +302,12 @@
     Filter = HealthFilter::Any;
     Single = bestSingleTarget(Request, Engines, Prefixes, Costs, Filter, Now);
   }
-  if (!Single)
-    return reject(Request, "no engine takes new requests",
-                  Request.LatencyTarget * 2);
+  if (!Single) {
+    Rejection Unavailable = reject(Request, "no engine takes new requests",
+                                   Request.LatencyTarget * 2);
+    Unavailable.NoneAvailable = true;
+    return Unavailable;
+  }
   const auto PrefillTarget =
       bestPrefillTarget(Request, Engines, Prefixes, Costs, Now);
   const Milliseconds SingleFirstEvent = Single->Prefill.Wait + Single->Cost +
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -91,6 +91,8 @@
   std::string_view Reason;
   Milliseconds FirstEvent{0};
   std::chrono::milliseconds RetryAfter{0};
+  /// No engine may take the request, however long its caller waits.
+  bool NoneAvailable = false;
 };
 using PromptPlan = std::variant<PrefillThenDecode, DecodePlan, Rejection>;
 
--- a/Libraries/LibDispatch/ServicePlanner.cpp
+++ b/Libraries/LibDispatch/ServicePlanner.cpp
@@ -74,7 +74,7 @@
     Best = choose(Request, Servers, true, Now);
   if (!Best)
     return ServiceRejection{"no server takes new requests",
-                            m_Options.RetryAfter};
+                            m_Options.RetryAfter, true};
   const Milliseconds Expected = expected(*Best, Now);
   if (Expected > Request.TimeLeft * m_Options.DeadlineShare)
     return ServiceRejection{"no server would answer in time",
--- a/Libraries/LibDispatch/ServicePlanner.h
+++ b/Libraries/LibDispatch/ServicePlanner.h
@@ -33,6 +33,8 @@
 struct ServiceRejection {
   std::string_view Reason;
   std::chrono::milliseconds RetryAfter{0};
+  /// No server may take the request, however long its caller waits.
+  bool NoneAvailable = false;
 };
 using ServicePlan = std::variant<ServiceAssignment, ServiceRejection>;
 
--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -118,7 +118,8 @@
 std::optional<StageChange>
 StagePlanner::plan(std::span<const Target *const> Engines,
                    const EngineDemand &Demand, double Uncertainty,
-                   const LoadTracker &Loads, BootTime Now) {
+                   const LoadTracker &Loads, BootTime Now,
+                   const std::vector<std::string> &Unreachable) {
   eraseCompletedOrders(Engines, Now);
   recordStageChanges(Engines);
   if (!isListStable(Engines, Now))
@@ -144,6 +145,8 @@
   for (const Target *Candidate : Engines)
     if (Candidate->EngineStage == SourceStage &&
         !isUnavailable(Candidate->Id, Now) &&
+        std::find(Unreachable.begin(), Unreachable.end(), Candidate->Id) ==
+            Unreachable.end() &&
         (!Chosen ||
          Loads.backlog(Candidate->Id, Now) < Loads.backlog(Chosen->Id, Now)))
       Chosen = Candidate;
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -66,11 +66,12 @@
 
   /// \p Engines: the engines of the service, without draining ones.
   /// \p Uncertainty, at least 1: the demand for either stage may be higher or
-  /// lower by this factor.
-  std::optional<StageChange> plan(std::span<const Target *const> Engines,
-                                  const EngineDemand &Demand,
-                                  double Uncertainty, const LoadTracker &Loads,
-                                  BootTime Now);
+  /// lower by this factor. \p Unreachable: ids of engines that must not be sent
+  /// an order now.
+  std::optional<StageChange>
+  plan(std::span<const Target *const> Engines, const EngineDemand &Demand,
+       double Uncertainty, const LoadTracker &Loads, BootTime Now,
+       const std::vector<std::string> &Unreachable = {});
 
   /// Records that an order was sent. It stays pending until the list shows the
   /// new stage, or it failed and the pause has passed, or it can no longer
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -88,6 +88,8 @@
     return;
   if (Code)
     return endExchange(ExchangeOutcome::NotSent);
+  if (!m_Sink->maySend())
+    return endExchange(ExchangeOutcome::NotSent);
   m_State = State::Busy;
   read();
   send();
@@ -189,6 +191,28 @@
   close();
 }
 
+void ServerConnection::abandon() {
+  if (m_State == State::Busy && !m_HeadReported)
+    reportArrivedHead();
+  abort();
+}
+
+void ServerConnection::reportArrivedHead() {
+  using ParserState = proxy::ResponseParser::State;
+  ErrorCode Code;
+  if (m_Socket.available(Code) == 0 || Code)
+    return;
+  std::array<char, 8192> Buffer;
+  const size_t Count = m_Socket.read_some(asio::buffer(Buffer), Code);
+  if (Code)
+    return;
+  const ParserState Progress = m_Parser.feed({Buffer.data(), Count});
+  if (Progress == ParserState::Body || Progress == ParserState::Complete) {
+    m_HeadReported = true;
+    m_Sink->onHead(m_Parser.head());
+  }
+}
+
 void ServerConnection::close() {
   if (std::exchange(m_State, State::Closed) == State::Closed)
     return;
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -50,6 +50,10 @@
   virtual void onHead(const proxy::ResponseHead &Head) = 0;
   virtual void onBody(std::string Bytes) = 0;
   virtual void onEnd(ExchangeOutcome Outcome) = 0;
+  /// Asked when a connection that had to be established first is ready, which
+  /// may be long after the exchange was started. If false, the exchange ends
+  /// with NotSent.
+  virtual bool maySend() const { return true; }
   /// If false, reading pauses until resumeReading() is called.
   virtual bool wantsMore() const { return true; }
 };
@@ -77,6 +81,10 @@
   /// Closes the connection at once, without calling the sink. Servers abandon a
   /// request whose connection closes.
   void abort();
+  /// Like abort(), but first passes the head of a response that has arrived and
+  /// was not read yet: what it says about the server holds although nobody
+  /// waits for the response any more.
+  void abandon();
   void resumeReading();
 
   bool isOpen() const { return m_State != State::Closed; }
@@ -104,6 +112,7 @@
   void read();
   void onReceived(const ErrorCode &Code, size_t Count);
   void processInput(std::string_view Bytes, bool EndOfInput, bool Failed);
+  void reportArrivedHead();
   void completeExchange();
   void endExchange(ExchangeOutcome Outcome);
   void close();
--- a/Services/figlift-gateway/CacheDiscovery.cpp
+++ b/Services/figlift-gateway/CacheDiscovery.cpp
@@ -35,7 +35,10 @@
 void CacheDiscovery::tick(BootTime Now) {
   std::vector<Query> Later;
   for (const Query &Scheduled : std::exchange(m_Pending, {})) {
-    if (Now < Scheduled.Due)
+    const dispatch::Target *Engine = m_Shared.Targets.find(Scheduled.TargetId);
+    const bool MustWait = Engine && m_Shared.Feedback.backoffs().isBackingOff(
+                                        Engine->start(), Now);
+    if (Now < Scheduled.Due || MustWait)
       Later.push_back(Scheduled);
     else if (m_Shared.Open.uses(Scheduled.TargetId))
       queryCache(Scheduled.TargetId);
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -94,9 +94,10 @@
       "Responses in which a server asked for a pause",
       [this] { return double(m_Shared.Feedback.backoffsReceived()); });
   Metrics.registerCounter(
-      "figlift_gateway_sends_during_backoff_total",
-      "Requests and calls sent to a server that had asked for a pause",
-      [this] { return double(m_Shared.Feedback.sendsDuringBackoff()); });
+      "figlift_gateway_sends_held_back_total",
+      "Requests and calls not sent at the last moment, as their server had "
+      "asked for a pause",
+      [this] { return double(m_Shared.Feedback.heldBack()); });
   Metrics.registerCounter(
       "figlift_gateway_unknown_fields_total",
       "Header fields in responses of servers that nothing reads",
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -145,7 +145,10 @@
     return abortStream(Refusal.Reason);
   respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
                                      : dispatch::OutcomeUnknownStatus,
-                   Refusal.Reason, Refusal.RetryAfter);
+                   Refusal.Reason,
+                   Refusal.NoneAvailable
+                       ? retryAfterBackoff(Refusal.RetryAfter, Now)
+                       : Refusal.RetryAfter);
 }
 
 void RequestFlow::planService() {
@@ -163,7 +166,10 @@
     return abortStream(Refusal.Reason);
   respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
                                      : dispatch::OutcomeUnknownStatus,
-                   Refusal.Reason, Refusal.RetryAfter);
+                   Refusal.Reason,
+                   Refusal.NoneAvailable
+                       ? retryAfterBackoff(Refusal.RetryAfter, Now)
+                       : Refusal.RetryAfter);
 }
 
 void RequestFlow::startPrefill(const dispatch::PrefillThenDecode &Plan) {
@@ -322,7 +328,8 @@
       return abortStream("no decode engine available");
     return respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
                                               : dispatch::OutcomeUnknownStatus,
-                            "no decode engine available", FailureRetryAfter);
+                            "no decode engine available",
+                            retryAfterBackoff(FailureRetryAfter, Now));
   }
   startExecution(*Decode);
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -71,6 +71,8 @@
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
+  std::chrono::milliseconds retryAfterBackoff(std::chrono::milliseconds Planned,
+                                              BootTime Now);
   void planPrompt(const dispatch::Service &Service);
   void planService();
   dispatch::Milliseconds generationTime() const;
@@ -154,6 +156,9 @@
   /// Retry-After for a failure whose duration is unknown. A crashed server is
   /// known to be gone after about this time.
   static constexpr std::chrono::milliseconds FailureRetryAfter{300};
+  /// Callers that wait for the end of a backoff return within this time after
+  /// it.
+  static constexpr std::chrono::milliseconds BackoffReturnSpread{500};
   /// An attempt is overdue after this multiple of its expected time plus a
   /// fixed part. A lower value duplicates work under load; with a higher one
   /// the caller has disconnected before the retry. The retry budget bounds the
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -16,10 +16,12 @@
                                m_Shared.costsOf(Service, Now), Now);
 }
 
-/// Targets that failed this request, and those whose request limit is used up
-/// at present.
+/// Targets that failed this request, those whose request limit is used up at
+/// present, and those that have asked for a pause.
 std::vector<std::string> RequestFlow::excluded(BootTime Now) const {
   std::vector<std::string> All = m_Shared.Limits.exhausted(Now);
+  for (std::string &Id : m_Shared.Feedback.backoffs().activeIds(Now))
+    All.push_back(std::move(Id));
   All.insert(All.end(), m_Excluded.begin(), m_Excluded.end());
   return All;
 }
@@ -29,6 +31,27 @@
                                 m_Shared.Open.used(m_Service), Now);
 }
 
+/// Retry-After of a request that no server may take at present. Where servers
+/// have asked for a pause, the first one that takes requests again decides.
+/// Callers that are rejected together return at different times.
+std::chrono::milliseconds
+RequestFlow::retryAfterBackoff(std::chrono::milliseconds Planned,
+                               BootTime Now) {
+  OpenTargets::List Servers =
+      engineService() ? promptTargets() : m_Shared.Open.used(m_Service);
+  // Without a decode engine no prompt runs.
+  std::erase_if(Servers, [](const dispatch::Target *Server) {
+    return Server->EngineStage == dispatch::Stage::Prefill;
+  });
+  const auto End = m_Shared.Feedback.backoffs().firstEnd(Servers, Now);
+  if (!End)
+    return Planned;
+  const Milliseconds Spread =
+      Milliseconds(BackoffReturnSpread) * m_Shared.draw();
+  return std::max(Planned, std::chrono::ceil<std::chrono::milliseconds>(
+                               Milliseconds(*End) + Spread));
+}
+
 /// Whether there is a plan for the request that avoids this target.
 bool RequestFlow::hasAlternative(const std::string &AvoidedTargetId,
                                  BootTime Now) {
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/// Counts and logs what is held back.
+bool mayBeSentTo(Context &Shared, const dispatch::Target &Server,
+                 BootTime Now) {
+  if (!Shared.Feedback.backoffs().isBackingOff(Server.start(), Now))
+    return true;
+  Shared.Feedback.recordHeldBack(Server.Id, Now);
+  return false;
+}
+
 /// Reads what the server says about itself and forwards everything.
 class FeedbackReader : public upstream::ExchangeSink {
 public:
@@ -22,6 +31,9 @@
     m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, BootClock::now());
     m_Sink->onHead(Head);
   }
+  bool maySend() const override {
+    return mayBeSentTo(m_Shared, m_Server, BootClock::now());
+  }
   void onBody(std::string Bytes) override { m_Sink->onBody(std::move(Bytes)); }
   void onEnd(upstream::ExchangeOutcome Outcome) override {
     m_Sink->onEnd(Outcome);
@@ -42,13 +54,12 @@
 startExchange(Context &Shared, ServerRequest Request, BootTime Now) {
   const dispatch::Target *Server = Shared.Targets.find(Request.TargetId);
   const auto Pool = Shared.Pools.find(Request.TargetId);
-  if (!Server || Pool == Shared.Pools.end())
+  if (!Server || Pool == Shared.Pools.end() ||
+      !mayBeSentTo(Shared, *Server, Now))
     return nullptr;
   auto Connection = Pool->second->acquire(Now);
   if (!Connection)
     return nullptr;
-  if (Shared.Feedback.backoffs().isBackingOff(Server->start(), Now))
-    Shared.Feedback.recordSendDuringBackoff(Server->Id, Now);
   Shared.Limits.recordSend(Server->Id, Now);
   std::string Bytes = std::move(Request.Bytes);
   Connection->exchange(
--- a/Services/figlift-gateway/ServerExchange.h
+++ b/Services/figlift-gateway/ServerExchange.h
@@ -2,7 +2,9 @@
 //
 // The only way in which a gateway sends anything to a server: requests of
 // callers and calls of its own. What a server says about itself in a response
-// is read here, whatever the response is for and whoever still waits for it.
+// is read here, whatever the response is for and whoever still waits for it,
+// and a pause that it has asked for is kept here. Whoever chooses servers
+// leaves such a server out beforehand; this is the last check before the bytes.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,7 +28,8 @@
 };
 
 /// Takes a connection from the server's pool and sends the request. Returns
-/// null, without sending, if the server is not listed or its pool is exhausted.
+/// null, without sending, if the server is not listed, its pool is exhausted,
+/// or it has asked for a pause.
 std::shared_ptr<upstream::ServerConnection>
 startExchange(Context &Shared, ServerRequest Request, BootTime Now);
 
--- a/Services/figlift-gateway/ServerFeedback.cpp
+++ b/Services/figlift-gateway/ServerFeedback.cpp
@@ -21,9 +21,8 @@
   if (Notices.Backoff)
     recordBackoff(Server, *Notices.Backoff, Now);
   if (Notices.ShuttingDown && m_Log.allows(LineKind::Notable, Now))
-    log::logEvent(
-        log::Level::Info, "server-shutting-down",
-        {{"target", Server.Id}, {"certain", IsServersAnswer(Head)}});
+    log::logEvent(log::Level::Info, "server-shutting-down",
+                  {{"target", Server.Id}, {"certain", IsServersAnswer(Head)}});
 }
 
 void ServerFeedback::recordBackoff(const dispatch::Target &Server,
@@ -57,12 +56,10 @@
                   {{"target", Server.Id}, {"field", Name}});
 }
 
-void ServerFeedback::recordSendDuringBackoff(const std::string &TargetId,
-                                             BootTime Now) {
-  ++m_SendsDuringBackoff;
+void ServerFeedback::recordHeldBack(const std::string &TargetId, BootTime Now) {
+  ++m_HeldBack;
   if (m_Log.allows(LineKind::Notable, Now))
-    log::logEvent(log::Level::Info, "sent-during-backoff",
-                  {{"target", TargetId}});
+    log::logEvent(log::Level::Info, "send-held-back", {{"target", TargetId}});
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/ServerFeedback.h
+++ b/Services/figlift-gateway/ServerFeedback.h
@@ -36,11 +36,11 @@
             const AnswerCheck &IsServersAnswer, BootTime Now);
 
   const dispatch::ServerBackoffs &backoffs() const { return m_Backoffs; }
-  /// Records that something is being sent to a server that is backing off.
-  void recordSendDuringBackoff(const std::string &TargetId, BootTime Now);
+  /// Records that something was not sent because of a backoff.
+  void recordHeldBack(const std::string &TargetId, BootTime Now);
 
   uint64_t backoffsReceived() const { return m_BackoffsReceived; }
-  uint64_t sendsDuringBackoff() const { return m_SendsDuringBackoff; }
+  uint64_t heldBack() const { return m_HeldBack; }
   uint64_t unknownFields() const { return m_UnknownFields; }
 
 private:
@@ -62,7 +62,7 @@
   /// Names that have been logged.
   std::set<std::string> m_UnknownNames;
   uint64_t m_BackoffsReceived = 0;
-  uint64_t m_SendsDuringBackoff = 0;
+  uint64_t m_HeldBack = 0;
   uint64_t m_UnknownFields = 0;
 };
 
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -56,7 +56,7 @@
   m_Owner = nullptr;
   m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
   if (const auto Connection = std::exchange(m_Connection, nullptr))
-    Connection->abort();
+    Connection->abandon();
 }
 
 void ServerSend::resumeReading() {
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -122,7 +122,8 @@
   State.Demand.observe(fleetDemand(Service.Name, Now), Now);
   const dispatch::EngineDemand Demand = State.Demand.demand();
   const auto Change = State.Planner.plan(
-      Engines, Demand, State.Demand.uncertainty(Now), m_Shared.Loads, Now);
+      Engines, Demand, State.Demand.uncertainty(Now), m_Shared.Loads, Now,
+      m_Shared.Feedback.backoffs().activeIds(Now));
   const bool RemovesShortStage =
       Change && Change->DesiredStage == dispatch::Stage::Decode &&
       m_Shared.PrefillSpills[Service.Name].isPrefillShort(Now);
--- a/Tests/LibDispatch/TestStagePlanner.cpp
+++ b/Tests/LibDispatch/TestStagePlanner.cpp
@@ -6,6 +6,7 @@
 
 #include "LibDispatch/StagePlanner.h"
 
+#include <algorithm>
 #include <deque>
 
 #include <CppUTest/TestHarness.h>
@@ -47,6 +48,21 @@
   CHECK(Change->DesiredStage == Stage::Prefill);
 }
 
+// Failure: an engine that has asked for a pause has no work, and so is chosen
+// for an order that must not be sent to it.
+TEST(StagePlanner, ChangesNoEngineThatMustNotBeSentAnOrder) {
+  std::vector<std::string> Unreachable;
+  for (int Count = 0; Count < 6; ++Count) {
+    const auto Change =
+        Planner.plan(Engines, {3, 3}, Uncertainty, Loads, Now, Unreachable);
+    CHECK(Change.has_value());
+    CHECK(std::find(Unreachable.begin(), Unreachable.end(), Change->TargetId) ==
+          Unreachable.end());
+    Unreachable.push_back(Change->TargetId);
+  }
+  CHECK(!Planner.plan(Engines, {3, 3}, Uncertainty, Loads, Now, Unreachable));
+}
+
 TEST(StagePlanner, KeepsAGoodSplit) { CHECK(!plan({1.5, 4.5})); }
 
 // Under low load a stage change costs more than it gains: as much as several
--- a/Tests/LibUpstream/TestServerConnection.cpp
+++ b/Tests/LibUpstream/TestServerConnection.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -27,6 +29,8 @@
   }
   void onBody(std::string Bytes) override { Body += Bytes; }
   void onEnd(ExchangeOutcome Result) override { Outcome = Result; }
+  bool maySend() const override { return Allowed; }
+  bool Allowed = true;
   unsigned Status = 0;
   std::string Body;
   std::optional<ExchangeOutcome> Outcome;
@@ -183,3 +187,42 @@
   CHECK(!Sink->Outcome.has_value());
   LONGS_EQUAL(0, Pool->openConnections());
 }
+
+// Failure: a request that waited for its connection reaches a server that has
+// asked for a pause meanwhile.
+TEST(ServerConnection, AsksAgainBeforeItSends) {
+  const auto Sink = send();
+  Sink->Allowed = false;
+  accept();
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  CHECK(*Sink->Outcome == ExchangeOutcome::NotSent);
+  boost::system::error_code Code;
+  char Byte = 0;
+  LONGS_EQUAL(0, Server.read_some(asio::buffer(&Byte, 1), Code));
+  CHECK(Code == asio::error::eof);
+}
+
+// Failure: what a server says in a response is lost, as its caller left when
+// the response had arrived.
+TEST(ServerConnection, ReportsAHeadThatHasArrivedWhenItIsAbandoned) {
+  const auto Sink = send();
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
+  // The loop, which would read the response, does not run.
+  std::this_thread::sleep_for(milliseconds(20));
+  Connection->abandon();
+  LONGS_EQUAL(503, Sink->Status);
+  CHECK(!Connection->isOpen());
+  Loop.run_for(milliseconds(20));
+  CHECK(!Sink->Outcome.has_value());
+}
+
+TEST(ServerConnection, ReportsNothingWhenItIsAbandonedBeforeTheResponse) {
+  const auto Sink = send();
+  accept();
+  awaitRequest();
+  Connection->abandon();
+  LONGS_EQUAL(0, Sink->Status);
+  CHECK(!Connection->isOpen());
+}
--- a/Tests/ServerFeedback/TestServerFeedback.cpp
+++ b/Tests/ServerFeedback/TestServerFeedback.cpp
@@ -42,19 +42,19 @@
 /// for a pause of \p Seconds.
 Listener::Behaviour askForPause(Arrivals &Log, const std::string &Seconds,
                                 Listener::Behaviour Usual) {
-  return [&Log, Seconds, Usual](const proxy::Request &Request,
-                                const Caller &To) {
-    Log.Times.push_back(Clock::now());
-    if (!std::exchange(Log.AsksNow, false))
-      return Usual(Request, To);
-    Log.AskedAt = Clock::now();
-    proxy::ResponseHead Head;
-    Head.Status = 503;
-    Head.Headers.add("X-Attempt-Id", "a1");
-    Head.Headers.add("X-Not-Executed", "1");
-    Head.Headers.add("Retry-After", Seconds);
-    To->respond(Head, "");
-  };
+  return
+      [&Log, Seconds, Usual](const proxy::Request &Request, const Caller &To) {
+        Log.Times.push_back(Clock::now());
+        if (!std::exchange(Log.AsksNow, false))
+          return Usual(Request, To);
+        Log.AskedAt = Clock::now();
+        proxy::ResponseHead Head;
+        Head.Status = 503;
+        Head.Headers.add("X-Attempt-Id", "a1");
+        Head.Headers.add("X-Not-Executed", "1");
+        Head.Headers.add("Retry-After", Seconds);
+        To->respond(Head, "");
+      };
 }
 
 /// Responds and says that the server is shutting down.
