figlift-gateway, LibDispatch: Believe a server that says it shuts down

What callers saw: nothing yet; the record does not show it. Requests went to a server that had said in its answers that it was shutting down for as long as its entry said that it was ready, and some entries say so until they are removed.

Cause: the same as of the pauses, a header field that no source reads. Draining came from the entry alone, so the next heartbeat of a server that does not report its shutdown would have brought it back.

Why this works: TargetTable keeps the word of a start of a server until 30 s after the start was listed last, and applies it to each entry of that start. A response counts only if it is the answer to what was asked, and not one of a successor at the address. Peers are not told: each learns it from the first answer, which costs no request, and the rule binds the gateway that got it.

--- a/Libraries/LibDispatch/TargetTable.cpp
+++ b/Libraries/LibDispatch/TargetTable.cpp
@@ -7,6 +7,7 @@
 #include "LibDispatch/TargetTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figlift::dispatch {
 
@@ -42,8 +43,10 @@
   return false;
 }
 
-void TargetTable::apply(const Target &Entry, std::vector<TargetEvent> &Out) {
+void TargetTable::apply(Target Entry, std::vector<TargetEvent> &Out) {
   m_Missing.erase(Entry.Id);
+  if (m_ShuttingDown.contains(Entry.start()))
+    Entry.Draining = true;
   if (isStaleRemovedEntry(Entry))
     return;
   const auto [Found, IsNew] = m_Targets.try_emplace(Entry.Id, Entry);
@@ -136,8 +139,32 @@
   return Out;
 }
 
+std::vector<TargetEvent> TargetTable::recordShutdown(const ServerStart &Server,
+                                                     BootTime Now) {
+  m_ShuttingDown.insert_or_assign(Server, Now);
+  std::vector<TargetEvent> Out;
+  const auto Found = m_Targets.find(Server.TargetId);
+  if (Found != m_Targets.end() && Found->second.start() == Server &&
+      !std::exchange(Found->second.Draining, true))
+    Out.emplace_back(TargetDraining{Server.TargetId});
+  return Out;
+}
+
+/// An entry may be missing for a moment, and come back from a copy of the store
+/// for as long as that of a removed server.
+void TargetTable::forgetOldShutdowns(BootTime Now) {
+  for (auto &[Server, ListedAt] : m_ShuttingDown)
+    if (const Target *Listed = find(Server.TargetId);
+        Listed && Listed->start() == Server)
+      ListedAt = Now;
+  std::erase_if(m_ShuttingDown, [&](const auto &Entry) {
+    return Now - Entry.second > m_Options.RemovedEntryRetention;
+  });
+}
+
 std::vector<TargetEvent> TargetTable::tick(BootTime Now) {
   std::vector<TargetEvent> Out;
+  forgetOldShutdowns(Now);
   std::erase_if(m_Removed, [&](const auto &Removed) {
     return Now - Removed.second.second > m_Options.RemovedEntryRetention;
   });
--- a/Libraries/LibDispatch/TargetTable.h
+++ b/Libraries/LibDispatch/TargetTable.h
@@ -13,6 +13,11 @@
 // earlier start or the non-draining state of a server that is leaving. A store
 // that is restored from a copy lists servers that had been removed.
 //
+// A server that shuts down may say so in its answers before its entry does, or
+// without its entry ever doing so. Its own word holds for the rest of its
+// start: an entry that says "ready" was written earlier, or by a server that
+// does not report its shutdown.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -77,6 +82,9 @@
   std::vector<TargetEvent> update(const Target &Entry, BootTime Now);
   /// Applies the removal of one entry.
   std::vector<TargetEvent> remove(const std::string &Id, BootTime Now);
+  /// Records that the server itself has said that it is shutting down.
+  std::vector<TargetEvent> recordShutdown(const ServerStart &Server,
+                                          BootTime Now);
   /// Removes missing entries whose grace period has ended.
   std::vector<TargetEvent> tick(BootTime Now);
 
@@ -87,10 +95,11 @@
 
 private:
   void recordStoreAnswer(BootTime Now);
-  void apply(const Target &Entry, std::vector<TargetEvent> &Out);
+  void apply(Target Entry, std::vector<TargetEvent> &Out);
   bool isDelayedWrite(const Target &Current, const Target &Entry);
   void drop(const std::string &Id, BootTime Now, std::vector<TargetEvent> &Out);
   bool isStaleRemovedEntry(const Target &Entry);
+  void forgetOldShutdowns(BootTime Now);
 
   TargetTableOptions m_Options;
   std::map<std::string, Target> m_Targets;
@@ -100,6 +109,9 @@
   std::map<std::string, Target> m_SuspectEntries;
   /// Removed servers with their last entries and the times of removal.
   std::map<std::string, std::pair<Target, BootTime>> m_Removed;
+  /// Starts of servers that have said that they are shutting down, and when
+  /// they were listed last.
+  std::map<ServerStart, BootTime> m_ShuttingDown;
   /// Entries that the store does not list now and may list again.
   std::set<std::string> m_Missing;
   bool m_StoreUnavailable = false;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -80,6 +80,8 @@
   describeMetrics();
   m_Store.onNewEra(
       [this](uint64_t PreviousEra) { storeRestored(PreviousEra); });
+  m_Shared.Feedback.onShutdown(
+      [this](const dispatch::ServerStart &Server) { targetShutsDown(Server); });
   FIGLIFT_TRY(listen());
   FIGLIFT_TRY(m_PeerLink.start());
   m_Peers.start();
@@ -202,6 +204,16 @@
     std::visit(Visitor{*this}, Event);
 }
 
+void Gateway::targetShutsDown(const dispatch::ServerStart &Server) {
+  const auto Events = m_Shared.Targets.recordShutdown(Server, BootClock::now());
+  if (Events.empty())
+    return;
+  ++m_AnnouncedShutdowns;
+  log::logEvent(log::Level::Info, "server-shutting-down",
+                {{"target", Server.TargetId}});
+  apply(Events);
+}
+
 void Gateway::targetAdded(const dispatch::Target &Target) {
   log::logEvent(log::Level::Info, "target-came",
                 {{"target", Target.Id},
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -73,6 +73,8 @@
   void announceStoreState();
   void storeUpdateReceived(const dispatch::StoreUpdate &Update);
   void apply(const std::vector<dispatch::TargetEvent> &Events);
+  /// The server has said in a response that it is shutting down.
+  void targetShutsDown(const dispatch::ServerStart &Server);
   void targetAdded(const dispatch::Target &Target);
   void targetRemoved(const std::string &Id);
   void limitPools();
@@ -100,6 +102,8 @@
   BootTime m_SettingsCheckedAt{};
   uint64_t m_Reloads = 0;
   uint64_t m_RejectedEntries = 0;
+  /// Servers whose shutdown became known from a response first.
+  uint64_t m_AnnouncedShutdowns = 0;
   /// Requests whose callers had left before they were read.
   uint64_t m_AbandonedRequests = 0;
   slopes::StoreClient m_Store;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -98,6 +98,11 @@
       "Requests and calls not sent at the last moment, as their server had "
       "asked for a pause",
       [this] { return double(m_Shared.Feedback.heldBack()); });
+  Metrics.registerCounter(
+      "figlift_gateway_announced_shutdowns_total",
+      "Servers that said in a response that they were shutting down, before "
+      "their entries did",
+      [this] { return double(m_AnnouncedShutdowns); });
   Metrics.registerCounter(
       "figlift_gateway_unknown_fields_total",
       "Header fields in responses of servers that nothing reads",
--- a/Services/figlift-gateway/ServerFeedback.cpp
+++ b/Services/figlift-gateway/ServerFeedback.cpp
@@ -20,9 +20,9 @@
     recordUnknown(Server, Name, Now);
   if (Notices.Backoff)
     recordBackoff(Server, *Notices.Backoff, Now);
-  if (Notices.ShuttingDown && m_Log.allows(LineKind::Notable, Now))
-    log::logEvent(log::Level::Info, "server-shutting-down",
-                  {{"target", Server.Id}, {"certain", IsServersAnswer(Head)}});
+  // A successor at the address does not speak for the server.
+  if (Notices.ShuttingDown && IsServersAnswer(Head) && m_OnShutdown)
+    m_OnShutdown(Server.start());
 }
 
 void ServerFeedback::recordBackoff(const dispatch::Target &Server,
--- a/Services/figlift-gateway/ServerFeedback.h
+++ b/Services/figlift-gateway/ServerFeedback.h
@@ -31,6 +31,11 @@
   /// and not from a successor at its address, and answers what was asked.
   using AnswerCheck = std::function<bool(const proxy::ResponseHead &)>;
 
+  /// \p Listener is called for each response of a server that is shutting down.
+  void onShutdown(std::function<void(const dispatch::ServerStart &)> Listener) {
+    m_OnShutdown = std::move(Listener);
+  }
+
   /// Reads a response that arrived on a connection to \p Server.
   void read(const dispatch::Target &Server, const proxy::ResponseHead &Head,
             const AnswerCheck &IsServersAnswer, BootTime Now);
@@ -58,6 +63,7 @@
   /// @}
 
   DecisionLog &m_Log;
+  std::function<void(const dispatch::ServerStart &)> m_OnShutdown;
   dispatch::ServerBackoffs m_Backoffs;
   /// Names that have been logged.
   std::set<std::string> m_UnknownNames;
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -42,6 +42,63 @@
   CHECK(Table.update(Leaving, Now).empty());
 }
 
+// Failure: the next heartbeat of a server that has said that it is shutting
+// down, and whose entry does not say so, brings it back.
+TEST(TargetTable, BelievesAServerThatSaysItShutsDown) {
+  Table.update(target("a"), Now);
+  const auto Events = Table.recordShutdown(target("a").start(), Now);
+  CHECK(std::holds_alternative<TargetDraining>(Events.at(0)));
+  CHECK(Table.recordShutdown(target("a").start(), Now).empty());
+  Target Later = target("a");
+  Later.Heartbeat = 5;
+  Later.Slots = 7;
+  Table.update(Later, Now);
+  CHECK(Table.find("a")->Draining);
+  Table.replaceAll({Later}, Now);
+  CHECK(Table.find("a")->Draining);
+}
+
+TEST(TargetTable, RemembersAShutdownWhileTheEntryIsMissing) {
+  Table.update(target("a"), Now);
+  Table.recordShutdown(target("a").start(), Now);
+  Table.remove("a", Now);
+  advance(milliseconds(20000));
+  Table.tick(Now);
+  Target Again = target("a");
+  Again.Heartbeat = 5;
+  Table.update(Again, Now);
+  CHECK(Table.find("a")->Draining);
+}
+
+// Failure: the next start of a server gets no requests, because the one before
+// had shut down.
+TEST(TargetTable, EndsAShutdownWithTheStartOfTheServer) {
+  Target First = target("a");
+  First.Started = StartTime(milliseconds(1));
+  Table.update(First, Now);
+  Table.recordShutdown(First.start(), Now);
+  Target Second = First;
+  Second.Started = StartTime(milliseconds(2));
+  Table.update(Second, Now);
+  CHECK(!Table.find("a")->Draining);
+  // A late answer of the first start.
+  CHECK(Table.recordShutdown(First.start(), Now).empty());
+  CHECK(!Table.find("a")->Draining);
+}
+
+TEST(TargetTable, ForgetsAShutdownSomeTimeAfterTheServerIsGone) {
+  Table.update(target("a"), Now);
+  Table.recordShutdown(target("a").start(), Now);
+  advance(milliseconds(60000));
+  Table.tick(Now);
+  CHECK(Table.find("a")->Draining);
+  Table.remove("a", Now);
+  advance(milliseconds(31000));
+  Table.tick(Now);
+  Table.update(target("a"), Now);
+  CHECK(!Table.find("a")->Draining);
+}
+
 // Entries expire during an outage of the store, which then returns an empty
 // list until the servers have registered again, within two seconds. If the
 // empty list is applied, all requests are rejected for that time.
