figlift-gateway: Do not eject a server for a request that was held back

A request that waited for its connection and was not sent because of a pause counted as a failure of its server. ServerFeedback takes the start of a server, which is all that it needs.

--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -11,20 +11,21 @@
 namespace {
 
 /// Counts and logs what is held back.
-bool mayBeSentTo(Context &Shared, const dispatch::Target &Server,
+bool mayBeSentTo(Context &Shared, const dispatch::ServerStart &Server,
                  BootTime Now) {
-  if (!Shared.Feedback.backoffs().isBackingOff(Server.start(), Now))
+  if (!Shared.Feedback.backoffs().isBackingOff(Server, Now))
     return true;
-  Shared.Feedback.recordHeldBack(Server.Id, Now);
+  Shared.Feedback.recordHeldBack(Server.TargetId, Now);
   return false;
 }
 
 /// Reads what the server says about itself and forwards everything.
 class FeedbackReader : public upstream::ExchangeSink {
 public:
-  FeedbackReader(Context &Shared, const dispatch::Target &Server,
+  FeedbackReader(Context &Shared, dispatch::ServerStart Server,
                  ServerRequest Request)
-      : m_Shared(Shared), m_Server(Server), m_Sink(std::move(Request.Sink)),
+      : m_Shared(Shared), m_Server(std::move(Server)),
+        m_Sink(std::move(Request.Sink)),
         m_IsServersAnswer(std::move(Request.IsServersAnswer)) {}
 
   void onHead(const proxy::ResponseHead &Head) override {
@@ -43,7 +44,7 @@
 private:
   Context &m_Shared;
   /// As listed when the request was sent.
-  dispatch::Target m_Server;
+  dispatch::ServerStart m_Server;
   std::shared_ptr<upstream::ExchangeSink> m_Sink;
   ServerFeedback::AnswerCheck m_IsServersAnswer;
 };
@@ -55,16 +56,16 @@
   const dispatch::Target *Server = Shared.Targets.find(Request.TargetId);
   const auto Pool = Shared.Pools.find(Request.TargetId);
   if (!Server || Pool == Shared.Pools.end() ||
-      !mayBeSentTo(Shared, *Server, Now))
+      !mayBeSentTo(Shared, Server->start(), Now))
     return nullptr;
   auto Connection = Pool->second->acquire(Now);
   if (!Connection)
     return nullptr;
   Shared.Limits.recordSend(Server->Id, Now);
   std::string Bytes = std::move(Request.Bytes);
-  Connection->exchange(
-      std::move(Bytes), true,
-      std::make_shared<FeedbackReader>(Shared, *Server, std::move(Request)));
+  Connection->exchange(std::move(Bytes), true,
+                       std::make_shared<FeedbackReader>(Shared, Server->start(),
+                                                        std::move(Request)));
   return Connection;
 }
 
--- a/Services/figlift-gateway/ServerFeedback.cpp
+++ b/Services/figlift-gateway/ServerFeedback.cpp
@@ -10,7 +10,7 @@
 
 namespace figlift::gateway {
 
-void ServerFeedback::read(const dispatch::Target &Server,
+void ServerFeedback::read(const dispatch::ServerStart &Server,
                           const proxy::ResponseHead &Head,
                           const AnswerCheck &IsServersAnswer, BootTime Now) {
   const slopes::ServerNotices Notices = slopes::decodeServerNotices(Head);
@@ -22,22 +22,22 @@
     recordBackoff(Server, *Notices.Backoff, Now);
   // A successor at the address does not speak for the server.
   if (Notices.ShuttingDown && IsServersAnswer(Head) && m_OnShutdown)
-    m_OnShutdown(Server.start());
+    m_OnShutdown(Server);
 }
 
-void ServerFeedback::recordBackoff(const dispatch::Target &Server,
+void ServerFeedback::recordBackoff(const dispatch::ServerStart &Server,
                                    std::chrono::milliseconds Time,
                                    BootTime Now) {
   ++m_BackoffsReceived;
-  if (m_Backoffs.record(Server.start(), Time, Now) &&
+  if (m_Backoffs.record(Server, Time, Now) &&
       m_Log.allows(LineKind::State, Now))
     log::logEvent(log::Level::Info, "server-backoff",
-                  {{"target", Server.Id},
+                  {{"target", Server.TargetId},
                    {"forMs", std::chrono::duration<double, std::milli>(Time)},
                    {"backingOff", m_Backoffs.activeCount(Now)}});
 }
 
-void ServerFeedback::recordUnknown(const dispatch::Target &Server,
+void ServerFeedback::recordUnknown(const dispatch::ServerStart &Server,
                                    const std::string &Name, BootTime Now) {
   ++m_UnknownFields;
   if (m_UnknownNames.size() >= MaximumUnknownNames)
@@ -46,14 +46,14 @@
   if (m_UnknownNames.insert(Shortened).second &&
       m_Log.allows(LineKind::State, Now))
     log::logEvent(log::Level::Warning, "server-field-unknown",
-                  {{"target", Server.Id}, {"field", Shortened}});
+                  {{"target", Server.TargetId}, {"field", Shortened}});
 }
 
-void ServerFeedback::recordInvalid(const dispatch::Target &Server,
+void ServerFeedback::recordInvalid(const dispatch::ServerStart &Server,
                                    std::string_view Name, BootTime Now) {
   if (m_Log.allows(LineKind::Notable, Now))
     log::logEvent(log::Level::Warning, "server-field-invalid",
-                  {{"target", Server.Id}, {"field", Name}});
+                  {{"target", Server.TargetId}, {"field", Name}});
 }
 
 void ServerFeedback::recordHeldBack(const std::string &TargetId, BootTime Now) {
--- a/Services/figlift-gateway/ServerFeedback.h
+++ b/Services/figlift-gateway/ServerFeedback.h
@@ -37,8 +37,9 @@
   }
 
   /// Reads a response that arrived on a connection to \p Server.
-  void read(const dispatch::Target &Server, const proxy::ResponseHead &Head,
-            const AnswerCheck &IsServersAnswer, BootTime Now);
+  void read(const dispatch::ServerStart &Server,
+            const proxy::ResponseHead &Head, const AnswerCheck &IsServersAnswer,
+            BootTime Now);
 
   const dispatch::ServerBackoffs &backoffs() const { return m_Backoffs; }
   /// Records that something was not sent because of a backoff.
@@ -49,11 +50,11 @@
   uint64_t unknownFields() const { return m_UnknownFields; }
 
 private:
-  void recordBackoff(const dispatch::Target &Server,
+  void recordBackoff(const dispatch::ServerStart &Server,
                      std::chrono::milliseconds Time, BootTime Now);
-  void recordUnknown(const dispatch::Target &Server, const std::string &Name,
-                     BootTime Now);
-  void recordInvalid(const dispatch::Target &Server, std::string_view Name,
+  void recordUnknown(const dispatch::ServerStart &Server,
+                     const std::string &Name, BootTime Now);
+  void recordInvalid(const dispatch::ServerStart &Server, std::string_view Name,
                      BootTime Now);
 
   /// \name Bounds of what is kept and logged of names that servers choose.
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -165,7 +165,11 @@
     recordRejection(Now);
   if (IsValidResponse && !std::holds_alternative<dispatch::Rejected>(End))
     m_Shared.Loads.recordError(m_TargetId, Now);
-  if (IsValidResponse)
+  // What was held back says nothing about the server's health.
+  const bool WasHeldBack =
+      std::holds_alternative<dispatch::NotSent>(End) && m_Target &&
+      m_Shared.Feedback.backoffs().isBackingOff(m_Target->start(), Now);
+  if (IsValidResponse || WasHeldBack)
     m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
   else
     m_Shared.Loads.recordFailure(m_TargetId, m_Ticket, Now);
