Tests/Soak: Servers that ask for a pause, and that say they shut down

The checks are those of the platform: at most two requests from a gateway from half a second after an answer that asks for a pause until its end (1.1 s here, for a busy machine), and none that was sent later than the drain bound after a gateway had forwarded that a server shuts down. Outages of the store excuse neither.

--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -49,17 +49,19 @@
 }
 
 void FaultInjector::activate(const std::string &Name,
-                             const std::string &Affected, BootTime Until,
-                             std::function<void()> Repair) {
+                             const std::vector<std::string> &Affected,
+                             BootTime Until, std::function<void()> Repair) {
   // Recorded at once, not at the next tick: requests that are interrupted
   // before then are interrupted by this fault, too.
-  m_Checker.recordFault(Affected, BootClock::now());
+  for (const std::string &Part : Affected)
+    m_Checker.recordFault(Part, BootClock::now());
   m_ActiveFaults.push_back({Name, Affected, Until, std::move(Repair)});
 }
 
 void FaultInjector::tick(BootTime Now, bool AllowNew) {
   for (const ActiveFault &Fault : m_ActiveFaults)
-    m_Checker.recordFault(Fault.Affected, Now);
+    for (const std::string &Part : Fault.Affected)
+      m_Checker.recordFault(Part, Now);
   std::vector<ActiveFault> Expired;
   std::erase_if(m_ActiveFaults, [&](ActiveFault &Fault) {
     if (Now < Fault.Until)
@@ -72,6 +74,8 @@
   if (!AllowNew || Now < m_NextFault || m_ActiveFaults.size() >= MaximumFaults)
     return;
   m_NextFault = randomTime(Now, MinimumPauseMs, MaximumPauseMs);
+  if (m_HasServerFeedback && m_FeedbackRandom() % 3 == 0)
+    beginPause(Now);
   m_PlannedOnly ? beginPlanned(Now) : beginFault(Now);
 }
 
@@ -152,7 +156,7 @@
     m_Checker.recordFault(GatewayName, Now);
   m_Fleet.signal(Gateway, Kind);
   if (Kind == Signal::Pause)
-    activate(Name, GatewayName, randomTime(Now, 100, 4000),
+    activate(Name, {GatewayName}, randomTime(Now, 100, 4000),
              [this, Gateway] { m_Fleet.resume(Gateway); });
 }
 
@@ -169,9 +173,11 @@
     m_Fleet.setLink(static_cast<Link>(Kind), Index, Fault);
   };
   SetMode(Mode);
+  using Parts = std::vector<std::string>;
   activate(Name,
-           Kind == 2 ? InvariantChecker::AllGateways
-                     : m_Fleet.gatewayName(Index),
+           Kind == 2 ? Parts{InvariantChecker::AllGateways,
+                             InvariantChecker::ServerLinks}
+                     : Parts{m_Fleet.gatewayName(Index)},
            randomTime(Now, 200, 4000), [SetMode] { SetMode(LinkFault::None); });
 }
 
@@ -200,7 +206,7 @@
     Store.restoreBackup();
     m_Fleet.rewriteEntries();
   };
-  activate("store", InvariantChecker::AllGateways, randomTime(Now, 300, 5000),
+  activate("store", {InvariantChecker::AllGateways}, randomTime(Now, 300, 5000),
            Repair);
 }
 
@@ -227,7 +233,29 @@
   const auto Until = Chosen == Behavior::RateLimited
                          ? randomTime(Now, 4000, MaximumLimitMs)
                          : randomTime(Now, 300, 4000);
-  activate(Name, InvariantChecker::Servers, Until,
+  activate(Name, {InvariantChecker::Servers}, Until,
+           [SetBehavior] { SetBehavior(Behavior::Healthy); });
+}
+
+/// Independent of the other faults, so that it overlaps them.
+void FaultInjector::beginPause(BootTime Now) {
+  const auto Server =
+      static_cast<unsigned>(m_FeedbackRandom() % m_Fleet.servers());
+  const std::string Name = fmt::format("server {}", Server);
+  if (isActive(Name))
+    return;
+  const bool AffectsAll = m_FeedbackRandom() % 6 == 0;
+  m_History.push_back(fmt::format("{}{} asks for a pause", Name,
+                                  AffectsAll ? " and all others" : ""));
+  const auto SetBehavior = [this, Server, AffectsAll](Behavior NewBehavior) {
+    for (unsigned I = 0; I < m_Fleet.servers(); ++I)
+      if (AffectsAll || I == Server)
+        m_Fleet.setBehavior(I, NewBehavior);
+  };
+  SetBehavior(Behavior::AsksForPause);
+  constexpr unsigned MaximumTimeMs = 3000;
+  activate(Name, {InvariantChecker::Servers},
+           Now + milliseconds(m_FeedbackRandom() % MaximumTimeMs),
            [SetBehavior] { SetBehavior(Behavior::Healthy); });
 }
 
@@ -240,9 +268,13 @@
   m_History.push_back(fmt::format("{}, drained first: {}", Name, IsPlanned));
   // A drained server still receives requests for some seconds; a crashed one
   // may be replaced at its address at once.
-  if (IsPlanned)
+  const bool OnlyInResponses =
+      m_HasServerFeedback && m_FeedbackRandom() % 2 == 0;
+  if (IsPlanned && OnlyInResponses)
+    m_Fleet.leave(Server);
+  else if (IsPlanned)
     m_Fleet.drain(Server);
-  activate(Name, IsPlanned ? "none" : InvariantChecker::Servers,
+  activate(Name, {IsPlanned ? "none" : InvariantChecker::Servers},
            randomTime(Now, IsPlanned ? 3500 : 0, 6000),
            [this, Server] { m_Fleet.replace(Server); });
 }
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -24,12 +24,17 @@
   return Seed % 4 == 3 && Seed % 3 != 0;
 }
 
+/// Two of seven seeds, with and without faults, have servers that ask for a
+/// pause, and servers that say in their responses that they are shutting down.
+inline bool hasServerFeedback(uint64_t Seed) { return Seed % 7 >= 5; }
+
 class FaultInjector {
 public:
   FaultInjector(SoakFleet &Fleet, InvariantChecker &Checker, uint64_t Seed)
       : m_Fleet(Fleet), m_Checker(Checker), m_PlannedOnly(Seed % 3 == 0),
-        m_HasCrashesAndLimits(hasCrashesAndLimits(Seed)), m_Random(Seed),
-        m_CopyRandom(Seed), m_LimitRandom(Seed) {}
+        m_HasCrashesAndLimits(hasCrashesAndLimits(Seed)),
+        m_HasServerFeedback(hasServerFeedback(Seed)), m_Random(Seed),
+        m_CopyRandom(Seed), m_LimitRandom(Seed), m_FeedbackRandom(Seed) {}
 
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
@@ -40,9 +45,9 @@
 private:
   struct ActiveFault {
     std::string Name;
-    /// Gateway name or group of \c InvariantChecker that is disturbed
+    /// Gateway names and groups of \c InvariantChecker that are disturbed
     /// meanwhile.
-    std::string Affected;
+    std::vector<std::string> Affected;
     BootTime Until{};
     std::function<void()> Repair;
   };
@@ -57,8 +62,10 @@
   void beginStore(BootTime Now);
   void beginServer(BootTime Now);
   void beginReplacement(BootTime Now);
-  void activate(const std::string &Name, const std::string &Affected,
-                BootTime Until, std::function<void()> Repair);
+  void beginPause(BootTime Now);
+  void activate(const std::string &Name,
+                const std::vector<std::string> &Affected, BootTime Until,
+                std::function<void()> Repair);
   unsigned draw(unsigned Minimum, unsigned Maximum);
   BootTime randomTime(BootTime Now, unsigned Minimum, unsigned Maximum);
   bool isActive(const std::string &Name) const;
@@ -67,11 +74,13 @@
   InvariantChecker &m_Checker;
   const bool m_PlannedOnly;
   const bool m_HasCrashesAndLimits;
+  const bool m_HasServerFeedback;
   std::mt19937_64 m_Random;
   /// Separate sources keep the other choices of each seed unchanged when
   /// choices of these kinds are added.
   std::mt19937_64 m_CopyRandom;
   std::mt19937_64 m_LimitRandom;
+  std::mt19937_64 m_FeedbackRandom;
   std::vector<ActiveFault> m_ActiveFaults;
   std::vector<std::string> m_History;
   BootTime m_NextFault{};
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -88,6 +88,11 @@
 
 void InvariantChecker::recordRestart(const std::string &Gateway) {
   m_ServedVersions.erase(Gateway);
+  const auto IsOfGateway = [&](const auto &Entry) {
+    return Entry.first.Gateway == Gateway;
+  };
+  std::erase_if(m_Backoffs, IsOfGateway);
+  std::erase_if(m_LeavingKnownAt, IsOfGateway);
 }
 
 void InvariantChecker::recordDrain(const std::string &Server, BootTime Now) {
@@ -116,6 +121,8 @@
   }
   checkCrashes(Entry, Now);
   checkLimit(Entry, Event, Now);
+  checkBackoff(Entry, Event, Now);
+  checkLeaving(Entry, Event, Now);
   checkDrain(Entry, Event, Now);
   checkVersion(Entry, Event, Now);
   if (Event.IsPrefill || Event.Rejected)
@@ -215,6 +222,71 @@
         Allowed));
 }
 
+void InvariantChecker::recordBackoff(const std::string &Server,
+                                     const std::string &AttemptId,
+                                     std::chrono::milliseconds Time,
+                                     BootTime Now) {
+  const auto Known = m_Records.find(AttemptId);
+  if (Known == m_Records.end())
+    return;
+  ++m_Counts["backoffs"];
+  std::deque<Backoff> &Asked =
+      m_Backoffs[{Server, Known->second.Request.Gateway}];
+  while (!Asked.empty() && Asked.front().Until <= Now)
+    Asked.pop_front();
+  Asked.push_back({Now, Now + Time});
+}
+
+/// A request may have left before what its gateway knew last.
+bool InvariantChecker::mayHaveBeenHeldUp(const std::string &Gateway,
+                                         BootTime Now) const {
+  const auto IsRecent = [&](const std::string &Source) {
+    const auto Entry = m_LastFaults.find(Source);
+    return Entry != m_LastFaults.end() &&
+           Now - Entry->second < m_Bounds.StableWindow;
+  };
+  return IsRecent(Gateway) || IsRecent(ServerLinks);
+}
+
+/// Faults of the store excuse nothing here.
+void InvariantChecker::checkBackoff(const Record &Entry, const Arrival &Event,
+                                    BootTime Now) {
+  const std::string &Gateway = Entry.Request.Gateway;
+  const auto Known = m_Backoffs.find({Event.Server, Gateway});
+  if (Known == m_Backoffs.end() || mayHaveBeenHeldUp(Gateway, Now))
+    return;
+  for (Backoff &Asked : Known->second) {
+    if (Now < Asked.AskedAt + m_Bounds.BackoffDelay || Now >= Asked.Until)
+      continue;
+    if (++Asked.Arrivals <= m_Bounds.RequestsDuringBackoff)
+      continue;
+    addViolation(fmt::format(
+        "BACKOFF: {} had asked {} for a pause of {} ms and got {} requests",
+        Event.Server, Gateway,
+        std::chrono::duration_cast<std::chrono::milliseconds>(Asked.Until -
+                                                              Asked.AskedAt)
+            .count(),
+        Asked.Arrivals));
+  }
+}
+
+void InvariantChecker::checkLeaving(const Record &Entry, const Arrival &Event,
+                                    BootTime Now) {
+  const std::string &Gateway = Entry.Request.Gateway;
+  const auto KnownAt = m_LeavingKnownAt.find({Event.Server, Gateway});
+  if (KnownAt == m_LeavingKnownAt.end() ||
+      Entry.Request.Sent < KnownAt->second + m_Bounds.DrainBound ||
+      mayHaveBeenHeldUp(Gateway, Now))
+    return;
+  addViolation(fmt::format(
+      "DRAIN: {} got {} from {}, which was sent {} ms after the gateway had "
+      "forwarded that the server shuts down",
+      Event.Server, Event.AttemptId, Gateway,
+      std::chrono::duration_cast<std::chrono::milliseconds>(Entry.Request.Sent -
+                                                            KnownAt->second)
+          .count()));
+}
+
 void InvariantChecker::checkDrain(const Record &Entry, const Arrival &Event,
                                   BootTime Now) {
   const auto DrainStart = m_DrainStarts.find(Event.Server);
@@ -285,6 +357,11 @@
     return;
   if (!Result.Signed)
     addViolation("MIXED: " + Result.AttemptId + " got an unsigned success");
+  if (const auto Leaving = m_LeavingResponses.find(Result.AttemptId);
+      Leaving != m_LeavingResponses.end()) {
+    ++m_Counts["leaving"];
+    m_LeavingKnownAt.try_emplace({Leaving->second, Entry.Request.Gateway}, Now);
+  }
   checkBody(Result);
 }
 
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -102,6 +102,11 @@
   double LimitFactor = 1.5;
   double LimitSlack = 5;
   std::chrono::milliseconds LimitDelay{500};
+  /// From BackoffDelay after a server has asked a gateway for a pause until the
+  /// end of the pause, this many requests may still reach the server: the
+  /// platform's bound of 0.5 s, plus delays of a busy test machine.
+  std::chrono::milliseconds BackoffDelay{1100};
+  unsigned RequestsDuringBackoff = 2;
   /// Maximum time from SIGHUP until a gateway has read its settings.
   std::chrono::milliseconds ReloadSlack{200};
 };
@@ -123,6 +128,15 @@
   /// The server no longer announces a limit.
   void removeLimit(const std::string &Server) { m_Limits.erase(Server); }
 
+  /// The server rejected the attempt and asked for a pause of \p Time.
+  void recordBackoff(const std::string &Server, const std::string &AttemptId,
+                     std::chrono::milliseconds Time, BootTime Now);
+  /// The server's response to the attempt says that it is shutting down.
+  void recordLeavingResponse(const std::string &Server,
+                             const std::string &AttemptId) {
+    m_LeavingResponses[AttemptId] = Server;
+  }
+
   /// \name Disturbances and changes of the system.
   /// @{
   void recordFault(const std::string &Gateway, BootTime Now);
@@ -154,6 +168,8 @@
   /// their own responses.
   static constexpr const char *AllGateways = "everything";
   static constexpr const char *Servers = "servers";
+  /// The same for links to servers, on which requests may be held up.
+  static constexpr const char *ServerLinks = "server links";
   /// Service name of the route whose service changes with each version.
   static constexpr const char *MovingService = "moving";
 
@@ -201,6 +217,18 @@
     std::deque<BootTime> Arrivals;
   };
 
+  /// A pause that a server has asked a gateway for.
+  struct Backoff {
+    BootTime AskedAt{};
+    BootTime Until{};
+    unsigned Arrivals = 0;
+  };
+  struct ServerAndGateway {
+    std::string Server;
+    std::string Gateway;
+    auto operator<=>(const ServerAndGateway &) const = default;
+  };
+
   using Times = std::map<std::string, BootTime>;
   bool isStable(const Times &LastTimes, const std::string &Gateway,
                 BootTime Now) const;
@@ -210,6 +238,9 @@
   void checkRetryBudget(const std::string &Service, BootTime Now);
   void checkCrashes(const Record &Entry, BootTime Now);
   void checkLimit(const Record &Entry, const Arrival &Event, BootTime Now);
+  bool mayHaveBeenHeldUp(const std::string &Gateway, BootTime Now) const;
+  void checkBackoff(const Record &Entry, const Arrival &Event, BootTime Now);
+  void checkLeaving(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkDrain(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkVersion(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkBody(const Outcome &Result);
@@ -219,6 +250,11 @@
   std::map<std::string, Record> m_Records;
   std::map<std::string, Crashes> m_Crashes;
   std::map<std::string, Limit> m_Limits;
+  std::map<ServerAndGateway, std::deque<Backoff>> m_Backoffs;
+  /// By attempt, server whose response says that it is shutting down.
+  std::map<std::string, std::string> m_LeavingResponses;
+  /// When a gateway first forwarded such a response.
+  std::map<ServerAndGateway, BootTime> m_LeavingKnownAt;
   Times m_LastFaults;
   Times m_PlannedChanges;
   std::map<std::string, Stop> m_Stops;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -115,8 +115,10 @@
     const auto Time =
         std::chrono::duration_cast<milliseconds>(Now - Since) - Expected;
     m_LongestStall = std::max(m_LongestStall, Time);
-    if (Time > StallThreshold)
-      m_Checker.recordFault(InvariantChecker::AllGateways, Now);
+    if (Time <= StallThreshold)
+      return;
+    m_Checker.recordFault(InvariantChecker::AllGateways, Now);
+    m_Checker.recordFault(InvariantChecker::ServerLinks, Now);
   }
 
   void recover(SoakFleet &Fleet, FaultInjector &Faults) {
@@ -146,9 +148,10 @@
 
   bool report(const std::vector<std::string> &History) {
     std::string Counts;
-    for (const char *Name : {"requests", "retries", "orders", "crashes",
-                             "status 200", "status 500", "status 502",
-                             "status 503", "status 504", "no response"})
+    for (const char *Name :
+         {"requests", "retries", "orders", "crashes", "backoffs", "leaving",
+          "status 200", "status 500", "status 502", "status 503", "status 504",
+          "no response"})
       Counts += fmt::format(" {}: {};", Name, m_Checker.count(Name));
     std::printf(
         "seed %lu: %zu faults,%s longest stall: %ld ms; %zu violations\n",
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -328,6 +328,11 @@
   publish(Index, "draining");
 }
 
+void SoakFleet::leave(unsigned Index) {
+  m_Servers[Index]->leave();
+  m_ServerIncarnations[Index].Draining = true;
+}
+
 /// Adds invalid and retired entries that no server wrote to the server list.
 /// They must not affect any request.
 void SoakFleet::writeForeignEntries() {
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -54,6 +54,9 @@
   void replace(unsigned Index);
   /// Publishes the server as draining.
   void drain(unsigned Index);
+  /// The server says that it is shutting down in its responses, but publishes
+  /// nothing.
+  void leave(unsigned Index);
   /// After the store was restored from a copy: writes the entries of servers
   /// and the configuration again, and removes entries of servers that no longer
   /// run.
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds StageChangeTime{300};
 constexpr milliseconds MinimumGap{2};
 constexpr double LimitPerSecond = 4;
+/// Longer than the time in which requests may still arrive.
+constexpr unsigned MinimumPauseMs = 2000;
+constexpr unsigned MaximumPauseMs = 4000;
 
 std::string field(const Request &Message, std::string_view Name) {
   return std::string(Message.Head.Headers.find(Name).value_or(""));
@@ -41,12 +44,6 @@
   return Head;
 }
 
-void reject(const Request &Message, const Caller &Sender, unsigned Status) {
-  ResponseHead Head = makeHead(field(Message, "X-Attempt-Id"), Status);
-  Head.Headers.add("X-Not-Executed", "1");
-  Sender->respond(Head, "");
-}
-
 } // namespace
 
 SoakServer::SoakServer(boost::asio::io_context &Loop, InvariantChecker &Checker,
@@ -79,6 +76,10 @@
 
 ResponseHead SoakServer::successHead(const std::string &AttemptId) {
   ResponseHead Head = signedHead(AttemptId, 200);
+  if (m_Leaving) {
+    Head.Headers.add("Server-Leaving", "1");
+    m_Checker.recordLeavingResponse(m_Id, AttemptId);
+  }
   if (m_Behavior != Behavior::RateLimited)
     return Head;
   Head.Headers.add("Server-Limit", fmt::format("{:.1f}", LimitPerSecond));
@@ -96,6 +97,28 @@
   Crashed();
 }
 
+void SoakServer::reject(const Request &Message, const Caller &Sender,
+                        unsigned Status) {
+  ResponseHead Head = makeHead(field(Message, "X-Attempt-Id"), Status);
+  Head.Headers.add("X-Not-Executed", "1");
+  // Another server's successor does not speak for it.
+  if (m_Leaving && Status != 421)
+    Head.Headers.add("Server-Leaving", "1");
+  Sender->respond(Head, "");
+}
+
+void SoakServer::rejectForAWhile(const Request &Message, const Caller &Sender) {
+  const std::string AttemptId = field(Message, "X-Attempt-Id");
+  const milliseconds Pause = draw(MinimumPauseMs, MaximumPauseMs);
+  ResponseHead Head = makeHead(AttemptId, 503);
+  Head.Headers.add("X-Not-Executed", "1");
+  Head.Headers.add(
+      "Retry-After",
+      fmt::format("{:.3f}", std::chrono::duration<double>(Pause).count()));
+  m_Checker.recordBackoff(m_Id, AttemptId, Pause, BootClock::now());
+  Sender->respond(Head, "");
+}
+
 void SoakServer::serve(const Request &Message, const Caller &Sender) {
   // The fault proxy in front of a crashed server still accepts connections.
   if (m_Down)
@@ -121,6 +144,10 @@
   if (Target.starts_with("/v1/kv-handle/"))
     return Sender->respond(Success, "");
   const bool IsPrefill = field(Message, "X-Stage") == "prefill";
+  if (m_Behavior == Behavior::AsksForPause) {
+    recordArrival(Message, IsPrefill, true);
+    return rejectForAWhile(Message, Sender);
+  }
   // A decode engine rejects prefill requests.
   if (m_Behavior == Behavior::RejectsAll ||
       (IsPrefill && m_Stage != "prefill")) {
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -36,6 +36,8 @@
   Unresponsive,
   /// Announces a limit in its responses, far below the rate of its requests.
   RateLimited,
+  /// Rejects all requests and asks each time for a pause.
+  AsksForPause,
 };
 
 class SoakServer {
@@ -51,7 +53,10 @@
   void restartAs(std::string Id) {
     m_Id = std::move(Id);
     m_Down = false;
+    m_Leaving = false;
   }
+  /// Says in all responses that it is shutting down, until \c restartAs.
+  void leave() { m_Leaving = true; }
   void setBehavior(Behavior NewBehavior) {
     m_Behavior = NewBehavior;
     m_Checker.removeLimit(m_Id);
@@ -65,6 +70,10 @@
 private:
   void serve(const proxy::Request &Message, const testing::Caller &Sender);
   void crash(const proxy::Request &Message);
+  void reject(const proxy::Request &Message, const testing::Caller &Sender,
+              unsigned Status);
+  void rejectForAWhile(const proxy::Request &Message,
+                       const testing::Caller &Sender);
   proxy::ResponseHead successHead(const std::string &AttemptId);
   void execute(const proxy::Request &Message, const testing::Caller &Sender);
   void prefill(const proxy::Request &Message, const testing::Caller &Sender);
@@ -89,6 +98,7 @@
   uint64_t m_Orders = 0;
   /// The server crashed and has not restarted.
   bool m_Down = false;
+  bool m_Leaving = false;
   testing::Listener m_Listener;
 };
 
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -64,6 +64,58 @@
   expectViolation("LIMIT");
 }
 
+TEST(InvariantChecker, ServerThatAskedForAPauseGetsAtMostTwoRequests) {
+  recordExecution("a");
+  Checker.recordBackoff("s1", "a", milliseconds(3000), Now);
+  // These may have been on their way.
+  Now += milliseconds(1000);
+  for (const char *Id : {"b", "c", "d"})
+    recordExecution(Id);
+  Now += milliseconds(1000);
+  recordExecution("e");
+  recordExecution("f");
+  expectNoViolation();
+  recordExecution("g");
+  expectViolation("BACKOFF");
+}
+
+TEST(InvariantChecker, PauseEndsAtItsEndAndWithTheProcess) {
+  recordExecution("a");
+  Checker.recordBackoff("s1", "a", milliseconds(3000), Now);
+  Now += milliseconds(3000);
+  for (const char *Id : {"b", "c", "d"})
+    recordExecution(Id);
+  Checker.recordBackoff("s1", "d", milliseconds(3000), Now);
+  Checker.recordRestart("g1");
+  Now += milliseconds(2000);
+  for (const char *Id : {"e", "f", "g"})
+    recordExecution(Id);
+  expectNoViolation();
+}
+
+// An outage of the store does not excuse requests during a pause.
+TEST(InvariantChecker, PauseHoldsDuringAnOutageOfTheStore) {
+  recordExecution("a");
+  Checker.recordBackoff("s1", "a", milliseconds(3000), Now);
+  Now += milliseconds(2000);
+  Checker.recordFault(InvariantChecker::AllGateways, Now);
+  for (const char *Id : {"b", "c", "d"})
+    recordExecution(Id);
+  expectViolation("BACKOFF");
+}
+
+TEST(InvariantChecker, ServerThatSaysItShutsDownGetsNoRequests) {
+  recordExecution("a");
+  Checker.recordLeavingResponse("s1", "a");
+  recordOutcome("a", 200, "answer to a");
+  Now += milliseconds(2500);
+  recordExecution("b");
+  expectNoViolation();
+  Now += milliseconds(200);
+  recordExecution("c");
+  expectViolation("DRAIN");
+}
+
 TEST(InvariantChecker, CrashingRequestIsSentToFewServers) {
   const auto Send = [&](const std::string &Id) {
     Checker.recordRequest(
