Tests/FleetModel: Engines that ask for a pause

Half of the engines reject everything for half a second in a burst and ask for 3 s; and all of a small fleet do, so that the pauses end for all at once.

--- a/Tests/FleetModel/FleetModel.cpp
+++ b/Tests/FleetModel/FleetModel.cpp
@@ -12,6 +12,8 @@
 
 namespace figlift::dispatch::test {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 constexpr unsigned EngineSlots = 6;
@@ -19,6 +21,8 @@
 constexpr unsigned EngineQueueLimit = 18;
 /// Network delay of a request to an engine, or of a response from one.
 constexpr Milliseconds NetworkDelay{0.5};
+/// Callers return within this time after the end of the first pause.
+constexpr Milliseconds ReturnSpread{500};
 constexpr Milliseconds LatencyTarget{200};
 constexpr Milliseconds Deadline{2000};
 /// Fraction of the requests at normal load whose responses last seconds. Their
@@ -60,6 +64,12 @@
     Engine &NewEngine = m_Engines[NewTarget.Id];
     NewEngine.Info = NewTarget;
     NewEngine.Cache.setCapacity(m_Traits.KvCapacityTokens);
+    const unsigned OfStage =
+        I < m_Options.PrefillEngines ? I : I - m_Options.PrefillEngines;
+    const unsigned StageCount = I < m_Options.PrefillEngines
+                                    ? m_Options.PrefillEngines
+                                    : m_Options.DecodeEngines;
+    NewEngine.RejectsForATime = OfStage < m_Options.RejectingShare * StageCount;
   }
   for (const auto &[Id, Known] : m_Engines)
     m_Targets.push_back(&Known.Info);
@@ -158,6 +168,33 @@
   plan(Call);
 }
 
+PromptRequest FleetModel::allowedNow(const RequestPointer &Call) {
+  PromptRequest Allowed = Call->Details;
+  if (m_Options.KeepsPauses)
+    for (const std::string &Id : gateway(Call).Backoffs.activeIds(m_Now))
+      Allowed.Excluded.push_back(Id);
+  return Allowed;
+}
+
+bool FleetModel::rejectForATime(const RequestPointer &Call, Engine &Host) {
+  Gateway &Sender = gateway(Call);
+  std::vector<Gateway::Pause> &Pauses = Sender.Pauses[Host.Info.Id];
+  for (Gateway::Pause &Asked : Pauses)
+    if (m_Now > Asked.AskedAt + milliseconds(500) && m_Now < Asked.Until)
+      m_Result.MostRequestsDuringPause =
+          std::max(m_Result.MostRequestsDuringPause, ++Asked.Requests);
+  if (!Host.RejectsForATime || m_Now < m_Start + m_Options.RejectsFrom ||
+      m_Now >= m_Start + m_Options.RejectsUntil)
+    return false;
+  ++m_Result.PausesAskedFor;
+  Pauses.push_back({m_Now, m_Now + m_Options.Pause});
+  after(NetworkDelay, [this, Call, &Host] {
+    gateway(Call).Backoffs.record(Host.Info.start(), m_Options.Pause, m_Now);
+    handleEngineRejection(Call, Host);
+  });
+  return true;
+}
+
 void FleetModel::plan(const RequestPointer &Call) {
   PromptRequest &Details = Call->Details;
   Call->PlannedAt = m_Now;
@@ -165,7 +202,7 @@
   Details.MaySpill =
       m_Options.Spills && randomFraction() < gateway(Call).Spill.share();
   const auto Plan =
-      gateway(Call).Planner.plan(Details, m_Targets, costs(), m_Now);
+      gateway(Call).Planner.plan(allowedNow(Call), m_Targets, costs(), m_Now);
   if (const auto *PrefillFirst = std::get_if<PrefillThenDecode>(&Plan)) {
     Call->ExpectedFirst = PrefillFirst->FirstEvent;
     return prefill(Call, *PrefillFirst);
@@ -175,7 +212,12 @@
     Call->Spilled = DirectDecode->Spilled;
     return decode(Call, *DirectDecode, false);
   }
-  handleRejection(Call, std::get<Rejection>(Plan).RetryAfter);
+  const auto &Refused = std::get<Rejection>(Plan);
+  const auto FirstEnd = gateway(Call).Backoffs.firstEnd(m_Targets, m_Now);
+  handleRejection(Call, Refused.NoneAvailable && FirstEnd
+                            ? Milliseconds(*FirstEnd) +
+                                  ReturnSpread * randomFraction()
+                            : Milliseconds(Refused.RetryAfter));
 }
 
 void FleetModel::handleRejection(const RequestPointer &Call,
@@ -215,6 +257,8 @@
       {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, m_Now});
   after(NetworkDelay, [this, Call, Plan] {
     Engine &Host = engine(Plan.PrefillTarget);
+    if (rejectForATime(Call, Host))
+      return;
     if (Host.Admitted >= EngineSlots + EngineQueueLimit)
       return after(NetworkDelay,
                    [this, Call, &Host] { handleEngineRejection(Call, Host); });
@@ -250,7 +294,7 @@
   Planning.Loads.recordEnd(Host.Info.Id, Call->Ticket);
   recordCached(Call, Host);
   const auto DecodeTarget = Planning.Planner.chooseDecodeTarget(
-      Call->Details, &Host.Info, m_Targets, costs(), m_Now);
+      allowedNow(Call), &Host.Info, m_Targets, costs(), m_Now);
   if (DecodeTarget)
     return decode(Call, *DecodeTarget, true);
   handleRejection(Call, Milliseconds(300));
@@ -265,6 +309,8 @@
       {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, m_Now});
   after(NetworkDelay, [this, Call, Plan, HasPrefilled] {
     Engine &Host = engine(Plan.DecodeTarget);
+    if (rejectForATime(Call, Host))
+      return;
     if (Host.Admitted >= EngineSlots + EngineQueueLimit)
       return after(NetworkDelay,
                    [this, Call, &Host] { handleEngineRejection(Call, Host); });
@@ -328,6 +374,13 @@
     Planning.Spill.recordSpilled(OnTime);
   else if (!HasPrefilled && !OnTime)
     Planning.Spill.recordLateSmallPrompt();
+  if (OnTime) {
+    const auto Second = static_cast<size_t>(
+        std::chrono::floor<std::chrono::seconds>(m_Now - m_Start).count());
+    m_Result.OnTimeBySecond.resize(
+        std::max(m_Result.OnTimeBySecond.size(), Second + 1));
+    ++m_Result.OnTimeBySecond[Second];
+  }
   if (Call->Arrived >= m_Start + std::chrono::seconds(1))
     ++(OnTime ? m_Result.OnTime : m_Result.Late);
 }
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -16,9 +16,11 @@
 
 #include "LibDispatch/PrefillSpill.h"
 #include "LibDispatch/PromptPlanner.h"
+#include "LibDispatch/ServerBackoffs.h"
 #include "LibDispatch/StartLag.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -44,6 +46,15 @@
   /// Prompts that wait at all prefill engines may be prefilled at decode
   /// engines.
   bool Spills = true;
+  /// Share of the engines of each stage that reject all requests in a part of
+  /// the time and ask for a pause.
+  double RejectingShare = 0;
+  std::chrono::milliseconds RejectsFrom{1500};
+  std::chrono::milliseconds RejectsUntil{2000};
+  std::chrono::milliseconds Pause{3000};
+  /// Gateways keep to the pauses, as opposed to only excluding the engine for
+  /// a short time.
+  bool KeepsPauses = true;
   unsigned Seed = 1;
 };
 
@@ -55,6 +66,13 @@
   unsigned GatewayRejections = 0;
   /// Rejections by full engines.
   unsigned EngineRejections = 0;
+  /// Rejections by engines that ask for a pause.
+  unsigned PausesAskedFor = 0;
+  /// Most requests that one gateway sent to one engine from half a second after
+  /// the engine asked for a pause until the end of the pause.
+  unsigned MostRequestsDuringPause = 0;
+  /// Responses on time by second of their first event.
+  std::vector<unsigned> OnTimeBySecond;
   /// Responses on time per second, for requests that arrived after the first
   /// second.
   double Goodput = 0;
@@ -85,6 +103,7 @@
     BootTime LinkOutUntil{};
     unsigned Admitted = 0;
     unsigned Decoding = 0;
+    bool RejectsForATime = false;
     std::queue<Action> Queue;
   };
   struct Gateway {
@@ -93,6 +112,14 @@
     PromptPlanner Planner;
     StartLag Lag;
     PrefillSpill Spill;
+    ServerBackoffs Backoffs;
+    struct Pause {
+      BootTime AskedAt{};
+      BootTime Until{};
+      unsigned Requests = 0;
+    };
+    /// Pauses that each engine asked for, whether they are kept or not.
+    std::map<std::string, std::vector<Pause>> Pauses;
     /// Prompt parts that engines computed for it since its last report.
     std::vector<std::pair<std::string, PromptPart>> NewlyCached;
   };
@@ -124,6 +151,11 @@
   PromptRequest newRequest();
   void receive(const RequestPointer &Call);
   void plan(const RequestPointer &Call);
+  /// The request without the engines that have asked for a pause.
+  PromptRequest allowedNow(const RequestPointer &Call);
+  /// The engine rejects the request and asks for a pause. Returns whether it
+  /// does so now.
+  bool rejectForATime(const RequestPointer &Call, Engine &Host);
   void handleRejection(const RequestPointer &Call, Milliseconds RetryAfter);
   void prefill(const RequestPointer &Call, const PrefillThenDecode &Plan);
   void finishPrefill(const RequestPointer &Call, Engine &Host);
--- a/Tests/FleetModel/TestBursts.cpp
+++ b/Tests/FleetModel/TestBursts.cpp
@@ -127,6 +127,66 @@
   CHECK(Goodput > 0.95 * FleetModel(Options).run().Goodput);
 }
 
+/// Half of the engines reject everything for half a second and ask for a pause
+/// of 3 s, at twice the load.
+FleetOptions pausingHalf() {
+  FleetOptions Options;
+  Options.Gateways = 30;
+  Options.ReportInterval = milliseconds(60);
+  Options.Load = 2;
+  Options.Duration = milliseconds(5000);
+  Options.RejectingShare = 0.5;
+  return Options;
+}
+
+// Failure: engines that have asked for a pause get requests, each of which is
+// rejected and has to be sent again.
+TEST(Bursts, EnginesGetNoRequestsDuringAPause) {
+  FleetOptions Options = pausingHalf();
+  const FleetResult Result = FleetModel(Options).run();
+  CHECK(Result.PausesAskedFor > 100);
+  LONGS_EQUAL(0, Result.MostRequestsDuringPause);
+  Options.KeepsPauses = false;
+  const FleetResult Without = FleetModel(Options).run();
+  CHECK(Without.MostRequestsDuringPause > 2);
+  CHECK(Result.PausesAskedFor < Without.PausesAskedFor);
+}
+
+// Failure: the rest of the engines do less than they can while the others
+// pause.
+TEST(Bursts, TheOtherEnginesServeWhatTheyCanDuringAPause) {
+  FleetOptions Options = pausingHalf();
+  const FleetResult Result = FleetModel(Options).run();
+  FleetOptions Half = Options;
+  Half.RejectingShare = 0;
+  Half.PrefillEngines /= 2;
+  Half.DecodeEngines /= 2;
+  const FleetResult HalfFleet = FleetModel(Half).run();
+  for (const size_t Second : {2, 3})
+    CHECK(Result.OnTimeBySecond.at(Second) >=
+          0.8 * HalfFleet.OnTimeBySecond.at(Second));
+}
+
+// Failure: after a pause of all engines, which ends for all at once, callers
+// return in one moment and fill the first engines up.
+TEST(Bursts, ServesAsBeforeAfterAPauseOfAllEngines) {
+  FleetOptions Options = pausingHalf();
+  Options.Gateways = 4;
+  Options.PrefillEngines = 3;
+  Options.DecodeEngines = 5;
+  Options.Rate = 200;
+  Options.Load = 1;
+  Options.Duration = milliseconds(7000);
+  Options.RejectingShare = 1;
+  const FleetResult Result = FleetModel(Options).run();
+  LONGS_EQUAL(0, Result.MostRequestsDuringPause);
+  // Nothing is sent from two to four and a half seconds after the start.
+  LONGS_EQUAL(0, Result.OnTimeBySecond.at(3));
+  CHECK(Result.OnTimeBySecond.at(5) >= 0.9 * Options.Rate);
+  CHECK(Result.OnTimeBySecond.at(6) >= 0.9 * Options.Rate);
+  CHECK(Result.EngineRejections - Result.PausesAskedFor < 100);
+}
+
 // At normal load, all requests are served on time.
 TEST(Bursts, RejectsNothingAtNormalLoad) {
   const FleetResult Result = FleetModel({}).run();
