LibTarget, figlift-agent: Pass on the time that a refusing engine asks for

What callers saw: an engine that refused a completion and named a time got the caller back after 200 ms, whatever the time was. Of calls that read the field a fraction was dropped.

Cause: found while looking elsewhere for header fields that nothing reads. The streamed call kept the status alone; HttpCall read whole seconds.

Evidence: HttpEngine.NamesTheTimeThatARefusingEngineAskedFor fails without the change of HttpEngine and passes with it.

Why this works: the time goes with the error of the refusal, as those of the agent's own gate do, and so to the entry and the caller. The agent does not hold back other work for it; replies of plain services are passed on without it.

--- a/Libraries/LibTarget/HttpCall.cpp
+++ b/Libraries/LibTarget/HttpCall.cpp
@@ -16,6 +16,9 @@
 /// Its error code is ambiguous, because a failed write has the same one.
 static constexpr std::string_view NotConnectedPrefix = "Failed to connect";
 
+/// A longer time is an error: targets do not live that long.
+static constexpr std::chrono::hours MaximumRetryAfter{24};
+
 HttpClientPointer makeClient(const Endpoint &Target,
                              std::chrono::milliseconds Timeout) {
   http::client::http_client_config Config;
@@ -43,18 +46,20 @@
   }
 }
 
-static std::optional<std::chrono::milliseconds>
+std::optional<std::chrono::milliseconds>
 readRetryAfter(const http::http_headers &Headers) {
   const auto Found = Headers.find(http::header_names::retry_after);
   if (Found == Headers.end())
     return std::nullopt;
   const std::string &Text = Found->second;
-  unsigned Seconds = 0;
-  const auto [End, ErrorCode] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
-  if (ErrorCode != std::errc())
+  double Seconds = 0;
+  const char *const TextEnd = Text.data() + Text.size();
+  const auto [End, ErrorCode] = std::from_chars(Text.data(), TextEnd, Seconds);
+  if (ErrorCode != std::errc() || End != TextEnd || !(Seconds >= 0) ||
+      Seconds > std::chrono::duration<double>(MaximumRetryAfter).count())
     return std::nullopt;
-  return std::chrono::seconds(Seconds);
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>(Seconds));
 }
 
 static HttpAnswer makeAnswer(const http::http_response &Response,
--- a/Libraries/LibTarget/HttpCall.h
+++ b/Libraries/LibTarget/HttpCall.h
@@ -38,6 +38,11 @@
 /// block.
 CallError describeFailure(std::exception_ptr Exception);
 
+/// Value of the Retry-After header in seconds, with or without a fraction;
+/// empty for a date or another value.
+std::optional<std::chrono::milliseconds>
+readRetryAfter(const web::http::http_headers &Headers);
+
 /// Sends \p Request and reads the complete response.
 void sendCall(const HttpClientPointer &Client,
               const web::http::http_request &Request,
--- a/Libraries/LibTarget/HttpEngine.cpp
+++ b/Libraries/LibTarget/HttpEngine.cpp
@@ -50,8 +50,12 @@
 private:
   void receive(std::string_view Bytes);
   void handleItem(const StreamItem &Item);
-  void end(pplx::task<unsigned> StatusTask);
-  CallResult<CompletionEnd> toResult(unsigned Status);
+  struct ResponseSummary {
+    unsigned Status = 0;
+    std::optional<std::chrono::milliseconds> RetryAfter;
+  };
+  void end(pplx::task<ResponseSummary> ResponseTask);
+  CallResult<CompletionEnd> toResult(const ResponseSummary &Response);
 
   const HttpClientPointer m_Client;
   const HttpClientPointer m_CallClient;
@@ -76,12 +80,15 @@
       concurrency::streams::streambuf<uint8_t>(Sink)));
   auto AwaitBody = [](http::http_response Response) {
     return Response.content_ready().then([](http::http_response Complete) {
-      return static_cast<unsigned>(Complete.status_code());
+      return ResponseSummary{static_cast<unsigned>(Complete.status_code()),
+                             readRetryAfter(Complete.headers())};
     });
   };
   m_Client->request(Request, m_Cancellation.get_token())
       .then(AwaitBody)
-      .then([Self](pplx::task<unsigned> StatusTask) { Self->end(StatusTask); });
+      .then([Self](pplx::task<ResponseSummary> ResponseTask) {
+        Self->end(ResponseTask);
+      });
 }
 
 void StreamedCompletion::cancel() {
@@ -117,24 +124,26 @@
     m_Done = true;
 }
 
-void StreamedCompletion::end(pplx::task<unsigned> StatusTask) {
+void StreamedCompletion::end(pplx::task<ResponseSummary> ResponseTask) {
   std::exception_ptr Exception;
-  unsigned Status = 0;
+  ResponseSummary Response;
   try {
-    Status = StatusTask.get();
+    Response = ResponseTask.get();
   } catch (...) {
     Exception = std::current_exception();
   }
   if (Exception)
     m_Listener->onEnd(describeFailure(Exception));
   else
-    m_Listener->onEnd(toResult(Status));
+    m_Listener->onEnd(toResult(Response));
 }
 
-CallResult<CompletionEnd> StreamedCompletion::toResult(unsigned Status) {
+CallResult<CompletionEnd>
+StreamedCompletion::toResult(const ResponseSummary &Response) {
+  const unsigned Status = Response.Status;
   if (Status == StatusUnavailable || Status == StatusTooManyRequests)
     return CallError{Execution::NotRun,
-                     {ResultCode::NotReady, m_Head, {}, std::nullopt}};
+                     {ResultCode::NotReady, m_Head, {}, Response.RetryAfter}};
   if (Status != StatusOk) {
     const bool Refused = Status >= 400 && Status < 500;
     return CallError{
--- a/Services/figlift-agent/Completions.cpp
+++ b/Services/figlift-agent/Completions.cpp
@@ -17,7 +17,7 @@
 
 using timeline::SubjectType;
 
-/// Retry-After of work that the engine itself refused.
+/// Retry-After of work that the engine itself refused without naming a time.
 static constexpr std::chrono::milliseconds EngineRefusedRetryAfter{200};
 
 /// Passes an answer from the threads of the HTTP pool to the event loop.
@@ -203,7 +203,7 @@
                                : ResultCode::NotReady,
                  CallError.Cause.Message,
                  {},
-                 EngineRefusedRetryAfter};
+                 CallError.Cause.RetryAfter.value_or(EngineRefusedRetryAfter)};
   }
   return Error{ResultCode::TargetFailed,
                "the engine's answer was interrupted: " +
--- a/Tests/LibTarget/TestHttpEngine.cpp
+++ b/Tests/LibTarget/TestHttpEngine.cpp
@@ -10,6 +10,7 @@
 #include "ScriptedServer.h"
 
 #include <future>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -123,3 +124,20 @@
   CHECK_FALSE(Result.has_value());
   CHECK(Result.error().Executed == Execution::NotRun);
 }
+
+TEST(HttpEngine, NamesTheTimeThatARefusingEngineAskedFor) {
+  // Guards against callers that return before the engine takes work again.
+  for (const auto &[Text, Expected] :
+       std::map<std::string, std::optional<std::chrono::milliseconds>>{
+           {"3", std::chrono::milliseconds(3000)},
+           {"2.5", std::chrono::milliseconds(2500)},
+           {"soon", std::nullopt},
+           {"-1", std::nullopt}}) {
+    ScriptedServer Server({"HTTP/1.1 503 Service Unavailable\r\nRetry-After: " +
+                           Text + "\r\nContent-Length: 0\r\n\r\n"});
+    std::string Body;
+    const auto Result = complete(Server.endpoint(), Body);
+    CHECK_FALSE(Result.has_value());
+    CHECK(Result.error().Cause.RetryAfter == Expected);
+  }
+}
