Tests/LibHttp, KNOWN-RED: Let the request arrive before the server stops

The listed failure was the test's. It started the stop and sent the request after it, on a server with a second, free thread: if the thread of the stop came first, the connection was idle and its close right.

The scene is now what its text said: handlers occupy both threads, the request arrives, then the server stops, and only then the threads go on.

--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -328,29 +328,33 @@
   Stopper.join();
 }
 
+// Failure: a request that has arrived is dropped with its connection when the
+// process stops, as its connection counts as idle until the request is read.
 TEST(HttpServer, ARequestThatWaitsToBeReadIsRefusedAtTheStop) {
-  // Symptom: a caller's connection is reset when a process shuts down, although
-  // requests that it does not accept should be rejected.
-  // Sequence: a handler occupies a thread, a request arrives on a kept
-  // connection, the server stops.
-  // Cause: whether a connection is idle was judged only by the input already
-  // read.
-  std::promise<void> Busy;
+  // One handler for each of the server's threads, so that nothing is read.
+  constexpr unsigned Threads = 2;
+  std::atomic<unsigned> Busy = 0;
   std::promise<void> Resume;
+  const std::shared_future<void> Resumed = Resume.get_future().share();
   start({route("GET", "/v1/", echo), route("POST", "/v1/", [&](auto Call) {
-           Busy.set_value();
-           Resume.get_future().wait();
+           ++Busy;
+           Resumed.wait();
            echo(Call);
          })});
   Connection Kept(Port);
   Kept.send("GET /v1/x HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(contains(Kept.readUntil("|/v1/x"), "|/v1/x"));
-  Connection Blocking(Port);
-  Blocking.send("POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-  Busy.get_future().wait();
+  Connection First(Port);
+  Connection Second(Port);
+  for (Connection *Blocking : {&First, &Second})
+    Blocking->send(
+        "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  CHECK(eventually([&] { return Busy == Threads; }));
   Running->drain();
-  std::thread Stopper([&] { Running->stop(); });
   Kept.send("GET /v1/y HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::thread Stopper([&] { Running->stop(); });
+  // The stop closes idle connections before anything else is read.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
   Resume.set_value();
   const std::string Reply = Kept.readUntil("Retry-After");
   Stopper.join();
