LibPlatform: Send no call whose time was used up in the queue

What callers saw: while the store hangs, calls reached it that their callers had given up, or gave up a moment later; such a call may be carried out, and its caller is told that the outcome is unknown, although it never had a chance.

Cause: a queued call ends by a timer of its own. When the calls in flight time out, their slots go to the next ones, whose timers are due in the same moment and may not have fired on a busy machine, so they are sent.

Why this works: a slot is given only to a call that has a tenth of its timeout left, by the clock and not by its timer; others end at once as not processed.

--- a/Libraries/LibPlatform/BoundedHttpClient.cpp
+++ b/Libraries/LibPlatform/BoundedHttpClient.cpp
@@ -28,14 +28,22 @@
 /// it.
 static constexpr size_t ChunkBytes = 4096;
 
+/// Share of its timeout that a call needs to be answered. A call that has
+/// waited longer for a slot is not sent.
+static constexpr int MinimumTimeLeftDivisor = 10;
+
+using Clock = std::chrono::steady_clock;
+
 /// One call from its submission to its completion.
 struct BoundedHttpClient::Call {
-  Call(HttpRequest Submitted, Handler Completion)
+  Call(HttpRequest Submitted, Handler Completion, Clock::time_point SendBy)
       : Request(std::move(Submitted)), Done(std::move(Completion)),
+        LatestStart(SendBy),
         Timer(crossplat::threadpool::shared_instance().service()) {}
 
   HttpRequest Request;
   Handler Done;
+  const Clock::time_point LatestStart;
   boost::asio::steady_timer Timer;
   pplx::cancellation_token_source Cancellation;
   /// Set before the first byte may be sent.
@@ -104,7 +112,9 @@
 
 void BoundedHttpClient::submit(HttpRequest Request, Handler Done) {
   auto CurrentCall =
-      std::make_shared<Call>(std::move(Request), std::move(Done));
+      std::make_shared<Call>(std::move(Request), std::move(Done),
+                             Clock::now() + m_Options.Timeout -
+                                 m_Options.Timeout / MinimumTimeLeftDivisor);
   bool Rejected = false;
   bool Start = false;
   {
@@ -157,6 +167,9 @@
 }
 
 void BoundedHttpClient::launch(const CallPointer &CurrentCall) {
+  // The timer that ends a queued call may be late, or about to fire.
+  if (!CurrentCall->Finished && Clock::now() >= CurrentCall->LatestStart)
+    finish(CurrentCall, HttpFailure{false, "no time left after the queue"});
   if (CurrentCall->Finished)
     return releaseSlot();
   CurrentCall->Launched = true;
