--- a/Services/figlift-gateway/UsageDirector.cpp
+++ b/Services/figlift-gateway/UsageDirector.cpp
@@ -230,7 +230,7 @@
 
 void UsageDirector::act(const usage::SendReport &Send) {
   const BootTime Now = BootClock::now();
-  const auto Connection = m_Receiver->acquire(Now);
+  auto Connection = m_Receiver->acquire(Now);
   if (!Connection)
     return callEnded(Send, 0);
   m_LastCallEnds = Now + CallTimeout;
