--- a/Tests/ServerFeedback/TestServerFeedback.cpp
+++ b/Tests/ServerFeedback/TestServerFeedback.cpp
@@ -155,8 +155,9 @@
 
 // Failure: the gateway releases KV cache at an engine that wants no requests.
 TEST(ServerFeedback, OwnCallsWaitUntilTheBackoffEnds) {
-  // Prefills until asked to run alone, when it wants no requests.
   unsigned Releases = 0;
+  // Takes 300 ms for the first prompt. Meanwhile it rejects the second one and
+  // asks for a pause.
   const auto Engine = [&](const proxy::Request &Request, const Caller &To) {
     if (Request.Head.Target.starts_with("/v1/kv-handle/")) {
       ++Releases;
