LibTarget: Blame the request only for statuses that concern it

Cause: an agent took every status from 400 to 499 of its engine for a fault of the request. Such a failure is final, so the entry ended the answer for good. An HTTP server that is starting or ending answers 404 to paths that it does know otherwise.

Evidence: the error names no message of an agent and a time of 200 ms, which only a refusal by an engine with an empty body has. With the test alone, HttpEngine.OnlySomeStatusesBlameTheRequest failed at its first 404.

Why this works: 400, 413, 415 and 422 say that the request is wrong at every engine. Any other status of that kind is a refusal of this engine, not run, and the request goes on elsewhere within its usual bounds.

--- a/Libraries/LibTarget/HttpEngine.cpp
+++ b/Libraries/LibTarget/HttpEngine.cpp
@@ -138,6 +138,16 @@
     m_Listener->onEnd(toResult(Response));
 }
 
+/// Whether the status blames the request itself, so that every engine would
+/// refuse it. Other client errors depend on the engine: one that is starting or
+/// ending, for example, does not know its own paths (404).
+static bool blamesRequest(unsigned Status) {
+  return Status == http::status_codes::BadRequest ||
+         Status == http::status_codes::RequestEntityTooLarge ||
+         Status == http::status_codes::UnsupportedMediaType ||
+         Status == http::status_codes::UnprocessableEntity;
+}
+
 CallResult<CompletionEnd>
 StreamedCompletion::toResult(const ResponseSummary &Response) {
   const unsigned Status = Response.Status;
@@ -146,12 +156,11 @@
                      {ResultCode::NotReady, m_Head, {}, Response.RetryAfter}};
   if (Status != StatusOk) {
     const bool Refused = Status >= 400 && Status < 500;
+    const ResultCode RefusalCode =
+        blamesRequest(Status) ? ResultCode::InvalidInput : ResultCode::NotReady;
     return CallError{
         Refused ? Execution::NotRun : Execution::MayHaveRun,
-        {Refused ? ResultCode::InvalidInput : ResultCode::TargetFailed,
-         m_Head,
-         {},
-         std::nullopt}};
+        {Refused ? RefusalCode : ResultCode::TargetFailed, m_Head, {}, {}}};
   }
   if (m_Malformed)
     return CallError{Execution::MayHaveRun, *m_Malformed};
--- a/Tests/LibTarget/TestHttpEngine.cpp
+++ b/Tests/LibTarget/TestHttpEngine.cpp
@@ -141,3 +141,23 @@
     CHECK(Result.error().Cause.RetryAfter == Expected);
   }
 }
+
+TEST(HttpEngine, OnlySomeStatusesBlameTheRequest) {
+  // Guards against completions that end for good, as if they were invalid, at
+  // an engine that is starting or ending and does not know its paths.
+  for (const auto &[Status, Expected] : std::map<std::string, ResultCode>{
+           {"400 Bad Request", ResultCode::InvalidInput},
+           {"413 Content Too Large", ResultCode::InvalidInput},
+           {"422 Unprocessable Content", ResultCode::InvalidInput},
+           {"404 Not Found", ResultCode::NotReady},
+           {"408 Request Timeout", ResultCode::NotReady},
+           {"409 Conflict", ResultCode::NotReady}}) {
+    ScriptedServer Server(
+        {"HTTP/1.1 " + Status + "\r\nContent-Length: 0\r\n\r\n"});
+    std::string Text;
+    const auto Result = complete(Server.endpoint(), Text);
+    CHECK_FALSE(Result.has_value());
+    CHECK(Result.error().Executed == Execution::NotRun);
+    CHECK_TEXT(Result.error().Cause.Code == Expected, Status.c_str());
+  }
+}
