LibRetry, figlift-gateway: Reserve the execution of a repeated prefill

What callers saw: nothing at first; engines got up to twice the repeats that the fleet may send them while they failed, which keeps them from recovering.

Cause: a retry was granted when the budget had room for one. A prompt whose KV cache is nowhere needs two, a prefill and an execution, and the execution was charged only when it was sent, after the prefill. All requests that fail together passed the check in the meantime.

With prompts whose parts are known it does not show: the retry then fetches them and needs one.

Why this works: a retry is granted only if the budget has room for all that it may send, and keeps that room until the execution is sent, or the request is over.

--- a/Libraries/LibRetry/FleetRetryBudget.cpp
+++ b/Libraries/LibRetry/FleetRetryBudget.cpp
@@ -46,11 +46,20 @@
   if (Now >= m_BaseStart)
     Allowed += m_Settings.Base / static_cast<double>(Processes);
   return UsableFraction * Allowed -
-         static_cast<double>(ServiceAccount.Retries.size());
+         static_cast<double>(ServiceAccount.Retries.size() +
+                             ServiceAccount.Reserved);
 }
 
 void FleetRetryBudget::recordRetry(const std::string &Service, BootTime Now) {
   m_Accounts[Service].Retries.push_back(Now);
 }
 
+void FleetRetryBudget::reserveRetry(const std::string &Service) {
+  ++m_Accounts[Service].Reserved;
+}
+
+void FleetRetryBudget::cancelReservation(const std::string &Service) {
+  --m_Accounts[Service].Reserved;
+}
+
 } // namespace figlift::retry
--- a/Libraries/LibRetry/FleetRetryBudget.h
+++ b/Libraries/LibRetry/FleetRetryBudget.h
@@ -43,12 +43,17 @@
   /// attempt that a server rejected is charged as well, so the budget may
   /// become negative.
   void recordRetry(const std::string &Service, BootTime Now);
+  /// Keeps room for a retry that is certain to follow one that is recorded now.
+  /// To be cancelled when the retry is recorded, or will not be sent.
+  void reserveRetry(const std::string &Service);
+  void cancelReservation(const std::string &Service);
   double remaining(const std::string &Service, BootTime Now);
 
 private:
   struct Account {
     std::deque<BootTime> Requests;
     std::deque<BootTime> Retries;
+    size_t Reserved = 0;
   };
 
   /// Part of the budget that is used. The rest is a margin for differences
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -171,6 +171,7 @@
     return;
   m_DeadlineTimer.cancel();
   m_SilenceTimer.cancel();
+  cancelReservedRetry();
   const BootTime Now = BootClock::now();
   if (m_FirstEvent)
     m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -244,12 +244,29 @@
 
 /// The first prefill and the first execution of a request are free. Each
 /// further one that reaches a server is charged as a retry, also when both are
-/// repeated after a rejected execution.
+/// repeated after a rejected execution. The second one is sent much later then;
+/// other requests must not use up the budget for it meanwhile.
 void RequestFlow::chargeRetry(SendPurpose Purpose, BootTime Now) {
-  bool &Sent =
-      Purpose == SendPurpose::Prefill ? m_PrefillArrived : m_ExecutionArrived;
+  const bool IsPrefill = Purpose == SendPurpose::Prefill;
+  bool &Sent = IsPrefill ? m_PrefillArrived : m_ExecutionArrived;
   if (std::exchange(Sent, true))
     m_Shared.Budget.recordRetry(m_Service, Now);
+  if (!IsPrefill)
+    return cancelReservedRetry();
+  if (m_ExecutionArrived && !std::exchange(m_ExecutionReserved, true))
+    m_Shared.Budget.reserveRetry(m_Service);
+}
+
+void RequestFlow::cancelReservedRetry() {
+  if (std::exchange(m_ExecutionReserved, false))
+    m_Shared.Budget.cancelReservation(m_Service);
+}
+
+/// Retries that the next attempt may be charged with and that are not reserved
+/// yet.
+double RequestFlow::retryCost() const {
+  const bool RepeatsExecution = m_ExecutionArrived && !m_ExecutionReserved;
+  return m_PrefillArrived && RepeatsExecution ? 2 : 1;
 }
 
 void RequestFlow::armSendTimeout(Milliseconds Expected) {
@@ -419,7 +436,8 @@
     const bool NothingArrived =
         std::holds_alternative<dispatch::NotSent>(End) && !m_PrefillArrived &&
         !m_ExecutionArrived;
-    return NothingArrived || m_Shared.Budget.remaining(m_Service, Now) >= 1;
+    return NothingArrived ||
+           m_Shared.Budget.remaining(m_Service, Now) >= retryCost();
   });
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -126,6 +126,8 @@
   void armDeadline();
   void endWithoutResponse(std::string_view Reason);
   void chargeRetry(SendPurpose Purpose, BootTime Now);
+  double retryCost() const;
+  void cancelReservedRetry();
   void armSendTimeout(dispatch::Milliseconds Expected);
   void armEventTimeout();
   void logAccepted();
@@ -223,6 +225,8 @@
   /// A prefill, or an execution, of this request has reached a server.
   bool m_PrefillArrived = false;
   bool m_ExecutionArrived = false;
+  /// The retry budget keeps room for the execution after a repeated prefill.
+  bool m_ExecutionReserved = false;
   bool m_ResponseStarted = false;
   /// Set for rejections that have their own result code.
   ResultCode m_Code = ResultCode::Success;
--- a/Tests/LibRetry/TestFleetRetryBudget.cpp
+++ b/Tests/LibRetry/TestFleetRetryBudget.cpp
@@ -73,3 +73,14 @@
   spendAll(Budget);
   CHECK(Budget.remaining("other", Now) >= 1);
 }
+
+// Guards against retries that are granted together and whose second parts then
+// exceed the budget.
+TEST(FleetRetryBudget, KeepsRoomForReservedRetries) {
+  FleetRetryBudget Budget(Settings, true, Now);
+  for (int I = 0; I < 10; ++I)
+    Budget.reserveRetry("s");
+  LONGS_EQUAL(30, spendAll(Budget));
+  Budget.cancelReservation("s");
+  LONGS_EQUAL(1, spendAll(Budget));
+}
