figlift-gateway: Suspect no request that was sent after its server's end

What callers saw: requests that were refused as causes of crashes (503), and that had crashed nothing; all that looked alike, as copies of one request do.

Cause: each connection that was lost at a server which turned out to have ended counted against its request, also where the request was sent after the end. That happens where something still accepts at the address, and in the moment before the end of a kept connection arrives.

With the tests alone, ServerCrashes.AreNotCausedByRequestsThatWereSentAfterwards failed.

Why this works: a server has ended no later than its first lost connection since its last response. What was sent later cannot have ended it. The other test keeps the guilty one: a request that was sent after an unrelated loss is suspected where the server has answered in between. On a server that says nothing in between it goes free once, for one more crash.

--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -81,8 +82,9 @@
                                 const dispatch::Target &Target, BootTime SentAt,
                                 BootTime Now) {
   const Suspicion::LostSend Loss{Request, SentAt, Now};
-  if (m_Ended.contains(Target.start())) {
-    suspect(Target.start(), Loss, Now);
+  if (const auto Known = m_Ended.find(Target.start()); Known != m_Ended.end()) {
+    if (SentAt <= Known->second.CrashedBy)
+      suspect(Target.start(), Loss, Now);
     return announceNew(Now);
   }
   Suspicion &Entry = m_Suspicions[Target.start()];
@@ -136,6 +138,19 @@
       });
 }
 
+std::optional<BootTime> CrashWatch::Suspicion::crashedBy(BootTime Since) const {
+  std::optional<BootTime> First;
+  for (const LostSend &Loss : Losses)
+    if (Loss.LostAt >= Since && (!LastResponse || Loss.LostAt > *LastResponse))
+      First = std::min(First.value_or(Loss.LostAt), Loss.LostAt);
+  return First;
+}
+
+void CrashWatch::serverResponded(const ServerStart &Start, BootTime Now) {
+  if (const auto Entry = m_Suspicions.find(Start); Entry != m_Suspicions.end())
+    Entry->second.LastResponse = Now;
+}
+
 CrashWatch::Suspicions::iterator
 CrashWatch::findSuspicion(const std::string &TargetId) {
   const auto Entry =
@@ -164,7 +179,8 @@
   const BootTime Now = BootClock::now();
   const Suspicion Confirmed = std::move(Entry->second);
   m_Suspicions.erase(Entry);
-  m_Ended[Start] = Now;
+  const BootTime CrashedBy = Confirmed.crashedBy(Since).value_or(Now);
+  m_Ended[Start] = {CrashedBy, Now};
   ++m_Crashes;
   if (m_Log.allows(LineKind::State, Now))
     log::logEvent(log::Level::Info, "server-ended",
@@ -172,7 +188,7 @@
                    {"how", Reason},
                    {"brokeOff", Confirmed.Losses.size()}});
   for (const Suspicion::LostSend &Loss : Confirmed.Losses)
-    if (Loss.LostAt >= Since)
+    if (Loss.LostAt >= Since && Loss.SentAt <= CrashedBy)
       suspect(Start, Loss, Now);
   announceNew(Now);
 }
@@ -235,7 +251,7 @@
   std::erase_if(m_Suspicions,
                 [](const auto &Entry) { return Entry.second.Losses.empty(); });
   std::erase_if(m_Ended, [&](const auto &Entry) {
-    return Now - Entry.second > SuspicionLifetime;
+    return Now - Entry.second.DetectedAt > SuspicionLifetime;
   });
   m_Suspects.expire(Now);
 }
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -9,6 +9,10 @@
 // without having been draining. Results go to CrashSuspects, which decides
 // which requests to reject, and to the peers.
 //
+// A request that was sent after the server had crashed cannot be the cause. Its
+// connection is lost all the same, as something else may still accept at the
+// address, or the end of a kept connection is still on its way.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -66,6 +70,8 @@
   void connectionLost(const dispatch::RequestFingerprint &Request,
                       const dispatch::Target &Target, BootTime SentAt,
                       BootTime Now);
+  /// The server sent a part of a response: it had not crashed before.
+  void serverResponded(const dispatch::ServerStart &Start, BootTime Now);
   /// The target is draining: connections that it closes from now on are no
   /// sign of a crash.
   void targetDraining(const std::string &TargetId);
@@ -93,6 +99,18 @@
     };
     bool Probing = false;
     std::vector<LostSend> Losses;
+    /// When the server sent something last, after the first of the losses.
+    std::optional<BootTime> LastResponse;
+
+    /// The latest time at which the server can have crashed: its first lost
+    /// connection since its last response. Connections that were lost before
+    /// \p Since were not lost in the crash. Empty if none was.
+    std::optional<BootTime> crashedBy(BootTime Since) const;
+  };
+  struct Ended {
+    /// See Suspicion::crashedBy().
+    BootTime CrashedBy{};
+    BootTime DetectedAt{};
   };
   using Suspicions = std::map<dispatch::ServerStart, Suspicion>;
 
@@ -101,8 +119,8 @@
              unsigned Attempt);
   void retryProbe(const dispatch::ServerStart &Start, const Endpoint &Address,
                   unsigned Attempt);
-  /// Attributes the crash to the requests whose connections were lost at or
-  /// after \p Since.
+  /// Attributes the crash to the requests that were sent before it and whose
+  /// connections were lost at or after \p Since.
   void serverEnded(const dispatch::ServerStart &Start, std::string_view Reason,
                    BootTime Since);
   void suspect(const dispatch::ServerStart &Start,
@@ -115,9 +133,9 @@
   std::optional<dispatch::Fingerprinter> m_Fingerprinter;
   dispatch::CrashSuspects m_Suspects;
   Suspicions m_Suspicions;
-  /// Starts of servers that crashed, and when the crash was detected. Further
-  /// lost connections to them may be reported later.
-  std::map<dispatch::ServerStart, BootTime> m_Ended;
+  /// Starts of servers that crashed. Further lost connections to them may be
+  /// reported later.
+  std::map<dispatch::ServerStart, Ended> m_Ended;
   uint64_t m_Crashes = 0;
   uint64_t m_Rejected = 0;
 };
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -29,13 +29,18 @@
         m_IsServersAnswer(std::move(Request.IsServersAnswer)) {}
 
   void onHead(const proxy::ResponseHead &Head) override {
-    m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, BootClock::now());
+    const BootTime Now = BootClock::now();
+    m_Shared.Crashes.serverResponded(m_Server, Now);
+    m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, Now);
     m_Sink->onHead(Head);
   }
   bool maySend() const override {
     return mayBeSentTo(m_Shared, m_Server, BootClock::now());
   }
-  void onBody(std::string Bytes) override { m_Sink->onBody(std::move(Bytes)); }
+  void onBody(std::string Bytes) override {
+    m_Shared.Crashes.serverResponded(m_Server, BootClock::now());
+    m_Sink->onBody(std::move(Bytes));
+  }
   void onEnd(upstream::ExchangeOutcome Outcome) override {
     m_Sink->onEnd(Outcome);
   }
--- a/Tests/FigliftGateway/TestServerCrashes.cpp
+++ b/Tests/FigliftGateway/TestServerCrashes.cpp
@@ -13,9 +13,33 @@
 
 namespace {
 const std::string CrashMetric = "figlift_gateway_server_crashes_total ";
+const std::string SuspectMetric = "figlift_gateway_suspected_requests ";
 } // namespace
 
-TEST_GROUP(ServerCrashes) { GatewayFixture Fixture; };
+TEST_GROUP(ServerCrashes) {
+  GatewayFixture Fixture;
+
+  /// Starts "s1", which aborts each connection except for /unsafe/good, and
+  /// waits until requests have fingerprints.
+  void startAborting() {
+    Fixture.addServer("s1", "plain",
+                      [&](const proxy::Request &Request, const Caller &To) {
+                        if (Request.Head.Target != "/unsafe/good")
+                          return To->abort();
+                        respondSigned(Request, To, 200, "good");
+                      });
+    Fixture.configure();
+    CHECK(Fixture.waitUntilReady());
+    CHECK(Fixture.waitUntil([&] {
+      return Fixture.Store.value("figlift-gateways", "#secret") != "";
+    }));
+  }
+  void removeServer() {
+    Fixture.Store.remove("servers", "s1");
+    CHECK(Fixture.waitUntil(
+        [&] { return contains(Fixture.metrics(), CrashMetric + "1"); }));
+  }
+};
 
 TEST(ServerCrashes, AreDetectedByRefusedConnections) {
   Fixture.addServer("s1", "plain", [&](const proxy::Request &, const Caller &) {
@@ -74,3 +98,25 @@
   Fixture.Loop.run_for(std::chrono::milliseconds(300));
   CHECK(contains(Fixture.metrics(), CrashMetric + "0"));
 }
+
+// Failure: a request that is sent to a server after its end, while something
+// still accepts connections at its address, counts as a cause of the crash.
+TEST(ServerCrashes, AreNotCausedByRequestsThatWereSentAfterwards) {
+  startAborting();
+  Fixture.request("POST", "/unsafe/x");
+  Fixture.Loop.run_for(std::chrono::milliseconds(100));
+  Fixture.request("POST", "/unsafe/y");
+  removeServer();
+  CHECK(contains(Fixture.metrics(), SuspectMetric + "1"));
+}
+
+// Failure: a request that crashes a server is not suspected, as the server had
+// closed another connection shortly before.
+TEST(ServerCrashes, MayBeCausedByRequestsSentAfterALostConnection) {
+  startAborting();
+  Fixture.request("POST", "/unsafe/x");
+  CHECK(contains(Fixture.request("POST", "/unsafe/good"), "good"));
+  Fixture.request("POST", "/unsafe/y");
+  removeServer();
+  CHECK(contains(Fixture.metrics(), SuspectMetric + "2"));
+}
