figlift-agent: Give each run an id of its own at the engine

What callers saw: an answer of one word that ended as if it were complete.

Cause: runs were known to the engine by their attempt. An attempt that arrives twice at an agent replaces its first run, and the cancellation of the first is a call of its own: if it arrives after the second run has begun, it ends that one, which the engine tells as an end in good order.

With the test alone, DuplicateDelivery.EachRunHasItsOwnIdAtTheEngine found one id for two runs, in 3 of 3 runs; with the change 3 of 3 pass.

Why this works: a cancellation names the run that it is for. The number of the stream is unique in the agent.

--- a/Services/figlift-agent/Completions.cpp
+++ b/Services/figlift-agent/Completions.cpp
@@ -112,12 +112,19 @@
        [this, Id](const GateRefusal &Refusal) { refused(Id, Refusal); }});
 }
 
+/// Id of a run at the engine. An attempt that arrives twice runs twice for a
+/// moment, and the cancellation of the first run must not reach the second.
+static std::string runIdOf(const AttemptStream &Attempt) {
+  const std::string &Name =
+      Attempt.AttemptId.empty() ? Attempt.RequestId : Attempt.AttemptId;
+  return Name + "." + std::to_string(Attempt.Stream);
+}
+
 static target::CompletionCall createCall(const AttemptStream &Attempt,
                                          const wire::Completion &Request,
                                          unsigned Priority) {
   target::CompletionCall Call;
-  Call.RequestId =
-      Attempt.AttemptId.empty() ? Attempt.RequestId : Attempt.AttemptId;
+  Call.RequestId = runIdOf(Attempt);
   Call.Model = Request.model();
   Call.Prompt = Request.prompt();
   Call.PromptTokens = Request.prompt_tokens();
--- a/Tests/FaultMatrix/TestCells.cpp
+++ b/Tests/FaultMatrix/TestCells.cpp
@@ -12,6 +12,8 @@
 #include "Support/WaitUntil.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -206,6 +208,31 @@
   expectFullService(m_Fleet);
 }
 
+TEST(DuplicateDelivery, EachRunHasItsOwnIdAtTheEngine) {
+  // Symptom: an answer is truncated and ends as if it were complete. Sequence:
+  // an attempt that runs arrives again, and the first run is cancelled. Cause:
+  // both runs have the same id at the engine, which cancels the second one.
+  RawEntry Sender(peerOf("lm-desk-1"));
+  CHECK_TRUE(Sender.up());
+  wire::RunRequest Request = requestFor("lm-desk");
+  auto *Work = Request.mutable_completion();
+  Work->set_model("desk");
+  Work->set_prompt("delivered twice");
+  Work->set_prompt_tokens(4);
+  Work->set_maximum_tokens(100);
+  const auto First = Sender.run(Request);
+  CHECK_TRUE(waitUntil(Limit, [&] { return !First->text().empty(); }));
+  const auto Second = Sender.run(Request);
+  CHECK_TRUE(
+      waitUntil(Limit, [&] { return First->ended() && Second->ended(); }));
+  const json Runs = m_Fleet.book("lm-desk-1").at("requests");
+  std::set<std::string> Ids;
+  for (const json &Run : Runs)
+    Ids.insert(Run.at("request_id"));
+  CHECK_EQUAL(2, Ids.size());
+  CHECK_TRUE(Second->finished());
+}
+
 TEST(DuplicateDelivery, RunsAKeyedCallOnce) {
   // Symptom: two slot holds. Sequence: the Run stream of a keyed call arrives
   // twice at its home. Cause: the claim is made after the hand-over.
