LibRetry: Wait for the home of a key whose link is lost

What callers saw: a slot hold with a key ended with OutcomeUnknown (301) after 2.6 to 3 s of the time that it had, while the agent of its home stood still for a moment. The caller cannot know whether it has a slot.

Cause: work that may have run went on past the bound on attempts while links are lost, but only if it may run anywhere. A keyed call may be sent to its home at any time, and to nobody else, so that each try in vain used up an attempt, four within 0.4 s.

Evidence: TestPlannedChanges.RestartEntries (listed): two holds, "the home of this idempotency key cannot be reached", 2.8 s, no run, beside a load of 32.

Why this works: such a call waits for its home as long as a repeatable one for an agent, and is refused at once if no home can have seen it.

--- a/Libraries/LibRetry/RetryDecision.cpp
+++ b/Libraries/LibRetry/RetryDecision.cpp
@@ -109,12 +109,13 @@
   }
 
   /// Whether to wait for agents whose links are lost to reconnect. This applies
-  /// to repeatable work that may have run: giving up would leave the caller
-  /// with an unknown outcome. Work that has not run is refused at once instead,
-  /// so that the caller can send it again.
+  /// to work that may have run and may be sent again, anywhere or to the home
+  /// of its key: giving up would leave the caller with an unknown outcome. Work
+  /// that has not run is refused at once instead, so that the caller can send
+  /// it again.
   bool mayWaitForLinks(bool LastAttemptMayHaveRun) const {
-    return m_History.Repeatable && anyMayHaveRun(LastAttemptMayHaveRun) &&
-           m_History.LinksLostSince &&
+    return (m_History.Repeatable || m_History.Keyed) &&
+           anyMayHaveRun(LastAttemptMayHaveRun) && m_History.LinksLostSince &&
            m_Now - *m_History.LinksLostSince < m_Settings.RestartTime;
   }
 
--- a/Libraries/LibRetry/RetryDecision.h
+++ b/Libraries/LibRetry/RetryDecision.h
@@ -122,8 +122,9 @@
   /// crash and a lost link at the same time a loaded machine reaches it after
   /// 1.1 s, and answers are truncated, e.g. 7 of 24. With MaximumDelay
   /// between them, ten more attempts fit into this time. The same time applies
-  /// to repeatable work whose links are lost one after the other, because
-  /// agents that stalled recover as quickly.
+  /// to repeatable work whose links are lost one after the other, and to work
+  /// whose home cannot be reached, because agents that stalled recover as
+  /// quickly.
   std::chrono::milliseconds RestartTime{5000};
   /// The resumes with the delays before them take 300 ms, long enough for a
   /// link to recover from a short interruption. Running the request again costs
--- a/Tests/FigliftGateway/TestRetryBudget.cpp
+++ b/Tests/FigliftGateway/TestRetryBudget.cpp
@@ -53,8 +53,8 @@
   for (unsigned Number = 0; Number < Callers; ++Number) {
     const std::string Id = std::to_string(Number);
     Prefill.push_back(&Fixture.addServer(
-        "p" + Id, "model",
-        completePrefillAfter(Fixture.Loop, milliseconds(60)), "prefill"));
+        "p" + Id, "model", completePrefillAfter(Fixture.Loop, milliseconds(60)),
+        "prefill"));
     Decode.push_back(&Fixture.addServer(
         "d" + Id, "model",
         [](const proxy::Request &Request, const Caller &To) {
--- a/Tests/Leaving/TestOutage.cpp
+++ b/Tests/Leaving/TestOutage.cpp
@@ -193,3 +193,29 @@
   const CallerTally Tally = Load.stop();
   CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
 }
+
+// Failure: slot holds with a key end with an unknown outcome long before their
+// deadline, so that their callers do not know whether they have a slot.
+// Sequence: the agents of the services stall for longer than the heartbeat
+// timeout and resume.
+// Cause: attempts at the home of a key are used up while its link is down,
+// though the key may be sent there again at any time.
+TEST(Outage, LosesNoHoldWhenItsHomeStalls) {
+  const std::array Homes = {"booking-core-1", "booking-core-2"};
+  constexpr auto StallTime = 3500ms;
+  CallerMix Holds = DrainingMix;
+  Holds.HoldingThreads = 4;
+  MixedCallers Load(m_Fleet, Holds);
+  CHECK_TRUE(Load.waitForSuccesses(30, Limit));
+  m_Fleet.platformFault("down");
+  for (const char *Home : Homes)
+    m_Fleet.process(Home).pause();
+  const auto End = steady_clock::now() + StallTime;
+  CHECK_TRUE(waitUntil(Limit, [&] { return steady_clock::now() >= End; }));
+  for (const char *Home : Homes)
+    m_Fleet.process(Home).resume();
+  CHECK_TRUE(Load.waitForSuccesses(30, Limit));
+  m_Fleet.platformFault("none");
+  const CallerTally Tally = Load.stop();
+  CHECK_TEXT(Tally.Faults.empty(), Tally.text().c_str());
+}
--- a/Tests/LibRetry/TestRetryDecision.cpp
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -209,6 +209,30 @@
     CHECK(expectGiveUp(End).Executed == Execution::MayHaveRun);
 }
 
+// Guards against an unknown outcome for a slot hold while its home stalls: the
+// key is at no other agent, and each try to reach the home uses up an attempt.
+TEST(RetryDecision, KeyedWorkWaitsForItsHome) {
+  useNonRepeatable(true);
+  Request.Deadline = Now + std::chrono::seconds(57);
+  Request.EarlierMayHaveRun = true;
+  Request.Attempts = 3 * Settings.MaximumAttempts;
+  Request.LinksLostSince = Now - Settings.RestartTime + milliseconds(1);
+  const std::vector<AttemptEnd> LostHomeEnds{
+      StreamInterrupted{StreamEnd::ConnectionLost},
+      StreamInterrupted{StreamEnd::NeverSent},
+      NothingSent{ResultCode::HomeUnreachable, {}}};
+  for (const AttemptEnd &End : LostHomeEnds)
+    CHECK(std::holds_alternative<RetryAtHome>(after(End)));
+  Request.LinksLostSince = Now - Settings.RestartTime;
+  for (const AttemptEnd &End : LostHomeEnds)
+    CHECK(expectGiveUp(End).Code == ResultCode::OutcomeUnknown);
+  // A hold that no home has seen is refused, so that its caller may go on.
+  Request.EarlierMayHaveRun = false;
+  Request.LinksLostSince = Now;
+  CHECK(expectGiveUp(NothingSent{ResultCode::HomeUnreachable, {}}).Executed ==
+        Execution::NotRun);
+}
+
 // As above, with more requests than the budget has retries.
 TEST(RetryDecision, RepeatableWorkWaitsForBudgetWhenLinksAreLost) {
   while (Budget.spend()) {
