LibTarget: Take a cancelled run for what it is

Cause: an engine ends a run that was cancelled in good order, with the reason "cancelled". Any reason counted as the end of the whole answer, whoever had cancelled the run.

Evidence: HttpEngine.CancelledRunIsNotComplete failed before.

Why this works: the run counts as interrupted, so that the entry goes on elsewhere after the last token. Runs that the agent cancels itself are forgotten before.

--- a/Libraries/LibTarget/HttpEngine.cpp
+++ b/Libraries/LibTarget/HttpEngine.cpp
@@ -32,6 +32,10 @@
 
 namespace {
 
+/// How an engine ends a run that was cancelled, possibly not by this process.
+/// The tokens so far are not the whole answer.
+constexpr std::string_view CancelledReason = "cancelled";
+
 /// Receives the streamed response of one completion. cpprestsdk calls the sink
 /// and the end handler of the request in sequence, so the members need no lock.
 class StreamedCompletion final
@@ -164,6 +168,10 @@
   }
   if (m_Malformed)
     return CallError{Execution::MayHaveRun, *m_Malformed};
+  if (m_End && m_Done && m_End->FinishReason == CancelledReason)
+    return CallError{
+        Execution::MayHaveRun,
+        {ResultCode::TargetFailed, "the engine cancelled the run", {}, {}}};
   if (m_End && m_Done)
     return std::move(*m_End);
   return CallError{Execution::MayHaveRun,
--- a/Tests/LibTarget/TestHttpEngine.cpp
+++ b/Tests/LibTarget/TestHttpEngine.cpp
@@ -116,6 +116,19 @@
   }
 }
 
+TEST(HttpEngine, CancelledRunIsNotComplete) {
+  // Guards against a truncated answer that ends as if it were complete, because
+  // its run was cancelled at the engine by somebody else.
+  const std::string Cancelled =
+      "data: {\"finish_reason\":\"cancelled\",\"total_tokens\":2}\n\ndata: "
+      "[DONE]\n\n";
+  ScriptedServer Server({chunkedResponse(Tokens + Cancelled, 16, true)});
+  std::string Text;
+  const auto Result = complete(Server.endpoint(), Text);
+  CHECK_FALSE(Result.has_value());
+  CHECK(Result.error().Executed == Execution::MayHaveRun);
+}
+
 TEST(HttpEngine, UnavailableEngineDidNotRun) {
   ScriptedServer Server(
       {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"});
