LibHttp: Accept what is established before the listener closes

What callers saw: a request on a new connection to an entry that is being restarted ended without an answer; for a slot hold the caller does not know whether it was made.

Cause: the listener was closed with connections in its queue, which the kernel resets, with the requests that had arrived on them. What is read at the stop is refused in good order; this was never read.

Why this works: the queue is emptied before the listener closes, and a connection without a request gets the time that new ones get.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -82,12 +83,16 @@
   void stop() override {
     if (m_Threads.empty())
       return;
-    asio::post(m_Acceptor.get_executor(), [this] {
+    std::promise<void> Closed;
+    asio::post(m_Acceptor.get_executor(), [this, &Closed] {
       m_Stopping = true;
+      acceptWaiting();
       ErrorCode Ignored; // The acceptor is closed in any case.
       m_Acceptor.close(Ignored);
       m_AcceptTimer.cancel();
+      Closed.set_value();
     });
+    Closed.get_future().wait();
     closeConnections();
     m_Work.reset();
     // Without connections and work guard the loop runs out of work and returns.
@@ -108,6 +113,8 @@
   }
 
   void accepted(const ErrorCode &Code, tcp::socket Socket) {
+    if (m_Stopping && !Code)
+      return startConnection(std::move(Socket));
     if (m_Stopping)
       return;
     if (Code) {
@@ -124,6 +131,19 @@
     accept();
   }
 
+  /// Accepts the connections that are already established. The kernel would
+  /// reset them, with the requests that callers have sent on them.
+  void acceptWaiting() {
+    ErrorCode Code;
+    m_Acceptor.non_blocking(true, Code);
+    while (!Code) {
+      tcp::socket Socket(asio::make_strand(m_Shared->Loop));
+      m_Acceptor.accept(Socket, Code);
+      if (!Code)
+        startConnection(std::move(Socket));
+    }
+  }
+
   void startConnection(tcp::socket Socket) {
     proxy::CallerLimits Limits;
     Limits.Bounds = {m_Options.MaximumHeadBytes, m_Options.MaximumBodyBytes};
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -360,3 +360,34 @@
   Stopper.join();
   CHECK(contains(Reply, "Retry-After"));
 }
+
+// Failure: a request on a new connection gets no answer when the process stops,
+// as the kernel resets connections that were not accepted yet.
+TEST(HttpServer, ARequestOnANewConnectionIsRefusedAtTheStop) {
+  // One handler for each of the server's threads, so that nothing is accepted.
+  constexpr unsigned Threads = 2;
+  std::atomic<unsigned> Busy = 0;
+  std::promise<void> Resume;
+  const std::shared_future<void> Resumed = Resume.get_future().share();
+  start({route("POST", "/v1/", [&](auto Call) {
+    ++Busy;
+    Resumed.wait();
+    echo(Call);
+  })});
+  Connection First(Port);
+  Connection Second(Port);
+  for (Connection *Blocking : {&First, &Second})
+    Blocking->send(
+        "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  CHECK(eventually([&] { return Busy == Threads; }));
+  Connection New(Port);
+  New.send("POST /v1/y HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  Running->drain();
+  std::thread Stopper([&] { Running->stop(); });
+  // The stop closes the acceptor before anything else is accepted.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Resume.set_value();
+  const std::string Reply = New.readUntil("Retry-After");
+  Stopper.join();
+  CHECK(contains(Reply, "Retry-After"));
+}
