--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <future>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -83,16 +84,16 @@
   void stop() override {
     if (m_Threads.empty())
       return;
-    std::promise<void> Closed;
-    asio::post(m_Acceptor.get_executor(), [this, &Closed] {
+    const auto Closed = std::make_shared<std::promise<void>>();
+    asio::post(m_Acceptor.get_executor(), [this, Closed] {
       m_Stopping = true;
       acceptWaiting();
       ErrorCode Ignored; // The acceptor is closed in any case.
       m_Acceptor.close(Ignored);
       m_AcceptTimer.cancel();
-      Closed.set_value();
+      Closed->set_value();
     });
-    Closed.get_future().wait();
+    Closed->get_future().wait();
     closeConnections();
     m_Work.reset();
     // Without connections and work guard the loop runs out of work and returns.
