figlift-gateway: Tell how servers' streams are framed and where they end

An answer without length and chunks that is broken off looked like a whole one in every line. No decision reads these.

--- a/Libraries/LibDispatch/EventRelay.h
+++ b/Libraries/LibDispatch/EventRelay.h
@@ -33,6 +33,8 @@
 
   std::optional<uint64_t> lastEvent() const { return m_Last; }
   uint64_t events() const { return m_Events; }
+  /// Bytes received after the last complete event.
+  size_t incompleteBytes() const { return m_Incomplete.size(); }
 
 private:
   bool accept(std::string_view Event);
--- a/Libraries/LibProxy/Message.cpp
+++ b/Libraries/LibProxy/Message.cpp
@@ -114,6 +114,18 @@
   return Text;
 }
 
+std::string_view describe(BodyFraming Framing) {
+  switch (Framing) {
+  case BodyFraming::Length:
+    return "length";
+  case BodyFraming::Chunks:
+    return "chunks";
+  case BodyFraming::ConnectionEnd:
+    return "connection end";
+  }
+  return {};
+}
+
 std::string_view reasonPhrase(unsigned Status) {
   const auto Text = boost::beast::http::obsolete_reason(
       boost::beast::http::int_to_status(Status));
--- a/Libraries/LibProxy/Message.h
+++ b/Libraries/LibProxy/Message.h
@@ -56,11 +56,26 @@
   std::string_view path() const;
 };
 
+/// What tells the receiver of a body where it ends.
+enum class BodyFraming {
+  /// Content-Length, or a status without a body.
+  Length,
+  Chunks,
+  /// The body ends with its connection. A sender that crashes may close its
+  /// connection in the same way.
+  ConnectionEnd,
+};
+
+/// Short text for the log.
+std::string_view describe(BodyFraming Framing);
+
 struct ResponseHead {
   unsigned Status = 0;
   std::string Reason;
   unsigned Version = 11;
   HeaderList Headers;
+  /// Of a received response; a writer chooses its own framing.
+  BodyFraming Framing = BodyFraming::Length;
 };
 
 /// A copy without the hop-by-hop fields (RFC 9110, 7.6.1), including those that
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -96,6 +96,8 @@
   }
   if (Code && Code != http::error::need_more)
     return m_State = State::Failed;
+  if (m_BeastParser->is_header_done())
+    m_BeastParser->Head.Framing = framing();
   if (m_BeastParser->is_done())
     return m_State = State::Complete;
   if (m_BeastParser->is_header_done())
@@ -111,6 +113,12 @@
   return m_State;
 }
 
+BodyFraming ResponseParser::framing() const {
+  if (m_BeastParser->need_eof())
+    return BodyFraming::ConnectionEnd;
+  return m_BeastParser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+}
+
 const ResponseHead &ResponseParser::head() const { return m_BeastParser->Head; }
 
 std::string ResponseParser::takeBody() {
--- a/Libraries/LibProxy/ResponseParser.h
+++ b/Libraries/LibProxy/ResponseParser.h
@@ -46,6 +46,7 @@
   class BeastParser;
 
   void reset();
+  BodyFraming framing() const;
 
   bool m_BodyAllowed;
   bool m_Started = false;
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -75,7 +75,25 @@
     m_Send->resumeReading();
 }
 
+/// Counts how the event streams of servers end, and where.
+void RequestFlow::recordServerStream(const ServerSend &Send,
+                                     std::string_view Outcome) {
+  const bool IsStream = streaming() && Send.head().Status / 100 == 2 &&
+                        Send.purpose() == SendPurpose::Execute;
+  if (!IsStream)
+    return;
+  const bool IsInsideEvent = m_Relay.incompleteBytes() > 0;
+  m_Shared.Metrics
+      .counter("figlift_gateway_server_streams_total",
+               "Event streams of servers that ended",
+               {{"framing", std::string(describe(Send.head().Framing))},
+                {"outcome", std::string(Outcome)},
+                {"at", IsInsideEvent ? "inside-event" : "event"}})
+      .add();
+}
+
 void RequestFlow::streamEnded(ServerSend &Send) {
+  recordServerStream(Send, "complete");
   if (!m_ResponseStarted) {
     proxy::ResponseHead Head = Send.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -408,6 +408,7 @@
   if (std::holds_alternative<dispatch::ConnectionLost>(End))
     recordConnectionLost(Send);
   logSendEnded(Send, End);
+  recordServerStream(Send, "broken-off");
   handleFailedSend(End, Send);
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -109,6 +109,7 @@
                                  dispatch::Milliseconds FirstEventTime,
                                  engine::EngineModel &Model) const;
   void streamEnded(ServerSend &Send);
+  void recordServerStream(const ServerSend &Send, std::string_view Outcome);
   void forwardEvents(const std::string &Events);
   void forwardBuffered(ServerSend &Send);
   void forwardFailure(ServerSend &Send);
