Tests/BrokenOffStreams: Streams that end inside an event, failing

A stand-in writes answers byte for byte, in each framing, and ends its connection in order or by a reset.

--- /dev/null
+++ b/Tests/BrokenOffStreams/RawServer.cpp
@@ -0,0 +1,102 @@
+//===- RawServer.cpp - A stand-in engine that writes given bytes ----------===//
+//
+// One request for each connection.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RawServer.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+
+namespace figlift::testing {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+/// Lets the peer read what was written: a reset discards the bytes that it has
+/// not read yet.
+constexpr std::chrono::milliseconds ResetDelay{5};
+constexpr std::string_view EmptyCacheList =
+    R"({"epoch":"a","next":0,"held":[]})";
+} // namespace
+
+class RawServer::Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(RawServer &Owner, tcp::socket Socket)
+      : m_Owner(Owner), m_Socket(std::move(Socket)),
+        m_Timer(m_Socket.get_executor()) {}
+
+  void start() {
+    asio::async_read_until(
+        m_Socket, asio::dynamic_buffer(m_Head), "\r\n\r\n",
+        [Self = shared_from_this()](const ErrorCode &Code, size_t) {
+          if (!Code)
+            Self->respond();
+        });
+  }
+
+private:
+  void respond() {
+    m_Response = m_Owner.responseTo(m_Head);
+    asio::async_write(
+        m_Socket, asio::buffer(m_Response.Bytes),
+        [Self = shared_from_this()](const ErrorCode &Code, size_t) {
+          if (!Code)
+            Self->end();
+        });
+  }
+  void end() {
+    ErrorCode Ignored; // The peer may have closed the connection already.
+    if (m_Response.End == ConnectionEnd::Close) {
+      m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+      return;
+    }
+    m_Timer.expires_after(ResetDelay);
+    m_Timer.async_wait([Self = shared_from_this()](const ErrorCode &) {
+      ErrorCode Unused; // As above.
+      Self->m_Socket.set_option(asio::socket_base::linger(true, 0), Unused);
+      Self->m_Socket.close(Unused);
+    });
+  }
+
+  RawServer &m_Owner;
+  tcp::socket m_Socket;
+  asio::steady_timer m_Timer;
+  std::string m_Head;
+  RawResponse m_Response;
+};
+
+RawServer::RawServer(asio::io_context &Loop, Behaviour Initial)
+    : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
+      m_Behaviour(std::move(Initial)) {
+  accept();
+}
+
+Endpoint RawServer::address() const {
+  return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
+}
+
+void RawServer::accept() {
+  m_Acceptor.async_accept([this](const ErrorCode &Code, tcp::socket Socket) {
+    if (Code)
+      return;
+    std::make_shared<Connection>(*this, std::move(Socket))->start();
+    accept();
+  });
+}
+
+RawResponse RawServer::responseTo(const std::string &Head) {
+  if (Head.starts_with("GET /v1/kv-list"))
+    return {"HTTP/1.1 200 OK\r\n\r\n" + std::string(EmptyCacheList),
+            ConnectionEnd::Close};
+  Requests.push_back(Head);
+  return m_Behaviour(Head);
+}
+
+} // namespace figlift::testing
--- /dev/null
+++ b/Tests/BrokenOffStreams/RawServer.h
@@ -0,0 +1,60 @@
+//===- RawServer.h - A stand-in engine that writes given bytes --*- C++ -*-===//
+//
+// Responds to each request with bytes that a test sets and then ends the
+// connection, in order or by a reset. Real servers choose their framing
+// themselves and may end anywhere in a response, which the Listener of the
+// other stand-ins cannot do.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figlift::testing {
+
+/// How the server ends a connection after its bytes.
+enum class ConnectionEnd {
+  /// As a process does that closes its socket, also one that crashes.
+  Close,
+  Reset,
+};
+
+/// A response, byte for byte.
+struct RawResponse {
+  std::string Bytes;
+  ConnectionEnd End = ConnectionEnd::Close;
+};
+
+class RawServer {
+public:
+  /// Returns the response to the request with this head.
+  using Behaviour = std::function<RawResponse(const std::string &Head)>;
+
+  RawServer(boost::asio::io_context &Loop, Behaviour Initial);
+
+  Endpoint address() const;
+  void setBehaviour(Behaviour NewBehaviour) {
+    m_Behaviour = std::move(NewBehaviour);
+  }
+  /// Heads of the requests so far, without questions for the KV cache.
+  std::vector<std::string> Requests;
+
+private:
+  class Connection;
+  void accept();
+  RawResponse responseTo(const std::string &Head);
+
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  Behaviour m_Behaviour;
+};
+
+} // namespace figlift::testing
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -151,10 +151,16 @@
              Server.StartTime);
 }
 
+void GatewayFixture::listServer(const std::string &Id,
+                                const std::string &Service,
+                                const Endpoint &Address,
+                                const std::string &Stage) {
+  writeEntry(Id, Service, Address, Stage, "ready", Entry{}.StartTime);
+}
+
 void GatewayFixture::listUnreachableEngine(const std::string &Id,
                                            const std::string &Stage) {
-  writeEntry(Id, "model", freePorts().Callers, Stage, "ready",
-             Entry{}.StartTime);
+  listServer(Id, "model", freePorts().Callers, Stage);
 }
 
 void GatewayFixture::writeEntry(const std::string &Id,
@@ -193,7 +199,8 @@
 }
 
 std::string GatewayFixture::exchange(const Endpoint &Address,
-                                     const std::string &Bytes) {
+                                     const std::string &Bytes,
+                                     boost::system::error_code *End) {
   tcp::socket Socket(Loop);
   Socket.connect({asio::ip::make_address_v4(Address.Address), Address.Port});
   asio::write(Socket, asio::buffer(Bytes));
@@ -206,6 +213,8 @@
       const size_t Count = Socket.read_some(asio::buffer(Buffer), Code);
       Received.append(Buffer.data(), Count);
     }
+    if (End)
+      *End = Code;
     return Code != asio::error::would_block;
   });
   return Received;
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -51,6 +51,9 @@
                       const std::string &Stage = "");
   /// Writes the server's entry to the store with \p State.
   void setServerState(const std::string &Id, const std::string &State);
+  /// Lists a server that the test runs itself.
+  void listServer(const std::string &Id, const std::string &Service,
+                  const Endpoint &Address, const std::string &Stage = "");
   /// Lists an engine whose address refuses connections.
   void listUnreachableEngine(const std::string &Id, const std::string &Stage);
   /// Lists the server with the same id and address and a later start time, as
@@ -67,6 +70,10 @@
   /// head and body, after the gateway has closed the connection.
   std::string request(const std::string &Method, const std::string &Path,
                       const std::string &Fields = "");
+  /// Sends the bytes on a new connection and returns what arrives until its
+  /// end. \p End: set to how the connection ended, unless null.
+  std::string exchange(const Endpoint &Address, const std::string &Bytes,
+                       boost::system::error_code *End = nullptr);
   std::string metrics();
   /// Sends SIGTERM to the test process, in which the gateway runs.
   void sendTermination();
@@ -108,7 +115,6 @@
                   const Endpoint &Address, const std::string &Stage,
                   const std::string &State, int64_t StartTime);
   void startOnFreePorts();
-  std::string exchange(const Endpoint &Address, const std::string &Bytes);
 
   std::map<std::string, Entry> m_Servers;
   /// Entries written so far; the sequence number of the last one.
