LibProxy: Accept the last chunk of an empty body in pieces

What callers saw: nothing yet; found while streams were cut at every byte. A peer that ends an empty body of chunks in several packets ("0", CR LF, CR) ended the process: Boost.Beast asserts that at least five bytes are there when it looks at the last chunk again, which does not hold where no other chunk came before. Any caller could do so to any gateway, and any server.

Evidence: both tests ended with 'Assertion n >= 5 failed' on the code before.

--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -20,6 +20,8 @@
 class RequestParser::BeastParser : public http::basic_parser<true> {
 public:
   Request Parsed;
+  /// A chunk with data has begun.
+  bool HasChunk = false;
 
 private:
   void on_request_impl(http::verb, StringView Method, StringView Target,
@@ -57,7 +59,9 @@
     Parsed.Body.append(Body.data(), Body.size());
     return Body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {}
+  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {
+    HasChunk = true;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
                                  ErrorCode &) override {
     Parsed.Body.append(Body.data(), Body.size());
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -28,6 +28,8 @@
 public:
   ResponseHead Head;
   std::string Body;
+  /// A chunk with data has begun.
+  bool HasChunk = false;
 
 private:
   void on_request_impl(http::verb, StringView, StringView, int,
@@ -56,7 +58,9 @@
     Body.append(Bytes.data(), Bytes.size());
     return Bytes.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {}
+  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {
+    HasChunk = true;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Bytes,
                                  ErrorCode &) override {
     Body.append(Bytes.data(), Bytes.size());
--- a/Tests/LibProxy/TestRequestParser.cpp
+++ b/Tests/LibProxy/TestRequestParser.cpp
@@ -20,6 +20,18 @@
   }
 };
 
+// Failure: a caller ends an empty body of chunks in several packets, and the
+// process ends with an assertion of the HTTP library.
+TEST(RequestParser, AcceptsAnEmptyChunkedBodyInPieces) {
+  Parser.feed("POST / HTTP/1.1\r\nHost: h\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n");
+  for (const char Byte : std::string_view("0\r\n\r\n")) {
+    CHECK(Parser.state() == State::Body);
+    Parser.feed({&Byte, 1});
+  }
+  CHECK(Parser.state() == State::Complete);
+}
+
 TEST(RequestParser, ParsesARequestByteByByte) {
   const std::string Text = "POST /a/b?c HTTP/1.1\r\nHost: h\r\n"
                            "Content-Length: 3\r\n\r\nxyz";
--- a/Tests/LibProxy/TestResponseParser.cpp
+++ b/Tests/LibProxy/TestResponseParser.cpp
@@ -58,6 +58,20 @@
   CHECK(!Parser.keepsAlive());
 }
 
+// Failure: a server ends an empty body of chunks in several packets, and the
+// process ends with an assertion of the HTTP library.
+TEST(ResponseParser, AcceptsAnEmptyChunkedBodyInPieces) {
+  for (const char *LastChunk : {"0\r\n\r\n", "00\r\n\r\n", "0;x\r\n\r\n"}) {
+    Parser = ResponseParser();
+    Parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (const char Byte : std::string_view(LastChunk)) {
+      CHECK(Parser.state() == State::Body);
+      Parser.feed({&Byte, 1});
+    }
+    CHECK(Parser.state() == State::Complete);
+  }
+}
+
 TEST(ResponseParser, SkipsInterimResponses) {
   Parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
               "Content-Length: 0\r\n\r\n");
