figlift-gateway: Judge a stream by where its events end

Cause: an answer without length and chunks ends with its connection, which an engine that crashes may close in order. The parser rightly calls that complete; the gateway took it for success, wrote the bytes after the last whole event and ended the chunks. So it was wrong about more than those bytes: no retry and no resume, no failure of the engine, a request that crashed its engine was cleared by that crash. The outcome is now decided in one place, when the exchange ends (ServerSend): a stream is whole if its framing and its events say so.

The relay reads line ends as the standard has them (LF, CR, CR LF, mixed), since events that it did not recognize now make a difference.

EventRelay.ReturnsBytesAfterLastEvent asserted the fault itself; KeepsBytesAfterLastEvent asserts the opposite, as strictly.

Ruled out: a reset taken for an orderly end (a test of it passed before).

--- a/Libraries/LibDispatch/EventRelay.cpp
+++ b/Libraries/LibDispatch/EventRelay.cpp
@@ -6,6 +6,7 @@
 
 #include "LibDispatch/EventRelay.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -13,22 +14,20 @@
 
 namespace {
 
-/// The end of the event that begins at \p Begin, including its blank line.
-size_t endOfEvent(std::string_view Text, size_t Begin) {
-  const size_t LineFeeds = Text.find("\n\n", Begin);
-  const size_t CarriageReturns = Text.find("\r\n\r\n", Begin);
-  if (LineFeeds == std::string_view::npos &&
-      CarriageReturns == std::string_view::npos)
-    return std::string_view::npos;
-  if (LineFeeds < CarriageReturns)
-    return LineFeeds + 2;
-  return CarriageReturns + 4;
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view LineEnds = "\r\n";
+
+/// Removes the first line from \p Text and returns it without its end. The LF
+/// of a CR LF is left as an empty line.
+std::string_view takeLine(std::string_view &Text) {
+  const std::string_view Line = Text.substr(0, Text.find_first_of(LineEnds));
+  Text.remove_prefix(std::min(Line.size() + 1, Text.size()));
+  return Line;
 }
 
 std::optional<uint64_t> eventNumber(std::string_view Event) {
   while (!Event.empty()) {
-    const std::string_view Line = Event.substr(0, Event.find('\n'));
-    Event.remove_prefix(std::min(Line.size() + 1, Event.size()));
+    const std::string_view Line = takeLine(Event);
     if (!Line.starts_with("id:"))
       continue;
     std::string_view Value = Line.substr(3);
@@ -42,9 +41,21 @@
   return std::nullopt;
 }
 
+/// Whether there is more than comments and blank lines.
+bool hasFields(std::string_view Event) {
+  while (!Event.empty())
+    if (const auto Line = takeLine(Event);
+        !Line.empty() && !Line.starts_with(':'))
+      return true;
+  return false;
+}
+
 } // namespace
 
 bool EventRelay::accept(std::string_view Event) {
+  if (!m_HasEvent && Event.starts_with(ByteOrderMark))
+    Event.remove_prefix(ByteOrderMark.size());
+  m_HasEvent = m_HasEvent || hasFields(Event);
   const auto Number = eventNumber(Event);
   if (!Number)
     return true;
@@ -55,22 +66,69 @@
   return true;
 }
 
+/// Examines the next byte. Returns whether an event ends with it.
+bool EventRelay::endsEvent(char Next) {
+  const bool IsLineFeed = Next == '\n';
+  const bool WasAfterCarriageReturn =
+      std::exchange(m_AfterCarriageReturn, false);
+  if (WasAfterCarriageReturn && IsLineFeed)
+    return false;
+  if (!IsLineFeed && Next != '\r') {
+    m_LineEmpty = false;
+    return false;
+  }
+  if (m_LineEmpty) {
+    // After a CR alone, the server ends its lines with CR.
+    const bool IsEnd = IsLineFeed || WasAfterCarriageReturn;
+    m_BlankLineOpen = !IsEnd;
+    return IsEnd;
+  }
+  m_LineEmpty = true;
+  m_AfterCarriageReturn = !IsLineFeed;
+  return false;
+}
+
+/// Moves the first \p Size bytes to \p Complete, unless the caller already has
+/// this event.
+void EventRelay::takeEvent(size_t Size, std::string &Complete) {
+  const std::string_view Event = std::string_view(m_Incomplete).substr(0, Size);
+  if (accept(Event))
+    Complete += Event;
+  m_Incomplete.erase(0, Size);
+  m_Examined = 0;
+  m_LineEmpty = true;
+  m_BlankLineOpen = false;
+}
+
 std::string EventRelay::feed(std::string_view Bytes) {
   m_Incomplete += Bytes;
   std::string Complete;
-  size_t Begin = 0;
-  for (size_t End = endOfEvent(m_Incomplete, Begin); End != std::string::npos;
-       End = endOfEvent(m_Incomplete, Begin)) {
-    const std::string_view Event =
-        std::string_view(m_Incomplete).substr(Begin, End - Begin);
-    if (accept(Event))
-      Complete += Event;
-    Begin = End;
+  while (m_Examined < m_Incomplete.size()) {
+    const char Next = m_Incomplete[m_Examined];
+    if (m_BlankLineOpen) {
+      takeEvent(m_Examined + (Next == '\n' ? 1 : 0), Complete);
+      continue;
+    }
+    ++m_Examined;
+    if (endsEvent(Next))
+      takeEvent(m_Examined, Complete);
   }
-  m_Incomplete.erase(0, Begin);
   return Complete;
 }
 
-std::string EventRelay::finish() { return std::exchange(m_Incomplete, {}); }
+StreamEnd EventRelay::end() const {
+  if (!m_Incomplete.empty())
+    return StreamEnd::InsideEvent;
+  return m_HasEvent ? StreamEnd::AfterEvent : StreamEnd::WithoutEvent;
+}
+
+void EventRelay::restart() {
+  m_Incomplete.clear();
+  m_Examined = 0;
+  m_LineEmpty = true;
+  m_AfterCarriageReturn = false;
+  m_BlankLineOpen = false;
+  m_HasEvent = false;
+}
 
 } // namespace figlift::dispatch
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -7,6 +7,7 @@
 
 #include "EngineHousekeeping.h"
 #include "RequestFlow.h"
+#include "WholeStream.h"
 
 namespace figlift::gateway {
 
@@ -30,6 +31,10 @@
     Send.streamBody();
 }
 
+bool RequestFlow::isWholeBody(ServerSend &Send) {
+  return isWholeStream(m_Relay.end(), Send.head().Framing);
+}
+
 void RequestFlow::sendBody(ServerSend &Send, std::string Bytes) {
   const std::string Events = m_Relay.feed(Bytes);
   if (Events.empty())
@@ -99,7 +104,6 @@
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_Caller->beginStream(Head);
   }
-  m_Caller->writeStream(m_Relay.finish());
   m_Caller->endStream();
   finish("answered", Send.head().Status, "");
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -42,6 +42,7 @@
 
   void sendAnswered(ServerSend &Send) override;
   void sendBody(ServerSend &Send, std::string Bytes) override;
+  bool isWholeBody(ServerSend &Send) override;
   void sendEnded(ServerSend &Send, dispatch::SendOutcome End) override;
   void sendCompleted(ServerSend &Send) override;
   bool wantsMore() const override;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -139,6 +139,8 @@
     return end(dispatch::Rejected{});
   if (!isSuccess(m_Head.Status))
     return end(dispatch::ServerFailed{m_Head.Status});
+  if (m_Streamed && !m_Owner->isWholeBody(*this))
+    return end(dispatch::ConnectionLost{});
   if (!m_Streamed)
     recordLatency();
   m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -36,6 +36,9 @@
   virtual void sendAnswered(ServerSend &Send) = 0;
   /// Called with body bytes after sendAnswered.
   virtual void sendBody(ServerSend &Send, std::string Bytes) = 0;
+  /// Asked when a response whose body was passed to sendBody is complete by
+  /// its framing. If false, the server broke off.
+  virtual bool isWholeBody(ServerSend &Send) = 0;
   /// Called after a complete success. The body is in body() unless it was
   /// passed to sendBody.
   virtual void sendCompleted(ServerSend &Send) = 0;
--- a/Tests/LibDispatch/TestEventRelay.cpp
+++ b/Tests/LibDispatch/TestEventRelay.cpp
@@ -49,7 +49,53 @@
   STRCMP_EQUAL("id: 1\r\n\r\n", Relay.feed("id: 1\r\n\r\n").c_str());
 }
 
-TEST(EventRelay, ReturnsBytesAfterLastEvent) {
+// Failure: the bytes after the last whole event reach the caller as the end of
+// its stream.
+TEST(EventRelay, KeepsBytesAfterLastEvent) {
   Relay.feed("id: 1\n\ntail");
-  STRCMP_EQUAL("tail", Relay.finish().c_str());
+  CHECK(Relay.end() == StreamEnd::InsideEvent);
+  LONGS_EQUAL(4, Relay.incompleteBytes());
+}
+
+// Failure: events of a server that mixes line ends are held back, or divided.
+TEST(EventRelay, AcceptsMixedLineEnds) {
+  for (const std::string Event :
+       {"id: 1\n\n", "id: 1\r\n\r\n", "id: 1\r\r", "id: 1\n\r\n", "id: 1\r\n\n",
+        "id: 1\r\n\r", "id: 1\ndata: a\rdata: b\r\n\n"}) {
+    const std::string Text = Event + "id: 2\n\n";
+    Relay = EventRelay();
+    std::string Output;
+    for (const char Byte : Text)
+      Output += Relay.feed({&Byte, 1});
+    STRCMP_EQUAL(Text.c_str(), Output.c_str());
+    LONGS_EQUAL(2, Relay.events());
+    CHECK(Relay.end() == StreamEnd::AfterEvent);
+  }
+}
+
+// Failure: the line feed of the last CR LF comes in a packet of its own, and
+// the caller gets an event without it.
+TEST(EventRelay, WaitsForTheEndOfABlankLine) {
+  STRCMP_EQUAL("", Relay.feed("id: 1\r\n\r").c_str());
+  STRCMP_EQUAL("id: 1\r\n\r\n", Relay.feed("\n").c_str());
+}
+
+// Failure: events of a server that ends lines with CR wait for the next event.
+TEST(EventRelay, CarriageReturnsAloneEndEvents) {
+  STRCMP_EQUAL("id: 1\r\r", Relay.feed("id: 1\r\r").c_str());
+  CHECK(Relay.end() == StreamEnd::AfterEvent);
+}
+
+TEST(EventRelay, ReadsTheIdAfterAByteOrderMark) {
+  Relay.feed("\xEF\xBB\xBFid: 1\n\n");
+  LONGS_EQUAL(1, *Relay.lastEvent());
+}
+
+TEST(EventRelay, CommentsAreNoEvents) {
+  STRCMP_EQUAL(": wait\n\n", Relay.feed(": wait\n\n").c_str());
+  CHECK(Relay.end() == StreamEnd::WithoutEvent);
+  Relay.feed("data: a\n\n");
+  CHECK(Relay.end() == StreamEnd::AfterEvent);
+  Relay.restart();
+  CHECK(Relay.end() == StreamEnd::WithoutEvent);
 }
