LibProxy: Reset a response without chunks that is cut

What callers saw: nothing that was reported; the same cause on our own side. A caller of HTTP/1.0 gets its stream without chunks, so when the gateway cut it (server broke off, deadline, stop, a slow reader), or was killed, the end of the connection made the part look whole.

Such a connection is now set to be reset on close until the response is complete; the kernel does so for a killed process as well. Callers with chunks see the missing last chunk as before, and lose nothing that is on its way.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -150,8 +150,10 @@
   if (m_Closed)
     return;
   m_Chunked = m_Version >= 11;
-  if (!m_Chunked)
+  if (!m_Chunked) {
     m_CloseAfterResponse = true;
+    resetOnClose(true);
+  }
   write(serializeHead(Head, m_Chunked ? "Transfer-Encoding: chunked\r\n" : ""));
 }
 
@@ -227,11 +229,20 @@
   armTimer(LingerTimeout);
   if (!m_Writing.empty() || !m_Pending.empty())
     return;
+  resetOnClose(false);
   ErrorCode Ignored; // The caller may have closed the connection already.
   m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
   read();
 }
 
+/// The end of the connection would make a response without chunks look
+/// complete. A reset does not, and the kernel sends it also if the process is
+/// killed.
+void CallerConnection::resetOnClose(bool Reset) {
+  ErrorCode Ignored; // The caller may have closed the connection already.
+  m_Socket.set_option(asio::socket_base::linger(Reset, 0), Ignored);
+}
+
 bool CallerConnection::isIdle() const {
   return !m_Request && !m_Lingering && !m_Closed && unsentBytes() == 0 &&
          m_Parser.state() == RequestParser::State::Idle;
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -136,6 +136,7 @@
   void closeIfNothingReadable();
   void closeWithoutReading();
   void closeGracefully();
+  void resetOnClose(bool Reset);
   void close();
   void armTimer(std::chrono::milliseconds Timeout);
   void startTimer();
--- a/Tests/BrokenOffStreams/TestStreamCuts.cpp
+++ b/Tests/BrokenOffStreams/TestStreamCuts.cpp
@@ -50,7 +50,8 @@
     return fmt::format("{}Content-Length: {}\r\n\r\n{}", Head, Body.size(),
                        Body);
   case BodyFraming::Chunks: {
-    std::string Text = fmt::format("{}Transfer-Encoding: chunked\r\n\r\n", Head);
+    std::string Text =
+        fmt::format("{}Transfer-Encoding: chunked\r\n\r\n", Head);
     for (const char Byte : Body)
       Text += fmt::format("1\r\n{}\r\n", Byte);
     return Text + "0\r\n\r\n";
@@ -72,7 +73,8 @@
   ResponseParser Parser;
   dispatch::EventRelay Relay;
   Received Result;
-  for (; !Bytes.empty(); Bytes.remove_prefix(std::min(PieceSize, Bytes.size()))) {
+  for (; !Bytes.empty();
+       Bytes.remove_prefix(std::min(PieceSize, Bytes.size()))) {
     Parser.feed(Bytes.substr(0, PieceSize));
     Result.Events += Relay.feed(Parser.takeBody());
   }
@@ -92,16 +94,19 @@
 
 } // namespace
 
-TEST_GROUP(StreamCuts) {
-  /// Calls \p Check for each way to end lines, each framing and each size of
-  /// the pieces that arrive.
-  template <typename Callback> void forEachStream(Callback Check) {
-    for (const char *LineEnd : {"\n", "\r\n", "\r"})
-      for (const BodyFraming Framing : Framings)
-        for (const size_t PieceSize : {1U, 7U, 4096U})
-          Check(events(LineEnd), Framing, PieceSize);
-  }
-};
+TEST_GROUP(StreamCuts){
+    /// Calls \p Check for each way to end lines, each framing and each size of
+    /// the pieces that arrive.
+    template <typename Callback> void forEachStream(Callback Check){
+        for (const char *LineEnd
+             : {"\n", "\r\n",
+                "\r"}) for (const BodyFraming Framing
+                            : Framings) for (const size_t PieceSize
+                                             : {1U, 7U, 4096U})
+            Check(events(LineEnd), Framing, PieceSize);
+}
+}
+;
 
 // Failure: a server's connection ends within its response, and the caller gets
 // part of an event, or a stream that looks whole.
@@ -115,9 +120,9 @@
       const size_t Count = wholeEvents(All, Result.Events.size());
       STRCMP_EQUAL(join(All, Count).c_str(), Result.Events.c_str());
       // Without framing, a stream that ends with an event may be whole.
-      const bool MayBeWhole =
-          Framing == BodyFraming::ConnectionEnd && Count > 0 &&
-          Cut == HeadSize + join(All, Count).size();
+      const bool MayBeWhole = Framing == BodyFraming::ConnectionEnd &&
+                              Count > 0 &&
+                              Cut == HeadSize + join(All, Count).size();
       LONGS_EQUAL(MayBeWhole, Result.IsWhole);
     }
   });
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -213,9 +213,11 @@
       const size_t Count = Socket.read_some(asio::buffer(Buffer), Code);
       Received.append(Buffer.data(), Count);
     }
-    if (End)
+    const bool HasEnded = Code != asio::error::would_block;
+    // A socket reports an error once; read again, it is at its end.
+    if (HasEnded && End && !*End)
       *End = Code;
-    return Code != asio::error::would_block;
+    return HasEnded;
   });
   return Received;
 }
--- a/Tests/LibProxy/TestCallerConnection.cpp
+++ b/Tests/LibProxy/TestCallerConnection.cpp
@@ -95,6 +95,7 @@
   std::string Received;
   /// The connection has been closed or reset.
   bool Ended = false;
+  bool Reset = false;
   void receive() {
     std::array<char, 4096> Buffer;
     boost::system::error_code Code;
@@ -103,6 +104,7 @@
       Received.append(Buffer.data(), Count);
     }
     Ended = Ended || Code != asio::error::would_block;
+    Reset = Reset || Code == asio::error::connection_reset;
   }
   /// Opens a connection with a small receive buffer at the caller.
   void openWithSmallBuffer() {
@@ -352,3 +354,41 @@
   receiveSlowly(Body.size());
   CHECK(Received.size() >= Body.size());
 }
+
+// Failure: a response without chunks is cut, and looks complete to its caller
+// because the connection ends in order.
+TEST(CallerConnection, CutOfAResponseWithoutChunksIsAReset) {
+  Handler.RespondImmediately = false;
+  open();
+  send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return Handler.LastCaller != nullptr; }));
+  Handler.LastCaller->beginStream({200, "", 11, {}});
+  Handler.LastCaller->writeStream("part");
+  CHECK(until([&] {
+    receive();
+    return Received.ends_with("part");
+  }));
+  Handler.LastCaller->abort();
+  CHECK(until([&] {
+    receive();
+    return Ended;
+  }));
+  CHECK(Reset);
+}
+
+// Failure: a complete response without chunks is lost in a reset.
+TEST(CallerConnection, EndOfAResponseWithoutChunksIsOrderly) {
+  Handler.RespondImmediately = false;
+  open();
+  send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return Handler.LastCaller != nullptr; }));
+  Handler.LastCaller->beginStream({200, "", 11, {}});
+  Handler.LastCaller->writeStream("whole");
+  Handler.LastCaller->endStream();
+  CHECK(until([&] {
+    receive();
+    return Ended;
+  }));
+  CHECK(Received.ends_with("whole"));
+  CHECK_FALSE(Reset);
+}
