Tests/Soak: Servers without framing, callers of HTTP/1.0

Every second server now delimits its successes by the end of its connection, a server that breaks off inside an event does so in order half of the time, every eighth caller speaks HTTP/1.0, and the fault proxy resets the connections that it breaks, as an orderly end would say something that no link says. The check is the old one: a response that its caller takes for complete has every event. CallerConnection takes the framing of a stream as an argument for it.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -146,10 +146,11 @@
   finishResponse();
 }
 
-void CallerConnection::beginStream(const ResponseHead &Head) {
+void CallerConnection::beginStream(const ResponseHead &Head,
+                                   BodyFraming Framing) {
   if (m_Closed)
     return;
-  m_Chunked = m_Version >= 11;
+  m_Chunked = Framing == BodyFraming::Chunks;
   if (!m_Chunked) {
     m_CloseAfterResponse = true;
     resetOnClose(true);
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -87,9 +87,14 @@
   /// \name Response to the active request: complete, or streamed.
   /// @{
   void respond(const ResponseHead &Head, std::string_view Body);
-  /// Starts a response of unknown length: chunked, or delimited by the end of
-  /// the connection for an HTTP/1.0 caller.
-  void beginStream(const ResponseHead &Head);
+  /// Starts a response of unknown length: chunked or, for an HTTP/1.0 caller,
+  /// delimited by the end of the connection.
+  void beginStream(const ResponseHead &Head) {
+    beginStream(Head, m_Version < 11 ? BodyFraming::ConnectionEnd
+                                     : BodyFraming::Chunks);
+  }
+  /// \p Framing must not be Length.
+  void beginStream(const ResponseHead &Head, BodyFraming Framing);
   void writeStream(std::string_view Bytes);
   void endStream();
   /// Closes the connection so that the caller sees an incomplete response.
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -33,6 +33,7 @@
       m_Checker(Checker), m_Random(Seed), m_Name(std::move(Name)),
       m_Gateways(std::move(Gateways)), m_PromptTokens(PromptTokens),
       m_IgnoresClose(Seed % 2 == 0),
+      m_Version(Seed % 8 == 5 ? "HTTP/1.0" : "HTTP/1.1"),
       m_SendsCrashingRequests(CrashChoice == CrashingRequests::Some) {}
 
 unsigned SoakCaller::draw(unsigned Minimum, unsigned Maximum) {
@@ -123,11 +124,11 @@
   m_Checker.recordRequest({m_AttemptId, m_Gateways[m_Gateway].Gateway,
                            Chosen.Service, Chosen.Kind, BootClock::now(),
                            Deadline, CrashName});
-  std::string Text = fmt::format("{} {}{} HTTP/1.1\r\nHost: h\r\n"
+  std::string Text = fmt::format("{} {}{} {}\r\nHost: h\r\n"
                                  "X-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
                                  Chosen.Kind == Repeatable::No ? "POST" : "GET",
                                  Chosen.Path, CrashesServer ? CrashName : "x",
-                                 m_AttemptId, Deadline.count());
+                                 m_Version, m_AttemptId, Deadline.count());
   if (Chosen.IsStream)
     Text += fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
                         "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
@@ -166,7 +167,8 @@
         if (Code == asio::error::eof && m_Parser.finish() == State::Complete)
           m_Body += m_Parser.takeBody();
         finishExchange(
-            m_Parser.state() == State::Complete ? m_Parser.head().Status : 0);
+            m_Parser.state() == State::Complete ? m_Parser.head().Status : 0,
+            ConnectionState::Ended);
       });
 }
 
@@ -187,14 +189,15 @@
   read();
 }
 
-void SoakCaller::finishExchange(unsigned Status) {
+void SoakCaller::finishExchange(unsigned Status, ConnectionState Connection) {
   const bool Signed =
       Status != 0 && m_Parser.head().Headers.has("X-Response-Signature");
   m_Closing = Status != 0 && !m_Parser.keepsAlive();
   m_Checker.recordOutcome({m_AttemptId, Status, Signed, m_Body, m_Events},
                           BootClock::now());
   m_ResponseTimer.cancel();
-  if (Status == 0 || (m_Closing && !m_IgnoresClose))
+  if (Status == 0 || Connection == ConnectionState::Ended ||
+      (m_Closing && !m_IgnoresClose))
     closeConnection();
   scheduleNext();
 }
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -4,7 +4,7 @@
 // open as long as the gateway does, cancels some requests, and reports requests
 // and responses to the invariant checker. Every second caller ignores that a
 // gateway announces to close its connection, and sends the next request on it
-// at once.
+// at once. Every eighth caller speaks HTTP/1.0.
 //
 //===----------------------------------------------------------------------===//
 
@@ -60,7 +60,9 @@
   void send();
   void read();
   void handleBytes(size_t Count);
-  void finishExchange(unsigned Status);
+  enum class ConnectionState { Open, Ended };
+  void finishExchange(unsigned Status,
+                      ConnectionState Connection = ConnectionState::Open);
   void closeConnection();
   void disconnectAfter(std::chrono::milliseconds Delay);
   std::string requestText();
@@ -77,6 +79,8 @@
   /// decode dominates, and so which roles the engines are ordered to take.
   const unsigned m_PromptTokens;
   const bool m_IgnoresClose;
+  /// A response to HTTP/1.0 may have no chunks and end with its connection.
+  const std::string m_Version;
   const bool m_SendsCrashingRequests;
   size_t m_Gateway = 0;
   proxy::ResponseParser m_Parser;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -115,7 +115,8 @@
 }
 
 bool SoakFleet::startProxy() {
-  std::vector<std::string> Flags;
+  // A broken link must not look like the end of a response.
+  std::vector<std::string> Flags = {"--reset"};
   const auto Add = [&](const std::string &Name, const Endpoint &Target) {
     Flags.push_back("--link");
     Flags.push_back(linkFlag(Name, Target));
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -48,7 +48,9 @@
 
 SoakServer::SoakServer(boost::asio::io_context &Loop, InvariantChecker &Checker,
                        uint64_t Seed, std::string Service, std::string Stage)
-    : m_Loop(Loop), m_Checker(Checker), m_Random(Seed),
+    : m_Loop(Loop), m_Checker(Checker), m_Random(Seed), m_FramingRandom(Seed),
+      m_Framing(Seed % 2 == 0 ? proxy::BodyFraming::Chunks
+                              : proxy::BodyFraming::ConnectionEnd),
       m_Service(std::move(Service)), m_Stage(std::move(Stage)),
       m_Listener(Loop, [this](const Request &Message, const Caller &Sender) {
         m_Listener.Requests.clear();
@@ -175,6 +177,15 @@
           .dump());
 }
 
+void SoakServer::respond(const Caller &Receiver, const ResponseHead &Head,
+                         const std::string &Body) {
+  if (m_Framing != proxy::BodyFraming::ConnectionEnd)
+    return Receiver->respond(Head, Body);
+  Receiver->beginStream(Head, m_Framing);
+  Receiver->writeStream(Body);
+  Receiver->endStream();
+}
+
 void SoakServer::execute(const Request &Message, const Caller &Sender) {
   if (Message.Head.Target.find(CrashingPath) != std::string::npos)
     return crash(Message);
@@ -191,10 +202,10 @@
   const std::string ResponseId =
       m_Behavior == Behavior::WrongAttemptId ? AttemptId + "x" : AttemptId;
   if (Events.empty())
-    return Sender->respond(successHead(ResponseId), "answer to " + ResponseId);
+    return respond(Sender, successHead(ResponseId), "answer to " + ResponseId);
   ResponseHead Head = successHead(ResponseId);
   Head.Headers.add("Content-Type", "text/event-stream");
-  Sender->beginStream(Head);
+  Sender->beginStream(Head, m_Framing);
   const std::string LastEventId = field(Message, "Last-Event-Id");
   const auto Last = static_cast<unsigned>(std::stoul(Events));
   const milliseconds Gap = Message.Head.Target.starts_with("/long/")
@@ -218,6 +229,9 @@
   const std::string Event = eventText(AttemptId, Next);
   if (m_Behavior == Behavior::DropsConnection && Next > Last / 2) {
     Receiver->writeStream(Event.substr(0, Event.size() / 2));
+    // A server may break off without its connection showing it.
+    if (m_FramingRandom() % 2 == 0)
+      return Receiver->endStream();
     // The delay lets the half event be sent first.
     return after(milliseconds(2), [Receiver] { Receiver->abort(); });
   }
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -24,7 +24,7 @@
   Healthy,
   /// Executes requests and responds with status 500.
   ServerError,
-  /// Executes requests and closes the connection, for streams in the middle.
+  /// Executes requests and breaks off, in streams inside an event.
   DropsConnection,
   /// Responds one second later.
   Slow,
@@ -75,6 +75,8 @@
   void rejectForAWhile(const proxy::Request &Message,
                        const testing::Caller &Sender);
   proxy::ResponseHead successHead(const std::string &AttemptId);
+  void respond(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
+               const std::string &Body);
   void execute(const proxy::Request &Message, const testing::Caller &Sender);
   void prefill(const proxy::Request &Message, const testing::Caller &Sender);
   void handleOrder(const proxy::Request &Message,
@@ -90,6 +92,10 @@
   boost::asio::io_context &m_Loop;
   InvariantChecker &m_Checker;
   std::mt19937_64 m_Random;
+  /// A separate source keeps the other choices of each seed unchanged.
+  std::mt19937_64 m_FramingRandom;
+  /// Of streams, and of other successes that are delimited by the connection.
+  const proxy::BodyFraming m_Framing;
   std::string m_Service;
   /// Empty for a plain server.
   std::string m_Stage;
--- a/Tests/StandIns/fault-proxy/Main.cpp
+++ b/Tests/StandIns/fault-proxy/Main.cpp
@@ -40,13 +40,15 @@
   Add("control", "",
       cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
   Add("link", "", cxxopts::value<std::vector<std::string>>());
+  Add("reset", "reset connections that break, instead of closing them");
   const auto Flags = Options.parse(ArgumentCount, Arguments);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, requestStop);
   std::signal(SIGINT, requestStop);
   try {
     Poller Events;
-    Proxy Links(Events);
+    Proxy Links(Events, Flags.count("reset") ? Proxy::Break::Reset
+                                             : Proxy::Break::Close);
     const Control Commands(Events, Links, Flags["control"].as<std::string>());
     if (Flags.count("link"))
       for (const auto &Text : Flags["link"].as<std::vector<std::string>>())
--- a/Tests/StandIns/fault-proxy/Proxy.cpp
+++ b/Tests/StandIns/fault-proxy/Proxy.cpp
@@ -44,6 +44,12 @@
   return Socket;
 }
 
+/// Makes closing the socket reset its connection.
+void resetOnClose(int Socket) {
+  const linger Reset{1, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+}
+
 void disableNagle(int Socket) {
   const int On = 1;
   ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
@@ -230,6 +236,12 @@
 void Proxy::close(Connection &Which) {
   if (std::exchange(Which.Closed, true))
     return;
+  const bool EndedInOrder =
+      !Which.Torn && Which.Up.EndForwarded && Which.Down.EndForwarded;
+  if (m_BreakKind == Break::Reset && !EndedInOrder) {
+    resetOnClose(Which.Client);
+    resetOnClose(Which.Target);
+  }
   m_Poller.remove(Which.Client);
   m_Poller.remove(Which.Target);
 }
--- a/Tests/StandIns/fault-proxy/Proxy.h
+++ b/Tests/StandIns/fault-proxy/Proxy.h
@@ -99,7 +99,11 @@
 
 class Proxy {
 public:
-  explicit Proxy(Poller &Events) : m_Poller(Events) {}
+  /// What a connection that breaks looks like to both sides.
+  enum class Break { Close, Reset };
+
+  Proxy(Poller &Events, Break BreakKind)
+      : m_Poller(Events), m_BreakKind(BreakKind) {}
 
   /// Throws std::runtime_error when the address cannot be bound.
   Link &addLink(const std::string &Name, const std::string &Listen,
@@ -123,6 +127,7 @@
   void close(Connection &Which);
 
   Poller &m_Poller;
+  const Break m_BreakKind;
   std::map<std::string, Link> m_Links;
 };
 
