figlift-gateway: An answer that ends with its connection clears no suspect

A request that crashes its servers was cleared by a crash whose answer, without framing, looked complete, and so reached one server after another for ever.

The end of a connection says nothing of the server's health, so it no longer counts as a completed run for the suspicion. The answer itself is delivered, as the users' page calls it whole.

--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -98,7 +98,7 @@
     return m_Fingerprint ? m_Fingerprint->toString() : std::string();
   }
   void recordConnectionLost(const ServerSend &Send);
-  void recordCompletion();
+  void recordCompletion(const ServerSend &Send);
   bool isSuspected();
   bool rejectIfSuspected();
   /// @}
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -23,7 +23,10 @@
 }
 
 /// A server completed the request, successfully or not, and is still running.
-void RequestFlow::recordCompletion() {
+/// A response that ends with its connection does not prove that.
+void RequestFlow::recordCompletion(const ServerSend &Send) {
+  if (Send.head().Framing == proxy::BodyFraming::ConnectionEnd)
+    return;
   if (m_Shared.Crashes.needsCompletions() && fingerprint())
     m_Shared.Crashes.completed(*m_Fingerprint, BootClock::now());
 }
--- a/Tests/FigliftGateway/TestCrashingRequests.cpp
+++ b/Tests/FigliftGateway/TestCrashingRequests.cpp
@@ -24,6 +24,8 @@
   /// Servers that crashed while executing CrashingPath.
   unsigned Crashes = 0;
   unsigned Restarts = 0;
+  /// Every second server crashes after part of an answer.
+  bool CrashesInPart = false;
 
   void crashAndRestart(const std::string &Id) {
     ++Crashes;
@@ -36,9 +38,27 @@
       crashOnRequest(NewId);
     });
   }
+  /// Part of an answer without framing, before a crash that closes the
+  /// connection in order.
+  void respondInPart(const proxy::Request &Request, const Caller &To,
+                     const std::string &Id) {
+    proxy::ResponseHead Head;
+    Head.Status = 200;
+    Head.Headers.add("X-Attempt-Id", "a1");
+    Head.Headers.add("X-Response-Signature", "s");
+    To->beginStream(Head, proxy::BodyFraming::ConnectionEnd);
+    To->writeStream("part of " + Request.Head.Target);
+    To->endStream();
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(
+        Fixture.Loop, std::chrono::milliseconds(20));
+    Timer->async_wait([this, Timer, Id](const auto &) { crashAndRestart(Id); });
+  }
   void crashOnRequest(const std::string &Id) {
     Fixture.setBehaviour(
         Id, [this, Id](const proxy::Request &Request, const Caller &To) {
+          const bool IsInPart = CrashesInPart && Crashes % 2 == 1;
+          if (Request.Head.Target == CrashingPath && IsInPart)
+            return respondInPart(Request, To, Id);
           if (Request.Head.Target == CrashingPath)
             return crashAndRestart(Id);
           respondSigned(Request, To, 200, "good");
@@ -76,3 +96,17 @@
   CHECK(contains(Rejection, "Retry-After"));
   CHECK(contains(Fixture.request("POST", "/unsafe/x"), "good"));
 }
+
+// Failure: a request that crashes servers is cleared by a crash whose answer
+// ends with its connection and looks complete.
+TEST(CrashingRequests, AreNotClearedByAnAnswerWithoutFraming) {
+  CrashesInPart = true;
+  startServing();
+  for (int Attempt = 0; Attempt < 16; ++Attempt) {
+    Fixture.request("POST", CrashingPath);
+    Fixture.Loop.run_for(std::chrono::milliseconds(150));
+  }
+  // Three that broke off visibly, and those between them.
+  LONGS_EQUAL(5, Crashes);
+  CHECK(contains(Fixture.request("POST", CrashingPath), "HTTP/1.1 503"));
+}
