--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -108,3 +108,24 @@
   CHECK(!Response->has_value());
   CHECK(std::chrono::steady_clock::now() - Start < milliseconds(1000));
 }
+
+// Failure: the answer to a write is broken off, and the write counts as made in
+// version 0.
+TEST(StoreClient, BrokenOffAnswerToAWriteLeavesItsOutcomeOpen) {
+  for (const char *Body : {R"({"ve)", "", R"({"ver":"1"})"}) {
+    testing::Listener Broken(
+        Loop, [Body](const proxy::Request &, const testing::Caller &To) {
+          To->beginStream({200, "", 11, {}}, proxy::BodyFraming::ConnectionEnd);
+          To->writeStream(Body);
+          To->endStream();
+        });
+    StoreClient BrokenClient(Loop, Worker, Broken.address());
+    std::optional<Result<dispatch::StoreVersion>> Written;
+    BrokenClient.commit({}, [&](auto Result) { Written = std::move(Result); });
+    const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!Written && std::chrono::steady_clock::now() < End)
+      Loop.run_for(milliseconds(2));
+    CHECK(Written && !Written->has_value());
+    CHECK(Written->error().Code == ResultCode::StoreOutcomeUnknown);
+  }
+}
