figlift-gateway: Tell the software version of targets, and what a request resumes

Two fields of the protocol that nothing read: the version in a server's entry, and the attempt that a caller names as the beginning of the stream it resumes (Resumes). Both are decoded and stand in the lines of targets, requests and sends; gateways tell each other the version with the rest of an entry, as only one of them reads the store. No choice of a server depends on them yet.

--- a/Libraries/LibDispatch/StoreUpdate.cpp
+++ b/Libraries/LibDispatch/StoreUpdate.cpp
@@ -28,7 +28,8 @@
           Entry->Zone,
           Entry->Slots,
           Entry->Draining,
-          static_cast<int>(Entry->EngineStage)};
+          static_cast<int>(Entry->EngineStage),
+          Entry->SoftwareVersion};
 }
 
 Result<Stage> decodeStage(int Number) {
@@ -60,6 +61,9 @@
   if (!DecodedStage)
     return outcome::failure(DecodedStage.error());
   Server.EngineStage = DecodedStage.value();
+  // Earlier versions of the program send no software version.
+  if (EncodedEntry.size() > 9)
+    Server.SoftwareVersion = EncodedEntry.at(9).get<std::string>();
   Change.Entry = std::move(Server);
   return Change;
 }
--- a/Libraries/LibDispatch/Target.h
+++ b/Libraries/LibDispatch/Target.h
@@ -54,6 +54,10 @@
   /// The server is about to leave and accepts no new work.
   bool Draining = false;
   Stage EngineStage = Stage::None;
+  /// Version of the server's program, not of its weights. Servers of several
+  /// versions may serve side by side, and a stream may go on only at the
+  /// version that began it.
+  std::string SoftwareVersion;
 
   ServerStart start() const { return {Id, Started}; }
   bool operator==(const Target &) const = default;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -190,6 +190,7 @@
     void operator()(const dispatch::TargetChanged &Event) const {
       log::logEvent(log::Level::Info, "target-changed",
                     {{"target", Event.Entry.Id},
+                     {"softwareVersion", Event.Entry.SoftwareVersion},
                      {"stage", static_cast<int>(Event.Entry.EngineStage)}});
     }
     void operator()(const dispatch::TargetDraining &Event) const {
@@ -220,6 +221,7 @@
                  {"service", Target.Service},
                  {"address", Target.Address.toString()},
                  {"zone", Target.Zone},
+                 {"softwareVersion", Target.SoftwareVersion},
                  {"stage", static_cast<int>(Target.EngineStage)}});
   m_Shared.Pools[Target.Id] = std::make_shared<upstream::ConnectionPool>(
       m_Shared.Loop, Target.Address, upstream::PoolSettings{});
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -136,6 +136,8 @@
   void logEnded(std::string_view Outcome, unsigned Status,
                 std::string_view Reason);
   void logSendEnded(const ServerSend &Send, const dispatch::SendOutcome &End);
+  /// Empty if the target is not listed.
+  std::string softwareVersionOf(const std::string &TargetId) const;
   void logSent(const std::string &TargetId, const std::string &FetchFrom,
                SendPurpose Purpose, dispatch::Milliseconds Expected);
   void armSilenceTimeout(BootClock::duration Timeout);
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -20,9 +20,16 @@
        {"tenant", m_Tenant.value_or("")},
        {"configuration", m_Configuration->Version},
        {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
+       {"resumes", m_Fields.Resumes.value_or("")},
+       {"lastEvent", m_Fields.LastEventId.value_or("")},
        {"deadlineMs", Milliseconds(m_Deadline - m_Started)}});
 }
 
+std::string RequestFlow::softwareVersionOf(const std::string &TargetId) const {
+  const dispatch::Target *Target = m_Shared.Targets.find(TargetId);
+  return Target ? Target->SoftwareVersion : std::string();
+}
+
 void RequestFlow::logSent(const std::string &TargetId,
                           const std::string &FetchFrom, SendPurpose Purpose,
                           Milliseconds Expected) {
@@ -35,6 +42,7 @@
   log::logRequest(
       log::Level::Info, "request-sent", m_Fields.AttemptId, {},
       {{"target", TargetId},
+       {"softwareVersion", softwareVersionOf(TargetId)},
        {"purpose", Purpose == SendPurpose::Execute ? "run" : "read-prompt"},
        {"fetchFrom", FetchFrom},
        {"plannedMs", Expected},
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -139,7 +139,7 @@
                                     Listener::Behaviour Behaviour,
                                     const std::string &Stage) {
   m_Servers[Id] = {std::make_unique<Listener>(Loop, std::move(Behaviour)),
-                   Service, Stage};
+                   Service, Stage, SoftwareVersion};
   setServerState(Id, "ready");
   return *m_Servers[Id].Server;
 }
@@ -148,14 +148,15 @@
                                     const std::string &State) {
   const Entry &Server = m_Servers[Id];
   writeEntry(Id, Server.Service, Server.Server->address(), Server.Stage, State,
-             Server.StartTime);
+             Server.SoftwareVersion, Server.StartTime);
 }
 
 void GatewayFixture::listServer(const std::string &Id,
                                 const std::string &Service,
                                 const Endpoint &Address,
                                 const std::string &Stage) {
-  writeEntry(Id, Service, Address, Stage, "ready", Entry{}.StartTime);
+  writeEntry(Id, Service, Address, Stage, "ready", SoftwareVersion,
+             FirstStartTime);
 }
 
 void GatewayFixture::listUnreachableEngine(const std::string &Id,
@@ -167,9 +168,10 @@
                                 const std::string &Service,
                                 const Endpoint &Address,
                                 const std::string &Stage,
-                                const std::string &State, int64_t StartTime) {
+                                const std::string &State,
+                                const std::string &Version, int64_t StartTime) {
   Json Row = {{"service", Service},   {"address", Address.toString()},
-              {"zone", "z"},          {"version", "v1"},
+              {"zone", "z"},          {"version", Version},
               {"slots", 4},           {"state", State},
               {"coldRemainingMs", 0}, {"sequence", ++m_LastSequence},
               {"born", StartTime}};
@@ -193,7 +195,8 @@
   Entry &Restarted = m_Servers[NewId];
   Restarted = {std::make_unique<Listener>(Loop, Crashed.Server->behaviour(),
                                           Crashed.Server->address().Port),
-               Crashed.Service, Crashed.Stage, Crashed.StartTime + 5000};
+               Crashed.Service, Crashed.Stage, Crashed.SoftwareVersion,
+               Crashed.StartTime + 5000};
   Store.remove("servers", Id);
   setServerState(NewId, "ready");
 }
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -98,22 +98,28 @@
   /// Number of additional routes in each configuration, named "/more-1/" to
   /// "/more-N/".
   unsigned AdditionalRoutes = 0;
+  /// Version of the program of servers that are added or listed from now on.
+  std::string SoftwareVersion = "v1";
   /// JSON of the tenants in each configuration, which then also has the public
   /// route /open/; empty for a configuration without tenants.
   std::string Tenants;
   settings::GatewaySettings Settings;
 
 private:
+  static constexpr int64_t FirstStartTime = 1790000000000;
+
   struct Entry {
     std::unique_ptr<Listener> Server;
     std::string Service;
     std::string Stage;
+    std::string SoftwareVersion;
     /// Milliseconds since 1970.
-    int64_t StartTime = 1790000000000;
+    int64_t StartTime = FirstStartTime;
   };
   void writeEntry(const std::string &Id, const std::string &Service,
                   const Endpoint &Address, const std::string &Stage,
-                  const std::string &State, int64_t StartTime);
+                  const std::string &State, const std::string &Version,
+                  int64_t StartTime);
   void startOnFreePorts();
 
   std::map<std::string, Entry> m_Servers;
