--- /dev/null
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -0,0 +1,203 @@
+//===- TestStreamVersions.cpp - Streams beside a change of software -------===//
+//
+// Engines of two software versions in one service. A stream goes on only at the
+// version that began it, within an answer and when its caller resumes it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "BrokenOffStreams/RawServer.h"
+#include "FigliftGateway/StandInPlatform.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string FirstEvent = "id: 1\ndata: one\n\n";
+const std::string SecondEvent = "id: 2\ndata: two\n\n";
+
+/// The value of a field in the head of a request, or an empty string.
+std::string field(const std::string &Head, const std::string &Name) {
+  const size_t Begin = Head.find("\r\n" + Name + ": ");
+  if (Begin == std::string::npos)
+    return {};
+  const size_t Value = Begin + Name.size() + 4;
+  return Head.substr(Value, Head.find("\r\n", Value) - Value);
+}
+
+/// An engine whose new streams break off after their first event. It completes
+/// streams that are resumed.
+RawResponse breakOffNewStreams(const std::string &Head) {
+  const bool IsResumed = !field(Head, "Last-Event-Id").empty();
+  std::string Bytes =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + field(Head, "X-Attempt-Id") +
+      "\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string &Event = IsResumed ? SecondEvent : FirstEvent;
+  // 17 bytes.
+  Bytes += "11\r\n" + Event + "\r\n";
+  if (IsResumed)
+    Bytes += "0\r\n\r\n";
+  return {Bytes, ConnectionEnd::Close};
+}
+
+} // namespace
+
+TEST_GROUP(StreamVersions) {
+  GatewayFixture Fixture;
+  std::vector<std::unique_ptr<RawServer>> Engines;
+
+  /// Lists "d1", "d2" and so on, of these software versions.
+  void startEngines(const std::vector<std::string> &Versions) {
+    for (const std::string &Version : Versions) {
+      Engines.push_back(
+          std::make_unique<RawServer>(Fixture.Loop, breakOffNewStreams));
+      Fixture.SoftwareVersion = Version;
+      Fixture.listServer("d" + std::to_string(Engines.size()), "model",
+                         Engines.back()->address(), "decode");
+    }
+    startServing(Versions.size());
+  }
+  void startServing(size_t Count) {
+    Fixture.configure();
+    CHECK(Fixture.waitUntilReady());
+    waitForTargets(Count);
+  }
+  void waitForTargets(size_t Count) {
+    CHECK(Fixture.waitUntil([&] {
+      return contains(Fixture.metrics(),
+                      "figlift_gateway_targets " + std::to_string(Count));
+    }));
+  }
+  std::string request(const std::string &AttemptId, const std::string &Fields) {
+    return Fixture.exchange(
+        Fixture.Settings.Listen.Callers,
+        "GET /stream/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "X-Attempt-Id: " +
+            AttemptId + "\r\n" + PromptHeaders + Fields + "\r\n");
+  }
+  std::string resume(const std::string &AttemptId,
+                     const std::string &Beginning) {
+    return request(AttemptId,
+                   "Last-Event-Id: 1\r\nResumes: " + Beginning + "\r\n");
+  }
+  /// Index of the only engine that has got a request so far.
+  size_t usedEngine() {
+    LONGS_EQUAL(1, Engines[0]->Requests.size() + Engines[1]->Requests.size());
+    return Engines[0]->Requests.empty() ? 1 : 0;
+  }
+  size_t requestCount() {
+    size_t Count = 0;
+    for (const auto &Engine : Engines)
+      Count += Engine->Requests.size();
+    return Count;
+  }
+};
+
+// Failure: an engine breaks off, and the rest of the answer comes from an
+// engine of another software version.
+TEST(StreamVersions, BrokenStreamIsNotResumedAtAnotherVersion) {
+  startEngines({"v1", "v2"});
+  const std::string Answer = request("a1", "");
+  CHECK(contains(Answer, FirstEvent));
+  CHECK_FALSE(contains(Answer, SecondEvent));
+  CHECK_FALSE(isCompleteStream(Answer));
+  LONGS_EQUAL(1, requestCount());
+}
+
+// Failure: a silent engine is given up although only engines of another
+// software version could go on.
+TEST(StreamVersions, SilentEngineIsNotGivenUpForAnotherVersion) {
+  unsigned Sends = 0;
+  const auto PauseAfterFirstEvent = [&](const proxy::Request &Request,
+                                        const Caller &To) {
+    ++Sends;
+    beginStream(Request, To);
+    To->writeStream(FirstEvent);
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(
+        Fixture.Loop, milliseconds(1200));
+    Timer->async_wait([Timer, To](const auto &) {
+      To->writeStream(SecondEvent);
+      To->endStream();
+    });
+  };
+  for (const char *Version : {"v1", "v2"}) {
+    Fixture.SoftwareVersion = Version;
+    Fixture.addServer(std::string("d") + Version, "model", PauseAfterFirstEvent,
+                      "decode");
+  }
+  startServing(2);
+  const std::string Answer = request("a1", "");
+  CHECK(contains(Answer, FirstEvent));
+  CHECK(contains(Answer, SecondEvent));
+  CHECK(isCompleteStream(Answer));
+  LONGS_EQUAL(1, Sends);
+}
+
+// Failure: a caller resumes a stream, and gets the rest from an engine of
+// another software version.
+TEST(StreamVersions, CallerResumesAtTheVersionThatBegan) {
+  startEngines({"v1", "v2"});
+  request("a1", "");
+  const size_t Used = usedEngine();
+  for (const char *Attempt : {"a2", "a3", "a4"})
+    CHECK(isCompleteStream(resume(Attempt, "a1")));
+  LONGS_EQUAL(4, Engines[Used]->Requests.size());
+  LONGS_EQUAL(0, Engines[1 - Used]->Requests.size());
+}
+
+// Failure: a stream whose beginning no gateway knows goes on at any of two
+// versions.
+TEST(StreamVersions, UnknownBeginningIsRefusedWhileTwoVersionsServe) {
+  startEngines({"v1", "v2"});
+  for (const std::string &Answer :
+       {resume("a2", "elsewhere"), request("a3", "Last-Event-Id: 1\r\n")}) {
+    CHECK(contains(Answer, "HTTP/1.1 503"));
+    CHECK(contains(Answer, "Retry-After"));
+  }
+  LONGS_EQUAL(0, requestCount());
+}
+
+// Failure: the engines of the version that began a stream have left, and the
+// stream goes on at the only version that is still there.
+TEST(StreamVersions, UnknownBeginningIsRefusedAfterItsVersionMayHaveLeft) {
+  startEngines({"v1", "v2"});
+  Fixture.Store.remove("servers", "d1");
+  waitForTargets(1);
+  CHECK(contains(resume("a2", "elsewhere"), "HTTP/1.1 503"));
+  LONGS_EQUAL(0, requestCount());
+}
+
+// Failure: streams cannot be resumed although there is one version only.
+TEST(StreamVersions, UnknownBeginningGoesOnWhileOneVersionServes) {
+  startEngines({"v1", "v1"});
+  CHECK(isCompleteStream(resume("a2", "elsewhere")));
+  CHECK(isCompleteStream(request("a3", "Last-Event-Id: 1\r\n")));
+}
+
+// Failure: a caller waits until its deadline for a version that has left, or
+// gets another one.
+TEST(StreamVersions, StreamIsRefusedWhenItsVersionHasLeft) {
+  startEngines({"v1", "v2"});
+  request("a1", "");
+  const size_t Used = usedEngine();
+  Fixture.Store.remove("servers", "d" + std::to_string(Used + 1));
+  waitForTargets(1);
+  const auto Before = std::chrono::steady_clock::now();
+  CHECK(contains(resume("a2", "a1"), "HTTP/1.1 503"));
+  CHECK(std::chrono::steady_clock::now() - Before < milliseconds(500));
+  LONGS_EQUAL(1, requestCount());
+}
+
+// Failure: a request that names two beginnings is served as either.
+TEST(StreamVersions, SeveralBeginningsAreRejected) {
+  startEngines({"v1", "v1"});
+  CHECK(contains(request("a2", "Last-Event-Id: 1\r\nResumes: a\r\n"
+                               "Resumes: b\r\n"),
+                 "HTTP/1.1 400"));
+  LONGS_EQUAL(0, requestCount());
+}
