figlift-gateway: Keep streams at the software version that began them

Cause: no gateway knew the version of a server, and none knew where a stream began that a caller takes up; a resumed stream was planned as a new one.

A stream is bound to its version when its first event is forwarded, or when its caller names its beginning; the binding is in the one list of targets that every plan, retry, resume, given-up silence, spill and prefill chooses from, and is asked again when the request is sent and when a new connection is ready. Where streams began is told to all gateways with the next report (25 ms for four) and again each second while they are open, so that it outlives its gateway, lost datagrams and restarts; 16 bytes a stream, 120 s, 32,768 streams. A stream whose beginning nobody knows goes on only where its service has had one version for as long, by a list that is at most 3 s old; else it is refused at once and has not run. If no server of its version takes work it is refused at once too.

RejectsInvalidInput of the store's updates finds its byte before the new field.

Weighed: asking peers when a stream is taken up (nobody answers for a dead gateway, and the plan waits for answers), a row of the store for each stream (dear, and away in an outage), a version chosen by a hash (moves with the shares of the versions, which is what a rollout does).

--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -25,6 +25,7 @@
 #include "LibDispatch/ServerLimits.h"
 #include "LibDispatch/ServicePlanner.h"
 #include "LibDispatch/StartLag.h"
+#include "LibDispatch/StreamOrigins.h"
 #include "LibDispatch/StreamTimes.h"
 #include "LibDispatch/TargetTable.h"
 #include "LibMetrics/Registry.h"
@@ -89,6 +90,7 @@
   dispatch::TargetTable Targets;
   OpenTargets Open{Targets};
   dispatch::LoadTracker Loads;
+  dispatch::StreamOrigins Origins;
   dispatch::ServerLimits Limits;
   retry::FleetRetryBudget Budget;
   dispatch::PromptPlanner Prompts;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -203,6 +203,10 @@
   };
   for (const dispatch::TargetEvent &Event : Events)
     std::visit(Visitor{*this}, Event);
+  dispatch::StreamOrigins::VersionsByService Versions;
+  for (const auto &[Id, Target] : m_Shared.Targets.all())
+    Versions[Target.Service].insert(Target.SoftwareVersion);
+  m_Shared.Origins.replaceListed(Versions, BootClock::now());
 }
 
 void Gateway::targetShutsDown(const dispatch::ServerStart &Server) {
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -107,6 +107,10 @@
       "figlift_gateway_unknown_fields_total",
       "Header fields in responses of servers that nothing reads",
       [this] { return double(m_Shared.Feedback.unknownFields()); });
+  Metrics.registerGauge(
+      "figlift_gateway_stream_origins",
+      "Streams, of the whole fleet, whose software version is remembered",
+      [this] { return double(m_Shared.Origins.size()); });
   Metrics.registerGauge("figlift_gateway_store_era",
                         "Rises whenever the store comes back from a copy",
                         [this] { return double(m_Store.era()); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -172,6 +172,7 @@
     m_ServerJournal.recordChanges(Read.Version, KnownAt, {});
   else
     m_ServerJournal.recordFullRead(Read.Version, KnownAt);
+  m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
   apply(Events);
   limitPools();
   announceStoreState();
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -24,6 +24,7 @@
 constexpr char StoreUpdateKind = 'N';
 constexpr char SuspectsKind = 'S';
 constexpr char UsageKind = 'U';
+constexpr char StreamOriginsKind = 'V';
 /// @}
 /// How often a report includes server limits, about 30 bytes each, and the
 /// learned engine costs, about 100 bytes per service. After a start the
@@ -103,6 +104,8 @@
     Report.UsageSettledThrough = m_Shared.Usage.OwnSettledThrough;
   }
   sendToAll(ReportKind, encodePeerReport(Report));
+  for (const auto &Update : m_Shared.Origins.takeUpdates(Now))
+    sendToAll(StreamOriginsKind, encodeStreamOrigins(Update));
   if (++m_ReportsSinceReannouncement >= ReportsPerReannouncement)
     reannounceSuspects(Now);
 }
@@ -195,6 +198,16 @@
     suspectsReceived(Opened->Body);
   else if (Opened->Kind == UsageKind)
     usageReceived(Opened->Body);
+  else if (Opened->Kind == StreamOriginsKind)
+    streamOriginsReceived(Opened->Body);
+}
+
+void PeerLink::streamOriginsReceived(std::string_view Body) {
+  const auto Read = dispatch::decodeStreamOrigins(Body);
+  if (!Read)
+    return log::logError(log::Level::Warning, "stream-origins-invalid",
+                         Read.error());
+  m_Shared.Origins.applyUpdate(Read.value(), BootClock::now());
 }
 
 void PeerLink::storeUpdateReceived(std::string_view Body) {
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -57,6 +57,7 @@
   void reannounceSuspects(BootTime Now);
   void suspectsReceived(std::string_view Body);
   void usageReceived(std::string_view Body);
+  void streamOriginsReceived(std::string_view Body);
 
   Context &m_Shared;
   PeerList &m_Peers;
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -48,6 +48,7 @@
     proxy::ResponseHead Head = Send.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_ResponseStarted = true;
+    bindToVersionOf(Send);
     m_FirstEvent = BootClock::now();
     m_Shared.StreamTimes[m_Route.Name].recordStart(*m_FirstEvent);
     m_Caller->beginStream(Head);
@@ -194,6 +195,7 @@
   m_DeadlineTimer.cancel();
   m_SilenceTimer.cancel();
   cancelReservedRetry();
+  recordStreamEnd();
   const BootTime Now = BootClock::now();
   if (m_FirstEvent)
     m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -64,7 +64,8 @@
   if (!authenticate())
     return;
   m_Relay = dispatch::EventRelay(eventNumber(m_Fields.LastEventId));
-  m_Service = dispatch::pickService(m_Route, m_Shared.draw());
+  if (!chooseService())
+    return;
   milliseconds Allowed = m_Route.Timeout;
   if (m_Fields.Deadline)
     Allowed = std::min(Allowed, *m_Fields.Deadline);
@@ -117,7 +118,7 @@
 }
 
 void RequestFlow::plan() {
-  if (rejectIfSuspected())
+  if (rejectIfSuspected() || rejectIfVersionLeft())
     return;
   if (const dispatch::Service *Service = engineService())
     return planPrompt(*Service);
@@ -127,7 +128,7 @@
 void RequestFlow::planPrompt(const dispatch::Service &Service) {
   const BootTime Now = BootClock::now();
   if (m_Sends == 0)
-    recordDemand(m_Shared.costsOf(Service, Now), promptTargets(), Now);
+    recordDemand(m_Shared.costsOf(Service, Now), usableTargets(), Now);
   const auto Plan = promptPlan(Service, Now);
   m_PlannedAt = Now;
   m_PlannedLag = m_Shared.StartLags[m_Service].current(Now);
@@ -222,7 +223,8 @@
                                         m_Fields.AttemptId);
   if (!engineCostsKnown(Now))
     Work.Expected = Milliseconds(0);
-  if (m_Send->start(
+  if (mayUseVersionOf(TargetId) &&
+      m_Send->start(
           proxy::serializeRequest(m_Request.Head, Headers, m_Request.Body),
           Work)) {
     chargeRetry(Purpose, Now);
@@ -356,7 +358,7 @@
 RequestFlow::chooseDecodeTarget(BootTime Now) {
   return m_Shared.Prompts.chooseDecodeTarget(
       promptRequest(Now), m_Shared.Targets.find(m_PrefillTarget),
-      promptTargets(), m_Shared.costsOf(*engineService(), Now), Now);
+      usableTargets(), m_Shared.costsOf(*engineService(), Now), Now);
 }
 
 /// An execution that reached no engine, or was rejected, has not consumed the
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -65,10 +65,8 @@
   dispatch::PromptPlan promptPlan(const dispatch::Service &Service,
                                   BootTime Now);
   dispatch::ServicePlan servicePlan(BootTime Now);
-  /// Engines that this request with a prompt may use.
-  OpenTargets::List promptTargets() const {
-    return m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject());
-  }
+  /// Open targets that this request may use.
+  OpenTargets::List usableTargets() const;
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
@@ -89,6 +87,20 @@
   void send(const std::string &TargetId, const std::string &FetchFrom,
             SendPurpose Purpose, dispatch::Work Work);
   bool engineCostsKnown(BootTime Now) const;
+  /// \name Software versions: from its first event on, a stream is bound to
+  /// the version that began it.
+  /// @{
+  /// Chooses the service, and the version if the caller resumes a stream.
+  /// Otherwise rejects the request and returns false.
+  bool chooseService();
+  dispatch::StreamKey streamKey(const std::string &AttemptId) const;
+  bool bindToOrigin();
+  void bindToVersionOf(const ServerSend &Send);
+  void recordStreamEnd();
+  bool mayUseVersionOf(const std::string &TargetId) const;
+  bool rejectIfVersionLeft();
+  void logResumed(const dispatch::OriginLookup &Origin);
+  /// @}
   /// \name Detection of requests that crash servers.
   /// @{
   /// Empty while the fleet's secret is not known.
@@ -183,6 +195,9 @@
   std::shared_ptr<const dispatch::Configuration> m_Configuration;
   dispatch::Route m_Route;
   std::string m_Service;
+  /// Software version to which the stream is bound; empty before its first
+  /// event. A server of another version cannot go on with it.
+  std::optional<std::string> m_BoundVersion;
   /// Empty for a request that belongs to no tenant.
   std::optional<std::string> m_Tenant;
   boost::asio::steady_timer m_DeadlineTimer;
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -12,7 +12,7 @@
 
 dispatch::PromptPlan RequestFlow::promptPlan(const dispatch::Service &Service,
                                              BootTime Now) {
-  return m_Shared.Prompts.plan(promptRequest(Now), promptTargets(),
+  return m_Shared.Prompts.plan(promptRequest(Now), usableTargets(),
                                m_Shared.costsOf(Service, Now), Now);
 }
 
@@ -26,9 +26,24 @@
   return All;
 }
 
+/// A stream that is bound to a version may use all targets of that version, as
+/// this gateway's part of the targets may have none.
+OpenTargets::List RequestFlow::usableTargets() const {
+  if (m_BoundVersion) {
+    OpenTargets::List Targets = m_Shared.Open.all(m_Service);
+    std::erase_if(Targets, [&](const dispatch::Target *Candidate) {
+      return Candidate->SoftwareVersion != *m_BoundVersion;
+    });
+    return Targets;
+  }
+  if (engineService())
+    return m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject());
+  return m_Shared.Open.used(m_Service);
+}
+
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
   return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
-                                m_Shared.Open.used(m_Service), Now);
+                                usableTargets(), Now);
 }
 
 /// Retry-After of a request that no server may take at present. Where servers
@@ -37,8 +52,7 @@
 std::chrono::milliseconds
 RequestFlow::retryAfterBackoff(std::chrono::milliseconds Planned,
                                BootTime Now) {
-  OpenTargets::List Servers =
-      engineService() ? promptTargets() : m_Shared.Open.used(m_Service);
+  OpenTargets::List Servers = usableTargets();
   // Without a decode engine no prompt runs.
   std::erase_if(Servers, [](const dispatch::Target *Server) {
     return Server->EngineStage == dispatch::Stage::Prefill;
--- /dev/null
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -0,0 +1,149 @@
+//===- RequestVersion.cpp - The software version of one stream ------------===//
+//
+// Binds a stream to the software version that began it: at its first event, or
+// at once if its caller resumes it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestFlow.h"
+
+#include "LibLog/Log.h"
+
+#include <algorithm>
+
+namespace figlift::gateway {
+
+using dispatch::KnownOrigin;
+using dispatch::OnlyVersion;
+using dispatch::OriginLookup;
+using dispatch::UnknownOrigin;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Another gateway may know where the stream began.
+constexpr milliseconds UnknownOriginRetryAfter{50};
+
+/// Short text for the log and the metrics.
+std::string_view describe(const OriginLookup &Origin) {
+  struct Namer {
+    std::string_view operator()(const KnownOrigin &Known) const {
+      return Known.FromPeer ? "peer" : "own";
+    }
+    std::string_view operator()(const OnlyVersion &) const {
+      return "only version";
+    }
+    std::string_view operator()(const UnknownOrigin &) const {
+      return "unknown";
+    }
+  };
+  return std::visit(Namer{}, Origin);
+}
+
+bool hasService(const dispatch::Route &Route, const std::string &Service) {
+  return std::any_of(
+      Route.Services.begin(), Route.Services.end(),
+      [&](const auto &Weighted) { return Weighted.Service == Service; });
+}
+
+} // namespace
+
+dispatch::StreamKey
+RequestFlow::streamKey(const std::string &AttemptId) const {
+  return dispatch::StreamKey::of(m_Tenant.value_or(""), AttemptId);
+}
+
+bool RequestFlow::chooseService() {
+  m_Service = dispatch::pickService(m_Route, m_Shared.draw());
+  return !streaming() || !m_Fields.LastEventId || bindToOrigin();
+}
+
+/// A client that resumes a stream without naming its beginning is treated like
+/// one whose beginning is not known.
+bool RequestFlow::bindToOrigin() {
+  std::optional<dispatch::StreamKey> Beginning;
+  if (m_Fields.Resumes)
+    Beginning = streamKey(*m_Fields.Resumes);
+  const OriginLookup Origin = m_Shared.Origins.find(
+      Beginning, m_Service, m_Shared.ServersKnownAt, m_Started);
+  if (const auto *Known = std::get_if<KnownOrigin>(&Origin)) {
+    // The route may have moved to other services since.
+    if (hasService(m_Route, Known->Origin.Service))
+      m_Service = Known->Origin.Service;
+    if (m_Service == Known->Origin.Service)
+      m_BoundVersion = Known->Origin.SoftwareVersion;
+  } else if (const auto *Only = std::get_if<OnlyVersion>(&Origin)) {
+    m_BoundVersion = Only->SoftwareVersion;
+  }
+  logResumed(Origin);
+  if (!std::holds_alternative<UnknownOrigin>(Origin))
+    return true;
+  respondWithError(dispatch::NotRunStatus,
+                   "it is not known at which software version the stream began",
+                   UnknownOriginRetryAfter);
+  return false;
+}
+
+void RequestFlow::logResumed(const OriginLookup &Origin) {
+  m_Shared.Metrics
+      .counter("figlift_gateway_resumed_streams_total",
+               "Streams that callers took up",
+               {{"origin", std::string(describe(Origin))}})
+      .add();
+  if (!m_Shared.Log.allows(LineKind::Notable, m_Started))
+    return;
+  const auto *Known = std::get_if<KnownOrigin>(&Origin);
+  log::logRequest(
+      log::Level::Info, "stream-resumed", m_Fields.AttemptId, {},
+      {{"resumes", m_Fields.Resumes.value_or("")},
+       {"lastEvent", *m_Fields.LastEventId},
+       {"service", m_Service},
+       {"origin", describe(Origin)},
+       {"softwareVersion", m_BoundVersion.value_or("")},
+       {"ageMs", dispatch::Milliseconds(Known ? Known->Age
+                                              : BootClock::duration::zero())}});
+}
+
+/// Only streams that may be resumed are remembered: others end with their
+/// answer.
+void RequestFlow::bindToVersionOf(const ServerSend &Send) {
+  if (!m_Route.Resumable || !Send.target())
+    return;
+  m_BoundVersion = Send.target()->SoftwareVersion;
+  const dispatch::StreamOrigin Origin{m_Service, *m_BoundVersion};
+  const BootTime Now = BootClock::now();
+  m_Shared.Origins.recordEvent(streamKey(m_Fields.AttemptId), Origin, Now);
+  if (m_Fields.LastEventId && m_Fields.Resumes)
+    m_Shared.Origins.recordEvent(streamKey(*m_Fields.Resumes), Origin, Now);
+}
+
+void RequestFlow::recordStreamEnd() {
+  if (!m_BoundVersion)
+    return;
+  m_Shared.Origins.recordEnd(streamKey(m_Fields.AttemptId));
+  if (m_Fields.Resumes)
+    m_Shared.Origins.recordEnd(streamKey(*m_Fields.Resumes));
+}
+
+bool RequestFlow::mayUseVersionOf(const std::string &TargetId) const {
+  return !m_BoundVersion || softwareVersionOf(TargetId) == *m_BoundVersion;
+}
+
+/// Refuses to go on with a stream if no server of its version takes work. Its
+/// caller may begin it anew.
+bool RequestFlow::rejectIfVersionLeft() {
+  if (!m_BoundVersion || !usableTargets().empty())
+    return false;
+  constexpr std::string_view Reason =
+      "no server of the software version that began the stream";
+  releaseHandle();
+  if (m_ResponseStarted)
+    abortStream(Reason);
+  else
+    respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
+                                       : dispatch::OutcomeUnknownStatus,
+                     Reason, FailureRetryAfter);
+  return true;
+}
+
+} // namespace figlift::gateway
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -35,7 +35,8 @@
     m_Sink->onHead(Head);
   }
   bool maySend() const override {
-    return mayBeSentTo(m_Shared, m_Server, BootClock::now());
+    return m_Sink->maySend() &&
+           mayBeSentTo(m_Shared, m_Server, BootClock::now());
   }
   void onBody(std::string Bytes) override {
     m_Shared.Crashes.serverResponded(m_Server, BootClock::now());
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -78,6 +78,8 @@
   void onHead(const proxy::ResponseHead &Head) override;
   void onBody(std::string Bytes) override;
   void onEnd(upstream::ExchangeOutcome End) override;
+  /// A target that has restarted since may have another software version.
+  bool maySend() const override { return !targetRestarted(); }
   bool wantsMore() const override { return !m_Owner || m_Owner->wantsMore(); }
 
 private:
--- a/Tests/LibDispatch/TestStoreUpdate.cpp
+++ b/Tests/LibDispatch/TestStoreUpdate.cpp
@@ -25,6 +25,7 @@
     Engine.Slots = 6;
     Engine.Draining = true;
     Engine.EngineStage = Stage::Decode;
+    Engine.SoftwareVersion = "v1.2";
   }
 };
 
@@ -56,8 +57,8 @@
     CHECK(!decodeStoreUpdate(Bytes).has_value());
   std::string Wrong =
       encodeStoreUpdate({"g", {{}, {0, 1}, {}, {{{0, 1}, "e", Engine}}}, {}});
-  // The stage is the last number of the entry and is followed by three more. No
-  // stage has the number 9.
-  Wrong[Wrong.size() - 4] = 9;
+  // The stage is followed by the software version, of five bytes with its
+  // length, and three numbers. No stage has the number 9.
+  Wrong[Wrong.size() - 9] = 9;
   CHECK(!decodeStoreUpdate(Wrong).has_value());
 }
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -192,3 +192,19 @@
   addRetryAfter(Fields, milliseconds(250));
   CHECK(Fields.find("Retry-After") == "0.250");
 }
+
+// Failure: a request that names two beginnings of its stream is served as
+// either.
+TEST(Headers, ReadsOneBeginningOfAStream) {
+  proxy::HeaderList Fields;
+  CHECK(!slopes::decodeCallerFields(Fields).value().Resumes);
+  Fields.add("resumes", " a1 ");
+  STRCMP_EQUAL("a1",
+               slopes::decodeCallerFields(Fields).value().Resumes->c_str());
+  CHECK(slopes::forwardedFields(Fields).has("Resumes"));
+  Fields.add("Resumes", "a1");
+  CHECK(!slopes::decodeCallerFields(Fields));
+  Fields.remove("Resumes");
+  Fields.add("Resumes", "");
+  CHECK(!slopes::decodeCallerFields(Fields));
+}
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -125,6 +125,7 @@
   CHECK(Decoded.has_value());
   CHECK(Decoded.value().Draining);
   CHECK(Decoded.value().EngineStage == dispatch::Stage::Prefill);
+  STRCMP_EQUAL("v1", Decoded.value().SoftwareVersion.c_str());
   LONGS_EQUAL(8080, Decoded.value().Address.Port);
 }
 
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -7,7 +7,10 @@
 
 #include "BrokenOffStreams/RawServer.h"
 #include "FigliftGateway/StandInPlatform.h"
+#include "LibDispatch/DatagramSeal.h"
+#include "LibDispatch/StreamOriginUpdate.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -201,3 +204,30 @@
                  "HTTP/1.1 400"));
   LONGS_EQUAL(0, requestCount());
 }
+
+// Failure: the stream began at another gateway, which has been killed since,
+// and its caller gets the rest from an engine of another software version.
+TEST(StreamVersions, BeginningAtAnotherGatewayIsKnown) {
+  using boost::asio::ip::udp;
+  const std::string Secret = dispatch::DatagramSeal::newSecret();
+  Fixture.Store.put("figlift-gateways", "#secret", Secret);
+  startEngines({"v1", "v2"});
+  const auto Seal = dispatch::DatagramSeal::fromSecret(Secret).value();
+  const Endpoint &To = Fixture.Settings.Listen.Peers;
+  udp::socket Peer(Fixture.Loop, udp::v4());
+  for (const char *Version : {"v1", "v2"})
+    Peer.send_to(boost::asio::buffer(Seal.seal(
+                     'V', dispatch::encodeStreamOrigins(
+                              {{"model", Version},
+                               {dispatch::StreamKey::of("", std::string("of ") +
+                                                                Version)}}))),
+                 {boost::asio::ip::make_address_v4(To.Address), To.Port});
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_stream_origins 2");
+  }));
+  for (const char *Attempt : {"a1", "a2", "a3"})
+    CHECK(isCompleteStream(resume(Attempt, "of v2")));
+  LONGS_EQUAL(0, Engines[0]->Requests.size());
+  CHECK(isCompleteStream(resume("a4", "of v1")));
+  LONGS_EQUAL(1, Engines[0]->Requests.size());
+}
