figlift-gateway: Let answers without framing clear suspects again

What callers would have seen: innocent requests refused for half a minute.

Tried instead: clearing once the server has answered something else, 100 ms later.

--- a/Libraries/LibDispatch/StreamOriginUpdate.cpp
+++ b/Libraries/LibDispatch/StreamOriginUpdate.cpp
@@ -19,17 +19,18 @@
   for (const StreamKey &Key : Update.Streams)
     Keys.insert(Keys.end(), Key.Bytes.begin(), Key.Bytes.end());
   std::string Bytes;
-  Json::to_cbor(Json::array({Update.Origin.Service,
-                             Update.Origin.SoftwareVersion,
-                             Json::binary(std::move(Keys))}),
-                Bytes);
+  Json::to_cbor(
+      Json::array({Update.Origin.Service, Update.Origin.SoftwareVersion,
+                   Json::binary(std::move(Keys))}),
+      Bytes);
   return Bytes;
 }
 
 Result<StreamOriginUpdate> decodeStreamOrigins(std::string_view Bytes) try {
   const Json Root = Json::from_cbor(Bytes);
   StreamOriginUpdate Update;
-  Update.Origin = {Root.at(0).get<std::string>(), Root.at(1).get<std::string>()};
+  Update.Origin = {Root.at(0).get<std::string>(),
+                   Root.at(1).get<std::string>()};
   const auto &Keys = Root.at(2).get_binary();
   constexpr size_t KeySize = sizeof(StreamKey::Bytes);
   if (Keys.size() % KeySize != 0)
--- a/Libraries/LibDispatch/StreamOrigins.cpp
+++ b/Libraries/LibDispatch/StreamOrigins.cpp
@@ -36,10 +36,9 @@
 
 void StreamOrigins::applyUpdate(const StreamOriginUpdate &Update,
                                 BootTime Now) {
-  auto &LastSeen =
-      m_Versions[Update.Origin.Service]
-          .try_emplace(Update.Origin.SoftwareVersion, Now)
-          .first->second;
+  auto &LastSeen = m_Versions[Update.Origin.Service]
+                       .try_emplace(Update.Origin.SoftwareVersion, Now)
+                       .first->second;
   if (LastSeen)
     LastSeen = Now;
   for (const StreamKey &Stream : Update.Streams)
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -110,7 +110,7 @@
     return m_Fingerprint ? m_Fingerprint->toString() : std::string();
   }
   void recordConnectionLost(const ServerSend &Send);
-  void recordCompletion(const ServerSend &Send);
+  void recordCompletion();
   bool isSuspected();
   bool rejectIfSuspected();
   /// @}
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -23,10 +23,7 @@
 }
 
 /// A server completed the request, successfully or not, and is still running.
-/// A response that ends with its connection does not prove that.
-void RequestFlow::recordCompletion(const ServerSend &Send) {
-  if (Send.head().Framing == proxy::BodyFraming::ConnectionEnd)
-    return;
+void RequestFlow::recordCompletion() {
   if (m_Shared.Crashes.needsCompletions() && fingerprint())
     m_Shared.Crashes.completed(*m_Fingerprint, BootClock::now());
 }
