Tests/Soak: Engines of changing versions, callers that resume streams

New engines come with the next software version after every twelfth server, and streams name the version that wrote each event. Callers resume a stream that broke after an event, with Resumes and Last-Event-Id, at any gateway. The check is the rule: whole events in order of one version, over answers and tries, also in answers that were broken off.

--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -48,8 +48,7 @@
 
 } // namespace
 
-dispatch::StreamKey
-RequestFlow::streamKey(const std::string &AttemptId) const {
+dispatch::StreamKey RequestFlow::streamKey(const std::string &AttemptId) const {
   return dispatch::StreamKey::of(m_Tenant.value_or(""), AttemptId);
 }
 
--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -76,9 +76,27 @@
   m_NextFault = randomTime(Now, MinimumPauseMs, MaximumPauseMs);
   if (m_HasServerFeedback && m_FeedbackRandom() % 3 == 0)
     beginPause(Now);
+  if (m_HasRollouts)
+    rollOut(Now);
   m_PlannedOnly ? beginPlanned(Now) : beginFault(Now);
 }
 
+/// Replaces an engine, or kills a gateway.
+void FaultInjector::rollOut(BootTime Now) {
+  if (m_RolloutRandom() % 2 == 0) {
+    const auto Gateway =
+        static_cast<unsigned>(m_RolloutRandom() % m_Fleet.gateways());
+    m_Checker.recordFault(m_Fleet.gatewayName(Gateway), Now);
+    return sendSignal(Gateway, Signal::Kill);
+  }
+  const unsigned Engine =
+      m_Fleet.servers() - 1 -
+      static_cast<unsigned>(m_RolloutRandom() % SoakFleet::Engines);
+  m_History.push_back(fmt::format("server {} rolled out", Engine));
+  m_Checker.recordFault(InvariantChecker::Servers, Now);
+  m_Fleet.replace(Engine);
+}
+
 void FaultInjector::beginPlanned(BootTime Now) {
   switch (draw(0, 6)) {
   case 0:
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -28,13 +28,20 @@
 /// pause, and servers that say in their responses that they are shutting down.
 inline bool hasServerFeedback(uint64_t Seed) { return Seed % 7 >= 5; }
 
+/// Some seeds with faults replace engines by others of another software
+/// version, beside gateways that are killed, under many streams.
+inline bool hasRollouts(uint64_t Seed) {
+  return Seed % 5 == 4 && Seed % 3 != 0;
+}
+
 class FaultInjector {
 public:
   FaultInjector(SoakFleet &Fleet, InvariantChecker &Checker, uint64_t Seed)
       : m_Fleet(Fleet), m_Checker(Checker), m_PlannedOnly(Seed % 3 == 0),
         m_HasCrashesAndLimits(hasCrashesAndLimits(Seed)),
-        m_HasServerFeedback(hasServerFeedback(Seed)), m_Random(Seed),
-        m_CopyRandom(Seed), m_LimitRandom(Seed), m_FeedbackRandom(Seed) {}
+        m_HasServerFeedback(hasServerFeedback(Seed)),
+        m_HasRollouts(hasRollouts(Seed)), m_Random(Seed), m_CopyRandom(Seed),
+        m_LimitRandom(Seed), m_FeedbackRandom(Seed), m_RolloutRandom(Seed) {}
 
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
@@ -63,6 +70,7 @@
   void beginServer(BootTime Now);
   void beginReplacement(BootTime Now);
   void beginPause(BootTime Now);
+  void rollOut(BootTime Now);
   void activate(const std::string &Name,
                 const std::vector<std::string> &Affected, BootTime Until,
                 std::function<void()> Repair);
@@ -75,12 +83,14 @@
   const bool m_PlannedOnly;
   const bool m_HasCrashesAndLimits;
   const bool m_HasServerFeedback;
+  const bool m_HasRollouts;
   std::mt19937_64 m_Random;
   /// Separate sources keep the other choices of each seed unchanged when
   /// choices of these kinds are added.
   std::mt19937_64 m_CopyRandom;
   std::mt19937_64 m_LimitRandom;
   std::mt19937_64 m_FeedbackRandom;
+  std::mt19937_64 m_RolloutRandom;
   std::vector<ActiveFault> m_ActiveFaults;
   std::vector<std::string> m_History;
   BootTime m_NextFault{};
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -7,6 +7,7 @@
 #include "InvariantChecker.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -28,8 +29,26 @@
 
 } // namespace
 
-std::string eventText(const std::string &AttemptId, unsigned Number) {
-  return fmt::format("id: {}\ndata: {} {}\n\n", Number, AttemptId, Number);
+std::string eventText(const std::string &AttemptId, unsigned Number,
+                      const std::string &Version) {
+  return fmt::format("id: {}\ndata: {} {} {}\n\n", Number, AttemptId, Number,
+                     Version);
+}
+
+std::optional<ReceivedEvent> lastEvent(const std::string &Body) {
+  constexpr std::string_view EventEnd = "\n\n";
+  const size_t End = Body.rfind(EventEnd);
+  if (End == std::string::npos)
+    return std::nullopt;
+  const size_t Begin = Body.rfind("id: ", End);
+  const size_t VersionBegin = Body.rfind(' ', End) + 1;
+  if (Begin == std::string::npos)
+    return std::nullopt;
+  ReceivedEvent Last;
+  Last.Number =
+      static_cast<unsigned>(std::strtoul(&Body[Begin + 4], nullptr, 10));
+  Last.Version = Body.substr(VersionBegin, End - VersionBegin);
+  return Last;
 }
 
 uint64_t InvariantChecker::count(const std::string &Name) const {
@@ -353,6 +372,10 @@
   }
   if (Result.Status == 0)
     checkLost(Entry, Now);
+  if (Result.LastEvent > 0)
+    ++m_Counts[isSuccess(Result.Status) ? "resumed" : "not resumed"];
+  if (Result.Status == 0 && Result.ExpectedEvents > 0)
+    checkEvents(Result);
   if (!isSuccess(Result.Status))
     return;
   if (!Result.Signed)
@@ -402,14 +425,28 @@
     addViolation("MIXED: " + Result.AttemptId + " got \"" + Result.Body + "\"");
 }
 
+/// The events that a caller has are whole, in order, and of one version. If the
+/// response is complete, none is missing.
 void InvariantChecker::checkEvents(const Outcome &Result) {
+  const auto Last = lastEvent(Result.Body);
+  const bool IsComplete = isSuccess(Result.Status);
+  const unsigned End = IsComplete ? Result.ExpectedEvents
+                       : Last     ? Last->Number
+                                  : 0;
+  const std::string Version = Last ? Last->Version : "";
   std::string Expected;
-  for (unsigned I = 1; I <= Result.ExpectedEvents; ++I)
-    Expected += eventText(Result.AttemptId, I);
-  if (Result.Body != Expected)
-    addViolation(fmt::format(
-        "ORDER: {} got {} of {} bytes in a response marked complete",
-        Result.AttemptId, Result.Body.size(), Expected.size()));
+  for (unsigned I = Result.LastEvent + 1; I <= End; ++I)
+    Expected += eventText(Result.AttemptId, I, Version);
+  const bool IsExpected =
+      IsComplete ? Result.Body == Expected : Result.Body.starts_with(Expected);
+  if (!IsExpected)
+    addViolation(
+        fmt::format("ORDER: {} got {} of {} bytes in a response that is {}",
+                    Result.AttemptId, Result.Body.size(), Expected.size(),
+                    IsComplete ? "marked complete" : "broken off"));
+  if (Last && !Result.Version.empty() && Version != Result.Version)
+    addViolation(fmt::format("ORDER: {} went on at version {} after {}",
+                             Result.AttemptId, Version, Result.Version));
 }
 
 void InvariantChecker::recordOrder(const Order &NewOrder, BootTime Now) {
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,8 +56,12 @@
   unsigned Status = 0;
   bool Signed = false;
   std::string Body;
-  /// Number of events of the requested stream; 0 if none was requested.
+  /// Number of the last event of the requested stream; 0 if none was requested.
   unsigned ExpectedEvents = 0;
+  /// Of a stream that the caller resumes: number of the last event that it has,
+  /// and the software version that wrote it.
+  unsigned LastEvent = 0;
+  std::string Version = {};
 };
 
 struct Order {
@@ -272,7 +277,17 @@
   std::vector<std::string> m_Violations;
 };
 
-/// Text of the event of a stream with this number.
-std::string eventText(const std::string &AttemptId, unsigned Number);
+/// Text of the event of a stream with this number, from a server of this
+/// software version.
+std::string eventText(const std::string &AttemptId, unsigned Number,
+                      const std::string &Version);
+
+/// The last of the whole events that a caller received.
+struct ReceivedEvent {
+  unsigned Number = 0;
+  std::string Version;
+};
+/// Empty if there is no whole event. Part of an event at the end is ignored.
+std::optional<ReceivedEvent> lastEvent(const std::string &Body);
 
 } // namespace figlift::soak
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -64,7 +64,9 @@
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
           m_Loop, m_Checker, m_Seed * 1000 + I, fmt::format("c{}", I),
-          Fleet.gatewayEndpoints(), promptTokens(), crashingRequests()));
+          Fleet.gatewayEndpoints(), promptTokens(), crashingRequests(),
+          hasRollouts(m_Seed) ? Preference::ResumableStreams
+                              : Preference::None));
       Callers.back()->start();
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
@@ -150,8 +152,8 @@
     std::string Counts;
     for (const char *Name :
          {"requests", "retries", "orders", "crashes", "backoffs", "leaving",
-          "status 200", "status 500", "status 502", "status 503", "status 504",
-          "no response"})
+          "resumed", "not resumed", "status 200", "status 500", "status 502",
+          "status 503", "status 504", "no response"})
       Counts += fmt::format(" {}: {};", Name, m_Checker.count(Name));
     std::printf(
         "seed %lu: %zu faults,%s longest stall: %ld ms; %zu violations\n",
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -28,13 +28,15 @@
 SoakCaller::SoakCaller(asio::io_context &Loop, InvariantChecker &Checker,
                        uint64_t Seed, std::string Name,
                        std::vector<GatewayEndpoint> Gateways,
-                       unsigned PromptTokens, CrashingRequests CrashChoice)
+                       unsigned PromptTokens, CrashingRequests CrashChoice,
+                       Preference Preferred)
     : m_Socket(Loop), m_NextTimer(Loop), m_ResponseTimer(Loop),
       m_Checker(Checker), m_Random(Seed), m_Name(std::move(Name)),
       m_Gateways(std::move(Gateways)), m_PromptTokens(PromptTokens),
       m_IgnoresClose(Seed % 2 == 0),
       m_Version(Seed % 8 == 5 ? "HTTP/1.0" : "HTTP/1.1"),
-      m_SendsCrashingRequests(CrashChoice == CrashingRequests::Some) {}
+      m_SendsCrashingRequests(CrashChoice == CrashingRequests::Some),
+      m_PrefersStreams(Preferred == Preference::ResumableStreams) {}
 
 unsigned SoakCaller::draw(unsigned Minimum, unsigned Maximum) {
   return std::uniform_int_distribution<unsigned>(Minimum, Maximum)(m_Random);
@@ -101,6 +103,17 @@
       });
 }
 
+std::string SoakCaller::resumeText(milliseconds Deadline) {
+  m_Events = m_Broken->Events;
+  m_PromptFields = m_Broken->PromptFields;
+  return fmt::format("GET /stream/x {}\r\nHost: h\r\nX-Attempt-Id: {}\r\n"
+                     "X-Deadline-Ms: {}\r\nLast-Event-Id: {}\r\n"
+                     "Resumes: {}\r\n{}\r\n",
+                     m_Version, m_AttemptId, Deadline.count(),
+                     m_Broken->Last.Number, m_Broken->Beginning,
+                     m_PromptFields);
+}
+
 std::string SoakCaller::requestText() {
   static const std::array<Route, 6> Routes = {
       {{"/safe/", "plain", Repeatable::Yes, false},
@@ -109,7 +122,11 @@
        {"/stream/", "model", Repeatable::Yes, true},
        {"/once/", "model", Repeatable::No, true},
        {"/long/", "model", Repeatable::No, true, 1000, 9000}}};
-  const Route &Chosen = Routes[draw(0, Routes.size() - 1)];
+  constexpr size_t ResumableRoute = 3;
+  const bool IsStream = m_Broken || (m_PrefersStreams && draw(1, 4) > 1);
+  const Route &Chosen =
+      Routes[IsStream ? ResumableRoute : draw(0, Routes.size() - 1)];
+  m_IsResumable = &Chosen == &Routes[ResumableRoute];
   // Any caller may repeatedly send requests that crash servers.
   const bool CrashesServer = m_SendsCrashingRequests &&
                              Chosen.Path == "/unsafe/" &&
@@ -117,23 +134,28 @@
   const std::string CrashName =
       CrashesServer ? fmt::format("{}{}", CrashingPath, draw(1, 2)) : "";
   m_AttemptId = fmt::format("{}-{}", m_Name, ++m_Count);
-  m_Events = Chosen.IsStream ? draw(1, 30) : 0;
+  m_Events = Chosen.IsStream ? draw(1, m_PrefersStreams ? 100 : 30) : 0;
   const milliseconds Deadline(
       draw(Chosen.MinimumDeadlineMs, Chosen.MaximumDeadlineMs));
   disconnectAfter(Deadline + ResponseMargin);
   m_Checker.recordRequest({m_AttemptId, m_Gateways[m_Gateway].Gateway,
                            Chosen.Service, Chosen.Kind, BootClock::now(),
                            Deadline, CrashName});
+  if (m_Broken)
+    return resumeText(Deadline);
   std::string Text = fmt::format("{} {}{} {}\r\nHost: h\r\n"
                                  "X-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
                                  Chosen.Kind == Repeatable::No ? "POST" : "GET",
                                  Chosen.Path, CrashesServer ? CrashName : "x",
                                  m_Version, m_AttemptId, Deadline.count());
+  m_PromptFields.clear();
   if (Chosen.IsStream)
-    Text += fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
-                        "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
-                        m_Events, 2 * m_PromptTokens, m_Events, draw(1, 8),
-                        m_PromptTokens, m_Random(), m_PromptTokens);
+    m_PromptFields =
+        fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
+                    "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
+                    m_Events, 2 * m_PromptTokens, m_Events, draw(1, 8),
+                    m_PromptTokens, m_Random(), m_PromptTokens);
+  Text += m_PromptFields;
   if (Chosen.Kind == Repeatable::No)
     Text += "Content-Length: 4\r\n\r\nbody";
   else
@@ -189,12 +211,31 @@
   read();
 }
 
+/// A caller resumes a stream that broke after an event, also more than once.
+void SoakCaller::considerResuming(unsigned Status) {
+  const auto Last = lastEvent(m_Body);
+  const bool IsBroken = Status == 0 && m_IsResumable && Last;
+  if (!IsBroken) {
+    m_Broken.reset();
+    return;
+  }
+  if (m_Broken)
+    m_Broken->Last = *Last;
+  else
+    m_Broken = BrokenStream{m_AttemptId, m_PromptFields, m_Events, *Last};
+}
+
 void SoakCaller::finishExchange(unsigned Status, ConnectionState Connection) {
   const bool Signed =
       Status != 0 && m_Parser.head().Headers.has("X-Response-Signature");
   m_Closing = Status != 0 && !m_Parser.keepsAlive();
-  m_Checker.recordOutcome({m_AttemptId, Status, Signed, m_Body, m_Events},
-                          BootClock::now());
+  Outcome Result{m_AttemptId, Status, Signed, m_Body, m_Events};
+  if (m_Broken) {
+    Result.LastEvent = m_Broken->Last.Number;
+    Result.Version = m_Broken->Last.Version;
+  }
+  m_Checker.recordOutcome(Result, BootClock::now());
+  considerResuming(Status);
   m_ResponseTimer.cancel();
   if (Status == 0 || Connection == ConnectionState::Ended ||
       (m_Closing && !m_IgnoresClose))
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -33,13 +33,15 @@
 
 /// Whether a caller sends requests that crash servers.
 enum class CrashingRequests { None, Some };
+/// Which requests a caller prefers.
+enum class Preference { None, ResumableStreams };
 
 class SoakCaller {
 public:
   SoakCaller(boost::asio::io_context &Loop, InvariantChecker &Checker,
              uint64_t Seed, std::string Name,
              std::vector<GatewayEndpoint> Gateways, unsigned PromptTokens,
-             CrashingRequests CrashChoice);
+             CrashingRequests CrashChoice, Preference Preferred);
   void start() { scheduleNext(); }
   void stop() { m_Stopped = true; }
   bool idle() const { return m_Idle; }
@@ -66,6 +68,8 @@
   void closeConnection();
   void disconnectAfter(std::chrono::milliseconds Delay);
   std::string requestText();
+  std::string resumeText(std::chrono::milliseconds Deadline);
+  void considerResuming(unsigned Status);
   unsigned draw(unsigned Minimum, unsigned Maximum);
 
   boost::asio::ip::tcp::socket m_Socket;
@@ -82,12 +86,25 @@
   /// A response to HTTP/1.0 may have no chunks and end with its connection.
   const std::string m_Version;
   const bool m_SendsCrashingRequests;
+  const bool m_PrefersStreams;
   size_t m_Gateway = 0;
   proxy::ResponseParser m_Parser;
   std::array<char, 8192> m_Buffer;
   std::string m_Body;
   std::string m_AttemptId;
   unsigned m_Events = 0;
+  bool m_IsResumable = false;
+  /// A stream that broke and is resumed with the next request.
+  struct BrokenStream {
+    /// Attempt that brought its first event.
+    std::string Beginning;
+    /// Parts of its prompt, as in the first request.
+    std::string PromptFields;
+    unsigned Events = 0;
+    ReceivedEvent Last;
+  };
+  std::optional<BrokenStream> m_Broken;
+  std::string m_PromptFields;
   /// The gateway announced that it closes the connection.
   bool m_Closing = false;
   uint64_t m_Count = 0;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -38,7 +38,9 @@
 constexpr milliseconds LongTimeout{10000};
 constexpr unsigned PlainServers = 3;
 constexpr unsigned MovingServices = 3;
-constexpr unsigned Engines = 4;
+/// After this many servers a new software version comes: the servers of two
+/// versions overlap for some seconds.
+constexpr unsigned VersionLifetime = 12;
 
 /// Ports of a gateway, on its own address. On a shared address, the fault proxy
 /// may bind a port that was found free before the gateway does; callers then
@@ -91,7 +93,7 @@
         Loop, Checker, Seed + m_Servers.size(), Service, Stage));
     const auto Server = static_cast<unsigned>(m_Servers.size() - 1);
     m_Servers.back()->restartAs(
-        fmt::format("s{}-{}", Server, ++m_IncarnationCount));
+        fmt::format("s{}-{}", Server, ++m_IncarnationCount), "v1");
     m_Servers.back()->Crashed = [this, Server] { scheduleReplacement(Server); };
     m_Servers.back()->StageChanged = [this, Server] {
       publish(Server, "ready");
@@ -162,7 +164,7 @@
               {"address",
                linkAddress(fmt::format("server-{}", ServerIndex)).toString()},
               {"zone", "z"},
-              {"version", "v1"},
+              {"version", Server.version()},
               {"slots", 4},
               {"state", State},
               {"coldRemainingMs", 0},
@@ -305,10 +307,13 @@
   // its state.
   if (!std::exchange(Current.Draining, false) &&
       ++m_IncarnationCount % 2 == 0) {
-    Server.restartAs(OldId);
+    Server.restartAs(OldId, Server.version());
     return publish(Index, "ready");
   }
-  Server.restartAs(fmt::format("s{}-{}", Index, ++m_IncarnationCount));
+  ++m_IncarnationCount;
+  Server.restartAs(
+      fmt::format("s{}-{}", Index, m_IncarnationCount),
+      fmt::format("v{}", m_IncarnationCount / VersionLifetime + 1));
   m_Store.remove("servers", OldId);
   publish(Index, "ready");
 }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -31,6 +31,9 @@
 
 class SoakFleet {
 public:
+  /// They are the last of the servers.
+  static constexpr unsigned Engines = 4;
+
   /// Logs and settings are written to \p Folder.
   SoakFleet(boost::asio::io_context &Loop, InvariantChecker &Checker,
             uint64_t Seed, unsigned Gateways, std::filesystem::path Folder);
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -211,9 +211,11 @@
   const milliseconds Gap = Message.Head.Target.starts_with("/long/")
                                ? streamDuration() / Last
                                : draw(2, 10);
-  stream(Sender, ResponseId,
-         LastEventId.empty() ? 1 : std::stoul(LastEventId) + 1, Last,
-         std::max(Gap, MinimumGap));
+  write({Sender, ResponseId, m_Version,
+         LastEventId.empty()
+             ? 1
+             : static_cast<unsigned>(std::stoul(LastEventId)) + 1,
+         Last, std::max(Gap, MinimumGap)});
 }
 
 /// Most streams are short, but some last as long as the whole grace of a
@@ -222,12 +224,14 @@
   return draw(1, 10) == milliseconds(1) ? draw(1000, 8000) : draw(20, 200);
 }
 
-void SoakServer::stream(const Caller &Receiver, const std::string &AttemptId,
-                        unsigned Next, unsigned Last, milliseconds Gap) {
-  if (Next > Last)
+void SoakServer::write(Stream Current) {
+  const Caller &Receiver = Current.Receiver;
+  if (Current.Next > Current.Last)
     return Receiver->endStream();
-  const std::string Event = eventText(AttemptId, Next);
-  if (m_Behavior == Behavior::DropsConnection && Next > Last / 2) {
+  const std::string Event =
+      eventText(Current.AttemptId, Current.Next, Current.Version);
+  if (m_Behavior == Behavior::DropsConnection &&
+      Current.Next > Current.Last / 2) {
     Receiver->writeStream(Event.substr(0, Event.size() / 2));
     // A server may break off without its connection showing it.
     if (m_FramingRandom() % 2 == 0)
@@ -236,9 +240,8 @@
     return after(milliseconds(2), [Receiver] { Receiver->abort(); });
   }
   Receiver->writeStream(Event);
-  after(Gap, [this, Receiver, AttemptId, Next, Last, Gap] {
-    stream(Receiver, AttemptId, Next + 1, Last, Gap);
-  });
+  ++Current.Next;
+  after(Current.Gap, [this, Current] { write(Current); });
 }
 
 void SoakServer::handleOrder(const Request &Message, const Caller &Sender) {
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -49,9 +49,11 @@
   const std::string &service() const { return m_Service; }
   const std::string &stage() const { return m_Stage; }
   const std::string &id() const { return m_Id; }
-  /// Starts another incarnation at the same address.
-  void restartAs(std::string Id) {
+  const std::string &version() const { return m_Version; }
+  /// Starts another incarnation, of this software version, at the same address.
+  void restartAs(std::string Id, std::string Version) {
     m_Id = std::move(Id);
+    m_Version = std::move(Version);
     m_Down = false;
     m_Leaving = false;
   }
@@ -81,8 +83,17 @@
   void prefill(const proxy::Request &Message, const testing::Caller &Sender);
   void handleOrder(const proxy::Request &Message,
                    const testing::Caller &Sender);
-  void stream(const testing::Caller &Receiver, const std::string &AttemptId,
-              unsigned Next, unsigned Last, std::chrono::milliseconds Gap);
+  /// A stream in progress.
+  struct Stream {
+    testing::Caller Receiver;
+    std::string AttemptId;
+    /// Of the incarnation that began it.
+    std::string Version;
+    unsigned Next = 1;
+    unsigned Last = 1;
+    std::chrono::milliseconds Gap{0};
+  };
+  void write(Stream Current);
   std::chrono::milliseconds streamDuration();
   void after(std::chrono::milliseconds Delay, std::function<void()> Action);
   std::chrono::milliseconds draw(unsigned Minimum, unsigned Maximum);
@@ -100,6 +111,7 @@
   /// Empty for a plain server.
   std::string m_Stage;
   std::string m_Id;
+  std::string m_Version;
   Behavior m_Behavior = Behavior::Healthy;
   uint64_t m_Orders = 0;
   /// The server crashed and has not restarted.
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -173,9 +173,35 @@
 
 TEST(InvariantChecker, StreamHasEachEventOnceInOrder) {
   recordRequest("a", Repeatable::Yes);
-  recordOutcome("a", 200, eventText("a", 1) + eventText("a", 2), 2);
+  recordOutcome("a", 200, eventText("a", 1, "v1") + eventText("a", 2, "v1"), 2);
   expectNoViolation();
-  recordOutcome("a", 200, eventText("a", 2), 2);
+  recordOutcome("a", 200, eventText("a", 2, "v1"), 2);
+  expectViolation("ORDER");
+}
+
+TEST(InvariantChecker, StreamIsOfOneVersion) {
+  recordRequest("a", Repeatable::Yes);
+  recordOutcome("a", 200, eventText("a", 1, "v1") + eventText("a", 2, "v2"), 2);
+  expectViolation("ORDER");
+}
+
+TEST(InvariantChecker, ResumedStreamStaysAtItsVersion) {
+  const auto Resume = [this](const std::string &Version) {
+    Checker.recordOutcome(
+        {"b", 200, true, eventText("b", 2, Version), 2, 1, "v1"}, Now);
+  };
+  recordRequest("b", Repeatable::Yes);
+  Resume("v1");
+  expectNoViolation();
+  Resume("v2");
+  expectViolation("ORDER: b went on");
+}
+
+TEST(InvariantChecker, BrokenStreamHasWholeEvents) {
+  recordRequest("a", Repeatable::Yes);
+  recordOutcome("a", 0, eventText("a", 1, "v1") + "id: 2\nda", 3);
+  expectNoViolation();
+  recordOutcome("a", 0, eventText("a", 2, "v1"), 3);
   expectViolation("ORDER");
 }
 
