LibExplain: Explain streams that broke off or were resumed

figlift-explain names the bytes after the last whole event and the framing of an answer that broke off inside one, and for a resumed stream the software version it was bound to and from where that was known.

--- a/Libraries/LibExplain/Explanation.cpp
+++ b/Libraries/LibExplain/Explanation.cpp
@@ -147,10 +147,9 @@
   void explainContext() {
     for (const Event &Line : m_Explanation.Lines.Events) {
       if (Line.Kind == "send-ended")
-        addFinding("A send to " + text(Line, "target") + " (" +
-                   text(Line, "purpose") + ") ended: " + text(Line, "how") +
-                   ", after " + ms(number(Line, "tookMs")) +
-                   "; retry budget left " + text(Line, "budgetLeft") + ".");
+        explainSend(Line);
+      if (Line.Kind == "stream-resumed")
+        explainResume(Line);
       if (Line.Kind == "target-drains" || Line.Kind == "target-gone")
         addFinding(Line.EventSubject.Name +
                    (Line.Kind == "target-gone" ? " was removed"
@@ -169,6 +168,32 @@
     }
   }
 
+  void explainSend(const Event &Line) {
+    addFinding("A send to " + text(Line, "target") + " (" +
+               text(Line, "purpose") + ") ended: " + text(Line, "how") +
+               ", after " + ms(number(Line, "tookMs")) +
+               "; retry budget left " + text(Line, "budgetLeft") + ".");
+    if (number(Line, "unfinishedBytes") > 0)
+      addFinding("Its stream ended inside an event, " +
+                 text(Line, "unfinishedBytes") +
+                 " bytes after the last whole one; the end of the response was "
+                 "to be told by its " +
+                 text(Line, "framing") + ".");
+  }
+
+  void explainResume(const Event &Line) {
+    const std::string Origin = text(Line, "origin");
+    if (Origin == "unknown")
+      return addFinding("The caller resumed the stream of " +
+                        text(Line, "resumes") +
+                        ", whose software version is not known here.");
+    addFinding("The caller resumed the stream of " + text(Line, "resumes") +
+               " after event " + text(Line, "lastEvent") +
+               "; it is bound to software version " +
+               text(Line, "softwareVersion") + " (known from: " + Origin +
+               ").");
+  }
+
   void explainEnd(const Event &End) {
     const std::string Outcome = text(End, "outcome");
     if (number(End, "serversSeenMs") > StaleListMilliseconds)
--- a/Tests/LibExplain/TestExplanation.cpp
+++ b/Tests/LibExplain/TestExplanation.cpp
@@ -118,3 +118,26 @@
   CHECK_FALSE(Result.has_value());
   STRCMP_EQUAL("request", Result.error().Field.c_str());
 }
+
+TEST(Explanation, TellsWhereAStreamBrokeOff) {
+  Lines.add(R"({"time":"2026-06-29T04:50:23.000Z","process":"g1",)"
+            R"("event":"send-ended","request":"a4","how":"broke off",)"
+            R"("target":"e2","framing":"connection end","unfinishedBytes":9})"
+            "\n");
+  Lines.sort();
+  CHECK(contains(explain("a4"), "inside an event, 9 bytes"));
+}
+
+TEST(Explanation, TellsTheVersionOfAResumedStream) {
+  Lines.add(R"({"time":"2026-06-29T04:50:23.000Z","process":"g1",)"
+            R"("event":"stream-resumed","request":"a5","resumes":"a3",)"
+            R"("lastEvent":"7","origin":"peer","softwareVersion":"v1"})"
+            "\n"
+            R"({"time":"2026-06-29T04:50:23.000Z","process":"g1",)"
+            R"("event":"stream-resumed","request":"a6","resumes":"zz",)"
+            R"("lastEvent":"7","origin":"unknown","softwareVersion":""})"
+            "\n");
+  Lines.sort();
+  CHECK(contains(explain("a5"), "bound to software version v1"));
+  CHECK(contains(explain("a6"), "not known here"));
+}
