Meta, Tests: One CMake function for suites of one gateway with stand-ins

Three suites had the same 15 lines to build the stand-ins of the platform and to give each test an entry; the engine that writes given bytes now stands with the other stand-ins, as two suites use it.

--- a/Meta/Figlift.cmake
+++ b/Meta/Figlift.cmake
@@ -99,3 +99,22 @@
   add_dependencies(${Name} platform-standin engine-standin service-standin
     fault-proxy figlift-agent figlift-entry figlift-ctl figlift-timeline)
 endfunction()
+
+# figlift_gateway_test(Name Group tests...): a suite of one gateway with the
+# stand-ins of Tests/FigliftGateway. Each of the tests of the group has a ctest
+# entry of its own, Test<Group>.<test>, so that its result is reported
+# separately.
+function(figlift_gateway_test Name Group)
+  file(GLOB Sources CONFIGURE_DEPENDS *.cpp)
+  set(StandIns ${PROJECT_SOURCE_DIR}/Tests/FigliftGateway)
+  add_executable(${Name} ${Sources} ${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp
+    ${StandIns}/RawServer.cpp ${StandIns}/StandInPlatform.cpp
+    ${StandIns}/StandInStore.cpp
+    ${PROJECT_SOURCE_DIR}/Tests/Integration/LeakDetectorOff.cpp)
+  target_link_libraries(${Name} PRIVATE FigliftOptions LibFigliftGateway
+    PkgConfig::CPPUTEST)
+  foreach(Test IN LISTS ARGN)
+    add_test(NAME Test${Group}.${Test} COMMAND ${Name} -v -sg ${Group} -sn ${Test})
+    figlift_test_timeout(Test${Group}.${Test} 60)
+  endforeach()
+endfunction()
--- a/Tests/BrokenOffStreams/TestBrokenOffStreams.cpp
+++ b/Tests/BrokenOffStreams/TestBrokenOffStreams.cpp
@@ -5,8 +5,8 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "FigliftGateway/RawServer.h"
 #include "FigliftGateway/StandInPlatform.h"
-#include "RawServer.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -5,7 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "BrokenOffStreams/RawServer.h"
+#include "FigliftGateway/RawServer.h"
 #include "FigliftGateway/StandInPlatform.h"
 #include "LibDispatch/DatagramSeal.h"
 #include "LibDispatch/StreamOriginUpdate.h"
