--- a/Libraries/LibProxy/Message.h
+++ b/Libraries/LibProxy/Message.h
@@ -56,7 +56,7 @@
   std::string_view path() const;
 };
 
-/// What tells the receiver of a body where it ends.
+/// How a message body is delimited (RFC 9112, 6.3).
 enum class BodyFraming {
   /// Content-Length, or a status without a body.
   Length,
--- a/Tests/LibDispatch/TestStreamOrigins.cpp
+++ b/Tests/LibDispatch/TestStreamOrigins.cpp
@@ -101,7 +101,8 @@
   STRCMP_EQUAL("v1", versionOf(Second, "a").c_str());
 }
 
-// Failure: while one version serves, streams that nobody knows are refused.
+// Failure: streams of unknown origin are refused although their service has
+// servers of a single version.
 TEST(StreamOrigins, OnlyVersionIsTakenForUnknownStreams) {
   First = StreamOrigins();
   First.replaceListed({{Service, {"v1"}}}, Now);
