LibDispatch, STATUS: Say what the retention of stream origins counts from

The comment named the longest timeout of a route, which the constant does not know. No code differs.

--- a/Libraries/LibDispatch/StreamOrigins.h
+++ b/Libraries/LibDispatch/StreamOrigins.h
@@ -47,8 +47,8 @@
 using OriginLookup = std::variant<KnownOrigin, OnlyVersion, UnknownOrigin>;
 
 struct StreamOriginOptions {
-  /// Several times the longest timeout of a route, within which a client comes
-  /// back.
+  /// Counts from when a stream was last told of, and open streams are told of
+  /// again. A client comes back soon after its stream has ended.
   std::chrono::seconds Retention{120};
   /// About 150 bytes each.
   size_t MaximumStreams = 32768;
