figlift-gateway: Log the shared prompt parts of sends that ended

The time line of the part that crashes servers could not tell two of its hypotheses apart: which parts the requests have in common that broke off together, and which answer cleared a suspicion. send-ended and request-ended name the shared parts (the first eight), and suspicion-cleared the answer. No decision changes.

--- a/Libraries/LibDispatch/Prompt.h
+++ b/Libraries/LibDispatch/Prompt.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace figlift::dispatch {
@@ -25,6 +26,10 @@
   /// In prompt order. The last part is unique to this request.
   std::vector<PromptPart> Parts;
 
+  /// The parts that other requests may have, too.
+  std::span<const PromptPart> sharedParts() const {
+    return std::span(Parts).first(Parts.empty() ? 0 : Parts.size() - 1);
+  }
   /// The last part that is shared with other requests: the subject of the
   /// request. 0 when there is none.
   uint64_t subject() const {
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -316,7 +316,7 @@
   if (m_Handle && m_HandleRejected)
     m_Shared.KvReuses[m_Service].recordRetry(true, BootClock::now());
   m_Handle.reset();
-  recordCompletion();
+  recordCompletion(Send);
   if (m_Fields.Prompt && !Send.targetRestarted())
     recordCached(Send.targetId());
   if (streaming())
@@ -455,7 +455,7 @@
     return retry(Send);
   releaseHandle();
   if (std::holds_alternative<dispatch::ForwardFailure>(Next)) {
-    recordCompletion();
+    recordCompletion(Send);
     return forwardFailure(Send);
   }
   if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -109,8 +109,10 @@
   std::string fingerprintText() const {
     return m_Fingerprint ? m_Fingerprint->toString() : std::string();
   }
+  /// Ids of the shared prompt parts in hexadecimal, for the log.
+  std::string sharedPartsText() const;
   void recordConnectionLost(const ServerSend &Send);
-  void recordCompletion();
+  void recordCompletion(const ServerSend &Send);
   bool isSuspected();
   bool rejectIfSuspected();
   /// @}
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -8,10 +8,18 @@
 
 #include "LibLog/Log.h"
 
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
 namespace figlift::gateway {
 
 using dispatch::Milliseconds;
 
+namespace {
+constexpr size_t MaximumLoggedParts = 8;
+} // namespace
+
 void RequestFlow::logAccepted() {
   log::logRequest(
       log::Level::Info, "request-taken", m_Fields.AttemptId, {},
@@ -30,6 +38,17 @@
   return Target ? Target->SoftwareVersion : std::string();
 }
 
+std::string RequestFlow::sharedPartsText() const {
+  std::string Text;
+  if (!m_Fields.Prompt)
+    return Text;
+  const auto Parts = m_Fields.Prompt->sharedParts();
+  for (const dispatch::PromptPart &Part :
+       Parts.first(std::min(Parts.size(), MaximumLoggedParts)))
+    Text += fmt::format("{}{:x}", Text.empty() ? "" : ",", Part.Id);
+  return Text;
+}
+
 void RequestFlow::logSent(const std::string &TargetId,
                           const std::string &FetchFrom, SendPurpose Purpose,
                           Milliseconds Expected) {
@@ -65,6 +84,7 @@
         Send.purpose() == SendPurpose::Execute ? "run" : "read-prompt"},
        {"target", Send.targetId()},
        {"fingerprint", fingerprintText()},
+       {"sharedParts", sharedPartsText()},
        {"status", Send.head().Status},
        {"framing", proxy::describe(Send.head().Framing)},
        {"events", m_Relay.events()},
@@ -104,6 +124,7 @@
        {"runner", m_ExecutionTarget},
        {"softwareVersion", m_BoundVersion.value_or("")},
        {"fingerprint", fingerprintText()},
+       {"sharedParts", sharedPartsText()},
        {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
        {"plannedFirstMs", m_PlannedFirst},
        {"plannedLagMs", m_PlannedLag},
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -7,6 +7,8 @@
 
 #include "RequestFlow.h"
 
+#include "LibLog/Log.h"
+
 namespace figlift::gateway {
 
 const std::optional<dispatch::RequestFingerprint> &RequestFlow::fingerprint() {
@@ -23,9 +25,19 @@
 }
 
 /// A server completed the request, successfully or not, and is still running.
-void RequestFlow::recordCompletion() {
-  if (m_Shared.Crashes.needsCompletions() && fingerprint())
-    m_Shared.Crashes.completed(*m_Fingerprint, BootClock::now());
+void RequestFlow::recordCompletion(const ServerSend &Send) {
+  if (!m_Shared.Crashes.needsCompletions() || !fingerprint())
+    return;
+  const BootTime Now = BootClock::now();
+  if (isSuspected() && m_Shared.Log.allows(LineKind::Notable, Now))
+    log::logRequest(
+        log::Level::Info, "suspicion-cleared", m_Fields.AttemptId, {},
+        {{"fingerprint", fingerprintText()},
+         {"crashes", m_Shared.Crashes.suspects().crashes(*m_Fingerprint)},
+         {"target", m_ExecutionTarget},
+         {"framing", proxy::describe(Send.head().Framing)},
+         {"status", Send.head().Status}});
+  m_Shared.Crashes.completed(*m_Fingerprint, Now);
 }
 
 /// Without any suspicion no fingerprint is computed.
