--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -24,6 +24,12 @@
   return Seed % 4 == 3 && Seed % 3 != 0;
 }
 
+/// One of six seeds has prompts with a part that crashes the engines that begin
+/// to write an answer to them.
+inline bool hasCrashingParts(uint64_t Seed) {
+  return (Seed % 8 == 0 || Seed % 8 == 2) && Seed % 3 != 0;
+}
+
 /// Two of seven seeds, with and without faults, have servers that ask for a
 /// pause, and servers that say in their responses that they are shutting down.
 inline bool hasServerFeedback(uint64_t Seed) { return Seed % 7 >= 5; }
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -180,25 +180,25 @@
   const auto Known = m_Records.find(AttemptId);
   if (Known == m_Records.end())
     return;
-  Crashes &RequestCrashes = m_Crashes[Known->second.Request.CrashingRequest];
+  const Attempt &Request = Known->second.Request;
+  Crashes &RequestCrashes = m_Crashes[Request.crashCause()];
   ++m_Counts["crashes"];
-  if (++RequestCrashes.Servers == m_Bounds.CrashLimit)
+  if (++RequestCrashes.Servers == crashLimit(Request))
     RequestCrashes.LimitReachedAt = Now;
 }
 
 void InvariantChecker::checkCrashes(const Record &Entry, BootTime Now) {
-  const auto RequestCrashes = m_Crashes.find(Entry.Request.CrashingRequest);
-  if (RequestCrashes == m_Crashes.end() ||
-      Entry.Request.CrashingRequest.empty() ||
-      RequestCrashes->second.Servers < m_Bounds.CrashLimit ||
+  const auto RequestCrashes = m_Crashes.find(Entry.Request.crashCause());
+  if (RequestCrashes == m_Crashes.end() || Entry.Request.crashCause().empty() ||
+      RequestCrashes->second.Servers < crashLimit(Entry.Request) ||
       Now - RequestCrashes->second.LimitReachedAt < m_Bounds.StableWindow ||
       !isUndisturbed(Entry.Request.Gateway, Now))
     return;
   if (++RequestCrashes->second.LaterSends > m_Bounds.SendsAfterCrashes)
     addViolation(fmt::format(
         "BUDGET: {} was sent to a server {} more times after "
-        "the third crash, {} crashes in all",
-        Entry.Request.CrashingRequest, RequestCrashes->second.LaterSends,
+        "the last tolerated crash, {} crashes in all",
+        Entry.Request.crashCause(), RequestCrashes->second.LaterSends,
         RequestCrashes->second.Servers));
 }
 
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -36,6 +36,12 @@
   /// Common id of all attempts of a request that crashes servers; empty for
   /// other requests.
   std::string CrashingRequest = {};
+  /// The part of its prompt that crashes servers; empty for other requests.
+  std::string CrashingPart = {};
+
+  const std::string &crashCause() const {
+    return CrashingPart.empty() ? CrashingRequest : CrashingPart;
+  }
 };
 
 /// A request as it reached a server.
@@ -96,9 +102,11 @@
   /// of the grace has passed and still run after FinalFraction of it.
   double EarlyFraction = 3.0 / 8;
   double FinalFraction = 5.0 / 6;
-  /// Once a request has crashed this many servers and the stable window has
-  /// passed, it may be sent only so many more times.
+  /// Once a request, or requests with one prompt part in common, have crashed
+  /// this many servers and the stable window has passed, they may be sent only
+  /// so many more times.
   unsigned CrashLimit = 3;
+  unsigned PartCrashLimit = 5;
   unsigned SendsAfterCrashes = 3;
   /// Within LimitWindow, a server may get LimitFactor times the requests that
   /// its announced limit allows, plus LimitSlack. Requests count only if they
@@ -206,7 +214,7 @@
     BootTime At{};
   };
 
-  /// Crashes by one request.
+  /// Crashes by one request, or by requests with one prompt part in common.
   struct Crashes {
     unsigned Servers = 0;
     BootTime LimitReachedAt{};
@@ -241,6 +249,10 @@
   bool mayOutlastStop(const Attempt &Request, BootTime Now);
   void checkLost(const Record &Entry, BootTime Now);
   void checkRetryBudget(const std::string &Service, BootTime Now);
+  unsigned crashLimit(const Attempt &Request) const {
+    return Request.CrashingPart.empty() ? m_Bounds.CrashLimit
+                                        : m_Bounds.PartCrashLimit;
+  }
   void checkCrashes(const Record &Entry, BootTime Now);
   void checkLimit(const Record &Entry, const Arrival &Event, BootTime Now);
   bool mayHaveBeenHeldUp(const std::string &Gateway, BootTime Now) const;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -90,7 +90,9 @@
   }
 
   CrashingRequests crashingRequests() const {
-    return hasCrashesAndLimits(m_Seed) ? CrashingRequests::Some
+    if (hasCrashingParts(m_Seed))
+      return CrashingRequests::PromptParts;
+    return hasCrashesAndLimits(m_Seed) ? CrashingRequests::Repeated
                                        : CrashingRequests::None;
   }
 
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -23,6 +23,8 @@
 /// Time beyond the deadline in which late responses are still checked.
 constexpr milliseconds ResponseMargin{500};
 constexpr unsigned UnsafePerCrash = 4;
+constexpr unsigned StreamsPerCrashingPart = 12;
+constexpr unsigned CrashingPartTokens = 100;
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context &Loop, InvariantChecker &Checker,
@@ -31,11 +33,11 @@
                        unsigned PromptTokens, CrashingRequests CrashChoice,
                        Preference Preferred)
     : m_Socket(Loop), m_NextTimer(Loop), m_ResponseTimer(Loop),
-      m_Checker(Checker), m_Random(Seed), m_Name(std::move(Name)),
-      m_Gateways(std::move(Gateways)), m_PromptTokens(PromptTokens),
-      m_IgnoresClose(Seed % 2 == 0),
+      m_Checker(Checker), m_Random(Seed), m_PartRandom(Seed),
+      m_Name(std::move(Name)), m_Gateways(std::move(Gateways)),
+      m_PromptTokens(PromptTokens), m_IgnoresClose(Seed % 2 == 0),
       m_Version(Seed % 8 == 5 ? "HTTP/1.0" : "HTTP/1.1"),
-      m_SendsCrashingRequests(CrashChoice == CrashingRequests::Some),
+      m_CrashChoice(CrashChoice),
       m_PrefersStreams(Preferred == Preference::ResumableStreams) {}
 
 unsigned SoakCaller::draw(unsigned Minimum, unsigned Maximum) {
@@ -105,7 +107,6 @@
 
 std::string SoakCaller::resumeText(milliseconds Deadline) {
   m_Events = m_Broken->Events;
-  m_PromptFields = m_Broken->PromptFields;
   return fmt::format("GET /stream/x {}\r\nHost: h\r\nX-Attempt-Id: {}\r\n"
                      "X-Deadline-Ms: {}\r\nLast-Event-Id: {}\r\n"
                      "Resumes: {}\r\n{}\r\n",
@@ -114,6 +115,24 @@
                      m_PromptFields);
 }
 
+/// A new prompt. Those with the part that crashes engines share their first
+/// part with others.
+std::string SoakCaller::newPromptFields() {
+  const bool HasCrashingPart = m_CrashChoice == CrashingRequests::PromptParts &&
+                               m_PartRandom() % StreamsPerCrashingPart == 0;
+  const unsigned CrashingTokens = HasCrashingPart ? CrashingPartTokens : 0;
+  const uint64_t Unique = m_Random();
+  const unsigned First = draw(1, 8);
+  return fmt::format(
+      "X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
+      "X-Prompt-Prefix: {:x}:{},{}{:x}:{}\r\n",
+      m_Events, 2 * m_PromptTokens + CrashingTokens, m_Events, First,
+      m_PromptTokens,
+      HasCrashingPart ? fmt::format("{}{},", CrashingPromptPart, CrashingTokens)
+                      : "",
+      Unique, m_PromptTokens);
+}
+
 std::string SoakCaller::requestText() {
   static const std::array<Route, 6> Routes = {
       {{"/safe/", "plain", Repeatable::Yes, false},
@@ -128,7 +147,7 @@
       Routes[IsStream ? ResumableRoute : draw(0, Routes.size() - 1)];
   m_IsResumable = &Chosen == &Routes[ResumableRoute];
   // Any caller may repeatedly send requests that crash servers.
-  const bool CrashesServer = m_SendsCrashingRequests &&
+  const bool CrashesServer = m_CrashChoice == CrashingRequests::Repeated &&
                              Chosen.Path == "/unsafe/" &&
                              draw(1, UnsafePerCrash) == 1;
   const std::string CrashName =
@@ -138,9 +157,16 @@
   const milliseconds Deadline(
       draw(Chosen.MinimumDeadlineMs, Chosen.MaximumDeadlineMs));
   disconnectAfter(Deadline + ResponseMargin);
-  m_Checker.recordRequest({m_AttemptId, m_Gateways[m_Gateway].Gateway,
-                           Chosen.Service, Chosen.Kind, BootClock::now(),
-                           Deadline, CrashName});
+  if (m_Broken)
+    m_PromptFields = m_Broken->PromptFields;
+  else
+    m_PromptFields = Chosen.IsStream ? newPromptFields() : "";
+  const bool HasCrashingPart =
+      m_PromptFields.find(CrashingPromptPart) != std::string::npos;
+  m_Checker.recordRequest(
+      {m_AttemptId, m_Gateways[m_Gateway].Gateway, Chosen.Service, Chosen.Kind,
+       BootClock::now(), Deadline, CrashName,
+       HasCrashingPart ? std::string(CrashingPromptPart) : std::string()});
   if (m_Broken)
     return resumeText(Deadline);
   std::string Text = fmt::format("{} {}{} {}\r\nHost: h\r\n"
@@ -148,13 +174,6 @@
                                  Chosen.Kind == Repeatable::No ? "POST" : "GET",
                                  Chosen.Path, CrashesServer ? CrashName : "x",
                                  m_Version, m_AttemptId, Deadline.count());
-  m_PromptFields.clear();
-  if (Chosen.IsStream)
-    m_PromptFields =
-        fmt::format("X-Soak-Events: {}\r\nX-Token-Count: {},{}\r\n"
-                    "X-Prompt-Prefix: {:x}:{},{:x}:{}\r\n",
-                    m_Events, 2 * m_PromptTokens, m_Events, draw(1, 8),
-                    m_PromptTokens, m_Random(), m_PromptTokens);
   Text += m_PromptFields;
   if (Chosen.Kind == Repeatable::No)
     Text += "Content-Length: 4\r\n\r\nbody";
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -31,8 +31,9 @@
   Endpoint Address;
 };
 
-/// Whether a caller sends requests that crash servers.
-enum class CrashingRequests { None, Some };
+/// Whether a caller sends requests that crash servers: the same ones again and
+/// again, or different ones with one prompt part in common.
+enum class CrashingRequests { None, Repeated, PromptParts };
 /// Which requests a caller prefers.
 enum class Preference { None, ResumableStreams };
 
@@ -69,6 +70,7 @@
   void disconnectAfter(std::chrono::milliseconds Delay);
   std::string requestText();
   std::string resumeText(std::chrono::milliseconds Deadline);
+  std::string newPromptFields();
   void considerResuming(unsigned Status);
   unsigned draw(unsigned Minimum, unsigned Maximum);
 
@@ -77,6 +79,8 @@
   boost::asio::steady_timer m_ResponseTimer;
   InvariantChecker &m_Checker;
   std::mt19937_64 m_Random;
+  /// A separate source keeps the other choices of each seed unchanged.
+  std::mt19937_64 m_PartRandom;
   const std::string m_Name;
   const std::vector<GatewayEndpoint> m_Gateways;
   /// Length of the shared prefix of each prompt. It decides whether prefill or
@@ -85,7 +89,7 @@
   const bool m_IgnoresClose;
   /// A response to HTTP/1.0 may have no chunks and end with its connection.
   const std::string m_Version;
-  const bool m_SendsCrashingRequests;
+  const CrashingRequests m_CrashChoice;
   const bool m_PrefersStreams;
   size_t m_Gateway = 0;
   proxy::ResponseParser m_Parser;
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -99,6 +99,26 @@
   Crashed();
 }
 
+/// Begins to write and crashes moments later. Its connection may end before, in
+/// order and inside an event.
+void SoakServer::writeAndCrash(const Request &Message, const Caller &Sender) {
+  constexpr unsigned MaximumDelayMs = 40;
+  const std::string AttemptId = field(Message, "X-Attempt-Id");
+  ResponseHead Head = successHead(AttemptId);
+  Head.Headers.add("Content-Type", "text/event-stream");
+  Sender->beginStream(Head, m_Framing);
+  const std::string Event = eventText(AttemptId, 1, m_Version);
+  const bool EndsInOrder = m_Framing == proxy::BodyFraming::ConnectionEnd;
+  Sender->writeStream(EndsInOrder ? Event.substr(0, Event.size() / 2) : Event);
+  if (EndsInOrder)
+    Sender->endStream();
+  after(milliseconds(1 + m_FramingRandom() % MaximumDelayMs),
+        [this, Message, Id = m_Id] {
+          if (m_Id == Id)
+            crash(Message);
+        });
+}
+
 void SoakServer::reject(const Request &Message, const Caller &Sender,
                         unsigned Status) {
   ResponseHead Head = makeHead(field(Message, "X-Attempt-Id"), Status);
@@ -201,6 +221,9 @@
     return Sender->abort();
   const std::string ResponseId =
       m_Behavior == Behavior::WrongAttemptId ? AttemptId + "x" : AttemptId;
+  if (field(Message, "X-Prompt-Prefix").find(CrashingPromptPart) !=
+      std::string::npos)
+    return writeAndCrash(Message, Sender);
   if (Events.empty())
     return respond(Sender, successHead(ResponseId), "answer to " + ResponseId);
   ResponseHead Head = successHead(ResponseId);
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -20,6 +20,9 @@
 /// Part of the path of requests that crash the server that executes them.
 inline constexpr std::string_view CrashingPath = "crashing-";
 
+/// Beginning of the prompt part that crashes engines that begin to write.
+inline constexpr std::string_view CrashingPromptPart = "dead:";
+
 enum class Behavior {
   Healthy,
   /// Executes requests and responds with status 500.
@@ -72,6 +75,8 @@
 private:
   void serve(const proxy::Request &Message, const testing::Caller &Sender);
   void crash(const proxy::Request &Message);
+  void writeAndCrash(const proxy::Request &Message,
+                     const testing::Caller &Sender);
   void reject(const proxy::Request &Message, const testing::Caller &Sender,
               unsigned Status);
   void rejectForAWhile(const proxy::Request &Message,
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -137,6 +137,24 @@
   expectViolation("BUDGET");
 }
 
+TEST(InvariantChecker, CrashingPartIsSentToFewServers) {
+  const auto Send = [&](const std::string &Id) {
+    Checker.recordRequest(
+        {Id, "g1", "model", Repeatable::No, Now, seconds(10), "", "dead"});
+    recordArrival(Id);
+  };
+  for (const char *Id : {"a", "b", "c", "d", "e"}) {
+    Send(Id);
+    Checker.recordCrash(Id, Now);
+  }
+  Now += seconds(4);
+  for (const char *Id : {"h", "i", "j"})
+    Send(Id);
+  expectNoViolation();
+  Send("k");
+  expectViolation("BUDGET");
+}
+
 TEST(InvariantChecker, UnrepeatableRequestIsExecutedOnce) {
   recordRequest("a", Repeatable::Yes);
   recordArrival("a");
