figlift-gateway: Take no answer of a successor for its predecessor's

A server that crashed is often followed by another one at its address. Until the list says so, requests that name the first one are answered 421 by the second, and each of these answers counted as a sign of life of the first: of its lost connections only those that came later could be part of its crash, so requests that were on it were not suspected. Only answers that are the named server's own count now.

--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -30,7 +30,10 @@
 
   void onHead(const proxy::ResponseHead &Head) override {
     const BootTime Now = BootClock::now();
-    m_Shared.Crashes.serverResponded(m_Server, Now);
+    // The successor of a crashed server may have its address.
+    m_IsFromServer = m_IsServersAnswer(Head);
+    if (m_IsFromServer)
+      m_Shared.Crashes.serverResponded(m_Server, Now);
     m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, Now);
     m_Sink->onHead(Head);
   }
@@ -39,7 +42,8 @@
            mayBeSentTo(m_Shared, m_Server, BootClock::now());
   }
   void onBody(std::string Bytes) override {
-    m_Shared.Crashes.serverResponded(m_Server, BootClock::now());
+    if (m_IsFromServer)
+      m_Shared.Crashes.serverResponded(m_Server, BootClock::now());
     m_Sink->onBody(std::move(Bytes));
   }
   void onEnd(upstream::ExchangeOutcome Outcome) override {
@@ -53,6 +57,8 @@
   dispatch::ServerStart m_Server;
   std::shared_ptr<upstream::ExchangeSink> m_Sink;
   ServerFeedback::AnswerCheck m_IsServersAnswer;
+  /// The current response is not that of another server at the same address.
+  bool m_IsFromServer = false;
 };
 
 } // namespace
