LibDispatch: Tell prompts apart by their parts in fingerprints

Prompts that have no body, or the same one, had one fingerprint: after three crashes under any of them all were refused. The parts of the prompt are hashed along; a request that comes again has the same ones. Prompt parts get fingerprints of their own, by service, for what follows.

--- a/Libraries/LibDispatch/RequestFingerprint.cpp
+++ b/Libraries/LibDispatch/RequestFingerprint.cpp
@@ -57,10 +57,25 @@
        {Identity.Method, Identity.Host, Identity.Target, Identity.Credentials,
         Identity.Body})
     append(Text, Part);
-  RequestFingerprint Fingerprint;
-  crypto_shorthash_siphashx24(Fingerprint.Bytes.data(), bytesOf(Text),
-                              Text.size(), m_Key.data());
-  return Fingerprint;
+  for (const PromptPart &Part : Identity.Parts)
+    append(Text, {reinterpret_cast<const char *>(&Part.Id), sizeof(Part.Id)});
+  return hash(Text);
+}
+
+Fingerprint Fingerprinter::ofPart(std::string_view Service,
+                                  uint64_t PartId) const {
+  std::string Text;
+  append(Text, "prompt part");
+  append(Text, Service);
+  append(Text, {reinterpret_cast<const char *>(&PartId), sizeof(PartId)});
+  return hash(Text);
+}
+
+Fingerprint Fingerprinter::hash(std::string_view Text) const {
+  Fingerprint Hash;
+  crypto_shorthash_siphashx24(Hash.Bytes.data(), bytesOf(Text), Text.size(),
+                              m_Key.data());
+  return Hash;
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/RequestFingerprint.h
+++ b/Libraries/LibDispatch/RequestFingerprint.h
@@ -1,20 +1,22 @@
 //===- RequestFingerprint.h - Identifies repeated requests ------*- C++ -*-===//
 //
 // A repeated request has another attempt id, and often reaches another gateway.
-// Method, host, target, credentials and body stay the same. The fingerprint is
-// a hash of these, keyed by the fleet's secret: all gateways of a fleet agree
-// on it, and outsiders cannot craft a request with the fingerprint of another
-// one.
+// Method, host, target, credentials, body and prompt parts stay the same. The
+// fingerprint is a hash of these, keyed by the fleet's secret: all gateways of
+// a fleet agree on it, and outsiders cannot craft a request with the
+// fingerprint of another one.
 //
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
 #include "LibCore/Result.h"
+#include "LibDispatch/Prompt.h"
 
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -28,6 +30,9 @@
   std::string toString() const;
 };
 
+/// Also identifies a prompt part of a service.
+using Fingerprint = RequestFingerprint;
+
 /// The parts that identify a request.
 struct RequestIdentity {
   std::string_view Method;
@@ -37,6 +42,9 @@
   /// Empty if the caller sends none.
   std::string_view Credentials;
   std::string_view Body;
+  /// Empty for a request without a prompt. Some callers send prompts that their
+  /// parts alone tell apart.
+  std::span<const PromptPart> Parts = {};
 };
 
 class Fingerprinter {
@@ -46,11 +54,14 @@
   static Result<Fingerprinter> fromSecret(const std::string &Secret);
 
   RequestFingerprint of(const RequestIdentity &Identity) const;
+  /// The fingerprint of a prompt part at the servers of \p Service.
+  Fingerprint ofPart(std::string_view Service, uint64_t PartId) const;
 
 private:
   using Key = std::array<uint8_t, 16>;
 
   explicit Fingerprinter(const Key &Derived) : m_Key(Derived) {}
+  Fingerprint hash(std::string_view Text) const;
 
   /// Derived from the secret. Log lines show fingerprints of content that
   /// callers choose; keyed with the secret itself they would be valid checksums
--- a/Tests/LibDispatch/TestRequestFingerprint.cpp
+++ b/Tests/LibDispatch/TestRequestFingerprint.cpp
@@ -7,6 +7,8 @@
 #include "LibDispatch/DatagramSeal.h"
 #include "LibDispatch/RequestFingerprint.h"
 
+#include <array>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift::dispatch;
@@ -39,6 +41,25 @@
     CHECK(Source.of(Request) != Source.of(Other));
 }
 
+// Guards against: prompts without a body are taken for the same request.
+TEST(RequestFingerprint, DependsOnPromptParts) {
+  const std::array Parts = {PromptPart{1, 100}, PromptPart{2, 100}};
+  const std::array Others = {PromptPart{1, 100}, PromptPart{3, 100}};
+  RequestIdentity First = Request;
+  First.Parts = Parts;
+  RequestIdentity Second = Request;
+  Second.Parts = Others;
+  CHECK(Source.of(First) != Source.of(Second));
+  CHECK(Source.of(First) != Source.of(Request));
+}
+
+// Guards against: a part that only some services crash on is rejected at all.
+TEST(RequestFingerprint, DiffersBetweenServicesForTheSamePart) {
+  CHECK(Source.ofPart("a", 1) == Source.ofPart("a", 1));
+  CHECK(Source.ofPart("a", 1) != Source.ofPart("b", 1));
+  CHECK(Source.ofPart("a", 1) != Source.ofPart("a", 2));
+}
+
 // Guards against: requests with the same bytes divided differently between two
 // parts have the same fingerprint.
 TEST(RequestFingerprint, SeparatesParts) {
