LibDispatch, figlift-gateway: Reject prompt parts that crash servers

Cause: crashes were kept by the fingerprint of the whole request, and no two of these requests are alike; the fault's own key is a part of the prompt. A second way round the same memory: an answer that ends with its connection cleared the suspicion, also where its server had crashed.

CrashCauses keeps, for each crash, the requests that were on the server and their shared prompt parts, as far as they had not been writing for half a second. What is rejected are the fewest candidates that explain the crashes, determined anew with each crash; three crashes by sends that do not overlap are needed, and a part gives way to one further back that explains as much. A part is cleared of all crashes before the moment at which a server began to write an answer that it survived. An answer that ends with its connection proves that only when the server has been heard of 300 ms later; until then the request is a candidate of a crash. A crash that a rejected cause explains has no other request refused.

Why it works: what harmless prompts have in common with harmful ones is on other servers that live, so it is cleared within an answer's time, and what is left in common is the cause.

--- a/Libraries/LibDispatch/CrashSuspects.cpp
+++ b/Libraries/LibDispatch/CrashSuspects.cpp
@@ -226,6 +226,11 @@
                                  BootTime Now) const {
   if (auto Rejected = rejectsAttempt(Request, Now))
     return Rejected;
+  return isolates(Request, Now);
+}
+
+std::optional<SuspectRejection>
+CrashSuspects::isolates(const RequestFingerprint &Request, BootTime Now) const {
   const auto Position = m_Entries.find(Request);
   if (Position == m_Entries.end() || Now >= Position->second.IsolatedUntil)
     return std::nullopt;
@@ -239,6 +244,16 @@
   return Position == m_Entries.end() ? 0 : Position->second.Crashes.size();
 }
 
+std::vector<ServerStart>
+CrashSuspects::crashedServers(const RequestFingerprint &Request) const {
+  std::vector<ServerStart> Servers;
+  if (const auto Position = m_Entries.find(Request);
+      Position != m_Entries.end())
+    for (const auto &[Server, Crash] : Position->second.Crashes)
+      Servers.push_back(Server);
+  return Servers;
+}
+
 size_t CrashSuspects::evidence(const RequestFingerprint &Request) const {
   const auto Position = m_Entries.find(Request);
   return Position == m_Entries.end() ? 0
--- a/Libraries/LibDispatch/CrashSuspects.h
+++ b/Libraries/LibDispatch/CrashSuspects.h
@@ -110,6 +110,9 @@
   /// end of its own isolation time.
   std::optional<SuspectRejection>
   rejectsAttempt(const RequestFingerprint &Request, BootTime Now) const;
+  /// Returns a rejection while another attempt is in progress.
+  std::optional<SuspectRejection> isolates(const RequestFingerprint &Request,
+                                           BootTime Now) const;
   /// Whether the same attempt may retry a send that has just been interrupted,
   /// while it is not yet known if the server ended.
   bool mayRetry(const RequestFingerprint &Request) const {
@@ -118,6 +121,8 @@
   /// Number of servers that crashed while running the request, since it was
   /// last cleared.
   size_t crashes(const RequestFingerprint &Request) const;
+  std::vector<ServerStart>
+  crashedServers(const RequestFingerprint &Request) const;
   /// The highest rank of the known crashes; 0 without any.
   size_t evidence(const RequestFingerprint &Request) const;
   bool empty() const { return m_Entries.empty(); }
--- a/Libraries/LibDispatch/SuspectUpdate.cpp
+++ b/Libraries/LibDispatch/SuspectUpdate.cpp
@@ -6,16 +6,12 @@
 
 #include "LibDispatch/SuspectUpdate.h"
 
+#include "LibDispatch/FingerprintJson.h"
 #include "LibDispatch/StartTimeJson.h"
 
-#include <nlohmann/json.hpp>
-
-#include <algorithm>
-
 namespace figlift::dispatch {
 
 using Json = nlohmann::json;
-using std::chrono::milliseconds;
 
 namespace {
 
@@ -24,18 +20,6 @@
           Crash.Age.count(), Crash.Rank};
 }
 
-/// Fails for ages that no sender writes: negative ones, or more than a year.
-Result<milliseconds> decodeAge(const Json &Encoded) {
-  constexpr int64_t MaximumMs = 1000LL * 3600 * 24 * 365;
-  const auto Count = Encoded.get<int64_t>();
-  if (Count < 0 || Count > MaximumMs)
-    return failure(ResultCode::InvalidInput,
-                   "found " + std::to_string(Count) +
-                       " ms; allowed: 0 to a year",
-                   "suspect update");
-  return milliseconds(Count);
-}
-
 Result<SuspectUpdate::Crash> decodeCrash(const Json &Encoded) {
   SuspectUpdate::Crash Crash;
   Crash.Server.TargetId = Encoded.at(0).get<std::string>();
@@ -53,11 +37,8 @@
 
 Result<SuspectUpdate> decodeUpdate(const Json &Encoded) {
   SuspectUpdate Update;
-  const auto &Bytes = Encoded.at(0).get_binary();
-  if (Bytes.size() != Update.Request.Bytes.size())
-    return failure(ResultCode::InvalidInput, "a fingerprint has 16 bytes",
-                   "suspect update");
-  std::copy(Bytes.begin(), Bytes.end(), Update.Request.Bytes.begin());
+  FIGLIFT_TRY(Request, decodeFingerprint(Encoded.at(0)));
+  Update.Request = Request;
   for (const Json &EncodedCrash : Encoded.at(1)) {
     FIGLIFT_TRY(Crash, decodeCrash(EncodedCrash));
     Update.Crashes.push_back(std::move(Crash));
@@ -82,10 +63,8 @@
     Json ClearedAge = nullptr;
     if (Update.ClearedAge)
       ClearedAge = Update.ClearedAge->count();
-    const auto &Bytes = Update.Request.Bytes;
-    List.push_back(Json::array(
-        {Json::binary(std::vector<uint8_t>(Bytes.begin(), Bytes.end())),
-         Crashes, ClearedAge, Update.Isolation.count()}));
+    List.push_back(Json::array({encodeFingerprint(Update.Request), Crashes,
+                                ClearedAge, Update.Isolation.count()}));
   }
   std::string Encoded;
   Json::to_cbor(List, Encoded);
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -38,13 +38,12 @@
 /// Covers the time until the store removes a server that crashed without
 /// refusing a connection.
 constexpr milliseconds SuspicionLifetime{6000};
-/// Connections that were lost at most this long before their server refused a
-/// probe were lost in the crash; the server closed earlier ones and kept
-/// running.
-constexpr milliseconds CrashLossWindow{1000};
 /// About 90 bytes each.
 constexpr size_t MaximumReannounced = 10;
 
+/// Bounds the work for prompts whose callers choose very many parts.
+constexpr size_t MaximumParts = 32;
+
 /// A connection attempt and its timeout.
 struct ProbeConnection {
   explicit ProbeConnection(asio::io_context &Loop)
@@ -64,33 +63,48 @@
   m_Fingerprinter = Fingerprinter.value();
 }
 
-std::optional<dispatch::RequestFingerprint>
-CrashWatch::fingerprintOf(const proxy::Request &Request,
-                          const std::optional<std::string> &Tenant) const {
+std::optional<dispatch::RequestCauses>
+CrashWatch::causesOf(const proxy::Request &Request,
+                     const std::optional<std::string> &Tenant,
+                     const std::string &Service,
+                     const std::optional<dispatch::Prompt> &Prompt) const {
   if (!m_Fingerprinter)
     return std::nullopt;
   const proxy::HeaderList &Fields = Request.Head.Headers;
-  return m_Fingerprinter->of(
+  dispatch::RequestCauses Causes;
+  Causes.Request = m_Fingerprinter->of(
       {Request.Head.Method, Fields.find("Host").value_or(""),
        Request.Head.Target,
        Tenant ? std::string_view(*Tenant)
               : Fields.find("Authorization").value_or(""),
-       Request.Body});
+       Request.Body,
+       Prompt ? std::span(Prompt->Parts)
+              : std::span<const dispatch::PromptPart>()});
+  if (!Prompt)
+    return Causes;
+  const auto Parts = Prompt->sharedParts();
+  for (const dispatch::PromptPart &Part :
+       Parts.first(std::min(Parts.size(), MaximumParts)))
+    Causes.Parts.push_back(m_Fingerprinter->ofPart(Service, Part.Id));
+  return Causes;
 }
 
-void CrashWatch::connectionLost(const dispatch::RequestFingerprint &Request,
-                                const dispatch::Target &Target, BootTime SentAt,
-                                BootTime Now) {
-  const Suspicion::LostSend Loss{Request, SentAt, Now};
-  if (const auto Known = m_Ended.find(Target.start()); Known != m_Ended.end()) {
-    if (SentAt <= Known->second.CrashedBy)
-      suspect(Target.start(), Loss, Now);
+void CrashWatch::connectionLost(const dispatch::Target &Target,
+                                const LostSend &Loss) {
+  const ServerStart Start = Target.start();
+  if (const auto Known = m_Ended.find(Start); Known != m_Ended.end()) {
+    const BootTime Now = BootClock::now();
+    if (Loss.SentAt <= Known->second.CrashedBy) {
+      suspect(Start, Loss, Now);
+      recordCandidates(Start, Known->second.CrashedBy,
+                       candidatesOf(Loss, Known->second.CrashedBy), Now);
+    }
     return announceNew(Now);
   }
-  Suspicion &Entry = m_Suspicions[Target.start()];
+  Suspicion &Entry = m_Suspicions[Start];
   Entry.Losses.push_back(Loss);
   if (!std::exchange(Entry.Probing, true))
-    probe(Target.start(), Target.Address, 1);
+    probe(Start, Target.Address, 1);
 }
 
 void CrashWatch::probe(const ServerStart &Start, const Endpoint &Address,
@@ -149,6 +163,12 @@
 void CrashWatch::serverResponded(const ServerStart &Start, BootTime Now) {
   if (const auto Entry = m_Suspicions.find(Start); Entry != m_Suspicions.end())
     Entry->second.LastResponse = Now;
+  if (m_Answers.empty())
+    return;
+  for (const dispatch::UnconfirmedAnswer &Answer :
+       m_Answers.confirm(Start, Now))
+    if (Answer.EndedWithConnection)
+      confirm(Answer, Now);
 }
 
 CrashWatch::Suspicions::iterator
@@ -161,6 +181,7 @@
 }
 
 void CrashWatch::targetDraining(const std::string &TargetId) {
+  m_Answers.remove(TargetId);
   if (const auto Entry = findSuspicion(TargetId); Entry != m_Suspicions.end())
     m_Suspicions.erase(Entry);
 }
@@ -169,6 +190,12 @@
   if (const auto Entry = findSuspicion(TargetId); Entry != m_Suspicions.end())
     serverEnded(ServerStart(Entry->first), "is listed no more",
                 BootClock::now() - SuspicionLifetime);
+  // No connection was lost, but the server was not heard of after its last
+  // answers.
+  else if (const auto Last = m_Answers.last(TargetId);
+           Last && !m_Ended.contains(Last->Server))
+    recordLastAnswers(Last->Server, Last->CompletedAt, BootClock::now());
+  m_Answers.remove(TargetId);
 }
 
 void CrashWatch::serverEnded(const ServerStart &Start, std::string_view Reason,
@@ -187,44 +214,43 @@
                   {{"target", Start.TargetId},
                    {"how", Reason},
                    {"brokeOff", Confirmed.Losses.size()}});
-  for (const Suspicion::LostSend &Loss : Confirmed.Losses)
-    if (Loss.LostAt >= Since && Loss.SentAt <= CrashedBy)
-      suspect(Start, Loss, Now);
+  std::vector<dispatch::CrashCandidate> Candidates;
+  for (const LostSend &Loss : Confirmed.Losses) {
+    if (Loss.LostAt < Since || Loss.SentAt > CrashedBy)
+      continue;
+    suspect(Start, Loss, Now);
+    for (const auto &Candidate : candidatesOf(Loss, CrashedBy))
+      Candidates.push_back(Candidate);
+  }
+  recordCandidates(Start, CrashedBy, std::move(Candidates), Now);
+  recordLastAnswers(Start, CrashedBy, Now);
   announceNew(Now);
 }
 
-void CrashWatch::suspect(const ServerStart &Start,
-                         const Suspicion::LostSend &Loss, BootTime Now) {
-  m_Suspects.recordCrash(Loss.Request, {Start, Loss.SentAt, Loss.LostAt}, Now);
+void CrashWatch::suspect(const ServerStart &Start, const LostSend &Loss,
+                         BootTime Now) {
+  const dispatch::RequestFingerprint &Request = Loss.Request.Request;
+  m_Suspects.recordCrash(Request, {Start, Loss.SentAt, Loss.LostAt}, Now);
   const auto Age = [&](BootTime Time) {
     return std::chrono::duration_cast<milliseconds>(Now - Time).count();
   };
   if (m_Log.allows(LineKind::Notable, Now))
     log::logEvent(log::Level::Info, "request-suspected",
-                  {{"fingerprint", Loss.Request.toString()},
+                  {{"fingerprint", Request.toString()},
                    {"target", Start.TargetId},
                    {"sentMsAgo", Age(Loss.SentAt)},
                    {"brokeOffMsAgo", Age(Loss.LostAt)},
-                   {"evidence", m_Suspects.evidence(Loss.Request)},
-                   {"crashes", m_Suspects.crashes(Loss.Request)}});
-}
-
-void CrashWatch::sent(const dispatch::RequestFingerprint &Request,
-                      BootTime Now) {
-  m_Suspects.recordSend(Request, Now);
-  announceNew(Now);
-}
-
-void CrashWatch::completed(const dispatch::RequestFingerprint &Request,
-                           BootTime Now) {
-  m_Suspects.recordCompletion(Request, Now);
-  announceNew(Now);
+                   {"evidence", m_Suspects.evidence(Request)},
+                   {"crashes", m_Suspects.crashes(Request)}});
 }
 
 void CrashWatch::announceNew(BootTime Now) {
   const auto Updates = m_Suspects.takeChanges(Now);
   if (!Updates.empty() && m_Announce)
     m_Announce(Updates);
+  for (const dispatch::CrashCauseUpdate &Update : m_Causes.takeChanges(Now))
+    if (m_AnnounceCauses)
+      m_AnnounceCauses(Update);
 }
 
 void CrashWatch::peerReported(
@@ -245,7 +271,7 @@
 
 void CrashWatch::tick(BootTime Now) {
   for (auto &[Start, Entry] : m_Suspicions)
-    std::erase_if(Entry.Losses, [&](const Suspicion::LostSend &Loss) {
+    std::erase_if(Entry.Losses, [&](const LostSend &Loss) {
       return Now - Loss.LostAt > SuspicionLifetime;
     });
   std::erase_if(m_Suspicions,
@@ -254,6 +280,14 @@
     return Now - Entry.second.DetectedAt > SuspicionLifetime;
   });
   m_Suspects.expire(Now);
+  // Servers that crashed would have been removed since.
+  for (const dispatch::UnconfirmedAnswer &Answer :
+       m_Answers.takeBefore(Now - SuspicionLifetime))
+    if (Answer.EndedWithConnection)
+      confirm(Answer, Now);
+  m_Causes.expire(Now);
+  logVerdicts(Now);
+  announceNew(Now);
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -44,6 +44,9 @@
 /// given by the next one. Acquiring the lease and sending the order take a
 /// fifth of it.
 constexpr milliseconds OrderTurnTime{2500};
+/// Gateways begin trials of a rejected prompt part this far apart. News of the
+/// first one's trial reach the next one several times meanwhile.
+constexpr milliseconds TrialTurnTime{1000};
 
 } // namespace
 
@@ -321,6 +324,8 @@
   m_Stages.tick(Now);
   m_Usage.tick(Now);
   m_Caches.tick(Now);
+  m_Shared.Crashes.setTrialDelay(TrialTurnTime *
+                                 static_cast<int>(m_Peers.liveBefore(Now)));
   m_Shared.Crashes.tick(Now);
   shareLimits(Now);
   watchSettings(Now);
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -75,6 +75,15 @@
       "figlift_gateway_suspected_requests",
       "Requests under which servers ended, of the whole fleet",
       [this] { return double(m_Shared.Crashes.suspects().size()); });
+  Metrics.registerGauge(
+      "figlift_gateway_crash_causes",
+      "Prompt parts and requests that explain crashes of servers and are "
+      "rejected, of the whole fleet",
+      [this] { return double(m_Shared.Crashes.causes().rejectedCount()); });
+  Metrics.registerGauge(
+      "figlift_gateway_recorded_crashes",
+      "Crashes of servers, of the whole fleet, whose cause is looked for",
+      [this] { return double(m_Shared.Crashes.causes().crashCount()); });
   Metrics.registerCounter(
       "figlift_gateway_requests_held_back_total",
       "Requests refused because servers ended under them",
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -25,6 +25,7 @@
 constexpr char SuspectsKind = 'S';
 constexpr char UsageKind = 'U';
 constexpr char StreamOriginsKind = 'V';
+constexpr char CrashCausesKind = 'C';
 /// @}
 /// How often a report includes server limits, about 30 bytes each, and the
 /// learned engine costs, about 100 bytes per service. After a start the
@@ -60,7 +61,8 @@
                        Code.message(),
                    "listen.peers");
   m_Shared.Crashes.onUpdate(
-      [this](const auto &Updates) { announceSuspects(Updates); });
+      [this](const auto &Updates) { announceSuspects(Updates); },
+      [this](const auto &Update) { announceCrashCauses(Update); });
   receive();
   scheduleReport();
   return success();
@@ -120,6 +122,21 @@
   if (const auto Updates = m_Shared.Crashes.reannouncements(Now);
       !Updates.empty())
     announceSuspects(Updates);
+  if (const auto Update = m_Shared.Crashes.causeReannouncement(Now);
+      !Update.empty())
+    announceCrashCauses(Update);
+}
+
+void PeerLink::announceCrashCauses(const dispatch::CrashCauseUpdate &Update) {
+  sendToAll(CrashCausesKind, encodeCrashCauses(Update));
+}
+
+void PeerLink::crashCausesReceived(std::string_view Body) {
+  const auto Read = dispatch::decodeCrashCauses(Body);
+  if (!Read)
+    return log::logError(log::Level::Warning, "crash-causes-invalid",
+                         Read.error());
+  m_Shared.Crashes.peerReportedCauses(Read.value(), BootClock::now());
 }
 
 void PeerLink::suspectsReceived(std::string_view Body) {
@@ -200,6 +217,8 @@
     usageReceived(Opened->Body);
   else if (Opened->Kind == StreamOriginsKind)
     streamOriginsReceived(Opened->Body);
+  else if (Opened->Kind == CrashCausesKind)
+    crashCausesReceived(Opened->Body);
 }
 
 void PeerLink::streamOriginsReceived(std::string_view Body) {
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -56,6 +56,8 @@
   void announceSuspects(const std::vector<dispatch::SuspectUpdate> &Updates);
   void reannounceSuspects(BootTime Now);
   void suspectsReceived(std::string_view Body);
+  void announceCrashCauses(const dispatch::CrashCauseUpdate &Update);
+  void crashCausesReceived(std::string_view Body);
   void usageReceived(std::string_view Body);
   void streamOriginsReceived(std::string_view Body);
 
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -36,6 +36,7 @@
 }
 
 void RequestFlow::sendBody(ServerSend &Send, std::string Bytes) {
+  recordWriting();
   const std::string Events = m_Relay.feed(Bytes);
   if (Events.empty())
     return;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -218,6 +218,8 @@
   proxy::HeaderList Headers = slopes::forwardedFields(m_Request.Head.Headers);
   slopes::applySendFields(Headers, Fields);
   m_Relay.restart();
+  m_WritingSince.reset();
+  m_HasSurvived = false;
   ++m_Sends;
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId);
@@ -236,8 +238,7 @@
       if (!streaming())
         recordUsage();
     }
-    if (isSuspected())
-      m_Shared.Crashes.sent(*m_Fingerprint, Now);
+    recordSuspectSend(Now);
     return armSendTimeout(Expected + m_PlannedLag);
   }
   const auto Unsent = m_Send;
@@ -423,13 +424,11 @@
   Progress.TimeLeft = timeLeft(Now);
   Progress.Runs = m_Executions;
   Progress.MaximumRuns = m_Route.MaximumAttempts;
-  Progress.Repeatable =
-      m_Route.repeatable() &&
-      (!isSuspected() || m_Shared.Crashes.suspects().mayRetry(*m_Fingerprint));
+  Progress.Repeatable = m_Route.repeatable() && mayRetryIfSuspected();
   Progress.EndsBeforeStop = mayStart(m_PlannedFirst, Now);
   if (Send.purpose() == SendPurpose::Prefill && m_Executions == 0) {
     // A prefill does not execute the request.
-    Progress.Repeatable = true;
+    Progress.Repeatable = !m_IsTrial;
     Progress.MaximumRuns = m_Shared.Retries.MaximumSends;
   }
   return dispatch::decideNext(m_Shared.Retries, Progress, End, [&] {
@@ -455,7 +454,7 @@
     return retry(Send);
   releaseHandle();
   if (std::holds_alternative<dispatch::ForwardFailure>(Next)) {
-    recordCompletion(Send);
+    recordFailure();
     return forwardFailure(Send);
   }
   if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -104,16 +104,20 @@
   /// \name Detection of requests that crash servers.
   /// @{
   /// Empty while the fleet's secret is not known.
-  const std::optional<dispatch::RequestFingerprint> &fingerprint();
+  const std::optional<dispatch::RequestCauses> &causes();
   /// For the log; empty if the fingerprint has not been computed.
   std::string fingerprintText() const {
-    return m_Fingerprint ? m_Fingerprint->toString() : std::string();
+    return m_Causes ? m_Causes->Request.toString() : std::string();
   }
   /// Ids of the shared prompt parts in hexadecimal, for the log.
   std::string sharedPartsText() const;
   void recordConnectionLost(const ServerSend &Send);
   void recordCompletion(const ServerSend &Send);
+  void recordFailure();
+  void recordWriting();
+  void recordSuspectSend(BootTime Now);
   bool isSuspected();
+  bool mayRetryIfSuspected();
   bool rejectIfSuspected();
   /// @}
   void learnPrefill();
@@ -191,7 +195,16 @@
   std::shared_ptr<proxy::CallerConnection> m_Caller;
   slopes::CallerFields m_Fields;
   /// Computed on first use; empty while the fleet's secret is not known.
-  std::optional<dispatch::RequestFingerprint> m_Fingerprint;
+  std::optional<dispatch::RequestCauses> m_Causes;
+  /// Why the request was rejected: it or its prompt part that crashes servers.
+  std::optional<dispatch::Fingerprint> m_CrashCause;
+  /// A prompt part of this request is rejected at present, and this request
+  /// tries whether servers still crash. It is not sent again.
+  bool m_IsTrial = false;
+  /// When the server of the latest attempt began to write.
+  std::optional<BootTime> m_WritingSince;
+  /// The server of the latest attempt has not crashed for long enough.
+  bool m_HasSurvived = false;
   /// The configuration that the request started with; m_Route is a copy from
   /// it.
   std::shared_ptr<const dispatch::Configuration> m_Configuration;
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -1,66 +1,103 @@
 //===- RequestSuspicion.cpp - Requests that crash servers -----------------===//
 //
-// Reports the outcome of a request to CrashWatch, and rejects suspected
-// requests.
+// Reports the outcome of a request to CrashWatch, and rejects requests that are
+// suspected, or a part of whose prompt is.
 //
 //===----------------------------------------------------------------------===//
 
 #include "RequestFlow.h"
 
-#include "LibLog/Log.h"
-
 namespace figlift::gateway {
 
-const std::optional<dispatch::RequestFingerprint> &RequestFlow::fingerprint() {
-  if (!m_Fingerprint)
-    m_Fingerprint = m_Shared.Crashes.fingerprintOf(m_Request, m_Tenant);
-  return m_Fingerprint;
+namespace {
+
+/// Several times as long as servers take to crash once they begin to write.
+constexpr std::chrono::milliseconds SurvivalTime{500};
+
+} // namespace
+
+const std::optional<dispatch::RequestCauses> &RequestFlow::causes() {
+  if (!m_Causes)
+    m_Causes = m_Shared.Crashes.causesOf(m_Request, m_Tenant, m_Service,
+                                         m_Fields.Prompt);
+  return m_Causes;
 }
 
 /// The server may have crashed, and this request may be the cause.
 void RequestFlow::recordConnectionLost(const ServerSend &Send) {
-  if (Send.target() && fingerprint())
-    m_Shared.Crashes.connectionLost(*m_Fingerprint, *Send.target(),
-                                    Send.started(), BootClock::now());
+  if (Send.target() && causes())
+    m_Shared.Crashes.connectionLost(
+        *Send.target(),
+        {*m_Causes, Send.started(), BootClock::now(), m_HasSurvived});
 }
 
-/// A server completed the request, successfully or not, and is still running.
+/// A server completed the request. It may have crashed all the same.
 void RequestFlow::recordCompletion(const ServerSend &Send) {
-  if (!m_Shared.Crashes.needsCompletions() || !fingerprint())
+  // An answer that only looks complete may be the first sign of a crash.
+  const bool EndedWithConnection =
+      Send.head().Framing == proxy::BodyFraming::ConnectionEnd;
+  const bool IsNeeded =
+      EndedWithConnection || m_Shared.Crashes.needsCompletions();
+  if (!IsNeeded || !Send.target() || !causes())
     return;
   const BootTime Now = BootClock::now();
-  if (isSuspected() && m_Shared.Log.allows(LineKind::Notable, Now))
-    log::logRequest(
-        log::Level::Info, "suspicion-cleared", m_Fields.AttemptId, {},
-        {{"fingerprint", fingerprintText()},
-         {"crashes", m_Shared.Crashes.suspects().crashes(*m_Fingerprint)},
-         {"target", m_ExecutionTarget},
-         {"framing", proxy::describe(Send.head().Framing)},
-         {"status", Send.head().Status}});
-  m_Shared.Crashes.completed(*m_Fingerprint, Now);
+  m_Shared.Crashes.completed(Send.target()->start(),
+                             {*m_Causes, Send.started(),
+                              m_WritingSince.value_or(Send.started()), Now,
+                              EndedWithConnection},
+                             Now);
+}
+
+/// A server failed the request and is still running.
+void RequestFlow::recordFailure() {
+  if (m_Shared.Crashes.needsCompletions() && causes())
+    m_Shared.Crashes.failed(*m_Causes, BootClock::now());
+}
+
+/// A server writes an answer. Once it has been writing for long, this request
+/// does not crash it.
+void RequestFlow::recordWriting() {
+  if (m_HasSurvived)
+    return;
+  const BootTime Now = BootClock::now();
+  if (!m_WritingSince)
+    m_WritingSince = Now;
+  m_HasSurvived = Now - *m_WritingSince >= SurvivalTime;
+  if (m_HasSurvived && m_Shared.Crashes.needsCompletions() && causes())
+    m_Shared.Crashes.survived(*m_Causes, *m_WritingSince, Now);
+}
+
+void RequestFlow::recordSuspectSend(BootTime Now) {
+  if (isSuspected() && m_Shared.Crashes.sent(*m_Causes, m_Shared.Random(), Now))
+    m_IsTrial = true;
 }
 
 /// Without any suspicion no fingerprint is computed.
 bool RequestFlow::isSuspected() {
-  const dispatch::CrashSuspects &Suspects = m_Shared.Crashes.suspects();
-  return !Suspects.empty() && fingerprint() &&
-         Suspects.crashes(*m_Fingerprint) > 0;
+  return m_Shared.Crashes.hasSuspects() && causes() &&
+         m_Shared.Crashes.isSuspected(*m_Causes);
+}
+
+bool RequestFlow::mayRetryIfSuspected() {
+  return !m_IsTrial && (!isSuspected() || m_Shared.Crashes.mayRetry(*m_Causes));
 }
 
 /// Rejects the request if servers crashed while executing it, and returns
 /// whether it did.
 bool RequestFlow::rejectIfSuspected() {
+  // A trial goes on to its execution.
+  if (m_IsTrial && m_Executions == 0 && m_Handle)
+    return false;
   if (!isSuspected())
     return false;
-  const dispatch::CrashSuspects &Suspects = m_Shared.Crashes.suspects();
   const BootTime Now = BootClock::now();
-  const auto Rejection = m_Sends == 0
-                             ? Suspects.rejectsNewAttempt(*m_Fingerprint, Now)
-                             : Suspects.rejectsAttempt(*m_Fingerprint, Now);
+  const auto Rejection = m_Shared.Crashes.rejects(
+      *m_Causes, m_Sends == 0 ? AttemptStage::New : AttemptStage::Begun, Now);
   if (!Rejection)
     return false;
   m_Shared.Crashes.recordRejected();
   m_Code = ResultCode::CrashesTargets;
+  m_CrashCause = Rejection->Cause;
   releaseHandle();
   if (m_ResponseStarted)
     abortStream(Rejection->Reason);
--- a/Tests/CrashingParts/TestCrashingParts.cpp
+++ b/Tests/CrashingParts/TestCrashingParts.cpp
@@ -130,7 +130,10 @@
 
   void setBehaviour(const std::string &Id, size_t Place) {
     Fixture.setBehaviour(
-        Id, [this, Place](const proxy::Request &Request, const Caller &To) {
+        Id, [this, Id, Place](const proxy::Request &Request, const Caller &To) {
+          // The successor of a crashed engine has its address.
+          if (field(Request, "X-Expect-Instance") != Id)
+            return rejectUnexecuted(To, 421);
           recordArrival(Request);
           if (isPrefill(Request))
             return rejectUnexecuted(To);
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -328,9 +328,9 @@
   To->respond(signedHead(Request, Status), Body);
 }
 
-void rejectUnexecuted(const Caller &To) {
+void rejectUnexecuted(const Caller &To, unsigned Status) {
   proxy::ResponseHead Head;
-  Head.Status = 503;
+  Head.Status = Status;
   Head.Headers.add("X-Not-Executed", "1");
   To->respond(Head, "");
 }
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -164,8 +164,8 @@
 /// Sends a complete, signed response to \p Request.
 void respondSigned(const proxy::Request &Request, const Caller &To,
                    unsigned Status, const std::string &Body);
-/// Sends a 503 that says that the request was not executed.
-void rejectUnexecuted(const Caller &To);
+/// Sends an error that says that the request was not executed.
+void rejectUnexecuted(const Caller &To, unsigned Status = 503);
 /// \name Behaviours of servers.
 /// @{
 /// A plain server that responds immediately.
