--- a/Tests/FigliftGateway/TestCrashingRequests.cpp
+++ b/Tests/FigliftGateway/TestCrashingRequests.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 const std::string CrashingPath = "/unsafe/poison";
+/// A request that many callers send. It takes some time.
+const std::string CommonPath = "/unsafe/common";
 
 } // namespace
 
@@ -54,6 +56,13 @@
         Fixture.Loop, std::chrono::milliseconds(20));
     Timer->async_wait([this, Timer, Id](const auto &) { crashAndRestart(Id); });
   }
+  void respondLater(const proxy::Request &Request, const Caller &To) {
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(
+        Fixture.Loop, std::chrono::milliseconds(40));
+    Timer->async_wait([Timer, Request, To](const auto &) {
+      respondSigned(Request, To, 200, "good");
+    });
+  }
   void crashOnRequest(const std::string &Id) {
     Fixture.setBehaviour(
         Id, [this, Id](const proxy::Request &Request, const Caller &To) {
@@ -62,18 +71,22 @@
             return respondInPart(Request, To, Id);
           if (Request.Head.Target == CrashingPath)
             return crashAndRestart(Id);
+          if (Request.Head.Target == CommonPath)
+            return respondLater(Request, To);
           respondSigned(Request, To, 200, "good");
         });
   }
-  void startServing() {
-    for (const char *Id : {"s1", "s2", "s3", "s4"}) {
+  void startServing(const std::vector<std::string> &Ids = {"s1", "s2", "s3",
+                                                           "s4"}) {
+    for (const std::string &Id : Ids) {
       Fixture.addServer(Id, "plain", [](const auto &, const auto &) {});
       crashOnRequest(Id);
     }
     Fixture.configure();
     CHECK(Fixture.waitUntilReady());
     CHECK(Fixture.waitUntil([&] {
-      return contains(Fixture.metrics(), "figlift_gateway_targets 4") &&
+      return contains(Fixture.metrics(), "figlift_gateway_targets " +
+                                             std::to_string(Ids.size())) &&
              Fixture.Store.value("figlift-gateways", "#secret") != "";
     }));
   }
@@ -102,6 +115,24 @@
   CHECK(contains(Fixture.request("POST", "/unsafe/x"), "good"));
 }
 
+// Failure: a request that many callers send was on each server that another
+// request crashed, one after the other, and stays refused with it.
+TEST(CrashingRequests, LeaveCommonRequestServed) {
+  startServing({"s1"});
+  for (int Round = 0; Round < 6; ++Round) {
+    KeepAliveCaller Common(Fixture);
+    Common.send("POST", CommonPath);
+    Fixture.Loop.run_for(std::chrono::milliseconds(10));
+    Fixture.request("POST", CrashingPath);
+    // Longer than one of the two has to wait for the other.
+    Fixture.Loop.run_for(std::chrono::milliseconds(700));
+  }
+  // One more than of the crashing request alone, to tell the two apart.
+  CHECK(Crashes <= 4);
+  CHECK(contains(Fixture.request("POST", CrashingPath), "HTTP/1.1 503"));
+  CHECK(contains(Fixture.request("POST", CommonPath), "good"));
+}
+
 // Failure: a request that crashes servers is cleared by a crash whose answer
 // ends with its connection and looks complete.
 TEST(CrashesInOrder, DoNotClearTheirRequest) {
