LibDispatch, figlift-gateway: Announce crash causes again at a bounded rate

Each gateway that learned of a crash announced it again for a second, and what explains a rejection for as long as it lasts: a hundred gateways would have got some two hundred datagrams a second each, by what their reports allow (computed, not measured). A change is announced again by the gateway that observed it only, and rejections so that each gateway hears of them ten times a second from all together.

--- a/Libraries/LibDispatch/CrashCauses.cpp
+++ b/Libraries/LibDispatch/CrashCauses.cpp
@@ -36,7 +36,7 @@
       m_Crashes.size() >= m_Options.MaximumCrashes)
     evictCrash();
   const auto [Position, IsNew] =
-      m_Crashes.try_emplace(Server, Crash{CrashedAt, Now, {}});
+      m_Crashes.try_emplace(Server, Crash{CrashedAt, {}, {}});
   Crash &Known = Position->second;
   // Forwarding only adds to the age of a crash.
   Known.At = std::min(Known.At, CrashedAt);
@@ -45,7 +45,7 @@
     if (const auto Survived = m_Survivals.find(Candidate.Cause);
         Survived != m_Survivals.end() && Survived->second.BeganAt > Known.At) {
       // Whoever reports the candidate does not know of the survival.
-      Survived->second.ChangedAt = Now;
+      Survived->second.RetransmitUntil = Now + m_Options.RetransmitTime;
       continue;
     }
     const auto [Entry, IsNewCandidate] = Known.Candidates.try_emplace(
@@ -58,8 +58,6 @@
   limitCandidates(Known);
   if (Known.Candidates.empty())
     m_Crashes.erase(Position);
-  else if (HasChanged)
-    Known.ChangedAt = Now;
   return HasChanged;
 }
 
@@ -88,6 +86,7 @@
                               BootTime Now) {
   if (!merge(Server, CrashedAt, Candidates, Now))
     return;
+  m_Crashes[Server].RetransmitUntil = Now + m_Options.RetransmitTime;
   m_ChangedCrashes.insert(Server);
   update();
 }
@@ -96,6 +95,8 @@
                                  BootTime Now) {
   if (!mergeSurvival(Cause, BeganAt, Now))
     return;
+  if (const auto Known = m_Survivals.find(Cause); Known != m_Survivals.end())
+    Known->second.RetransmitUntil = Now + m_Options.RetransmitTime;
   m_ChangedSurvivals.insert(Cause);
   m_Stale = true;
 }
@@ -112,8 +113,7 @@
   Survival &Kept = m_Survivals[Cause];
   Kept.BeganAt = BeganAt;
   const bool HasCleared = clear(Cause, BeganAt);
-  if (HasCleared)
-    Kept.ChangedAt = Now;
+  Kept.HasCleared = Kept.HasCleared || HasCleared;
   return HasCleared;
 }
 
@@ -319,7 +319,7 @@
 CrashCauses::makeUpdate(const Crashes::value_type &Known, BootTime Now) const {
   const Crash &Content = Known.second;
   // Later only the verdict has to be passed on.
-  const bool IsRecent = Now - Content.ChangedAt <= m_Options.RetransmitTime;
+  const bool IsRecent = Now <= Content.RetransmitUntil;
   CrashCauseUpdate::Crash Update{Known.first, rounded(Now - Content.At), {}};
   for (const auto &[Cause, Candidate] : Content.Candidates)
     if (IsRecent || isRejected(Cause))
@@ -346,33 +346,46 @@
   return Updates;
 }
 
-CrashCauseUpdate CrashCauses::takeRetransmission(BootTime Now) {
-  CrashCauseUpdate Update;
+/// Adds crashes for which \p IsNeeded, beginning after \p Cursor.
+template <typename Predicate>
+void CrashCauses::takeCrashes(CrashCauseUpdate &Update, ServerStart &Cursor,
+                              BootTime Now, Predicate IsNeeded) const {
   size_t Candidates = 0;
-  const auto TakeCrash = [&](const Crashes::value_type &Known) {
+  const auto Take = [&](const Crashes::value_type &Known) {
     if (Update.Crashes.size() >= MaximumRetransmittedCrashes ||
-        Candidates >= MaximumRetransmitted ||
-        (Now - Known.second.ChangedAt > m_Options.RetransmitTime &&
-         !hasRejectedCandidate(Known.second)))
+        Candidates >= MaximumRetransmitted || !IsNeeded(Known.second))
       return;
     Update.Crashes.push_back(makeUpdate(Known, Now));
     Candidates += Update.Crashes.back().Candidates.size();
-    m_CrashCursor = Known.first;
+    Cursor = Known.first;
   };
-  const auto NextCrash = m_Crashes.upper_bound(m_CrashCursor);
-  std::for_each(NextCrash, m_Crashes.end(), TakeCrash);
-  std::for_each(m_Crashes.begin(), NextCrash, TakeCrash);
-  const auto TakeSurvival = [&](const auto &Known) {
+  const auto Next = m_Crashes.upper_bound(Cursor);
+  std::for_each(Next, m_Crashes.end(), Take);
+  std::for_each(m_Crashes.begin(), Next, Take);
+}
+
+CrashCauseUpdate CrashCauses::takeRetransmission(BootTime Now) {
+  CrashCauseUpdate Update;
+  takeCrashes(Update, m_CrashCursor, Now,
+              [&](const Crash &Known) { return Now <= Known.RetransmitUntil; });
+  const auto Take = [&](const auto &Known) {
     const auto &[Cause, Content] = Known;
-    if (Update.Survivals.size() >= MaximumRetransmitted || !Content.ChangedAt ||
-        Now - *Content.ChangedAt > m_Options.RetransmitTime)
+    if (Update.Survivals.size() >= MaximumRetransmitted ||
+        Now > Content.RetransmitUntil)
       return;
     Update.Survivals.push_back({Cause, rounded(Now - Content.BeganAt)});
     m_SurvivalCursor = Cause;
   };
-  const auto NextSurvival = m_Survivals.upper_bound(m_SurvivalCursor);
-  std::for_each(NextSurvival, m_Survivals.end(), TakeSurvival);
-  std::for_each(m_Survivals.begin(), NextSurvival, TakeSurvival);
+  const auto Next = m_Survivals.upper_bound(m_SurvivalCursor);
+  std::for_each(Next, m_Survivals.end(), Take);
+  std::for_each(m_Survivals.begin(), Next, Take);
+  return Update;
+}
+
+CrashCauseUpdate CrashCauses::takeRejections(BootTime Now) {
+  CrashCauseUpdate Update;
+  takeCrashes(Update, m_RejectionCursor, Now,
+              [&](const Crash &Known) { return hasRejectedCandidate(Known); });
   for (const auto &[Cause, Past] : m_Trials)
     for (const auto &[Id, At] : Past)
       if (Update.Trials.size() < MaximumRetransmitted)
@@ -397,9 +410,9 @@
     update();
   std::erase_if(m_Survivals, [&](const auto &Item) {
     const Survival &Known = Item.second;
-    return Now - Known.BeganAt > m_Options.SurvivalRetention &&
-           (!Known.ChangedAt ||
-            Now - *Known.ChangedAt > m_Options.CrashRetention);
+    return Now - Known.BeganAt > (Known.HasCleared
+                                      ? m_Options.CrashRetention
+                                      : m_Options.SurvivalRetention);
   });
   std::erase_if(m_Trials,
                 [&](const auto &Item) { return !isCandidate(Item.first); });
--- a/Libraries/LibDispatch/CrashCauses.h
+++ b/Libraries/LibDispatch/CrashCauses.h
@@ -65,8 +65,8 @@
   /// Of one crash. The ones sent last are kept.
   size_t MaximumCandidates = 64;
   size_t MaximumSurvivals = 2048;
-  /// A change is retransmitted to peers for this long, as datagrams may be
-  /// lost.
+  /// A change is retransmitted to peers for this long by the gateway that
+  /// observed it, as datagrams may be lost.
   std::chrono::milliseconds RetransmitTime{1000};
 };
 
@@ -129,9 +129,12 @@
   /// Returns what happened here since the last call, to be sent to peers. Each
   /// element fits into a datagram.
   std::vector<CrashCauseUpdate> takeChanges(BootTime Now);
-  /// Returns an update that peers may have missed, round robin; empty if there
-  /// is none.
+  /// Returns changes here that peers may have missed, round robin; empty if
+  /// there are none.
   CrashCauseUpdate takeRetransmission(BootTime Now);
+  /// Returns what explains the rejections, round robin, for peers that know
+  /// nothing of them.
+  CrashCauseUpdate takeRejections(BootTime Now);
   /// Drops what is out of date.
   void expire(BootTime Now);
 
@@ -142,14 +145,17 @@
   };
   struct Crash {
     BootTime At{};
-    BootTime ChangedAt{};
+    /// Peers may not know of it before this time.
+    BootTime RetransmitUntil{};
     std::map<Fingerprint, Candidacy> Candidates;
   };
   using Crashes = std::map<ServerStart, Crash>;
   struct Survival {
     BootTime BeganAt{};
-    /// Since when peers should know of it; empty if it cleared nothing.
-    std::optional<BootTime> ChangedAt;
+    /// It has cleared a candidate, which a peer may report again.
+    bool HasCleared = false;
+    /// Peers may not know of it before this time.
+    BootTime RetransmitUntil{};
   };
   struct RejectedCause {
     size_t Crashes = 0;
@@ -185,6 +191,9 @@
   bool isExpired(const Crash &Known, BootTime Now) const;
   BootTime rejectedUntil(const Fingerprint &Cause,
                          const RejectedCause &Verdict) const;
+  template <typename Predicate>
+  void takeCrashes(CrashCauseUpdate &Update, ServerStart &Cursor, BootTime Now,
+                   Predicate IsNeeded) const;
   CrashCauseUpdate::Crash makeUpdate(const Crashes::value_type &Known,
                                      BootTime Now) const;
 
@@ -211,9 +220,10 @@
   std::set<Fingerprint> m_ChangedSurvivals;
   std::vector<CrashCauseUpdate::Trial> m_NewTrials;
   /// @}
-  /// \name Positions of the round robin in takeRetransmission().
+  /// \name Positions of the round robins.
   /// @{
   ServerStart m_CrashCursor;
+  ServerStart m_RejectionCursor;
   Fingerprint m_SurvivalCursor;
   /// @}
 };
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -143,6 +143,9 @@
   dispatch::CrashCauseUpdate causeReannouncement(BootTime Now) {
     return m_Causes.takeRetransmission(Now);
   }
+  dispatch::CrashCauseUpdate rejectionReannouncement(BootTime Now) {
+    return m_Causes.takeRejections(Now);
+  }
   /// @}
 
   /// Servers that crashed during a request.
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -35,6 +35,9 @@
 /// Suspects are announced at once, and again with every fourth report: after a
 /// tenth of a second with four gateways, and half a second with a hundred.
 constexpr unsigned ReportsPerReannouncement = 4;
+/// Each gateway hears this often from some peer why prompt parts are rejected,
+/// so that one that starts anew learns of them.
+constexpr milliseconds RejectionInterval{100};
 /// Maximum number of parts in one report; the rest follows in the next.
 constexpr size_t MaximumParts = 64;
 
@@ -125,6 +128,14 @@
   if (const auto Update = m_Shared.Crashes.causeReannouncement(Now);
       !Update.empty())
     announceCrashCauses(Update);
+  const auto Interval =
+      RejectionInterval * static_cast<int>(m_Peers.liveCount(Now));
+  if (Now - m_RejectionsSentAt < Interval)
+    return;
+  m_RejectionsSentAt = Now;
+  if (const auto Update = m_Shared.Crashes.rejectionReannouncement(Now);
+      !Update.empty())
+    announceCrashCauses(Update);
 }
 
 void PeerLink::announceCrashCauses(const dispatch::CrashCauseUpdate &Update) {
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -72,6 +72,8 @@
   uint64_t m_Rejected = 0;
   /// Reports since suspects were last announced again.
   unsigned m_ReportsSinceReannouncement = 0;
+  /// When rejected prompt parts were last announced again.
+  BootTime m_RejectionsSentAt{};
   /// When a report last included learned engine costs.
   BootTime m_EngineCostsSentAt{};
 };
--- a/Tests/LibDispatch/TestCrashCauses.cpp
+++ b/Tests/LibDispatch/TestCrashCauses.cpp
@@ -202,7 +202,7 @@
   Now += 10s;
   CrashCauses Restarted;
   for (int I = 0; I < 3; ++I)
-    deliver({Table.takeRetransmission(Now)}, Restarted);
+    deliver({Table.takeRejections(Now)}, Restarted);
   CHECK(Restarted.rejects(std::array{Harmful}, Now).has_value());
   CHECK(!Restarted.rejects(std::array{First}, Now));
 }
--- a/Tests/LibDispatch/TestCrashCausesFleet.cpp
+++ b/Tests/LibDispatch/TestCrashCausesFleet.cpp
@@ -292,6 +292,10 @@
       if (const auto Update = m_Tables[Gateway].takeRetransmission(m_Now);
           !Update.empty())
         send(Gateway, Update);
+    if (Count % m_Scenario.Gateways == 0)
+      if (const auto Update = m_Tables[Gateway].takeRejections(m_Now);
+          !Update.empty())
+        send(Gateway, Update);
     at(TickTime, [=, this] { tick(Gateway, Count + 1); });
   }
 
