--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -82,6 +82,10 @@
   /// Whether the gateway's event loop has ended. Connections that it did not
   /// close are still open.
   bool hasStopped() const { return m_Stopped; }
+  /// The thread that runs the gateway's event loop.
+  std::thread::native_handle_type threadHandle() {
+    return m_Thread.native_handle();
+  }
   /// Waits until the ready address reports \p Ready.
   bool waitUntilReady(bool Ready = true);
   template <typename Condition> bool waitUntil(Condition Done) {
