--- a/Libraries/LibDispatch/CrashCauses.cpp
+++ b/Libraries/LibDispatch/CrashCauses.cpp
@@ -93,7 +93,7 @@
 
 void CrashCauses::recordSurvival(const Fingerprint &Cause, BootTime BeganAt,
                                  BootTime Now) {
-  if (!mergeSurvival(Cause, BeganAt, Now))
+  if (!mergeSurvival(Cause, BeganAt))
     return;
   if (const auto Known = m_Survivals.find(Cause); Known != m_Survivals.end())
     Known->second.RetransmitUntil = Now + m_Options.RetransmitTime;
@@ -102,8 +102,7 @@
 }
 
 /// Returns whether the survival has cleared the cause of a crash.
-bool CrashCauses::mergeSurvival(const Fingerprint &Cause, BootTime BeganAt,
-                                BootTime Now) {
+bool CrashCauses::mergeSurvival(const Fingerprint &Cause, BootTime BeganAt) {
   const auto Known = m_Survivals.find(Cause);
   if (Known != m_Survivals.end() && BeganAt <= Known->second.BeganAt)
     return false;
@@ -303,7 +302,7 @@
 
 void CrashCauses::applyUpdate(const CrashCauseUpdate &Update, BootTime Now) {
   for (const CrashCauseUpdate::Survival &Known : Update.Survivals)
-    m_Stale = mergeSurvival(Known.Cause, Now - Known.Age, Now) || m_Stale;
+    m_Stale = mergeSurvival(Known.Cause, Now - Known.Age) || m_Stale;
   bool HasChanged = false;
   for (const CrashCauseUpdate::Crash &Known : Update.Crashes)
     HasChanged = merge(Known.Server, Now - Known.Age, Known.Candidates, Now) ||
--- a/Libraries/LibDispatch/CrashCauses.h
+++ b/Libraries/LibDispatch/CrashCauses.h
@@ -178,7 +178,7 @@
              const std::vector<CrashCandidate> &Candidates, BootTime Now);
   void evictCrash();
   void limitCandidates(Crash &Known) const;
-  bool mergeSurvival(const Fingerprint &Cause, BootTime BeganAt, BootTime Now);
+  bool mergeSurvival(const Fingerprint &Cause, BootTime BeganAt);
   bool clear(const Fingerprint &Cause, BootTime BeganAt);
   static std::map<Fingerprint, Explanation>
   explanations(const std::vector<const Crash *> &Unexplained);
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -222,7 +222,7 @@
     for (const auto &Candidate : candidatesOf(Loss, CrashedBy))
       Candidates.push_back(Candidate);
   }
-  recordCandidates(Start, CrashedBy, std::move(Candidates), Now);
+  recordCandidates(Start, CrashedBy, Candidates, Now);
   recordLastAnswers(Start, CrashedBy, Now);
   announceNew(Now);
 }
--- a/Services/figlift-gateway/CrashWatchCauses.cpp
+++ b/Services/figlift-gateway/CrashWatchCauses.cpp
@@ -54,7 +54,7 @@
     for (const CrashCandidate &Candidate :
          gateway::candidatesOf(Answer.Causes, Answer.SentAt, CrashedAt))
       Candidates.push_back(Candidate);
-  recordCandidates(Start, CrashedAt, std::move(Candidates), Now);
+  recordCandidates(Start, CrashedAt, Candidates, Now);
 }
 
 void CrashWatch::recordCandidates(const ServerStart &Start, BootTime CrashedAt,
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -18,8 +18,6 @@
 
 namespace figlift::gateway {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 namespace {
