figlift-gateway: Count the prefill and the execution of a trial as one

Each send of a request with a rejected prompt part was a trial of its own, so a request that is read by one engine and run by another used up two of the three. Found by reading; a trial has one id for its request now.

--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -201,6 +201,9 @@
   /// A prompt part of this request is rejected at present, and this request
   /// tries whether servers still crash. It is not sent again.
   bool m_IsTrial = false;
+  /// Identifies the trial in the fleet, if this request is one; 0 before the
+  /// first send.
+  uint64_t m_TrialId = 0;
   /// When the server of the latest attempt began to write.
   std::optional<BootTime> m_WritingSince;
   /// The server of the latest attempt has not crashed for long enough.
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -67,8 +67,13 @@
     m_Shared.Crashes.survived(*m_Causes, *m_WritingSince, Now);
 }
 
+/// The prefill and the execution of a request are one trial.
 void RequestFlow::recordSuspectSend(BootTime Now) {
-  if (isSuspected() && m_Shared.Crashes.sent(*m_Causes, m_Shared.Random(), Now))
+  if (!isSuspected())
+    return;
+  if (m_TrialId == 0)
+    m_TrialId = m_Shared.Random();
+  if (m_Shared.Crashes.sent(*m_Causes, m_TrialId, Now))
     m_IsTrial = true;
 }
 
--- a/Tests/LibDispatch/TestCrashCauses.cpp
+++ b/Tests/LibDispatch/TestCrashCauses.cpp
@@ -225,6 +225,18 @@
   CHECK(!Other.rejects(std::array{Harmful}, Now));
 }
 
+// Guards against: the prefill and the execution of one request are counted as
+// two trials, and a part that has become sound stays rejected.
+TEST(CrashCauses, CountOneTrialForEachRequest) {
+  rejectHarmful();
+  Now += 30s;
+  Table.recordTrial(Harmful, 1, Now);
+  Now += 10ms;
+  Table.recordTrial(Harmful, 1, Now);
+  Now += 180s;
+  CHECK(!isRejected(Harmful));
+}
+
 TEST(CrashCauses, EndWithASuccessfulTrial) {
   rejectHarmful();
   Now += 30s;
