Tests/Soak: End requests with the server that took them

Traced: the gateway sent it to s8-22, which it and the check of the id knew as v2, at 05.688; that stand-in was replaced by s8-36 of v4 at its address (listed at 06.333), and the delayed execution of the old one's request ran in the new one. A process that ended answers nothing; the stand-in breaks such requests off. The check is unchanged.

--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -182,7 +182,10 @@
   const milliseconds Delay = m_Behavior == Behavior::Slow
                                  ? SlowResponseTime
                                  : draw(2, IsPrefill ? 8 : 15);
-  after(Delay, [this, Message, Sender, IsPrefill] {
+  after(Delay, [this, Message, Sender, IsPrefill, Id = m_Id] {
+    // The process that got the request has ended.
+    if (m_Id != Id)
+      return Sender->abort();
     return IsPrefill ? prefill(Message, Sender) : execute(Message, Sender);
   });
 }
