--- a/Libraries/LibDispatch/CrashCauseUpdate.h
+++ b/Libraries/LibDispatch/CrashCauseUpdate.h
@@ -1,8 +1,8 @@
 //===- CrashCauseUpdate.h - Possible causes of crashes, for peers -*- C++
 //-*-===//
 //
-// What one gateway tells its peers about the causes of server crashes. Times
-// are sent as ages, as the clocks of two machines differ.
+// Message between gateways: crashes with their candidates, survived requests
+// and trials. Times are sent as ages, as the clocks of two machines differ.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -40,8 +40,8 @@
 /// given by the next one. Acquiring the lease and sending the order take a
 /// fifth of it.
 constexpr milliseconds OrderTurnTime{2500};
-/// Gateways begin trials of a rejected prompt part this far apart. News of the
-/// first one's trial reach the next one several times meanwhile.
+/// Delay between the trials of two gateways. Longer than the announcement of a
+/// trial takes to arrive, so that only one gateway sends it.
 constexpr milliseconds TrialTurnTime{1000};
 
 } // namespace
--- a/Tests/LibDispatch/TestAcceptControl.cpp
+++ b/Tests/LibDispatch/TestAcceptControl.cpp
@@ -20,8 +20,8 @@
   CHECK(Control.mayRead(90ms));
 }
 
-// Guards against: a process that was suspended turns away those that came
-// meanwhile, although it has time for them.
+// Guards against: after a suspension, new connections are closed although the
+// process has time to serve them.
 TEST(AcceptControl, ReadsAfterAStall) {
   Control.recordDelay(0ms);
   CHECK(Control.mayRead(3s));
