LibDispatch, figlift-gateway: Place streams by their pauses

The new fields of request-ended (longestPauseMs, ownDelay, meanIntervalMs) show where: at no stream by the gateway's own delay, at all of them at the engine. All fast engines of the fleet (0.55 of the mean time) were prefill engines, and at the others (1.2) an event takes 57 to 70 ms, so that a slow period of 2.5 exceeds the allowed pause.

Gateways now learn the interval between events by engine, exchange it, and add a penalty for expected long pauses to the choice of a decode engine. Where prefill engines are faster than decode engines with too long pauses, the two change their stages. An engine that changes its stage counts as unavailable until it is listed so: it ends its streams first, and rejected what gateways sent it meanwhile.

Ruled out: the gateways' processor (no longest pause with own delay), reads alone (an engine without reads is at 143 ms with one stream).

--- /dev/null
+++ b/Libraries/LibDispatch/FleetAverages.cpp
@@ -0,0 +1,81 @@
+//===- FleetAverages.cpp - Averages per target over all gateways ----------===//
+//
+// Sums with exponential decay, one for each target and process.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/FleetAverages.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figlift::dispatch {
+
+namespace {
+const std::string ThisProcess;
+} // namespace
+
+FleetAverages::Samples FleetAverages::decayed(const Samples &Old,
+                                              BootTime Now) const {
+  const std::chrono::duration<double, std::milli> Age = Now - Old.At;
+  const double Remaining = std::exp2(-std::max(0.0, Age / m_HalfLife));
+  return {Old.Sum * Remaining, Old.Count * Remaining, Now};
+}
+
+void FleetAverages::replace(const std::string &TargetId,
+                            const std::string &Process, const Samples &New,
+                            BootTime Now) {
+  Entry &State = m_Entries[TargetId];
+  Samples &Own = State.ByProcess[Process];
+  const Samples Old = decayed(Own, Now);
+  const Samples Total = decayed(State.Total, Now);
+  // Rounding must not leave a negative rest.
+  State.Total = {std::max(0.0, Total.Sum - Old.Sum + New.Sum),
+                 std::max(0.0, Total.Count - Old.Count + New.Count), Now};
+  Own = New;
+}
+
+void FleetAverages::record(const std::string &TargetId, double Value,
+                           double Count, BootTime Now) {
+  const Samples Old = decayed(m_Entries[TargetId].ByProcess[ThisProcess], Now);
+  replace(TargetId, ThisProcess,
+          {Old.Sum + Value * Count, Old.Count + Count, Now}, Now);
+}
+
+void FleetAverages::recordPeerReport(const std::string &Peer,
+                                     const std::vector<TargetSamples> &Reported,
+                                     BootTime Now) {
+  for (const TargetSamples &Row : Reported)
+    if (Row.Count >= 0 && std::isfinite(Row.Count) && std::isfinite(Row.Sum))
+      replace(Row.TargetId, Peer, {Row.Sum, Row.Count, Now}, Now);
+}
+
+std::vector<TargetSamples> FleetAverages::localSamples(BootTime Now) const {
+  std::vector<TargetSamples> Result;
+  for (const auto &[TargetId, State] : m_Entries) {
+    const auto Own = State.ByProcess.find(ThisProcess);
+    if (Own == State.ByProcess.end())
+      continue;
+    if (const Samples Left = decayed(Own->second, Now);
+        Left.Count >= MinimumCount)
+      Result.push_back({TargetId, Left.Sum, Left.Count});
+  }
+  return Result;
+}
+
+void FleetAverages::removeTarget(const std::string &TargetId) {
+  m_Entries.erase(TargetId);
+}
+
+std::optional<FleetAverages::Average>
+FleetAverages::average(const std::string &TargetId, BootTime Now) const {
+  const auto Found = m_Entries.find(TargetId);
+  if (Found == m_Entries.end())
+    return std::nullopt;
+  const Samples Total = decayed(Found->second.Total, Now);
+  if (Total.Count < MinimumCount)
+    return std::nullopt;
+  return Average{Total.Sum / Total.Count, Total.Count};
+}
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/PaceUpdate.h
@@ -0,0 +1,34 @@
+//===- PaceUpdate.h - Measured paces for the peers --------------*- C++ -*-===//
+//
+// A datagram with what one gateway has measured of the targets' paces. It is
+// sent less often than reports of load, as paces change slowly.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibDispatch/FleetAverages.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figlift::dispatch {
+
+struct PaceUpdate {
+  std::string Sender;
+  /// Intervals between events in milliseconds, by target.
+  std::vector<TargetSamples> Intervals;
+  /// Measured over planned time of prefills, by target.
+  std::vector<TargetSamples> ReadRatios;
+  /// Ratios between the longest and the mean interval, by service.
+  std::vector<TargetSamples> PauseRatios;
+};
+
+/// Encodes as CBOR.
+std::string encodePaceUpdate(const PaceUpdate &Update);
+/// Fails with InvalidInput.
+Result<PaceUpdate> decodePaceUpdate(std::string_view Bytes);
+
+} // namespace figlift::dispatch
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -8,6 +8,7 @@
 #include "LibDispatch/PromptPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <xxhash.h>
 
@@ -23,8 +24,9 @@
 
 } // namespace
 
-PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads)
-    : m_Options(Options), m_Loads(Loads) {}
+PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads,
+                             const StreamPaces &Paces)
+    : m_Options(Options), m_Loads(Loads), m_Paces(Paces) {}
 
 bool PromptPlanner::usable(const Target &Engine, const PromptRequest &Request,
                            HealthFilter Filter, BootTime Now) const {
@@ -130,6 +132,25 @@
   return Best;
 }
 
+Milliseconds PromptPlanner::pausePenalty(const PromptRequest &Request,
+                                         const Target &Engine,
+                                         BootTime Now) const {
+  if (!Request.AllowedPause || Request.GenerationTime <= Milliseconds(0))
+    return Milliseconds(0);
+  const auto Interval = m_Paces.meanInterval(Engine.Id, Now);
+  const auto Pause =
+      m_Paces.expectedLongestPause(Request.Service, Engine.Id, Now);
+  if (!Interval || !Pause)
+    return Milliseconds(0);
+  const double Share =
+      std::min(1.0, Request.GenerationTime /
+                        (*Interval * m_Options.IntervalsOfLongestPause));
+  const double Penalty = std::pow(*Pause / Milliseconds(*Request.AllowedPause),
+                                  m_Options.PausePenaltyExponent);
+  return Request.LatencyTarget * Share *
+         std::min(Penalty, m_Options.MaximumPausePenalty);
+}
+
 Milliseconds PromptPlanner::slotWait(const Target &Engine,
                                      const EngineTraits &Traits,
                                      double ExpectedArrivals,
@@ -152,6 +173,9 @@
     HealthFilter Filter, BootTime Now) const {
   const double ExpectedArrivals = expectedDecodes(Engines, Now);
   std::optional<Candidate> Best;
+  Milliseconds BestScore{0};
+  uint64_t BestWeight = 0;
+  const uint64_t Subject = Request.Input.subject();
   for (const Target *Engine : Engines) {
     if (Engine->EngineStage == Stage::Prefill ||
         !usable(*Engine, Request, Filter, Now))
@@ -169,9 +193,22 @@
         Costs.prefillWhileDecoding(Option.Prefill.Size) * Slowness;
     Option.Cost += WhileDecoding - Option.Prefill.Compute;
     Option.Prefill.Compute = WhileDecoding;
-    if (!Best || Option.score(m_Options.EngineTimeWeight) <
-                     Best->score(m_Options.EngineTimeWeight))
-      Best = Option;
+    const Milliseconds Penalty = pausePenalty(Request, *Engine, Now);
+    // Streams of one subject keep to their home among engines of about the same
+    // pace; otherwise all processes would choose the fastest one at a time.
+    const Milliseconds Margin =
+        Penalty > Milliseconds(0)
+            ? Request.LatencyTarget * m_Options.HomeMarginShare
+            : Milliseconds(0);
+    const Milliseconds Score =
+        Option.score(m_Options.EngineTimeWeight) + Penalty;
+    const uint64_t Weight = homeWeight(Subject, Engine->Id);
+    if (Best && !(Score + Margin < BestScore ||
+                  (Score < BestScore + Margin && Weight > BestWeight)))
+      continue;
+    Best = Option;
+    BestScore = Score;
+    BestWeight = Weight;
   }
   return Best;
 }
@@ -231,7 +268,9 @@
         slotWait(*Engine, Costs.traits(), ExpectedArrivals, Now) * Slowness;
     const Milliseconds Expected =
         Wait + (Transfer + Costs.decodeStartFixed()) * Slowness;
-    const Milliseconds Score = Expected + (SameZone ? Milliseconds(0) : Margin);
+    const Milliseconds Score = Expected +
+                               (SameZone ? Milliseconds(0) : Margin) +
+                               pausePenalty(Request, *Engine, Now);
     const uint64_t Weight = homeWeight(Subject, Engine->Id);
     if (Best && !(Score + Margin < BestScore ||
                   (Score < BestScore + Margin && Weight > BestWeight)))
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -16,6 +16,7 @@
 
 #include "LibDispatch/EngineCosts.h"
 #include "LibDispatch/LoadTracker.h"
+#include "LibDispatch/StreamPaces.h"
 
 #include <span>
 #include <string>
@@ -26,6 +27,10 @@
 
 struct PromptRequest {
   Prompt Input;
+  std::string Service;
+  /// Longest pause between events for which the stream is on time; empty if
+  /// the route has none.
+  std::optional<std::chrono::milliseconds> AllowedPause;
   /// Expected time from the first token to the last.
   Milliseconds GenerationTime{0};
   /// Time until the first event would miss the latency target.
@@ -138,11 +143,22 @@
   /// with 150 ms to 1.5 s.
   std::chrono::milliseconds MinimumRetryAfter{600};
   std::chrono::milliseconds MaximumRetryAfter{3000};
+  /// Number of intervals from which on a stream has the longest pause that is
+  /// expected of its engine. A shorter stream has it less often.
+  double IntervalsOfLongestPause = 15;
+  /// The penalty of an engine grows with this power of the ratio between the
+  /// expected longest and the allowed pause. At half of the allowed pause it is
+  /// a twentieth of the latency target, at the allowed pause all of it.
+  double PausePenaltyExponent = 4;
+  /// Upper bound of the penalty in latency targets. An engine at which every
+  /// stream is late is still better than none.
+  double MaximumPausePenalty = 4;
 };
 
 class PromptPlanner {
 public:
-  PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads);
+  PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads,
+                const StreamPaces &Paces);
 
   /// \p Engines are the targets of the service that accept new work.
   PromptPlan plan(const PromptRequest &Request,
@@ -215,6 +231,10 @@
       const PromptRequest &Request, std::span<const Target *const> Engines,
       std::span<const CachedPrefix> Prefixes, const EngineCosts &Costs,
       HealthFilter Filter, BootTime Now) const;
+  /// Loss that is expected from pauses of the stream at \p Engine, as a time
+  /// that compares with a wait for the first event.
+  Milliseconds pausePenalty(const PromptRequest &Request, const Target &Engine,
+                            BootTime Now) const;
   /// Time until a slot is free. \p ExpectedArrivals: number of work items that
   /// will arrive at the engine before this request.
   Milliseconds slotWait(const Target &Engine, const EngineTraits &Traits,
@@ -239,6 +259,7 @@
 
   PromptPlannerOptions m_Options;
   LoadTracker &m_Loads;
+  const StreamPaces &m_Paces;
 };
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "LibDispatch/EngineDemand.h"
+#include "LibDispatch/EngineSpeeds.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/Target.h"
 
@@ -56,6 +57,10 @@
   /// Minimum number of decode engines, so that requests can still run after the
   /// loss of one.
   size_t MinimumDecode = 2;
+  /// An engine keeps its stage unless another is faster by this factor.
+  double StageKeepFactor = 1.2;
+  /// Share of the prefill capacity that has to work during an exchange.
+  double ExchangeCapacityShare = 0.85;
 };
 
 class StagePlanner {
@@ -71,7 +76,8 @@
   std::optional<StageChange>
   plan(std::span<const Target *const> Engines, const EngineDemand &Demand,
        double Uncertainty, const LoadTracker &Loads, BootTime Now,
-       const std::vector<std::string> &Unreachable = {});
+       const std::vector<std::string> &Unreachable = {},
+       const EngineSpeeds &Speeds = {});
 
   /// Records that an order was sent. It stays pending until the list shows the
   /// new stage, or it failed and the pause has passed, or it can no longer
@@ -98,6 +104,13 @@
 
   size_t bestPrefillCount(size_t All, size_t PrefillEngines,
                           const EngineDemand &Demand) const;
+  /// The next change towards decode on the fastest engines that leaves the
+  /// prefill capacity as it is.
+  std::optional<StageChange>
+  planExchange(std::span<const Target *const> Engines,
+               const EngineDemand &Demand, const EngineSpeeds &Speeds,
+               const LoadTracker &Loads, BootTime Now,
+               const std::vector<std::string> &Unreachable);
   Stage stageOf(const Target &Engine) const;
   bool mayRemove(std::span<const Target *const> Engines,
                  const EngineDemand &Demand, const Target &Engine,
@@ -114,6 +127,9 @@
   bool m_SplitChosen;
   /// Last listed stage by engine id.
   std::map<std::string, Stage> m_Listed;
+  /// Sum of the speeds of the prefill engines when the exchange began; empty
+  /// if there is none.
+  std::optional<double> m_ExchangedPrefillCapacity;
   std::vector<std::string> m_EngineIds;
   BootTime m_EngineIdsSince{};
 };
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -26,6 +26,7 @@
 #include "LibDispatch/ServicePlanner.h"
 #include "LibDispatch/StartLag.h"
 #include "LibDispatch/StreamOrigins.h"
+#include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/StreamTimes.h"
 #include "LibDispatch/TargetTable.h"
 #include "LibMetrics/Registry.h"
@@ -62,6 +63,15 @@
   std::optional<usage::WindowNumber> OwnSettledThrough;
 };
 
+/// An engine that changes its stage and accepts no work meanwhile.
+struct EngineSwitch {
+  std::string Service;
+  dispatch::Stage DesiredStage = dispatch::Stage::None;
+  BootTime Until{};
+  /// The change has failed if it is not listed by then.
+  BootTime Limit{};
+};
+
 struct Context {
   explicit Context(settings::GatewaySettings Values)
       : Settings(std::move(Values)),
@@ -69,7 +79,7 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     Settings.Retry.Window)},
                Settings.Fleet.Starts, BootClock::now()),
-        Prompts({}, Loads), Services({}, Loads),
+        Prompts({}, Loads, Paces), Services({}, Loads),
         Log(Settings.Log.PlainLinesPerSecond), Random(std::random_device{}()) {}
 
   /// Returns a uniform random number in [0, 1).
@@ -90,6 +100,12 @@
   dispatch::TargetTable Targets;
   OpenTargets Open{Targets};
   dispatch::LoadTracker Loads;
+  /// Pauses of the streams at each engine.
+  dispatch::StreamPaces Paces;
+  /// Measured over planned time of prefills at each engine.
+  dispatch::FleetAverages ReadRatios{std::chrono::seconds(5)};
+  /// Total time by which the event loop has been late at its ticks.
+  BootClock::duration TotalLoopDelay{};
   dispatch::StreamOrigins Origins;
   dispatch::ServerLimits Limits;
   retry::FleetRetryBudget Budget;
@@ -115,7 +131,7 @@
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
   /// they accept no work.
-  std::map<std::string, BootTime> Switching;
+  std::map<std::string, EngineSwitch> Switching;
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
   ServerFeedback Feedback{Log};
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -201,6 +201,8 @@
     m_Shared.Pools.erase(Pool);
   }
   m_Shared.Loads.targetRemoved(Id);
+  m_Shared.Paces.removeTarget(Id);
+  m_Shared.ReadRatios.removeTarget(Id);
 }
 
 /// Visits all targets, so it does nothing while nothing has changed: with
@@ -299,7 +301,7 @@
 
 void Gateway::recordLoopDelay(BootClock::duration Delay) {
   m_AcceptControl.recordDelay(Delay);
-  m_TotalLoopDelay += std::max(Delay, BootClock::duration::zero());
+  m_Shared.TotalLoopDelay += std::max(Delay, BootClock::duration::zero());
   if (Delay >= LoggedDelay && Delay <= StallThreshold)
     log::logEvent(log::Level::Info, "loop-delayed", {{"for", Delay}});
 }
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -136,8 +136,6 @@
   /// SIGTERM is handled after the tick that ends a stall, so it may have
   /// arrived at any time since the previous tick.
   BootTime m_PreviousTick{};
-  /// Sum of the delays of all ticks.
-  BootClock::duration m_TotalLoopDelay{};
   bool m_ServersKnown = false;
   /// \name Inputs of the limits of the pools when these were set last.
   /// @{
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -7,6 +7,7 @@
 
 #include "PeerLink.h"
 
+#include "LibDispatch/PaceUpdate.h"
 #include "LibLog/Log.h"
 
 #include <algorithm>
@@ -26,12 +27,15 @@
 constexpr char UsageKind = 'U';
 constexpr char StreamOriginsKind = 'V';
 constexpr char CrashCausesKind = 'C';
+constexpr char PacesKind = 'P';
 /// @}
 /// How often a report includes server limits, about 30 bytes each, and the
 /// learned engine costs, about 100 bytes per service. After a start the
 /// learned costs of a process are accurate after ten responses, which arrive
 /// in about this time.
 constexpr milliseconds EngineCostInterval{250};
+/// How often measured paces are sent, about 25 bytes per engine.
+constexpr milliseconds PaceInterval{500};
 /// Suspects are announced at once, and again with every fourth report: after a
 /// tenth of a second with four gateways, and half a second with a hundred.
 constexpr unsigned ReportsPerReannouncement = 4;
@@ -94,10 +98,10 @@
   const BootTime Now = BootClock::now();
   for (const auto &[Service, Meter] : m_Shared.Demands)
     Report.Demands.push_back({Service, Meter.demand(Now)});
-  for (const auto &[Id, Until] : m_Shared.Switching)
-    if (Now < Until)
+  for (const auto &[Id, Change] : m_Shared.Switching)
+    if (Now < Change.Until)
       Report.Unavailable.push_back(
-          {Id, std::chrono::duration_cast<milliseconds>(Until - Now)});
+          {Id, std::chrono::duration_cast<milliseconds>(Change.Until - Now)});
   if (Now - m_EngineCostsSentAt >= EngineCostInterval) {
     m_EngineCostsSentAt = Now;
     for (const auto &[Service, Model] : m_Shared.EngineModels)
@@ -109,12 +113,46 @@
     Report.UsageSettledThrough = m_Shared.Usage.OwnSettledThrough;
   }
   sendToAll(ReportKind, encodePeerReport(Report));
+  sendPaces(Now);
   for (const auto &Update : m_Shared.Origins.takeUpdates(Now))
     sendToAll(StreamOriginsKind, encodeStreamOrigins(Update));
   if (++m_ReportsSinceReannouncement >= ReportsPerReannouncement)
     reannounceSuspects(Now);
 }
 
+void PeerLink::sendPaces(BootTime Now) {
+  if (Now - m_PacesSentAt < PaceInterval)
+    return;
+  m_PacesSentAt = Now;
+  const dispatch::PaceUpdate Update{
+      m_Shared.Settings.Process.Id,
+      m_Shared.Paces.intervals().localSamples(Now),
+      m_Shared.ReadRatios.localSamples(Now),
+      m_Shared.Paces.ratios().localSamples(Now)};
+  if (!Update.Intervals.empty() || !Update.ReadRatios.empty())
+    sendToAll(PacesKind, encodePaceUpdate(Update));
+}
+
+void PeerLink::pacesReceived(std::string_view Body) {
+  const auto Read = dispatch::decodePaceUpdate(Body);
+  if (!Read)
+    return log::logError(log::Level::Warning, "pace-update-invalid",
+                         Read.error());
+  const BootTime Now = BootClock::now();
+  dispatch::PaceUpdate Update = Read.value();
+  // The list of servers of this gateway decides which targets exist.
+  const auto IsUnknown = [&](const dispatch::TargetSamples &Row) {
+    return !m_Shared.Targets.find(Row.TargetId);
+  };
+  std::erase_if(Update.Intervals, IsUnknown);
+  std::erase_if(Update.ReadRatios, IsUnknown);
+  m_Shared.ReadRatios.recordPeerReport(Update.Sender, Update.ReadRatios, Now);
+  m_Shared.Paces.intervals().recordPeerReport(Update.Sender, Update.Intervals,
+                                              Now);
+  m_Shared.Paces.ratios().recordPeerReport(Update.Sender, Update.PauseRatios,
+                                           Now);
+}
+
 void PeerLink::announceSuspects(
     const std::vector<dispatch::SuspectUpdate> &Updates) {
   sendToAll(SuspectsKind, encodeSuspectUpdates(Updates));
@@ -230,6 +268,8 @@
     streamOriginsReceived(Opened->Body);
   else if (Opened->Kind == CrashCausesKind)
     crashCausesReceived(Opened->Body);
+  else if (Opened->Kind == PacesKind)
+    pacesReceived(Opened->Body);
 }
 
 void PeerLink::streamOriginsReceived(std::string_view Body) {
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -60,6 +60,8 @@
   void crashCausesReceived(std::string_view Body);
   void usageReceived(std::string_view Body);
   void streamOriginsReceived(std::string_view Body);
+  void sendPaces(BootTime Now);
+  void pacesReceived(std::string_view Body);
 
   Context &m_Shared;
   PeerList &m_Peers;
@@ -76,6 +78,7 @@
   BootTime m_RejectionsSentAt{};
   /// When a report last included learned engine costs.
   BootTime m_EngineCostsSentAt{};
+  BootTime m_PacesSentAt{};
 };
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -54,6 +54,7 @@
     m_Shared.StreamTimes[m_Route.Name].recordStart(*m_FirstEvent);
     m_Caller->beginStream(Head);
   }
+  learnPace();
   forwardEvents(Events);
 }
 
@@ -107,6 +108,7 @@
     m_Caller->beginStream(Head);
   }
   m_Caller->endStream();
+  learnPauseRatio();
   finish("answered", Send.head().Status, "");
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -188,6 +188,10 @@
     return;
   m_ExecutionTarget = Plan.DecodeTarget;
   m_PlannedExecution = Plan.Expected;
+  m_PlannedPause =
+      m_Shared.Paces
+          .expectedLongestPause(m_Service, Plan.DecodeTarget, BootClock::now())
+          .value_or(Milliseconds(0));
   m_ExecutionSent = BootClock::now();
   m_ExecutionPlan = Plan.Prefill;
   m_Spilled = Plan.Spilled;
@@ -218,6 +222,7 @@
   proxy::HeaderList Headers = slopes::forwardedFields(m_Request.Head.Headers);
   slopes::applySendFields(Headers, Fields);
   m_Relay.restart();
+  m_Progress.serverChanged();
   m_WritingSince.reset();
   m_HasSurvived = false;
   ++m_Sends;
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -12,6 +12,7 @@
 #include "ServerSend.h"
 
 #include "LibDispatch/EventRelay.h"
+#include "LibDispatch/StreamProgress.h"
 #include "LibProxy/CallerConnection.h"
 #include "platform/Headers.h"
 
@@ -124,6 +125,9 @@
   void learnExecutionStart();
   void learnStartLag();
   void learnSpill();
+  void learnReadRatio();
+  void learnPace();
+  void learnPauseRatio();
   void learnPrefillBesideStreams(const dispatch::EngineCosts &Costs,
                                  dispatch::Milliseconds FirstEventTime,
                                  engine::EngineModel &Model) const;
@@ -231,6 +235,7 @@
   std::string m_PrefillTarget;
   std::string m_ExecutionTarget;
   dispatch::EventRelay m_Relay;
+  dispatch::StreamProgress m_Progress;
   std::optional<BootTime> m_FirstEvent;
   dispatch::Milliseconds m_PlannedFirst{0};
   /// Scheduling delay of the service that was added to the plan, and when the
@@ -246,6 +251,8 @@
   dispatch::Milliseconds m_PlannedPrefill{0};
   dispatch::Milliseconds m_PrefillTime{0};
   dispatch::Milliseconds m_PlannedExecution{0};
+  /// Longest pause that the stream was expected to have; 0 if not known.
+  dispatch::Milliseconds m_PlannedPause{0};
   dispatch::PrefillPlan m_PrefillPlan;
   dispatch::PrefillPlan m_ExecutionPlan;
   /// The execution includes a prefill that no prefill engine does in time.
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -19,6 +19,12 @@
 /// Weight of a prefill beside decoding streams as a measurement of prefill
 /// alone.
 constexpr double PurityBesideStreams = 0.1;
+/// The longest of a few intervals is hardly longer than their mean.
+constexpr uint64_t MinimumIntervalsOfRatio = 20;
+/// A prefill that took longer waited for something that the plan did not know.
+constexpr double MaximumReadRatio = 5;
+/// A prefill planned to take this long counts as one sample.
+constexpr Milliseconds ReadRatioUnit{25};
 
 } // namespace
 
@@ -94,6 +100,7 @@
 /// is divided in the proportion of the plan, and the measurement is weighted
 /// by that share.
 void RequestFlow::learnPrefill() {
+  learnReadRatio();
   const dispatch::Service *Service = m_Configuration->service(m_Service);
   if (!Service || !Service->Engine || !m_CacheKnown ||
       m_PrefillTime <= m_PrefillPlan.NominalTransfer)
@@ -150,6 +157,38 @@
     Spill.recordLateSmallPrompt();
 }
 
+/// Weighted by the planned time, so that the average is the ratio of the sums:
+/// a short prefill consists mostly of waits and network delays.
+void RequestFlow::learnReadRatio() {
+  const BootTime Now = BootClock::now();
+  if (!m_CacheKnown || m_PlannedPrefill <= Milliseconds(0) ||
+      !engineCostsKnown(Now))
+    return;
+  // The plan was already corrected by the slowness of the engine.
+  const Milliseconds Nominal =
+      m_PlannedPrefill / m_Shared.Loads.slowness(m_PrefillTarget, Now);
+  m_Shared.ReadRatios.record(
+      m_PrefillTarget, std::min(MaximumReadRatio, m_PrefillTime / Nominal),
+      Nominal / ReadRatioUnit, Now);
+}
+
+void RequestFlow::learnPace() {
+  const BootTime Now = BootClock::now();
+  const auto Interval =
+      m_Progress.recordEvents(m_Relay.events(), m_Shared.TotalLoopDelay, Now);
+  if (Interval && Interval->IsOfTarget && engineService())
+    m_Shared.Paces.recordInterval(m_ExecutionTarget, Interval->Length,
+                                  static_cast<double>(Interval->Events), Now);
+}
+
+void RequestFlow::learnPauseRatio() {
+  if (m_Progress.intervals() >= MinimumIntervalsOfRatio && engineService() &&
+      !m_Progress.isLongestOwnDelay())
+    m_Shared.Paces.recordPauseRatio(
+        m_Service, m_Progress.longestPause() / m_Progress.meanInterval(),
+        BootClock::now());
+}
+
 /// A prefill at a decode engine measures the cost of prefill beside streams
 /// and, when there is no prefill elsewhere, the prefill cost itself. If the
 /// learned cost is far too low, every prompt seems small enough for decode
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -103,7 +103,11 @@
       m_FirstEvent && m_ExecutionSent
           ? Milliseconds(*m_FirstEvent - *m_ExecutionSent)
           : Milliseconds(0);
-  const bool IsLate = FirstEvent > Milliseconds(m_Route.LatencyTarget);
+  const bool HasLatePause =
+      m_Route.EventGapTarget &&
+      m_Progress.longestPause() > Milliseconds(*m_Route.EventGapTarget);
+  const bool IsLate =
+      FirstEvent > Milliseconds(m_Route.LatencyTarget) || HasLatePause;
   const bool IsRejected = Outcome == "refused";
   const bool IsPlain = Outcome == "answered" && !IsLate && m_Sends <= 2;
   const LineKind Kind = IsRejected                    ? LineKind::Rejected
@@ -143,6 +147,13 @@
        {"endsInMs", m_TimeUntilStop.value_or(Milliseconds(0))},
        {"maximumOutput", m_Fields.Prompt ? m_Fields.Prompt->MaximumOutput : 0},
        {"events", m_Relay.events()},
+       {"longestPauseMs", m_Progress.longestPause()},
+       {"longestPauseAfter", m_Progress.longestPauseAfter()},
+       {"ownDelay", m_Progress.isLongestOwnDelay()},
+       {"meanIntervalMs", m_Progress.meanInterval()},
+       {"allowedPauseMs", Milliseconds(m_Route.EventGapTarget.value_or(
+                              std::chrono::milliseconds(0)))},
+       {"plannedPauseMs", m_PlannedPause},
        {"sends", m_Sends},
        {"runs", m_Executions},
        {"serversSeenMs", Milliseconds(Now - m_Shared.ServersKnownAt)},
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -83,6 +83,8 @@
 dispatch::PromptRequest RequestFlow::promptRequest(BootTime Now) {
   dispatch::PromptRequest Request;
   Request.Input = *m_Fields.Prompt;
+  Request.Service = m_Service;
+  Request.AllowedPause = m_Route.EventGapTarget;
   Request.GenerationTime = generationTime();
   Request.LatencyTarget = m_Route.LatencyTarget;
   Request.TimeToLatencyTarget =
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -29,6 +29,12 @@
 /// time, the change has failed.
 constexpr milliseconds ListingSlack{2000};
 
+/// Longer than the longest streams last.
+constexpr milliseconds MaximumDrainTime{15000};
+/// An engine that is not listed in its new stage is taken for unavailable for
+/// this much longer at a time. Longer than a report to the peers takes.
+constexpr milliseconds SwitchingExtension{400};
+
 /// Each gateway before this one adds 2.5 s.
 constexpr std::chrono::seconds MaximumTurnDelay{20};
 /// Time between two plans, for each engine of the service.
@@ -81,14 +87,31 @@
 void StageDirector::tick(BootTime Now) {
   if (!m_Shared.Configuration || m_Shared.Stop.begun())
     return;
-  std::erase_if(m_Shared.Switching,
-                [&](const auto &Entry) { return Entry.second <= Now; });
+  updateSwitching(Now);
   const auto Configuration = m_Shared.Configuration;
   for (const dispatch::Service &Service : Configuration->Services)
     if (Service.Engine)
       updateService(Service, Now);
 }
 
+/// A decode engine ends its streams before it changes its stage, which takes
+/// longer than announced. Until it is listed in its new stage it rejects work.
+void StageDirector::updateSwitching(BootTime Now) {
+  std::erase_if(m_Shared.Switching, [&](const auto &Entry) {
+    const dispatch::Target *Engine = m_Shared.Targets.find(Entry.first);
+    return !Engine || Engine->EngineStage == Entry.second.DesiredStage ||
+           Now >= Entry.second.Limit;
+  });
+  for (auto &[Id, Change] : m_Shared.Switching) {
+    if (Now < Change.Until)
+      continue;
+    Change.Until = Now + SwitchingExtension;
+    m_Shared.Loads.excludeUntil(Id, Change.Until);
+    stateOf(Change.Service)
+        .Planner.recordAcceptance(Id, Change.Until + ListingSlack);
+  }
+}
+
 void StageDirector::storeRestored(uint64_t Era) {
   for (auto &[Service, State] : m_Services)
     if (State.Lease)
@@ -119,11 +142,14 @@
     return;
   const OpenTargets::List &Engines = m_Shared.Open.all(Service.Name);
   State.NextPlan = Now + PlanTimePerEngine * Engines.size();
+  dispatch::EngineSpeeds Speeds =
+      State.Speeds.estimate(Service.Name, Engines, m_Shared.Paces,
+                            m_Shared.ReadRatios, Service.ShortestEventGap, Now);
   State.Demand.observe(fleetDemand(Service.Name, Now), Now);
   const dispatch::EngineDemand Demand = State.Demand.demand();
   const auto Change = State.Planner.plan(
       Engines, Demand, State.Demand.uncertainty(Now), m_Shared.Loads, Now,
-      m_Shared.Feedback.backoffs().activeIds(Now));
+      m_Shared.Feedback.backoffs().activeIds(Now), Speeds);
   const bool RemovesShortStage =
       Change && Change->DesiredStage == dispatch::Stage::Decode &&
       m_Shared.PrefillSpills[Service.Name].isPrefillShort(Now);
@@ -150,6 +176,10 @@
                    {"readDemand", Demand.Prefill},
                    {"runDemand", Demand.Decode},
                    {"engines", Engines.size()},
+                   {"speedsDiffer", Speeds.ShouldExchange},
+                   {"intervalMs", Speeds.Intervals.contains(Change->TargetId)
+                                      ? Speeds.Intervals.at(Change->TargetId)
+                                      : dispatch::Milliseconds(0)},
                    {"epoch", *Epoch}});
     startChange(Service.Name, *Change, Now);
   }
@@ -214,7 +244,8 @@
   // As soon as it has the order, the engine rejects work that has not started.
   const BootTime BackAt =
       Now + ConfiguredService->Engine->StageSwitch + ListingDelay;
-  m_Shared.Switching[Change.TargetId] = BackAt;
+  m_Shared.Switching[Change.TargetId] = {Service, Change.DesiredStage, BackAt,
+                                         BackAt + MaximumDrainTime};
   m_Shared.Loads.excludeUntil(Change.TargetId, BackAt);
 }
 
@@ -233,7 +264,7 @@
   if (Reply == slopes::OrderReply::Accepted) {
     const auto Switching = m_Shared.Switching.find(Change.TargetId);
     const BootTime BackAt =
-        Switching == m_Shared.Switching.end() ? Now : Switching->second;
+        Switching == m_Shared.Switching.end() ? Now : Switching->second.Until;
     // The server list may lag, so the order counts as carried out for some
     // time longer.
     return Planner.recordAcceptance(Change.TargetId, BackAt + ListingSlack);
--- a/Services/figlift-gateway/StageDirector.h
+++ b/Services/figlift-gateway/StageDirector.h
@@ -36,6 +36,7 @@
     explicit ServiceState(bool FleetStarts) : Planner(FleetStarts) {}
     dispatch::StagePlanner Planner;
     dispatch::PeakDemand Demand;
+    dispatch::EngineSpeedEstimator Speeds;
     std::shared_ptr<lease::LeaseKeeper> Lease;
     /// Since when the planner has proposed a change without interruption; empty
     /// while it proposes none.
@@ -44,6 +45,7 @@
   };
 
   ServiceState &stateOf(const std::string &Service);
+  void updateSwitching(BootTime Now);
   void updateService(const dispatch::Service &Service, BootTime Now);
   dispatch::EngineDemand fleetDemand(const std::string &Service,
                                      BootTime Now) const;
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -107,8 +107,10 @@
     std::queue<Action> Queue;
   };
   struct Gateway {
-    explicit Gateway(PromptPlannerOptions Options) : Planner(Options, Loads) {}
+    explicit Gateway(PromptPlannerOptions Options)
+        : Planner(Options, Loads, Paces) {}
     LoadTracker Loads;
+    StreamPaces Paces;
     PromptPlanner Planner;
     StartLag Lag;
     PrefillSpill Spill;
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -18,7 +18,8 @@
 
 TEST_GROUP(PromptPlanner) {
   LoadTracker Loads;
-  PromptPlanner Planner{{}, Loads};
+  StreamPaces Paces;
+  PromptPlanner Planner{{}, Loads, Paces};
   std::deque<Target> Targets;
   std::vector<const Target *> Engines;
   EngineTraits Traits;
@@ -89,7 +90,7 @@
   LoadTracker PeerLoads;
   for (const Target &Entry : Targets)
     PeerLoads.targetAdded(Entry, Traits.KvCapacityTokens);
-  PromptPlanner Peer{{}, PeerLoads};
+  PromptPlanner Peer{{}, PeerLoads, Paces};
   const auto Plan = Peer.plan(Request, Engines, costs(), Now);
   STRCMP_EQUAL(Home.c_str(),
                std::get<PrefillThenDecode>(Plan).PrefillTarget.c_str());
