LibDispatch: Reject pace updates with impossible numbers

A negative number of samples was read as a huge unsigned one, a number that is not an integer (NaN, 1e300) was converted without a bound, and a negative sum gave a negative mean interval. An update without a sender replaced the samples of this process, which are stored under the empty name. A single local measurement that is not a number made the average of its target not a number.

Updates with such a row or without a sender are now invalid, and FleetAverages ignores numbers that are negative or not finite. The three new tests failed before.

--- a/Libraries/LibDispatch/FleetAverages.cpp
+++ b/Libraries/LibDispatch/FleetAverages.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 const std::string ThisProcess;
+
+bool isValid(double Value, double Count) {
+  return std::isfinite(Value) && std::isfinite(Count) && Value >= 0 &&
+         Count >= 0;
+}
 } // namespace
 
 FleetAverages::Samples FleetAverages::decayed(const Samples &Old,
@@ -37,6 +42,8 @@
 
 void FleetAverages::record(const std::string &TargetId, double Value,
                            double Count, BootTime Now) {
+  if (!isValid(Value, Count))
+    return;
   const Samples Old = decayed(m_Entries[TargetId].ByProcess[ThisProcess], Now);
   replace(TargetId, ThisProcess,
           {Old.Sum + Value * Count, Old.Count + Count, Now}, Now);
@@ -46,7 +53,7 @@
                                      const std::vector<TargetSamples> &Reported,
                                      BootTime Now) {
   for (const TargetSamples &Row : Reported)
-    if (Row.Count >= 0 && std::isfinite(Row.Count) && std::isfinite(Row.Sum))
+    if (isValid(Row.Sum, Row.Count))
       replace(Row.TargetId, Peer, {Row.Sum, Row.Count, Now}, Now);
 }
 
--- a/Libraries/LibDispatch/FleetAverages.h
+++ b/Libraries/LibDispatch/FleetAverages.h
@@ -42,7 +42,8 @@
     double Count = 0;
   };
 
-  /// Records \p Count samples with the mean \p Value.
+  /// Records \p Count samples with the mean \p Value. Negative or not finite
+  /// numbers are ignored.
   void record(const std::string &TargetId, double Value, double Count,
               BootTime Now);
   /// Replaces what \p Peer reported before.
--- a/Libraries/LibDispatch/PaceUpdate.cpp
+++ b/Libraries/LibDispatch/PaceUpdate.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <optional>
 
 namespace figlift::dispatch {
 
@@ -26,13 +27,31 @@
   return Encoded;
 }
 
-std::vector<TargetSamples> decodeSamples(const Json &Encoded) {
+/// Bounds of a row. A gateway that forwards 100,000 events a second has some
+/// 700,000 decayed samples; the longest interval that matters is far below ten
+/// minutes.
+constexpr double MaximumCount = 1e7;
+constexpr double MaximumMean = 600000;
+
+/// Empty if \p Encoded is no non-negative integer: other numbers may be NaN or
+/// out of range, and a negative one would be read as a huge one.
+std::optional<double> decodeHundredths(const Json &Encoded) {
+  if (!Encoded.is_number_unsigned())
+    return std::nullopt;
+  return static_cast<double>(Encoded.get<uint64_t>()) / Hundredths;
+}
+
+/// Empty if a row is not possible.
+std::optional<std::vector<TargetSamples>> decodeSamples(const Json &Encoded) {
   std::vector<TargetSamples> Samples;
-  for (const Json &Row : Encoded)
-    Samples.push_back(
-        {Row.at(0).get<std::string>(),
-         static_cast<double>(Row.at(1).get<int64_t>()) / Hundredths,
-         static_cast<double>(Row.at(2).get<uint64_t>()) / Hundredths});
+  for (const Json &Row : Encoded) {
+    const auto Sum = decodeHundredths(Row.at(1));
+    const auto Count = decodeHundredths(Row.at(2));
+    if (!Sum || !Count || *Count <= 0 || *Count > MaximumCount ||
+        *Sum > *Count * MaximumMean)
+      return std::nullopt;
+    Samples.push_back({Row.at(0).get<std::string>(), *Sum, *Count});
+  }
   return Samples;
 }
 
@@ -49,8 +68,14 @@
 
 Result<PaceUpdate> decodePaceUpdate(std::string_view Bytes) try {
   const Json Root = Json::from_cbor(Bytes);
-  return PaceUpdate{Root.at(0).get<std::string>(), decodeSamples(Root.at(1)),
-                    decodeSamples(Root.at(2)), decodeSamples(Root.at(3))};
+  const auto Sender = Root.at(0).get<std::string>();
+  const auto Intervals = decodeSamples(Root.at(1));
+  const auto ReadRatios = decodeSamples(Root.at(2));
+  const auto PauseRatios = decodeSamples(Root.at(3));
+  if (Sender.empty() || !Intervals || !ReadRatios || !PauseRatios)
+    return failure(ResultCode::InvalidInput, "value out of range",
+                   "pace update");
+  return PaceUpdate{Sender, *Intervals, *ReadRatios, *PauseRatios};
 } catch (const Json::exception &Exception) {
   return failure(ResultCode::InvalidInput, Exception.what(), "pace update");
 }
--- a/Libraries/LibDispatch/PaceUpdate.h
+++ b/Libraries/LibDispatch/PaceUpdate.h
@@ -28,7 +28,8 @@
 
 /// Encodes as CBOR.
 std::string encodePaceUpdate(const PaceUpdate &Update);
-/// Fails with InvalidInput.
+/// Fails with InvalidInput, also if a number is negative, not finite or larger
+/// than any fleet measures, or if there is no sender.
 Result<PaceUpdate> decodePaceUpdate(std::string_view Bytes);
 
 } // namespace figlift::dispatch
--- a/Tests/LibDispatch/TestStreamPaces.cpp
+++ b/Tests/LibDispatch/TestStreamPaces.cpp
@@ -9,6 +9,11 @@
 #include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/StreamProgress.h"
 
+#include <cmath>
+#include <cstdint>
+
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -69,6 +74,52 @@
   CHECK(!decodePaceUpdate("x"));
 }
 
+namespace {
+
+/// A pace update with one row of intervals.
+std::string updateWithRow(const nlohmann::json &Row,
+                          const std::string &Sender = "g1") {
+  using Json = nlohmann::json;
+  std::string Bytes;
+  Json::to_cbor(
+      Json::array({Sender, Json::array({Row}), Json::array(), Json::array()}),
+      Bytes);
+  return Bytes;
+}
+
+} // namespace
+
+// Failure: a negative or huge number of samples outweighs what all gateways
+// have measured, and a negative sum makes the mean interval negative. A number
+// that is not an integer has no defined conversion if it is NaN or too large.
+TEST(StreamPaces, RejectsAnUpdateWithImpossibleNumbers) {
+  CHECK(decodePaceUpdate(updateWithRow({"e", 6000, 100})).has_value());
+  CHECK(!decodePaceUpdate(updateWithRow({"e", -6000, 100})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, -100})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, 0})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, INT64_MAX})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", INT64_MAX, 100})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", std::nan(""), 100})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, 1e300})));
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, HUGE_VAL})));
+}
+
+// Failure: this process stores its own samples without a name, so an update
+// without a sender replaces them.
+TEST(StreamPaces, RejectsAnUpdateWithoutSender) {
+  CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, 100}, "")));
+}
+
+// Failure: a single measurement that is not a number makes the average of the
+// target not a number until the target is removed.
+TEST(StreamPaces, IgnoresMeasurementsThatAreNoNumbers) {
+  Paces.recordInterval("e", Milliseconds(50), 10, Now);
+  Paces.recordInterval("e", Milliseconds(std::nan("")), 1, Now);
+  Paces.recordInterval("e", Milliseconds(HUGE_VAL), 1, Now);
+  Paces.intervals().recordPeerReport("g2", {{"e", -900, 10}}, Now);
+  DOUBLES_EQUAL(50, Paces.meanInterval("e", Now)->count(), 0.01);
+}
+
 TEST_GROUP(StreamProgress) {
   StreamProgress Progress;
   BootTime Now{std::chrono::seconds(100)};
