LibDispatch, figlift-gateway: Drop paces of earlier starts and dead peers

A gateway drops the averages of an engine that restarts, but a peer with an older list reported the previous start again, and its last report stayed until it had decayed, as a report did not replace rows that it no longer lists. Rows in datagram P now name the start of the target, and those of another start are dropped; a report replaces all rows of its sender.

Entries were kept for each peer that ever was, for targets that were removed while a stream ran, and for any service name in a report. Decayed samples are now removed every 10 s, and pause ratios are accepted only for services of the configuration.

--- a/Libraries/LibDispatch/FleetAverages.cpp
+++ b/Libraries/LibDispatch/FleetAverages.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace figlift::dispatch {
 
@@ -52,9 +53,19 @@
 void FleetAverages::recordPeerReport(const std::string &Peer,
                                      const std::vector<TargetSamples> &Reported,
                                      BootTime Now) {
+  std::set<std::string> &Targets = m_TargetsByPeer[Peer];
+  std::set<std::string> Listed;
   for (const TargetSamples &Row : Reported)
-    if (isValid(Row.Sum, Row.Count))
+    if (isValid(Row.Sum, Row.Count)) {
       replace(Row.TargetId, Peer, {Row.Sum, Row.Count, Now}, Now);
+      Listed.insert(Row.TargetId);
+    }
+  for (const std::string &Id : Targets)
+    if (!Listed.contains(Id) && m_Entries.contains(Id)) {
+      replace(Id, Peer, {0, 0, Now}, Now);
+      m_Entries[Id].ByProcess.erase(Peer);
+    }
+  Targets = std::move(Listed);
 }
 
 std::vector<TargetSamples> FleetAverages::localSamples(BootTime Now) const {
@@ -74,6 +85,35 @@
   m_Entries.erase(TargetId);
 }
 
+void FleetAverages::removeDecayed(BootTime Now) {
+  const auto IsDecayed = [&](const Samples &Old) {
+    return decayed(Old, Now).Count < MinimumCount;
+  };
+  // What remains of removed samples in a total decays with it.
+  for (auto &[Id, State] : m_Entries)
+    std::erase_if(State.ByProcess, [&](const auto &Process) {
+      return IsDecayed(Process.second);
+    });
+  std::erase_if(m_Entries, [](const auto &Target) {
+    return Target.second.ByProcess.empty();
+  });
+  for (auto &[Peer, Targets] : m_TargetsByPeer)
+    std::erase_if(Targets, [&](const std::string &Id) {
+      const auto Found = m_Entries.find(Id);
+      return Found == m_Entries.end() ||
+             !Found->second.ByProcess.contains(Peer);
+    });
+  std::erase_if(m_TargetsByPeer,
+                [](const auto &Peer) { return Peer.second.empty(); });
+}
+
+size_t FleetAverages::entries() const {
+  size_t Count = 0;
+  for (const auto &[Id, State] : m_Entries)
+    Count += State.ByProcess.size();
+  return Count;
+}
+
 std::optional<FleetAverages::Average>
 FleetAverages::average(const std::string &TargetId, BootTime Now) const {
   const auto Found = m_Entries.find(TargetId);
--- a/Libraries/LibDispatch/FleetAverages.h
+++ b/Libraries/LibDispatch/FleetAverages.h
@@ -13,10 +13,12 @@
 #pragma once
 
 #include "LibCore/Clock.h"
+#include "LibDispatch/Target.h"
 
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,9 @@
   double Sum = 0;
   /// Number of samples; not negative.
   double Count = 0;
+  /// Start of the target that was measured, for reports to peers; empty if the
+  /// target does not name it.
+  std::optional<StartTime> Started = std::nullopt;
 };
 
 class FleetAverages {
@@ -46,13 +51,19 @@
   /// numbers are ignored.
   void record(const std::string &TargetId, double Value, double Count,
               BootTime Now);
-  /// Replaces what \p Peer reported before.
+  /// Replaces what \p Peer reported before. What it no longer lists, it has
+  /// dropped or it has decayed.
   void recordPeerReport(const std::string &Peer,
                         const std::vector<TargetSamples> &Samples,
                         BootTime Now);
   /// Samples of this process that have not decayed, for a report to the peers.
   std::vector<TargetSamples> localSamples(BootTime Now) const;
   void removeTarget(const std::string &TargetId);
+  /// Removes processes and targets whose samples have decayed. Visits all
+  /// entries, so it should run only every few seconds.
+  void removeDecayed(BootTime Now);
+  /// Number of stored samples, one for each target and process.
+  size_t entries() const;
 
   /// Empty without samples.
   std::optional<Average> average(const std::string &TargetId,
@@ -80,6 +91,8 @@
 
   std::chrono::milliseconds m_HalfLife;
   std::map<std::string, Entry> m_Entries;
+  /// Targets of the last report of each peer.
+  std::map<std::string, std::set<std::string>> m_TargetsByPeer;
 };
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/PaceUpdate.cpp
+++ b/Libraries/LibDispatch/PaceUpdate.cpp
@@ -18,12 +18,18 @@
 namespace {
 
 constexpr double Hundredths = 100;
+/// Missing for services, and for targets that do not name their start.
+constexpr size_t StartField = 3;
 
 Json encodeSamples(const std::vector<TargetSamples> &Samples) {
   Json Encoded = Json::array();
-  for (const TargetSamples &Row : Samples)
-    Encoded.push_back({Row.TargetId, std::llround(Row.Sum * Hundredths),
-                       std::llround(Row.Count * Hundredths)});
+  for (const TargetSamples &Row : Samples) {
+    Json Fields = {Row.TargetId, std::llround(Row.Sum * Hundredths),
+                   std::llround(Row.Count * Hundredths)};
+    if (Row.Started)
+      Fields.push_back(Row.Started->time_since_epoch().count());
+    Encoded.push_back(std::move(Fields));
+  }
   return Encoded;
 }
 
@@ -50,13 +56,35 @@
     if (!Sum || !Count || *Count <= 0 || *Count > MaximumCount ||
         *Sum > *Count * MaximumMean)
       return std::nullopt;
-    Samples.push_back({Row.at(0).get<std::string>(), *Sum, *Count});
+    std::optional<StartTime> Started;
+    if (Row.size() > StartField) {
+      if (!Row[StartField].is_number_integer())
+        return std::nullopt;
+      Started =
+          StartTime(std::chrono::milliseconds(Row[StartField].get<int64_t>()));
+    }
+    Samples.push_back({Row.at(0).get<std::string>(), *Sum, *Count, Started});
   }
   return Samples;
 }
 
 } // namespace
 
+PaceUpdate
+currentSamples(PaceUpdate Update,
+               const std::function<bool(const TargetSamples &)> &IsCurrentStart,
+               const std::function<bool(const std::string &)> &IsService) {
+  const auto IsOutdated = [&](const TargetSamples &Row) {
+    return !IsCurrentStart(Row);
+  };
+  std::erase_if(Update.Intervals, IsOutdated);
+  std::erase_if(Update.ReadRatios, IsOutdated);
+  std::erase_if(Update.PauseRatios, [&](const TargetSamples &Row) {
+    return !IsService(Row.TargetId);
+  });
+  return Update;
+}
+
 std::string encodePaceUpdate(const PaceUpdate &Update) {
   std::string Bytes;
   Json::to_cbor(Json::array({Update.Sender, encodeSamples(Update.Intervals),
--- a/Libraries/LibDispatch/PaceUpdate.h
+++ b/Libraries/LibDispatch/PaceUpdate.h
@@ -10,6 +10,7 @@
 #include "LibCore/Result.h"
 #include "LibDispatch/FleetAverages.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,13 @@
   std::vector<TargetSamples> PauseRatios;
 };
 
+/// The rows of \p Update whose target and service this process lists. An older
+/// list of the sender may name an earlier start of a target.
+PaceUpdate
+currentSamples(PaceUpdate Update,
+               const std::function<bool(const TargetSamples &)> &IsCurrentStart,
+               const std::function<bool(const std::string &)> &IsService);
+
 /// Encodes as CBOR.
 std::string encodePaceUpdate(const PaceUpdate &Update);
 /// Fails with InvalidInput, also if a number is negative, not finite or larger
--- a/Libraries/LibDispatch/StreamPaces.h
+++ b/Libraries/LibDispatch/StreamPaces.h
@@ -47,6 +47,11 @@
   void removeTarget(const std::string &TargetId) {
     m_Intervals.removeTarget(TargetId);
   }
+  /// Bounds the memory; see FleetAverages.
+  void removeDecayed(BootTime Now) {
+    m_Intervals.removeDecayed(Now);
+    m_Ratios.removeDecayed(Now);
+  }
 
   /// \name Exchange with peers.
   /// @{
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -34,8 +34,11 @@
 /// learned costs of a process are accurate after ten responses, which arrive
 /// in about this time.
 constexpr milliseconds EngineCostInterval{250};
-/// How often measured paces are sent, about 25 bytes per engine.
+/// How often measured paces are sent, about 35 bytes per engine.
 constexpr milliseconds PaceInterval{500};
+/// How often samples of peers and targets that no longer exist are removed from
+/// memory. They have no weight by then.
+constexpr milliseconds PacePruneInterval{10000};
 /// Suspects are announced at once, and again with every fourth report: after a
 /// tenth of a second with four gateways, and half a second with a hundred.
 constexpr unsigned ReportsPerReannouncement = 4;
@@ -124,11 +127,20 @@
   if (Now - m_PacesSentAt < PaceInterval)
     return;
   m_PacesSentAt = Now;
-  const dispatch::PaceUpdate Update{
-      m_Shared.Settings.Process.Id,
-      m_Shared.Paces.intervals().localSamples(Now),
-      m_Shared.ReadRatios.localSamples(Now),
-      m_Shared.Paces.ratios().localSamples(Now)};
+  if (Now - m_PacesPrunedAt >= PacePruneInterval) {
+    m_PacesPrunedAt = Now;
+    m_Shared.Paces.removeDecayed(Now);
+    m_Shared.ReadRatios.removeDecayed(Now);
+  }
+  dispatch::PaceUpdate Update{m_Shared.Settings.Process.Id,
+                              m_Shared.Paces.intervals().localSamples(Now),
+                              m_Shared.ReadRatios.localSamples(Now),
+                              m_Shared.Paces.ratios().localSamples(Now)};
+  for (auto *Rows : {&Update.Intervals, &Update.ReadRatios})
+    for (dispatch::TargetSamples &Row : *Rows)
+      if (const dispatch::Target *Measured =
+              m_Shared.Targets.find(Row.TargetId))
+        Row.Started = Measured->Started;
   if (!Update.Intervals.empty() || !Update.ReadRatios.empty())
     sendToAll(PacesKind, encodePaceUpdate(Update));
 }
@@ -139,13 +151,17 @@
     return log::logError(log::Level::Warning, "pace-update-invalid",
                          Read.error());
   const BootTime Now = BootClock::now();
-  dispatch::PaceUpdate Update = Read.value();
-  // The list of servers of this gateway decides which targets exist.
-  const auto IsUnknown = [&](const dispatch::TargetSamples &Row) {
-    return !m_Shared.Targets.find(Row.TargetId);
-  };
-  std::erase_if(Update.Intervals, IsUnknown);
-  std::erase_if(Update.ReadRatios, IsUnknown);
+  // The lists of this gateway decide which servers and services exist.
+  const dispatch::PaceUpdate Update = currentSamples(
+      Read.value(),
+      [&](const dispatch::TargetSamples &Row) {
+        const dispatch::Target *Listed = m_Shared.Targets.find(Row.TargetId);
+        return Listed && Listed->Started == Row.Started;
+      },
+      [&](const std::string &Service) {
+        return m_Shared.Configuration &&
+               m_Shared.Configuration->service(Service);
+      });
   m_Shared.ReadRatios.recordPeerReport(Update.Sender, Update.ReadRatios, Now);
   m_Shared.Paces.intervals().recordPeerReport(Update.Sender, Update.Intervals,
                                               Now);
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -79,6 +79,7 @@
   /// When a report last included learned engine costs.
   BootTime m_EngineCostsSentAt{};
   BootTime m_PacesSentAt{};
+  BootTime m_PacesPrunedAt{};
 };
 
 } // namespace figlift::gateway
--- a/Tests/LibDispatch/TestStreamPaces.cpp
+++ b/Tests/LibDispatch/TestStreamPaces.cpp
@@ -11,6 +11,7 @@
 
 #include <cmath>
 #include <cstdint>
+#include <map>
 
 #include <nlohmann/json.hpp>
 
@@ -110,6 +111,64 @@
   CHECK(!decodePaceUpdate(updateWithRow({"e", 6000, 100}, "")));
 }
 
+// Failure: an engine restarts and this process drops what it knew of it, but a
+// peer that has dropped its samples as well no longer lists the engine, so that
+// its last report counts on.
+TEST(StreamPaces, DropsWhatAPeerNoLongerReports) {
+  Paces.intervals().recordPeerReport("g2", {{"e", 20000, 100}, {"f", 50, 1}},
+                                     Now);
+  Paces.intervals().recordPeerReport("g2", {{"f", 50, 1}}, Now);
+  CHECK(!Paces.meanInterval("e", Now));
+}
+
+// Failure: each peer and each target that ever was stays in memory: gateways
+// restart under new names, and streams may end after their target was removed.
+TEST(StreamPaces, KeepsNoEntriesOfDeadPeersAndRemovedTargets) {
+  for (int Peer = 0; Peer < 100; ++Peer)
+    Paces.intervals().recordPeerReport("g" + std::to_string(Peer),
+                                       {{"e", 1000, 10}}, Now);
+  for (int Target = 0; Target < 100; ++Target)
+    Paces.recordInterval("t" + std::to_string(Target), Milliseconds(60), 10,
+                         Now);
+  LONGS_EQUAL(200, Paces.intervals().entries());
+  Now += std::chrono::seconds(90);
+  Paces.recordInterval("e", Milliseconds(60), 10, Now);
+  Paces.removeDecayed(Now);
+  LONGS_EQUAL(1, Paces.intervals().entries());
+  DOUBLES_EQUAL(60, Paces.meanInterval("e", Now)->count(), 0.5);
+}
+
+// Failure: an engine has restarted on slower hardware, or without the load that
+// it had. A peer whose list is older still reports the previous start, and the
+// averages that were dropped with it come back.
+TEST(StreamPaces, DropsReportedSamplesOfAnotherStart) {
+  const StartTime First{milliseconds(1000)};
+  const StartTime Second{milliseconds(2000)};
+  const auto Sent =
+      decodePaceUpdate(encodePaceUpdate({"g1",
+                                         {{"old", 6000, 100, First},
+                                          {"new", 6000, 100, Second},
+                                          {"silent", 6000, 100},
+                                          {"gone", 6000, 100, First}},
+                                         {{"old", 100, 100, First}},
+                                         {{"s", 20, 10}, {"other", 20, 10}}}));
+  CHECK(Sent.has_value());
+  const std::map<std::string, std::optional<StartTime>> Listed = {
+      {"old", Second}, {"new", Second}, {"silent", std::nullopt}};
+  const PaceUpdate Kept = currentSamples(
+      Sent.value(),
+      [&](const TargetSamples &Row) {
+        const auto Found = Listed.find(Row.TargetId);
+        return Found != Listed.end() && Found->second == Row.Started;
+      },
+      [](const std::string &Service) { return Service == "s"; });
+  LONGS_EQUAL(2, Kept.Intervals.size());
+  STRCMP_EQUAL("new", Kept.Intervals[0].TargetId.c_str());
+  STRCMP_EQUAL("silent", Kept.Intervals[1].TargetId.c_str());
+  LONGS_EQUAL(0, Kept.ReadRatios.size());
+  LONGS_EQUAL(1, Kept.PauseRatios.size());
+}
+
 // Failure: a single measurement that is not a number makes the average of the
 // target not a number until the target is removed.
 TEST(StreamPaces, IgnoresMeasurementsThatAreNoNumbers) {
