LibDispatch, figlift-gateway: Count delays before their tick

The delay of the event loop was added up at its ticks. A gateway that was frozen may handle the events that arrived meanwhile before the next tick; the pause then counted as one of the engine. LoopDelay includes the delay of the tick that is due.

The time in which a stream changes its server was excluded from the intervals, but not from the ratio between the longest and the mean interval. That ratio is one figure for all engines of a service, so that after a crash of some engines all looked too slow. The ratio is now learned only from streams whose longest pause was the engine's.

--- a/Libraries/LibDispatch/StreamProgress.h
+++ b/Libraries/LibDispatch/StreamProgress.h
@@ -54,6 +54,7 @@
       m_LongestPause = Pause;
       m_LongestAfter = Events - New;
       m_LongestIsOwnDelay = IsOwnDelay;
+      m_LongestIsOfTarget = IsOfTarget;
     }
     m_Sum += Pause;
     m_Intervals += New;
@@ -66,6 +67,8 @@
   /// Number of events before the longest pause.
   uint64_t longestPauseAfter() const { return m_LongestAfter; }
   bool isLongestOwnDelay() const { return m_LongestIsOwnDelay; }
+  /// Neither an own delay nor a change of the server.
+  bool isLongestOfTarget() const { return m_LongestIsOfTarget; }
   uint64_t intervals() const { return m_Intervals; }
   /// 0 if there were none.
   Milliseconds meanInterval() const {
@@ -82,6 +85,7 @@
   Milliseconds m_LongestPause{0};
   uint64_t m_LongestAfter = 0;
   bool m_LongestIsOwnDelay = false;
+  bool m_LongestIsOfTarget = true;
   Milliseconds m_Sum{0};
   uint64_t m_Intervals = 0;
   bool m_IsOtherServer = false;
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -17,6 +17,7 @@
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadTracker.h"
+#include "LibDispatch/LoopDelay.h"
 #include "LibDispatch/PeerReport.h"
 #include "LibDispatch/PrefillSpill.h"
 #include "LibDispatch/ProcessStop.h"
@@ -47,6 +48,9 @@
 
 namespace figlift::gateway {
 
+/// Planned time between two ticks of the event loop.
+inline constexpr std::chrono::milliseconds TickInterval{100};
+
 /// What the components of a gateway share about the duty to report usage.
 struct UsageState {
   /// Empty if the platform does not assign the duty.
@@ -104,8 +108,7 @@
   dispatch::StreamPaces Paces;
   /// Measured over planned time of prefills at each engine.
   dispatch::FleetAverages ReadRatios{std::chrono::seconds(5)};
-  /// Total time by which the event loop has been late at its ticks.
-  BootClock::duration TotalLoopDelay{};
+  dispatch::LoopDelay Delay{TickInterval, BootClock::now()};
   dispatch::StreamOrigins Origins;
   dispatch::ServerLimits Limits;
   retry::FleetRetryBudget Budget;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr milliseconds TickInterval{100};
 /// How often the settings file is checked. Changes are not urgent, and each
 /// check costs some system calls.
 constexpr milliseconds SettingsInterval{1000};
@@ -85,6 +84,7 @@
   FIGLIFT_TRY(m_PeerLink.start());
   m_Peers.start();
   m_LastTick = BootClock::now();
+  m_Shared.Delay.start(m_LastTick);
   m_PreviousTick = m_LastTick;
   m_ConfigurationFollower.start();
   m_ServerFollower.start();
@@ -301,7 +301,7 @@
 
 void Gateway::recordLoopDelay(BootClock::duration Delay) {
   m_AcceptControl.recordDelay(Delay);
-  m_Shared.TotalLoopDelay += std::max(Delay, BootClock::duration::zero());
+  m_Shared.Delay.recordTick(BootClock::now());
   if (Delay >= LoggedDelay && Delay <= StallThreshold)
     log::logEvent(log::Level::Info, "loop-delayed", {{"for", Delay}});
 }
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -137,7 +137,9 @@
   Metrics.registerCounter(
       "figlift_gateway_loop_delay_seconds_total",
       "Time by which ten looks a second at the clock were late", [this] {
-        return std::chrono::duration<double>(m_Shared.TotalLoopDelay).count();
+        return std::chrono::duration<double>(
+                   m_Shared.Delay.total(BootClock::now()))
+            .count();
       });
   Metrics.registerCounter("figlift_gateway_reloads_total",
                           "Changes of the settings that were taken",
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -175,7 +175,7 @@
 void RequestFlow::learnPace() {
   const BootTime Now = BootClock::now();
   const auto Interval =
-      m_Progress.recordEvents(m_Relay.events(), m_Shared.TotalLoopDelay, Now);
+      m_Progress.recordEvents(m_Relay.events(), m_Shared.Delay.total(Now), Now);
   if (Interval && Interval->IsOfTarget && engineService())
     m_Shared.Paces.recordInterval(m_ExecutionTarget, Interval->Length,
                                   static_cast<double>(Interval->Events), Now);
@@ -183,7 +183,7 @@
 
 void RequestFlow::learnPauseRatio() {
   if (m_Progress.intervals() >= MinimumIntervalsOfRatio && engineService() &&
-      !m_Progress.isLongestOwnDelay())
+      m_Progress.isLongestOfTarget())
     m_Shared.Paces.recordPauseRatio(
         m_Service, m_Progress.longestPause() / m_Progress.meanInterval(),
         BootClock::now());
--- a/Tests/LibDispatch/TestStreamPaces.cpp
+++ b/Tests/LibDispatch/TestStreamPaces.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "LibDispatch/LoopDelay.h"
 #include "LibDispatch/PaceUpdate.h"
 #include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/StreamProgress.h"
@@ -228,3 +229,44 @@
   CHECK(!event(milliseconds(400))->IsOfTarget);
   CHECK(event(milliseconds(60))->IsOfTarget);
 }
+
+// Failure: a stream is resumed at another server, the time until its first
+// event there counts as the longest pause of the service's streams, and after a
+// crash of a few engines all engines look too slow.
+TEST(StreamProgress, TellsAPauseOfAChangeOfServerFromOneOfTheTarget) {
+  event(milliseconds(20));
+  event(milliseconds(60));
+  CHECK(Progress.isLongestOfTarget());
+  Progress.serverChanged();
+  event(milliseconds(400));
+  CHECK(!Progress.isLongestOfTarget());
+  CHECK(!Progress.isLongestOwnDelay());
+}
+
+// Failure: a process that was frozen for a second handles the events that
+// arrived meanwhile before its next tick. The delay is not in the total yet, so
+// the second counts as the pace of the engine.
+TEST(StreamProgress, CountsADelayThatNoTickHasRecordedYet) {
+  LoopDelay Delay(milliseconds(100), Now);
+  event(milliseconds(20));
+  OwnDelay = Delay.total(Now);
+  event(milliseconds(60));
+  Now += milliseconds(1000);
+  OwnDelay = Delay.total(Now);
+  CHECK(!event(milliseconds(0))->IsOfTarget);
+  const auto Before = Delay.total(Now);
+  Delay.recordTick(Now);
+  CHECK(Before == Delay.total(Now));
+}
+
+// Failure: a process that ticks as planned counts the time between two ticks as
+// a delay and records no intervals at all.
+TEST(StreamProgress, CountsNoDelayBetweenTicks) {
+  LoopDelay Delay(milliseconds(100), Now);
+  for (int Tick = 0; Tick < 10; ++Tick) {
+    CHECK(Delay.total(Now + milliseconds(90)) == BootClock::duration::zero());
+    Now += milliseconds(100);
+    Delay.recordTick(Now);
+  }
+  CHECK(Delay.total(Now) == BootClock::duration::zero());
+}
