LibDispatch: Scale remembered intervals of engines by the load

The interval of an engine that leaves the decode stage was remembered as measured. Under a burst all decode engines are slower, so that equal engines, measured before the burst, looked faster by more than 1.25, and stages were exchanged when the capacity was needed most.

Remembered intervals are now kept at the same load and scaled by the median change of the engines that decode. Estimates from prefill times are remembered too: an engine that changes to decode was unknown, with the speed of the mean engine, until its first streams.

--- a/Libraries/LibDispatch/EngineSpeeds.cpp
+++ b/Libraries/LibDispatch/EngineSpeeds.cpp
@@ -1,13 +1,14 @@
 //===- EngineSpeeds.cpp - Estimated decode interval of engines ------------===//
 //
-// Intervals as measured, else from prefill times by the mean relation between
-// the two.
+// Intervals as measured, else as remembered, else from prefill times by the
+// mean relation between the two.
 //
 //===----------------------------------------------------------------------===//
 
 #include "LibDispatch/EngineSpeeds.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace figlift::dispatch {
 
@@ -21,38 +22,83 @@
     });
   });
   EngineSpeeds Result;
+  Result.Intervals = learnIntervals(Engines, Paces, Now);
+  for (const Target *Engine : Engines)
+    if (const auto Found = m_Known.find(Engine->Id); Found != m_Known.end())
+      Result.Intervals.try_emplace(Engine->Id,
+                                   Found->second.Interval * m_LoadFactor);
+  addPrefillEngines(Engines, ReadRatios, Now, Result);
+  if (AllowedPause > Milliseconds(0))
+    Result.MaximumInterval = AllowedPause / Paces.pauseRatio(Service, Now);
+  Result.ShouldExchange = shouldExchange(Engines, Result);
+  return Result;
+}
+
+std::map<std::string, Milliseconds>
+EngineSpeedEstimator::learnIntervals(std::span<const Target *const> Engines,
+                                     const StreamPaces &Paces, BootTime Now) {
+  std::map<std::string, Milliseconds> Measured;
+  std::vector<double> Factors;
+  for (const Target *Engine : Engines)
+    if (Engine->EngineStage == Stage::Decode)
+      if (const auto Interval = Paces.meanInterval(Engine->Id, Now);
+          Interval && *Interval > Milliseconds(0)) {
+        Measured[Engine->Id] = *Interval;
+        if (const auto Found = m_Known.find(Engine->Id);
+            Found != m_Known.end() && Found->second.IsMeasured)
+          Factors.push_back(*Interval / Found->second.Interval);
+      }
+  if (!Factors.empty()) {
+    const auto Middle =
+        Factors.begin() + static_cast<std::ptrdiff_t>(Factors.size() / 2);
+    std::nth_element(Factors.begin(), Middle, Factors.end());
+    m_LoadFactor = *Middle;
+  }
+  const std::chrono::duration<double> Elapsed = Now - m_LearnedAt;
+  const double Weight = 1 - std::exp2(-Elapsed / KnownHalfLife);
+  m_LearnedAt = Now;
+  for (const Target *Engine : Engines)
+    if (const auto Found = Measured.find(Engine->Id); Found != Measured.end()) {
+      const Milliseconds Current = Found->second / m_LoadFactor;
+      Known &State = m_Known[Engine->Id];
+      State.Started = Engine->Started;
+      State.Interval = State.IsMeasured
+                           ? State.Interval * (1 - Weight) + Current * Weight
+                           : Current;
+      State.IsMeasured = true;
+    }
+  return Measured;
+}
+
+void EngineSpeedEstimator::addPrefillEngines(
+    std::span<const Target *const> Engines, const FleetAverages &ReadRatios,
+    BootTime Now, EngineSpeeds &Speeds) {
+  std::map<const Target *, double> Ratios;
   double RelationSum = 0;
   unsigned Related = 0;
-  const auto ReadRatio = [&](const Target &Engine) -> std::optional<double> {
-    const auto Average = ReadRatios.average(Engine.Id, Now);
-    if (!Average || Average->Count < MinimumReads || Average->Value <= 0)
-      return std::nullopt;
-    return Average->Value;
-  };
   for (const Target *Engine : Engines) {
-    if (Engine->EngineStage == Stage::Decode)
-      if (const auto Interval = Paces.meanInterval(Engine->Id, Now))
-        m_Known[Engine->Id] = {Engine->Started, *Interval};
-    const auto Found = m_Known.find(Engine->Id);
-    if (Found == m_Known.end())
+    if (Engine->EngineStage != Stage::Prefill)
       continue;
-    Result.Intervals[Engine->Id] = Found->second.Interval;
-    if (const auto Ratio = ReadRatio(*Engine);
-        Ratio && Engine->EngineStage == Stage::Prefill) {
-      RelationSum += Found->second.Interval.count() / *Ratio;
+    const auto Average = ReadRatios.average(Engine->Id, Now);
+    if (!Average || Average->Count < MinimumReads || Average->Value <= 0)
+      continue;
+    Ratios[Engine] = Average->Value;
+    if (const auto Found = m_Known.find(Engine->Id);
+        Found != m_Known.end() && Found->second.IsMeasured) {
+      RelationSum += Speeds.Intervals.at(Engine->Id).count() / Average->Value;
       ++Related;
     }
   }
-  for (const Target *Engine : Engines)
-    if (const auto Ratio = ReadRatio(*Engine);
-        Ratio && Related > 0 && Engine->EngineStage == Stage::Prefill &&
-        !Result.Intervals.contains(Engine->Id))
-      Result.Intervals[Engine->Id] =
-          Milliseconds(*Ratio * RelationSum / Related);
-  if (AllowedPause > Milliseconds(0))
-    Result.MaximumInterval = AllowedPause / Paces.pauseRatio(Service, Now);
-  Result.ShouldExchange = shouldExchange(Engines, Result);
-  return Result;
+  if (Related == 0)
+    return;
+  for (const auto &[Engine, Ratio] : Ratios) {
+    Known &State = m_Known[Engine->Id];
+    if (State.IsMeasured)
+      continue;
+    const Milliseconds Interval(Ratio * RelationSum / Related);
+    State = {Engine->Started, Interval / m_LoadFactor, false};
+    Speeds.Intervals[Engine->Id] = Interval;
+  }
 }
 
 bool EngineSpeedEstimator::shouldExchange(
--- a/Libraries/LibDispatch/EngineSpeeds.h
+++ b/Libraries/LibDispatch/EngineSpeeds.h
@@ -36,8 +36,11 @@
   double meanSpeed(std::span<const Target *const> Engines, Stage Of) const;
 };
 
-/// Keeps the last known interval of each engine while it is not measured, as it
-/// changes its stage.
+/// Remembers the interval of each engine while it is not measured, as it
+/// changes its stage or has no streams. All engines are slower under load, so
+/// remembered intervals are kept at the same load and scaled by the load of the
+/// engines that decode now. Otherwise an engine that was measured before a
+/// burst would look faster than equal engines during it.
 class EngineSpeedEstimator {
 public:
   /// \p ReadRatios: measured over planned time of prefills, by engine.
@@ -50,6 +53,15 @@
                         Milliseconds AllowedPause, BootTime Now);
 
 private:
+  /// Updates the load factor and what is known of the engines that decode;
+  /// returns their intervals.
+  std::map<std::string, Milliseconds>
+  learnIntervals(std::span<const Target *const> Engines,
+                 const StreamPaces &Paces, BootTime Now);
+  /// Adds estimates for prefill engines that have never decoded.
+  void addPrefillEngines(std::span<const Target *const> Engines,
+                         const FleetAverages &ReadRatios, BootTime Now,
+                         EngineSpeeds &Speeds);
   bool shouldExchange(std::span<const Target *const> Engines,
                       const EngineSpeeds &Speeds);
 
@@ -60,11 +72,22 @@
   /// At this share of the allowed pause a part of the streams is late.
   static constexpr double LongPauseShare = 0.8;
 
+  /// How slowly remembered intervals follow the measured ones. A change of the
+  /// load takes seconds and must not be taken for one of an engine.
+  static constexpr std::chrono::seconds KnownHalfLife{30};
+
   struct Known {
     std::optional<StartTime> Started;
+    /// At a load factor of 1.
     Milliseconds Interval{0};
+    /// From streams, as opposed to prefill times.
+    bool IsMeasured = false;
   };
   std::map<std::string, Known> m_Known;
+  /// Median ratio between the measured and the remembered interval of the
+  /// engines that decode.
+  double m_LoadFactor = 1;
+  BootTime m_LearnedAt{};
   bool m_Exchanging = false;
 };
 
