LibDispatch: Keep exchanges of stages from undoing other changes

The exchange kept the prefill capacity that it began with, as a sum of relative speeds. When the split or another gateway moved an engine from prefill to decode, the exchange moved one back; when prefill engines were lost, it turned decode engines into prefill engines whatever the demand was; and as more speeds became known, the sum no longer fit them.

The reference is now the set of prefill engines at the beginning, and a change that is not the exchange's own starts a new one. The exchange has a class of its own, StageExchange.

--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 StagePlanner::StagePlanner(bool IsInitialSplit, StagePlannerOptions Options)
-    : m_Options(Options), m_SplitChosen(!IsInitialSplit) {}
+    : m_Options(Options), m_SplitChosen(!IsInitialSplit),
+      m_Exchange(Options.Exchange) {}
 
 bool StagePlanner::isListStable(std::span<const Target *const> Engines,
                                 BootTime Now) {
@@ -101,8 +102,7 @@
                              : m_Options.MinimumUtilizationForFirstChange;
   if (All < 2 || Current < Minimum)
     return PrefillEngines;
-  const size_t ReservedDecode =
-      std::min(m_Options.MinimumDecode, std::max<size_t>(1, All / 2));
+  const size_t ReservedDecode = reservedDecode(All);
   size_t BestPrefillEngines = PrefillEngines;
   double Best = Current * (1 - m_Options.MinimumGain);
   for (size_t Count = 1; Count + ReservedDecode <= All; ++Count)
@@ -123,12 +123,9 @@
   recordStageChanges(Engines);
   if (!isListStable(Engines, Now))
     return std::nullopt;
-  if (Speeds.ShouldExchange)
-    if (const auto Exchange =
-            planExchange(Engines, Demand, Speeds, Loads, Now, Unreachable))
-      return Exchange;
-  if (!Speeds.ShouldExchange)
-    m_ExchangedPrefillCapacity.reset();
+  if (const auto Exchange =
+          planExchange(Engines, Demand, Speeds, Loads, Now, Unreachable))
+    return Exchange;
   size_t PrefillEngines = 0;
   for (const Target *Candidate : Engines)
     if (stageOf(*Candidate) == Stage::Prefill)
@@ -150,8 +147,8 @@
   for (const Target *Candidate : Engines)
     if (Candidate->EngineStage == SourceStage &&
         !isUnavailable(Candidate->Id, Now) &&
-        !(SourceStage == Stage::Decode && Speeds.ShouldExchange &&
-          Speeds.speed(Candidate->Id) > m_Options.StageKeepFactor) &&
+        !(SourceStage == Stage::Decode &&
+          m_Exchange.shouldDecode(Speeds, Candidate->Id)) &&
         std::find(Unreachable.begin(), Unreachable.end(), Candidate->Id) ==
             Unreachable.end() &&
         (!Chosen ||
@@ -164,89 +161,33 @@
       Chosen->Started};
 }
 
-namespace {
-
-struct EngineShare {
-  const Target *Engine = nullptr;
-  /// 1 is the mean engine.
-  double Speed = 1;
-  bool IsKnown = false;
-  /// After its pending order.
-  bool Decodes = false;
-};
-
-} // namespace
+size_t StagePlanner::reservedDecode(size_t All) const {
+  return std::min(m_Options.MinimumDecode, std::max<size_t>(1, All / 2));
+}
 
 std::optional<StageChange> StagePlanner::planExchange(
     std::span<const Target *const> Engines, const EngineDemand &Demand,
     const EngineSpeeds &Speeds, const LoadTracker &Loads, BootTime Now,
     const std::vector<std::string> &Unreachable) {
-  std::vector<EngineShare> Order;
-  double PrefillCapacity = 0;
-  double WorkingPrefill = 0;
-  size_t WorkingDecode = 0;
-  const auto IsWorking = [&](const Target &Engine) {
-    return Engine.EngineStage == stageOf(Engine) &&
-           !isUnavailable(Engine.Id, Now);
-  };
+  std::vector<ExchangeEngine> States;
   for (const Target *Engine : Engines) {
-    const EngineShare Share{Engine, Speeds.speed(Engine->Id),
-                            Speeds.Intervals.contains(Engine->Id),
-                            stageOf(*Engine) != Stage::Prefill};
-    Order.push_back(Share);
-    if (!Share.Decodes)
-      PrefillCapacity += Share.Speed;
-    if (IsWorking(*Engine) && Share.Decodes)
-      ++WorkingDecode;
-    else if (IsWorking(*Engine))
-      WorkingPrefill += Share.Speed;
+    const Stage Planned = stageOf(*Engine);
+    States.push_back(
+        {Engine, Planned,
+         Engine->EngineStage == Planned && !isUnavailable(Engine->Id, Now),
+         std::find(Unreachable.begin(), Unreachable.end(), Engine->Id) ==
+             Unreachable.end()});
   }
-  // Engines that decode already are taken before others of about their speed.
-  std::sort(Order.begin(), Order.end(),
-            [&](const EngineShare &A, const EngineShare &B) {
-              return A.Speed * (A.Decodes ? m_Options.StageKeepFactor : 1) >
-                     B.Speed * (B.Decodes ? m_Options.StageKeepFactor : 1);
-            });
-  if (!m_ExchangedPrefillCapacity)
-    m_ExchangedPrefillCapacity = PrefillCapacity;
-  const size_t ReservedDecode =
-      std::min(m_Options.MinimumDecode, std::max<size_t>(1, Order.size() / 2));
-  size_t DecodeCount = Order.size();
-  for (double Capacity = 0;
-       DecodeCount > ReservedDecode && Capacity < *m_ExchangedPrefillCapacity;)
-    Capacity += Order[--DecodeCount].Speed;
-  const auto MayOrder = [&](const EngineShare &Share) {
-    return Share.IsKnown && IsWorking(*Share.Engine) &&
-           std::find(Unreachable.begin(), Unreachable.end(),
-                     Share.Engine->Id) == Unreachable.end();
-  };
-  const EngineShare *Chosen = nullptr;
-  for (size_t I = 0; I < DecodeCount && !Chosen; ++I)
-    if (!Order[I].Decodes && MayOrder(Order[I]) &&
-        WorkingPrefill - Order[I].Speed >=
-            *m_ExchangedPrefillCapacity * m_Options.ExchangeCapacityShare)
-      Chosen = &Order[I];
-  const bool DecodeHasRoom =
-      WorkingDecode > ReservedDecode &&
-      Demand.Decode / static_cast<double>(WorkingDecode - 1) <
-          m_Options.MaximumUtilizationAfterRemoval;
-  // The one with the least work ends its streams first.
-  if (!Chosen && DecodeHasRoom)
-    for (size_t I = DecodeCount; I < Order.size(); ++I)
-      if (Order[I].Decodes && MayOrder(Order[I]) &&
-          (!Chosen || Loads.backlog(Order[I].Engine->Id, Now) <
-                          Loads.backlog(Chosen->Engine->Id, Now)))
-        Chosen = &Order[I];
-  if (!Chosen)
-    return std::nullopt;
-  return StageChange{Chosen->Engine->Id,
-                     Chosen->Decodes ? Stage::Prefill : Stage::Decode,
-                     Chosen->Engine->Started};
+  return m_Exchange.plan(States, Speeds,
+                         {reservedDecode(Engines.size()), Demand.Decode,
+                          m_Options.MaximumUtilizationAfterRemoval},
+                         Loads, Now);
 }
 
 void StagePlanner::recordOrder(const StageChange &Change, BootTime Now) {
   m_Pending[Change.TargetId] = {Change.DesiredStage, Change.Start,
                                 Now + m_Options.UnansweredOrderTime};
+  m_Exchange.recordOrder(Change);
   m_SplitChosen = true;
 }
 
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -16,6 +16,8 @@
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EngineSpeeds.h"
 #include "LibDispatch/LoadTracker.h"
+#include "LibDispatch/StageChange.h"
+#include "LibDispatch/StageExchange.h"
 #include "LibDispatch/Target.h"
 
 #include <chrono>
@@ -26,14 +28,6 @@
 
 namespace figlift::dispatch {
 
-struct StageChange {
-  std::string TargetId;
-  Stage DesiredStage = Stage::Decode;
-  /// Start of the target for which the change was planned.
-  std::optional<StartTime> Start = std::nullopt;
-  bool operator==(const StageChange &) const = default;
-};
-
 struct StagePlannerOptions {
   /// Minimum relative decrease of the utilization of the busier stage.
   double MinimumGain = 0.15;
@@ -57,10 +51,7 @@
   /// Minimum number of decode engines, so that requests can still run after the
   /// loss of one.
   size_t MinimumDecode = 2;
-  /// An engine keeps its stage unless another is faster by this factor.
-  double StageKeepFactor = 1.2;
-  /// Share of the prefill capacity that has to work during an exchange.
-  double ExchangeCapacityShare = 0.85;
+  StageExchangeOptions Exchange;
 };
 
 class StagePlanner {
@@ -104,8 +95,7 @@
 
   size_t bestPrefillCount(size_t All, size_t PrefillEngines,
                           const EngineDemand &Demand) const;
-  /// The next change towards decode on the fastest engines that leaves the
-  /// prefill capacity as it is.
+  size_t reservedDecode(size_t All) const;
   std::optional<StageChange>
   planExchange(std::span<const Target *const> Engines,
                const EngineDemand &Demand, const EngineSpeeds &Speeds,
@@ -127,9 +117,7 @@
   bool m_SplitChosen;
   /// Last listed stage by engine id.
   std::map<std::string, Stage> m_Listed;
-  /// Sum of the speeds of the prefill engines when the exchange began; empty
-  /// if there is none.
-  std::optional<double> m_ExchangedPrefillCapacity;
+  StageExchange m_Exchange;
   std::vector<std::string> m_EngineIds;
   BootTime m_EngineIdsSince{};
 };
