LibDispatch: Spread streams over unknown and equal decode engines

An engine without a measured interval had no margin in which the home of the subject decides, so that it got all streams although other engines were fast enough; the margin now applies where any engine has a penalty. Prompts without a subject had one common home, so that all gateways sent their streams to the same engine; a stream with a bound for its pauses now has a home by its last part.

New tests of the penalty; TakesUnknownEnginesForFastEnough and SpreadsTheStreamsOfPromptsWithoutSubject failed before.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -22,6 +22,17 @@
   return XXH64(TargetId.data(), TargetId.size(), Subject);
 }
 
+/// Decides the home of a request among the decode engines. Prompts without a
+/// subject share no cached parts, so each stream has a home of its own; with a
+/// common one, all processes would send them to the same engine.
+uint64_t decodeHomeKey(const PromptRequest &Request) {
+  const Prompt &Input = Request.Input;
+  const uint64_t Subject = Input.subject();
+  return Subject != 0 || !Request.AllowedPause || Input.Parts.empty()
+             ? Subject
+             : Input.Parts.back().Id;
+}
+
 } // namespace
 
 PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads,
@@ -175,7 +186,18 @@
   std::optional<Candidate> Best;
   Milliseconds BestScore{0};
   uint64_t BestWeight = 0;
-  const uint64_t Subject = Request.Input.subject();
+  const uint64_t Subject = decodeHomeKey(Request);
+  // Streams of one subject keep to their home among engines of about the same
+  // pace; otherwise all processes would choose the fastest one at a time. This
+  // holds for engines without a penalty, too: those that nothing is known of
+  // must not get all streams.
+  const bool HasPenalty =
+      std::any_of(Engines.begin(), Engines.end(), [&](const Target *Engine) {
+        return pausePenalty(Request, *Engine, Now) > Milliseconds(0);
+      });
+  const Milliseconds Margin =
+      HasPenalty ? Request.LatencyTarget * m_Options.HomeMarginShare
+                 : Milliseconds(0);
   for (const Target *Engine : Engines) {
     if (Engine->EngineStage == Stage::Prefill ||
         !usable(*Engine, Request, Filter, Now))
@@ -194,12 +216,6 @@
     Option.Cost += WhileDecoding - Option.Prefill.Compute;
     Option.Prefill.Compute = WhileDecoding;
     const Milliseconds Penalty = pausePenalty(Request, *Engine, Now);
-    // Streams of one subject keep to their home among engines of about the same
-    // pace; otherwise all processes would choose the fastest one at a time.
-    const Milliseconds Margin =
-        Penalty > Milliseconds(0)
-            ? Request.LatencyTarget * m_Options.HomeMarginShare
-            : Milliseconds(0);
     const Milliseconds Score =
         Option.score(m_Options.EngineTimeWeight) + Penalty;
     const uint64_t Weight = homeWeight(Subject, Engine->Id);
@@ -250,7 +266,7 @@
   // parts that the engine has decoded are still cached.
   Milliseconds BestScore{0};
   uint64_t BestWeight = 0;
-  const uint64_t Subject = Request.Input.subject();
+  const uint64_t Subject = decodeHomeKey(Request);
   const Milliseconds Margin = Request.LatencyTarget * m_Options.HomeMarginShare;
   for (const Target *Engine : Engines) {
     if (Engine->EngineStage == Stage::Prefill ||
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -330,3 +330,100 @@
   cache("run-2");
   CHECK(!prefillTarget().empty());
 }
+
+// Long streams that allow a pause of 150 ms between two events. The longest
+// pause is 2.5 times the mean interval.
+TEST_GROUP_BASE(PausePenalty, TEST_GROUP_CppUTestGroupPromptPlanner){
+    void setup() override{TEST_GROUP_CppUTestGroupPromptPlanner::setup();
+Request.Service = "s";
+Request.AllowedPause = milliseconds(150);
+Request.GenerationTime = Milliseconds(4000);
+for (int Stream = 0; Stream < 400; ++Stream)
+  Paces.recordPauseRatio("s", 2.5, Now);
+}
+void runs(const std::string &Id, double Interval) {
+  Paces.recordInterval(Id, Milliseconds(Interval), 100, Now);
+}
+/// Number of streams by engine, for \p Count small prompts of different
+/// subjects, each planned with the same view.
+std::map<std::string, unsigned> targets(unsigned Count = 60,
+                                        bool HasSubject = true) {
+  std::map<std::string, unsigned> Result;
+  for (unsigned Subject = 0; Subject < Count; ++Subject) {
+    Request.Input = {200, 1, {{1000 + Subject * 7919, 200}}};
+    if (HasSubject)
+      Request.Input.Parts = {{1000 + Subject * 7919, 100}, {Subject, 100}};
+    const auto Plan = plan();
+    if (const auto *Single = std::get_if<DecodePlan>(&Plan))
+      ++Result[Single->DecodeTarget];
+  }
+  return Result;
+}
+}
+;
+
+// Failure: 254 of 443 long streams were late by a single pause, as the choice
+// of an engine did not depend on its speed.
+TEST(PausePenalty, KeepsLongStreamsAwayFromSlowEngines) {
+  runs("run-1", 70);
+  runs("run-2", 30);
+  LONGS_EQUAL(60, targets()["run-2"]);
+}
+
+// Failure: requests of a few events crowd the fast engines, although they are
+// seldom late by a pause at a slow one.
+TEST(PausePenalty, UsesSlowEnginesForShortRequests) {
+  Request.GenerationTime = Milliseconds(50);
+  runs("run-1", 70);
+  runs("run-2", 30);
+  CHECK(targets()["run-1"] >= 15);
+  CHECK(targets()["run-2"] >= 15);
+}
+
+// Failure: streams go to an engine only because nothing is known of it, and
+// engines that are known to be fast enough stay idle.
+TEST(PausePenalty, TakesUnknownEnginesForFastEnough) {
+  runs("run-1", 25);
+  CHECK(targets()["run-1"] >= 15);
+  CHECK(targets()["run-2"] >= 15);
+}
+
+TEST(PausePenalty, PrefersAnUnknownEngineToASlowOne) {
+  runs("run-1", 70);
+  LONGS_EQUAL(60, targets()["run-2"]);
+}
+
+// Failure: all engines are too slow, and the least slow one gets all streams,
+// or requests are refused.
+TEST(PausePenalty, UsesAllEnginesIfAllAreSlow) {
+  runs("run-1", 95);
+  runs("run-2", 120);
+  const auto Targets = targets();
+  LONGS_EQUAL(2, Targets.size());
+  CHECK(Targets.at("run-1") >= 15);
+  CHECK(Targets.at("run-2") >= 15);
+}
+
+// Failure: 25 gateways know the same intervals, and all of them send their next
+// streams to the one fastest engine before the reports show its load.
+TEST(PausePenalty, SpreadsTheStreamsOfManyGateways) {
+  for (int Engine = 3; Engine <= 6; ++Engine)
+    add("run-" + std::to_string(Engine), Stage::Decode);
+  for (int Engine = 1; Engine <= 6; ++Engine)
+    runs("run-" + std::to_string(Engine), 28 + Engine);
+  const auto Targets = targets(25);
+  CHECK(Targets.size() >= 4);
+  for (const auto &[Id, Streams] : Targets)
+    CHECK(Streams <= 10);
+}
+
+// Failure: prompts that share no part have no subject, so that one engine is
+// the home of all of them and gets the streams of all gateways.
+TEST(PausePenalty, SpreadsTheStreamsOfPromptsWithoutSubject) {
+  for (int Engine = 1; Engine <= 2; ++Engine)
+    runs("run-" + std::to_string(Engine), 28 + Engine);
+  const auto Targets = targets(60, false);
+  LONGS_EQUAL(2, Targets.size());
+  CHECK(Targets.at("run-1") >= 15);
+  CHECK(Targets.at("run-2") >= 15);
+}
