--- a/Libraries/LibDispatch/StageExchange.h
+++ b/Libraries/LibDispatch/StageExchange.h
@@ -67,6 +67,9 @@
                                   const LoadTracker &Loads, BootTime Now);
   /// Records that an order was sent, by the exchange or not.
   void recordOrder(const StageChange &Change);
+  bool hasOrdered(const std::string &EngineId) const {
+    return m_Ordered.contains(EngineId);
+  }
   /// Whether an engine is fast enough that it should not become a prefill
   /// engine during an exchange.
   bool shouldDecode(const EngineSpeeds &Speeds,
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -83,6 +83,10 @@
   /// The engine accepted the order and is unavailable until \p AvailableAt.
   void recordAcceptance(const std::string &TargetId, BootTime AvailableAt);
   bool isUnavailable(const std::string &TargetId, BootTime Now) const;
+  /// Whether the last order to the engine is part of an exchange of stages.
+  bool isExchange(const std::string &TargetId) const {
+    return m_Exchange.hasOrdered(TargetId);
+  }
 
 private:
   struct Pending {
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -10,6 +10,7 @@
 #include "DecisionLog.h"
 #include "OpenTargets.h"
 #include "ServerFeedback.h"
+#include "StreamMetrics.h"
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
@@ -139,6 +140,7 @@
   CrashWatch Crashes{Loop, Log};
   ServerFeedback Feedback{Log};
   metrics::Registry Metrics;
+  StreamMetrics Streams{Metrics};
   TenantMetrics Tenants{Metrics};
   UsageState Usage;
   std::mt19937_64 Random;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -10,6 +10,7 @@
 #include "LibLog/Log.h"
 
 #include <cmath>
+#include <utility>
 
 namespace figlift::gateway {
 
@@ -186,6 +187,17 @@
                  1000;
         },
         Labels);
+    for (const auto &[Engine, Quantile] :
+         {std::pair{"worst", 1.0}, std::pair{"median", 0.5}})
+      Metrics.registerGauge(
+          "figlift_gateway_expected_pause_seconds",
+          "Longest pause that a stream is expected to have at a decode engine",
+          [this, Name = Service.Name, Quantile = Quantile] {
+            return StreamMetrics::expectedPause(Name, m_Shared.Open.all(Name),
+                                                m_Shared.Paces, Quantile,
+                                                BootClock::now());
+          },
+          {{"service", Service.Name}, {"engine", Engine}});
     Metrics.registerGauge(
         "figlift_gateway_engine_start_seconds",
         "Learned: from a run whose prompt was read to its first event",
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -106,6 +106,8 @@
   const bool HasLatePause =
       m_Route.EventGapTarget &&
       m_Progress.longestPause() > Milliseconds(*m_Route.EventGapTarget);
+  if (HasLatePause)
+    m_Shared.Streams.recordLatePause(m_Progress.isLongestOwnDelay());
   const bool IsLate =
       FirstEvent > Milliseconds(m_Route.LatencyTarget) || HasLatePause;
   const bool IsRejected = Outcome == "refused";
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -241,6 +241,8 @@
                  });
   if (!Called)
     return State.Planner.clearOrder(Change.TargetId);
+  if (State.Planner.isExchange(Change.TargetId))
+    m_Shared.Streams.recordExchangeOrder(Service);
   // As soon as it has the order, the engine rejects work that has not started.
   const BootTime BackAt =
       Now + ConfiguredService->Engine->StageSwitch + ListingDelay;
