LibDispatch, figlift-gateway: Extend only accepted changes of a stage

An engine that was ordered to change its stage counted as unavailable until it was listed in it, for up to 19 s, also if the order had no answer. Where the order was lost on its way, the fleet sent nothing to an engine that went on working. Only accepted orders are extended now; others end at the announced time, as before streams were placed by their pauses. The state has a class of its own, EngineSwitches, with tests.

--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -16,6 +16,7 @@
 #include "LibCore/BackgroundWorker.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
+#include "LibDispatch/EngineSwitches.h"
 #include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/LoopDelay.h"
@@ -68,15 +69,6 @@
   std::optional<usage::WindowNumber> OwnSettledThrough;
 };
 
-/// An engine that changes its stage and accepts no work meanwhile.
-struct EngineSwitch {
-  std::string Service;
-  dispatch::Stage DesiredStage = dispatch::Stage::None;
-  BootTime Until{};
-  /// The change has failed if it is not listed by then.
-  BootTime Limit{};
-};
-
 struct Context {
   explicit Context(settings::GatewaySettings Values)
       : Settings(std::move(Values)),
@@ -135,7 +127,7 @@
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
   /// they accept no work.
-  std::map<std::string, EngineSwitch> Switching;
+  dispatch::EngineSwitches Switching;
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
   ServerFeedback Feedback{Log};
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -101,7 +101,7 @@
   const BootTime Now = BootClock::now();
   for (const auto &[Service, Meter] : m_Shared.Demands)
     Report.Demands.push_back({Service, Meter.demand(Now)});
-  for (const auto &[Id, Change] : m_Shared.Switching)
+  for (const auto &[Id, Change] : m_Shared.Switching.all())
     if (Now < Change.Until)
       Report.Unavailable.push_back(
           {Id, std::chrono::duration_cast<milliseconds>(Change.Until - Now)});
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -29,12 +29,6 @@
 /// time, the change has failed.
 constexpr milliseconds ListingSlack{2000};
 
-/// Longer than the longest streams last.
-constexpr milliseconds MaximumDrainTime{15000};
-/// An engine that is not listed in its new stage is taken for unavailable for
-/// this much longer at a time. Longer than a report to the peers takes.
-constexpr milliseconds SwitchingExtension{400};
-
 /// Each gateway before this one adds 2.5 s.
 constexpr std::chrono::seconds MaximumTurnDelay{20};
 /// Time between two plans, for each engine of the service.
@@ -94,18 +88,11 @@
       updateService(Service, Now);
 }
 
-/// A decode engine ends its streams before it changes its stage, which takes
-/// longer than announced. Until it is listed in its new stage it rejects work.
 void StageDirector::updateSwitching(BootTime Now) {
-  std::erase_if(m_Shared.Switching, [&](const auto &Entry) {
-    const dispatch::Target *Engine = m_Shared.Targets.find(Entry.first);
-    return !Engine || Engine->EngineStage == Entry.second.DesiredStage ||
-           Now >= Entry.second.Limit;
-  });
-  for (auto &[Id, Change] : m_Shared.Switching) {
-    if (Now < Change.Until)
-      continue;
-    Change.Until = Now + SwitchingExtension;
+  const auto Extended = m_Shared.Switching.update(
+      [this](const std::string &Id) { return m_Shared.Targets.find(Id); }, Now);
+  for (const std::string &Id : Extended) {
+    const dispatch::EngineSwitch &Change = m_Shared.Switching.all().at(Id);
     m_Shared.Loads.excludeUntil(Id, Change.Until);
     stateOf(Change.Service)
         .Planner.recordAcceptance(Id, Change.Until + ListingSlack);
@@ -246,8 +233,8 @@
   // As soon as it has the order, the engine rejects work that has not started.
   const BootTime BackAt =
       Now + ConfiguredService->Engine->StageSwitch + ListingDelay;
-  m_Shared.Switching[Change.TargetId] = {Service, Change.DesiredStage, BackAt,
-                                         BackAt + MaximumDrainTime};
+  m_Shared.Switching.recordOrder(Change.TargetId, Service, Change.DesiredStage,
+                                 BackAt);
   m_Shared.Loads.excludeUntil(Change.TargetId, BackAt);
 }
 
@@ -264,14 +251,14 @@
     return;
   const auto Reply = slopes::decodeOrderReply(Status);
   if (Reply == slopes::OrderReply::Accepted) {
-    const auto Switching = m_Shared.Switching.find(Change.TargetId);
+    m_Shared.Switching.recordAcceptance(Change.TargetId);
     const BootTime BackAt =
-        Switching == m_Shared.Switching.end() ? Now : Switching->second.Until;
+        m_Shared.Switching.until(Change.TargetId).value_or(Now);
     // The server list may lag, so the order counts as carried out for some
     // time longer.
     return Planner.recordAcceptance(Change.TargetId, BackAt + ListingSlack);
   }
-  m_Shared.Switching.erase(Change.TargetId);
+  m_Shared.Switching.remove(Change.TargetId);
   if (Reply == slopes::OrderReply::AlreadyInStage)
     Planner.clearOrder(Change.TargetId);
   else
