LibDispatch: Bound the size of pace updates and the pause ratio

An update about 760 servers with names of 40 characters exceeded the size of a datagram, so that it was never delivered. Of more than 256 targets, those with the most samples are sent. A reported ratio of the longest to the mean interval below 1 made every engine look fast enough; it counts as 1. Both tests failed before.

--- a/Libraries/LibDispatch/PaceUpdate.cpp
+++ b/Libraries/LibDispatch/PaceUpdate.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 
@@ -21,7 +22,18 @@
 /// Missing for services, and for targets that do not name their start.
 constexpr size_t StartField = 3;
 
-Json encodeSamples(const std::vector<TargetSamples> &Samples) {
+/// Of more targets, those with the most samples are sent: an update of hundreds
+/// of servers with long names would exceed the size of a datagram and never
+/// arrive.
+constexpr size_t MaximumRows = 256;
+
+Json encodeSamples(std::vector<TargetSamples> Samples) {
+  if (Samples.size() > MaximumRows) {
+    std::nth_element(
+        Samples.begin(), Samples.begin() + MaximumRows, Samples.end(),
+        [](const auto &A, const auto &B) { return A.Count > B.Count; });
+    Samples.resize(MaximumRows);
+  }
   Json Encoded = Json::array();
   for (const TargetSamples &Row : Samples) {
     Json Fields = {Row.TargetId, std::llround(Row.Sum * Hundredths),
--- a/Libraries/LibDispatch/PaceUpdate.h
+++ b/Libraries/LibDispatch/PaceUpdate.h
@@ -34,7 +34,7 @@
                const std::function<bool(const TargetSamples &)> &IsCurrentStart,
                const std::function<bool(const std::string &)> &IsService);
 
-/// Encodes as CBOR.
+/// Encodes as CBOR, at most 256 rows of each kind: those with the most samples.
 std::string encodePaceUpdate(const PaceUpdate &Update);
 /// Fails with InvalidInput, also if a number is negative, not finite or larger
 /// than any fleet measures, or if there is no sender.
--- a/Libraries/LibDispatch/StreamPaces.cpp
+++ b/Libraries/LibDispatch/StreamPaces.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/StreamPaces.h"
 
+#include <algorithm>
+
 namespace figlift::dispatch {
 
 void StreamPaces::recordInterval(const std::string &TargetId,
@@ -31,8 +33,9 @@
   const auto Average = m_Ratios.average(Service, Now);
   const FleetAverages::Average Known =
       Average.value_or(FleetAverages::Average{});
-  return (Known.Value * Known.Count + PriorRatio * PriorStreams) /
-         (Known.Count + PriorStreams);
+  // The longest interval is never shorter than the mean.
+  return std::max(1.0, (Known.Value * Known.Count + PriorRatio * PriorStreams) /
+                           (Known.Count + PriorStreams));
 }
 
 std::optional<Milliseconds>
--- a/Tests/LibDispatch/TestStreamPaces.cpp
+++ b/Tests/LibDispatch/TestStreamPaces.cpp
@@ -170,6 +170,32 @@
   LONGS_EQUAL(1, Kept.PauseRatios.size());
 }
 
+// Failure: an update about 760 servers with long names exceeds the size of a
+// datagram, is never delivered, and the peers learn nothing.
+TEST(StreamPaces, SendsAnUpdateOfManyTargetsInOneDatagram) {
+  PaceUpdate Update{"g1", {}, {}, {}};
+  for (int At = 0; At < 760; ++At)
+    Update.Intervals.push_back({std::string(40, 'x') + std::to_string(At),
+                                1e6 + At, 1000.0 + At,
+                                StartTime(milliseconds(1764800000000 + At))});
+  Update.ReadRatios = Update.Intervals;
+  const std::string Bytes = encodePaceUpdate(Update);
+  CHECK(Bytes.size() < 65000);
+  const auto Read = decodePaceUpdate(Bytes);
+  CHECK(Read.has_value());
+  LONGS_EQUAL(256, Read.value().Intervals.size());
+  for (const TargetSamples &Row : Read.value().Intervals)
+    CHECK(Row.Count >= 1000 + 760 - 256);
+}
+
+// Failure: a peer reports that the longest pause is shorter than the mean, and
+// every engine looks fast enough.
+TEST(StreamPaces, ExpectsNoLongestPauseBelowTheMean) {
+  Paces.recordInterval("e", Milliseconds(60), 100, Now);
+  Paces.ratios().recordPeerReport("g2", {{"s", 0, 10000}}, Now);
+  CHECK(Paces.expectedLongestPause("s", "e", Now)->count() >= 60);
+}
+
 // Failure: a single measurement that is not a number makes the average of the
 // target not a number until the target is removed.
 TEST(StreamPaces, IgnoresMeasurementsThatAreNoNumbers) {
