LibDispatch, figlift-gateway: Exchange as many engines as streams need, and move streams

Now as many of the fastest engines decode as the streams need at their pace, by the rate of events, and a resumable stream is resumed elsewhere, once, when its engine changes its stage or is too slow for it.

--- a/Libraries/LibDispatch/EngineSpeeds.cpp
+++ b/Libraries/LibDispatch/EngineSpeeds.cpp
@@ -15,12 +15,20 @@
 EngineSpeeds EngineSpeedEstimator::estimate(
     const std::string &Service, std::span<const Target *const> Engines,
     const StreamPaces &Paces, const FleetAverages &ReadRatios,
-    Milliseconds AllowedPause, BootTime Now) {
+    Milliseconds AllowedPause, unsigned Slots, BootTime Now) {
   std::erase_if(m_Known, [&](const auto &Entry) {
     return std::none_of(Engines.begin(), Engines.end(), [&](const Target *T) {
       return T->Id == Entry.first && T->Started == Entry.second.Started;
     });
   });
+  std::erase_if(m_Decoded, [&](const auto &Entry) {
+    return std::none_of(Engines.begin(), Engines.end(), [&](const Target *T) {
+      return T->Id == Entry.first && T->Started == Entry.second;
+    });
+  });
+  for (const Target *Engine : Engines)
+    if (Engine->EngineStage == Stage::Decode)
+      m_Decoded[Engine->Id] = Engine->Started;
   EngineSpeeds Result;
   Result.Intervals = learnIntervals(Engines, Paces, Now);
   for (const Target *Engine : Engines)
@@ -31,9 +39,40 @@
   if (AllowedPause > Milliseconds(0))
     Result.MaximumInterval = AllowedPause / Paces.pauseRatio(Service, Now);
   Result.ShouldExchange = shouldExchange(Engines, Result);
+  if (Result.ShouldExchange) {
+    const Milliseconds Fastest =
+        std::min_element(
+            Result.Intervals.begin(), Result.Intervals.end(),
+            [](const auto &A, const auto &B) { return A.second < B.second; })
+            ->second;
+    // Streams that would run at the pace of the fastest engine.
+    const double Streams =
+        Paces.eventsPerMillisecond(Engines, Now) * Fastest.count();
+    Result.FastEnginesNeeded = static_cast<size_t>(
+        std::ceil(Streams * StreamRoom / std::max(1U, Slots)));
+  }
   return Result;
 }
 
+std::optional<Milliseconds>
+EngineSpeedEstimator::decodedInterval(const Target &Engine,
+                                      const EngineSpeeds &Speeds) const {
+  if (const auto Found = m_Known.find(Engine.Id);
+      Found != m_Known.end() && Found->second.IsMeasured)
+    return Speeds.Intervals.at(Engine.Id);
+  if (!m_Decoded.contains(Engine.Id))
+    return std::nullopt;
+  Milliseconds Sum{0};
+  unsigned Count = 0;
+  for (const auto &[Id, Entry] : m_Known)
+    if (const auto Measured = Speeds.Intervals.find(Id);
+        Entry.IsMeasured && Measured != Speeds.Intervals.end()) {
+      Sum += Measured->second;
+      ++Count;
+    }
+  return Count > 0 ? std::optional(Sum / Count) : std::nullopt;
+}
+
 std::map<std::string, Milliseconds>
 EngineSpeedEstimator::learnIntervals(std::span<const Target *const> Engines,
                                      const StreamPaces &Paces, BootTime Now) {
@@ -83,9 +122,8 @@
     if (!Average || Average->Count < MinimumReads || Average->Value <= 0)
       continue;
     Ratios[Engine] = Average->Value;
-    if (const auto Found = m_Known.find(Engine->Id);
-        Found != m_Known.end() && Found->second.IsMeasured) {
-      RelationSum += Speeds.Intervals.at(Engine->Id).count() / Average->Value;
+    if (const auto Interval = decodedInterval(*Engine, Speeds)) {
+      RelationSum += Interval->count() / Average->Value;
       ++Related;
     }
   }
--- a/Libraries/LibDispatch/EngineSpeeds.h
+++ b/Libraries/LibDispatch/EngineSpeeds.h
@@ -12,6 +12,7 @@
 #include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/Target.h"
 
+#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -29,6 +30,9 @@
   /// Streams have too long pauses at a decode engine although a prefill engine
   /// is much faster.
   bool ShouldExchange = false;
+  /// How many of the fastest engines the streams of the service need, with some
+  /// room for swings.
+  size_t FastEnginesNeeded = std::numeric_limits<size_t>::max();
 
   /// Relative to the mean of the known engines; 1 if nothing is known.
   double speed(const std::string &EngineId) const;
@@ -45,12 +49,12 @@
 public:
   /// \p ReadRatios: measured over planned time of prefills, by engine.
   /// \p AllowedPause: longest pause between events that streams of the service
-  /// allow; 0 for no bound.
-  EngineSpeeds estimate(const std::string &Service,
-                        std::span<const Target *const> Engines,
-                        const StreamPaces &Paces,
-                        const FleetAverages &ReadRatios,
-                        Milliseconds AllowedPause, BootTime Now);
+  /// allow; 0 for no bound. \p Slots: number of streams that an engine decodes
+  /// concurrently.
+  EngineSpeeds
+  estimate(const std::string &Service, std::span<const Target *const> Engines,
+           const StreamPaces &Paces, const FleetAverages &ReadRatios,
+           Milliseconds AllowedPause, unsigned Slots, BootTime Now);
 
 private:
   /// Updates the load factor and what is known of the engines that decode;
@@ -62,6 +66,11 @@
   void addPrefillEngines(std::span<const Target *const> Engines,
                          const FleetAverages &ReadRatios, BootTime Now,
                          EngineSpeeds &Speeds);
+  /// The interval of an engine that was measured, or else the mean of the
+  /// measured ones for an engine that has decoded: engines without streams are
+  /// preferred for a change to prefill, so they are often not measured.
+  std::optional<Milliseconds> decodedInterval(const Target &Engine,
+                                              const EngineSpeeds &Speeds) const;
   bool shouldExchange(std::span<const Target *const> Engines,
                       const EngineSpeeds &Speeds);
 
@@ -69,6 +78,9 @@
   /// measured: the interval depends on the other work of the engine, too.
   static constexpr double MinimumDifference = 1.25;
   static constexpr double MinimumReads = 5;
+  /// Ratio between the slots of the fast engines and the streams that run there
+  /// on average.
+  static constexpr double StreamRoom = 1.5;
   /// At this share of the allowed pause a part of the streams is late.
   static constexpr double LongPauseShare = 0.8;
 
@@ -84,6 +96,8 @@
     bool IsMeasured = false;
   };
   std::map<std::string, Known> m_Known;
+  /// Starts of the engines that have decoded.
+  std::map<std::string, std::optional<StartTime>> m_Decoded;
   /// Median ratio between the measured and the remembered interval of the
   /// engines that decode.
   double m_LoadFactor = 1;
--- a/Libraries/LibDispatch/StageExchange.cpp
+++ b/Libraries/LibDispatch/StageExchange.cpp
@@ -107,13 +107,20 @@
        DecodeCount > Reserve.Engines && Sum < Capacity * (1 - RoundingShare);)
     Sum += Order[--DecodeCount].Speed;
   const std::span<const Candidate> All(Order);
+  const size_t FastCount = std::min(DecodeCount, Speeds.FastEnginesNeeded);
+  double FutureCapacity = 0;
+  for (const Candidate &Entry : All.subspan(FastCount))
+    if (!Entry.decodes())
+      FutureCapacity += Entry.Speed;
+  const bool IsCapacityMissing =
+      FutureCapacity < Capacity * (1 - RoundingShare);
   const Candidate *Chosen =
-      fastPrefillEngine(All.first(DecodeCount), WorkingPrefill, Capacity);
+      fastPrefillEngine(All.first(FastCount), WorkingPrefill, Capacity);
   const bool DecodeHasRoom =
       WorkingDecode > Reserve.Engines &&
       Reserve.Demand / static_cast<double>(WorkingDecode - 1) <
           Reserve.MaximumUtilization;
-  if (!Chosen && DecodeHasRoom)
+  if (!Chosen && DecodeHasRoom && IsCapacityMissing)
     Chosen = slowDecodeEngine(All.subspan(DecodeCount), Loads, Now);
   if (!Chosen)
     return std::nullopt;
--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -180,7 +180,7 @@
   }
   return m_Exchange.plan(States, Speeds,
                          {reservedDecode(Engines.size()), Demand.Decode,
-                          m_Options.MaximumUtilizationAfterRemoval},
+                          m_Options.MaximumUtilizationInExchange},
                          Loads, Now);
 }
 
--- a/Libraries/LibDispatch/StagePlanner.h
+++ b/Libraries/LibDispatch/StagePlanner.h
@@ -39,6 +39,9 @@
   /// While an order is pending, a further engine changes only if the others of
   /// its stage stay below this utilization.
   double MaximumUtilizationAfterRemoval = 0.6;
+  /// The same for decode engines during an exchange: streams have longer pauses
+  /// in larger batches.
+  double MaximumUtilizationInExchange = 0.4;
   /// The list of engines must have been stable for this long: at a start,
   /// engines register one after the other over some seconds.
   std::chrono::milliseconds StableListTime{1500};
--- a/Libraries/LibDispatch/StreamPaces.cpp
+++ b/Libraries/LibDispatch/StreamPaces.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/StreamPaces.h"
 
+#include <numbers>
+
 #include <algorithm>
 
 namespace figlift::dispatch {
@@ -29,6 +31,16 @@
   return Milliseconds(Average->Value);
 }
 
+double StreamPaces::eventsPerMillisecond(std::span<const Target *const> Engines,
+                                         BootTime Now) const {
+  double Count = 0;
+  for (const Target *Engine : Engines)
+    if (const auto Average = m_Intervals.average(Engine->Id, Now))
+      Count += Average->Count;
+  // A steady rate adds up to the rate times the mean lifetime of a sample.
+  return Count * std::numbers::ln2 / Milliseconds(IntervalHalfLife).count();
+}
+
 double StreamPaces::pauseRatio(const std::string &Service, BootTime Now) const {
   const auto Average = m_Ratios.average(Service, Now);
   const FleetAverages::Average Known =
--- a/Libraries/LibDispatch/StreamPaces.h
+++ b/Libraries/LibDispatch/StreamPaces.h
@@ -15,10 +15,12 @@
 #pragma once
 
 #include "LibDispatch/FleetAverages.h"
+#include "LibDispatch/Target.h"
 #include "LibEngine/EngineModel.h"
 
 #include <chrono>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,9 @@
   std::optional<Milliseconds> expectedLongestPause(const std::string &Service,
                                                    const std::string &TargetId,
                                                    BootTime Now) const;
+  /// Events of streams at all \p Engines.
+  double eventsPerMillisecond(std::span<const Target *const> Engines,
+                              BootTime Now) const;
   double pauseRatio(const std::string &Service, BootTime Now) const;
 
   void removeTarget(const std::string &TargetId) {
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -88,6 +88,14 @@
     return {EngineModels[Service.Name].parameters(Now), *Service.Engine};
   }
 
+  /// Whether the engine ends its work to change its stage.
+  bool isChangingStage(const std::string &TargetId, BootTime Now) const {
+    if (Switching.until(TargetId))
+      return true;
+    const auto Found = PeerSwitching.find(TargetId);
+    return Found != PeerSwitching.end() && Now < Found->second;
+  }
+
   settings::GatewaySettings Settings;
   boost::asio::io_context Loop{1};
   BackgroundWorker Worker{Loop};
@@ -128,6 +136,8 @@
   /// Engines whose stage this gateway is changing, and the time until which
   /// they accept no work.
   dispatch::EngineSwitches Switching;
+  /// Until when engines change their stages, as reported by peers.
+  std::map<std::string, BootTime> PeerSwitching;
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
   ServerFeedback Feedback{Log};
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -194,6 +194,7 @@
 void Gateway::targetRemoved(const std::string &Id) {
   log::logEvent(log::Level::Info, "target-gone", {{"target", Id}});
   m_Shared.Switching.remove(Id);
+  m_Shared.PeerSwitching.erase(Id);
   m_Shared.Crashes.targetRemoved(Id);
   m_Shared.Limits.removeTarget(Id);
   if (const auto Pool = m_Shared.Pools.find(Id); Pool != m_Shared.Pools.end()) {
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -328,8 +328,11 @@
   for (const dispatch::LimitUpdate &Limit : Report.Limits)
     if (m_Shared.Targets.find(Limit.Server.TargetId))
       m_Shared.Limits.applyUpdate(Limit, Now);
-  for (const dispatch::UnavailableTarget &Switching : Report.Unavailable)
+  for (const dispatch::UnavailableTarget &Switching : Report.Unavailable) {
     m_Shared.Loads.excludeUntil(Switching.TargetId, Now + Switching.Remaining);
+    if (m_Shared.Targets.find(Switching.TargetId))
+      m_Shared.PeerSwitching[Switching.TargetId] = Now + Switching.Remaining;
+  }
   for (const dispatch::CachedPart &Entry : Report.Cached)
     if (!m_Shared.Targets.find(Entry.TargetId))
       continue;
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -56,6 +56,7 @@
   }
   learnPace();
   forwardEvents(Events);
+  moveIfBetter();
 }
 
 void RequestFlow::forwardEvents(const std::string &Events) {
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -71,6 +71,13 @@
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
+  /// \name Moves of running streams.
+  /// @{
+  void moveIfBetter();
+  bool isTooSlowFor(const std::string &TargetId, BootTime Now) const;
+  std::optional<dispatch::DecodePlan>
+  moveDestination(const std::string &Source, bool IsChanging, BootTime Now);
+  /// @}
   std::chrono::milliseconds retryAfterBackoff(std::chrono::milliseconds Planned,
                                               BootTime Now);
   void planPrompt(const dispatch::Service &Service);
@@ -276,6 +283,8 @@
   ResultCode m_Code = ResultCode::Success;
   /// Window in which the latest attempt was counted as executed.
   std::optional<usage::WindowNumber> m_UsageWindow;
+  /// The stream was moved to another engine; it is not moved again.
+  bool m_Moved = false;
   bool m_Done = false;
   /// All events of this request are logged, even if it proceeds as planned.
   bool m_Traced = false;
--- a/Services/figlift-gateway/StageDirector.cpp
+++ b/Services/figlift-gateway/StageDirector.cpp
@@ -129,9 +129,9 @@
     return;
   const OpenTargets::List &Engines = m_Shared.Open.all(Service.Name);
   State.NextPlan = Now + PlanTimePerEngine * Engines.size();
-  dispatch::EngineSpeeds Speeds =
-      State.Speeds.estimate(Service.Name, Engines, m_Shared.Paces,
-                            m_Shared.ReadRatios, Service.ShortestEventGap, Now);
+  dispatch::EngineSpeeds Speeds = State.Speeds.estimate(
+      Service.Name, Engines, m_Shared.Paces, m_Shared.ReadRatios,
+      Service.ShortestEventGap, Service.Engine->Slots, Now);
   State.Demand.observe(fleetDemand(Service.Name, Now), Now);
   const dispatch::EngineDemand Demand = State.Demand.demand();
   const auto Change = State.Planner.plan(
--- a/Tests/LibDispatch/TestEngineSpeeds.cpp
+++ b/Tests/LibDispatch/TestEngineSpeeds.cpp
@@ -45,7 +45,7 @@
   }
   EngineSpeeds estimate() {
     Paces.recordPauseRatio("s", 2.2, Now);
-    return Estimator.estimate("s", Engines, Paces, ReadRatios, AllowedPause,
+    return Estimator.estimate("s", Engines, Paces, ReadRatios, AllowedPause, 8,
                               Now);
   }
   double interval(size_t At) {
