Tests/FleetModel: Long streams on engines of two speeds

The model now carries decode engines of two speeds with slow periods, the events of long responses, and the exchange of intervals.

--- a/Tests/FleetModel/FleetModel.cpp
+++ b/Tests/FleetModel/FleetModel.cpp
@@ -32,6 +32,16 @@
 /// Time between the two events of a short response; six in ten have a second.
 constexpr Milliseconds SecondEventGap{85};
 constexpr double SecondEventFraction = 0.6;
+/// Events of a long response. At an interval of 70 ms they take
+/// LongResponseTime.
+constexpr unsigned LongResponseEvents = 50;
+/// An engine is slower by this factor in a part of each period.
+constexpr double SlowFactor = 2.5;
+constexpr Milliseconds SlowTime{300};
+constexpr Milliseconds SlowPeriod{2000};
+/// The gateways report intervals between events this often.
+constexpr Milliseconds PaceInterval{500};
+constexpr const char *ServiceName = "s";
 constexpr unsigned SubjectCount = 4158;
 
 BootClock::duration toClockDuration(Milliseconds Time) {
@@ -69,6 +79,12 @@
     const unsigned StageCount = I < m_Options.PrefillEngines
                                     ? m_Options.PrefillEngines
                                     : m_Options.DecodeEngines;
+    if (m_Options.SlowInterval > Milliseconds(0)) {
+      NewEngine.Interval =
+          OfStage % 2 == 0 ? m_Options.FastInterval : m_Options.SlowInterval;
+      NewEngine.SlowFrom =
+          m_Start - toClockDuration(SlowPeriod * randomFraction());
+    }
     NewEngine.RejectsForATime = OfStage < m_Options.RejectingShare * StageCount;
   }
   for (const auto &[Id, Known] : m_Engines)
@@ -79,6 +95,8 @@
       m_Gateways[I]->Loads.targetAdded(*Known, m_Traits.KvCapacityTokens);
     after(Milliseconds(m_Options.ReportInterval) * randomFraction(),
           [this, I] { report(I); });
+    if (m_Options.SlowInterval > Milliseconds(0))
+      after(PaceInterval * randomFraction(), [this, I] { reportPaces(I); });
   }
 }
 
@@ -121,6 +139,11 @@
       randomFraction() < SecondEventFraction ? SecondEventGap : Milliseconds(0);
   if (NewCall->Details.Input.Tokens < 1000)
     NewCall->Generation = LongResponseTime;
+  if (NewCall->Generation == LongResponseTime &&
+      m_Options.SlowInterval > Milliseconds(0) && m_Options.PlacesByPauses) {
+    NewCall->Details.Service = ServiceName;
+    NewCall->Details.AllowedPause = m_Options.AllowedPause;
+  }
   NewCall->Arrived = m_Now;
   receive(NewCall);
   after(Milliseconds(-std::log(1 - randomFraction()) * 1e3 /
@@ -348,20 +371,74 @@
     gateway(Call).Loads.recordAnswer(Host.Info.Id, Call->Ticket, m_Now);
     recordFirstEvent(Call, HasPrefilled);
   });
-  after(First + Call->Generation, [this, Call, &Host] {
-    for (const PromptPart &Part : Call->Details.Input.Parts)
-      Host.Cache.insert(Part);
-    --Host.Admitted;
-    --Host.Decoding;
-    after(NetworkDelay, [this, Call, &Host] { finishDecode(Call, Host); });
-    if (Host.Queue.empty())
+  if (Host.Interval > Milliseconds(0) && Call->Generation == LongResponseTime)
+    return after(First, [this, Call, &Host] {
+      streamEvent(Call, Host, LongResponseEvents);
+    });
+  after(First + Call->Generation,
+        [this, Call, &Host] { endDecode(Call, Host); });
+}
+
+void FleetModel::endDecode(const RequestPointer &Call, Engine &Host) {
+  for (const PromptPart &Part : Call->Details.Input.Parts)
+    Host.Cache.insert(Part);
+  --Host.Admitted;
+  --Host.Decoding;
+  after(NetworkDelay, [this, Call, &Host] { finishDecode(Call, Host); });
+  if (Host.Queue.empty())
+    return;
+  const Action NextStart = std::move(Host.Queue.front());
+  Host.Queue.pop();
+  NextStart();
+}
+
+Milliseconds FleetModel::nextInterval(const Engine &Host) const {
+  const Milliseconds Phase(
+      std::fmod(Milliseconds(m_Now - Host.SlowFrom) / SlowPeriod, 1) *
+      SlowPeriod);
+  return Host.Interval * (Phase < SlowTime ? SlowFactor : 1);
+}
+
+void FleetModel::streamEvent(const RequestPointer &Call, Engine &Host,
+                             unsigned Remaining) {
+  StreamPaces &Paces = gateway(Call).Paces;
+  if (Remaining == 0) {
+    endDecode(Call, Host);
+    Paces.recordPauseRatio(ServiceName,
+                           Call->LongestPause /
+                               (Call->PauseSum / double(LongResponseEvents)),
+                           m_Now);
+    if (Call->Arrived < m_Start + std::chrono::seconds(3))
       return;
-    const Action NextStart = std::move(Host.Queue.front());
-    Host.Queue.pop();
-    NextStart();
+    ++m_Result.Streams;
+    ++m_Result.StreamsByEngine[Host.Info.Id];
+    if (Call->LongestPause <= Milliseconds(m_Options.AllowedPause))
+      ++m_Result.StreamsWithoutLongPause;
+    return;
+  }
+  const Milliseconds Pause = nextInterval(Host);
+  after(Pause, [this, Call, &Host, Remaining, Pause] {
+    gateway(Call).Paces.recordInterval(Host.Info.Id, Pause, 1, m_Now);
+    Call->LongestPause = std::max(Call->LongestPause, Pause);
+    Call->PauseSum += Pause;
+    streamEvent(Call, Host, Remaining - 1);
   });
 }
 
+void FleetModel::reportPaces(unsigned SenderIndex) {
+  StreamPaces &Sender = m_Gateways[SenderIndex]->Paces;
+  const auto Intervals = Sender.intervals().localSamples(m_Now);
+  const auto Ratios = Sender.ratios().localSamples(m_Now);
+  const std::string Name = std::to_string(SenderIndex);
+  for (unsigned I = 0; I < m_Options.Gateways; ++I)
+    if (I != SenderIndex) {
+      StreamPaces &Receiver = m_Gateways[I]->Paces;
+      Receiver.intervals().recordPeerReport(Name, Intervals, m_Now);
+      Receiver.ratios().recordPeerReport(Name, Ratios, m_Now);
+    }
+  after(PaceInterval, [this, SenderIndex] { reportPaces(SenderIndex); });
+}
+
 void FleetModel::recordFirstEvent(const RequestPointer &Call,
                                   bool HasPrefilled) {
   Gateway &Planning = gateway(Call);
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -55,6 +55,14 @@
   /// Gateways keep to the pauses, as opposed to only excluding the engine for
   /// a short time.
   bool KeepsPauses = true;
+  /// Time between two events of a long response at a fast and at a slow decode
+  /// engine; every second one is slow. With 0 the events are not modeled.
+  Milliseconds FastInterval{0};
+  Milliseconds SlowInterval{0};
+  /// Longest pause between events for which a long response is on time.
+  std::chrono::milliseconds AllowedPause{150};
+  /// Gateways place long responses by the pauses of the engines.
+  bool PlacesByPauses = true;
   unsigned Seed = 1;
 };
 
@@ -71,6 +79,12 @@
   /// Most requests that one gateway sent to one engine from half a second after
   /// the engine asked for a pause until the end of the pause.
   unsigned MostRequestsDuringPause = 0;
+  /// Long responses that ended after the first three seconds, when the
+  /// intervals are known, and those of them without too long a pause.
+  unsigned Streams = 0;
+  unsigned StreamsWithoutLongPause = 0;
+  /// These streams by engine.
+  std::map<std::string, unsigned> StreamsByEngine;
   /// Responses on time by second of their first event.
   std::vector<unsigned> OnTimeBySecond;
   /// Responses on time per second, for requests that arrived after the first
@@ -104,6 +118,10 @@
     unsigned Admitted = 0;
     unsigned Decoding = 0;
     bool RejectsForATime = false;
+    /// 0 without a model of the events.
+    Milliseconds Interval{0};
+    /// Begin of its first slow period.
+    BootTime SlowFrom{};
     std::queue<Action> Queue;
   };
   struct Gateway {
@@ -142,6 +160,8 @@
     BootTime PlannedAt{};
     Milliseconds ExpectedFirst{0};
     Milliseconds Generation{0};
+    Milliseconds LongestPause{0};
+    Milliseconds PauseSum{0};
   };
 
   void after(Milliseconds Delay, Action Run);
@@ -166,6 +186,13 @@
   void startDecode(const RequestPointer &Call, const DecodePlan &Plan,
                    bool HasPrefilled);
   void recordFirstEvent(const RequestPointer &Call, bool HasPrefilled);
+  /// The next event of a long response, \p Remaining of which are to come.
+  void streamEvent(const RequestPointer &Call, Engine &Host,
+                   unsigned Remaining);
+  /// Time until the next event, longer in a slow period of the engine.
+  Milliseconds nextInterval(const Engine &Host) const;
+  void endDecode(const RequestPointer &Call, Engine &Host);
+  void reportPaces(unsigned SenderIndex);
   void finishDecode(const RequestPointer &Call, Engine &Host);
   void handleEngineRejection(const RequestPointer &Call, Engine &Host);
   void recordCached(const RequestPointer &Call, Engine &Host);
