LibDispatch, figlift-gateway: Learn start lags by service and route

Cause: The start lag was one figure for each service, up to 0.6 of the latency target of the request measured last.

Change: StartLags keeps a StartLag for each service and route. Not for each priority: a tenant's priority overrides that of the route, so requests of one priority may have different targets. The gauge of a service shows the largest of its routes.

--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -41,8 +41,8 @@
   Milliseconds LatencyTarget{0};
   /// Shortest pause between events that any stream of the service allows.
   Milliseconds EventGap{200};
-  /// Current start lag of the service: how much later than planned its answers
-  /// begin.
+  /// Current start lag of the service and route: how much later than planned
+  /// their answers begin.
   Milliseconds ExpectedStartLag{0};
   /// Whether a prompt that waits at every prefill engine may be prefilled at a
   /// decode engine; see PrefillSpill.h.
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -24,7 +24,7 @@
 #include "LibDispatch/RetryRules.h"
 #include "LibDispatch/ServerLimits.h"
 #include "LibDispatch/ServicePlanner.h"
-#include "LibDispatch/StartLag.h"
+#include "LibDispatch/StartLags.h"
 #include "LibDispatch/StreamOrigins.h"
 #include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/StreamTimes.h"
@@ -115,8 +115,8 @@
   std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
   /// Learned cost model of the engines, by service.
   std::map<std::string, engine::EngineModel> EngineModels;
-  /// Scheduling delay of first events, by engine service.
-  std::map<std::string, dispatch::StartLag> StartLags;
+  /// Scheduling delay of first events, by engine service and route.
+  dispatch::StartLags StartLags;
   /// By engine service.
   std::map<std::string, dispatch::KvReuse> KvReuses;
   /// By engine service.
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -178,9 +178,10 @@
         Labels);
     Metrics.registerGauge(
         "figlift_gateway_start_lag_seconds",
-        "Lateness of first events that plans allow for",
+        "Lateness of first events that plans allow for; the largest of the "
+        "service's routes",
         [this, Name = Service.Name] {
-          return m_Shared.StartLags[Name].current(BootClock::now()).count() /
+          return m_Shared.StartLags.largest(Name, BootClock::now()).count() /
                  1000;
         },
         Labels);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -131,7 +131,7 @@
     recordDemand(m_Shared.costsOf(Service, Now), usableTargets(), Now);
   const auto Plan = promptPlan(Service, Now);
   m_PlannedAt = Now;
-  m_PlannedLag = m_Shared.StartLags[m_Service].current(Now);
+  m_PlannedLag = m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
   if (const auto *Read = std::get_if<dispatch::PrefillThenDecode>(&Plan)) {
     m_PlannedFirst = Read->FirstEvent;
     return startPrefill(*Read);
@@ -451,7 +451,8 @@
 void RequestFlow::handleFailedSend(const SendOutcome &End, ServerSend &Send) {
   const BootTime Now = BootClock::now();
   if (std::holds_alternative<dispatch::Rejected>(End) && engineService())
-    m_Shared.StartLags[m_Service].recordRejection(m_Route.LatencyTarget, Now);
+    m_Shared.StartLags.of(m_Service, m_Route.Name)
+        .recordRejection(m_Route.LatencyTarget, Now);
   if (mayReuseHandle(End, Now) && decodeElsewhere(Send, Now))
     return;
   const auto Next = nextStep(End, Send);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -238,8 +238,8 @@
   dispatch::StreamProgress m_Progress;
   std::optional<BootTime> m_FirstEvent;
   dispatch::Milliseconds m_PlannedFirst{0};
-  /// Scheduling delay of the service that was added to the plan, and when the
-  /// plan was made.
+  /// Start lag of the service and route that was added to the plan, and when
+  /// the plan was made.
   dispatch::Milliseconds m_PlannedLag{0};
   BootTime m_PlannedAt{};
   /// Set only for a request that arrived while the process was stopping, for
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -142,8 +142,8 @@
   const BootTime Now = BootClock::now();
   if (!engineService() || m_PlannedAt == BootTime{} || !engineCostsKnown(Now))
     return;
-  m_Shared.StartLags[m_Service].observe(m_PlannedFirst, Now - m_PlannedAt,
-                                        m_Route.LatencyTarget, Now);
+  m_Shared.StartLags.of(m_Service, m_Route.Name)
+      .observe(m_PlannedFirst, Now - m_PlannedAt, m_Route.LatencyTarget, Now);
 }
 
 void RequestFlow::learnSpill() {
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -93,7 +93,8 @@
   Request.TimeLeft = timeLeft(Now);
   if (const auto *Service = m_Configuration->service(m_Service))
     Request.EventGap = Service->ShortestEventGap;
-  Request.ExpectedStartLag = m_Shared.StartLags[m_Service].current(Now);
+  Request.ExpectedStartLag =
+      m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
   Request.MaySpill =
       m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
   Request.Excluded = excluded(Now);
