LibDispatch, figlift-gateway: Send scheduling priorities to engines

Cause: Engines scheduled all requests alike, as no gateway sent X-Request-Priority.

Configuration::finalize() computes the priorities once per version.

--- a/Libraries/LibDispatch/Configuration.cpp
+++ b/Libraries/LibDispatch/Configuration.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace figlift::dispatch {
@@ -51,6 +53,7 @@
 
 void Configuration::finalize() {
   updateEventGaps();
+  updatePromptRoutes();
   m_ByPrefix.resize(Routes.size());
   std::iota(m_ByPrefix.begin(), m_ByPrefix.end(), 0U);
   std::stable_sort(m_ByPrefix.begin(), m_ByPrefix.end(),
@@ -74,6 +77,40 @@
   }
 }
 
+void Configuration::updatePromptRoutes() {
+  std::set<unsigned> OfTenants;
+  bool RoutesDecideForTenants = true;
+  if (Tenants) {
+    RoutesDecideForTenants = false;
+    for (const tenant::Tenant &Holder : Tenants->tenants())
+      if (Holder.Priority)
+        OfTenants.insert(*Holder.Priority);
+      else
+        RoutesDecideForTenants = true;
+  }
+  std::unordered_map<std::string_view, std::set<unsigned>> Priorities;
+  std::unordered_map<std::string_view, std::vector<uint32_t>> Streams;
+  for (uint32_t Index = 0; Index < Routes.size(); ++Index) {
+    const Route &Entry = Routes[Index];
+    if (!Entry.CarriesPrompts)
+      continue;
+    for (const WeightedService &Weighted : Entry.Services) {
+      std::set<unsigned> &OfService = Priorities[Weighted.Service];
+      if (Entry.Access == tenant::Access::Public || RoutesDecideForTenants)
+        OfService.insert(Entry.Priority);
+      if (Entry.Access == tenant::Access::Tenants)
+        OfService.insert(OfTenants.begin(), OfTenants.end());
+      if (Entry.Kind == RouteKind::Streaming)
+        Streams[Weighted.Service].push_back(Index);
+    }
+  }
+  for (Service &Candidate : Services) {
+    const std::set<unsigned> &OfService = Priorities[Candidate.Name];
+    Candidate.PromptPriorities.assign(OfService.begin(), OfService.end());
+    Candidate.PromptStreams = std::move(Streams[Candidate.Name]);
+  }
+}
+
 const std::string &pickService(const Route &Entry, double Draw) {
   double Total = 0;
   for (const WeightedService &Weighted : Entry.Services)
--- a/Libraries/LibDispatch/Configuration.h
+++ b/Libraries/LibDispatch/Configuration.h
@@ -98,6 +98,12 @@
   /// The shortest EventGapTarget of the routes to this service, or
   /// DefaultEventGap if none has one.
   std::chrono::milliseconds ShortestEventGap = DefaultEventGap;
+  /// Distinct priorities that requests with prompts to this service may have,
+  /// ascending: those of its routes and of the tenants that may use them.
+  std::vector<unsigned> PromptPriorities;
+  /// Indices into Configuration::Routes of the streaming routes with prompts to
+  /// this service.
+  std::vector<uint32_t> PromptStreams;
 };
 
 struct CallerBounds {
@@ -126,6 +132,7 @@
 
 private:
   void updateEventGaps();
+  void updatePromptRoutes();
 
   /// Indices into Routes, ordered by host and prefix; equal routes keep their
   /// order.
--- a/Libraries/LibDispatch/StreamTimes.cpp
+++ b/Libraries/LibDispatch/StreamTimes.cpp
@@ -47,4 +47,8 @@
   return Current.Running / (Current.Ended + 1);
 }
 
+bool StreamTimes::measured(BootTime Now) const {
+  return sumsAt(Now).Ended >= MinimumEnded;
+}
+
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/StreamTimes.h
+++ b/Libraries/LibDispatch/StreamTimes.h
@@ -28,11 +28,17 @@
   void recordEnd(BootTime Now);
   /// 0 before the first stream.
   engine::Milliseconds mean(BootTime Now) const;
+  /// Whether enough streams have ended recently to call others long beside
+  /// them.
+  bool measured(BootTime Now) const;
 
 private:
   /// Several times the duration of the longest streams.
   static constexpr std::chrono::seconds TimeConstant{20};
 
+  /// The mean is at least four fifths of the actual value then.
+  static constexpr double MinimumEnded = 4;
+
   struct Sums {
     engine::Milliseconds Running{0};
     double Ended = 0;
--- a/Libraries/LibTenant/TenantTable.h
+++ b/Libraries/LibTenant/TenantTable.h
@@ -41,6 +41,7 @@
   /// The tenant that holds \p Key, or null.
   const Tenant *find(std::string_view Key) const;
 
+  const std::vector<Tenant> &tenants() const { return m_Tenants; }
   size_t tenantCount() const { return m_Tenants.size(); }
   size_t keyCount() const { return m_Keys.size(); }
 
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -15,6 +15,7 @@
 #include "LibCore/BackgroundWorker.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
+#include "LibDispatch/EnginePriorities.h"
 #include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/PeerReport.h"
@@ -127,6 +128,7 @@
   std::map<std::string, dispatch::DemandMeter> Demands;
   /// By route.
   std::map<std::string, dispatch::StreamTimes> StreamTimes;
+  dispatch::EnginePriorities Priorities{StreamTimes};
   /// Demand that the other gateways reported, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -214,6 +214,7 @@
   if (Purpose == SendPurpose::Execute)
     Fields.Source = m_Handle;
   Fields.Tenant = m_Tenant;
+  Fields.EnginePriority = enginePriority(Now);
   if (const dispatch::Target *Source = m_Shared.Targets.find(FetchFrom))
     Fields.FetchFrom = Source->Address.toString();
   if (const auto LastEvent = m_Relay.lastEvent();
@@ -236,7 +237,7 @@
           Work)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
-    logSent(TargetId, FetchFrom, Purpose, Expected);
+    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     m_UsageWindow.reset();
     if (Purpose == SendPurpose::Execute) {
       ++m_Executions;
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -76,6 +76,7 @@
   void planPrompt(const dispatch::Service &Service);
   void planService();
   dispatch::Milliseconds generationTime() const;
+  std::optional<unsigned> enginePriority(BootTime Now) const;
   void recordDemand(const dispatch::EngineCosts &Costs,
                     std::span<const dispatch::Target *const> Open,
                     BootTime Now);
@@ -161,7 +162,8 @@
   /// Empty if the target is not listed.
   std::string softwareVersionOf(const std::string &TargetId) const;
   void logSent(const std::string &TargetId, const std::string &FetchFrom,
-               SendPurpose Purpose, dispatch::Milliseconds Expected);
+               SendPurpose Purpose, const slopes::SendFields &Fields,
+               dispatch::Milliseconds Expected);
   void armSilenceTimeout(BootClock::duration Timeout);
   void waitForSilence();
   void sendOverdue();
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -51,6 +51,7 @@
 
 void RequestFlow::logSent(const std::string &TargetId,
                           const std::string &FetchFrom, SendPurpose Purpose,
+                          const slopes::SendFields &Fields,
                           Milliseconds Expected) {
   const BootTime Now = BootClock::now();
   // A request with a prefill and an execution is sent twice; any further
@@ -64,6 +65,9 @@
        {"softwareVersion", softwareVersionOf(TargetId)},
        {"purpose", Purpose == SendPurpose::Execute ? "run" : "read-prompt"},
        {"fetchFrom", FetchFrom},
+       {"enginePriority", Fields.EnginePriority
+                              ? std::to_string(*Fields.EnginePriority)
+                              : std::string()},
        {"plannedMs", Expected},
        {"timeLeftMs", timeLeft(Now)},
        {"sends", m_Sends},
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -102,6 +102,15 @@
   return Request;
 }
 
+/// Priority at the engines of the service; empty if it is not sent.
+std::optional<unsigned> RequestFlow::enginePriority(BootTime Now) const {
+  const dispatch::Service *Service = engineService();
+  if (!Service)
+    return std::nullopt;
+  return m_Shared.Priorities.of(*m_Configuration, *Service, m_Route,
+                                m_Route.Priority, Now);
+}
+
 Milliseconds RequestFlow::generationTime() const {
   const auto Times = m_Shared.StreamTimes.find(m_Route.Name);
   return Times == m_Shared.StreamTimes.end()
