LibDispatch, figlift-gateway: Plan behind work that is as urgent or more

Cause: Plans counted all work at an engine as if it were ahead of a request. Engines admit urgent requests before less urgent work, so urgent ones were rejected for work that would run after them.

Change: Work, PeerLoad and the sums of the load tracker carry items and prefill cost by scheduling priority. A report has them at the end of a row, only for targets whose work was sent with priorities; rows without them (earlier program versions, or other services) count as priority 5, which engines assume. The slot wait, the prefill backlog and the expected decodes of a request count the work up to its priority. Queries take the same time for any number of peers, as before.

Result: TestLoadTracker, TestPeerReport and TestPromptPlanner pass, also for a lost report and a report without priorities.

--- a/Libraries/LibDispatch/EnginePriorities.h
+++ b/Libraries/LibDispatch/EnginePriorities.h
@@ -13,6 +13,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibDispatch/Configuration.h"
+#include "LibDispatch/EnginePriority.h"
 #include "LibDispatch/StreamTimes.h"
 
 #include <chrono>
@@ -23,9 +24,6 @@
 
 namespace figlift::dispatch {
 
-/// The least urgent priority at an engine; the most urgent one is 0.
-inline constexpr unsigned LeastUrgentPriority = 9;
-
 class EnginePriorities {
 public:
   /// By route.
--- a/Libraries/LibDispatch/LoadTracker.cpp
+++ b/Libraries/LibDispatch/LoadTracker.cpp
@@ -23,6 +23,11 @@
                   Maximum);
 }
 
+unsigned priorityOf(const Work &Item) {
+  return std::min(Item.EnginePriority.value_or(DefaultEnginePriority),
+                  LeastUrgentPriority);
+}
+
 } // namespace
 
 LoadTracker::LoadTracker(LoadTrackerOptions Options)
@@ -159,15 +164,29 @@
   const auto Micros = [](Milliseconds Time) {
     return std::llround(Time.count() * 1e3);
   };
-  return {Micros(Load.Cost), Micros(Load.PrefillCost), Load.Items,
-          std::llround(Load.CompletionRate * 1e6)};
+  Sum Result;
+  Result.CostMicros = Micros(Load.Cost);
+  Result.CompletionsPerMillionMs = std::llround(Load.CompletionRate * 1e6);
+  if (Load.ByPriority.empty()) {
+    Result.PrefillMicros[DefaultEnginePriority] = Micros(Load.PrefillCost);
+    Result.Items[DefaultEnginePriority] = Load.Items;
+  }
+  for (const PriorityLoad &Part : Load.ByPriority) {
+    // A peer of a later version may know further priorities.
+    const unsigned Priority = std::min(Part.Priority, LeastUrgentPriority);
+    Result.PrefillMicros[Priority] += Micros(Part.PrefillCost);
+    Result.Items[Priority] += Part.Items;
+  }
+  return Result;
 }
 
 void LoadTracker::Sum::add(const Sum &Other, int64_t Sign) {
   CostMicros += Sign * Other.CostMicros;
-  PrefillMicros += Sign * Other.PrefillMicros;
-  Items += Sign * Other.Items;
   CompletionsPerMillionMs += Sign * Other.CompletionsPerMillionMs;
+  for (unsigned Priority = 0; Priority <= LeastUrgentPriority; ++Priority) {
+    PrefillMicros[Priority] += Sign * Other.PrefillMicros[Priority];
+    Items[Priority] += Sign * Other.Items[Priority];
+  }
 }
 
 void LoadTracker::addToSums(const PeerView &View, int64_t Sign) const {
@@ -215,37 +234,65 @@
 std::vector<PeerLoad> LoadTracker::localLoads() const {
   std::vector<PeerLoad> Loads;
   for (const auto &[Id, State] : m_Entries)
-    if (!State.LocalWork.empty())
-      Loads.push_back(localLoad(Id, State));
+    if (!State.LocalWork.empty()) {
+      Loads.push_back(localLoad(Id, State, LeastUrgentPriority));
+      Loads.back().ByPriority = localByPriority(State);
+    }
   return Loads;
 }
 
-PeerLoad LoadTracker::localLoad(const std::string &Id, const Entry &State) {
+std::vector<PriorityLoad> LoadTracker::localByPriority(const Entry &State) {
+  std::array<PriorityLoad, LeastUrgentPriority + 1> Parts;
+  bool IsAnySet = false;
+  for (const auto &[Ticket, Item] : State.LocalWork) {
+    IsAnySet = IsAnySet || Item.EnginePriority;
+    PriorityLoad &Part = Parts[priorityOf(Item)];
+    ++Part.Items;
+    Part.PrefillCost += Item.PrefillCost;
+  }
+  std::vector<PriorityLoad> Result;
+  for (unsigned Priority = 0; IsAnySet && Priority < Parts.size(); ++Priority) {
+    Parts[Priority].Priority = Priority;
+    if (Parts[Priority].Items > 0)
+      Result.push_back(Parts[Priority]);
+  }
+  return Result;
+}
+
+PeerLoad LoadTracker::localLoad(const std::string &Id, const Entry &State,
+                                unsigned LeastUrgent) {
   // No work takes less time. Also keeps the completion rate finite.
   constexpr Milliseconds MinimumCost{1};
   PeerLoad Load;
   Load.TargetId = Id;
-  Load.Items = static_cast<uint32_t>(State.LocalWork.size());
   for (const auto &[Ticket, Item] : State.LocalWork) {
     Load.Cost += Item.Cost;
-    Load.PrefillCost += Item.PrefillCost;
     Load.CompletionRate += 1 / std::max(MinimumCost, Item.Cost).count();
+    if (priorityOf(Item) > LeastUrgent)
+      continue;
+    ++Load.Items;
+    Load.PrefillCost += Item.PrefillCost;
   }
   return Load;
 }
 
-PeerLoad LoadTracker::total(const std::string &TargetId, BootTime Now) const {
+PeerLoad LoadTracker::total(const std::string &TargetId, BootTime Now,
+                            unsigned LeastUrgent) const {
   expireSilentPeers(Now);
   PeerLoad Total;
   if (const Entry *State = find(TargetId))
-    Total = localLoad(TargetId, *State);
+    Total = localLoad(TargetId, *State, LeastUrgent);
   const auto Peers = m_PeerSums.find(TargetId);
   if (Peers == m_PeerSums.end())
     return Total;
   const Sum &PeerSum = Peers->second;
   Total.Cost += std::chrono::microseconds(PeerSum.CostMicros);
-  Total.PrefillCost += std::chrono::microseconds(PeerSum.PrefillMicros);
-  Total.Items += static_cast<uint32_t>(PeerSum.Items);
+  for (unsigned Priority = 0;
+       Priority <= std::min(LeastUrgent, LeastUrgentPriority); ++Priority) {
+    Total.PrefillCost +=
+        std::chrono::microseconds(PeerSum.PrefillMicros[Priority]);
+    Total.Items += static_cast<uint32_t>(PeerSum.Items[Priority]);
+  }
   Total.CompletionRate +=
       static_cast<double>(PeerSum.CompletionsPerMillionMs) / 1e6;
   return Total;
@@ -257,12 +304,14 @@
 }
 
 Milliseconds LoadTracker::prefillBacklog(const std::string &TargetId,
-                                         BootTime Now) const {
-  return total(TargetId, Now).PrefillCost;
+                                         BootTime Now,
+                                         unsigned LeastUrgent) const {
+  return total(TargetId, Now, LeastUrgent).PrefillCost;
 }
 
-double LoadTracker::items(const std::string &TargetId, BootTime Now) const {
-  return total(TargetId, Now).Items;
+double LoadTracker::items(const std::string &TargetId, BootTime Now,
+                          unsigned LeastUrgent) const {
+  return total(TargetId, Now, LeastUrgent).Items;
 }
 
 double LoadTracker::completionRate(const std::string &TargetId,
--- a/Libraries/LibDispatch/LoadTracker.h
+++ b/Libraries/LibDispatch/LoadTracker.h
@@ -10,13 +10,16 @@
 #pragma once
 
 #include "LibCore/Clock.h"
+#include "LibDispatch/EnginePriority.h"
 #include "LibDispatch/KvCacheView.h"
 #include "LibDispatch/Target.h"
 #include "LibEngine/EngineModel.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -37,6 +40,16 @@
   /// other, so until the first answer this delays the items behind it.
   Milliseconds PrefillCost{0};
   BootTime SentAt{};
+  /// Scheduling priority sent to the engine, at most LeastUrgentPriority; empty
+  /// if none was sent.
+  std::optional<unsigned> EnginePriority;
+};
+
+/// Part of the outstanding work that has one scheduling priority.
+struct PriorityLoad {
+  unsigned Priority = DefaultEnginePriority;
+  uint32_t Items = 0;
+  Milliseconds PrefillCost{0};
 };
 
 /// Outstanding work of one process at one target, as reported to peers.
@@ -48,6 +61,10 @@
   double CompletionRate = 0;
   /// Part of the cost that is prefill.
   Milliseconds PrefillCost{0};
+  /// By ascending priority. Empty if the work was sent without priorities, or
+  /// by an earlier version of the program: all of it counts as
+  /// DefaultEnginePriority then.
+  std::vector<PriorityLoad> ByPriority;
 };
 
 struct LoadTrackerOptions {
@@ -129,10 +146,13 @@
 
   /// Planned time of the queued and running work of all processes.
   Milliseconds backlog(const std::string &TargetId, BootTime Now) const;
-  /// Planned time of the prompts that are queued for prefill or in prefill.
-  Milliseconds prefillBacklog(const std::string &TargetId, BootTime Now) const;
-  /// Number of work items of all processes.
-  double items(const std::string &TargetId, BootTime Now) const;
+  /// Planned time of the prompts that are queued for prefill or in prefill, up
+  /// to the priority \p LeastUrgent.
+  Milliseconds prefillBacklog(const std::string &TargetId, BootTime Now,
+                              unsigned LeastUrgent = LeastUrgentPriority) const;
+  /// Number of work items of all processes up to the priority \p LeastUrgent.
+  double items(const std::string &TargetId, BootTime Now,
+               unsigned LeastUrgent = LeastUrgentPriority) const;
   /// Items that complete per millisecond if all of them run. A few long streams
   /// hold their slots for seconds while other slots become free within
   /// milliseconds, so the wait for a slot cannot be derived from the backlog.
@@ -156,8 +176,11 @@
                                    const Prompt &Input, BootTime Now) const;
 
 private:
-  /// Sum of the work of this process and its peers at one target.
-  PeerLoad total(const std::string &TargetId, BootTime Now) const;
+  /// Sum of the work of this process and its peers at one target. Its items and
+  /// its prefill cost are those up to the priority \p LeastUrgent; ByPriority
+  /// stays empty.
+  PeerLoad total(const std::string &TargetId, BootTime Now,
+                 unsigned LeastUrgent = LeastUrgentPriority) const;
 
   struct Entry {
     std::map<uint64_t, Work> LocalWork;
@@ -179,9 +202,13 @@
   /// leaves no rounding error in the sum.
   struct Sum {
     int64_t CostMicros = 0;
-    int64_t PrefillMicros = 0;
-    int64_t Items = 0;
     int64_t CompletionsPerMillionMs = 0;
+    /// \name By priority, so that a query takes the same time for any number of
+    /// peers.
+    /// @{
+    std::array<int64_t, LeastUrgentPriority + 1> PrefillMicros{};
+    std::array<int64_t, LeastUrgentPriority + 1> Items{};
+    /// @}
 
     static Sum of(const PeerLoad &Load);
     void add(const Sum &Other, int64_t Sign);
@@ -194,7 +221,10 @@
 
   void addToSums(const PeerView &View, int64_t Sign) const;
   void expireSilentPeers(BootTime Now) const;
-  static PeerLoad localLoad(const std::string &Id, const Entry &State);
+  static PeerLoad localLoad(const std::string &Id, const Entry &State,
+                            unsigned LeastUrgent);
+  /// Empty if no item has a priority.
+  static std::vector<PriorityLoad> localByPriority(const Entry &State);
   const Entry *find(const std::string &TargetId) const;
   double decayed(double Value, double Baseline, const Entry &State,
                  BootTime Now) const;
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -69,6 +69,43 @@
   return Limit;
 }
 
+/// Hundredths of a millisecond are short in CBOR, and precise enough.
+uint64_t encodeTime(Milliseconds Time) {
+  return static_cast<uint64_t>(Time.count() * 100);
+}
+
+Milliseconds decodeTime(const Json &Encoded) {
+  return Milliseconds(static_cast<double>(Encoded.get<uint64_t>()) / 100);
+}
+
+Json encodeLoad(const PeerLoad &Load) {
+  Json Row = {Load.TargetId, encodeTime(Load.Cost), Load.Items,
+              Load.CompletionRate, encodeTime(Load.PrefillCost)};
+  if (Load.ByPriority.empty())
+    return Row;
+  Json Parts = Json::array();
+  for (const PriorityLoad &Part : Load.ByPriority)
+    Parts.push_back({Part.Priority, Part.Items, encodeTime(Part.PrefillCost)});
+  Row.push_back(std::move(Parts));
+  return Row;
+}
+
+PeerLoad decodeLoad(const Json &Row) {
+  PeerLoad Load;
+  Load.TargetId = Row.at(0).get<std::string>();
+  Load.Cost = decodeTime(Row.at(1));
+  Load.Items = Row.at(2).get<uint32_t>();
+  Load.CompletionRate = Row.at(3).get<double>();
+  Load.PrefillCost = decodeTime(Row.at(4));
+  // Earlier versions of the program send no priorities.
+  if (Row.size() > 5)
+    for (const Json &Part : Row.at(5))
+      Load.ByPriority.push_back({Part.at(0).get<unsigned>(),
+                                 Part.at(1).get<uint32_t>(),
+                                 decodeTime(Part.at(2))});
+  return Load;
+}
+
 template <typename T> Json encodeOptional(const std::optional<T> &Value) {
   return Value ? Json(*Value) : Json(nullptr);
 }
@@ -82,11 +119,7 @@
 std::string encodePeerReport(const PeerReport &Report) {
   Json Loads = Json::array();
   for (const PeerLoad &Load : Report.Loads)
-    // Hundredths of a millisecond are short in CBOR, and precise enough.
-    Loads.push_back({Load.TargetId,
-                     static_cast<uint64_t>(Load.Cost.count() * 100), Load.Items,
-                     Load.CompletionRate,
-                     static_cast<uint64_t>(Load.PrefillCost.count() * 100)});
+    Loads.push_back(encodeLoad(Load));
   Json Cached = Json::array();
   for (const CachedPart &Part : Report.Cached)
     Cached.push_back(
@@ -120,11 +153,7 @@
   PeerReport Report;
   Report.Sender = Root.at(0).get<std::string>();
   for (const Json &Item : Root.at(1))
-    Report.Loads.push_back(
-        {Item.at(0).get<std::string>(),
-         Milliseconds(static_cast<double>(Item.at(1).get<uint64_t>()) / 100),
-         Item.at(2).get<uint32_t>(), Item.at(3).get<double>(),
-         Milliseconds(static_cast<double>(Item.at(4).get<uint64_t>()) / 100)});
+    Report.Loads.push_back(decodeLoad(Item));
   for (const Json &Item : Root.at(2))
     Report.Cached.push_back(
         {Item.at(0).get<std::string>(),
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -22,6 +22,12 @@
   return XXH64(TargetId.data(), TargetId.size(), Subject);
 }
 
+/// Engines admit a request before less urgent work, so only work up to this
+/// priority is ahead of it.
+unsigned leastUrgentAhead(const PromptRequest &Request) {
+  return Request.EnginePriority.value_or(LeastUrgentPriority);
+}
+
 } // namespace
 
 PromptPlanner::PromptPlanner(PromptPlannerOptions Options, LoadTracker &Loads,
@@ -117,7 +123,7 @@
     const double Slowness = m_Loads.slowness(Engine->Id, Now);
     const Candidate Option = prefillCandidate(
         Request, *Engine, Prefixes, Costs,
-        m_Loads.prefillBacklog(Engine->Id, Now) * Slowness, Slowness, Now);
+        prefillBacklog(Request, *Engine, Now) * Slowness, Slowness, Now);
     const uint64_t Weight = homeWeight(Subject, Engine->Id);
     const double Scale = m_Options.EngineTimeWeight;
     const Milliseconds Margin =
@@ -151,12 +157,21 @@
          std::min(Penalty, m_Options.MaximumPausePenalty);
 }
 
-Milliseconds PromptPlanner::slotWait(const Target &Engine,
+Milliseconds PromptPlanner::prefillBacklog(const PromptRequest &Request,
+                                           const Target &Engine,
+                                           BootTime Now) const {
+  return m_Loads.prefillBacklog(Engine.Id, Now, leastUrgentAhead(Request));
+}
+
+Milliseconds PromptPlanner::slotWait(const PromptRequest &Request,
+                                     const Target &Engine,
                                      const EngineTraits &Traits,
                                      double ExpectedArrivals,
                                      BootTime Now) const {
   const double CurrentItems = m_Loads.items(Engine.Id, Now);
-  const double Items = CurrentItems + ExpectedArrivals;
+  const double Items =
+      m_Loads.items(Engine.Id, Now, leastUrgentAhead(Request)) +
+      ExpectedArrivals;
   const double Slots = std::max(1U, Traits.Slots);
   if (Items < Slots)
     return Milliseconds(0);
@@ -171,7 +186,7 @@
     const PromptRequest &Request, std::span<const Target *const> Engines,
     std::span<const CachedPrefix> Prefixes, const EngineCosts &Costs,
     HealthFilter Filter, BootTime Now) const {
-  const double ExpectedArrivals = expectedDecodes(Engines, Now);
+  const double ExpectedArrivals = expectedDecodes(Request, Engines, Now);
   std::optional<Candidate> Best;
   Milliseconds BestScore{0};
   uint64_t BestWeight = 0;
@@ -184,8 +199,9 @@
     // The request needs a free slot and has to wait for the prompts queued
     // before it.
     const Milliseconds Wait =
-        std::max(slotWait(*Engine, Costs.traits(), ExpectedArrivals, Now),
-                 m_Loads.prefillBacklog(Engine->Id, Now)) *
+        std::max(
+            slotWait(Request, *Engine, Costs.traits(), ExpectedArrivals, Now),
+            prefillBacklog(Request, *Engine, Now)) *
         Slowness;
     Candidate Option = prefillCandidate(Request, *Engine, Prefixes, Costs, Wait,
                                         Slowness, Now);
@@ -213,13 +229,14 @@
   return Best;
 }
 
-double PromptPlanner::expectedDecodes(std::span<const Target *const> Engines,
+double PromptPlanner::expectedDecodes(const PromptRequest &Request,
+                                      std::span<const Target *const> Engines,
                                       BootTime Now) const {
   double Prefills = 0;
   double DecodeEngines = 0;
   for (const Target *Engine : Engines) {
     if (Engine->EngineStage == Stage::Prefill)
-      Prefills += m_Loads.items(Engine->Id, Now);
+      Prefills += m_Loads.items(Engine->Id, Now, leastUrgentAhead(Request));
     else
       ++DecodeEngines;
   }
@@ -265,7 +282,8 @@
     // A prefill in progress on the engine delays the first token only by one
     // chunk. The average start time includes that delay.
     const Milliseconds Wait =
-        slotWait(*Engine, Costs.traits(), ExpectedArrivals, Now) * Slowness;
+        slotWait(Request, *Engine, Costs.traits(), ExpectedArrivals, Now) *
+        Slowness;
     const Milliseconds Expected =
         Wait + (Transfer + Costs.decodeStartFixed()) * Slowness;
     const Milliseconds Score = Expected +
@@ -357,7 +375,7 @@
   if (PrefillTarget) {
     const auto DecodeTarget =
         bestDecodeTarget(Request, PrefillTarget->Engine, Engines, Costs,
-                         expectedDecodes(Engines, Now), Filter, Now);
+                         expectedDecodes(Request, Engines, Now), Filter, Now);
     const Milliseconds PrefillEnd = PrefillTarget->Prefill.Wait +
                                     PrefillTarget->Cost + Costs.prefillFixed();
     if (DecodeTarget) {
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -44,6 +44,9 @@
   /// Current start lag of the service and route: how much later than planned
   /// their answers begin.
   Milliseconds ExpectedStartLag{0};
+  /// Scheduling priority at engines; empty if none is sent. Engines admit the
+  /// request before work that is less urgent.
+  std::optional<unsigned> EnginePriority;
   /// Whether a prompt that waits at every prefill engine may be prefilled at a
   /// decode engine; see PrefillSpill.h.
   bool MaySpill = false;
@@ -237,11 +240,18 @@
                             BootTime Now) const;
   /// Time until a slot is free. \p ExpectedArrivals: number of work items that
   /// will arrive at the engine before this request.
-  Milliseconds slotWait(const Target &Engine, const EngineTraits &Traits,
-                        double ExpectedArrivals, BootTime Now) const;
-  /// Number of prompts in prefill for each decode engine.
-  double expectedDecodes(std::span<const Target *const> Engines,
+  Milliseconds slotWait(const PromptRequest &Request, const Target &Engine,
+                        const EngineTraits &Traits, double ExpectedArrivals,
+                        BootTime Now) const;
+  /// Number of prompts in prefill for each decode engine that are as urgent as
+  /// \p Request or more.
+  double expectedDecodes(const PromptRequest &Request,
+                         std::span<const Target *const> Engines,
                          BootTime Now) const;
+  /// Planned time of the prefills at \p Engine that are as urgent as
+  /// \p Request or more.
+  Milliseconds prefillBacklog(const PromptRequest &Request,
+                              const Target &Engine, BootTime Now) const;
   std::optional<DecodePlan>
   bestDecodeTarget(const PromptRequest &Request, const Target *PrefillTarget,
                    std::span<const Target *const> Engines,
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -214,7 +214,7 @@
   if (Purpose == SendPurpose::Execute)
     Fields.Source = m_Handle;
   Fields.Tenant = m_Tenant;
-  Fields.EnginePriority = enginePriority(Now);
+  Fields.EnginePriority = Work.EnginePriority = enginePriority(Now);
   if (const dispatch::Target *Source = m_Shared.Targets.find(FetchFrom))
     Fields.FetchFrom = Source->Address.toString();
   if (const auto LastEvent = m_Relay.lastEvent();
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -95,6 +95,7 @@
     Request.EventGap = Service->ShortestEventGap;
   Request.ExpectedStartLag =
       m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
+  Request.EnginePriority = enginePriority(Now);
   Request.MaySpill =
       m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
   Request.Excluded = excluded(Now);
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -106,6 +106,11 @@
                       {"maxAttempts", Kind == std::string("unsafe") ? 1 : 2},
                       {"resumable", Resumable},
                       {"service", Service}});
+    if (const auto Priority = PromptPriorities.find(Name);
+        Priority != PromptPriorities.end()) {
+      Routes.back()["sticky"] = true;
+      Routes.back()["priority"] = Priority->second;
+    }
   };
   Add("safe", "safe", "plain", false);
   Add("unsafe", "unsafe", "plain", false);
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -107,6 +107,8 @@
   /// JSON of the tenants in each configuration, which then also has the public
   /// route /open/; empty for a configuration without tenants.
   std::string Tenants;
+  /// Routes that carry prompts, and their priorities.
+  std::map<std::string, unsigned> PromptPriorities;
   settings::GatewaySettings Settings;
 
 private:
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -214,6 +214,35 @@
   CHECK(Source == PrefillEngine.address().toString() + "/k1");
 }
 
+// Failure: engines treat urgent and less urgent requests alike, or a prefill
+// and its execution differently.
+TEST(Gateway, SendsThePriorityOfTheRouteToAllEngines) {
+  Listener &PrefillEngine =
+      Fixture.addServer("e1", "model", completePrefill, "prefill");
+  Listener &DecodeEngine =
+      Fixture.addServer("e2", "model", streamOneEvent, "decode");
+  Fixture.PromptPriorities = {{"stream", 1}, {"once", 7}};
+  startServing();
+  CHECK(contains(Fixture.request("POST", "/stream/x", PromptHeaders), "id: 1"));
+  CHECK(contains(Fixture.request("POST", "/once/x", PromptHeaders), "id: 1"));
+  for (const Listener *Engine : {&PrefillEngine, &DecodeEngine}) {
+    CHECK(Engine->Requests.at(0).Head.Headers.find("X-Request-Priority") ==
+          "1");
+    CHECK(Engine->Requests.at(1).Head.Headers.find("X-Request-Priority") ==
+          "7");
+  }
+}
+
+// Failure: engines of a service without priorities get a priority that some of
+// its gateways do not send.
+TEST(Gateway, SendsNoPriorityWhereAllAreEqual) {
+  Listener &Engine = Fixture.addServer("e1", "model", streamOneEvent, "decode");
+  Fixture.PromptPriorities = {{"stream", 7}, {"once", 7}};
+  startServing();
+  CHECK(contains(Fixture.request("POST", "/stream/x", PromptHeaders), "id: 1"));
+  CHECK(!Engine.Requests.at(0).Head.Headers.has("X-Request-Priority"));
+}
+
 // Failure: the decode engine rejects a request because it cannot fetch the KV
 // cache.
 // Sequence: the prefill engine restarts with the same id, and a prefill
--- a/Tests/LibDispatch/TestLoadTracker.cpp
+++ b/Tests/LibDispatch/TestLoadTracker.cpp
@@ -69,6 +69,66 @@
   DOUBLES_EQUAL(0, Loads.items("e", Now + milliseconds(2500)), 1e-9);
 }
 
+// Failure: an urgent request is rejected for work that the engine admits after
+// it, or admitted in spite of work that is as urgent.
+TEST(LoadTracker, CountsWorkUpToAPriority) {
+  Loads.recordSent(
+      "e", {Milliseconds(10), {}, Milliseconds(7), Now, /*Priority=*/1});
+  Loads.recordSent("e", {Milliseconds(10), {}, Milliseconds(4), Now});
+  PeerLoad OfPeer{"e", Milliseconds(20), 5, 0.5, Milliseconds(9)};
+  OfPeer.ByPriority = {{1, 2, Milliseconds(3)}, {6, 3, Milliseconds(6)}};
+  Loads.recordPeerReport("p", {OfPeer}, Now);
+  DOUBLES_EQUAL(0, Loads.items("e", Now, 0), 0);
+  DOUBLES_EQUAL(3, Loads.items("e", Now, 1), 0);
+  DOUBLES_EQUAL(10, Loads.prefillBacklog("e", Now, 1).count(), 1e-9);
+  DOUBLES_EQUAL(4, Loads.items("e", Now, 5), 0);
+  DOUBLES_EQUAL(14, Loads.prefillBacklog("e", Now, 5).count(), 1e-9);
+  DOUBLES_EQUAL(7, Loads.items("e", Now), 0);
+  DOUBLES_EQUAL(20, Loads.prefillBacklog("e", Now).count(), 1e-9);
+  DOUBLES_EQUAL(40, Loads.backlog("e", Now).count(), 1e-9);
+}
+
+// Failure: while gateways of two program versions run side by side, the work of
+// the earlier version counts as more urgent than anything, or not at all.
+TEST(LoadTracker, CountsReportsWithoutPrioritiesAsFive) {
+  Loads.recordPeerReport(
+      "old", {{"e", Milliseconds(20), 5, 0.5, Milliseconds(9)}}, Now);
+  DOUBLES_EQUAL(0, Loads.items("e", Now, 4), 0);
+  DOUBLES_EQUAL(5, Loads.items("e", Now, 5), 0);
+  DOUBLES_EQUAL(9, Loads.prefillBacklog("e", Now, 5).count(), 1e-9);
+}
+
+// Failure: after a lost report an engine looks idle to urgent requests, or its
+// work of one priority stays counted after the peer has exited.
+TEST(LoadTracker, KeepsWorkByPriorityUntilTheReportExpires) {
+  PeerLoad OfPeer{"e", Milliseconds(20), 5, 0.5, Milliseconds(9)};
+  OfPeer.ByPriority = {{1, 2, Milliseconds(3)}, {6, 3, Milliseconds(6)}};
+  Loads.recordPeerReport("p", {OfPeer}, Now);
+  Now += milliseconds(400);
+  DOUBLES_EQUAL(2, Loads.items("e", Now, 1), 0);
+  OfPeer.ByPriority = {{6, 3, Milliseconds(6)}};
+  Loads.recordPeerReport("p", {OfPeer}, Now);
+  DOUBLES_EQUAL(0, Loads.items("e", Now, 1), 0);
+  DOUBLES_EQUAL(3, Loads.items("e", Now, 6), 0);
+  Now += milliseconds(600);
+  DOUBLES_EQUAL(0, Loads.items("e", Now), 0);
+  DOUBLES_EQUAL(0, Loads.prefillBacklog("e", Now).count(), 0);
+}
+
+// Failure: reports of services without priorities grow.
+TEST(LoadTracker, ReportsPrioritiesOnlyWhereTheyWereSent) {
+  start(10);
+  CHECK(Loads.localLoads().at(0).ByPriority.empty());
+  Loads.recordSent("e", {Milliseconds(10), {}, Milliseconds(7), Now, 1});
+  const PeerLoad Sent = Loads.localLoads().at(0);
+  LONGS_EQUAL(2, Sent.Items);
+  LONGS_EQUAL(2, Sent.ByPriority.size());
+  LONGS_EQUAL(1, Sent.ByPriority[0].Priority);
+  LONGS_EQUAL(1, Sent.ByPriority[0].Items);
+  DOUBLES_EQUAL(7, Sent.ByPriority[0].PrefillCost.count(), 1e-9);
+  LONGS_EQUAL(DefaultEnginePriority, Sent.ByPriority[1].Priority);
+}
+
 TEST(LoadTracker, CountsWorkUntilItEnds) {
   const uint64_t Ticket = start(10);
   Loads.recordAnswer("e", Ticket, Now);
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -6,6 +6,10 @@
 
 #include "LibDispatch/PeerReport.h"
 
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -63,6 +67,28 @@
   CHECK(Decoded.value().UsageSettledThrough == Sent.UsageSettledThrough);
 }
 
+// Failure: an earlier version of the program cannot read the reports of this
+// one, or this one not those of the earlier version, while both run.
+TEST(PeerReport, CarriesPrioritiesAtTheEndOfARow) {
+  PeerReport Sent;
+  Sent.Sender = "g1";
+  Sent.Loads = {{"e", Milliseconds(12), 3, 0.25, Milliseconds(5.5)}};
+  const std::string Before = encodePeerReport(Sent);
+  CHECK(decodePeerReport(Before).value().Loads[0].ByPriority.empty());
+  Sent.Loads[0].ByPriority = {{1, 2, Milliseconds(5.5)}, {6, 1, {}}};
+  const std::string After = encodePeerReport(Sent);
+  const auto Rows = nlohmann::json::from_cbor(After).at(1);
+  LONGS_EQUAL(6, Rows.at(0).size());
+  CHECK(std::equal(Rows.at(0).begin(), Rows.at(0).begin() + 5,
+                   nlohmann::json::from_cbor(Before).at(1).at(0).begin()));
+  const PeerLoad Load = decodePeerReport(After).value().Loads.at(0);
+  LONGS_EQUAL(2, Load.ByPriority.size());
+  LONGS_EQUAL(1, Load.ByPriority[0].Priority);
+  LONGS_EQUAL(2, Load.ByPriority[0].Items);
+  DOUBLES_EQUAL(5.5, Load.ByPriority[0].PrefillCost.count(), 0.01);
+  LONGS_EQUAL(6, Load.ByPriority[1].Priority);
+}
+
 TEST(PeerReport, RejectsInvalidInput) {
   for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
     CHECK(!decodePeerReport(Bytes).has_value());
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -210,6 +210,28 @@
   CHECK(std::holds_alternative<Rejection>(plan()));
 }
 
+// Failure: urgent requests are rejected while the engines are full of less
+// urgent work, which they admit later; and less urgent ones are admitted behind
+// urgent work as if it were not there.
+TEST(PromptPlanner, CountsOnlyWorkThatIsAsUrgentOrMore) {
+  const auto LoadAll = [&](unsigned Priority) {
+    for (const Target &Entry : Targets)
+      for (int Index = 0; Index < 30; ++Index)
+        Loads.recordSent(Entry.Id, {Milliseconds(100), Milliseconds(100),
+                                    Milliseconds(100), Now, Priority});
+  };
+  LoadAll(6);
+  Request.EnginePriority = 1;
+  CHECK(!std::holds_alternative<Rejection>(plan()));
+  Request.EnginePriority = 6;
+  CHECK(std::holds_alternative<Rejection>(plan()));
+  Request.EnginePriority.reset();
+  CHECK(std::holds_alternative<Rejection>(plan()));
+  LoadAll(1);
+  Request.EnginePriority = 1;
+  CHECK(std::holds_alternative<Rejection>(plan()));
+}
+
 // If only the load decides, request after request fails on a server that passes
 // its health checks.
 TEST(PromptPlanner, AvoidsAnEngineThatFailsRequests) {
