LibDispatch, figlift-gateway: Reserve capacity for more urgent requests

Cause: Engines admit urgent requests first, but do not take back the slots, queue places and started prefills of less urgent ones. Admission control admitted less urgent requests while there was any capacity.

Change: CapacityReserve measures the engine time per second of each priority (decayed mean over 2 s and mean absolute deviation, in intervals of 200 ms) and scales them to the fleet by this gateway's share of the demand. A less urgent request is admitted if its wait and the time that more urgent requests will need within its latency target are at most 0.9 of that target. A priority that was served less than a third as often as all is admitted without the reserve.

FleetModel gets two priorities, lost reports and gateways without priorities.

Result: TestCapacityReserve, TestPromptPlanner and the Priorities tests of TestFleetModel pass.

--- a/Libraries/LibDispatch/LoadTracker.h
+++ b/Libraries/LibDispatch/LoadTracker.h
@@ -42,7 +42,7 @@
   BootTime SentAt{};
   /// Scheduling priority sent to the engine, at most LeastUrgentPriority; empty
   /// if none was sent.
-  std::optional<unsigned> EnginePriority;
+  std::optional<unsigned> EnginePriority = std::nullopt;
 };
 
 /// Part of the outstanding work that has one scheduling priority.
@@ -64,7 +64,7 @@
   /// By ascending priority. Empty if the work was sent without priorities, or
   /// by an earlier version of the program: all of it counts as
   /// DefaultEnginePriority then.
-  std::vector<PriorityLoad> ByPriority;
+  std::vector<PriorityLoad> ByPriority = {};
 };
 
 struct LoadTrackerOptions {
--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -310,6 +310,18 @@
 
 bool PromptPlanner::admits(const PromptRequest &Request, Milliseconds Wait,
                            Milliseconds FirstEvent) const {
+  return isInTime(Request, Wait, FirstEvent) && leavesReserve(Request, Wait);
+}
+
+bool PromptPlanner::leavesReserve(const PromptRequest &Request,
+                                  Milliseconds Wait) const {
+  return Request.Reserve <= Milliseconds(0) ||
+         Wait + Request.Reserve <=
+             Request.LatencyTarget * m_Options.LatencyTargetShare;
+}
+
+bool PromptPlanner::isInTime(const PromptRequest &Request, Milliseconds Wait,
+                             Milliseconds FirstEvent) const {
   if (FirstEvent > Request.TimeLeft * m_Options.DeadlineShare)
     return false;
   return FirstEvent <=
@@ -397,12 +409,19 @@
       (!IsSmall ||
        SplitPlan->FirstEvent + Costs.prefillFixed() < SingleFirstEvent);
   const Milliseconds FirstEvent =
-      UseSplitPlan ? SplitPlan->FirstEvent : SingleFirstEvent;
-  const Milliseconds Wait = UseSplitPlan ? SplitWait : Single->Prefill.Wait;
-  if (!admits(Request, Wait + Request.ExpectedStartLag,
-              FirstEvent + Request.ExpectedStartLag))
-    return reject(Request, "the first token would come too late",
-                  FirstEvent + Request.ExpectedStartLag);
+      (UseSplitPlan ? SplitPlan->FirstEvent : SingleFirstEvent) +
+      Request.ExpectedStartLag;
+  const Milliseconds Wait = (UseSplitPlan ? SplitWait : Single->Prefill.Wait) +
+                            Request.ExpectedStartLag;
+  if (!isInTime(Request, Wait, FirstEvent))
+    return reject(Request, "the first token would come too late", FirstEvent);
+  if (!leavesReserve(Request, Wait)) {
+    Rejection Reserved =
+        reject(Request, "more urgent requests need the capacity",
+               std::max(FirstEvent, Wait + Request.Reserve));
+    Reserved.IsForMoreUrgent = true;
+    return Reserved;
+  }
   if (UseSplitPlan)
     return *SplitPlan;
   return DecodePlan{Single->Engine->Id,
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -47,6 +47,9 @@
   /// Scheduling priority at engines; empty if none is sent. Engines admit the
   /// request before work that is less urgent.
   std::optional<unsigned> EnginePriority;
+  /// Time within the latency target that engines will need for more urgent
+  /// requests which have not arrived yet; see CapacityReserve.h.
+  Milliseconds Reserve{0};
   /// Whether a prompt that waits at every prefill engine may be prefilled at a
   /// decode engine; see PrefillSpill.h.
   bool MaySpill = false;
@@ -101,6 +104,9 @@
   std::chrono::milliseconds RetryAfter{0};
   /// No engine may take the request, however long its caller waits.
   bool NoneAvailable = false;
+  /// There would be time for the request without the more urgent ones that are
+  /// expected.
+  bool IsForMoreUrgent = false;
 };
 using PromptPlan = std::variant<PrefillThenDecode, DecodePlan, Rejection>;
 
@@ -259,6 +265,11 @@
                    HealthFilter Filter, BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
+  bool isInTime(const PromptRequest &Request, Milliseconds Wait,
+                Milliseconds FirstEvent) const;
+  /// Whether the engines have time for the request besides that for the work
+  /// ahead of it and for more urgent requests that will arrive.
+  bool leavesReserve(const PromptRequest &Request, Milliseconds Wait) const;
   /// Whether \p Single should prefill the prompt although it is large: its
   /// first event is clearly earlier, and streams are delayed little.
   bool spills(const PromptRequest &Request, const Candidate &Single,
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -13,6 +13,7 @@
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
+#include "LibDispatch/CapacityReserve.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EnginePriorities.h"
@@ -129,6 +130,8 @@
   /// By route.
   std::map<std::string, dispatch::StreamTimes> StreamTimes;
   dispatch::EnginePriorities Priorities{StreamTimes};
+  /// By engine service whose requests differ in priority.
+  std::map<std::string, dispatch::CapacityReserve> Reserves;
   /// Demand that the other gateways reported, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -43,10 +43,17 @@
       m_Shared.Settings.Fleet.Starts ? Meter.cacheFillShare(Now) : 0;
   CachedTokens += static_cast<uint32_t>(
       FillingShare * Prompt.sharedTokensBeyond(CachedTokens));
-  Meter.recordRequest(Costs.prefill(Prompt, CachedTokens),
-                      Costs.transfer(Prompt.Tokens, false) +
-                          generationTime() / Costs.traits().Slots,
-                      Now);
+  const Milliseconds Prefill = Costs.prefill(Prompt, CachedTokens);
+  const Milliseconds Transfer = Costs.transfer(Prompt.Tokens, false);
+  Meter.recordRequest(Prefill,
+                      Transfer + generationTime() / Costs.traits().Slots, Now);
+  if (dispatch::CapacityReserve *Reserve = capacityReserve())
+    Reserve->recordRequest(
+        m_Route.Priority, Prefill,
+        Transfer +
+            std::min(generationTime(), Milliseconds(m_Route.LatencyTarget)) /
+                Costs.traits().Slots,
+        Now);
 }
 
 /// Plans without any measurement are not used to rate an engine: for seconds
--- a/Tests/FleetModel/FleetModel.cpp
+++ b/Tests/FleetModel/FleetModel.cpp
@@ -33,6 +33,8 @@
 constexpr Milliseconds SecondEventGap{85};
 constexpr double SecondEventFraction = 0.6;
 constexpr unsigned SubjectCount = 4158;
+constexpr unsigned UrgentPriority = 1;
+constexpr unsigned LessUrgentPriority = 6;
 
 BootClock::duration toClockDuration(Milliseconds Time) {
   return std::chrono::duration_cast<BootClock::duration>(Time);
@@ -75,6 +77,7 @@
     m_Targets.push_back(&Known.Info);
   for (unsigned I = 0; I < m_Options.Gateways; ++I) {
     m_Gateways.push_back(std::make_unique<Gateway>(PromptPlannerOptions{}));
+    m_Gateways[I]->Reserve.setOwnShare(1.0 / m_Options.Gateways, m_Now);
     for (const Target *Known : m_Targets)
       m_Gateways[I]->Loads.targetAdded(*Known, m_Traits.KvCapacityTokens);
     after(Milliseconds(m_Options.ReportInterval) * randomFraction(),
@@ -122,9 +125,10 @@
   if (NewCall->Details.Input.Tokens < 1000)
     NewCall->Generation = LongResponseTime;
   NewCall->Arrived = m_Now;
+  setPriority(NewCall);
   receive(NewCall);
   after(Milliseconds(-std::log(1 - randomFraction()) * 1e3 /
-                     (m_Options.Rate * currentLoad())),
+                     (m_Options.Rate * totalLoad())),
         [this] { scheduleCaller(); });
 }
 
@@ -133,7 +137,7 @@
   NewRequest.LatencyTarget = LatencyTarget;
   NewRequest.EventGap = Milliseconds(250);
   const uint64_t OwnPartId = m_Random();
-  if (randomFraction() < LongResponseFraction / currentLoad()) {
+  if (randomFraction() < LongResponseFraction / totalLoad()) {
     NewRequest.Input = {
         220, 100, {{1 + m_Random() % 82, 80}, {OwnPartId, 140}}};
     NewRequest.GenerationTime = LongResponseTime;
@@ -153,6 +157,40 @@
   return NewRequest;
 }
 
+void FleetModel::setPriority(const RequestPointer &Call) {
+  if (!knowsPriorities())
+    return;
+  Call->Priority = randomFraction() < m_Options.UrgentShare / totalLoad()
+                       ? UrgentPriority
+                       : LessUrgentPriority;
+  if (!m_Options.SendsPriorities) {
+    Call->Details.EnginePriority = DefaultEnginePriority;
+    return;
+  }
+  // Long streams are as urgent at engines as any.
+  Call->Details.EnginePriority =
+      Call->Generation == LongResponseTime ? UrgentPriority : Call->Priority;
+}
+
+PriorityResult &FleetModel::resultOf(const RequestPointer &Call) {
+  return Call->Priority == UrgentPriority ? m_Result.Urgent
+                                          : m_Result.LessUrgent;
+}
+
+void FleetModel::recordDemand(const RequestPointer &Call) {
+  const PromptRequest &Details = Call->Details;
+  uint32_t CachedTokens = 0;
+  for (const Target *Known : m_Targets)
+    CachedTokens =
+        std::max(CachedTokens,
+                 gateway(Call).Loads.cachedTokens(Known->Id, Details.Input));
+  gateway(Call).Reserve.recordRequest(
+      Call->Priority, costs().prefill(Details.Input, CachedTokens),
+      costs().transfer(Details.Input.Tokens, false) +
+          std::min(Details.GenerationTime, LatencyTarget) / EngineSlots,
+      m_Now);
+}
+
 void FleetModel::receive(const RequestPointer &Call) {
   Call->GatewayIndex = static_cast<unsigned>(m_Random() % m_Options.Gateways);
   PromptRequest &Details = Call->Details;
@@ -165,6 +203,9 @@
   const bool IsCounted =
       Call->Arrived >= m_Start + std::chrono::seconds(1) && !Call->Retried;
   m_Result.Requested += IsCounted ? 1 : 0;
+  resultOf(Call).Requested += IsCounted ? 1 : 0;
+  if (knowsPriorities())
+    recordDemand(Call);
   plan(Call);
 }
 
@@ -198,7 +239,14 @@
 void FleetModel::plan(const RequestPointer &Call) {
   PromptRequest &Details = Call->Details;
   Call->PlannedAt = m_Now;
-  Details.ExpectedStartLag = gateway(Call).Lag.current(m_Now);
+  Details.ExpectedStartLag = gateway(Call).Lags[Call->Priority].current(m_Now);
+  Details.Reserve = Milliseconds(0);
+  if (knowsPriorities() && m_Options.KeepsReserve && !Call->Resent)
+    Details.Reserve = gateway(Call).Reserve.reserve(
+        Call->Priority, LatencyTarget,
+        {static_cast<double>(m_Options.PrefillEngines),
+         static_cast<double>(m_Options.DecodeEngines)},
+        m_Now);
   Details.MaySpill =
       m_Options.Spills && randomFraction() < gateway(Call).Spill.share();
   const auto Plan =
@@ -223,6 +271,7 @@
 void FleetModel::handleRejection(const RequestPointer &Call,
                                  Milliseconds RetryAfter) {
   ++m_Result.GatewayRejections;
+  gateway(Call).Reserve.recordOutcome(Call->Priority, false, m_Now);
   const Milliseconds Remaining = Deadline - Milliseconds(m_Now - Call->Arrived);
   if (std::exchange(Call->Retried, true) || RetryAfter > Remaining / 3)
     return;
@@ -253,8 +302,8 @@
                          const PrefillThenDecode &Plan) {
   Call->PrefillEngine = Plan.PrefillTarget;
   Call->Ticket = gateway(Call).Loads.recordSent(
-      Plan.PrefillTarget,
-      {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, m_Now});
+      Plan.PrefillTarget, {Plan.Cost, Plan.Expected, Plan.Prefill.Compute,
+                           m_Now, Call->Details.EnginePriority});
   after(NetworkDelay, [this, Call, Plan] {
     Engine &Host = engine(Plan.PrefillTarget);
     if (rejectForATime(Call, Host))
@@ -273,21 +322,44 @@
         FetchTime = fetch(Host, Plan.FetchFrom, AtSource - CachedTokens);
         CachedTokens = AtSource;
       }
-    const BootTime Start =
-        std::max(m_Now + toClockDuration(FetchTime), Host.PrefillsUntil);
-    Host.PrefillsUntil =
-        Start + toClockDuration(costs().prefill(Input, CachedTokens));
-    const Milliseconds Duration =
-        Milliseconds(Host.PrefillsUntil - m_Now) + m_Parameters.PrefillFixed;
-    after(Duration, [this, Call, &Host] {
+    const Milliseconds ComputeTime = costs().prefill(Input, CachedTokens);
+    const auto Complete = [this, Call, &Host] {
       --Host.Admitted;
       for (const PromptPart &Part : Call->Details.Input.Parts)
         Host.Cache.insert(Part);
       after(NetworkDelay, [this, Call, &Host] { finishPrefill(Call, Host); });
-    });
+    };
+    if (knowsPriorities())
+      return after(FetchTime, [this, Call, &Host, ComputeTime, Complete] {
+        Host.Prefills[{*Call->Details.EnginePriority, ++m_Order}] =
+            [this, &Host, ComputeTime, Complete] {
+              after(ComputeTime, [this, &Host] {
+                Host.Prefilling = false;
+                startNextPrefill(Host);
+              });
+              after(ComputeTime + m_Parameters.PrefillFixed, Complete);
+            };
+        startNextPrefill(Host);
+      });
+    const BootTime Start =
+        std::max(m_Now + toClockDuration(FetchTime), Host.PrefillsUntil);
+    Host.PrefillsUntil = Start + toClockDuration(ComputeTime);
+    after(Milliseconds(Host.PrefillsUntil - m_Now) + m_Parameters.PrefillFixed,
+          Complete);
   });
 }
 
+/// The most urgent waiting prompt is prefilled next; a prefill that has started
+/// is not interrupted.
+void FleetModel::startNextPrefill(Engine &Host) {
+  if (Host.Prefilling || Host.Prefills.empty())
+    return;
+  Host.Prefilling = true;
+  const Action Start = std::move(Host.Prefills.begin()->second);
+  Host.Prefills.erase(Host.Prefills.begin());
+  Start();
+}
+
 void FleetModel::finishPrefill(const RequestPointer &Call, Engine &Host) {
   Gateway &Planning = gateway(Call);
   Planning.Loads.recordAnswer(Host.Info.Id, Call->Ticket, m_Now);
@@ -305,8 +377,8 @@
   Call->DecodeSent = m_Now;
   Call->DecodePlanned = Plan.Expected;
   Call->Ticket = gateway(Call).Loads.recordSent(
-      Plan.DecodeTarget,
-      {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, m_Now});
+      Plan.DecodeTarget, {Plan.Cost, Plan.Expected, Plan.Prefill.Compute, m_Now,
+                          Call->Details.EnginePriority});
   after(NetworkDelay, [this, Call, Plan, HasPrefilled] {
     Engine &Host = engine(Plan.DecodeTarget);
     if (rejectForATime(Call, Host))
@@ -321,7 +393,8 @@
     if (Host.Decoding < EngineSlots)
       Start();
     else
-      Host.Queue.push(Start);
+      Host.Queue[{Call->Details.EnginePriority.value_or(DefaultEnginePriority),
+                  ++m_Order}] = Start;
   });
 }
 
@@ -356,8 +429,8 @@
     after(NetworkDelay, [this, Call, &Host] { finishDecode(Call, Host); });
     if (Host.Queue.empty())
       return;
-    const Action NextStart = std::move(Host.Queue.front());
-    Host.Queue.pop();
+    const Action NextStart = std::move(Host.Queue.begin()->second);
+    Host.Queue.erase(Host.Queue.begin());
     NextStart();
   });
 }
@@ -365,9 +438,10 @@
 void FleetModel::recordFirstEvent(const RequestPointer &Call,
                                   bool HasPrefilled) {
   Gateway &Planning = gateway(Call);
-  Planning.Lag.observe(Call->ExpectedFirst,
-                       Milliseconds(m_Now - Call->PlannedAt), LatencyTarget,
-                       m_Now);
+  Planning.Lags[Call->Priority].observe(Call->ExpectedFirst,
+                                        Milliseconds(m_Now - Call->PlannedAt),
+                                        LatencyTarget, m_Now);
+  Planning.Reserve.recordOutcome(Call->Priority, true, m_Now);
   const bool OnTime =
       m_Now - Call->ReceivedAt <= toClockDuration(LatencyTarget);
   if (Call->Spilled)
@@ -383,6 +457,8 @@
   }
   if (Call->Arrived >= m_Start + std::chrono::seconds(1))
     ++(OnTime ? m_Result.OnTime : m_Result.Late);
+  if (Call->Arrived >= m_Start + std::chrono::seconds(1) && OnTime)
+    ++resultOf(Call).OnTime;
 }
 
 void FleetModel::finishDecode(const RequestPointer &Call, Engine &Host) {
@@ -396,7 +472,7 @@
   ++m_Result.EngineRejections;
   LoadTracker &Loads = gateway(Call).Loads;
   Loads.recordRejection(Host.Info.Id, m_Now);
-  gateway(Call).Lag.recordRejection(LatencyTarget, m_Now);
+  gateway(Call).Lags[Call->Priority].recordRejection(LatencyTarget, m_Now);
   Loads.recordEnd(Host.Info.Id, Call->Ticket);
   if (std::exchange(Call->Resent, true))
     return handleRejection(Call, Milliseconds(300));
@@ -423,11 +499,16 @@
 
 void FleetModel::report(unsigned SenderIndex) {
   Gateway &Sender = *m_Gateways[SenderIndex];
-  const auto Loads = Sender.Loads.localLoads();
+  auto Loads = Sender.Loads.localLoads();
+  if (SenderIndex < m_Options.GatewaysWithoutPriorities)
+    for (PeerLoad &Load : Loads)
+      Load.ByPriority.clear();
+  const bool IsLost =
+      m_Options.LostReports > 0 && randomFraction() < m_Options.LostReports;
   const auto Cached = std::exchange(Sender.NewlyCached, {});
   const std::string Name = std::to_string(SenderIndex);
   for (unsigned I = 0; I < m_Options.Gateways; ++I) {
-    if (I == SenderIndex)
+    if (I == SenderIndex || IsLost)
       continue;
     LoadTracker &Receiver = m_Gateways[I]->Loads;
     Receiver.recordPeerReport(Name, Loads, m_Now);
--- a/Tests/FleetModel/FleetModel.h
+++ b/Tests/FleetModel/FleetModel.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include "LibDispatch/CapacityReserve.h"
 #include "LibDispatch/PrefillSpill.h"
 #include "LibDispatch/PromptPlanner.h"
 #include "LibDispatch/ServerBackoffs.h"
@@ -55,9 +56,30 @@
   /// Gateways keep to the pauses, as opposed to only excluding the engine for
   /// a short time.
   bool KeepsPauses = true;
+  /// Share of the requests at normal load that are urgent. Their rate stays the
+  /// same when the load rises, and engines know priorities. With 0 all requests
+  /// have the same priority.
+  double UrgentShare = 0;
+  /// Gateways tell engines and each other which requests are urgent.
+  bool SendsPriorities = true;
+  /// Gateways keep capacity for urgent requests.
+  bool KeepsReserve = true;
+  /// Share of the reports that are lost, each for all of its receivers.
+  double LostReports = 0;
+  /// Number of gateways whose reports contain no priorities.
+  unsigned GatewaysWithoutPriorities = 0;
   unsigned Seed = 1;
 };
 
+/// Requests of one priority that arrived after the first second.
+struct PriorityResult {
+  unsigned Requested = 0;
+  unsigned OnTime = 0;
+  double share() const {
+    return Requested == 0 ? 0 : static_cast<double>(OnTime) / Requested;
+  }
+};
+
 struct FleetResult {
   unsigned Requested = 0;
   unsigned OnTime = 0;
@@ -73,6 +95,8 @@
   unsigned MostRequestsDuringPause = 0;
   /// Responses on time by second of their first event.
   std::vector<unsigned> OnTimeBySecond;
+  PriorityResult Urgent;
+  PriorityResult LessUrgent;
   /// Responses on time per second, for requests that arrived after the first
   /// second.
   double Goodput = 0;
@@ -104,7 +128,12 @@
     unsigned Admitted = 0;
     unsigned Decoding = 0;
     bool RejectsForATime = false;
-    std::queue<Action> Queue;
+    /// \name Waiting work by priority and arrival.
+    /// @{
+    std::map<std::pair<unsigned, uint64_t>, Action> Queue;
+    std::map<std::pair<unsigned, uint64_t>, Action> Prefills;
+    /// @}
+    bool Prefilling = false;
   };
   struct Gateway {
     explicit Gateway(PromptPlannerOptions Options)
@@ -112,7 +141,9 @@
     LoadTracker Loads;
     StreamPaces Paces;
     PromptPlanner Planner;
-    StartLag Lag;
+    /// By priority of the requests.
+    std::map<unsigned, StartLag> Lags;
+    CapacityReserve Reserve;
     PrefillSpill Spill;
     ServerBackoffs Backoffs;
     struct Pause {
@@ -127,6 +158,8 @@
   };
   struct Request {
     PromptRequest Details;
+    /// Priority of its route.
+    unsigned Priority = DefaultEnginePriority;
     BootTime Arrived;
     unsigned GatewayIndex = 0;
     bool Retried = false;
@@ -149,10 +182,18 @@
     return std::uniform_real_distribution<double>(0, 1)(m_Random);
   }
   double currentLoad() const;
+  /// The factor by which the rate of all requests is above the normal rate.
+  double totalLoad() const {
+    return m_Options.UrgentShare + (1 - m_Options.UrgentShare) * currentLoad();
+  }
   void scheduleCaller();
   PromptRequest newRequest();
   void receive(const RequestPointer &Call);
   void plan(const RequestPointer &Call);
+  void setPriority(const RequestPointer &Call);
+  void recordDemand(const RequestPointer &Call);
+  PriorityResult &resultOf(const RequestPointer &Call);
+  void startNextPrefill(Engine &Host);
   /// The request without the engines that have asked for a pause.
   PromptRequest allowedNow(const RequestPointer &Call);
   /// The engine rejects the request and asks for a pause. Returns whether it
@@ -172,6 +213,7 @@
   Milliseconds fetch(Engine &Receiver, const std::string &SourceId,
                      uint32_t Tokens);
   void report(unsigned SenderIndex);
+  bool knowsPriorities() const { return m_Options.UrgentShare > 0; }
   EngineCosts costs() const { return {m_Parameters, m_Traits}; }
   Engine &engine(const std::string &Id) { return m_Engines.at(Id); }
   Gateway &gateway(const RequestPointer &Call) {
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -232,6 +232,22 @@
   CHECK(std::holds_alternative<Rejection>(plan()));
 }
 
+// Failure: less urgent requests take the capacity that urgent ones need a
+// moment later; or an operator cannot tell that a request was rejected for
+// them.
+TEST(PromptPlanner, KeepsTheReserveForMoreUrgentRequests) {
+  Request.Reserve = Milliseconds(100);
+  CHECK(!std::holds_alternative<Rejection>(plan()));
+  Request.ExpectedStartLag = Milliseconds(20);
+  const auto Plan = plan();
+  const auto *Refused = std::get_if<Rejection>(&Plan);
+  CHECK(Refused != nullptr);
+  CHECK(Refused->Reason == "more urgent requests need the capacity");
+  CHECK(Refused->RetryAfter >= milliseconds(600));
+  Request.Reserve = Milliseconds(0);
+  CHECK(!std::holds_alternative<Rejection>(plan()));
+}
+
 // If only the load decides, request after request fails on a server that passes
 // its health checks.
 TEST(PromptPlanner, AvoidsAnEngineThatFailsRequests) {
