--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -41,9 +41,15 @@
   Milliseconds LatencyTarget{0};
   /// Shortest pause between events that any stream of the service allows.
   Milliseconds EventGap{200};
-  /// Current start lag of the service: how much later than planned its answers
-  /// begin.
+  /// Current start lag of the service and route: how much later than planned
+  /// their answers begin.
   Milliseconds ExpectedStartLag{0};
+  /// Scheduling priority at engines; empty if none is sent. Engines admit the
+  /// request before work that is less urgent.
+  std::optional<unsigned> EnginePriority;
+  /// Time within the latency target that engines will need for more urgent
+  /// requests which have not arrived yet; see CapacityReserve.h.
+  Milliseconds Reserve{0};
   /// Whether a prompt that waits at every prefill engine may be prefilled at a
   /// decode engine; see PrefillSpill.h.
   bool MaySpill = false;
@@ -98,6 +104,9 @@
   std::chrono::milliseconds RetryAfter{0};
   /// No engine may take the request, however long its caller waits.
   bool NoneAvailable = false;
+  /// There would be time for the request without the more urgent ones that are
+  /// expected.
+  bool IsForMoreUrgent = false;
 };
 using PromptPlan = std::variant<PrefillThenDecode, DecodePlan, Rejection>;
 
@@ -237,11 +246,18 @@
                             BootTime Now) const;
   /// Time until a slot is free. \p ExpectedArrivals: number of work items that
   /// will arrive at the engine before this request.
-  Milliseconds slotWait(const Target &Engine, const EngineTraits &Traits,
-                        double ExpectedArrivals, BootTime Now) const;
-  /// Number of prompts in prefill for each decode engine.
-  double expectedDecodes(std::span<const Target *const> Engines,
+  Milliseconds slotWait(const PromptRequest &Request, const Target &Engine,
+                        const EngineTraits &Traits, double ExpectedArrivals,
+                        BootTime Now) const;
+  /// Number of prompts in prefill for each decode engine that are as urgent as
+  /// \p Request or more.
+  double expectedDecodes(const PromptRequest &Request,
+                         std::span<const Target *const> Engines,
                          BootTime Now) const;
+  /// Planned time of the prefills at \p Engine that are as urgent as
+  /// \p Request or more.
+  Milliseconds prefillBacklog(const PromptRequest &Request,
+                              const Target &Engine, BootTime Now) const;
   std::optional<DecodePlan>
   bestDecodeTarget(const PromptRequest &Request, const Target *PrefillTarget,
                    std::span<const Target *const> Engines,
@@ -249,6 +265,11 @@
                    HealthFilter Filter, BootTime Now) const;
   bool admits(const PromptRequest &Request, Milliseconds Wait,
               Milliseconds FirstEvent) const;
+  bool isInTime(const PromptRequest &Request, Milliseconds Wait,
+                Milliseconds FirstEvent) const;
+  /// Whether the engines have time for the request besides that for the work
+  /// ahead of it and for more urgent requests that will arrive.
+  bool leavesReserve(const PromptRequest &Request, Milliseconds Wait) const;
   /// Whether \p Single should prefill the prompt although it is large: its
   /// first event is clearly earlier, and streams are delayed little.
   bool spills(const PromptRequest &Request, const Candidate &Single,
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -14,9 +14,11 @@
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
+#include "LibDispatch/CapacityReserve.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EngineSwitches.h"
+#include "LibDispatch/EnginePriorities.h"
 #include "LibDispatch/KvReuse.h"
 #include "LibDispatch/LoadTracker.h"
 #include "LibDispatch/LoopDelay.h"
@@ -27,7 +29,7 @@
 #include "LibDispatch/RetryRules.h"
 #include "LibDispatch/ServerLimits.h"
 #include "LibDispatch/ServicePlanner.h"
-#include "LibDispatch/StartLag.h"
+#include "LibDispatch/StartLags.h"
 #include "LibDispatch/StreamOrigins.h"
 #include "LibDispatch/StreamPaces.h"
 #include "LibDispatch/StreamTimes.h"
@@ -119,8 +121,8 @@
   std::map<std::string, std::shared_ptr<upstream::ConnectionPool>> Pools;
   /// Learned cost model of the engines, by service.
   std::map<std::string, engine::EngineModel> EngineModels;
-  /// Scheduling delay of first events, by engine service.
-  std::map<std::string, dispatch::StartLag> StartLags;
+  /// Scheduling delay of first events, by engine service and route.
+  dispatch::StartLags StartLags;
   /// By engine service.
   std::map<std::string, dispatch::KvReuse> KvReuses;
   /// By engine service.
@@ -131,6 +133,9 @@
   std::map<std::string, dispatch::DemandMeter> Demands;
   /// By route.
   std::map<std::string, dispatch::StreamTimes> StreamTimes;
+  dispatch::EnginePriorities Priorities{StreamTimes};
+  /// By engine service whose requests differ in priority.
+  std::map<std::string, dispatch::CapacityReserve> Reserves;
   /// Demand that the other gateways reported, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -131,7 +131,7 @@
     recordDemand(m_Shared.costsOf(Service, Now), usableTargets(), Now);
   const auto Plan = promptPlan(Service, Now);
   m_PlannedAt = Now;
-  m_PlannedLag = m_Shared.StartLags[m_Service].current(Now);
+  m_PlannedLag = m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
   if (const auto *Read = std::get_if<dispatch::PrefillThenDecode>(&Plan)) {
     m_PlannedFirst = Read->FirstEvent;
     return startPrefill(*Read);
@@ -142,6 +142,12 @@
   }
   const auto &Refusal = std::get<dispatch::Rejection>(Plan);
   m_PlannedFirst = Refusal.FirstEvent;
+  if (Refusal.IsForMoreUrgent)
+    m_Shared.Metrics
+        .counter("figlift_gateway_reserve_rejections_total",
+                 "Requests rejected because more urgent ones need the capacity",
+                 {{"service", m_Service}})
+        .add();
   if (m_ResponseStarted)
     return abortStream(Refusal.Reason);
   respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
@@ -214,6 +220,7 @@
   if (Purpose == SendPurpose::Execute)
     Fields.Source = m_Handle;
   Fields.Tenant = m_Tenant;
+  Fields.EnginePriority = Work.EnginePriority = enginePriority(Now);
   if (const dispatch::Target *Source = m_Shared.Targets.find(FetchFrom))
     Fields.FetchFrom = Source->Address.toString();
   if (const auto LastEvent = m_Relay.lastEvent();
@@ -236,7 +243,7 @@
           Work)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
-    logSent(TargetId, FetchFrom, Purpose, Expected);
+    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     m_UsageWindow.reset();
     if (Purpose == SendPurpose::Execute) {
       ++m_Executions;
@@ -451,7 +458,8 @@
 void RequestFlow::handleFailedSend(const SendOutcome &End, ServerSend &Send) {
   const BootTime Now = BootClock::now();
   if (std::holds_alternative<dispatch::Rejected>(End) && engineService())
-    m_Shared.StartLags[m_Service].recordRejection(m_Route.LatencyTarget, Now);
+    m_Shared.StartLags.of(m_Service, m_Route.Name)
+        .recordRejection(m_Route.LatencyTarget, Now);
   if (mayReuseHandle(End, Now) && decodeElsewhere(Send, Now))
     return;
   const auto Next = nextStep(End, Send);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -83,6 +83,12 @@
   void planPrompt(const dispatch::Service &Service);
   void planService();
   dispatch::Milliseconds generationTime() const;
+  std::optional<unsigned> enginePriority(BootTime Now) const;
+  /// Null where all requests of the service have the same priority.
+  dispatch::CapacityReserve *capacityReserve();
+  dispatch::Milliseconds reserveFor(BootTime Now);
+  double ownShareOfDemand(BootTime Now) const;
+  void recordOutcome(bool Served);
   void recordDemand(const dispatch::EngineCosts &Costs,
                     std::span<const dispatch::Target *const> Open,
                     BootTime Now);
@@ -168,7 +174,8 @@
   /// Empty if the target is not listed.
   std::string softwareVersionOf(const std::string &TargetId) const;
   void logSent(const std::string &TargetId, const std::string &FetchFrom,
-               SendPurpose Purpose, dispatch::Milliseconds Expected);
+               SendPurpose Purpose, const slopes::SendFields &Fields,
+               dispatch::Milliseconds Expected);
   void armSilenceTimeout(BootClock::duration Timeout);
   void waitForSilence();
   void sendOverdue();
@@ -245,9 +252,11 @@
   dispatch::StreamProgress m_Progress;
   std::optional<BootTime> m_FirstEvent;
   dispatch::Milliseconds m_PlannedFirst{0};
-  /// Scheduling delay of the service that was added to the plan, and when the
-  /// plan was made.
+  /// Start lag of the service and route that was added to the plan, and when
+  /// the plan was made.
   dispatch::Milliseconds m_PlannedLag{0};
+  /// Time reserved for more urgent requests when the first plan was made.
+  dispatch::Milliseconds m_Reserve{0};
   BootTime m_PlannedAt{};
   /// Set only for a request that arrived while the process was stopping, for
   /// the log: time from its arrival to the end of the process.
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -51,6 +51,7 @@
 
 void RequestFlow::logSent(const std::string &TargetId,
                           const std::string &FetchFrom, SendPurpose Purpose,
+                          const slopes::SendFields &Fields,
                           Milliseconds Expected) {
   const BootTime Now = BootClock::now();
   // A request with a prefill and an execution is sent twice; any further
@@ -64,6 +65,9 @@
        {"softwareVersion", softwareVersionOf(TargetId)},
        {"purpose", Purpose == SendPurpose::Execute ? "run" : "read-prompt"},
        {"fetchFrom", FetchFrom},
+       {"enginePriority", Fields.EnginePriority
+                              ? std::to_string(*Fields.EnginePriority)
+                              : std::string()},
        {"plannedMs", Expected},
        {"timeLeftMs", timeLeft(Now)},
        {"sends", m_Sends},
@@ -135,6 +139,7 @@
        {"promptTokens", m_Fields.Prompt ? m_Fields.Prompt->Tokens : 0},
        {"plannedFirstMs", m_PlannedFirst},
        {"plannedLagMs", m_PlannedLag},
+       {"reserveMs", m_Reserve},
        {"firstMs", FirstEvent},
        {"plannedReadMs", m_PlannedPrefill},
        {"readMs", m_PrefillTime},
