figlift-gateway: Let requests wait for full plain servers

RequestFlow::planService puts a request that has not run into the queue of its plain service while the queue is active. It leaves the queue when it is sent or refused, its caller disconnects or its deadline comes, on SIGTERM, and when a configuration removes its service or route. Checks follow the end of a send, a report of a peer, and at the latest 20 ms. A request that a full server rejected waits again if decideNext allows another send, and the retry budget is asked again when a slot is free.

Services of engines are not touched. Until a server rejects a request with at least half of its slots occupied, requests are planned as before.

Log lines request-queued and request-dequeued, gauges and counters of the queue, and their pages.

--- a/Libraries/LibDispatch/ServicePlanner.h
+++ b/Libraries/LibDispatch/ServicePlanner.h
@@ -61,6 +61,7 @@
 
   ServicePlan plan(const ServiceRequest &Request,
                    std::span<const Target *const> Servers, BootTime Now) const;
+  const ServicePlannerOptions &options() const { return m_Options; }
 
 private:
   const Target *choose(const ServiceRequest &Request,
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -10,6 +10,7 @@
 #include "DecisionLog.h"
 #include "OpenTargets.h"
 #include "ServerFeedback.h"
+#include "ServiceQueues.h"
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
@@ -137,6 +138,8 @@
   ServerFeedback Feedback{Log};
   metrics::Registry Metrics;
   TenantMetrics Tenants{Metrics};
+  /// Requests that wait for full servers of plain services.
+  ServiceQueues Queues{*this};
   UsageState Usage;
   std::mt19937_64 Random;
   /// When the cached view of the server list was last known to be current.
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -269,6 +269,8 @@
   m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
   apply(m_Shared.Targets.tick(Now));
   m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
+  m_Shared.Queues.setFleet(m_Peers.sharingGateways(Now),
+                           m_Peers.livePeers(Now));
   m_Shared.Open.setPlace(m_Peers.place());
   limitPools();
   m_Shared.OrderTurnDelay =
@@ -367,6 +369,7 @@
                  {"busy", busyCallers()},
                  {"grace", grace()},
                  {"endsInMs", *m_Shared.Stop.timeLeft(Now)}});
+  m_Shared.Queues.stop();
 }
 
 size_t Gateway::busyCallers() const {
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -107,6 +107,13 @@
       "Requests and calls not sent at the last moment, as their server had "
       "asked for a pause",
       [this] { return double(m_Shared.Feedback.heldBack()); });
+  Metrics.registerGauge("figlift_gateway_queue_requests",
+                        "Requests that wait for a full service",
+                        [this] { return double(m_Shared.Queues.waiting()); });
+  Metrics.registerGauge(
+      "figlift_gateway_queue_bytes",
+      "Bytes of the requests that wait for a full service",
+      [this] { return double(m_Shared.Queues.waitingBytes()); });
   Metrics.registerCounter(
       "figlift_gateway_announced_shutdowns_total",
       "Servers that said in a response that they were shutting down, before "
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -135,6 +135,7 @@
   m_Shared.Configuration =
       std::make_shared<const dispatch::Configuration>(std::move(Candidate));
   describeServices();
+  m_Shared.Queues.configurationChanged(*m_Shared.Configuration);
   m_PoolLimitsStale = true;
   limitPools();
 }
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -298,6 +298,7 @@
   const dispatch::PeerReport &Report = Read.value();
   m_Peers.reportReceived(Report.Sender, m_Sender, Now);
   m_Shared.Loads.recordPeerReport(Report.Sender, Report.Loads, Now);
+  m_Shared.Queues.wake();
   m_Shared.PeerDemands[Report.Sender] = Report.Demands;
   if (Report.Clock)
     m_Shared.Usage.Clock.recordPeer(Report.Sender, *Report.Clock, Now);
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -180,6 +180,7 @@
   if (const auto Send = std::exchange(m_Send, nullptr)) {
     abandonExpectedCache(Send->targetId());
     Send->cancel();
+    m_Shared.Queues.wake();
   }
   releaseHandle();
 }
@@ -197,6 +198,7 @@
     return;
   m_DeadlineTimer.cancel();
   m_SilenceTimer.cancel();
+  leaveQueue();
   cancelReservedRetry();
   recordStreamEnd();
   const BootTime Now = BootClock::now();
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -153,8 +153,14 @@
 }
 
 void RequestFlow::planService() {
+  if (enterQueue())
+    return;
   const BootTime Now = BootClock::now();
-  const auto Plan = servicePlan(Now);
+  startPlanned(servicePlan(Now), Now);
+}
+
+void RequestFlow::startPlanned(const dispatch::ServicePlan &Plan,
+                               BootTime Now) {
   if (const auto *Chosen = std::get_if<dispatch::ServiceAssignment>(&Plan)) {
     m_PlannedFirst = Chosen->Expected;
     if (m_Sends == 0 && !mayStart(Chosen->Expected, Now))
@@ -311,6 +317,7 @@
   logSendEnded(*Overdue, End);
   abandonExpectedCache(Overdue->targetId());
   Overdue->cancel();
+  recordSlotFreed(*Overdue, End);
   retry(*Overdue);
 }
 
@@ -319,6 +326,7 @@
   m_Send = nullptr;
   if (Send.purpose() == SendPurpose::Prefill)
     return prefillCompleted(Send);
+  recordSlotFreed(Send, std::nullopt);
   if (m_Handle && m_HandleRejected)
     m_Shared.KvReuses[m_Service].recordRetry(true, BootClock::now());
   m_Handle.reset();
@@ -417,6 +425,7 @@
     recordConnectionLost(Send);
   logSendEnded(Send, End);
   recordServerStream(Send, "broken-off");
+  recordSlotFreed(Send, End);
   handleFailedSend(End, Send);
 }
 
@@ -469,7 +478,9 @@
 }
 
 void RequestFlow::retry(const ServerSend &Failed) {
-  m_Excluded.push_back(Failed.targetId());
+  // A request that a full server rejected may wait for a slot of that server.
+  if (!std::exchange(m_RejectedByFullServer, false))
+    m_Excluded.push_back(Failed.targetId());
   releaseHandle();
   plan();
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -29,6 +29,7 @@
 
 class RequestFlow : public proxy::ActiveRequest,
                     public SendOwner,
+                    public QueueOwner,
                     public std::enable_shared_from_this<RequestFlow> {
 public:
   RequestFlow(Context &Shared, proxy::Request Request,
@@ -48,6 +49,10 @@
   void sendCompleted(ServerSend &Send) override;
   bool wantsMore() const override;
 
+  void queueGranted(const dispatch::QueueSend &Grant) override;
+  void queueRefused(const dispatch::QueueRefusal &Refusal) override;
+  const std::string &queuedRoute() const override { return m_Route.Name; }
+
 private:
   /// Sets m_Tenant. Otherwise rejects the request and returns false.
   bool authenticate();
@@ -75,6 +80,20 @@
                                               BootTime Now);
   void planPrompt(const dispatch::Service &Service);
   void planService();
+  void startPlanned(const dispatch::ServicePlan &Plan, BootTime Now);
+  /// \name The queue of a plain service; see RequestQueue.cpp.
+  /// @{
+  bool mayQueue(BootTime Now) const;
+  BootTime queueLimit(BootTime Now) const;
+  /// Returns whether the queue decides about the request, or has decided.
+  bool enterQueue();
+  void leaveQueue();
+  /// \p End: none for a complete answer.
+  void recordSlotFreed(const ServerSend &Send,
+                       std::optional<dispatch::SendOutcome> End);
+  void logDequeued(std::string_view Outcome, dispatch::Milliseconds Waited,
+                   size_t Ahead);
+  /// @}
   dispatch::Milliseconds generationTime() const;
   void recordDemand(const dispatch::EngineCosts &Costs,
                     std::span<const dispatch::Target *const> Open,
@@ -264,6 +283,11 @@
   bool m_CacheKnown = false;
   std::optional<BootTime> m_ExecutionSent;
   /// @}
+  /// Identifies the request in the queue of its service; 0 if it does not wait.
+  uint64_t m_QueueId = 0;
+  BootTime m_QueuedAt{};
+  /// The latest send was rejected because the server was full.
+  bool m_RejectedByFullServer = false;
   unsigned m_Sends = 0;
   unsigned m_Executions = 0;
   /// A prefill, or an execution, of this request has reached a server.
