--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -182,6 +182,7 @@
   if (const auto Send = std::exchange(m_Send, nullptr)) {
     abandonExpectedCache(Send->targetId());
     Send->cancel();
+    m_Shared.Queues.wake();
   }
   releaseHandle();
 }
@@ -199,6 +200,7 @@
     return;
   m_DeadlineTimer.cancel();
   m_SilenceTimer.cancel();
+  leaveQueue();
   cancelReservedRetry();
   recordStreamEnd();
   const BootTime Now = BootClock::now();
