--- a/Tests/FigliftGateway/TestStreamMetrics.cpp
+++ b/Tests/FigliftGateway/TestStreamMetrics.cpp
@@ -4,7 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "StreamMetrics.h"
+#include "figlift-gateway/StreamMetrics.h"
 
 #include <CppUTest/TestHarness.h>
 
