figlift-gateway: Run no queue timer while nothing waits

The timer of the queues ran for up to 20 ms after the last request had left; it is now stopped, and started again by a request that arrives before its handler has run.

--- a/Services/figlift-gateway/ServiceQueues.cpp
+++ b/Services/figlift-gateway/ServiceQueues.cpp
@@ -161,6 +161,7 @@
   const auto Ahead = m_Queues[Found->second.Service].leave(Id);
   m_Owners.erase(Found);
   m_Left.add();
+  armTimer();
   return Ahead.value_or(0);
 }
 
@@ -195,6 +196,8 @@
 }
 
 void ServiceQueues::armTimer() {
+  if (m_Owners.empty() && m_TimerRunning)
+    m_Timer.cancel();
   if (m_Owners.empty() || m_TimerRunning)
     return;
   m_TimerRunning = true;
@@ -207,8 +210,10 @@
   m_Timer.expires_after(Wait);
   m_Timer.async_wait([this](const boost::system::error_code &Stopped) {
     m_TimerRunning = false;
-    if (!Stopped)
-      checkAll();
+    // A request may have arrived after the timer was stopped.
+    if (Stopped)
+      return armTimer();
+    checkAll();
   });
 }
 
--- a/Tests/FigliftGateway/TestServiceQueues.cpp
+++ b/Tests/FigliftGateway/TestServiceQueues.cpp
@@ -45,6 +45,32 @@
 
 } // namespace
 
+TEST_GROUP(ServiceQueuesWithoutBudget) {
+  /// Grace time and base of the retry budget.
+  GatewayFixture Fixture{8, 0};
+};
+
+// Failure: a request that a full server rejected waits although the retry
+// budget is used up, and is sent again.
+TEST(ServiceQueuesWithoutBudget, RefuseARejectedRequestAtOnce) {
+  FullServer Server;
+  std::deque<KeepAliveCaller> Callers;
+  Fixture.addServer("s1", "plain", Server.behaviour());
+  Fixture.configure();
+  CHECK(Fixture.waitUntilReady());
+  for (size_t Count = 0; Count <= Slots; ++Count) {
+    Callers.emplace_back(Fixture).send("POST", "/unsafe/x");
+    CHECK(Fixture.waitUntil(
+        [&] { return Server.running() + Server.Rejections == Count + 1; }));
+  }
+  CHECK(Fixture.waitUntil(
+      [&] { return contains(Callers.back().received(), "HTTP/1.1 503"); }));
+  CHECK(contains(Callers.back().received(), "Retry-After"));
+  LONGS_EQUAL(1, Server.Rejections);
+  CHECK(
+      contains(Fixture.metrics(), "figlift_gateway_queued_requests_total 0\n"));
+}
+
 TEST_GROUP(ServiceQueues) {
   GatewayFixture Fixture;
   FullServer Server;
@@ -139,6 +165,28 @@
   CHECK(isWaiting(0));
 }
 
+// Failure: requests that full servers rejected are sent again without limit, so
+// that a full service gets more requests than it has callers.
+TEST(ServiceQueues, ChargeTheRetryBudgetForARepeatedArrival) {
+  const auto BudgetLeft = [&] {
+    const std::string Text = Fixture.metrics();
+    const std::string Name =
+        "\nfiglift_gateway_repeat_budget_left{service=\"plain\"} ";
+    const size_t At = Text.find(Name);
+    CHECK(At != std::string::npos);
+    return std::stod(Text.substr(At + Name.size()));
+  };
+  KeepAliveCaller &Rejected = fillServer();
+  const double Before = BudgetLeft();
+  Server.answerOne();
+  CHECK(Fixture.waitUntil([&] { return isWaiting(0); }));
+  CHECK(Fixture.waitUntil([&] { return Server.running() == Slots; }));
+  DOUBLES_EQUAL(Before - 1, BudgetLeft(), 0.01);
+  while (Server.running() > 0)
+    Server.answerOne();
+  CHECK(answers(Rejected, "good"));
+}
+
 // Failure: requests wait until their deadlines for a server that crashed.
 TEST(ServiceQueues, RefuseWhenTheLastServerCrashes) {
   KeepAliveCaller &Waiting = fillServer();
