Tests/LibDispatch: See a gateway without reports keep to an even part

The test of a gateway that hears no others passed also without the rule, as all slots were free in it. It now has one free slot, no turn, and the same state with and without reports; without the rule it fails.

--- a/Tests/LibDispatch/TestServiceQueue.cpp
+++ b/Tests/LibDispatch/TestServiceQueue.cpp
@@ -284,15 +284,17 @@
 // not receive.
 TEST(ServiceQueue, TakesAnEvenPartWithoutReports) {
   View.Gateways = 3;
-  View.HearsOthers = false;
   View.OwnDemand = 100;
-  setFree(6);
-  for (int Count = 0; Count < 4; ++Count)
-    Queue.arrive(request(), View, Now);
-  const auto First = View.Servers[0];
-  View.Servers[0].Items = View.Servers[0].OwnItems = 2;
-  CHECK(sent(Queue.check(View, Now)).size() <= 2);
-  View.Servers[0] = First;
+  View.OthersDemand = 1;
+  View.Servers[0].Items = 5;
+  View.Servers[0].OwnItems = 2;
+  // Not this gateway's turn for the fraction of a slot.
+  View.Draw = 0.9;
+  View.HearsOthers = false;
+  wait();
+  CHECK(Queue.check(View, Now).empty());
+  View.HearsOthers = true;
+  LONGS_EQUAL(1, sent(Queue.check(View, Now)).size());
 }
 
 // Failure: after the loss of a gateway its part of the capacity stays unused.
