--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -79,9 +79,10 @@
   /// \name Moves of running streams.
   /// @{
   void moveIfBetter();
-  bool isTooSlowFor(const std::string &TargetId, BootTime Now) const;
-  std::optional<dispatch::DecodePlan>
-  moveDestination(const std::string &Source, bool IsChanging, BootTime Now);
+  void moveStream(const dispatch::DecodePlan &Destination,
+                  std::string_view Reason, BootTime Now);
+  std::optional<dispatch::DecodePlan> moveDestination(const std::string &Source,
+                                                      BootTime Now);
   /// @}
   std::chrono::milliseconds retryAfterBackoff(std::chrono::milliseconds Planned,
                                               BootTime Now);
--- a/Services/figlift-gateway/RequestMove.cpp
+++ b/Services/figlift-gateway/RequestMove.cpp
@@ -12,89 +12,78 @@
 
 #include "RequestFlow.h"
 
+#include "LibDispatch/StreamMove.h"
 #include "LibLog/Log.h"
 
 namespace figlift::gateway {
 
 using dispatch::Milliseconds;
 
-namespace {
-
-/// Moves use at most this share of the retry budget; the rest is left for
-/// failures.
-constexpr double BudgetShareOfMoves = 0.5;
-/// An engine counts as fast enough below this share of the allowed pause.
-constexpr double FastPauseShare = 0.75;
-
-} // namespace
-
 /// Called after an event has been forwarded.
 void RequestFlow::moveIfBetter() {
-  if (m_Moved || m_Done || !m_Send || !m_Route.Resumable ||
-      m_Send->purpose() != SendPurpose::Execute || !engineService())
+  if (m_Done || !m_Send || m_Send->purpose() != SendPurpose::Execute ||
+      !engineService() || m_IsTrial || !mayRetryIfSuspected())
     return;
   const BootTime Now = BootClock::now();
   const std::string Source = m_Send->targetId();
-  const bool IsChanging = m_Shared.isChangingStage(Source, Now);
-  if (!IsChanging && !isTooSlowFor(Source, Now))
+  dispatch::MovableStream Stream;
+  Stream.Resumable = m_Route.Resumable;
+  Stream.WasMoved = m_Moved;
+  Stream.Runs = m_Executions;
+  Stream.MaximumRuns = m_Route.MaximumAttempts;
+  Stream.LongestPause = m_Progress.longestPause();
+  Stream.AllowedPause = m_Route.EventGapTarget;
+  Stream.ExpectedPause =
+      m_Shared.Paces.expectedLongestPause(m_Service, Source, Now);
+  Stream.EngineChangesStage = m_Shared.isChangingStage(Source, Now);
+  Stream.BudgetLeft = m_Shared.Budget.remaining(m_Service, Now);
+  Stream.BudgetBase = m_Shared.Settings.Retry.Base;
+  const auto Reason = dispatch::moveReason(Stream);
+  if (!Reason || !mayStart(m_PlannedFirst, Now))
     return;
-  if (m_Executions >= m_Route.MaximumAttempts || !mayRetryIfSuspected() ||
-      m_IsTrial || !mayStart(m_PlannedFirst, Now) ||
-      m_Shared.Budget.remaining(m_Service, Now) <
-          m_Shared.Settings.Retry.Base * BudgetShareOfMoves)
-    return;
-  const auto Destination = moveDestination(Source, IsChanging, Now);
-  if (!Destination)
+  const auto Destination = moveDestination(Source, Now);
+  if (!Destination ||
+      !dispatch::isWorthAMove(*Reason,
+                              m_Shared.Paces.expectedLongestPause(
+                                  m_Service, Destination->DecodeTarget, Now),
+                              Stream.AllowedPause))
     return;
+  moveStream(*Destination, dispatch::describe(*Reason), Now);
+}
+
+void RequestFlow::moveStream(const dispatch::DecodePlan &Destination,
+                             std::string_view Reason, BootTime Now) {
+  const auto Old = m_Send;
+  const std::string &Source = Old->targetId();
   m_Moved = true;
   if (m_Shared.Log.allows(LineKind::Notable, Now))
     log::logRequest(
         log::Level::Info, "stream-moved", m_Fields.AttemptId, {},
         {{"from", Source},
-         {"to", Destination->DecodeTarget},
-         {"reason", IsChanging ? "stage change" : "long pauses"},
+         {"to", Destination.DecodeTarget},
+         {"reason", Reason},
          {"events", m_Relay.events()},
          {"longestPauseMs", m_Progress.longestPause()},
          {"budgetLeft", m_Shared.Budget.remaining(m_Service, Now)}});
-  const auto Old = m_Send;
   m_SilenceTimer.cancel();
   abandonExpectedCache(Source);
   Old->cancel();
   m_Excluded.push_back(Source);
   // The execution that ends here has taken it.
   m_Handle.reset();
-  startExecution(*Destination);
-}
-
-/// A stream that is late already gains nothing by a move.
-bool RequestFlow::isTooSlowFor(const std::string &TargetId,
-                               BootTime Now) const {
-  if (!m_Route.EventGapTarget)
-    return false;
-  const Milliseconds Allowed(*m_Route.EventGapTarget);
-  const auto Expected =
-      m_Shared.Paces.expectedLongestPause(m_Service, TargetId, Now);
-  return Expected && *Expected > Allowed && m_Progress.longestPause() < Allowed;
+  startExecution(Destination);
 }
 
 /// Without admission control: the stream has begun, and its first event cannot
 /// be late any more.
 std::optional<dispatch::DecodePlan>
-RequestFlow::moveDestination(const std::string &Source, bool IsChanging,
-                             BootTime Now) {
+RequestFlow::moveDestination(const std::string &Source, BootTime Now) {
   dispatch::PromptRequest Request = promptRequest(Now);
   Request.Excluded.push_back(Source);
   auto Decode = m_Shared.Prompts.chooseDecodeTarget(
       Request, nullptr, usableTargets(),
       m_Shared.costsOf(*engineService(), Now), Now);
-  if (!Decode || Decode->Prefill.Wait > Milliseconds(0))
-    return std::nullopt;
-  const auto Pause =
-      m_Shared.Paces.expectedLongestPause(m_Service, Decode->DecodeTarget, Now);
-  const bool IsFast =
-      Pause && m_Route.EventGapTarget &&
-      *Pause < Milliseconds(*m_Route.EventGapTarget) * FastPauseShare;
-  if (!IsChanging && !IsFast)
+  if (Decode && Decode->Prefill.Wait > Milliseconds(0))
     return std::nullopt;
   return Decode;
 }
