--- a/Libraries/LibDispatch/FleetAverages.cpp
+++ b/Libraries/LibDispatch/FleetAverages.cpp
@@ -97,11 +97,11 @@
   std::erase_if(m_Entries, [](const auto &Target) {
     return Target.second.ByProcess.empty();
   });
-  for (auto &[Peer, Targets] : m_TargetsByPeer)
-    std::erase_if(Targets, [&](const std::string &Id) {
+  for (auto &Entry : m_TargetsByPeer)
+    std::erase_if(Entry.second, [&](const std::string &Id) {
       const auto Found = m_Entries.find(Id);
       return Found == m_Entries.end() ||
-             !Found->second.ByProcess.contains(Peer);
+             !Found->second.ByProcess.contains(Entry.first);
     });
   std::erase_if(m_TargetsByPeer,
                 [](const auto &Peer) { return Peer.second.empty(); });
--- a/Libraries/LibDispatch/StageExchange.cpp
+++ b/Libraries/LibDispatch/StageExchange.cpp
@@ -44,6 +44,7 @@
 StageExchange::sorted(const std::vector<ExchangeEngine> &Engines,
                       const EngineSpeeds &Speeds) const {
   std::vector<Candidate> Order;
+  Order.reserve(Engines.size());
   for (const ExchangeEngine &Entry : Engines)
     Order.push_back({Entry, Speeds.speed(Entry.Engine->Id),
                      Speeds.Intervals.contains(Entry.Engine->Id)});
--- a/Libraries/LibDispatch/StagePlanner.cpp
+++ b/Libraries/LibDispatch/StagePlanner.cpp
@@ -123,7 +123,7 @@
   recordStageChanges(Engines);
   if (!isListStable(Engines, Now))
     return std::nullopt;
-  if (const auto Exchange =
+  if (auto Exchange =
           planExchange(Engines, Demand, Speeds, Loads, Now, Unreachable))
     return Exchange;
   size_t PrefillEngines = 0;
