--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -15,7 +15,6 @@
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
-#include "LibDispatch/CapacityReserve.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EnginePriorities.h"
@@ -135,8 +134,6 @@
   /// By route.
   std::map<std::string, dispatch::StreamTimes> StreamTimes;
   dispatch::EnginePriorities Priorities{StreamTimes};
-  /// By engine service whose requests differ in priority.
-  std::map<std::string, dispatch::CapacityReserve> Reserves;
   /// Demand that the other gateways reported, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
   /// Engines whose stage this gateway is changing, and the time until which
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -46,7 +46,6 @@
     learnExecutionStart();
     learnStartLag();
     learnSpill();
-    recordOutcome(true);
     proxy::ResponseHead Head = Send.head();
     Head.Headers = proxy::endToEndHeaders(Head.Headers);
     m_ResponseStarted = true;
@@ -206,9 +205,6 @@
   const BootTime Now = BootClock::now();
   if (m_FirstEvent)
     m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
-  // A stream is counted at its first event.
-  if (!m_FirstEvent)
-    recordOutcome(Outcome == "answered");
   recordRequestEnd(m_Shared, m_Route, Outcome, firstAfter(Now));
   logEnded(Outcome, Status, Reason);
 }
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -142,12 +142,6 @@
   }
   const auto &Refusal = std::get<dispatch::Rejection>(Plan);
   m_PlannedFirst = Refusal.FirstEvent;
-  if (Refusal.IsForMoreUrgent)
-    m_Shared.Metrics
-        .counter("figlift_gateway_reserve_rejections_total",
-                 "Requests rejected because more urgent ones need the capacity",
-                 {{"service", m_Service}})
-        .add();
   if (m_ResponseStarted)
     return abortStream(Refusal.Reason);
   respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -104,11 +104,6 @@
   /// @}
   dispatch::Milliseconds generationTime() const;
   std::optional<unsigned> enginePriority(BootTime Now) const;
-  /// Null where all requests of the service have the same priority.
-  dispatch::CapacityReserve *capacityReserve();
-  dispatch::Milliseconds reserveFor(BootTime Now);
-  double ownShareOfDemand(BootTime Now) const;
-  void recordOutcome(bool Served);
   void recordDemand(const dispatch::EngineCosts &Costs,
                     std::span<const dispatch::Target *const> Open,
                     BootTime Now);
@@ -275,8 +270,6 @@
   /// Start lag of the service and route that was added to the plan, and when
   /// the plan was made.
   dispatch::Milliseconds m_PlannedLag{0};
-  /// Time reserved for more urgent requests when the first plan was made.
-  dispatch::Milliseconds m_Reserve{0};
   BootTime m_PlannedAt{};
   /// Set only for a request that arrived while the process was stopping, for
   /// the log: time from its arrival to the end of the process.
--- a/Services/figlift-gateway/RequestLearning.cpp
+++ b/Services/figlift-gateway/RequestLearning.cpp
@@ -47,13 +47,6 @@
   const Milliseconds Transfer = Costs.transfer(Prompt.Tokens, false);
   Meter.recordRequest(Prefill,
                       Transfer + generationTime() / Costs.traits().Slots, Now);
-  if (dispatch::CapacityReserve *Reserve = capacityReserve())
-    Reserve->recordRequest(
-        m_Route.Priority, Prefill,
-        Transfer +
-            std::min(generationTime(), Milliseconds(m_Route.LatencyTarget)) /
-                Costs.traits().Slots,
-        Now);
 }
 
 /// Plans without any measurement are not used to rate an engine: for seconds
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -96,7 +96,6 @@
   Request.ExpectedStartLag =
       m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
   Request.EnginePriority = enginePriority(Now);
-  Request.Reserve = reserveFor(Now);
   Request.MaySpill =
       m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
   Request.Excluded = excluded(Now);
@@ -113,51 +112,6 @@
                                 m_Route.Priority, Now);
 }
 
-dispatch::CapacityReserve *RequestFlow::capacityReserve() {
-  const dispatch::Service *Service = engineService();
-  return Service && Service->PromptPriorities.size() > 1
-             ? &m_Shared.Reserves[m_Service]
-             : nullptr;
-}
-
-/// Applies to the first plan only: a request that has been sent has been
-/// admitted.
-Milliseconds RequestFlow::reserveFor(BootTime Now) {
-  dispatch::CapacityReserve *Reserve = capacityReserve();
-  if (!Reserve || m_Sends > 0)
-    return Milliseconds(0);
-  if (!Reserve->isOwnShareKnown(Now))
-    Reserve->setOwnShare(ownShareOfDemand(Now), Now);
-  dispatch::EngineCapacity Engines;
-  for (const dispatch::Target *Engine : m_Shared.Open.all(m_Service))
-    ++(Engine->EngineStage == dispatch::Stage::Prefill ? Engines.PrefillEngines
-                                                       : Engines.DecodeEngines);
-  return m_Reserve = Reserve->reserve(m_Route.Priority, m_Route.LatencyTarget,
-                                      Engines, Now);
-}
-
-double RequestFlow::ownShareOfDemand(BootTime Now) const {
-  const auto Meter = m_Shared.Demands.find(m_Service);
-  const double Own =
-      Meter == m_Shared.Demands.end() ? 0 : Meter->second.demand(Now).sum();
-  double Total = Own;
-  for (const auto &[Peer, Demands] : m_Shared.PeerDemands)
-    for (const dispatch::ServiceDemand &Entry : Demands)
-      if (Entry.Service == m_Service)
-        Total += Entry.Demand.sum();
-  // Without demand of its own, this process has none to scale.
-  return Own > 0 ? Own / Total : 1;
-}
-
-/// Requests that are rejected before they are planned, for example without a
-/// valid key, say nothing of the capacity.
-void RequestFlow::recordOutcome(bool Served) {
-  if (m_PlannedAt == BootTime{})
-    return;
-  if (dispatch::CapacityReserve *Reserve = capacityReserve())
-    Reserve->recordOutcome(m_Route.Priority, Served, BootClock::now());
-}
-
 Milliseconds RequestFlow::generationTime() const {
   const auto Times = m_Shared.StreamTimes.find(m_Route.Name);
   return Times == m_Shared.StreamTimes.end()
