--- a/review/stand-ins/Http.h
+++ b/review/stand-ins/Http.h
@@ -125,25 +125,51 @@
   /// Reads a whole message. Empty if the connection ends or \p Until passes
   /// before its end.
   std::optional<Message> receive(Clock::time_point Until) {
-    size_t End = std::string::npos;
-    while ((End = m_Input.find("\r\n\r\n")) == std::string::npos)
-      if (!readMore(Until))
-        return std::nullopt;
-    Message Read = parseHead(m_Input.substr(0, End));
-    m_Input.erase(0, End + 4);
-    if (const auto Length = Read.field("Content-Length")) {
+    auto Read = receiveHead(Until);
+    if (!Read)
+      return std::nullopt;
+    if (const auto Length = Read->field("Content-Length")) {
       const size_t Size = std::strtoul(Length->c_str(), nullptr, 10);
       while (m_Input.size() < Size)
         if (!readMore(Until))
           return std::nullopt;
-      Read.Body = m_Input.substr(0, Size);
+      Read->Body = m_Input.substr(0, Size);
       m_Input.erase(0, Size);
-    } else if (Read.field("Transfer-Encoding")) {
-      if (!receiveChunks(Read.Body, Until))
-        return std::nullopt;
+    } else if (Read->field("Transfer-Encoding")) {
+      for (;;) {
+        const auto Part = receiveChunk(Until);
+        if (!Part)
+          return std::nullopt;
+        if (Part->empty())
+          break;
+        Read->Body += *Part;
+      }
     }
     return Read;
   }
+  std::optional<Message> receiveHead(Clock::time_point Until) {
+    size_t End = std::string::npos;
+    while ((End = m_Input.find("\r\n\r\n")) == std::string::npos)
+      if (!readMore(Until))
+        return std::nullopt;
+    Message Read = parseHead(m_Input.substr(0, End));
+    m_Input.erase(0, End + 4);
+    return Read;
+  }
+  /// Reads the next chunk of a body; the last one is empty.
+  std::optional<std::string> receiveChunk(Clock::time_point Until) {
+    size_t End = std::string::npos;
+    while ((End = m_Input.find("\r\n")) == std::string::npos)
+      if (!readMore(Until))
+        return std::nullopt;
+    const size_t Size = std::strtoul(m_Input.c_str(), nullptr, 16);
+    while (m_Input.size() < End + 2 + Size + 2)
+      if (!readMore(Until))
+        return std::nullopt;
+    const std::string Part = m_Input.substr(End + 2, Size);
+    m_Input.erase(0, End + 2 + Size + 2);
+    return Part;
+  }
 
 private:
   bool readMore(Clock::time_point Until) {
@@ -159,22 +185,6 @@
     m_Input.append(Buffer, static_cast<size_t>(Count));
     return true;
   }
-  bool receiveChunks(std::string &Body, Clock::time_point Until) {
-    for (;;) {
-      size_t End = std::string::npos;
-      while ((End = m_Input.find("\r\n")) == std::string::npos)
-        if (!readMore(Until))
-          return false;
-      const size_t Size = std::strtoul(m_Input.c_str(), nullptr, 16);
-      while (m_Input.size() < End + 2 + Size + 2)
-        if (!readMore(Until))
-          return false;
-      Body += m_Input.substr(End + 2, Size);
-      m_Input.erase(0, End + 2 + Size + 2);
-      if (Size == 0)
-        return true;
-    }
-  }
   static Message parseHead(const std::string &Text) {
     Message Read;
     size_t From = Text.find("\r\n");
