review: Take ports that outgoing connections do not use

A gateway of case 2 starts again on its ports; a port from the range of outgoing connections could be taken meanwhile, and the case could not run.

--- a/review/stand-ins/Http.h
+++ b/review/stand-ins/Http.h
@@ -19,6 +19,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -41,15 +42,27 @@
   return Address;
 }
 
-/// Returns a TCP and UDP port that nobody uses at present.
-inline uint16_t freePort() {
-  const int Handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address = loopback(0);
-  socklen_t Size = sizeof(Address);
-  bind(Handle, reinterpret_cast<sockaddr *>(&Address), Size);
-  getsockname(Handle, reinterpret_cast<sockaddr *>(&Address), &Size);
+/// Whether a socket of this kind can be bound to the port.
+inline bool isFree(int Kind, uint16_t Port) {
+  const int Handle = socket(AF_INET, Kind, 0);
+  const sockaddr_in Address = loopback(Port);
+  const bool IsBound =
+      bind(Handle, reinterpret_cast<const sockaddr *>(&Address),
+           sizeof(Address)) == 0;
   close(Handle);
-  return ntohs(Address.sin_port);
+  return IsBound;
+}
+
+/// Returns a port that nobody uses at present for TCP or UDP. It lies below the
+/// ports that the system gives to outgoing connections, so that it is still
+/// free when a process starts again.
+inline uint16_t freePort() {
+  static std::mt19937 Random{std::random_device{}()};
+  std::uniform_int_distribution<unsigned> Ports(12000, 31999);
+  for (;;)
+    if (const auto Port = static_cast<uint16_t>(Ports(Random));
+        isFree(SOCK_STREAM, Port) && isFree(SOCK_DGRAM, Port))
+      return Port;
 }
 
 /// The head of a request or a response, with its body.
