LibDispatch, figlift-gateway: Keep the software versions of services in the store

Cause: StreamOrigins answered "only version" from what had been listed since the process started. A process that has just started took its view for the past.

No gateway survives, so no peer could have told it, and the list was not stale: it named v2 alone. "unknown" had one name for four reasons; the line and the counter of resumed streams now have the reason.

A row for each service whose streams may be taken up keeps the versions that were listed, and until when a stream of each may be taken up, in the store's time. It is read at each start and whenever the list of servers was unknown for over 3 s; before that the answer is "not known". The first live gateway writes it when a version comes or leaves, the next two check. How long a stream may be taken up is the longest timeout or client deadline since the version was listed, not 120 s: a release that ended 20 s before refuses nothing.

Weighed: a start that answers "not known" for as long as a stream may be taken up. It costs nothing and refuses every stream after a kill of all gateways, though most services have one version at nearly all times.

Failed before: TestStreamVersions.VersionThatLeftBeforeTheStartIsRemembered (with its wait for the record left out: 200 from the other version).

TestStreamOrigins gives its gateways a record that was read, as each has now.

--- a/Libraries/LibDispatch/Configuration.cpp
+++ b/Libraries/LibDispatch/Configuration.cpp
@@ -111,6 +111,20 @@
   }
 }
 
+std::map<std::string, std::chrono::milliseconds>
+takeUpTimes(const Configuration &InForce) {
+  std::map<std::string, std::chrono::milliseconds> Longest;
+  for (const Route &Entry : InForce.Routes) {
+    if (Entry.Kind != RouteKind::Streaming || !Entry.Resumable)
+      continue;
+    for (const WeightedService &Weighted : Entry.Services) {
+      auto &Time = Longest[Weighted.Service];
+      Time = std::max(Time, Entry.Timeout);
+    }
+  }
+  return Longest;
+}
+
 const std::string &pickService(const Route &Entry, double Draw) {
   double Total = 0;
   for (const WeightedService &Weighted : Entry.Services)
--- a/Libraries/LibDispatch/Configuration.h
+++ b/Libraries/LibDispatch/Configuration.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -140,6 +141,10 @@
   size_t m_LongestPrefix = 0;
 };
 
+/// By service whose streams may be resumed: the longest timeout of its routes.
+std::map<std::string, std::chrono::milliseconds>
+takeUpTimes(const Configuration &InForce);
+
 /// Picks a service by weight; \p Draw is uniform in [0, 1).
 const std::string &pickService(const Route &Entry, double Draw);
 
--- a/Libraries/LibDispatch/StreamOrigins.cpp
+++ b/Libraries/LibDispatch/StreamOrigins.cpp
@@ -10,23 +10,6 @@
 
 namespace figlift::dispatch {
 
-void StreamOrigins::replaceListed(const VersionsByService &Listed,
-                                  BootTime Now) {
-  for (auto &[Service, Versions] : m_Versions) {
-    const auto Present = Listed.find(Service);
-    for (auto &[Version, LastSeen] : Versions)
-      if (!LastSeen &&
-          (Present == Listed.end() || !Present->second.contains(Version)))
-        LastSeen = Now;
-    std::erase_if(Versions, [&](const auto &Version) {
-      return Version.second && Now - *Version.second > m_Options.Retention;
-    });
-  }
-  for (const auto &[Service, Versions] : Listed)
-    for (const std::string &Version : Versions)
-      m_Versions[Service][Version] = std::nullopt;
-}
-
 void StreamOrigins::recordEvent(const StreamKey &Stream,
                                 const StreamOrigin &Origin, BootTime Now) {
   record(Stream, Origin, false, Now);
@@ -36,11 +19,7 @@
 
 void StreamOrigins::applyUpdate(const StreamOriginUpdate &Update,
                                 BootTime Now) {
-  auto &LastSeen = m_Versions[Update.Origin.Service]
-                       .try_emplace(Update.Origin.SoftwareVersion, Now)
-                       .first->second;
-  if (LastSeen)
-    LastSeen = Now;
+  m_Versions.recordTold(Update.Origin, Now);
   for (const StreamKey &Stream : Update.Streams)
     record(Stream, Update.Origin, true, Now);
 }
@@ -107,17 +86,8 @@
         Now - Known->second.HeardAt <= m_Options.Retention)
       return KnownOrigin{Known->second.Origin, Known->second.FromPeer,
                          Now - Known->second.HeardAt};
-  const auto Versions = m_Versions.find(Service);
-  if (Versions == m_Versions.end() || Now - ListedAt > m_Options.MaximumListAge)
-    return UnknownOrigin{};
-  const std::string *Only = nullptr;
-  for (const auto &[Version, LastSeen] : Versions->second) {
-    if (LastSeen && Now - *LastSeen > m_Options.Retention)
-      continue;
-    if (std::exchange(Only, &Version))
-      return UnknownOrigin{};
-  }
-  return Only ? OriginLookup(OnlyVersion{*Only}) : UnknownOrigin{};
+  return std::visit([](const auto &Found) -> OriginLookup { return Found; },
+                    m_Versions.find(Service, ListedAt, Now));
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/StreamOrigins.h
+++ b/Libraries/LibDispatch/StreamOrigins.h
@@ -8,7 +8,8 @@
 // datagrams and gateways that have started since do not matter.
 //
 // A stream whose beginning is not known may go on only if its service has had
-// a single version for as long as such a stream may be taken up.
+// a single version for as long as such a stream may be taken up; see
+// VersionHistory.h.
 //
 // The class reads no clock: times are passed in with the events.
 //
@@ -18,6 +19,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibDispatch/StreamOriginUpdate.h"
+#include "LibDispatch/VersionHistory.h"
 
 #include <chrono>
 #include <list>
@@ -38,11 +40,6 @@
   /// Since the stream began or was last told.
   BootClock::duration Age{};
 };
-/// Not known, but the service has had this version only.
-struct OnlyVersion {
-  std::string SoftwareVersion;
-};
-struct UnknownOrigin {};
 /// @}
 using OriginLookup = std::variant<KnownOrigin, OnlyVersion, UnknownOrigin>;
 
@@ -55,20 +52,14 @@
   std::chrono::milliseconds RetellInterval{1000};
   /// 16 bytes each; an update fits into one packet.
   size_t MaximumPerUpdate = 64;
-  /// The list of servers may lack a version if it is older than this.
-  std::chrono::milliseconds MaximumListAge{3000};
 };
 
 class StreamOrigins {
 public:
-  using VersionsByService = std::map<std::string, std::set<std::string>>;
-
   explicit StreamOrigins(StreamOriginOptions Options = {})
       : m_Options(Options) {}
 
-  /// Sets the versions of all servers that are listed, also of those that are
-  /// about to leave.
-  void replaceListed(const VersionsByService &Listed, BootTime Now);
+  VersionHistory &versions() { return m_Versions; }
   /// The first event of a stream of this gateway is about to be forwarded, or
   /// the first one after the stream was taken up.
   void recordEvent(const StreamKey &Stream, const StreamOrigin &Origin,
@@ -108,10 +99,7 @@
   /// Not yet told.
   std::set<StreamKey> m_New;
   BootTime m_ToldAllAt{};
-  /// By service and version: when the version was last listed or told of.
-  /// Empty while it is listed.
-  std::map<std::string, std::map<std::string, std::optional<BootTime>>>
-      m_Versions;
+  VersionHistory m_Versions;
 };
 
 } // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -0,0 +1,151 @@
+//===- VersionHistory.h - Versions at which streams may have begun *- C++ -*-=//
+//
+// Tells whether a service has had a single software version for as long as one
+// of its streams may be taken up: then a stream whose beginning nobody knows
+// began at that version. What this process has seen since it started does not
+// tell so by itself. A record in the store tells what was listed before, and
+// whatever this process may have missed makes it read the record again.
+//
+// The class reads no clock: times are passed in with the events.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibDispatch/StreamOriginUpdate.h"
+#include "LibDispatch/VersionRecord.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace figlift::dispatch {
+
+/// Why it is not known at which version a stream began.
+enum class UnknownOriginReason {
+  /// The record in the store has not been read since this process started, or
+  /// since it lost sight of the list of servers.
+  RecordNotRead,
+  /// The record does not reach back to when the stream may have begun.
+  RecordTooShort,
+  /// The list of servers may lack a version.
+  OldList,
+  NoVersion,
+  SeveralVersions,
+};
+std::string_view describe(UnknownOriginReason Reason);
+
+/// The service has had this version only.
+struct OnlyVersion {
+  std::string SoftwareVersion;
+};
+struct UnknownOrigin {
+  UnknownOriginReason Reason = UnknownOriginReason::NoVersion;
+};
+
+struct VersionHistoryOptions {
+  /// Upper limit of the time for which a stream may be taken up.
+  std::chrono::seconds Retention{120};
+  /// The list of servers may lack a version if it is older than this.
+  std::chrono::milliseconds MaximumListAge{3000};
+  /// Streams may begin at a version for this long after its last server has
+  /// left the list: until every gateway has read that.
+  std::chrono::milliseconds DiscoveryTime{4000};
+  /// Deadlines of clients count in steps of this, so that few different ones
+  /// change the record.
+  std::chrono::milliseconds DeadlineStep{5000};
+  /// More are not recorded. Two are enough to answer "unknown".
+  size_t MaximumRecorded = 64;
+};
+
+class VersionHistory {
+public:
+  using VersionsByService = std::map<std::string, std::set<std::string>>;
+  using TakeUpTimes = std::map<std::string, std::chrono::milliseconds>;
+  using Records = std::map<std::string, VersionRecord>;
+
+  explicit VersionHistory(VersionHistoryOptions Options = {})
+      : m_Options(Options) {}
+
+  /// Sets the versions of all servers that are listed, also of those that are
+  /// about to leave.
+  void replaceListed(const VersionsByService &Listed, BootTime Now);
+  /// The list of servers is known to have been current at \p ListedAt.
+  void recordListKnown(BootTime ListedAt);
+  /// Sets for how long streams may be taken up by the configuration, for each
+  /// service whose streams may be. Only these services are recorded.
+  void configure(TakeUpTimes ByService);
+  /// A stream has begun whose client waits for \p Deadline.
+  void recordStream(const StreamOrigin &Origin,
+                    std::chrono::milliseconds Deadline);
+  /// A peer has streams of this version.
+  void recordTold(const StreamOrigin &Origin, BootTime Now);
+
+  /// \name The record in the store.
+  /// @{
+  bool needsRecords() const { return !m_RecordsKnown; }
+  /// \p FleetStarts: the fleet starts for the first time, so that a service
+  /// without a record has had no streams.
+  void applyRecords(const Records &Read, const StoreClockReading &Clock,
+                    bool FleetStarts);
+  /// What the record in the store does not tell yet. Forgets what need not be
+  /// kept any more.
+  Records unrecorded(const StoreClockReading &Clock, BootTime Now);
+  void recordsWritten(const Records &Written);
+  /// The store may have lost what was written.
+  void forgetRecords();
+  /// @}
+
+  /// \p ListedAt is when the list of servers was last known to be current.
+  std::variant<OnlyVersion, UnknownOrigin>
+  find(const std::string &Service, BootTime ListedAt, BootTime Now) const;
+
+private:
+  struct Version {
+    /// Empty while the version is listed; otherwise no stream that began at it
+    /// may be taken up after this.
+    std::optional<BootTime> Until;
+    /// The longest that a stream of this version may be taken up.
+    std::chrono::milliseconds TakeUpTime{0};
+  };
+  struct ServiceHistory {
+    std::map<std::string, Version> Versions;
+    /// All versions at which streams began since then are in Versions, unless
+    /// their time is over. Empty if no record of the service was read.
+    std::optional<BootTime> CompleteSince;
+    /// The record in the store; empty if there is none.
+    std::optional<VersionRecord> Recorded;
+  };
+
+  /// 0 if the configuration has no such service.
+  std::chrono::milliseconds configuredTime(const std::string &Service) const;
+  std::chrono::milliseconds takeUpTime(const std::string &Service,
+                                       const Version &Entry) const;
+  std::chrono::milliseconds takeUpTime(const std::string &Service,
+                                       const ServiceHistory &History) const;
+  BootTime lastTakeUp(const std::string &Service, const Version &Entry,
+                      BootTime BegunBefore) const;
+  BootTime completeSince(const ServiceHistory &History) const;
+  void applyRecord(const std::string &Service, const VersionRecord &Read,
+                   const StoreClockReading &Clock, bool HasMissedChanges);
+  VersionRecord makeRecord(const ServiceHistory &History,
+                           const StoreClockReading &Clock) const;
+  bool isRecorded(const ServiceHistory &History) const;
+  void forgetExpired(BootTime Now);
+
+  VersionHistoryOptions m_Options;
+  std::map<std::string, ServiceHistory> m_Services;
+  TakeUpTimes m_TakeUpTimes;
+  BootTime m_ListedAt{};
+  bool m_RecordsKnown = false;
+  bool m_HasReadRecords = false;
+  /// CompleteSince of services without a record.
+  BootTime m_CompleteSince = BootTime::max();
+};
+
+} // namespace figlift::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/VersionRecord.h
@@ -0,0 +1,42 @@
+//===- VersionRecord.h - Software versions of a service, as kept *- C++ -*-===//
+//
+// What the store keeps of the software versions of one service. A gateway that
+// starts knows only the servers that are listed now; this tells it of the
+// versions that have left.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibDispatch/StoreTime.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figlift::dispatch {
+
+struct RecordedVersion {
+  std::string Name;
+  /// How long after its beginning a stream at this version may be taken up.
+  std::chrono::milliseconds TakeUpTime{0};
+  /// No stream that began at this version may be taken up after this. Empty
+  /// while servers of the version are listed.
+  std::optional<StoreTime> Until;
+};
+
+struct VersionRecord {
+  /// The record has all versions at which streams began since then; zero for
+  /// the first start of the fleet.
+  StoreTime CompleteSince{};
+  std::vector<RecordedVersion> Versions;
+};
+
+std::string encodeVersionRecord(const VersionRecord &Record);
+/// Error: InvalidInput.
+Result<VersionRecord> decodeVersionRecord(std::string_view Text);
+
+} // namespace figlift::dispatch
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -56,7 +56,8 @@
       m_ServerFollower(m_Shared.Loop, m_Store, std::string(slopes::ServerTable),
                        serverListener(), {},
                        [this] { return m_Shared.draw(); }),
-      m_Leases(m_Store, "figlift-leases"), m_Peers(m_Shared, m_Store),
+      m_Leases(m_Store, "figlift-leases"), m_Versions(m_Shared, m_Store),
+      m_Peers(m_Shared, m_Store),
       m_PeerLink(m_Shared, m_Peers,
                  [this](const auto &Update) { storeUpdateReceived(Update); }),
       m_Stages(m_Shared, m_Leases), m_UsageRecords(m_Store, "figlift-usage"),
@@ -88,6 +89,7 @@
   m_PreviousTick = m_LastTick;
   m_ConfigurationFollower.start();
   m_ServerFollower.start();
+  m_Versions.start();
   watchSignals();
   scheduleTick();
   log::logEvent(log::Level::Info, "started",
@@ -156,10 +158,10 @@
   };
   for (const dispatch::TargetEvent &Event : Events)
     std::visit(Visitor{*this}, Event);
-  dispatch::StreamOrigins::VersionsByService Versions;
+  dispatch::VersionHistory::VersionsByService Versions;
   for (const auto &[Id, Target] : m_Shared.Targets.all())
     Versions[Target.Service].insert(Target.SoftwareVersion);
-  m_Shared.Origins.replaceListed(Versions, BootClock::now());
+  m_Shared.Origins.versions().replaceListed(Versions, BootClock::now());
 }
 
 void Gateway::targetShutsDown(const dispatch::ServerStart &Server) {
@@ -267,8 +269,9 @@
   recordLoopDelay(loopDelay());
   logClosedConnections(Now);
   m_PreviousTick = std::exchange(m_LastTick, Now);
-  m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
+  serversKnown();
   apply(m_Shared.Targets.tick(Now));
+  m_Versions.tick(m_Peers.liveBefore(Now), Now);
   m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
   m_Shared.Queues.setFleet(m_Peers.sharingGateways(Now),
                            m_Peers.livePeers(Now));
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include "StoreFollower.h"
 #include "TextServer.h"
 #include "UsageDirector.h"
+#include "VersionRecorder.h"
 
 #include "LibDispatch/AcceptControl.h"
 #include "LibDispatch/ServerJournal.h"
@@ -73,6 +74,8 @@
   /// has announced the same.
   void announceStoreState();
   void storeUpdateReceived(const dispatch::StoreUpdate &Update);
+  /// The list of servers is known as of a later time.
+  void serversKnown();
   void apply(const std::vector<dispatch::TargetEvent> &Events);
   /// The server has said in a response that it is shutting down.
   void targetShutsDown(const dispatch::ServerStart &Server);
@@ -117,6 +120,7 @@
   StoreFollower m_ConfigurationFollower;
   StoreFollower m_ServerFollower;
   slopes::StoreTable m_Leases;
+  VersionRecorder m_Versions;
   PeerList m_Peers;
   PeerLink m_PeerLink;
   StageDirector m_Stages;
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -135,6 +135,8 @@
   m_Shared.Configuration =
       std::make_shared<const dispatch::Configuration>(std::move(Candidate));
   describeServices();
+  m_Shared.Origins.versions().configure(
+      dispatch::takeUpTimes(*m_Shared.Configuration));
   m_Shared.Queues.configurationChanged(*m_Shared.Configuration);
   m_PoolLimitsStale = true;
   limitPools();
@@ -173,12 +175,18 @@
     m_ServerJournal.recordChanges(Read.Version, KnownAt, {});
   else
     m_ServerJournal.recordFullRead(Read.Version, KnownAt);
-  m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
   apply(Events);
+  serversKnown();
   limitPools();
   announceStoreState();
 }
 
+void Gateway::serversKnown() {
+  m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
+  if (m_ServersKnown)
+    m_Shared.Origins.versions().recordListKnown(m_Shared.ServersKnownAt);
+}
+
 void Gateway::serverChangesRead(const slopes::RowsRead &Read,
                                 BootTime KnownAt) {
   const BootTime Now = BootClock::now();
@@ -207,6 +215,7 @@
   m_ServerFollower.resync();
   m_Stages.storeRestored(m_Store.era());
   m_Usage.storeRestored(m_Store.era());
+  m_Versions.storeRestored();
   m_Peers.refreshSoon();
 }
 
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -40,6 +40,12 @@
   return std::visit(Namer{}, Origin);
 }
 
+/// Empty if the beginning is known.
+std::string_view reasonOf(const OriginLookup &Origin) {
+  const auto *Unknown = std::get_if<UnknownOrigin>(&Origin);
+  return Unknown ? dispatch::describe(Unknown->Reason) : std::string_view();
+}
+
 bool hasService(const dispatch::Route &Route, const std::string &Service) {
   return std::any_of(
       Route.Services.begin(), Route.Services.end(),
@@ -87,7 +93,8 @@
   m_Shared.Metrics
       .counter("figlift_gateway_resumed_streams_total",
                "Streams that callers took up",
-               {{"origin", std::string(describe(Origin))}})
+               {{"origin", std::string(describe(Origin))},
+                {"reason", std::string(reasonOf(Origin))}})
       .add();
   if (!m_Shared.Log.allows(LineKind::Notable, m_Started))
     return;
@@ -98,6 +105,7 @@
        {"lastEvent", *m_Fields.LastEventId},
        {"service", m_Service},
        {"origin", describe(Origin)},
+       {"reason", reasonOf(Origin)},
        {"softwareVersion", m_BoundVersion.value_or("")},
        {"ageMs", dispatch::Milliseconds(Known ? Known->Age
                                               : BootClock::duration::zero())}});
@@ -111,6 +119,8 @@
   m_BoundVersion = Send.target()->SoftwareVersion;
   const dispatch::StreamOrigin Origin{m_Service, *m_BoundVersion};
   const BootTime Now = BootClock::now();
+  if (m_Fields.Deadline)
+    m_Shared.Origins.versions().recordStream(Origin, *m_Fields.Deadline);
   m_Shared.Origins.recordEvent(streamKey(m_Fields.AttemptId), Origin, Now);
   if (m_Fields.LastEventId && m_Fields.Resumes)
     m_Shared.Origins.recordEvent(streamKey(*m_Fields.Resumes), Origin, Now);
--- /dev/null
+++ b/Services/figlift-gateway/VersionRecorder.h
@@ -0,0 +1,57 @@
+//===- VersionRecorder.h - Keeps software versions in the store -*- C++ -*-===//
+//
+// Reads the record of the software versions that each service has had, and
+// writes it when a version comes or leaves. All gateways see the same changes:
+// the first live one writes them, and few others check that it did, so that a
+// change costs a few calls in a fleet of any size.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "Context.h"
+
+#include "platform/StoreClient.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace figlift::gateway {
+
+class VersionRecorder {
+public:
+  VersionRecorder(Context &Shared, slopes::StoreClient &Store);
+
+  /// Reads the record; later reads follow from tick().
+  void start();
+  /// Called several times a second. \p Before: live gateways before this one.
+  void tick(size_t Before, BootTime Now);
+  /// The store was restored from a copy: what was written may be lost.
+  void storeRestored();
+
+private:
+  void read();
+  void recordsRead(const slopes::RowsRead &Read);
+  void writeChanges(size_t Before, BootTime Now);
+  void write(const dispatch::VersionHistory::Records &Changed);
+  void callFailed(const Error &Reason);
+
+  Context &m_Shared;
+  slopes::StoreClient &m_Store;
+  const BootTime m_StartedAt;
+  bool m_CallPending = false;
+  /// After a failed call.
+  BootTime m_NextCall{};
+  /// Latest reading of the store's clock; empty before the first read.
+  std::optional<dispatch::StoreClockReading> m_Clock;
+  /// Versions of the rows in the store, by service.
+  std::map<std::string, uint64_t> m_RowVersions;
+  /// Since when the record lacks a change; empty if it lacks none.
+  std::optional<BootTime> m_ChangedAt;
+  BootTime m_ReadAt{};
+  uint64_t m_Writes = 0;
+};
+
+} // namespace figlift::gateway
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -60,12 +60,29 @@
   Quiet.Threshold = log::Level::Off;
   log::configure(Quiet);
   startOnFreePorts();
+  runGateway();
+}
+
+void GatewayFixture::runGateway() {
+  m_Stopped = false;
   m_Thread = std::thread([this] {
     m_Gateway->run();
     m_Stopped = true;
   });
 }
 
+void GatewayFixture::killGateway() {
+  m_Gateway->interrupt();
+  m_Thread.join();
+  m_Gateway.reset();
+}
+
+void GatewayFixture::startGateway() {
+  Settings.Fleet.Starts = false;
+  startOnFreePorts();
+  runGateway();
+}
+
 /// Tries again with other ports, because another process may bind a port
 /// between its selection and its use, for example when test suites run side by
 /// side.
@@ -84,8 +101,8 @@
 }
 
 GatewayFixture::~GatewayFixture() {
-  m_Gateway->interrupt();
-  m_Thread.join();
+  if (m_Gateway)
+    killGateway();
   unlink(m_SettingsFile.c_str());
 }
 
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -79,6 +79,10 @@
   void sendTermination();
   /// Sends SIGHUP to the test process.
   void sendHangup();
+  /// Ends the gateway without a word, like a kill.
+  void killGateway();
+  /// Starts a gateway that knows nothing of the killed one, at new addresses.
+  void startGateway();
   /// Whether the gateway's event loop has ended. Connections that it did not
   /// close are still open.
   bool hasStopped() const { return m_Stopped; }
@@ -127,6 +131,7 @@
                   const std::string &State, const std::string &Version,
                   int64_t StartTime);
   void startOnFreePorts();
+  void runGateway();
 
   std::map<std::string, Entry> m_Servers;
   /// Entries written so far; the sequence number of the last one.
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -146,7 +146,13 @@
 }
 
 std::string StandInStore::body(const Json &Rows) const {
-  return Json{{"rows", Rows}, {"morePages", false}, {"ver", m_Version}}.dump();
+  const auto Now = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now().time_since_epoch());
+  return Json{{"rows", Rows},
+              {"morePages", false},
+              {"ver", m_Version},
+              {"nowMs", Now.count()}}
+      .dump();
 }
 
 void StandInStore::runAfter(milliseconds Time, std::function<void()> Callback) {
--- a/Tests/LibDispatch/TestStreamOrigins.cpp
+++ b/Tests/LibDispatch/TestStreamOrigins.cpp
@@ -29,10 +29,20 @@
   StreamOrigins First;
   StreamOrigins Second;
 
-  void setup() override { list({"v1", "v2"}); }
+  void setup() override {
+    start(First, {"v1", "v2"});
+    start(Second, {"v1", "v2"});
+  }
+  /// As a gateway that has just started, in a fleet that starts as well.
+  void start(StreamOrigins & Gateway, const std::set<std::string> &Versions,
+             StreamOriginOptions Options = {}) {
+    Gateway = StreamOrigins(Options);
+    Gateway.versions().applyRecords({}, {{}, Now}, true);
+    Gateway.versions().replaceListed({{Service, Versions}}, Now);
+  }
   void list(const std::set<std::string> &Versions) {
     for (StreamOrigins *Gateway : {&First, &Second})
-      Gateway->replaceListed({{Service, Versions}}, Now);
+      Gateway->versions().replaceListed({{Service, Versions}}, Now);
   }
   void begin(const std::string &AttemptId, const std::string &Version) {
     First.recordEvent(key(AttemptId), {Service, Version}, Now);
@@ -104,8 +114,7 @@
 // Failure: streams of unknown origin are refused although their service has
 // servers of a single version.
 TEST(StreamOrigins, OnlyVersionIsTakenForUnknownStreams) {
-  First = StreamOrigins();
-  First.replaceListed({{Service, {"v1"}}}, Now);
+  start(First, {"v1"});
   STRCMP_EQUAL("v1", versionOf(First, "elsewhere").c_str());
   CHECK(std::holds_alternative<OnlyVersion>(
       First.find(std::nullopt, Service, Now, Now)));
@@ -135,8 +144,7 @@
 // Failure: a gateway whose list is old takes the only version on it for the
 // only one.
 TEST(StreamOrigins, OldListNamesNoOnlyVersion) {
-  First = StreamOrigins();
-  First.replaceListed({{Service, {"v1"}}}, Now);
+  start(First, {"v1"});
   const BootTime ListedAt = Now;
   Now += seconds(4);
   CHECK(std::holds_alternative<UnknownOrigin>(
@@ -147,8 +155,7 @@
 // has streams of.
 TEST(StreamOrigins, PeersTellOfVersionsThatHaveLeft) {
   begin("a", "v1");
-  Second = StreamOrigins();
-  Second.replaceListed({{Service, {"v2"}}}, Now);
+  start(Second, {"v2"});
   tell();
   STRCMP_EQUAL("", versionOf(Second, "elsewhere").c_str());
 }
@@ -164,8 +171,7 @@
 
 // Failure: clients fill the memory with streams.
 TEST(StreamOrigins, ForgetsTheOldestBeyondItsSize) {
-  First = StreamOrigins({.MaximumStreams = 100});
-  First.replaceListed({{Service, {"v1", "v2"}}}, Now);
+  start(First, {"v1", "v2"}, {.MaximumStreams = 100});
   for (int I = 0; I < 1000; ++I) {
     Now += milliseconds(1);
     begin(std::to_string(I), "v1");
--- /dev/null
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -0,0 +1,334 @@
+//===- TestVersionHistory.cpp - Versions that left before a start ---------===//
+//
+// Gateways that start, stop, lose sight of the store and share its record of
+// software versions, without a network.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibDispatch/VersionHistory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figlift;
+using namespace figlift::dispatch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string Service = "model";
+/// The longest time for which the route lets a caller wait.
+constexpr milliseconds RouteTimeout{15000};
+
+} // namespace
+
+TEST_GROUP(VersionHistory) {
+  BootTime Now{seconds(1000)};
+  /// Of the store's clock to this machine's.
+  seconds StoreOffset{0};
+  VersionHistory Gateway;
+  VersionHistory::Records Store;
+
+  void setup() override { start({"v1"}, true); }
+  StoreClockReading readClock() const {
+    return {StoreTime(std::chrono::floor<milliseconds>(
+                Now.time_since_epoch() + StoreOffset)),
+            Now};
+  }
+  void read(bool FleetStarts = false) {
+    Gateway.applyRecords(Store, readClock(), FleetStarts);
+  }
+  void list(const std::set<std::string> &Versions) {
+    Gateway.replaceListed({{Service, Versions}}, Now);
+    Gateway.recordListKnown(Now);
+  }
+  void configure(milliseconds Timeout) {
+    Gateway.configure({{Service, Timeout}});
+  }
+  /// As a gateway that has just started, and has read the store.
+  void start(const std::set<std::string> &Versions, bool FleetStarts = false) {
+    Gateway = VersionHistory();
+    configure(RouteTimeout);
+    read(FleetStarts);
+    list(Versions);
+    write();
+  }
+  /// Returns the number of records written.
+  size_t write() {
+    const auto Changed = Gateway.unrecorded(readClock(), Now);
+    for (const auto &[Name, Record] : Changed)
+      Store[Name] = decodeVersionRecord(encodeVersionRecord(Record)).value();
+    Gateway.recordsWritten(Changed);
+    return Changed.size();
+  }
+  void pass(milliseconds Time) {
+    for (const BootTime End = Now + Time; Now < End;) {
+      Now += std::min<BootClock::duration>(milliseconds(500), End - Now);
+      Gateway.recordListKnown(Now);
+    }
+  }
+  /// The only version, or why it is not known.
+  std::string find() {
+    const auto Found = Gateway.find(Service, Now, Now);
+    if (const auto *Only = std::get_if<OnlyVersion>(&Found))
+      return Only->SoftwareVersion;
+    return std::string(describe(std::get<UnknownOrigin>(Found).Reason));
+  }
+  void checkFound(const std::string &Expected) {
+    STRCMP_EQUAL(Expected.c_str(), find().c_str());
+  }
+  void checkSeveral() { checkFound("several versions"); }
+};
+
+// Failure: the last servers of v1 leave, all gateways are killed, and streams
+// of v1 go on at v2, the only version that is listed when they start.
+TEST(VersionHistory, VersionThatLeftBeforeTheStartCounts) {
+  list({"v1", "v2"});
+  write();
+  pass(seconds(5));
+  list({"v2"});
+  write();
+  pass(milliseconds(700));
+  start({"v2"});
+  checkSeveral();
+  pass(seconds(10));
+  checkSeveral();
+  pass(seconds(9));
+  checkFound("v2");
+}
+
+// Failure: the gateways are killed before they have recorded that v1 left.
+TEST(VersionHistory, VersionThatLeftWhileNoGatewayRanCounts) {
+  list({"v1", "v2"});
+  write();
+  pass(seconds(30));
+  start({"v2"});
+  checkSeveral();
+  pass(seconds(20));
+  checkFound("v2");
+}
+
+// Failure: streams are refused after all gateways were killed, though their
+// service has had one version only.
+TEST(VersionHistory, OnlyVersionIsKnownAtOnceAfterAStart) {
+  pass(seconds(3));
+  start({"v1"});
+  checkFound("v1");
+}
+
+// Failure: streams are refused for two minutes after each release, though none
+// of the old version can be left.
+TEST(VersionHistory, VersionIsForgottenOnceItsStreamsHaveEnded) {
+  list({"v1", "v2"});
+  write();
+  list({"v2"});
+  write();
+  pass(seconds(23));
+  start({"v2"});
+  checkFound("v2");
+}
+
+// Failure: a process that has started takes what is listed for the past before
+// it has read the record, or because it cannot read it.
+TEST(VersionHistory, NothingIsKnownBeforeTheRecordIsRead) {
+  Gateway = VersionHistory();
+  configure(RouteTimeout);
+  list({"v2"});
+  checkFound("record of versions not read");
+  LONGS_EQUAL(0, write());
+}
+
+// Failure: a version comes and goes while a gateway cannot see the list.
+TEST(VersionHistory, RecordIsReadAgainAfterTheListWasLost) {
+  Now += milliseconds(3100);
+  Gateway.recordListKnown(Now);
+  CHECK(Gateway.needsRecords());
+  checkFound("record of versions not read");
+  Store[Service].Versions.push_back(
+      {"v2", RouteTimeout, readClock().Store + seconds(10)});
+  read();
+  checkSeveral();
+}
+
+// Failure: the list is read late now and then, and streams are refused.
+TEST(VersionHistory, LateListsDoNotCount) {
+  Now += milliseconds(2900);
+  Gateway.recordListKnown(Now);
+  checkFound("v1");
+}
+
+// Failure: in a fleet that is updated to gateways that keep a record, the first
+// of them takes its absence for the past.
+TEST(VersionHistory, AbsentRecordOfARunningFleetIsNoPast) {
+  Store.clear();
+  start({"v1"});
+  checkFound("record of versions too short");
+  // What it has written does not reach back further.
+  pass(seconds(5));
+  start({"v1"});
+  checkFound("record of versions too short");
+  pass(seconds(15));
+  checkFound("v1");
+}
+
+// Failure: the store's clock and those of the machines have nothing in common,
+// and a version is forgotten too early, or never.
+TEST(VersionHistory, TimesAreThoseOfTheStore) {
+  list({"v1", "v2"});
+  write();
+  list({"v2"});
+  write();
+  pass(seconds(2));
+  // The next gateway runs on another machine.
+  Now -= seconds(900);
+  StoreOffset = seconds(900);
+  start({"v2"});
+  checkSeveral();
+  pass(seconds(18));
+  checkFound("v2");
+}
+
+// Failure: the operator shortens a timeout, and streams that began before are
+// taken for too old.
+TEST(VersionHistory, StreamsKeepTheTimeoutOfTheirBeginning) {
+  configure(milliseconds(2000));
+  list({"v1", "v2"});
+  list({"v2"});
+  write();
+  pass(seconds(10));
+  checkSeveral();
+  start({"v2"});
+  configure(milliseconds(2000));
+  checkSeveral();
+  pass(seconds(10));
+  checkFound("v2");
+}
+
+// Failure: clients that wait for longer than the route's timeout take a stream
+// up after its version is forgotten.
+TEST(VersionHistory, DeadlinesOfClientsCount) {
+  Gateway.recordStream({Service, "v1"}, seconds(58));
+  list({"v1", "v2"});
+  write();
+  list({"v2"});
+  write();
+  pass(seconds(40));
+  start({"v2"});
+  checkSeveral();
+  pass(seconds(25));
+  checkFound("v2");
+}
+
+// Failure: a client names an absurd deadline, and streams are refused for good.
+TEST(VersionHistory, DeadlinesCountUpToTheRetention) {
+  Gateway.recordStream({Service, "v1"}, milliseconds::max());
+  list({"v1", "v2"});
+  list({"v2"});
+  pass(seconds(125));
+  checkFound("v2");
+}
+
+// Failure: each request, or each gateway, writes to the store.
+TEST(VersionHistory, IsWrittenOnceForEachChange) {
+  LONGS_EQUAL(0, write());
+  Gateway.recordStream({Service, "v1"}, milliseconds(14000));
+  list({"v1"});
+  LONGS_EQUAL(0, write());
+  list({"v1", "v2"});
+  LONGS_EQUAL(1, write());
+  pass(seconds(60));
+  LONGS_EQUAL(0, write());
+  // Another gateway that has seen the same.
+  const VersionHistory First = Gateway;
+  start({"v1", "v2"});
+  list({"v2"});
+  const VersionHistory Second = Gateway;
+  Gateway = First;
+  Now += milliseconds(300);
+  list({"v2"});
+  LONGS_EQUAL(1, write());
+  Gateway = Second;
+  read();
+  LONGS_EQUAL(0, write());
+  // What is over need not be removed.
+  pass(seconds(60));
+  LONGS_EQUAL(0, write());
+}
+
+// Failure: the store comes back from a copy of before the release, and the
+// record of the running gateways is lost.
+TEST(VersionHistory, IsWrittenAgainAfterTheStoreWasRestored) {
+  const auto Copy = Store;
+  list({"v1", "v2"});
+  write();
+  list({"v2"});
+  write();
+  Store = Copy;
+  Gateway.forgetRecords();
+  read();
+  checkSeveral();
+  LONGS_EQUAL(1, write());
+  start({"v2"});
+  checkSeveral();
+}
+
+// Failure: a version that is taken back keeps its end, and is forgotten while
+// it serves.
+TEST(VersionHistory, VersionThatReturnsIsListedAgain) {
+  list({"v1", "v2"});
+  write();
+  list({"v1"});
+  write();
+  pass(seconds(5));
+  list({"v1", "v2"});
+  LONGS_EQUAL(1, write());
+  pass(seconds(60));
+  start({"v1"});
+  checkSeveral();
+}
+
+// Failure: a faulty writer lists version after version, and the row exceeds its
+// size or is written for ever.
+TEST(VersionHistory, RecordIsBounded) {
+  std::set<std::string> Many;
+  for (int I = 0; I < 500; ++I)
+    Many.insert("v" + std::to_string(I));
+  list(Many);
+  LONGS_EQUAL(1, write());
+  CHECK(Store[Service].Versions.size() <= 64);
+  LONGS_EQUAL(0, write());
+  start({"v7"});
+  checkSeveral();
+}
+
+TEST(VersionHistory, InvalidRecordsAreRejected) {
+  VersionRecord Record;
+  Record.CompleteSince = StoreTime(seconds(5));
+  Record.Versions = {{"v1", RouteTimeout, std::nullopt},
+                     {"v2", RouteTimeout, StoreTime(seconds(9))}};
+  const std::string Valid = encodeVersionRecord(Record);
+  const VersionRecord Read = decodeVersionRecord(Valid).value();
+  CHECK(Read.CompleteSince == Record.CompleteSince);
+  LONGS_EQUAL(2, Read.Versions.size());
+  CHECK_FALSE(Read.Versions[0].Until.has_value());
+  CHECK(Read.Versions[1].Until == Record.Versions[1].Until);
+  CHECK(Read.Versions[1].TakeUpTime == RouteTimeout);
+  for (size_t Size = 0; Size < Valid.size(); ++Size)
+    CHECK_FALSE(decodeVersionRecord(Valid.substr(0, Size)));
+  for (const char *Text :
+       {"[]", "{}", R"({"completeSinceMs":"x","versions":[]})",
+        R"({"completeSinceMs":1,"versions":[{"version":7,"takeUpMs":1}]})"})
+    CHECK_FALSE(decodeVersionRecord(Text));
+}
+
+// Failure: a row that nobody of this fleet wrote names absurd times.
+TEST(VersionHistory, AbsurdTimesAreCutOff) {
+  VersionRecord &Record = Store[Service];
+  Record.CompleteSince = StoreTime(milliseconds(INT64_MAX));
+  Record.Versions = {
+      {"v0", milliseconds(INT64_MAX), StoreTime(milliseconds(INT64_MAX))}};
+  start({"v1"});
+  checkSeveral();
+  pass(seconds(125));
+  checkFound("v1");
+}
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -76,6 +76,12 @@
                       "figlift_gateway_targets " + std::to_string(Count));
     }));
   }
+  /// The gateway has had time to write down what it knows of versions.
+  void waitForRecord() {
+    CHECK(Fixture.waitUntil([&] {
+      return !Fixture.Store.keys("figlift-software-versions").empty();
+    }));
+  }
   std::string request(const std::string &AttemptId, const std::string &Fields) {
     return Fixture.exchange(
         Fixture.Settings.Listen.Callers,
@@ -182,6 +188,32 @@
   CHECK(isCompleteStream(request("a3", "Last-Event-Id: 1\r\n")));
 }
 
+// Failure: all gateways are killed while the last engines of a version leave,
+// and its streams go on at the version that is left.
+TEST(StreamVersions, VersionThatLeftBeforeTheStartIsRemembered) {
+  startEngines({"v1", "v2"});
+  waitForRecord();
+  Fixture.killGateway();
+  Fixture.Store.remove("servers", "d1");
+  Fixture.startGateway();
+  CHECK(Fixture.waitUntilReady());
+  waitForTargets(1);
+  CHECK(contains(resume("a2", "elsewhere"), "HTTP/1.1 503"));
+  LONGS_EQUAL(0, requestCount());
+}
+
+// Failure: all gateways are killed, and streams are refused although there has
+// been one version only.
+TEST(StreamVersions, OnlyVersionIsKnownAfterAStart) {
+  startEngines({"v1", "v1"});
+  waitForRecord();
+  Fixture.killGateway();
+  Fixture.startGateway();
+  CHECK(Fixture.waitUntilReady());
+  waitForTargets(2);
+  CHECK(isCompleteStream(resume("a2", "elsewhere")));
+}
+
 // Failure: a caller waits until its deadline for a version that has left, or
 // gets another one.
 TEST(StreamVersions, StreamIsRefusedWhenItsVersionHasLeft) {
