LibUpstream, figlift-gateway: Send no request twice over one connection

Cause: an id names a client's attempt and was taken for the send. A request that a full server rejected is sent to it again, often over the connection that was used last; a late second copy of the rejection fits the second send. And a copy of the answer to another request ended the exchange as a lost connection, although its own answer follows.

A request knows over which connections it was sent and asks the pool for another one, which closes an idle connection if it is at its limit. An answer that names another request, or none, is skipped within bounds, and the next one is awaited. Calls take connections that have carried no call. Closing each connection after a rejection would do as well and costs a new connection each.

The stand-ins that left it out now send it.

--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -86,6 +86,12 @@
     m_BeastParser->skip(true);
 }
 
+void ResponseParser::next() {
+  reset();
+  m_State = State::Head;
+  m_Started = !m_Input.empty();
+}
+
 ResponseParser::State ResponseParser::feed(std::string_view Bytes) {
   m_Started = m_Started || !Bytes.empty();
   m_Input.append(Bytes);
--- a/Libraries/LibProxy/ResponseParser.h
+++ b/Libraries/LibProxy/ResponseParser.h
@@ -31,6 +31,9 @@
   /// The peer has closed the connection gracefully.
   State finish();
   State state() const { return m_State; }
+  /// Begins with the response after a complete one. The bytes after that one
+  /// are parsed by the next feed().
+  void next();
   /// Valid from state Body on.
   const ResponseHead &head() const;
   /// Returns the body bytes received since the last call.
--- a/Libraries/LibUpstream/ConnectionPool.cpp
+++ b/Libraries/LibUpstream/ConnectionPool.cpp
@@ -24,18 +24,42 @@
   return Now - Connection.idleSince() < IdleTimeout - Margin;
 }
 
-std::shared_ptr<ServerConnection> ConnectionPool::acquire(BootTime Now) {
-  while (!m_Idle.empty()) {
+std::shared_ptr<ServerConnection>
+ConnectionPool::acquire(BootTime Now, const ConnectionFilter &IsSuitable) {
+  if (auto Connection = takeIdle(Now, IsSuitable))
+    return Connection;
+  if (m_OpenConnections >= m_Limit && !m_Idle.empty())
+    closeOldestIdle();
+  return m_OpenConnections < m_Limit ? open() : nullptr;
+}
+
+std::shared_ptr<ServerConnection>
+ConnectionPool::takeIdle(BootTime Now, const ConnectionFilter &IsSuitable) {
+  std::shared_ptr<ServerConnection> Taken;
+  std::vector<std::shared_ptr<ServerConnection>> Unsuitable;
+  while (!Taken && !m_Idle.empty()) {
     auto Connection = std::move(m_Idle.back());
     m_Idle.pop_back();
     if (!Connection->isFree())
       continue;
-    if (isReusable(*Connection, Now))
-      return Connection;
-    Connection->abort();
+    if (!isReusable(*Connection, Now))
+      Connection->abort();
+    else if (IsSuitable && !IsSuitable(*Connection))
+      Unsuitable.push_back(std::move(Connection));
+    else
+      Taken = std::move(Connection);
   }
-  if (m_OpenConnections >= m_Limit)
-    return nullptr;
+  m_Idle.insert(m_Idle.end(), Unsuitable.rbegin(), Unsuitable.rend());
+  return Taken;
+}
+
+void ConnectionPool::closeOldestIdle() {
+  const auto Oldest = m_Idle.front();
+  m_Idle.erase(m_Idle.begin());
+  Oldest->abort();
+}
+
+std::shared_ptr<ServerConnection> ConnectionPool::open() {
   auto Connection =
       std::make_shared<ServerConnection>(m_Loop, m_Peer, m_Settings.Timeouts);
   Connection->onStateChange(
--- a/Libraries/LibUpstream/ConnectionPool.h
+++ b/Libraries/LibUpstream/ConnectionPool.h
@@ -11,6 +11,7 @@
 #include "LibUpstream/ServerConnection.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -27,14 +28,19 @@
   std::chrono::milliseconds ExpiryMargin{1200};
 };
 
+/// Whether an idle connection suits an exchange; empty if any does.
+using ConnectionFilter = std::function<bool(const ServerConnection &)>;
+
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
   ConnectionPool(boost::asio::io_context &Loop, Endpoint Peer,
                  PoolSettings Settings);
 
-  /// Returns the most recently used idle connection, or a new one; null if the
-  /// limit is reached.
-  std::shared_ptr<ServerConnection> acquire(BootTime Now);
+  /// Returns the most recently used idle connection that \p IsSuitable, or a
+  /// new one; null if the limit is reached. At the limit, an idle connection
+  /// that is not suitable makes room for the new one.
+  std::shared_ptr<ServerConnection>
+  acquire(BootTime Now, const ConnectionFilter &IsSuitable = {});
   /// Sets the maximum number of connections of this pool.
   void setLimit(size_t Connections) { m_Limit = Connections; }
   /// Closes idle connections; those in use are closed after their exchange.
@@ -44,6 +50,10 @@
   uint64_t totalOpened() const { return m_TotalOpened; }
 
 private:
+  std::shared_ptr<ServerConnection>
+  takeIdle(BootTime Now, const ConnectionFilter &IsSuitable);
+  void closeOldestIdle();
+  std::shared_ptr<ServerConnection> open();
   void onConnectionChange(ServerConnection &Connection);
   bool isReusable(const ServerConnection &Connection, BootTime Now) const;
 
@@ -56,6 +66,7 @@
   /// Connections opened since the creation of the pool.
   uint64_t m_TotalOpened = 0;
   bool m_Retired = false;
+  /// The most recently used one is last.
   std::vector<std::shared_ptr<ServerConnection>> m_Idle;
 };
 
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -18,10 +19,24 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A server that sends more between a request and its response does not answer
+/// any more.
+constexpr unsigned MaximumSkippedResponses = 8;
+constexpr size_t MaximumSkippedBytes = 1 << 20;
+
+ConnectionId nextConnectionId() {
+  static std::atomic<ConnectionId> Last = 0;
+  return ++Last;
+}
+
+} // namespace
+
 ServerConnection::ServerConnection(asio::io_context &Loop, Endpoint Peer,
                                    ConnectionTimeouts Timeouts)
     : m_Loop(Loop), m_Socket(Loop), m_Timer(Loop), m_Peer(std::move(Peer)),
-      m_Timeouts(Timeouts) {}
+      m_Timeouts(Timeouts), m_Id(nextConnectionId()) {}
 
 void ServerConnection::exchange(std::string Bytes, bool ExpectBody,
                                 std::shared_ptr<ExchangeSink> Sink) {
@@ -30,6 +45,9 @@
   m_Sink = std::move(Sink);
   m_RequestWritten = false;
   m_HeadReported = false;
+  m_Skipping = false;
+  m_SkippedResponses = 0;
+  m_SkippedBytes = 0;
   m_ExpectBody = ExpectBody;
   m_Parser = proxy::ResponseParser(ExpectBody);
   if (m_State == State::Idle) {
@@ -147,6 +165,8 @@
   ParserState Progress = m_Parser.feed(Bytes);
   if (EndOfInput)
     Progress = m_Parser.finish();
+  if (!skipOthers(Progress))
+    return endExchange(ExchangeOutcome::Interrupted);
   if (Progress == ParserState::Body || Progress == ParserState::Complete) {
     const auto Sink = m_Sink;
     if (!std::exchange(m_HeadReported, true))
@@ -166,6 +186,31 @@
                                       : ExchangeOutcome::NoResponse);
 }
 
+/// Skips responses to other requests that have arrived, and sets \p Progress to
+/// that of the response which follows. Returns false if there are too many.
+bool ServerConnection::skipOthers(proxy::ResponseParser::State &Progress) {
+  using ParserState = proxy::ResponseParser::State;
+  while (!m_HeadReported &&
+         (Progress == ParserState::Body || Progress == ParserState::Complete)) {
+    if (!m_Skipping && !m_Sink->belongsToOther(m_Parser.head()))
+      return true;
+    if (!std::exchange(m_Skipping, true) &&
+        ++m_SkippedResponses > MaximumSkippedResponses)
+      return false;
+    m_SkippedBytes += m_Parser.takeBody().size();
+    if (m_SkippedBytes > MaximumSkippedBytes)
+      return false;
+    if (Progress == ParserState::Body) {
+      Progress = ParserState::Head;
+      return true;
+    }
+    m_Skipping = false;
+    m_Parser.next();
+    Progress = m_Parser.feed({});
+  }
+  return true;
+}
+
 void ServerConnection::completeExchange() {
   recordIdleTimeout(m_Parser.head().Headers);
   const bool Reusable = m_RequestWritten && m_Parser.keepsAlive();
@@ -207,7 +252,8 @@
   if (Code)
     return;
   const ParserState Progress = m_Parser.feed({Buffer.data(), Count});
-  if (Progress == ParserState::Body || Progress == ParserState::Complete) {
+  if ((Progress == ParserState::Body || Progress == ParserState::Complete) &&
+      !m_Skipping && !m_Sink->belongsToOther(m_Parser.head())) {
     m_HeadReported = true;
     m_Sink->onHead(m_Parser.head());
   }
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -9,6 +9,13 @@
 // is then detected before the connection is reused, and unsolicited bytes close
 // the connection, so that they are never parsed as the next response.
 //
+// A server may send a second copy of a response, so late that it arrives where
+// the response to the next request is expected. What tells it apart is the id
+// of the request that it names: a response to another request is skipped. A
+// copy of the response to an earlier send of the same request looks like the
+// one that is expected, so a request is not sent over the same connection
+// twice. Responses to control calls name no request.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -42,6 +49,9 @@
   Interrupted,
 };
 
+/// Identifies a connection among all that this process has opened.
+using ConnectionId = uint64_t;
+
 /// Receives the response of one exchange. onEnd is the last call and is made
 /// exactly once, unless abort() is called on the connection.
 class ExchangeSink {
@@ -50,6 +60,9 @@
   virtual void onHead(const proxy::ResponseHead &Head) = 0;
   virtual void onBody(std::string Bytes) = 0;
   virtual void onEnd(ExchangeOutcome Outcome) = 0;
+  /// Asked for each head before onHead. If true, the response is skipped, and
+  /// the next one on the connection is expected to be the one to this request.
+  virtual bool belongsToOther(const proxy::ResponseHead &) { return false; }
   /// Asked when a connection that had to be established first is ready, which
   /// may be long after the exchange was started. If false, the exchange ends
   /// with NotSent.
@@ -86,6 +99,11 @@
   void abandon();
   void resumeReading();
 
+  ConnectionId id() const { return m_Id; }
+  /// Whether a response that names no request may still arrive.
+  bool hasCarriedCall() const { return m_HasCarriedCall; }
+  void recordCall() { m_HasCarriedCall = true; }
+
   bool isOpen() const { return m_State != State::Closed; }
   bool isFree() const { return m_State == State::Idle; }
   /// Number of exchanges started so far; identifies the current one.
@@ -112,6 +130,7 @@
   void onReceived(const ErrorCode &Code, size_t Count);
   void processInput(std::string_view Bytes, bool EndOfInput, bool Failed);
   void reportArrivedHead();
+  bool skipOthers(proxy::ResponseParser::State &Progress);
   void completeExchange();
   void endExchange(ExchangeOutcome Outcome);
   void close();
@@ -132,6 +151,15 @@
   bool m_RequestWritten = false;
   bool m_ReadPaused = false;
   bool m_HeadReported = false;
+  /// The response that is being received answers another request.
+  bool m_Skipping = false;
+  /// \name Of the current exchange.
+  /// @{
+  unsigned m_SkippedResponses = 0;
+  size_t m_SkippedBytes = 0;
+  /// @}
+  const ConnectionId m_Id;
+  bool m_HasCarriedCall = false;
   bool m_ExpectBody = true;
   proxy::ResponseParser m_Parser;
   std::shared_ptr<ExchangeSink> m_Sink;
--- a/Services/figlift-gateway/ControlCall.cpp
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -6,6 +6,8 @@
 
 #include "ControlCall.h"
 
+#include "platform/EngineCalls.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace figlift::gateway {
@@ -35,6 +37,9 @@
     });
     return true;
   }
+  bool belongsToOther(const proxy::ResponseHead &Head) override {
+    return slopes::namesRequest(Head);
+  }
   void onHead(const proxy::ResponseHead &Head) override {
     m_Status = Head.Status;
   }
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -30,7 +30,11 @@
     return startExchange(
         Shared,
         {TargetId, slopes::targetedCallBytes(Method, Path, *Engine, Body),
-         std::move(Sink), slopes::isTargetsAnswer},
+         std::move(Sink), slopes::isTargetsAnswer,
+         [](const upstream::ServerConnection &Connection) {
+           return !Connection.hasCarriedCall();
+         },
+         true},
         BootClock::now());
   };
   return startControlCall(Shared.Loop, Start, CallTimeout, std::move(Done));
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -17,6 +17,9 @@
 /// Discards the response; the connection returns to its pool.
 class DiscardedResponse : public upstream::ExchangeSink {
 public:
+  bool belongsToOther(const proxy::ResponseHead &Head) override {
+    return slopes::namesRequest(Head);
+  }
   void onHead(const proxy::ResponseHead &) override {}
   void onBody(std::string) override {}
   void onEnd(upstream::ExchangeOutcome) override {}
@@ -46,7 +49,10 @@
       {Engine,
        slopes::targetedCallBytes("DELETE", slopes::releaseHandleTarget(Handle),
                                  *Target, ""),
-       std::make_shared<DiscardedResponse>(), slopes::isTargetsAnswer},
+       std::make_shared<DiscardedResponse>(),
+       slopes::isTargetsAnswer,
+       {},
+       true},
       BootClock::now());
 }
 
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -103,6 +103,10 @@
       "figlift_gateway_backoffs_received_total",
       "Responses in which a server asked for a pause",
       [this] { return double(m_Shared.Feedback.backoffsReceived()); });
+  Metrics.registerCounter(
+      "figlift_gateway_answers_skipped_total",
+      "Answers of servers that were not the one to the request that waited",
+      [this] { return double(m_Shared.Feedback.skippedResponses()); });
   Metrics.registerCounter(
       "figlift_gateway_sends_held_back_total",
       "Requests and calls not sent at the last moment, as their server had "
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -240,7 +240,7 @@
   if (mayUseVersionOf(TargetId) &&
       m_Send->start(
           proxy::serializeRequest(m_Request.Head, Headers, m_Request.Body),
-          Work)) {
+          Work, m_UsedConnections)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -37,6 +37,12 @@
     m_Shared.Feedback.read(m_Server, Head, m_IsServersAnswer, Now);
     m_Sink->onHead(Head);
   }
+  bool belongsToOther(const proxy::ResponseHead &Head) override {
+    if (!m_Sink->belongsToOther(Head))
+      return false;
+    m_Shared.Feedback.recordSkipped(m_Server.TargetId, Head, BootClock::now());
+    return true;
+  }
   bool maySend() const override {
     return m_Sink->maySend() &&
            mayBeSentTo(m_Shared, m_Server, BootClock::now());
@@ -70,9 +76,11 @@
   if (!Server || Pool == Shared.Pools.end() ||
       !mayBeSentTo(Shared, Server->start(), Now))
     return nullptr;
-  auto Connection = Pool->second->acquire(Now);
+  auto Connection = Pool->second->acquire(Now, Request.IsSuitable);
   if (!Connection)
     return nullptr;
+  if (Request.IsCall)
+    Connection->recordCall();
   Shared.Limits.recordSend(Server->Id, Now);
   std::string Bytes = std::move(Request.Bytes);
   Connection->exchange(std::move(Bytes), true,
--- a/Services/figlift-gateway/ServerExchange.h
+++ b/Services/figlift-gateway/ServerExchange.h
@@ -25,6 +25,10 @@
   std::string Bytes;
   std::shared_ptr<upstream::ExchangeSink> Sink;
   ServerFeedback::AnswerCheck IsServersAnswer;
+  /// Empty if any connection to the server will do.
+  upstream::ConnectionFilter IsSuitable = {};
+  /// The response will name no request; see ServerConnection.h.
+  bool IsCall = false;
 };
 
 /// Takes a connection from the server's pool and sends the request. Returns
--- a/Services/figlift-gateway/ServerFeedback.cpp
+++ b/Services/figlift-gateway/ServerFeedback.cpp
@@ -62,4 +62,15 @@
     log::logEvent(log::Level::Info, "send-held-back", {{"target", TargetId}});
 }
 
+void ServerFeedback::recordSkipped(const std::string &TargetId,
+                                   const proxy::ResponseHead &Head,
+                                   BootTime Now) {
+  ++m_SkippedResponses;
+  if (m_Log.allows(LineKind::Notable, Now))
+    log::logEvent(log::Level::Warning, "answer-skipped",
+                  {{"target", TargetId},
+                   {"status", Head.Status},
+                   {"answers", slopes::decodeServerFields(Head).AttemptId}});
+}
+
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/ServerFeedback.h
+++ b/Services/figlift-gateway/ServerFeedback.h
@@ -45,6 +45,12 @@
   /// Records that something was not sent because of a backoff.
   void recordHeldBack(const std::string &TargetId, BootTime Now);
 
+  /// Records that a response on a connection to the server was not the one to
+  /// the request that waited for it.
+  void recordSkipped(const std::string &TargetId,
+                     const proxy::ResponseHead &Head, BootTime Now);
+
+  uint64_t skippedResponses() const { return m_SkippedResponses; }
   uint64_t backoffsReceived() const { return m_BackoffsReceived; }
   uint64_t heldBack() const { return m_HeldBack; }
   uint64_t unknownFields() const { return m_UnknownFields; }
@@ -70,6 +76,7 @@
   std::set<std::string> m_UnknownNames;
   uint64_t m_BackoffsReceived = 0;
   uint64_t m_HeldBack = 0;
+  uint64_t m_SkippedResponses = 0;
   uint64_t m_UnknownFields = 0;
 };
 
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -10,6 +10,8 @@
 
 #include "LibLog/Log.h"
 
+#include <algorithm>
+
 namespace figlift::gateway {
 
 using dispatch::SendOutcome;
@@ -27,19 +29,24 @@
     : m_Shared(Shared), m_Owner(&Owner), m_TargetId(std::move(TargetId)),
       m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)) {}
 
-bool ServerSend::start(std::string Bytes, dispatch::Work Work) {
+bool ServerSend::start(std::string Bytes, dispatch::Work Work,
+                       std::vector<upstream::ConnectionId> &Used) {
   m_Started = BootClock::now();
   // The exchange keeps this object for as long as it may call the check.
   const auto IsServersAnswer = [this](const proxy::ResponseHead &Head) {
     const slopes::ServerFields Fields = slopes::decodeServerFields(Head);
     return !Fields.Misdirected && isMatchingResponse(Head, Fields);
   };
-  m_Connection = startExchange(
-      m_Shared,
-      {m_TargetId, std::move(Bytes), shared_from_this(), IsServersAnswer},
-      m_Started);
+  const auto IsUnused = [&](const upstream::ServerConnection &Connection) {
+    return std::find(Used.begin(), Used.end(), Connection.id()) == Used.end();
+  };
+  m_Connection = startExchange(m_Shared,
+                               {m_TargetId, std::move(Bytes),
+                                shared_from_this(), IsServersAnswer, IsUnused},
+                               m_Started);
   if (!m_Connection)
     return false;
+  Used.push_back(m_Connection->id());
   Work.SentAt = m_Started;
   m_Ticket = m_Shared.Loads.recordSent(m_TargetId, Work);
   if (const dispatch::Target *Target = m_Shared.Targets.find(m_TargetId))
@@ -72,11 +79,13 @@
                                     const slopes::ServerFields &Fields) const {
   const bool IsExecuted =
       m_Purpose == SendPurpose::Execute && isSuccess(Head.Status);
-  if (IsExecuted && !Fields.Signed)
-    return false;
-  // Without an echoed id only a rejection or a prefill is accepted.
-  return Fields.AttemptId.empty() ? !IsExecuted
-                                  : Fields.AttemptId == m_AttemptId;
+  return Fields.AttemptId == m_AttemptId && (!IsExecuted || Fields.Signed);
+}
+
+/// Servers echo the id in every answer to a request. An answer without it is
+/// one to a control call.
+bool ServerSend::belongsToOther(const proxy::ResponseHead &Head) {
+  return slopes::decodeServerFields(Head).AttemptId != m_AttemptId;
 }
 
 void ServerSend::onHead(const proxy::ResponseHead &Head) {
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -1,9 +1,9 @@
 //===- ServerSend.h - One attempt to send a request to a server -*- C++ -*-===//
 //
 // Sends a request, or its prefill, to one server and verifies that the response
-// belongs to it: by the echoed id and, for a success, by the signature. A
-// response to an earlier request on the same connection has another id and
-// closes the connection.
+// belongs to it: by the echoed id and, for a success, by the signature. The id
+// is that of the request, not of the send, so that no connection carries a
+// request twice: it might still deliver a copy of the answer to the first send.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace figlift::gateway {
 
@@ -52,9 +53,11 @@
   ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
              SendPurpose Purpose, std::string AttemptId);
 
-  /// Takes a connection and sends the request. Returns false without sending
-  /// if the pool of the server is exhausted.
-  bool start(std::string Bytes, dispatch::Work Work);
+  /// Takes a connection that is not among \p Used, adds it to them, and sends
+  /// the request. Returns false without sending if the pool of the server is
+  /// exhausted.
+  bool start(std::string Bytes, dispatch::Work Work,
+             std::vector<upstream::ConnectionId> &Used);
   /// Closes the connection, which also cancels the work at the server.
   void cancel();
   void resumeReading();
@@ -75,6 +78,7 @@
   /// its computed state.
   bool targetRestarted() const;
 
+  bool belongsToOther(const proxy::ResponseHead &Head) override;
   void onHead(const proxy::ResponseHead &Head) override;
   void onBody(std::string Bytes) override;
   void onEnd(upstream::ExchangeOutcome End) override;
--- a/Tests/CrashingParts/TestCrashingParts.cpp
+++ b/Tests/CrashingParts/TestCrashingParts.cpp
@@ -133,10 +133,10 @@
         Id, [this, Id, Place](const proxy::Request &Request, const Caller &To) {
           // The successor of a crashed engine has its address.
           if (field(Request, "X-Expect-Instance") != Id)
-            return rejectUnexecuted(To, 421);
+            return rejectUnexecuted(Request, To, 421);
           recordArrival(Request);
           if (isPrefill(Request))
-            return rejectUnexecuted(To);
+            return rejectUnexecuted(Request, To);
           To->beginStream(head(Request), Framing);
           if (isHarmful(Request))
             return beginAndCrash(To, Place);
--- a/Tests/FigliftGateway/RawServer.cpp
+++ b/Tests/FigliftGateway/RawServer.cpp
@@ -1,6 +1,6 @@
 //===- RawServer.cpp - A stand-in engine that writes given bytes ----------===//
 //
-// One request for each connection.
+// Requests have no bodies.
 //
 //===----------------------------------------------------------------------===//
 
@@ -35,15 +35,18 @@
   void start() {
     asio::async_read_until(
         m_Socket, asio::dynamic_buffer(m_Head), "\r\n\r\n",
-        [Self = shared_from_this()](const ErrorCode &Code, size_t) {
+        [Self = shared_from_this()](const ErrorCode &Code, size_t HeadSize) {
           if (!Code)
-            Self->respond();
+            Self->respond(HeadSize);
         });
   }
 
 private:
-  void respond() {
-    m_Response = m_Owner.responseTo(m_Head);
+  void respond(size_t HeadSize) {
+    const std::string Late = m_Response.LateBytes;
+    m_Response = m_Owner.responseTo(m_Head.substr(0, HeadSize));
+    m_Head.erase(0, HeadSize);
+    m_Response.Bytes.insert(0, Late);
     asio::async_write(
         m_Socket, asio::buffer(m_Response.Bytes),
         [Self = shared_from_this()](const ErrorCode &Code, size_t) {
@@ -53,6 +56,8 @@
   }
   void end() {
     ErrorCode Ignored; // The peer may have closed the connection already.
+    if (m_Response.End == ConnectionEnd::None)
+      return start();
     if (m_Response.End == ConnectionEnd::Close) {
       m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
       return;
@@ -92,7 +97,7 @@
 }
 
 RawResponse RawServer::responseTo(const std::string &Head) {
-  if (Head.starts_with("GET /v1/kv-list"))
+  if (Head.starts_with("GET /v1/kv-list") && !AnswersCacheLists)
     return {"HTTP/1.1 200 OK\r\n\r\n" + std::string(EmptyCacheList),
             ConnectionEnd::Close};
   Requests.push_back(Head);
--- a/Tests/FigliftGateway/RawServer.h
+++ b/Tests/FigliftGateway/RawServer.h
@@ -1,9 +1,9 @@
 //===- RawServer.h - A stand-in engine that writes given bytes --*- C++ -*-===//
 //
-// Responds to each request with bytes that a test sets and then ends the
-// connection, in order or by a reset. Real servers choose their framing
-// themselves and may end anywhere in a response, which the Listener of the
-// other stand-ins cannot do.
+// Responds to each request with bytes that a test sets and then keeps the
+// connection or ends it, in order or by a reset. Real servers choose their
+// framing themselves, may end anywhere in a response and may send more than
+// one, which the Listener of the other stand-ins cannot do.
 //
 //===----------------------------------------------------------------------===//
 
@@ -23,6 +23,8 @@
 
 /// How the server ends a connection after its bytes.
 enum class ConnectionEnd {
+  /// Waits for the next request.
+  None,
   /// As a process does that closes its socket, also one that crashes.
   Close,
   Reset,
@@ -32,6 +34,9 @@
 struct RawResponse {
   std::string Bytes;
   ConnectionEnd End = ConnectionEnd::Close;
+  /// Written when the next request on the connection arrives, before the
+  /// response to that one.
+  std::string LateBytes = {};
 };
 
 class RawServer {
@@ -45,6 +50,9 @@
   void setBehaviour(Behaviour NewBehaviour) {
     m_Behaviour = std::move(NewBehaviour);
   }
+  /// Questions for the KV cache are requests like others. Otherwise they get an
+  /// empty list.
+  bool AnswersCacheLists = false;
   /// Heads of the requests so far, without questions for the KV cache.
   std::vector<std::string> Requests;
 
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -318,12 +318,16 @@
 }
 
 namespace {
-proxy::ResponseHead signedHead(const proxy::Request &Request, unsigned Status) {
+/// Names the request, if it has an id.
+proxy::ResponseHead headFor(const proxy::Request &Request, unsigned Status) {
   proxy::ResponseHead Head;
   Head.Status = Status;
-  Head.Headers.add(
-      "X-Attempt-Id",
-      std::string(Request.Head.Headers.find("X-Attempt-Id").value_or("")));
+  if (const auto Id = Request.Head.Headers.find("X-Attempt-Id"))
+    Head.Headers.add("X-Attempt-Id", std::string(*Id));
+  return Head;
+}
+proxy::ResponseHead signedHead(const proxy::Request &Request, unsigned Status) {
+  proxy::ResponseHead Head = headFor(Request, Status);
   Head.Headers.add("X-Response-Signature", "s");
   return Head;
 }
@@ -350,13 +354,17 @@
   To->respond(signedHead(Request, Status), Body);
 }
 
-void rejectUnexecuted(const Caller &To, unsigned Status) {
-  proxy::ResponseHead Head;
-  Head.Status = Status;
+void rejectUnexecuted(const proxy::Request &Request, const Caller &To,
+                      unsigned Status) {
+  proxy::ResponseHead Head = headFor(Request, Status);
   Head.Headers.add("X-Not-Executed", "1");
   To->respond(Head, "");
 }
 
+void rejectRequest(const proxy::Request &Request, const Caller &To) {
+  rejectUnexecuted(Request, To);
+}
+
 void beginStream(const proxy::Request &Request, const Caller &To) {
   To->beginStream(signedHead(Request, 200));
 }
@@ -367,10 +375,9 @@
   };
 }
 
-void completePrefill(const proxy::Request &, const Caller &To) {
-  proxy::ResponseHead Head;
-  Head.Status = 200;
-  To->respond(Head, R"({"kvHandle":"k1","tokens":4000,"version":1})");
+void completePrefill(const proxy::Request &Request, const Caller &To) {
+  To->respond(headFor(Request, 200),
+              R"({"kvHandle":"k1","tokens":4000,"version":1})");
 }
 
 namespace {
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -176,7 +176,10 @@
 void respondSigned(const proxy::Request &Request, const Caller &To,
                    unsigned Status, const std::string &Body);
 /// Sends an error that says that the request was not executed.
-void rejectUnexecuted(const Caller &To, unsigned Status = 503);
+void rejectUnexecuted(const proxy::Request &Request, const Caller &To,
+                      unsigned Status = 503);
+/// The same as a behaviour, with status 503.
+void rejectRequest(const proxy::Request &Request, const Caller &To);
 /// \name Behaviours of servers.
 /// @{
 /// A plain server that responds immediately.
--- a/Tests/FigliftGateway/TestServiceQueues.cpp
+++ b/Tests/FigliftGateway/TestServiceQueues.cpp
@@ -26,7 +26,7 @@
     return [this](const proxy::Request &Request, const Caller &To) {
       if (m_Running.size() >= Slots) {
         ++Rejections;
-        return rejectUnexecuted(To);
+        return rejectUnexecuted(Request, To);
       }
       m_Running.emplace_back(Request, To);
     };
--- a/Tests/FigliftGateway/TestUsageReports.cpp
+++ b/Tests/FigliftGateway/TestUsageReports.cpp
@@ -72,9 +72,7 @@
 
 // Failure: a tenant is billed for requests that a server rejected.
 TEST(UsageReports, LeaveOutWhatServersRejected) {
-  Fixture.addServer(
-      "s1", "plain",
-      [](const proxy::Request &, const Caller &To) { rejectUnexecuted(To); });
+  Fixture.addServer("s1", "plain", rejectRequest);
   CHECK(Fixture.waitUntilReady());
   serve(3);
   Fixture.setBehaviour("s1", respondWith("good"));
--- a/Tests/LibUpstream/TestServerConnection.cpp
+++ b/Tests/LibUpstream/TestServerConnection.cpp
@@ -30,8 +30,16 @@
   }
   void onBody(std::string Bytes) override { Body += Bytes; }
   void onEnd(ExchangeOutcome Result) override { Outcome = Result; }
+  bool belongsToOther(const proxy::ResponseHead &Head) override {
+    const bool IsOther = Head.Headers.find("Id") != Id;
+    Others += IsOther ? 1 : 0;
+    return IsOther;
+  }
   bool maySend() const override { return Allowed; }
   bool Allowed = true;
+  /// Of the request; a response to it has the same.
+  std::optional<std::string_view> Id;
+  unsigned Others = 0;
   unsigned Status = 0;
   std::string Body;
   std::optional<ExchangeOutcome> Outcome;
@@ -236,3 +244,116 @@
   LONGS_EQUAL(0, Sink->Status);
   CHECK(!Connection->isOpen());
 }
+
+TEST_GROUP_BASE(SecondCopies, TEST_GROUP_CppUTestGroupServerConnection) {
+  std::shared_ptr<RecordingSink> Sink;
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupServerConnection::setup();
+    Sink = send();
+    Sink->Id = "2";
+    accept();
+    awaitRequest();
+  }
+  static std::string response(const std::string &Id, const std::string &Body) {
+    return "HTTP/1.1 200 OK\r\nId: " + Id +
+           "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+           Body;
+  }
+  bool ends() {
+    return until([&] { return Sink->Outcome.has_value(); });
+  }
+};
+
+// Failure: a late copy of the response to the request before ends an exchange
+// whose own response follows.
+TEST(SecondCopies, AreSkipped) {
+  reply(response("1", "copy") + response("2", "own"));
+  CHECK(ends());
+  CHECK(*Sink->Outcome == ExchangeOutcome::Complete);
+  STRCMP_EQUAL("own", Sink->Body.c_str());
+  LONGS_EQUAL(1, Pool->openConnections());
+}
+
+// Failure: a copy that arrives in pieces is taken for the beginning of the
+// response.
+TEST(SecondCopies, AreSkippedInAnyPieces) {
+  const std::string Bytes =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\ncopy\r\n0\r\n\r\n" +
+      response("2", "own");
+  for (const char Byte : Bytes) {
+    reply({&Byte, 1});
+    Loop.run_for(milliseconds(1));
+  }
+  CHECK(ends());
+  CHECK(*Sink->Outcome == ExchangeOutcome::Complete);
+  STRCMP_EQUAL("own", Sink->Body.c_str());
+  LONGS_EQUAL(1, Sink->Others);
+}
+
+// Failure: the response is lost after a copy, and the request counts as not
+// answered by a byte, or the other way round.
+TEST(SecondCopies, AreNoSignOfTheResponse) {
+  reply(response("1", "copy"));
+  CHECK(until([&] { return Sink->Others == 1; }));
+  Server.close();
+  CHECK(ends());
+  CHECK(*Sink->Outcome == ExchangeOutcome::NoResponse);
+}
+
+// Failure: a server that sends copies without end is read until the deadline.
+TEST(SecondCopies, EndTheExchangeIfThereAreTooMany) {
+  for (int I = 0; I < 20; ++I)
+    reply(response("1", "copy"));
+  CHECK(ends());
+  CHECK(*Sink->Outcome == ExchangeOutcome::Interrupted);
+}
+
+// Failure: a copy whose body has no end is read until the deadline.
+TEST(SecondCopies, EndTheExchangeIfTheyAreTooLong) {
+  reply("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n");
+  const std::string Piece(1 << 16, 'x');
+  Server.non_blocking(true);
+  for (int I = 0; I < 2000 && !Sink->Outcome; ++I) {
+    boost::system::error_code Code;
+    Server.write_some(asio::buffer(Piece), Code);
+    Loop.run_for(milliseconds(1));
+  }
+  CHECK(*Sink->Outcome == ExchangeOutcome::Interrupted);
+}
+
+// Failure: a request is sent once more over the same connection, and a copy of
+// the first response is taken for the second one.
+TEST(ServerConnection, IsNotReusedWhereItDoesNotSuit) {
+  const auto Sink = send();
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  const auto IsOther = [&](const ServerConnection &Offered) {
+    return Offered.id() != Connection->id();
+  };
+  const auto Other = Pool->acquire(BootClock::now(), IsOther);
+  CHECK(Other != nullptr);
+  CHECK(Other != Connection);
+  // Other requests still use it.
+  CHECK(Pool->acquire(BootClock::now()) == Connection);
+}
+
+// Failure: at its limit of connections, a pool has no connection for a request
+// although one is idle.
+TEST(ServerConnection, MakesRoomIfItDoesNotSuit) {
+  Pool->setLimit(1);
+  const auto Sink = send();
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  const auto Other = Pool->acquire(
+      BootClock::now(), [](const ServerConnection &) { return false; });
+  CHECK(Other != nullptr);
+  CHECK(Other != Connection);
+  CHECK_FALSE(Connection->isOpen());
+  LONGS_EQUAL(1, Pool->openConnections());
+}
--- a/Tests/ServerFeedback/TestServerFeedback.cpp
+++ b/Tests/ServerFeedback/TestServerFeedback.cpp
@@ -171,10 +171,7 @@
     return askForPause(Log, "5", completePrefill)(Request, To);
   };
   Fixture.addServer("p1", "model", Engine, "prefill");
-  Fixture.addServer(
-      "d1", "model",
-      [](const proxy::Request &, const Caller &To) { rejectUnexecuted(To); },
-      "decode");
+  Fixture.addServer("d1", "model", rejectRequest, "decode");
   startServing();
   waitForServers(2);
   KeepAliveCaller First(Fixture);
