LibProxy, figlift-gateway: Judge each request by the limits in force

Cause: a connection copied the limits when it was accepted and kept them for as long as it lived; one accepted before the first configuration kept built-in ones. The other three limits were kept in the same way.

Gateway.OpenConnectionsFollowTheLimitsInForce failed before: 413 on a connection accepted before the first configuration.

A connection now asks its handler for the limits at the first byte of each request, which keeps them to its end: one that is half read at the change is judged by one set. A change is told to all connections, so that an idle one counts the new timeout from when it became idle.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -145,14 +145,16 @@
     }
   }
 
+  proxy::CallerLimits limits() const override {
+    return {{m_Options.MaximumHeadBytes, m_Options.MaximumBodyBytes},
+            m_Options.HeadTimeout,
+            m_Options.IdleTimeout};
+  }
+
   void startConnection(tcp::socket Socket) {
-    proxy::CallerLimits Limits;
-    Limits.Bounds = {m_Options.MaximumHeadBytes, m_Options.MaximumBodyBytes};
-    Limits.HeadTimeout = m_Options.HeadTimeout;
-    Limits.IdleTimeout = m_Options.IdleTimeout;
     const auto Strand = Socket.get_executor();
-    const auto Caller = std::make_shared<proxy::CallerConnection>(
-        std::move(Socket), Limits, *this);
+    const auto Caller =
+        std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
     {
       std::lock_guard Lock(m_Mutex);
       // Each connection may buffer a head and a body, so the limit on
--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -27,9 +27,10 @@
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket Socket,
-                                   CallerLimits Limits, RequestHandler &Handler)
+                                   RequestHandler &Handler)
     : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
-      m_Limits(Limits), m_Handler(Handler), m_Parser(Limits.Bounds) {}
+      m_Handler(Handler), m_Limits(Handler.limits()),
+      m_Parser(m_Limits.Bounds) {}
 
 void CallerConnection::start() {
   ErrorCode Ignored; // Without the option, small writes are only delayed.
@@ -62,6 +63,7 @@
   if (Code)
     return close();
   if (!m_Lingering) {
+    adoptLimits();
     m_Parser.feed({m_Buffer.data(), Count});
     if (!m_Request)
       advance();
@@ -69,6 +71,24 @@
   read();
 }
 
+/// A request that has begun keeps the limits of its first byte.
+void CallerConnection::adoptLimits() {
+  if (m_Parser.state() != RequestParser::State::Idle)
+    return;
+  m_Limits = m_Handler.limits();
+  m_Parser.setBounds(m_Limits.Bounds);
+}
+
+void CallerConnection::limitsChanged() {
+  if (m_Request || m_Lingering || m_Closed ||
+      m_Parser.state() != RequestParser::State::Idle)
+    return;
+  adoptLimits();
+  m_Deadline = m_TimeoutBegan + m_Limits.IdleTimeout;
+  if (m_TimerRunning && m_Timer.expiry() > m_Deadline)
+    startTimer();
+}
+
 void CallerConnection::advance() {
   using State = RequestParser::State;
   switch (m_Parser.state()) {
@@ -183,6 +203,7 @@
     Self->m_Request = nullptr;
     if (Self->m_CloseAnnounced)
       return Self->closeGracefully();
+    Self->adoptLimits();
     Self->armTimer(Self->m_Limits.IdleTimeout);
     Self->m_Parser.resume();
     Self->advance();
@@ -316,7 +337,8 @@
 }
 
 void CallerConnection::armTimer(std::chrono::milliseconds Timeout) {
-  m_Deadline = std::chrono::steady_clock::now() + Timeout;
+  m_TimeoutBegan = std::chrono::steady_clock::now();
+  m_Deadline = m_TimeoutBegan + Timeout;
   // A running timer is not restarted for a later deadline: when it fires, its
   // handler compares the time with m_Deadline and waits again.
   if (!m_TimerRunning || m_Timer.expiry() > m_Deadline)
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -5,6 +5,10 @@
 // detected at once; otherwise servers would keep working on a request whose
 // response nobody receives.
 //
+// A connection lives longer than a configuration. The limits in force are
+// therefore asked for at the first byte of each request, which keeps them to
+// its end, and whenever they change while the connection is idle.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -53,6 +57,14 @@
   return Response;
 }
 
+struct CallerLimits {
+  RequestBounds Bounds;
+  /// Time from the first to the last byte of a request head.
+  std::chrono::milliseconds HeadTimeout{3000};
+  /// Maximum time without input within a body and between requests.
+  std::chrono::milliseconds IdleTimeout{15000};
+};
+
 class RequestHandler {
 public:
   virtual ~RequestHandler() = default;
@@ -63,21 +75,15 @@
   /// Called for malformed or oversized input; returns the response to send,
   /// whose status is \p Status.
   virtual ErrorResponse rejected(unsigned Status) = 0;
+  /// The limits that are in force now.
+  virtual CallerLimits limits() const { return {}; }
   /// The connection has been closed.
   virtual void closed(CallerConnection &Caller) = 0;
 };
 
-struct CallerLimits {
-  RequestBounds Bounds;
-  /// Time from the first to the last byte of a request head.
-  std::chrono::milliseconds HeadTimeout{3000};
-  /// Maximum time without input within a body and between requests.
-  std::chrono::milliseconds IdleTimeout{15000};
-};
-
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  CallerConnection(boost::asio::ip::tcp::socket Socket, CallerLimits Limits,
+  CallerConnection(boost::asio::ip::tcp::socket Socket,
                    RequestHandler &Handler);
 
   void start();
@@ -115,6 +121,8 @@
   /// Closes the connection if it has no active request, no unread input, and is
   /// not so new that its first request may still be in transit.
   void closeIfIdle();
+  /// RequestHandler::limits() has changed.
+  void limitsChanged();
   /// Notifies the active request, if any, that this process is stopping.
   void notifyProcessStopping() {
     if (const auto Active = m_Request)
@@ -137,6 +145,7 @@
   void write(std::string_view Bytes);
   void flush();
   void onWritten(const ErrorCode &Code);
+  void adoptLimits();
   bool isIdle() const;
   void closeIfNothingReadable();
   void closeWithoutReading();
@@ -151,8 +160,10 @@
 
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
-  CallerLimits m_Limits;
   RequestHandler &m_Handler;
+  /// Of the request that is being received; while the connection is idle, as
+  /// asked for last.
+  CallerLimits m_Limits;
   RequestParser m_Parser;
   std::array<char, 8192> m_Buffer;
   std::shared_ptr<ActiveRequest> m_Request;
@@ -163,6 +174,8 @@
   /// Unsent bytes at the previous expiry of the timer.
   std::optional<size_t> m_LastUnsentBytes;
   std::chrono::steady_clock::time_point m_Deadline;
+  /// When the current timeout began.
+  std::chrono::steady_clock::time_point m_TimeoutBegan;
   std::chrono::steady_clock::time_point m_OpenedAt;
   bool m_TimerRunning = false;
   bool m_Reading = false;
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -81,9 +81,14 @@
 void RequestParser::reset() {
   m_BeastParser = std::make_unique<BeastParser>();
   m_BeastParser->eager(true);
+  setBounds(m_Bounds);
+  m_State = State::Idle;
+}
+
+void RequestParser::setBounds(RequestBounds Bounds) {
+  m_Bounds = Bounds;
   m_BeastParser->header_limit(m_Bounds.HeadBytes);
   m_BeastParser->body_limit(m_Bounds.BodyBytes);
-  m_State = State::Idle;
 }
 
 RequestParser::State RequestParser::fail(unsigned Status) {
--- a/Libraries/LibProxy/RequestParser.h
+++ b/Libraries/LibProxy/RequestParser.h
@@ -49,6 +49,8 @@
   /// Parses input of the connection. Bytes after a complete request are
   /// buffered for the next one.
   State feed(std::string_view Bytes);
+  /// Sets the limits from the next request on; the parser must be idle.
+  void setBounds(RequestBounds Bounds);
   State state() const { return m_State; }
   /// Returns the complete request and resets the parser for the next one.
   Request take();
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -49,6 +49,7 @@
   handle(proxy::Request Request,
          std::shared_ptr<proxy::CallerConnection> Caller) override;
   proxy::ErrorResponse rejected(unsigned Status) override;
+  proxy::CallerLimits limits() const override;
   void closed(proxy::CallerConnection &Caller) override;
 
 private:
--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -55,16 +55,18 @@
       });
 }
 
+proxy::CallerLimits Gateway::limits() const {
+  if (!m_Shared.Configuration)
+    return {};
+  const dispatch::CallerBounds &Bounds = m_Shared.Configuration->Bounds;
+  return {{Bounds.HeadBytes, Bounds.BodyBytes},
+          Bounds.HeadTimeout,
+          Bounds.IdleTimeout};
+}
+
 void Gateway::startCaller(tcp::socket Socket) {
-  proxy::CallerLimits Limits;
-  if (m_Shared.Configuration) {
-    const dispatch::CallerBounds &Bounds = m_Shared.Configuration->Bounds;
-    Limits = {{Bounds.HeadBytes, Bounds.BodyBytes},
-              Bounds.HeadTimeout,
-              Bounds.IdleTimeout};
-  }
-  auto Caller = std::make_shared<proxy::CallerConnection>(std::move(Socket),
-                                                          Limits, *this);
+  auto Caller =
+      std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
   m_Callers.insert(Caller.get());
   Caller->start();
 }
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -140,6 +140,8 @@
   m_Shared.Queues.configurationChanged(*m_Shared.Configuration);
   m_PoolLimitsStale = true;
   limitPools();
+  for (proxy::CallerConnection *Caller : m_Callers)
+    Caller->limitsChanged();
 }
 
 /// Returns no target for an entry that cannot be decoded. A faulty writer may
--- a/Services/figlift-gateway/TextServer.cpp
+++ b/Services/figlift-gateway/TextServer.cpp
@@ -52,16 +52,15 @@
 }
 
 void TextServer::accept() {
-  m_Acceptor.async_accept([this](const boost::system::error_code &Code,
-                                 tcp::socket Socket) {
-    if (Code == asio::error::operation_aborted)
-      return;
-    if (!Code)
-      std::make_shared<proxy::CallerConnection>(std::move(Socket),
-                                                proxy::CallerLimits{}, *this)
-          ->start();
-    accept();
-  });
+  m_Acceptor.async_accept(
+      [this](const boost::system::error_code &Code, tcp::socket Socket) {
+        if (Code == asio::error::operation_aborted)
+          return;
+        if (!Code)
+          std::make_shared<proxy::CallerConnection>(std::move(Socket), *this)
+              ->start();
+        accept();
+      });
 }
 
 std::shared_ptr<proxy::ActiveRequest>
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -149,8 +149,10 @@
   if (OmittedService != "model")
     Services.push_back(
         {{"name", "model"}, {"maxConnections", 100}, {"engine", Engine}});
-  Json Configuration = {
-      {"version", Version}, {"routes", Routes}, {"services", Services}};
+  Json Configuration = {{"version", Version},
+                        {"routes", Routes},
+                        {"services", Services},
+                        {"limits", {{"maxBodyBytes", MaximumBodyBytes}}}};
   if (!Tenants.empty())
     Configuration["tenants"] = Json::parse(Tenants);
   Store.put("op", "config", Configuration.dump());
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -57,8 +57,8 @@
   m_Acceptor.async_accept([this](const auto &Code, tcp::socket Socket) {
     if (Code || !m_Acceptor.is_open())
       return;
-    const auto Connection = std::make_shared<proxy::CallerConnection>(
-        std::move(Socket), proxy::CallerLimits{}, *this);
+    const auto Connection =
+        std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
     m_Connections.insert(Connection.get());
     Connection->start();
     accept();
--- a/Tests/FigliftGateway/TestGateway.cpp
+++ b/Tests/FigliftGateway/TestGateway.cpp
@@ -131,6 +131,33 @@
   CHECK(!contains(Response, "other's"));
 }
 
+// Failure: connections keep the limits that were in force when they were
+// accepted, also those accepted before there was a configuration, and proper
+// requests on them are answered 413.
+TEST(Gateway, OpenConnectionsFollowTheLimitsInForce) {
+  constexpr size_t AboveBuiltInLimit = (4 << 20) + 1;
+  Fixture.addServer("s1", "plain", respondWith("good"));
+  KeepAliveCaller Earliest(Fixture);
+  Fixture.MaximumBodyBytes = 100;
+  startServing();
+  KeepAliveCaller Early(Fixture);
+  Early.send("POST", "/unsafe/x");
+  CHECK(Fixture.waitUntil([&] { return contains(Early.received(), "good"); }));
+  Fixture.MaximumBodyBytes = 2 * AboveBuiltInLimit;
+  Fixture.configure(2);
+  CHECK(appliesConfiguration(2, std::chrono::seconds(2)));
+  for (KeepAliveCaller *Caller : {&Earliest, &Early}) {
+    const size_t Before = Caller->received().size();
+    Caller->sendBytes("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "
+                      "a1\r\nContent-Length: " +
+                      std::to_string(AboveBuiltInLimit) + "\r\n\r\n");
+    // A limit on the length is applied to the head.
+    Fixture.Loop.run_for(std::chrono::milliseconds(50));
+    LONGS_EQUAL(Before, Caller->received().size());
+    CHECK_FALSE(Caller->isClosed());
+  }
+}
+
 TEST(Gateway, DeliversNoSuccessWithoutASignature) {
   Fixture.addServer("s1", "plain",
                     [](const proxy::Request &, const Caller &To) {
