--- a/Libraries/LibDispatch/VersionHistory.cpp
+++ b/Libraries/LibDispatch/VersionHistory.cpp
@@ -81,28 +81,25 @@
 
 void VersionHistory::recordStream(const StreamOrigin &Origin,
                                   milliseconds Deadline) {
-  const auto Steps =
-      (std::clamp<milliseconds>(Deadline, milliseconds(0),
-                                m_Options.Retention) +
-       m_Options.DeadlineStep - milliseconds(1)) /
-      m_Options.DeadlineStep;
-  Version &Entry =
-      m_Services[Origin.Service].Versions[Origin.SoftwareVersion];
+  const auto Steps = (std::clamp<milliseconds>(Deadline, milliseconds(0),
+                                               m_Options.Retention) +
+                      m_Options.DeadlineStep - milliseconds(1)) /
+                     m_Options.DeadlineStep;
+  Version &Entry = m_Services[Origin.Service].Versions[Origin.SoftwareVersion];
   Entry.TakeUpTime =
       std::max<milliseconds>(Entry.TakeUpTime, Steps * m_Options.DeadlineStep);
 }
 
 void VersionHistory::recordTold(const StreamOrigin &Origin, BootTime Now) {
-  const auto [Found, IsNew] = m_Services[Origin.Service].Versions.try_emplace(
-      Origin.SoftwareVersion);
+  const auto [Found, IsNew] =
+      m_Services[Origin.Service].Versions.try_emplace(Origin.SoftwareVersion);
   Version &Entry = Found->second;
   if (IsNew || Entry.Until)
     Entry.Until = std::max(Entry.Until.value_or(BootTime{}),
                            lastTakeUp(Origin.Service, Entry, Now));
 }
 
-milliseconds
-VersionHistory::configuredTime(const std::string &Service) const {
+milliseconds VersionHistory::configuredTime(const std::string &Service) const {
   const auto Configured = m_TakeUpTimes.find(Service);
   return Configured == m_TakeUpTimes.end() ? milliseconds(0)
                                            : Configured->second;
@@ -110,15 +107,13 @@
 
 milliseconds VersionHistory::takeUpTime(const std::string &Service,
                                         const Version &Entry) const {
-  const milliseconds Time =
-      std::max(Entry.TakeUpTime, configuredTime(Service));
+  const milliseconds Time = std::max(Entry.TakeUpTime, configuredTime(Service));
   const milliseconds Longest = m_Options.Retention;
   return Time == milliseconds(0) ? Longest : std::min(Time, Longest);
 }
 
-milliseconds
-VersionHistory::takeUpTime(const std::string &Service,
-                           const ServiceHistory &History) const {
+milliseconds VersionHistory::takeUpTime(const std::string &Service,
+                                        const ServiceHistory &History) const {
   milliseconds Longest = takeUpTime(Service, Version{});
   for (const auto &[Name, Entry] : History.Versions)
     Longest = std::max(Longest, takeUpTime(Service, Entry));
@@ -198,17 +193,15 @@
         Recorded->TakeUpTime < Entry.TakeUpTime)
       return false;
   }
-  return std::all_of(History.Recorded->Versions.begin(),
-                     History.Recorded->Versions.end(),
-                     [&](const RecordedVersion &Recorded) {
-                       return Recorded.Until ||
-                              History.Versions.contains(Recorded.Name);
-                     });
+  return std::all_of(
+      History.Recorded->Versions.begin(), History.Recorded->Versions.end(),
+      [&](const RecordedVersion &Recorded) {
+        return Recorded.Until || History.Versions.contains(Recorded.Name);
+      });
 }
 
-VersionRecord
-VersionHistory::makeRecord(const ServiceHistory &History,
-                           const StoreClockReading &Clock) const {
+VersionRecord VersionHistory::makeRecord(const ServiceHistory &History,
+                                         const StoreClockReading &Clock) const {
   VersionRecord Record;
   if (const BootTime Since = completeSince(History); Since != FirstStart)
     Record.CompleteSince =
@@ -221,11 +214,12 @@
       Recorded.Until = Clock.toStore(*Entry.Until);
   }
   // Those that count for longest stay.
-  std::stable_sort(Record.Versions.begin(), Record.Versions.end(),
-                   [](const RecordedVersion &Left, const RecordedVersion &Right) {
-                     return Left.Until.value_or(StoreTime::max()) >
-                            Right.Until.value_or(StoreTime::max());
-                   });
+  std::stable_sort(
+      Record.Versions.begin(), Record.Versions.end(),
+      [](const RecordedVersion &Left, const RecordedVersion &Right) {
+        return Left.Until.value_or(StoreTime::max()) >
+               Right.Until.value_or(StoreTime::max());
+      });
   if (Record.Versions.size() > m_Options.MaximumRecorded)
     Record.Versions.resize(m_Options.MaximumRecorded);
   return Record;
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -95,16 +95,15 @@
 }
 
 void VersionRecorder::writeChanges(size_t Before, BootTime Now) {
-  const auto Changed =
-      m_Shared.Origins.versions().unrecorded(*m_Clock, Now);
+  const auto Changed = m_Shared.Origins.versions().unrecorded(*m_Clock, Now);
   if (Changed.empty()) {
     m_ChangedAt.reset();
     return;
   }
   if (!m_ChangedAt)
     m_ChangedAt = Now;
-  const bool IsTurn = Now - *m_ChangedAt >=
-                      WriterTurnTime * static_cast<int>(Before);
+  const bool IsTurn =
+      Now - *m_ChangedAt >= WriterTurnTime * static_cast<int>(Before);
   if (Before >= Writers || !IsTurn || Now - m_StartedAt < FirstWriteDelay)
     return;
   // Another gateway may have written it, and the clocks drift apart.
@@ -124,23 +123,23 @@
         {VersionTable, "", Service, dispatch::encodeVersionRecord(Record)});
   }
   m_CallPending = true;
-  m_Store.commit(Transaction, [this, Changed](
-                                  Result<dispatch::StoreVersion> Written) {
-    m_CallPending = false;
-    if (!Written) {
-      callFailed(Written.error());
-      // Another gateway may have written, or this one without an answer.
-      return read();
-    }
-    ++m_Writes;
-    for (const auto &[Service, Record] : Changed) {
-      m_RowVersions[Service] = Written.value().Number;
-      log::logEvent(log::Level::Info, "software-versions-written",
-                    {{"service", Service},
-                     {"versions", Record.Versions.size()}});
-    }
-    m_Shared.Origins.versions().recordsWritten(Changed);
-  });
+  m_Store.commit(
+      Transaction, [this, Changed](Result<dispatch::StoreVersion> Written) {
+        m_CallPending = false;
+        if (!Written) {
+          callFailed(Written.error());
+          // Another gateway may have written, or this one without an answer.
+          return read();
+        }
+        ++m_Writes;
+        for (const auto &[Service, Record] : Changed) {
+          m_RowVersions[Service] = Written.value().Number;
+          log::logEvent(
+              log::Level::Info, "software-versions-written",
+              {{"service", Service}, {"versions", Record.Versions.size()}});
+        }
+        m_Shared.Origins.versions().recordsWritten(Changed);
+      });
 }
 
 void VersionRecorder::callFailed(const Error &Reason) {
--- a/Tests/LibDispatch/TestVersionHistory.cpp
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -31,8 +31,8 @@
 
   void setup() override { start({"v1"}, true); }
   StoreClockReading readClock() const {
-    return {StoreTime(std::chrono::floor<milliseconds>(
-                Now.time_since_epoch() + StoreOffset)),
+    return {StoreTime(std::chrono::floor<milliseconds>(Now.time_since_epoch() +
+                                                       StoreOffset)),
             Now};
   }
   void read(bool FleetStarts = false) {
