LibProxy, figlift-gateway: Bound what bytes without end make a gateway hold

What callers would see: one faulty server, or eight callers who mean harm, end a gateway of 260 MB; and requests to such a server fail only at their deadline.

Cause: heads and bodies were bounded, but not what waits to be parsed: the line before a chunk, the trailer, an event. Interim responses were skipped without a count, and no bound held over all messages together.

The bounds belong to the parsers, which the store's client, control calls and the callers' side share. A budget of 48 MiB counts what is held over all messages; each has 64 KiB besides, so that small ones pass while large ones use it up. A request that is being read beyond it is refused with 503.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -24,13 +24,16 @@
 constexpr std::chrono::milliseconds FirstRequestGrace{1000};
 /// Pipelined input beyond this limit is left in the kernel's receive buffer.
 constexpr size_t MaximumPipelinedBytes = 65536;
+/// A caller that still sends this much after its last response does not read
+/// it.
+constexpr size_t MaximumDiscardedBytes = 16 << 20;
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket Socket,
                                    RequestHandler &Handler)
     : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
-      m_Handler(Handler), m_Limits(Handler.limits()),
-      m_Parser(m_Limits.Bounds) {}
+      m_Handler(Handler), m_Limits(Handler.limits()), m_Parser(m_Limits.Bounds),
+      m_Memory(Handler.memory()) {}
 
 void CallerConnection::start() {
   ErrorCode Ignored; // Without the option, small writes are only delayed.
@@ -62,9 +65,18 @@
     return closeIfNothingReadable();
   if (Code)
     return close();
-  if (!m_Lingering) {
+  if (m_Lingering) {
+    m_DiscardedBytes += Count;
+    if (m_DiscardedBytes > MaximumDiscardedBytes)
+      return close();
+  } else {
     adoptLimits();
     m_Parser.feed({m_Buffer.data(), Count});
+    if (!m_Memory.resize(heldBytes())) {
+      if (!m_Request)
+        return rejectInput(503);
+      m_Memory.set(heldBytes());
+    }
     if (!m_Request)
       advance();
   }
@@ -114,6 +126,7 @@
   m_HeadStarted = false;
   m_ContinueSent = false;
   Request Incoming = m_Parser.take();
+  m_RequestBytes = Incoming.Body.size();
   m_Version = Incoming.Head.Version;
   if (Incoming.Head.Headers.containsToken("Connection", "close") ||
       (m_Version < 11 &&
@@ -132,6 +145,7 @@
   m_CloseAfterResponse = true;
   // After malformed input the start of the next request is unknown.
   m_Lingering = true;
+  m_Parser.discard();
   respond(Response.Head, Response.Body);
 }
 
@@ -201,6 +215,8 @@
     if (Self->m_Closed)
       return;
     Self->m_Request = nullptr;
+    Self->m_RequestBytes = 0;
+    Self->m_Memory.set(Self->heldBytes());
     if (Self->m_CloseAnnounced)
       return Self->closeGracefully();
     Self->adoptLimits();
@@ -214,6 +230,7 @@
 void CallerConnection::write(std::string_view Bytes) {
   m_LastUnsentBytes.reset();
   m_Pending += Bytes;
+  m_Memory.set(heldBytes());
   if (m_Writing.empty())
     flush();
 }
@@ -234,6 +251,7 @@
 void CallerConnection::onWritten(const ErrorCode &Code) {
   m_Writing.clear();
   m_WritingSent = 0;
+  m_Memory.set(heldBytes());
   if (m_Closed)
     return;
   if (Code)
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -13,6 +13,7 @@
 
 #pragma once
 
+#include "LibCore/MemoryBudget.h"
 #include "LibProxy/Message.h"
 #include "LibProxy/RequestParser.h"
 
@@ -77,6 +78,9 @@
   virtual ErrorResponse rejected(unsigned Status) = 0;
   /// The limits that are in force now.
   virtual CallerLimits limits() const { return {}; }
+  /// For what is held of requests and responses of all callers; null for no
+  /// bound. A request beyond it is rejected with status 503.
+  virtual MemoryBudget *memory() { return nullptr; }
   /// The connection has been closed.
   virtual void closed(CallerConnection &Caller) = 0;
 };
@@ -146,6 +150,10 @@
   void flush();
   void onWritten(const ErrorCode &Code);
   void adoptLimits();
+  /// Bytes held for the caller.
+  size_t heldBytes() const {
+    return m_Parser.bufferedBytes() + m_RequestBytes + unsentBytes();
+  }
   bool isIdle() const;
   void closeIfNothingReadable();
   void closeWithoutReading();
@@ -167,6 +175,9 @@
   RequestParser m_Parser;
   std::array<char, 8192> m_Buffer;
   std::shared_ptr<ActiveRequest> m_Request;
+  /// Body of m_Request, which its handler may keep.
+  size_t m_RequestBytes = 0;
+  MemoryShare m_Memory;
   std::string m_Pending;
   std::string m_Writing;
   /// Bytes of m_Writing that have been sent.
@@ -193,6 +204,7 @@
   /// close with unread input resets the connection, and the caller may lose the
   /// response.
   bool m_Lingering = false;
+  size_t m_DiscardedBytes = 0;
   bool m_Closed = false;
   unsigned m_Version = 11;
 };
--- a/Libraries/LibProxy/ConsumeInput.h
+++ b/Libraries/LibProxy/ConsumeInput.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <string>
 #include <string_view>
@@ -24,6 +25,33 @@
          Input.size() < LastChunk.size() && Input.starts_with('0');
 }
 
+/// Counts the bytes of chunk extensions of one message. They are framing that
+/// nobody reads, and their number has no other bound.
+class ExtensionBytes {
+public:
+  explicit ExtensionBytes(size_t Maximum) : m_Maximum(Maximum) {}
+  /// Fails with header_limit above the maximum.
+  void add(size_t Count, boost::beast::error_code &Code) {
+    m_Count += Count;
+    if (m_Count > m_Maximum)
+      Code = boost::beast::http::error::header_limit;
+  }
+
+private:
+  size_t m_Maximum;
+  size_t m_Count = 0;
+};
+
+/// Whether \p Input, which the parser has not consumed, is the beginning of an
+/// element of the body (the line before a chunk, or the trailer) that is longer
+/// than \p Maximum. The parser waits for the end of such an element, however
+/// long it is.
+template <typename BeastParser>
+bool isElementTooLong(const BeastParser &Parser, std::string_view Input,
+                      size_t Maximum) {
+  return Parser.is_header_done() && !Parser.is_done() && Input.size() > Maximum;
+}
+
 /// Passes \p Input to \p Parser and erases the bytes that it consumed. Bytes of
 /// an incomplete element and bytes after a complete message remain in \p Input,
 /// to be passed again together with later input.
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -22,6 +22,7 @@
   Request Parsed;
   /// A chunk with data has begun.
   bool HasChunk = false;
+  ExtensionBytes Extensions{0};
 
 private:
   void on_request_impl(http::verb, StringView Method, StringView Target,
@@ -59,8 +60,10 @@
     Parsed.Body.append(Body.data(), Body.size());
     return Body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {
+  void on_chunk_header_impl(std::uint64_t, StringView Extension,
+                            ErrorCode &Code) override {
     HasChunk = true;
+    Extensions.add(Extension.size(), Code);
   }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
                                  ErrorCode &) override {
@@ -89,6 +92,7 @@
   m_Bounds = Bounds;
   m_BeastParser->header_limit(m_Bounds.HeadBytes);
   m_BeastParser->body_limit(m_Bounds.BodyBytes);
+  m_BeastParser->Extensions = ExtensionBytes(m_Bounds.HeadBytes);
 }
 
 RequestParser::State RequestParser::fail(unsigned Status) {
@@ -109,6 +113,8 @@
       return fail(431);
     return fail(Code == http::error::body_limit ? 413 : 400);
   }
+  if (isElementTooLong(*m_BeastParser, m_Input, m_Bounds.HeadBytes))
+    return fail(431);
   if (m_BeastParser->is_done())
     return m_State = State::Complete;
   if (m_BeastParser->is_header_done())
@@ -122,6 +128,11 @@
   return Completed;
 }
 
+void RequestParser::discard() {
+  m_Input = {};
+  reset();
+}
+
 bool RequestParser::expectsContinue() const {
   return m_State == State::Body &&
          m_BeastParser->Parsed.Head.Headers.containsToken("Expect",
--- a/Libraries/LibProxy/RequestParser.h
+++ b/Libraries/LibProxy/RequestParser.h
@@ -22,7 +22,8 @@
 
 /// Limits on the size of a request, from the configuration.
 struct RequestBounds {
-  /// Size of the request line and the header fields.
+  /// Size of the request line and the header fields; also of a trailer, and of
+  /// all chunk extensions together.
   uint32_t HeadBytes = 16384;
   uint64_t BodyBytes = 4 << 20;
 };
@@ -54,6 +55,8 @@
   State state() const { return m_State; }
   /// Returns the complete request and resets the parser for the next one.
   Request take();
+  /// Forgets all input.
+  void discard();
   /// Parses the bytes that were buffered after the last request.
   State resume() { return feed({}); }
   /// HTTP status of the response to failed input: 400, 413 or 431.
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -20,8 +20,11 @@
 using StringView = boost::beast::string_view;
 
 namespace {
-/// Limit of a response head; a longer head fails the response.
+/// Limit of a response head, of a trailer, and of all chunk extensions
+/// together; a response that exceeds it fails.
 constexpr uint32_t MaximumHeadBytes = 32768;
+/// A response that has more of them before it fails.
+constexpr unsigned MaximumInterimResponses = 16;
 } // namespace
 
 class ResponseParser::BeastParser : public http::basic_parser<false> {
@@ -30,6 +33,7 @@
   std::string Body;
   /// A chunk with data has begun.
   bool HasChunk = false;
+  ExtensionBytes Extensions{MaximumHeadBytes};
 
 private:
   void on_request_impl(http::verb, StringView, StringView, int,
@@ -58,8 +62,10 @@
     Body.append(Bytes.data(), Bytes.size());
     return Bytes.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {
+  void on_chunk_header_impl(std::uint64_t, StringView Extension,
+                            ErrorCode &Code) override {
     HasChunk = true;
+    Extensions.add(Extension.size(), Code);
   }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Bytes,
                                  ErrorCode &) override {
@@ -90,6 +96,7 @@
   reset();
   m_State = State::Head;
   m_Started = !m_Input.empty();
+  m_InterimResponses = 0;
 }
 
 ResponseParser::State ResponseParser::feed(std::string_view Bytes) {
@@ -101,11 +108,15 @@
   // An interim response consists of a head only; the final one follows.
   while (!Code && m_BeastParser->is_done() &&
          m_BeastParser->Head.Status / 100 == 1) {
+    if (++m_InterimResponses > MaximumInterimResponses)
+      return m_State = State::Failed;
     reset();
     Code = consume(*m_BeastParser, m_Input);
   }
   if (Code && Code != http::error::need_more)
     return m_State = State::Failed;
+  if (isElementTooLong(*m_BeastParser, m_Input, MaximumHeadBytes))
+    return m_State = State::Failed;
   if (m_BeastParser->is_header_done())
     m_BeastParser->Head.Framing = framing();
   if (m_BeastParser->is_done())
--- a/Libraries/LibProxy/ResponseParser.h
+++ b/Libraries/LibProxy/ResponseParser.h
@@ -53,6 +53,7 @@
 
   bool m_BodyAllowed;
   bool m_Started = false;
+  unsigned m_InterimResponses = 0;
   std::unique_ptr<BeastParser> m_BeastParser;
   std::string m_Input;
   State m_State = State::Head;
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -15,6 +15,7 @@
 #include "TenantMetrics.h"
 
 #include "LibCore/BackgroundWorker.h"
+#include "LibCore/MemoryBudget.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EnginePriorities.h"
@@ -55,6 +56,11 @@
 /// Planned time between two ticks of the event loop.
 inline constexpr std::chrono::milliseconds TickInterval{100};
 
+/// For bytes that callers and servers make a gateway hold, all together. A
+/// fifth of the smallest machine's memory: on their way, bytes are held up to
+/// three times.
+inline constexpr size_t MaximumHeldBytes = 48 << 20;
+
 /// What the components of a gateway share about the duty to report usage.
 struct UsageState {
   /// Empty if the platform does not assign the duty.
@@ -101,6 +107,7 @@
   settings::GatewaySettings Settings;
   boost::asio::io_context Loop{1};
   BackgroundWorker Worker{Loop};
+  MemoryBudget Memory{MaximumHeldBytes};
   /// Null until the first configuration has been read. A request keeps the
   /// configuration that it started with.
   std::shared_ptr<const dispatch::Configuration> Configuration;
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -6,6 +6,7 @@
 
 #include "EngineHousekeeping.h"
 
+#include "ControlCall.h"
 #include "ServerExchange.h"
 
 #include "platform/EngineCalls.h"
@@ -14,16 +15,8 @@
 
 namespace {
 
-/// Discards the response; the connection returns to its pool.
-class DiscardedResponse : public upstream::ExchangeSink {
-public:
-  bool belongsToOther(const proxy::ResponseHead &Head) override {
-    return slopes::namesRequest(Head);
-  }
-  void onHead(const proxy::ResponseHead &) override {}
-  void onBody(std::string) override {}
-  void onEnd(upstream::ExchangeOutcome) override {}
-};
+/// An engine that does not answer keeps the KV cache until it expires.
+constexpr std::chrono::milliseconds ReleaseTimeout{1500};
 
 std::string kindName(dispatch::RouteKind Kind) {
   switch (Kind) {
@@ -44,16 +37,21 @@
   const dispatch::Target *Target = Shared.Targets.find(Engine);
   if (!Target)
     return;
-  startExchange(
-      Shared,
-      {Engine,
-       slopes::targetedCallBytes("DELETE", slopes::releaseHandleTarget(Handle),
-                                 *Target, ""),
-       std::make_shared<DiscardedResponse>(),
-       slopes::isTargetsAnswer,
-       {},
-       true},
-      BootClock::now());
+  const auto Start = [&](std::shared_ptr<upstream::ExchangeSink> Sink) {
+    return startExchange(
+        Shared,
+        {Engine,
+         slopes::targetedCallBytes(
+             "DELETE", slopes::releaseHandleTarget(Handle), *Target, ""),
+         std::move(Sink),
+         slopes::isTargetsAnswer,
+         // Nobody reads the answer: a late copy of another one does no harm.
+         {},
+         true},
+        BootClock::now());
+  };
+  startControlCall(Shared.Loop, Start, ReleaseTimeout,
+                   [](unsigned, const std::string &) {});
 }
 
 void recordRequestEnd(Context &Shared, const dispatch::Route &Route,
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "RequestFlow.h"
 
 #include "LibLog/Log.h"
+#include "platform/Headers.h"
 #include "platform/Rows.h"
 
 #include <algorithm>
@@ -30,6 +31,8 @@
 constexpr milliseconds StallThreshold{1000};
 /// Delay of the loop that callers notice.
 constexpr milliseconds LoggedDelay{250};
+/// Bytes are held for about as long as a request lasts.
+constexpr milliseconds NoMemoryRetryAfter{300};
 /// Share of a server's connection limit that all gateways use together. The
 /// rest is headroom: the server still counts connections that are being
 /// closed.
@@ -120,8 +123,12 @@
 
 proxy::ErrorResponse Gateway::rejected(unsigned Status) {
   if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
-    log::logEvent(log::Level::Info, "input-rejected", {{"status", Status}});
-  return proxy::errorResponse(Status);
+    log::logEvent(log::Level::Info, "input-rejected",
+                  {{"status", Status}, {"heldBytes", m_Shared.Memory.used()}});
+  proxy::ErrorResponse Response = proxy::errorResponse(Status);
+  if (Status == dispatch::NotRunStatus)
+    slopes::addRetryAfter(Response.Head.Headers, NoMemoryRetryAfter);
+  return Response;
 }
 
 void Gateway::closed(proxy::CallerConnection &Caller) {
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -50,6 +50,7 @@
          std::shared_ptr<proxy::CallerConnection> Caller) override;
   proxy::ErrorResponse rejected(unsigned Status) override;
   proxy::CallerLimits limits() const override;
+  MemoryBudget *memory() override { return &m_Shared.Memory; }
   void closed(proxy::CallerConnection &Caller) override;
 
 private:
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -103,6 +103,10 @@
       "figlift_gateway_backoffs_received_total",
       "Responses in which a server asked for a pause",
       [this] { return double(m_Shared.Feedback.backoffsReceived()); });
+  Metrics.registerGauge(
+      "figlift_gateway_held_bytes",
+      "Bytes of callers and servers that count against the bound on memory",
+      [this] { return double(m_Shared.Memory.used()); });
   Metrics.registerCounter(
       "figlift_gateway_answers_skipped_total",
       "Answers of servers that were not the one to the request that waited",
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -23,6 +23,8 @@
 /// targets is late already; callers disconnect after eight times the gap.
 constexpr int EventTimeoutFactor = 3;
 constexpr milliseconds MinimumEventTimeout{400};
+/// An event has some tokens, of some bytes each.
+constexpr size_t MaximumEventBytes = 256 << 10;
 
 } // namespace
 
@@ -38,6 +40,9 @@
 void RequestFlow::sendBody(ServerSend &Send, std::string Bytes) {
   recordWriting();
   const std::string Events = m_Relay.feed(Bytes);
+  if (m_Relay.incompleteBytes() > MaximumEventBytes ||
+      !Send.holdBytes(m_Relay.incompleteBytes()))
+    return Send.breakOff();
   if (Events.empty())
     return;
   recordUsage();
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -27,7 +27,8 @@
 ServerSend::ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
                        SendPurpose Purpose, std::string AttemptId)
     : m_Shared(Shared), m_Owner(&Owner), m_TargetId(std::move(TargetId)),
-      m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)) {}
+      m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)),
+      m_Memory(&Shared.Memory) {}
 
 bool ServerSend::start(std::string Bytes, dispatch::Work Work,
                        std::vector<upstream::ConnectionId> &Used) {
@@ -94,11 +95,8 @@
   m_Head = Head;
   m_Fields = slopes::decodeServerFields(Head);
   const bool IsExecution = m_Purpose == SendPurpose::Execute;
-  if (!isMatchingResponse(Head, m_Fields)) {
-    if (const auto Connection = std::exchange(m_Connection, nullptr))
-      Connection->abort();
-    return end(dispatch::ConnectionLost{});
-  }
+  if (!isMatchingResponse(Head, m_Fields))
+    return breakOff();
   recordLimit();
   if (IsExecution && isSuccess(Head.Status))
     m_Owner->sendAnswered(*this);
@@ -129,8 +127,11 @@
   if (m_Streamed)
     return m_Owner->sendBody(*this, std::move(Bytes));
   m_Body += Bytes;
-  if (m_Body.size() <= MaximumBufferedBody)
-    return;
+  if (m_Body.size() > MaximumBufferedBody || !holdBytes(m_Body.size()))
+    breakOff();
+}
+
+void ServerSend::breakOff() {
   if (const auto Connection = std::exchange(m_Connection, nullptr))
     Connection->abort();
   end(dispatch::ConnectionLost{});
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -63,6 +63,11 @@
   void resumeReading();
   /// Passes body bytes to the owner as they arrive.
   void streamBody() { m_Streamed = true; }
+  /// Ends the attempt because the server sends what cannot become an answer.
+  void breakOff();
+  /// Counts bytes of the answer that the owner holds. Returns false if there is
+  /// no room for them.
+  bool holdBytes(size_t Count) { return m_Memory.resize(Count); }
   /// Records the latency of the first part of the response.
   void recordLatency();
 
@@ -112,6 +117,8 @@
   proxy::ResponseHead m_Head;
   slopes::ServerFields m_Fields;
   std::string m_Body;
+  /// Of m_Body, or of what the owner holds.
+  MemoryShare m_Memory;
   bool m_Streamed = false;
 };
 
--- a/Tests/LibProxy/TestRequestParser.cpp
+++ b/Tests/LibProxy/TestRequestParser.cpp
@@ -115,3 +115,47 @@
   CHECK(Parser.expectsContinue());
   CHECK(Parser.feed("x") == State::Complete);
 }
+
+TEST_GROUP_BASE(EndlessRequests, TEST_GROUP_CppUTestGroupRequestParser) {
+  /// Feeds \p Piece again and again until the parser fails; checks that what it
+  /// holds meanwhile is bounded.
+  void feedForEver(std::string_view Beginning, std::string_view Piece) {
+    Parser.feed(Beginning);
+    for (int I = 0; I < 10000 && Parser.state() != State::Failed; ++I) {
+      Parser.feed(Piece);
+      CHECK(Parser.bufferedBytes() < 2048);
+    }
+    CHECK(Parser.state() == State::Failed);
+    LONGS_EQUAL(431, Parser.failureStatus());
+  }
+  static constexpr std::string_view Head = "POST / HTTP/1.1\r\nHost: h\r\n"
+                                           "Transfer-Encoding: chunked\r\n\r\n";
+};
+
+// Failure: a caller sends a chunk extension without end, and the process is
+// ended for its memory.
+TEST(EndlessRequests, ChunkExtensionIsRejected) {
+  feedForEver(std::string(Head) + "1;", "name=value;");
+}
+
+// Failure: the same with a trailer.
+TEST(EndlessRequests, TrailerIsRejected) {
+  feedForEver(std::string(Head) + "0\r\n", "X-Name: value\r\n");
+}
+
+TEST(EndlessRequests, TrailerFieldIsRejected) {
+  feedForEver(std::string(Head) + "0\r\nX-Name: ", "value value");
+}
+
+// Failure: a caller sends small chunks with long extensions, and is read for as
+// long as its body may be, many times over.
+TEST(EndlessRequests, ManyChunkExtensionsAreRejected) {
+  feedForEver(Head, "1;" + std::string(100, 'x') + "\r\na\r\n");
+}
+
+TEST(EndlessRequests, ShortTrailersAndExtensionsAreAccepted) {
+  CHECK(Parser.feed(std::string(Head) + "2;name=value\r\nab\r\n0;last\r\n"
+                                        "X-Name: value\r\n\r\n") ==
+        State::Complete);
+  STRCMP_EQUAL("ab", Parser.take().Body.c_str());
+}
--- a/Tests/LibProxy/TestResponseParser.cpp
+++ b/Tests/LibProxy/TestResponseParser.cpp
@@ -88,3 +88,51 @@
               "Connection: close\r\n\r\n");
   CHECK(!Parser.keepsAlive());
 }
+
+TEST_GROUP_BASE(EndlessResponses, TEST_GROUP_CppUTestGroupResponseParser) {
+  /// Bytes that are read before the parser fails.
+  size_t readBeforeFailure(std::string_view Beginning, std::string_view Piece) {
+    constexpr size_t Many = 10 << 20;
+    Parser.feed(Beginning);
+    size_t Count = Beginning.size();
+    while (Count < Many && Parser.state() != State::Failed) {
+      Parser.feed(Piece);
+      Parser.takeBody();
+      Count += Piece.size();
+    }
+    return Count;
+  }
+  static constexpr size_t Bound = 64 << 10;
+  static constexpr std::string_view Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+};
+
+// Failure: a faulty server sends a chunk extension without end, and the process
+// is ended for its memory.
+TEST(EndlessResponses, ChunkExtensionFails) {
+  CHECK(readBeforeFailure(std::string(Head) + "1;", "name=value;") < Bound);
+}
+
+// Failure: the same with a trailer.
+TEST(EndlessResponses, TrailerFails) {
+  CHECK(readBeforeFailure(std::string(Head) + "0\r\n", "X-Name: value\r\n") <
+        Bound);
+}
+
+TEST(EndlessResponses, ManyChunkExtensionsFail) {
+  CHECK(readBeforeFailure(Head, "1;" + std::string(1000, 'x') + "\r\na\r\n") <
+        Bound);
+}
+
+// Failure: a server sends interim responses without end, and is read until the
+// deadline of the request.
+TEST(EndlessResponses, InterimResponsesFail) {
+  CHECK(readBeforeFailure("", "HTTP/1.1 103 Early Hints\r\n\r\n") < Bound);
+}
+
+TEST(EndlessResponses, SomeInterimResponsesAreSkipped) {
+  for (int I = 0; I < 10; ++I)
+    Parser.feed("HTTP/1.1 103 Early Hints\r\n\r\n");
+  CHECK(Parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") ==
+        State::Complete);
+}
--- a/Tests/SecondAnswers/TestSecondAnswers.cpp
+++ b/Tests/SecondAnswers/TestSecondAnswers.cpp
@@ -68,10 +68,9 @@
                         const std::string &Path = "/unsafe/x",
                         const std::string &Fields = "") {
     Callers.emplace_back(Fixture);
-    Callers.back().sendBytes("POST " + Path +
-                             " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " +
-                             AttemptId + "\r\nContent-Length: 0\r\n" + Fields +
-                             "\r\n");
+    Callers.back().sendBytes(
+        "POST " + Path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + AttemptId +
+        "\r\nContent-Length: 0\r\n" + Fields + "\r\n");
     return Callers.back();
   }
   bool answers(KeepAliveCaller & Caller, const std::string &Text) {
@@ -116,8 +115,8 @@
     CHECK(contains(Caller.received(), std::string("body of ") + AttemptId));
   }
   LONGS_EQUAL(3, Server->Requests.size());
-  CHECK(contains(Fixture.metrics(),
-                 "figlift_gateway_answers_skipped_total 2\n"));
+  CHECK(
+      contains(Fixture.metrics(), "figlift_gateway_answers_skipped_total 2\n"));
 }
 
 // Failure: a copy of the answer to a call of the gateway, which names no
--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -228,6 +228,15 @@
            Repair);
 }
 
+/// Some faulty servers send more than one answer, or one without end.
+Behavior FaultInjector::withOtherShape(Behavior Drawn) {
+  if (Drawn == Behavior::WrongAttemptId && m_ShapeRandom() % 2 == 0)
+    return Behavior::SendsSecondCopies;
+  if (Drawn == Behavior::ServerError && m_ShapeRandom() % 3 == 0)
+    return Behavior::Endless;
+  return Drawn;
+}
+
 void FaultInjector::beginServer(BootTime Now) {
   const unsigned Server = draw(0, m_Fleet.servers() - 1);
   const std::string Name = fmt::format("server {}", Server);
@@ -235,7 +244,8 @@
     return;
   const Behavior Drawn = Behaviors[draw(0, Behaviors.size() - 1)];
   const bool IsLimited = m_HasCrashesAndLimits && m_LimitRandom() % 3 == 0;
-  const Behavior Chosen = IsLimited ? Behavior::RateLimited : Drawn;
+  const Behavior Chosen =
+      IsLimited ? Behavior::RateLimited : withOtherShape(Drawn);
   // Sometimes all servers fail at once, which causes a retry storm that the
   // retry budget has to bound.
   const bool AffectsAll = draw(0, 4) == 0;
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -47,7 +47,8 @@
         m_HasCrashesAndLimits(hasCrashesAndLimits(Seed)),
         m_HasServerFeedback(hasServerFeedback(Seed)),
         m_HasRollouts(hasRollouts(Seed)), m_Random(Seed), m_CopyRandom(Seed),
-        m_LimitRandom(Seed), m_FeedbackRandom(Seed), m_RolloutRandom(Seed) {}
+        m_LimitRandom(Seed), m_FeedbackRandom(Seed), m_RolloutRandom(Seed),
+        m_ShapeRandom(Seed) {}
 
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
@@ -73,6 +74,7 @@
   void beginSignal(BootTime Now);
   void beginLink(BootTime Now);
   void beginStore(BootTime Now);
+  Behavior withOtherShape(Behavior Drawn);
   void beginServer(BootTime Now);
   void beginReplacement(BootTime Now);
   void beginPause(BootTime Now);
@@ -97,6 +99,7 @@
   std::mt19937_64 m_LimitRandom;
   std::mt19937_64 m_FeedbackRandom;
   std::mt19937_64 m_RolloutRandom;
+  std::mt19937_64 m_ShapeRandom;
   std::vector<ActiveFault> m_ActiveFaults;
   std::vector<std::string> m_History;
   BootTime m_NextFault{};
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -126,7 +126,33 @@
   // Another server's successor does not speak for it.
   if (m_Leaving && Status != 421)
     Head.Headers.add("Server-Leaving", "1");
-  Sender->respond(Head, "");
+  answer(Sender, Head, "");
+}
+
+void SoakServer::answer(const Caller &Receiver, const ResponseHead &Head,
+                        const std::string &Body) {
+  if (m_Behavior == Behavior::SendsSecondCopies)
+    m_LastAnswers[Receiver] = {Head, Body};
+  Receiver->respond(Head, Body);
+}
+
+void SoakServer::sendSecondCopy(const Caller &Receiver) {
+  const auto Last = m_LastAnswers.find(Receiver);
+  if (Last != m_LastAnswers.end())
+    Receiver->respond(Last->second.Head, Last->second.Body);
+}
+
+/// \p Left: more than a gateway takes of any answer.
+void SoakServer::writeWithoutEnd(const Caller &Receiver, size_t Left) {
+  constexpr size_t PieceBytes = 64 << 10;
+  if (Left < PieceBytes)
+    return;
+  const bool IsTaken = Receiver->unsentBytes() < PieceBytes;
+  if (IsTaken)
+    Receiver->writeStream(std::string(PieceBytes, 'x'));
+  after(milliseconds(1), [this, Receiver, Left, IsTaken] {
+    writeWithoutEnd(Receiver, IsTaken ? Left - PieceBytes : Left);
+  });
 }
 
 void SoakServer::rejectForAWhile(const Request &Message, const Caller &Sender) {
@@ -146,6 +172,7 @@
   if (m_Down)
     return Sender->abort();
   const std::string &Target = Message.Head.Target;
+  sendSecondCopy(Sender);
   if (const std::string Expected = field(Message, "X-Expect-Instance");
       !Expected.empty() && Expected != m_Id) {
     if (!field(Message, "X-Attempt-Id").empty())
@@ -194,16 +221,17 @@
   if (m_Behavior == Behavior::DropsConnection)
     return Sender->abort();
   const std::string AttemptId = field(Message, "X-Attempt-Id");
-  Sender->respond(
-      makeHead(AttemptId, 200),
-      Json{{"kvHandle", "h" + AttemptId}, {"tokens", 1}, {"version", 1}}
-          .dump());
+  answer(Sender, makeHead(AttemptId, 200),
+         Json{{"kvHandle", "h" + AttemptId}, {"tokens", 1}, {"version", 1}}
+             .dump());
 }
 
 void SoakServer::respond(const Caller &Receiver, const ResponseHead &Head,
                          const std::string &Body) {
-  if (m_Framing != proxy::BodyFraming::ConnectionEnd)
-    return Receiver->respond(Head, Body);
+  // A connection that ends has no second copy.
+  if (m_Framing != proxy::BodyFraming::ConnectionEnd ||
+      m_Behavior == Behavior::SendsSecondCopies)
+    return answer(Receiver, Head, Body);
   Receiver->beginStream(Head, m_Framing);
   Receiver->writeStream(Body);
   Receiver->endStream();
@@ -222,6 +250,11 @@
     return Sender->respond(signedHead(AttemptId, 500), "sorry");
   if (m_Behavior == Behavior::DropsConnection && Events.empty())
     return Sender->abort();
+  if (m_Behavior == Behavior::Endless) {
+    constexpr size_t EndlessBytes = 12 << 20;
+    Sender->beginStream(successHead(AttemptId), proxy::BodyFraming::Chunks);
+    return writeWithoutEnd(Sender, EndlessBytes);
+  }
   const std::string ResponseId =
       m_Behavior == Behavior::WrongAttemptId ? AttemptId + "x" : AttemptId;
   if (field(Message, "X-Prompt-Prefix").find(CrashingPromptPart) !=
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -11,6 +11,8 @@
 #include "InvariantChecker.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <string_view>
@@ -41,6 +43,11 @@
   RateLimited,
   /// Rejects all requests and asks each time for a pause.
   AsksForPause,
+  /// Sends the last answer on a connection once more where the next one is
+  /// expected.
+  SendsSecondCopies,
+  /// Sends the body of an answer, or an event of a stream, without end.
+  Endless,
 };
 
 class SoakServer {
@@ -64,6 +71,7 @@
   void leave() { m_Leaving = true; }
   void setBehavior(Behavior NewBehavior) {
     m_Behavior = NewBehavior;
+    m_LastAnswers.clear();
     m_Checker.removeLimit(m_Id);
   }
   /// Called when a request has crashed the server, which then serves nothing
@@ -84,6 +92,11 @@
   proxy::ResponseHead successHead(const std::string &AttemptId);
   void respond(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
                const std::string &Body);
+  /// Sends an answer with a length, and keeps it for a second copy.
+  void answer(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
+              const std::string &Body);
+  void sendSecondCopy(const testing::Caller &Receiver);
+  void writeWithoutEnd(const testing::Caller &Receiver, size_t Left);
   void execute(const proxy::Request &Message, const testing::Caller &Sender);
   void prefill(const proxy::Request &Message, const testing::Caller &Sender);
   void handleOrder(const proxy::Request &Message,
@@ -122,6 +135,13 @@
   /// The server crashed and has not restarted.
   bool m_Down = false;
   bool m_Leaving = false;
+  struct Answer {
+    proxy::ResponseHead Head;
+    std::string Body;
+  };
+  /// Last answer on each connection, while copies are sent.
+  std::map<std::weak_ptr<proxy::CallerConnection>, Answer, std::owner_less<>>
+      m_LastAnswers;
   testing::Listener m_Listener;
 };
 
