--- a/Tests/EndlessMessages/TestEndlessMessages.cpp
+++ b/Tests/EndlessMessages/TestEndlessMessages.cpp
@@ -108,9 +108,8 @@
 // Failure: an event without end takes all memory, and its stream is read until
 // the deadline.
 TEST(EndlessMessages, EventsEndTheirStream) {
-  EndlessServer Server(Fixture.Loop, {Chunked, "7d0\r\n" +
-                                                   std::string(2000, 'x') +
-                                                   "\r\n"});
+  EndlessServer Server(Fixture.Loop,
+                       {Chunked, "7d0\r\n" + std::string(2000, 'x') + "\r\n"});
   Fixture.listServer("d1", "model", Server.address(), "decode");
   startServing(1);
   const auto Begin = Clock::now();
@@ -138,9 +137,8 @@
   CHECK(Fixture.waitUntil([&] {
     const std::string Text = Fixture.metrics();
     const std::string Name = "\nfiglift_gateway_held_bytes ";
-    Held = std::max<size_t>(
-        Held, static_cast<size_t>(std::stod(Text.substr(
-                  Text.find(Name) + Name.size()))));
+    Held = std::max<size_t>(Held, static_cast<size_t>(std::stod(Text.substr(
+                                      Text.find(Name) + Name.size()))));
     return std::any_of(Callers.begin(), Callers.end(),
                        [](KeepAliveCaller &Caller) {
                          return contains(Caller.received(), "HTTP/1.1 502");
@@ -167,8 +165,8 @@
   checkEnded(Server, 2 * MiB + SocketBytes);
 }
 
-// Failure: a caller sends a chunk extension or a trailer without end; the limits
-// on heads and bodies do not stop it.
+// Failure: a caller sends a chunk extension or a trailer without end; the
+// limits on heads and bodies do not stop it.
 TEST(EndlessMessages, OfCallersAreRejected) {
   for (const EndlessBytes &Shape : {Shapes[2], Shapes[3]}) {
     boost::asio::ip::tcp::socket Socket(Fixture.Loop);
