figlift-gateway, docs: Let the memory budget outlive the event loop

Handlers that the loop destroys with itself hold connections, whose shares give their bytes back. The order of the members had the budget end first: without effect in a process that ends, and undefined all the same.

--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -105,9 +105,10 @@
   }
 
   settings::GatewaySettings Settings;
+  /// Outlives Loop, whose handlers keep connections with shares of it.
+  MemoryBudget Memory{MaximumHeldBytes};
   boost::asio::io_context Loop{1};
   BackgroundWorker Worker{Loop};
-  MemoryBudget Memory{MaximumHeldBytes};
   /// Null until the first configuration has been read. A request keeps the
   /// configuration that it started with.
   std::shared_ptr<const dispatch::Configuration> Configuration;
