LibDispatch: Say plainly what the history of versions is for

Comments only: the head of VersionHistory.h and the limit in StoreTime.h had to be read twice. No behaviour changes; the file compiles and the formatter is clean.

--- a/Libraries/LibDispatch/StoreTime.h
+++ b/Libraries/LibDispatch/StoreTime.h
@@ -31,8 +31,8 @@
   StoreTime Store{};
   BootTime Local{};
 
-  /// A time that is further away, in a row that nobody of this fleet wrote, is
-  /// cut off.
+  /// Limit of the distance between the reading and a converted time. A corrupt
+  /// row may hold any number, and the conversion must not overflow.
   static constexpr StoreClock::duration MaximumDifference =
       std::chrono::hours(24 * 365);
 
--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -1,10 +1,13 @@
 //===- VersionHistory.h - Versions at which streams may have begun *- C++ -*-=//
 //
-// Tells whether a service has had a single software version for as long as one
-// of its streams may be taken up: then a stream whose beginning nobody knows
-// began at that version. What this process has seen since it started does not
-// tell so by itself. A record in the store tells what was listed before, and
-// whatever this process may have missed makes it read the record again.
+// Tracks, for each service, the software versions at which streams may have
+// begun that clients can still resume. If there is exactly one, a stream of
+// unknown origin began at that version; otherwise it must not be resumed.
+//
+// A process that has just started sees only the servers that are listed now. A
+// record in the store therefore keeps the versions that have left. It is read
+// at the start and again after a gap in the list of servers, during which a
+// version may have come and gone.
 //
 // The class reads no clock: times are passed in with the events.
 //
