--- a/Libraries/LibDispatch/VersionRecord.cpp
+++ b/Libraries/LibDispatch/VersionRecord.cpp
@@ -36,6 +36,7 @@
     Versions.push_back(std::move(Encoded));
   }
   return Json{{"completeSinceMs", encodeTime(Record.CompleteSince)},
+              {"cut", Record.IsCut},
               {"versions", std::move(Versions)}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -44,6 +45,7 @@
   const Json Root = Json::parse(Text);
   VersionRecord Record;
   Record.CompleteSince = StoreTime(decodeDuration(Root.at("completeSinceMs")));
+  Record.IsCut = Root.value("cut", false);
   for (const Json &Encoded : Root.at("versions")) {
     RecordedVersion &Entry = Record.Versions.emplace_back();
     Entry.Name = Encoded.at("version").get<std::string>();
--- a/Libraries/LibDispatch/VersionRecord.h
+++ b/Libraries/LibDispatch/VersionRecord.h
@@ -32,6 +32,9 @@
   /// The record has all versions at which streams began since then; zero for
   /// the first start of the fleet.
   StoreTime CompleteSince{};
+  /// Versions were left out for lack of space: those that count for less long
+  /// than the ones that are here.
+  bool IsCut = false;
   std::vector<RecordedVersion> Versions;
 };
 
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -26,6 +26,12 @@
        Required,
        {},
        "Availability zone of this VM."},
+      {"process.memoryMegabytes",
+       &Settings.Process.MemoryMegabytes,
+       Optional,
+       {16, 1000000},
+       "Memory above which the platform ends this process. Callers and servers "
+       "can make it hold a fifth of it."},
       {"listen.callers",
        &Settings.Listen.Callers,
        Required,
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -25,6 +25,8 @@
 struct GatewayProcess {
   std::string Id;
   std::string Zone;
+  /// Memory above which the platform ends the process.
+  double MemoryMegabytes = 260;
 };
 
 struct GatewayListen {
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -56,10 +56,12 @@
 /// Planned time between two ticks of the event loop.
 inline constexpr std::chrono::milliseconds TickInterval{100};
 
-/// For bytes that callers and servers make a gateway hold, all together. A
-/// fifth of the smallest machine's memory: on their way, bytes are held up to
-/// three times.
-inline constexpr size_t MaximumHeldBytes = 48 << 20;
+/// Bound on the bytes that callers and servers make a gateway hold, all
+/// together. A fifth of its memory: on their way, bytes are held up to three
+/// times.
+inline size_t maximumHeldBytes(const settings::GatewaySettings &Settings) {
+  return static_cast<size_t>(Settings.Process.MemoryMegabytes * 1e6 / 5);
+}
 
 /// What the components of a gateway share about the duty to report usage.
 struct UsageState {
@@ -106,7 +108,7 @@
 
   settings::GatewaySettings Settings;
   /// Outlives Loop, whose handlers keep connections with shares of it.
-  MemoryBudget Memory{MaximumHeldBytes};
+  MemoryBudget Memory{maximumHeldBytes(Settings)};
   boost::asio::io_context Loop{1};
   BackgroundWorker Worker{Loop};
   /// Null until the first configuration has been read. A request keeps the
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -29,12 +29,15 @@
   const auto Start = [&](std::shared_ptr<upstream::ExchangeSink> Sink) {
     return startExchange(
         Shared,
-        {TargetId, slopes::targetedCallBytes(Method, Path, *Engine, Body),
-         std::move(Sink), slopes::isTargetsAnswer,
-         [](const upstream::ServerConnection &Connection) {
-           return !Connection.hasCarriedCall();
-         },
-         true},
+        {.TargetId = TargetId,
+         .Bytes = slopes::targetedCallBytes(Method, Path, *Engine, Body),
+         .Sink = std::move(Sink),
+         .IsServersAnswer = slopes::isTargetsAnswer,
+         .IsSuitable =
+             [](const upstream::ServerConnection &Connection) {
+               return !Connection.hasCarriedCall();
+             },
+         .IsCall = true},
         BootClock::now());
   };
   return startControlCall(Shared.Loop, Start, CallTimeout, std::move(Done));
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -40,14 +40,14 @@
   const auto Start = [&](std::shared_ptr<upstream::ExchangeSink> Sink) {
     return startExchange(
         Shared,
-        {Engine,
-         slopes::targetedCallBytes(
+        // On any connection: nobody reads the answer, so a late copy of another
+        // one does no harm.
+        {.TargetId = Engine,
+         .Bytes = slopes::targetedCallBytes(
              "DELETE", slopes::releaseHandleTarget(Handle), *Target, ""),
-         std::move(Sink),
-         slopes::isTargetsAnswer,
-         // Nobody reads the answer: a late copy of another one does no harm.
-         {},
-         true},
+         .Sink = std::move(Sink),
+         .IsServersAnswer = slopes::isTargetsAnswer,
+         .IsCall = true},
         BootClock::now());
   };
   startControlCall(Shared.Loop, Start, ReleaseTimeout,
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -42,8 +42,11 @@
     return std::find(Used.begin(), Used.end(), Connection.id()) == Used.end();
   };
   m_Connection = startExchange(m_Shared,
-                               {m_TargetId, std::move(Bytes),
-                                shared_from_this(), IsServersAnswer, IsUnused},
+                               {.TargetId = m_TargetId,
+                                .Bytes = std::move(Bytes),
+                                .Sink = shared_from_this(),
+                                .IsServersAnswer = IsServersAnswer,
+                                .IsSuitable = IsUnused},
                                m_Started);
   if (!m_Connection)
     return false;
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -1,7 +1,8 @@
 //===- VersionRecorder.cpp - Keeps software versions in the store ---------===//
 //
 // One call at a time. A row for each service, written under the condition that
-// it is the one that was read.
+// it is the one that was read. Each service is written by itself: one whose row
+// the store rejects does not hold up the others.
 //
 //===----------------------------------------------------------------------===//
 
@@ -9,6 +10,7 @@
 
 #include "LibLog/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figlift::gateway {
@@ -26,8 +28,11 @@
 constexpr milliseconds WriterTurnTime{2500};
 /// By then a process that starts knows which gateways are before it.
 constexpr milliseconds FirstWriteDelay{1000};
-/// Delay after a failed call, plus a random part of up to the same length.
+/// Delay after a failed call, plus a random part of up to the same length. It
+/// doubles with each consecutive failure of a write, this many times: what the
+/// store rejects for good must not keep it busy.
 constexpr milliseconds RetryDelay{300};
+constexpr unsigned MaximumDoublings = 5;
 
 } // namespace
 
@@ -109,43 +114,48 @@
   // Another gateway may have written it, and the clocks drift apart.
   if (m_ReadAt < *m_ChangedAt)
     return read();
-  write(Changed);
+  // After the one that was tried last.
+  auto Next = Changed.upper_bound(m_LastTried);
+  if (Next == Changed.end())
+    Next = Changed.begin();
+  m_LastTried = Next->first;
+  write(Next->first, Next->second);
 }
 
-void VersionRecorder::write(const VersionHistory::Records &Changed) {
+void VersionRecorder::write(const std::string &Service,
+                            const dispatch::VersionRecord &Record) {
+  const auto Known = m_RowVersions.find(Service);
   slopes::RowTransaction Transaction;
-  for (const auto &[Service, Record] : Changed) {
-    const auto Known = m_RowVersions.find(Service);
-    Transaction.Conditions.push_back(
-        {VersionTable, "", Service,
-         Known == m_RowVersions.end() ? 0 : Known->second});
-    Transaction.Writes.push_back(
-        {VersionTable, "", Service, dispatch::encodeVersionRecord(Record)});
-  }
+  Transaction.Conditions.push_back(
+      {VersionTable, "", Service,
+       Known == m_RowVersions.end() ? 0 : Known->second});
+  Transaction.Writes.push_back(
+      {VersionTable, "", Service, dispatch::encodeVersionRecord(Record)});
   m_CallPending = true;
-  m_Store.commit(
-      Transaction, [this, Changed](Result<dispatch::StoreVersion> Written) {
-        m_CallPending = false;
-        if (!Written) {
-          callFailed(Written.error());
-          // Another gateway may have written, or this one without an answer.
-          return read();
-        }
-        ++m_Writes;
-        for (const auto &[Service, Record] : Changed) {
-          m_RowVersions[Service] = Written.value().Number;
-          log::logEvent(
-              log::Level::Info, "software-versions-written",
-              {{"service", Service}, {"versions", Record.Versions.size()}});
-        }
-        m_Shared.Origins.versions().recordsWritten(Changed);
-      });
+  m_Store.commit(Transaction, [this, Service, Record](
+                                  Result<dispatch::StoreVersion> Written) {
+    m_CallPending = false;
+    if (!Written) {
+      callFailed(Written.error());
+      ++m_FailedWrites;
+      // Another gateway may have written, or this one without an answer.
+      return read();
+    }
+    m_FailedWrites = 0;
+    ++m_Writes;
+    m_RowVersions[Service] = Written.value().Number;
+    m_Shared.Origins.versions().recordsWritten({{Service, Record}});
+    log::logEvent(log::Level::Info, "software-versions-written",
+                  {{"service", Service}, {"versions", Record.Versions.size()}});
+  });
 }
 
 void VersionRecorder::callFailed(const Error &Reason) {
   const BootTime Now = BootClock::now();
+  const milliseconds Delay =
+      RetryDelay * (1U << std::min(m_FailedWrites, MaximumDoublings));
   m_NextCall = Now + std::chrono::duration_cast<BootClock::duration>(
-                         RetryDelay * (1 + m_Shared.draw()));
+                         Delay * (1 + m_Shared.draw()));
   if (m_Shared.Log.allows(LineKind::State, Now))
     log::logError(log::Level::Warning, "software-versions-unavailable", Reason);
 }
--- a/Services/figlift-gateway/VersionRecorder.h
+++ b/Services/figlift-gateway/VersionRecorder.h
@@ -35,7 +35,7 @@
   void read();
   void recordsRead(const slopes::RowsRead &Read);
   void writeChanges(size_t Before, BootTime Now);
-  void write(const dispatch::VersionHistory::Records &Changed);
+  void write(const std::string &Service, const dispatch::VersionRecord &Record);
   void callFailed(const Error &Reason);
 
   Context &m_Shared;
@@ -51,6 +51,10 @@
   /// Since when the record lacks a change; empty if it lacks none.
   std::optional<BootTime> m_ChangedAt;
   BootTime m_ReadAt{};
+  /// Service whose record was written last, or could not be.
+  std::string m_LastTried;
+  /// Consecutive ones.
+  unsigned m_FailedWrites = 0;
   uint64_t m_Writes = 0;
 };
 
--- a/Tests/LibUpstream/TestServerConnection.cpp
+++ b/Tests/LibUpstream/TestServerConnection.cpp
@@ -82,7 +82,8 @@
     CHECK(until([&] { return Read; }));
   }
   void reply(std::string_view Bytes) {
-    asio::write(Server, asio::buffer(Bytes));
+    boost::system::error_code Ignored; // The client may have closed.
+    asio::write(Server, asio::buffer(Bytes), Ignored);
   }
   /// Waits until the client's kernel has acknowledged all that was sent.
   bool hasArrived() {
