--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -132,8 +132,8 @@
   Transaction.Writes.push_back(
       {VersionTable, "", Service, dispatch::encodeVersionRecord(Record)});
   m_CallPending = true;
-  m_Store.commit(Transaction, [this, Service, Record](
-                                  Result<dispatch::StoreVersion> Written) {
+  m_Store.commit(Transaction, [this, Service,
+                               Record](Result<dispatch::StoreVersion> Written) {
     m_CallPending = false;
     if (!Written) {
       callFailed(Written.error());
