--- a/Libraries/LibDispatch/RetryRules.h
+++ b/Libraries/LibDispatch/RetryRules.h
@@ -77,6 +77,12 @@
 /// The request may have run; there was no answer in time.
 inline constexpr unsigned TimedOutStatus = 504;
 
+/// Whether a status states that the request has not run and never will. Callers
+/// then send it again, also if it must not run twice.
+constexpr bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 struct RetryOptions {
   /// Maximum number of sends of one request, including rejected ones. If three
   /// servers reject a request the service is full, and more sends only add to
--- /dev/null
+++ b/Libraries/LibDispatch/SendHistory.h
@@ -0,0 +1,90 @@
+//===- SendHistory.h - Everything that one request was sent -----*- C++ -*-===//
+//
+// Records each send of one request to a server and how it ended. What the
+// request may have caused is read from here only: how often it may have run,
+// and so whether its caller may be told that it has not.
+//
+// A send counts as a run from its beginning until a proof of the contrary is
+// recorded for this very send. Whatever is forgotten or goes wrong therefore
+// costs a promise that could have been made, and never makes a false one.
+//
+//===----------------------------------------------------------------------===//
+
+#pragma once
+
+#include "LibDispatch/RetryRules.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figlift::dispatch {
+
+enum class SendPurpose {
+  /// The server computes the prompt and keeps its KV cache; the request is not
+  /// executed.
+  Prefill,
+  /// The server executes the request.
+  Execute,
+};
+
+/// One send of a request.
+struct SendRecord {
+  SendPurpose Purpose = SendPurpose::Execute;
+  std::string TargetId;
+  /// Identifies the connection that carried it; 0 for none.
+  uint64_t Connection = 0;
+  /// Number of the exchange on that connection, from 1.
+  uint64_t Exchange = 0;
+  /// Empty while it is in progress, and if it was answered or canceled.
+  std::optional<SendOutcome> Outcome = std::nullopt;
+
+  bool hasArrived() const {
+    return !Outcome || !std::holds_alternative<NotSent>(*Outcome);
+  }
+  bool mayHaveRun() const {
+    return Purpose == SendPurpose::Execute &&
+           (!Outcome || dispatch::mayHaveRun(*Outcome));
+  }
+};
+
+/// What a statement that the request has not run rests on, in the order of
+/// their weight.
+enum class NotRunBasis { NeverSent, NoConnection, OnlyPrefilled, Rejected };
+
+/// Short text for the log and the metrics.
+std::string_view describe(NotRunBasis Basis);
+
+class SendHistory {
+public:
+  using SendNumber = size_t;
+
+  /// Must be called before any byte may leave.
+  SendNumber begin(SendPurpose Purpose, std::string TargetId);
+  void recordConnection(SendNumber Number, uint64_t Connection,
+                        uint64_t Exchange);
+  /// Whether a send of this request went over the connection.
+  bool hasUsed(uint64_t Connection) const;
+  /// Records how the send ended. The first outcome of a send stays.
+  void end(SendNumber Number, const SendOutcome &Outcome);
+
+  const SendRecord &at(SendNumber Number) const { return m_Sends[Number]; }
+  /// All sends, including those that did not reach a server.
+  unsigned sends() const { return static_cast<unsigned>(m_Sends.size()); }
+  /// Sends that may have executed the request.
+  unsigned executions() const;
+  /// Sends for \p Purpose that may have reached a server.
+  unsigned arrivals(SendPurpose Purpose) const;
+  /// What "not run" rests on; empty if the request may have run.
+  std::optional<NotRunBasis> notRunBasis() const;
+  /// All sends in order, for the log: "run s1 17/2 rejected, not run; run s2
+  /// 19/1 broke off", with connection and exchange.
+  std::string describe() const;
+
+private:
+  /// In the order in which they began; none is ever removed.
+  std::vector<SendRecord> m_Sends;
+};
+
+} // namespace figlift::dispatch
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -69,4 +69,23 @@
       .observe(std::chrono::duration_cast<std::chrono::nanoseconds>(FirstByte));
 }
 
+void recordRefusal(Context &Shared,
+                   std::optional<dispatch::NotRunBasis> Basis) {
+  Shared.Metrics
+      .counter(
+          "figlift_gateway_refusals_total",
+          "Requests answered as not run, by what that rests on",
+          {{"basis", std::string(Basis ? dispatch::describe(*Basis) : "none")}})
+      .add();
+}
+
+void recordUnprovenRejection(Context &Shared, unsigned Status) {
+  Shared.Metrics
+      .counter("figlift_gateway_unproven_rejections_total",
+               "Failures of servers whose status says that the request has not "
+               "run, without the statement that it has not",
+               {{"status", std::to_string(Status)}})
+      .add();
+}
+
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineHousekeeping.h
+++ b/Services/figlift-gateway/EngineHousekeeping.h
@@ -8,6 +8,9 @@
 
 #include "Context.h"
 
+#include "LibDispatch/SendHistory.h"
+
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,4 +28,12 @@
                       std::string_view Outcome,
                       dispatch::Milliseconds FirstByte);
 
+/// Counts an answer that promises "not run". \p Basis: empty if there is none,
+/// which must not happen.
+void recordRefusal(Context &Shared, std::optional<dispatch::NotRunBasis> Basis);
+
+/// Counts a failure of a server whose status promises "not run" although the
+/// response does not state it.
+void recordUnprovenRejection(Context &Shared, unsigned Status);
+
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -130,9 +130,7 @@
   Head.Headers = proxy::endToEndHeaders(Head.Headers);
   // These statuses guarantee that the request was not executed, which an
   // unsigned response of the server does not.
-  const bool MeansNotExecuted = Head.Status == 408 || Head.Status == 421 ||
-                                Head.Status == 429 || Head.Status == 503;
-  if (MeansNotExecuted && !Send.fields().Signed)
+  if (dispatch::promisesNotRun(Head.Status) && !Send.fields().Signed)
     return respondWithError(dispatch::OutcomeUnknownStatus, "server failed",
                             milliseconds(0));
   m_Caller->respond(Head, Send.body());
@@ -149,8 +147,10 @@
   proxy::ResponseHead Head;
   Head.Status = Status;
   slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
-  if (Status == dispatch::NotRunStatus)
+  if (Status == dispatch::NotRunStatus) {
     slopes::addRetryAfter(Head.Headers, RetryAfter);
+    recordRefusal(m_Shared, m_History.notRunBasis());
+  }
   m_Caller->respond(Head, {});
   finish(Status == dispatch::NotRunStatus ? "refused" : "failed", Status,
          Reason);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -7,6 +7,7 @@
 
 #include "RequestFlow.h"
 
+#include "EngineHousekeeping.h"
 #include "platform/EngineCalls.h"
 
 #include <charconv>
@@ -234,13 +235,14 @@
   m_HasSurvived = false;
   ++m_Sends;
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
-                                        m_Fields.AttemptId);
+                                        m_Fields.AttemptId,
+                                        m_History.begin(Purpose, TargetId));
   if (!engineCostsKnown(Now))
     Work.Expected = Milliseconds(0);
   if (mayUseVersionOf(TargetId) &&
       m_Send->start(
           proxy::serializeRequest(m_Request.Head, Headers, m_Request.Body),
-          Work, m_UsedConnections)) {
+          Work, m_History)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
@@ -315,6 +317,7 @@
   if (!std::holds_alternative<dispatch::Retry>(nextStep(End, *Overdue)) ||
       !hasAlternative(Overdue->targetId(), BootClock::now()))
     return waitForSilence();
+  m_History.end(Overdue->number(), End);
   logSendEnded(*Overdue, End);
   abandonExpectedCache(Overdue->targetId());
   Overdue->cancel();
@@ -411,6 +414,7 @@
 }
 
 void RequestFlow::sendEnded(ServerSend &Send, SendOutcome End) {
+  m_History.end(Send.number(), End);
   m_SilenceTimer.cancel();
   m_Send = nullptr;
   if (std::holds_alternative<dispatch::NotSent>(End))
@@ -424,6 +428,9 @@
   abandonExpectedCache(Send.targetId());
   if (std::holds_alternative<dispatch::ConnectionLost>(End))
     recordConnectionLost(Send);
+  if (const auto *Failed = std::get_if<dispatch::ServerFailed>(&End);
+      Failed && dispatch::promisesNotRun(Failed->Status))
+    recordUnprovenRejection(m_Shared, Failed->Status);
   logSendEnded(Send, End);
   recordServerStream(Send, "broken-off");
   recordSlotFreed(Send, End);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -258,8 +258,7 @@
   BootTime m_Started;
   BootTime m_Deadline{};
   std::shared_ptr<ServerSend> m_Send;
-  /// Connections over which the request has been sent.
-  std::vector<upstream::ConnectionId> m_UsedConnections;
+  dispatch::SendHistory m_History;
   std::vector<std::string> m_Excluded;
   /// KV cache that was computed for this request and not fetched yet.
   std::optional<slopes::KvSource> m_Handle;
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -10,8 +10,6 @@
 
 #include "LibLog/Log.h"
 
-#include <algorithm>
-
 namespace figlift::gateway {
 
 using dispatch::SendOutcome;
@@ -25,13 +23,14 @@
 } // namespace
 
 ServerSend::ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
-                       SendPurpose Purpose, std::string AttemptId)
+                       SendPurpose Purpose, std::string AttemptId,
+                       dispatch::SendHistory::SendNumber Number)
     : m_Shared(Shared), m_Owner(&Owner), m_TargetId(std::move(TargetId)),
-      m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)),
+      m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)), m_Number(Number),
       m_Memory(&Shared.Memory) {}
 
 bool ServerSend::start(std::string Bytes, dispatch::Work Work,
-                       std::vector<upstream::ConnectionId> &Used) {
+                       dispatch::SendHistory &History) {
   m_Started = BootClock::now();
   // The exchange keeps this object for as long as it may call the check.
   const auto IsServersAnswer = [this](const proxy::ResponseHead &Head) {
@@ -39,7 +38,7 @@
     return !Fields.Misdirected && isMatchingResponse(Head, Fields);
   };
   const auto IsUnused = [&](const upstream::ServerConnection &Connection) {
-    return std::find(Used.begin(), Used.end(), Connection.id()) == Used.end();
+    return !History.hasUsed(Connection.id());
   };
   m_Connection = startExchange(m_Shared,
                                {.TargetId = m_TargetId,
@@ -50,7 +49,8 @@
                                m_Started);
   if (!m_Connection)
     return false;
-  Used.push_back(m_Connection->id());
+  History.recordConnection(m_Number, m_Connection->id(),
+                           m_Connection->exchanges());
   Work.SentAt = m_Started;
   m_Ticket = m_Shared.Loads.recordSent(m_TargetId, Work);
   if (const dispatch::Target *Target = m_Shared.Targets.find(m_TargetId))
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -11,6 +11,7 @@
 
 #include "Context.h"
 
+#include "LibDispatch/SendHistory.h"
 #include "platform/Headers.h"
 
 #include <memory>
@@ -20,13 +21,7 @@
 
 namespace figlift::gateway {
 
-enum class SendPurpose {
-  /// The server computes the prompt and keeps its KV cache; the request is not
-  /// executed.
-  Prefill,
-  /// The server executes the request.
-  Execute,
-};
+using dispatch::SendPurpose;
 
 class ServerSend;
 
@@ -51,13 +46,14 @@
                    public std::enable_shared_from_this<ServerSend> {
 public:
   ServerSend(Context &Shared, SendOwner &Owner, std::string TargetId,
-             SendPurpose Purpose, std::string AttemptId);
+             SendPurpose Purpose, std::string AttemptId,
+             dispatch::SendHistory::SendNumber Number);
 
-  /// Takes a connection that is not among \p Used, adds it to them, and sends
-  /// the request. Returns false without sending if the pool of the server is
-  /// exhausted.
+  /// Takes a connection that has not carried any send of \p History, records
+  /// it there, and sends the request. Returns false without sending if the pool
+  /// of the server is exhausted.
   bool start(std::string Bytes, dispatch::Work Work,
-             std::vector<upstream::ConnectionId> &Used);
+             dispatch::SendHistory &History);
   /// Closes the connection, which also cancels the work at the server.
   void cancel();
   void resumeReading();
@@ -73,6 +69,8 @@
 
   const std::string &targetId() const { return m_TargetId; }
   SendPurpose purpose() const { return m_Purpose; }
+  /// Of this send in the history of its request.
+  dispatch::SendHistory::SendNumber number() const { return m_Number; }
   const proxy::ResponseHead &head() const { return m_Head; }
   const slopes::ServerFields &fields() const { return m_Fields; }
   std::string &body() { return m_Body; }
@@ -109,6 +107,7 @@
   std::string m_TargetId;
   SendPurpose m_Purpose;
   std::string m_AttemptId;
+  const dispatch::SendHistory::SendNumber m_Number;
   std::shared_ptr<upstream::ServerConnection> m_Connection;
   uint64_t m_Ticket = 0;
   BootTime m_Started{};
