LibDispatch, figlift-gateway: Pass on no status that a server does not prove

What callers saw: a request that may run once was answered 503 (or 429, 408) with the server's signature, which promises that it has not run, although the server ran it and failed.

Now decideNext() forwards no status that promises. Such a failure counts as a run like any other: a request that may be repeated is sent again, another is answered 502 by the gateway, without the signature. Nothing else changes for rejections with the statement, for 421, or for other failures. A failure tells the search for crashing requests that its server survived, also if it is not forwarded.

--- a/Libraries/LibDispatch/RetryRules.h
+++ b/Libraries/LibDispatch/RetryRules.h
@@ -24,7 +24,8 @@
 struct NotSent {};
 /// The server answered that it has not run the request and never will.
 struct Rejected {};
-/// The server answered that it failed.
+/// The server answered that it failed, without the statement that it has not
+/// run the request. That holds whatever the status is.
 struct ServerFailed {
   unsigned Status = 500;
 };
@@ -59,7 +60,7 @@
 /// \name Next steps.
 /// @{
 struct Retry {};
-/// Forward the server's failure to the caller.
+/// Forward the server's failure, whose status promises nothing, to the caller.
 struct ForwardFailure {};
 /// Answer with a status of the gateway; see NotRunStatus and the following.
 struct GiveUp {
@@ -111,7 +112,8 @@
     return Retry{};
   if (Progress.AnswerBegun)
     return CloseConnection{};
-  if (std::holds_alternative<ServerFailed>(Outcome))
+  if (const auto *Failed = std::get_if<ServerFailed>(&Outcome);
+      Failed && !promisesNotRun(Failed->Status))
     return ForwardFailure{};
   if (Progress.Runs == 0)
     return GiveUp{NotRunStatus};
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -128,11 +128,6 @@
 void RequestFlow::forwardFailure(ServerSend &Send) {
   proxy::ResponseHead Head = Send.head();
   Head.Headers = proxy::endToEndHeaders(Head.Headers);
-  // These statuses guarantee that the request was not executed, which an
-  // unsigned response of the server does not.
-  if (dispatch::promisesNotRun(Head.Status) && !Send.fields().Signed)
-    return respondWithError(dispatch::OutcomeUnknownStatus, "server failed",
-                            milliseconds(0));
   m_Caller->respond(Head, Send.body());
   finish("server-failed", Head.Status, "");
 }
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -476,10 +476,10 @@
   if (std::holds_alternative<dispatch::Retry>(Next))
     return retry(Send);
   releaseHandle();
-  if (std::holds_alternative<dispatch::ForwardFailure>(Next)) {
+  if (std::holds_alternative<dispatch::ServerFailed>(End))
     recordFailure();
+  if (std::holds_alternative<dispatch::ForwardFailure>(Next))
     return forwardFailure(Send);
-  }
   if (const auto *Final = std::get_if<dispatch::GiveUp>(&Next))
     return respondWithError(Final->Status, dispatch::describe(End),
                             FailureRetryAfter);
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -145,10 +145,12 @@
                        {"kvHoldS", 5},         {"stageSwitchS", 3}};
   Json Services = Json::array();
   if (OmittedService != "plain")
-    Services.push_back({{"name", "plain"}, {"maxConnections", 100}});
-  if (OmittedService != "model")
     Services.push_back(
-        {{"name", "model"}, {"maxConnections", 100}, {"engine", Engine}});
+        {{"name", "plain"}, {"maxConnections", MaximumConnections}});
+  if (OmittedService != "model")
+    Services.push_back({{"name", "model"},
+                        {"maxConnections", MaximumConnections},
+                        {"engine", Engine}});
   Json Configuration = {{"version", Version},
                         {"routes", Routes},
                         {"services", Services},
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -106,6 +106,8 @@
   /// Number of additional routes in each configuration, named "/more-1/" to
   /// "/more-N/".
   unsigned AdditionalRoutes = 0;
+  /// Connections that each server accepts.
+  unsigned MaximumConnections = 100;
   /// Limit on bodies of requests in each configuration.
   uint64_t MaximumBodyBytes = 4194304;
   /// Version of the program of servers that are added or listed from now on.
--- a/Tests/LibDispatch/TestRetryRules.cpp
+++ b/Tests/LibDispatch/TestRetryRules.cpp
@@ -100,6 +100,13 @@
   CHECK(std::holds_alternative<CloseConnection>(next(ConnectionLost{})));
 }
 
+// Failure: a request ran and failed, and its caller takes the status of the
+// failure for the promise that it has not.
+TEST(RetryRules, ForwardsNoStatusThatPromises) {
+  for (const unsigned Status : {408U, 421U, 429U, 503U})
+    LONGS_EQUAL(OutcomeUnknownStatus, status(ServerFailed{Status}));
+}
+
 TEST(RetryRules, ForwardsServerFailure) {
   CHECK(std::holds_alternative<ForwardFailure>(next(ServerFailed{500})));
 }
