LibDispatch, figlift-gateway: Derive what callers are told from one record of sends

What callers saw: a request that had been sent to a server and may have run was answered 503 when its next send found no connection. It may also run once more than its route allows (BUDGET).

Cause: "not run" was worked out anew at eight places from one counter of runs, which was raised when a send had started and lowered when a send ended without a run. A send that found no connection (limit of the pool, a server that asks for a pause) lowered it, although it had never raised it, and took away the run of an earlier send. The flags for the retry budget had the same fault: a send without a connection cleared the arrival of an earlier one, whose repetition then was free.

Now SendHistory has every send of a request with its outcome. A send counts as a run until its own proof is recorded; its first outcome stays. errorStatus() is the only function that yields a status which promises, and ErrorStatus has no other way to be one: the eight places, decideNext() and the queue ask it. Requests in themselves wrong (400, 401, 404) have a type of their own. A request that may run once is sent again only if no send of it may have run, not only the last one. Arrivals for the budget are counted from the same record.

Tests: DrawnAnswers.MissingConnectionsBreakNoPromise failed before; SendHistory.*, RetryRules.SendWithoutConnectionProvesNothingOfEarlierOnes and RejectionProvesNothingOfEarlierSends are new with the types. TestRetryRules builds its histories from sends where it set two counters; its checks are the same.

--- a/Libraries/LibDispatch/SendHistory.cpp
+++ b/Libraries/LibDispatch/SendHistory.cpp
@@ -82,6 +82,13 @@
   return Basis;
 }
 
+ErrorStatus SendHistory::errorStatus(MissingAnswer Reason) const {
+  if (notRunBasis())
+    return ErrorStatus(NotRunStatus);
+  return ErrorStatus(Reason == MissingAnswer::TimedOut ? TimedOutStatus
+                                                       : OutcomeUnknownStatus);
+}
+
 std::string SendHistory::describe() const {
   constexpr size_t MaximumDescribed = 8;
   std::string Text;
--- a/Libraries/LibDispatch/SendHistory.h
+++ b/Libraries/LibDispatch/SendHistory.h
@@ -12,7 +12,7 @@
 
 #pragma once
 
-#include "LibDispatch/RetryRules.h"
+#include "LibDispatch/SendOutcome.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +38,7 @@
   /// Number of the exchange on that connection, from 1.
   uint64_t Exchange = 0;
   /// Empty while it is in progress, and if it was answered or canceled.
+  /// Never changes once it is set.
   std::optional<SendOutcome> Outcome = std::nullopt;
 
   bool hasArrived() const {
@@ -56,6 +57,39 @@
 /// Short text for the log and the metrics.
 std::string_view describe(NotRunBasis Basis);
 
+/// Errors of a request itself; it is never sent.
+enum class RequestError : unsigned {
+  Invalid = 400,
+  Unauthenticated = 401,
+  NoRoute = 404,
+};
+
+/// Why there is no answer of a server.
+enum class MissingAnswer { Lost, TimedOut };
+
+/// Status of a response that the gateway generates itself. One that promises
+/// "not run" can only come from SendHistory.
+class ErrorStatus {
+public:
+  ErrorStatus(RequestError Error) : m_Code(static_cast<unsigned>(Error)) {}
+
+  unsigned code() const { return m_Code; }
+  bool promisesNotRun() const { return dispatch::promisesNotRun(m_Code); }
+
+private:
+  friend class SendHistory;
+  explicit ErrorStatus(unsigned Code) : m_Code(Code) {}
+
+  unsigned m_Code;
+};
+
+/// The request has not run and never will; the caller may retry.
+inline constexpr unsigned NotRunStatus = 503;
+/// The request may have run; the server's answer was lost.
+inline constexpr unsigned OutcomeUnknownStatus = 502;
+/// The request may have run; there was no answer in time.
+inline constexpr unsigned TimedOutStatus = 504;
+
 class SendHistory {
 public:
   using SendNumber = size_t;
@@ -78,6 +112,10 @@
   unsigned arrivals(SendPurpose Purpose) const;
   /// What "not run" rests on; empty if the request may have run.
   std::optional<NotRunBasis> notRunBasis() const;
+  /// Status for the caller of a request that gets no answer of a server.
+  /// NotRunStatus only if every send of the request is proven not to have run
+  /// it.
+  ErrorStatus errorStatus(MissingAnswer Reason = MissingAnswer::Lost) const;
   /// All sends in order, for the log: "run s1 17/2 rejected, not run; run s2
   /// 19/1 broke off", with connection and exchange.
   std::string describe() const;
--- a/Libraries/LibDispatch/RetryRules.cpp
+++ b/Libraries/LibDispatch/SendOutcome.cpp
@@ -1,10 +1,10 @@
-//===- RetryRules.cpp - Whether a failed send is retried ------------------===//
+//===- SendOutcome.cpp - How a send of a request ended --------------------===//
 //
 // Classifies and names the outcomes of a send.
 //
 //===----------------------------------------------------------------------===//
 
-#include "LibDispatch/RetryRules.h"
+#include "LibDispatch/SendOutcome.h"
 
 namespace figlift::dispatch {
 
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -137,18 +137,18 @@
     releaseKvCache(m_Shared, m_PrefillTarget, Handle->Handle);
 }
 
-void RequestFlow::respondWithError(unsigned Status, std::string_view Reason,
+void RequestFlow::respondWithError(dispatch::ErrorStatus Status,
+                                   std::string_view Reason,
                                    milliseconds RetryAfter) {
   proxy::ResponseHead Head;
-  Head.Status = Status;
+  Head.Status = Status.code();
   slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
-  if (Status == dispatch::NotRunStatus) {
+  if (Status.promisesNotRun()) {
     slopes::addRetryAfter(Head.Headers, RetryAfter);
     recordRefusal(m_Shared, m_History.notRunBasis());
   }
   m_Caller->respond(Head, {});
-  finish(Status == dispatch::NotRunStatus ? "refused" : "failed", Status,
-         Reason);
+  finish(Status.promisesNotRun() ? "refused" : "failed", Status.code(), Reason);
 }
 
 void RequestFlow::abortStream(std::string_view Reason) {
@@ -164,8 +164,7 @@
   cancelSend();
   if (m_ResponseStarted)
     return abortStream(Reason);
-  respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                     : dispatch::TimedOutStatus,
+  respondWithError(m_History.errorStatus(dispatch::MissingAnswer::TimedOut),
                    Reason, FailureRetryAfter);
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -48,19 +48,21 @@
 void RequestFlow::start() {
   auto Fields = slopes::decodeCallerFields(m_Request.Head.Headers);
   if (!Fields) {
-    respondWithError(400, Fields.error().Message, milliseconds(0));
+    respondWithError(dispatch::RequestError::Invalid, Fields.error().Message,
+                     milliseconds(0));
     return;
   }
   m_Fields = std::move(Fields.value());
   m_Configuration = m_Shared.Configuration;
   if (!m_Configuration)
-    return respondWithError(dispatch::NotRunStatus, "no configuration yet",
+    return respondWithError(m_History.errorStatus(), "no configuration yet",
                             NotReadyRetryAfter);
   const auto Host = m_Request.Head.Headers.find("Host").value_or("");
   const dispatch::Route *Route =
       m_Configuration->match(Host, m_Request.Head.path());
   if (!Route)
-    return respondWithError(404, "no route", milliseconds(0));
+    return respondWithError(dispatch::RequestError::NoRoute, "no route",
+                            milliseconds(0));
   m_Route = *Route;
   if (!authenticate())
     return;
@@ -94,9 +96,8 @@
 /// Rejects a request that would not end before the process stops.
 void RequestFlow::rejectStopping() {
   releaseHandle();
-  respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                     : dispatch::OutcomeUnknownStatus,
-                   "the process ends", StoppingRetryAfter);
+  respondWithError(m_History.errorStatus(), "the process ends",
+                   StoppingRetryAfter);
 }
 
 Milliseconds RequestFlow::timeLeft(BootTime Now) const {
@@ -128,7 +129,7 @@
 
 void RequestFlow::planPrompt(const dispatch::Service &Service) {
   const BootTime Now = BootClock::now();
-  if (m_Sends == 0)
+  if (m_History.sends() == 0)
     recordDemand(m_Shared.costsOf(Service, Now), usableTargets(), Now);
   const auto Plan = promptPlan(Service, Now);
   m_PlannedAt = Now;
@@ -145,9 +146,7 @@
   m_PlannedFirst = Refusal.FirstEvent;
   if (m_ResponseStarted)
     return abortStream(Refusal.Reason);
-  respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                     : dispatch::OutcomeUnknownStatus,
-                   Refusal.Reason,
+  respondWithError(m_History.errorStatus(), Refusal.Reason,
                    Refusal.NoneAvailable
                        ? retryAfterBackoff(Refusal.RetryAfter, Now)
                        : Refusal.RetryAfter);
@@ -164,7 +163,7 @@
                                BootTime Now) {
   if (const auto *Chosen = std::get_if<dispatch::ServiceAssignment>(&Plan)) {
     m_PlannedFirst = Chosen->Expected;
-    if (m_Sends == 0 && !mayStart(Chosen->Expected, Now))
+    if (m_History.sends() == 0 && !mayStart(Chosen->Expected, Now))
       return rejectStopping();
     return startExecution(
         {Chosen->TargetId, {}, Chosen->Cost, Chosen->Expected, {}});
@@ -172,9 +171,7 @@
   const auto &Refusal = std::get<dispatch::ServiceRejection>(Plan);
   if (m_ResponseStarted)
     return abortStream(Refusal.Reason);
-  respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                     : dispatch::OutcomeUnknownStatus,
-                   Refusal.Reason,
+  respondWithError(m_History.errorStatus(), Refusal.Reason,
                    Refusal.NoneAvailable
                        ? retryAfterBackoff(Refusal.RetryAfter, Now)
                        : Refusal.RetryAfter);
@@ -233,7 +230,6 @@
   m_Progress.serverChanged();
   m_WritingSince.reset();
   m_HasSurvived = false;
-  ++m_Sends;
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId,
                                         m_History.begin(Purpose, TargetId));
@@ -247,11 +243,8 @@
     expectCached(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     m_UsageWindow.reset();
-    if (Purpose == SendPurpose::Execute) {
-      ++m_Executions;
-      if (!streaming())
-        recordUsage();
-    }
+    if (Purpose == SendPurpose::Execute && !streaming())
+      recordUsage();
     recordSuspectSend(Now);
     return armSendTimeout(Expected + m_PlannedLag);
   }
@@ -265,12 +258,15 @@
 /// other requests must not use up the budget for it meanwhile.
 void RequestFlow::chargeRetry(SendPurpose Purpose, BootTime Now) {
   const bool IsPrefill = Purpose == SendPurpose::Prefill;
-  bool &Sent = IsPrefill ? m_PrefillArrived : m_ExecutionArrived;
-  if (std::exchange(Sent, true))
+  unsigned &Charged = IsPrefill ? m_ChargedPrefills : m_ChargedExecutions;
+  if (m_History.arrivals(Purpose) > Charged + 1) {
+    ++Charged;
     m_Shared.Budget.recordRetry(m_Service, Now);
+  }
   if (!IsPrefill)
     return cancelReservedRetry();
-  if (m_ExecutionArrived && !std::exchange(m_ExecutionReserved, true))
+  if (hasArrived(SendPurpose::Execute) &&
+      !std::exchange(m_ExecutionReserved, true))
     m_Shared.Budget.reserveRetry(m_Service);
 }
 
@@ -282,8 +278,9 @@
 /// Retries that the next attempt may be charged with and that are not reserved
 /// yet.
 double RequestFlow::retryCost() const {
-  const bool RepeatsExecution = m_ExecutionArrived && !m_ExecutionReserved;
-  return m_PrefillArrived && RepeatsExecution ? 2 : 1;
+  const bool RepeatsExecution =
+      hasArrived(SendPurpose::Execute) && !m_ExecutionReserved;
+  return hasArrived(SendPurpose::Prefill) && RepeatsExecution ? 2 : 1;
 }
 
 void RequestFlow::armSendTimeout(Milliseconds Expected) {
@@ -363,8 +360,7 @@
     releaseHandle();
     if (m_ResponseStarted)
       return abortStream("no decode engine available");
-    return respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                              : dispatch::OutcomeUnknownStatus,
+    return respondWithError(m_History.errorStatus(),
                             "no decode engine available",
                             retryAfterBackoff(FailureRetryAfter, Now));
   }
@@ -403,7 +399,7 @@
 /// instead of one, and the retry budget is not consulted for an execution that
 /// was not sent.
 bool RequestFlow::decodeElsewhere(const ServerSend &Failed, BootTime Now) {
-  if (m_Sends >= m_Shared.Retries.MaximumSends ||
+  if (m_History.sends() >= m_Shared.Retries.MaximumSends ||
       !mayStart(Milliseconds(0), Now))
     return false;
   m_Excluded.push_back(Failed.targetId());
@@ -417,12 +413,6 @@
   m_History.end(Send.number(), End);
   m_SilenceTimer.cancel();
   m_Send = nullptr;
-  if (std::holds_alternative<dispatch::NotSent>(End))
-    (Send.purpose() == SendPurpose::Prefill ? m_PrefillArrived
-                                            : m_ExecutionArrived) = false;
-  if (Send.purpose() == SendPurpose::Execute && !dispatch::mayHaveRun(End) &&
-      m_Executions > 0 && Send.started() != BootTime{})
-    --m_Executions;
   if (!dispatch::mayHaveRun(End))
     undoUsage();
   abandonExpectedCache(Send.targetId());
@@ -441,25 +431,23 @@
                                          const ServerSend &Send) {
   const BootTime Now = BootClock::now();
   dispatch::RequestProgress Progress;
-  Progress.Sends = m_Sends;
   Progress.AnswerBegun = m_ResponseStarted;
   Progress.TimeLeft = timeLeft(Now);
-  Progress.Runs = m_Executions;
   Progress.MaximumRuns = m_Route.MaximumAttempts;
   Progress.Repeatable = m_Route.repeatable() && mayRetryIfSuspected();
   Progress.EndsBeforeStop = mayStart(m_PlannedFirst, Now);
-  if (Send.purpose() == SendPurpose::Prefill && m_Executions == 0) {
+  if (Send.purpose() == SendPurpose::Prefill && m_History.executions() == 0) {
     // A prefill does not execute the request.
     Progress.Repeatable = !m_IsTrial;
     Progress.MaximumRuns = m_Shared.Retries.MaximumSends;
   }
-  return dispatch::decideNext(m_Shared.Retries, Progress, End, [&] {
+  return dispatch::decideNext(m_Shared.Retries, Progress, m_History, End, [&] {
     // An attempt that reached no server has not used any time of the service.
     // Once a part of the request has reached a server, the next attempt may
     // count as a retry.
     const bool NothingArrived =
-        std::holds_alternative<dispatch::NotSent>(End) && !m_PrefillArrived &&
-        !m_ExecutionArrived;
+        std::holds_alternative<dispatch::NotSent>(End) &&
+        !hasArrived(SendPurpose::Prefill) && !hasArrived(SendPurpose::Execute);
     return NothingArrived ||
            m_Shared.Budget.remaining(m_Service, Now) >= retryCost();
   });
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -168,7 +168,7 @@
   dispatch::NextStep nextStep(const dispatch::SendOutcome &End,
                               const ServerSend &Send);
   void retry(const ServerSend &Failed);
-  void respondWithError(unsigned Status, std::string_view Reason,
+  void respondWithError(dispatch::ErrorStatus Status, std::string_view Reason,
                         std::chrono::milliseconds RetryAfter);
   void abortStream(std::string_view Reason);
   void cancelSend();
@@ -178,6 +178,10 @@
   void armDeadline();
   void endWithoutResponse(std::string_view Reason);
   void chargeRetry(SendPurpose Purpose, BootTime Now);
+  /// Whether a prefill, or an execution, may have reached a server.
+  bool hasArrived(SendPurpose Purpose) const {
+    return m_History.arrivals(Purpose) > 0;
+  }
   double retryCost() const;
   void cancelReservedRetry();
   void armSendTimeout(dispatch::Milliseconds Expected);
@@ -299,11 +303,9 @@
   BootTime m_QueuedAt{};
   /// The latest send was rejected because the server was full.
   bool m_RejectedByFullServer = false;
-  unsigned m_Sends = 0;
-  unsigned m_Executions = 0;
-  /// A prefill, or an execution, of this request has reached a server.
-  bool m_PrefillArrived = false;
-  bool m_ExecutionArrived = false;
+  /// Arrivals beyond the first that the retry budget was charged with.
+  unsigned m_ChargedPrefills = 0;
+  unsigned m_ChargedExecutions = 0;
   /// The retry budget keeps room for the execution after a repeated prefill.
   bool m_ExecutionReserved = false;
   bool m_ResponseStarted = false;
--- a/Services/figlift-gateway/RequestLines.cpp
+++ b/Services/figlift-gateway/RequestLines.cpp
@@ -56,7 +56,10 @@
   const BootTime Now = BootClock::now();
   // A request with a prefill and an execution is sent twice; any further
   // attempt is a retry.
-  const bool IsRetry = m_Sends > 2 || (m_Executions > 0 && m_Sends > 1);
+  const unsigned EarlierRuns =
+      m_History.executions() - (Purpose == SendPurpose::Execute ? 1 : 0);
+  const bool IsRetry =
+      m_History.sends() > 2 || (EarlierRuns > 0 && m_History.sends() > 1);
   if (!m_Traced && !(IsRetry && m_Shared.Log.allows(LineKind::Notable, Now)))
     return;
   log::logRequest(
@@ -70,8 +73,8 @@
                               : std::string()},
        {"plannedMs", Expected},
        {"timeLeftMs", timeLeft(Now)},
-       {"sends", m_Sends},
-       {"runs", m_Executions},
+       {"sends", m_History.sends()},
+       {"runs", EarlierRuns},
        {"eventsBefore", m_Relay.events()},
        {"budgetLeft", m_Shared.Budget.remaining(m_Service, Now)}});
 }
@@ -98,8 +101,8 @@
        {"events", m_Relay.events()},
        {"unfinishedBytes", m_Relay.incompleteBytes()},
        {"tookMs", Milliseconds(Now - Send.started())},
-       {"sends", m_Sends},
-       {"runs", m_Executions},
+       {"sends", m_History.sends()},
+       {"runs", m_History.executions()},
        {"budgetLeft", m_Shared.Budget.remaining(m_Service, Now)}});
 }
 
@@ -119,7 +122,8 @@
   const bool IsLate =
       FirstEvent > Milliseconds(m_Route.LatencyTarget) || HasLatePause;
   const bool IsRejected = Outcome == "refused";
-  const bool IsPlain = Outcome == "answered" && !IsLate && m_Sends <= 2;
+  const bool IsPlain =
+      Outcome == "answered" && !IsLate && m_History.sends() <= 2;
   const LineKind Kind = IsRejected                    ? LineKind::Rejected
                         : IsPlain && !m_TimeUntilStop ? LineKind::Plain
                                                       : LineKind::Notable;
@@ -164,8 +168,8 @@
        {"allowedPauseMs", Milliseconds(m_Route.EventGapTarget.value_or(
                               std::chrono::milliseconds(0)))},
        {"plannedPauseMs", m_PlannedPause},
-       {"sends", m_Sends},
-       {"runs", m_Executions},
+       {"sends", m_History.sends()},
+       {"runs", m_History.executions()},
        {"history", m_History.describe()},
        {"serversSeenMs", Milliseconds(Now - m_Shared.ServersKnownAt)},
        {"configuration", m_Configuration ? m_Configuration->Version : 0}});
--- a/Services/figlift-gateway/RequestMove.cpp
+++ b/Services/figlift-gateway/RequestMove.cpp
@@ -29,7 +29,7 @@
   dispatch::MovableStream Stream;
   Stream.Resumable = m_Route.Resumable;
   Stream.WasMoved = m_Moved;
-  Stream.Runs = m_Executions;
+  Stream.Runs = m_History.executions();
   Stream.MaximumRuns = m_Route.MaximumAttempts;
   Stream.LongestPause = m_Progress.longestPause();
   Stream.AllowedPause = m_Route.EventGapTarget;
--- a/Services/figlift-gateway/RequestQueue.cpp
+++ b/Services/figlift-gateway/RequestQueue.cpp
@@ -27,7 +27,8 @@
   const dispatch::Service *Service = m_Configuration->service(m_Service);
   const bool IsPlainService = Service && !Service->Engine;
   return IsPlainService && !m_ResponseStarted && !m_BoundVersion &&
-         m_Executions == 0 && m_Shared.Queues.isActive(m_Service, Now);
+         m_History.executions() == 0 &&
+         m_Shared.Queues.isActive(m_Service, Now);
 }
 
 /// How long the request may wait, counted from its arrival and reduced by the
@@ -70,7 +71,7 @@
                      {"waiting", m_Shared.Queues.waitingFor(m_Service)},
                      {"freeSlots", m_Shared.Queues.freeSlots(m_Service, Now)},
                      {"mayWaitMs", Milliseconds(Waiting.WaitUntil - Now)},
-                     {"sends", m_Sends}});
+                     {"sends", m_History.sends()}});
   return true;
 }
 
@@ -105,12 +106,12 @@
     logDequeued("sent", Grant.Waited, Grant.Ahead);
   }
   // Others may have used up the retry budget during the wait.
-  const bool IsRepeatedArrival = m_ExecutionArrived;
+  const bool IsRepeatedArrival = hasArrived(SendPurpose::Execute);
   if (IsRepeatedArrival &&
       (timeLeft(Now) < m_Shared.Retries.MinimumTimeLeft ||
        m_Shared.Budget.remaining(m_Service, Now) < retryCost())) {
     m_Shared.Queues.wake();
-    return respondWithError(dispatch::NotRunStatus, "rejected, not run",
+    return respondWithError(m_History.errorStatus(), "rejected, not run",
                             FailureRetryAfter);
   }
   OpenTargets::List Only;
@@ -127,7 +128,7 @@
     return;
   if (HasWaited)
     logDequeued("refused", Refusal.Waited, Refusal.Ahead);
-  respondWithError(dispatch::NotRunStatus, Refusal.Reason, Refusal.RetryAfter);
+  respondWithError(m_History.errorStatus(), Refusal.Reason, Refusal.RetryAfter);
 }
 
 void RequestFlow::leaveQueue() {
--- a/Services/figlift-gateway/RequestSuspicion.cpp
+++ b/Services/figlift-gateway/RequestSuspicion.cpp
@@ -91,13 +91,14 @@
 /// whether it did.
 bool RequestFlow::rejectIfSuspected() {
   // A trial goes on to its execution.
-  if (m_IsTrial && m_Executions == 0 && m_Handle)
+  if (m_IsTrial && m_History.executions() == 0 && m_Handle)
     return false;
   if (!isSuspected())
     return false;
   const BootTime Now = BootClock::now();
   const auto Rejection = m_Shared.Crashes.rejects(
-      *m_Causes, m_Sends == 0 ? AttemptStage::New : AttemptStage::Begun, Now);
+      *m_Causes,
+      m_History.sends() == 0 ? AttemptStage::New : AttemptStage::Begun, Now);
   if (!Rejection)
     return false;
   m_Shared.Crashes.recordRejected();
@@ -107,9 +108,8 @@
   if (m_ResponseStarted)
     abortStream(Rejection->Reason);
   else
-    respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                       : dispatch::OutcomeUnknownStatus,
-                     Rejection->Reason, Rejection->RetryAfter);
+    respondWithError(m_History.errorStatus(), Rejection->Reason,
+                     Rejection->RetryAfter);
   return true;
 }
 
--- a/Services/figlift-gateway/RequestTenant.cpp
+++ b/Services/figlift-gateway/RequestTenant.cpp
@@ -11,12 +11,6 @@
 
 namespace figlift::gateway {
 
-namespace {
-
-constexpr unsigned UnauthenticatedStatus = 401;
-
-} // namespace
-
 bool RequestFlow::authenticate() {
   const auto Outcome =
       tenant::authenticate(m_Configuration->Tenants.get(), m_Route.Access,
@@ -50,8 +44,9 @@
 void RequestFlow::rejectUnauthenticated(std::string_view Reason) {
   m_Shared.Tenants.recordRejected();
   m_Code = ResultCode::Unauthenticated;
+  const dispatch::ErrorStatus Status = dispatch::RequestError::Unauthenticated;
   proxy::ResponseHead Head;
-  Head.Status = UnauthenticatedStatus;
+  Head.Status = Status.code();
   Head.Headers.add("Content-Type", "application/json");
   Head.Headers.add("WWW-Authenticate", "ApiKey");
   slopes::addAttemptId(Head.Headers, m_Fields.AttemptId);
@@ -59,7 +54,7 @@
                                {"reason", Reason},
                                {"executed", "not run"}};
   m_Caller->respond(Head, Body.dump());
-  finish("refused", UnauthenticatedStatus, Reason);
+  finish("refused", Status.code(), Reason);
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -83,7 +83,7 @@
   logResumed(Origin);
   if (!std::holds_alternative<UnknownOrigin>(Origin))
     return true;
-  respondWithError(dispatch::NotRunStatus,
+  respondWithError(m_History.errorStatus(),
                    "it is not known at which software version the stream began",
                    UnknownOriginRetryAfter);
   return false;
@@ -149,9 +149,7 @@
   if (m_ResponseStarted)
     abortStream(Reason);
   else
-    respondWithError(m_Executions == 0 ? dispatch::NotRunStatus
-                                       : dispatch::OutcomeUnknownStatus,
-                     Reason, FailureRetryAfter);
+    respondWithError(m_History.errorStatus(), Reason, FailureRetryAfter);
   return true;
 }
 
--- a/Tests/DrawnAnswers/DrawnServer.cpp
+++ b/Tests/DrawnAnswers/DrawnServer.cpp
@@ -45,7 +45,8 @@
   return Head.substr(Value, Head.find("\r\n", Value) - Value);
 }
 
-class DrawnServer::Connection : public std::enable_shared_from_this<Connection> {
+class DrawnServer::Connection
+    : public std::enable_shared_from_this<Connection> {
 public:
   Connection(DrawnServer &Owner, tcp::socket Socket)
       : m_Owner(Owner), m_Socket(std::move(Socket)) {}
@@ -126,18 +127,16 @@
             [this, Bytes = Answer.Bytes] { write(Bytes); });
     if (Answer.ClosesAfter || Answer.Resets)
       // The delay lets the bytes arrive before a reset.
-      return after(milliseconds(2), [this, Resets = Answer.Resets] {
-        close(Resets);
-      });
+      return after(milliseconds(2),
+                   [this, Resets = Answer.Resets] { close(Resets); });
     read();
   }
 
   void after(milliseconds Delay, std::function<void()> Action) {
     auto Timer = std::make_shared<asio::steady_timer>(m_Owner.m_Loop, Delay);
-    Timer->async_wait([Self = shared_from_this(), Timer,
-                       Action = std::move(Action)](const ErrorCode &) {
-      Action();
-    });
+    Timer->async_wait(
+        [Self = shared_from_this(), Timer,
+         Action = std::move(Action)](const ErrorCode &) { Action(); });
   }
 
   void write(const std::string &Bytes) {
@@ -150,13 +149,13 @@
       return;
     m_IsWriting = true;
     auto Bytes = std::make_shared<std::string>(std::exchange(m_Output, {}));
-    asio::async_write(m_Socket, asio::buffer(*Bytes),
-                      [Self = shared_from_this(), Bytes](const ErrorCode &Code,
-                                                         size_t) {
-                        Self->m_IsWriting = false;
-                        if (!Code)
-                          Self->flush();
-                      });
+    asio::async_write(
+        m_Socket, asio::buffer(*Bytes),
+        [Self = shared_from_this(), Bytes](const ErrorCode &Code, size_t) {
+          Self->m_IsWriting = false;
+          if (!Code)
+            Self->flush();
+        });
   }
   void close(bool Resets) {
     ErrorCode Ignored; // The peer may have closed the connection already.
@@ -175,8 +174,8 @@
 
 DrawnServer::DrawnServer(asio::io_context &Loop, RunLedger &Ledger,
                          uint64_t Seed, std::string Stage, DrawnShares Shares)
-    : m_Loop(Loop), m_Ledger(Ledger), m_Random(Seed),
-      m_Stage(std::move(Stage)), m_Shares(Shares),
+    : m_Loop(Loop), m_Ledger(Ledger), m_Random(Seed), m_Stage(std::move(Stage)),
+      m_Shares(Shares),
       m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}) {
   accept();
 }
@@ -206,7 +205,8 @@
   const std::string Id = fieldOf(Head, "X-Attempt-Id");
   if (IsPrefill)
     return message(200, nameOf(Head),
-                   R"({"kvHandle":"h)" + Id + R"(","tokens":4000,"version":1})");
+                   R"({"kvHandle":"h)" + Id +
+                       R"(","tokens":4000,"version":1})");
   const std::string Fields = nameOf(Head) + "X-Response-Signature: s\r\n";
   if (m_Stage.empty())
     return message(200, Fields, "result of " + Id);
@@ -265,9 +265,9 @@
   if (Answer.Chosen == Reaction::Garble)
     Answer.Bytes = "garbled bytes\r\n\r\n";
   else if (Answer.Chosen == Reaction::NameAnother)
-    Answer.Bytes = success(
-        "\r\nX-Attempt-Id: another-" + fieldOf(Head, "X-Attempt-Id") + "\r\n",
-        IsPrefill);
+    Answer.Bytes = success("\r\nX-Attempt-Id: another-" +
+                               fieldOf(Head, "X-Attempt-Id") + "\r\n",
+                           IsPrefill);
   else if (Answer.Chosen == Reaction::Reject || Answer.Chosen == Reaction::Fail)
     Answer.Bytes = failure(Head, Answer.Chosen);
   else
--- a/Tests/DrawnAnswers/TestDrawnAnswers.cpp
+++ b/Tests/DrawnAnswers/TestDrawnAnswers.cpp
@@ -63,8 +63,9 @@
     Fixture.configure();
     CHECK(Fixture.waitUntilReady());
     CHECK(Fixture.waitUntil([&] {
-      return contains(Fixture.metrics(), "figlift_gateway_targets " +
-                                             std::to_string(PlainServers + Engines) + "\n");
+      return contains(Fixture.metrics(),
+                      "figlift_gateway_targets " +
+                          std::to_string(PlainServers + Engines) + "\n");
     }));
     for (unsigned I = 0; I < Callers; ++I) {
       Requesters.emplace_back(Fixture.Loop, Ledger, Seed * 1000 + I,
@@ -104,3 +105,11 @@
   play(2, {.Reject = 0.3, .Fail = 0, .CutOff = 0, .Copy = 0.5}, 150);
   check();
 }
+
+// Failure: a request may have run at one server, gets no connection to the
+// next, and is answered "not run", or runs once more than its route allows.
+TEST(DrawnAnswers, MissingConnectionsBreakNoPromise) {
+  Fixture.MaximumConnections = 1;
+  play(3, {.Reject = 0.1, .Fail = 0, .CutOff = 0.15, .Copy = 0}, 150);
+  check();
+}
--- a/Tests/FigliftGateway/TestPromises.cpp
+++ b/Tests/FigliftGateway/TestPromises.cpp
@@ -64,8 +64,7 @@
 TEST(Promises, MisdirectedRequestHasNotRun) {
   Fixture.addServer("s1", "plain", failWith(421));
   start();
-  STRCMP_CONTAINS("HTTP/1.1 503",
-                  Fixture.request("POST", "/unsafe/x").c_str());
+  STRCMP_CONTAINS("HTTP/1.1 503", Fixture.request("POST", "/unsafe/x").c_str());
 }
 
 // Failure: a failure that promises nothing no longer reaches the caller as its
--- a/Tests/LibDispatch/TestRetryRules.cpp
+++ b/Tests/LibDispatch/TestRetryRules.cpp
@@ -12,12 +12,19 @@
 
 TEST_GROUP(RetryRules) {
   RetryOptions Options;
-  RequestProgress Progress{false, 1, 1, 1, false, Milliseconds(500)};
+  RequestProgress Progress{false, 1, false, Milliseconds(500)};
+  /// Sends before the one that ends.
+  SendHistory Earlier;
   bool HasBudget = true;
   int BudgetCalls = 0;
 
+  void addEarlier(const SendOutcome &Outcome) {
+    Earlier.end(Earlier.begin(SendPurpose::Execute, "s0"), Outcome);
+  }
   NextStep next(const SendOutcome &Outcome) {
-    return decideNext(Options, Progress, Outcome, [this] {
+    SendHistory History = Earlier;
+    History.end(History.begin(SendPurpose::Execute, "s1"), Outcome);
+    return decideNext(Options, Progress, History, Outcome, [this] {
       ++BudgetCalls;
       return HasBudget;
     });
@@ -28,7 +35,7 @@
   unsigned status(const SendOutcome &Outcome) {
     const auto Next = next(Outcome);
     const auto *Final = std::get_if<GiveUp>(&Next);
-    return Final ? Final->Status : 0;
+    return Final ? Final->Status.code() : 0;
   }
 };
 
@@ -46,16 +53,14 @@
 // retried without a new check of its end, and its answer is cut or delayed
 // until the process exits.
 TEST(RetryRules, DoesNotRetryBeyondProcessStop) {
-  Progress = {true, 0, 2, 1, false, Milliseconds(500)};
+  Progress = {true, 2, false, Milliseconds(500)};
   CHECK(retries(Rejected{}));
   Progress.EndsBeforeStop = false;
   LONGS_EQUAL(NotRunStatus, status(Rejected{}));
-  Progress.Runs = 1;
   LONGS_EQUAL(OutcomeUnknownStatus, status(ConnectionLost{}));
 }
 
 TEST(RetryRules, RetriesUnsafeWorkProvenNotRun) {
-  Progress.Runs = 0;
   CHECK(retries(Rejected{}));
   CHECK(retries(NotSent{}));
 }
@@ -63,10 +68,34 @@
 // Guards against: the first run is interrupted, the second send is rejected,
 // and the caller gets "not run" because only the last send counts.
 TEST(RetryRules, ReportsNotRunOnlyIfNoSendMayHaveRun) {
-  Progress.Sends = Options.MaximumSends;
-  Progress.Runs = 0;
+  Options.MaximumSends = 2;
+  addEarlier(Rejected{});
   LONGS_EQUAL(NotRunStatus, status(Rejected{}));
-  Progress.Runs = 1;
+  Earlier = {};
+  addEarlier(ConnectionLost{});
+  LONGS_EQUAL(OutcomeUnknownStatus, status(Rejected{}));
+}
+
+// Failure: a send that got no connection takes away what an earlier one may
+// have done.
+TEST(RetryRules, SendWithoutConnectionProvesNothingOfEarlierOnes) {
+  Progress.Repeatable = true;
+  Progress.MaximumRuns = 2;
+  HasBudget = false;
+  addEarlier(ConnectionLost{});
+  LONGS_EQUAL(OutcomeUnknownStatus, status(NotSent{}));
+  HasBudget = true;
+  Options.MaximumSends = 9;
+  addEarlier(NotSent{});
+  CHECK(!retries(ConnectionLost{}));
+}
+
+// Failure: a rejection is taken as proof for all sends, and a request that may
+// run once is sent again after one that may have run.
+TEST(RetryRules, RejectionProvesNothingOfEarlierSends) {
+  Options.MaximumSends = 9;
+  addEarlier(ConnectionLost{});
+  CHECK(!retries(Rejected{}));
   LONGS_EQUAL(OutcomeUnknownStatus, status(Rejected{}));
 }
 
@@ -74,7 +103,7 @@
   Progress.Repeatable = true;
   Progress.MaximumRuns = 2;
   CHECK(retries(ConnectionLost{}));
-  Progress.Runs = 2;
+  addEarlier(ConnectionLost{});
   CHECK(!retries(ConnectionLost{}));
 }
 
@@ -89,7 +118,6 @@
 }
 
 TEST(RetryRules, DoesNotRetryWithoutTimeLeft) {
-  Progress.Runs = 0;
   Progress.TimeLeft = Milliseconds(10);
   CHECK(!retries(NotSent{}));
 }
