figlift-gateway: Keep the usage of a run when the next send finds no connection

What tenants saw, and their receiver: a run that no report counted. A request ran at one server and broke off; its next send found no connection, and the usage of the first was taken back.

--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -230,6 +230,8 @@
   m_Progress.serverChanged();
   m_WritingSince.reset();
   m_HasSurvived = false;
+  // The run of an earlier send stays counted however this one ends.
+  m_UsageWindow.reset();
   m_Send = std::make_shared<ServerSend>(m_Shared, *this, TargetId, Purpose,
                                         m_Fields.AttemptId,
                                         m_History.begin(Purpose, TargetId));
@@ -242,7 +244,6 @@
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
     logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
-    m_UsageWindow.reset();
     if (Purpose == SendPurpose::Execute && !streaming())
       recordUsage();
     recordSuspectSend(Now);
--- a/Tests/FigliftGateway/TestUsageReports.cpp
+++ b/Tests/FigliftGateway/TestUsageReports.cpp
@@ -13,6 +13,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
+#include <map>
 #include <mutex>
 
 using namespace figlift;
@@ -84,6 +86,32 @@
   LONGS_EQUAL(0, reported("ski"));
 }
 
+// Failure: a request that ran and broke off finds no connection to the next
+// server, and its run is not reported.
+TEST(UsageReports, CountRunsBeforeASendWithoutConnection) {
+  Fixture.MaximumConnections = 1;
+  Fixture.configure(2);
+  Listener &Full = Fixture.addServer(
+      "s1", "plain", [](const proxy::Request &, const Caller &) {});
+  CHECK(Fixture.waitUntilReady());
+  std::deque<KeepAliveCaller> Waiting;
+  for (size_t Connections = 1; Connections <= 2; ++Connections) {
+    Waiting.emplace_back(Fixture);
+    Waiting.back().send("POST", "/unsafe/x", "X-Credential: other\r\n");
+    CHECK(
+        Fixture.waitUntil([&] { return Full.Requests.size() == Connections; }));
+  }
+  Listener &Broken = Fixture.addServer(
+      "s2", "plain",
+      [](const proxy::Request &, const Caller &To) { To->abort(); });
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 2\n");
+  }));
+  STRCMP_CONTAINS("HTTP/1.1 502", get(Key).c_str());
+  LONGS_EQUAL(1, Broken.Requests.size());
+  CHECK(Fixture.waitUntil([&] { return reported("ski") == 1; }));
+}
+
 // Failure: the receiver did not answer, and gets other counts the next time.
 TEST(UsageReports, AreRepeatedUnchangedUntilTheyAreAccepted) {
   Fixture.addServer("s1", "plain", respondWith("good"));
--- a/Tests/LibDispatch/TestSendHistory.cpp
+++ b/Tests/LibDispatch/TestSendHistory.cpp
@@ -30,7 +30,8 @@
   CHECK(History.notRunBasis() == NotRunBasis::NeverSent);
 }
 
-// Failure: a send whose end nobody recorded, as it was canceled, counts as none.
+// Failure: a send whose end nobody recorded, as it was canceled, counts as
+// none.
 TEST(SendHistory, SendMayHaveRunUntilTheContraryIsProven) {
   const auto Number = send();
   LONGS_EQUAL(OutcomeUnknownStatus, status());
