Tests/Soak: Full plain servers, later copies and failures that look like rejections

Where servers are full the platform's bound for recovery holds, a quarter, in place of our own nine tenths.

--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -228,13 +228,16 @@
            Repair);
 }
 
-/// Some faulty servers send more than one answer, or one without end.
+/// Some faulty servers send more than one answer, one without end, or failures
+/// that look like rejections.
 Behavior FaultInjector::withOtherShape(Behavior Drawn) {
   if (Drawn == Behavior::WrongAttemptId && m_ShapeRandom() % 2 == 0)
     return Behavior::SendsSecondCopies;
-  if (Drawn == Behavior::ServerError && m_ShapeRandom() % 3 == 0)
-    return Behavior::Endless;
-  return Drawn;
+  if (Drawn != Behavior::ServerError)
+    return Drawn;
+  constexpr std::array Failures = {
+      Behavior::Endless, Behavior::FailsLikeRejection, Behavior::ServerError};
+  return Failures[m_ShapeRandom() % Failures.size()];
 }
 
 void FaultInjector::beginServer(BootTime Now) {
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -36,11 +36,15 @@
 constexpr seconds StopLimit{12};
 /// Fraction of the requests of one second that have to succeed after recovery.
 constexpr double RecoveredFraction = 0.9;
+/// The same where servers are full: the platform's bound.
+constexpr double RecoveredFractionIfFull = 0.25;
 
 struct Options {
   unsigned Gateways = 3;
   unsigned Callers = 24;
   seconds Length{15};
+  /// Plain servers have few slots.
+  bool Full = false;
   std::filesystem::path Folder;
 };
 
@@ -71,6 +75,9 @@
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
              [&] { return m_Checker.count("status 200") > 100; });
+    // Before, the gateways do not know each other and their budget.
+    if (m_Options.Full)
+      Fleet.limitPlainServers();
     runUntil(Fleet, Faults, true, m_Options.Length, [] { return false; });
     recover(Fleet, Faults);
     for (const auto &Caller : Callers)
@@ -96,6 +103,10 @@
                                        : CrashingRequests::None;
   }
 
+  double recoveredFraction() const {
+    return m_Options.Full ? RecoveredFractionIfFull : RecoveredFraction;
+  }
+
   /// Runs the loop until \p Done returns true; false after \p Limit.
   template <typename Condition>
   bool runUntil(SoakFleet &Fleet, FaultInjector &Faults, bool AllowFaults,
@@ -143,7 +154,7 @@
       RequestCount += NewRequests;
       Since = Now;
       return !IsFirst && NewRequests > 20 &&
-             double(NewSuccesses) > RecoveredFraction * double(NewRequests);
+             double(NewSuccesses) > recoveredFraction() * double(NewRequests);
     });
     if (!Recovered)
       m_Checker.addViolation(
@@ -222,6 +233,7 @@
       cxxopts::value<unsigned>()->default_value("3"));
   Add("callers", "concurrent callers",
       cxxopts::value<unsigned>()->default_value("24"));
+  Add("full", "plain servers have few slots, and are full most of the time");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -237,6 +249,7 @@
   RunOptions.Gateways = Parsed["gateways"].as<unsigned>();
   RunOptions.Callers = Parsed["callers"].as<unsigned>();
   RunOptions.Length = seconds(Parsed["seconds"].as<unsigned>());
+  RunOptions.Full = Parsed.count("full") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -37,6 +37,9 @@
 /// Route timeout of streams that may outlast every grace.
 constexpr milliseconds LongTimeout{10000};
 constexpr unsigned PlainServers = 3;
+/// Slots of each listed server, and of plain servers that are to be full.
+constexpr unsigned ListedSlots = 4;
+constexpr unsigned FewSlots = 1;
 constexpr unsigned MovingServices = 3;
 /// After this many servers a new software version comes: the servers of two
 /// versions overlap for some seconds.
@@ -107,6 +110,15 @@
     Add("model", I == 0 ? "prefill" : "decode");
 }
 
+void SoakFleet::limitPlainServers() {
+  for (unsigned I = 0; I < m_Servers.size(); ++I) {
+    if (!m_Servers[I]->stage().empty())
+      continue;
+    m_Servers[I]->limitSlots(FewSlots);
+    publish(I, "ready");
+  }
+}
+
 std::string SoakFleet::gatewayName(unsigned Gateway) const {
   return fmt::format("gateway-{}", Gateway + 1);
 }
@@ -165,7 +177,7 @@
                linkAddress(fmt::format("server-{}", ServerIndex)).toString()},
               {"zone", "z"},
               {"version", Server.version()},
-              {"slots", 4},
+              {"slots", Server.slots() > 0 ? Server.slots() : ListedSlots},
               {"state", State},
               {"coldRemainingMs", 0},
               {"sequence", ++m_ServerIncarnations[ServerIndex].Heartbeats},
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -38,6 +38,8 @@
   SoakFleet(boost::asio::io_context &Loop, InvariantChecker &Checker,
             uint64_t Seed, unsigned Gateways, std::filesystem::path Folder);
 
+  /// Gives each plain server so few slots that the callers fill them.
+  void limitPlainServers();
   /// False if the fault proxy did not start.
   bool start();
   std::vector<GatewayEndpoint> gatewayEndpoints() const;
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -132,14 +132,19 @@
 void SoakServer::answer(const Caller &Receiver, const ResponseHead &Head,
                         const std::string &Body) {
   if (m_Behavior == Behavior::SendsSecondCopies)
-    m_LastAnswers[Receiver] = {Head, Body};
+    m_LastAnswers.try_emplace(
+        Receiver,
+        Answer{Head, Body, static_cast<unsigned>(m_FramingRandom() % 2)});
   Receiver->respond(Head, Body);
 }
 
 void SoakServer::sendSecondCopy(const Caller &Receiver) {
   const auto Last = m_LastAnswers.find(Receiver);
-  if (Last != m_LastAnswers.end())
-    Receiver->respond(Last->second.Head, Last->second.Body);
+  if (Last == m_LastAnswers.end() || Last->second.Before-- > 0)
+    return;
+  const Answer Copied = Last->second;
+  m_LastAnswers.erase(Last);
+  Receiver->respond(Copied.Head, Copied.Body);
 }
 
 /// \p Left: more than a gateway takes of any answer.
@@ -198,7 +203,8 @@
     return rejectForAWhile(Message, Sender);
   }
   // A decode engine rejects prefill requests.
-  if (m_Behavior == Behavior::RejectsAll ||
+  const bool IsFull = m_Slots > 0 && m_Running >= m_Slots;
+  if (m_Behavior == Behavior::RejectsAll || IsFull ||
       (IsPrefill && m_Stage != "prefill")) {
     recordArrival(Message, IsPrefill, true);
     return reject(Message, Sender, 503);
@@ -209,7 +215,9 @@
   const milliseconds Delay = m_Behavior == Behavior::Slow
                                  ? SlowResponseTime
                                  : draw(2, IsPrefill ? 8 : 15);
+  ++m_Running;
   after(Delay, [this, Message, Sender, IsPrefill, Id = m_Id] {
+    --m_Running;
     // The process that got the request has ended.
     if (m_Id != Id)
       return Sender->abort();
@@ -248,6 +256,9 @@
   const std::string Events = field(Message, "X-Soak-Events");
   if (m_Behavior == Behavior::ServerError)
     return Sender->respond(signedHead(AttemptId, 500), "sorry");
+  if (m_Behavior == Behavior::FailsLikeRejection)
+    return Sender->respond(
+        signedHead(AttemptId, m_FramingRandom() % 2 == 0 ? 503 : 429), "sorry");
   if (m_Behavior == Behavior::DropsConnection && Events.empty())
     return Sender->abort();
   if (m_Behavior == Behavior::Endless) {
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -29,6 +29,9 @@
   Healthy,
   /// Executes requests and responds with status 500.
   ServerError,
+  /// Executes requests and responds with a status that promises the contrary,
+  /// without the statement that they were not executed.
+  FailsLikeRejection,
   /// Executes requests and breaks off, in streams inside an event.
   DropsConnection,
   /// Responds one second later.
@@ -43,8 +46,8 @@
   RateLimited,
   /// Rejects all requests and asks each time for a pause.
   AsksForPause,
-  /// Sends the last answer on a connection once more where the next one is
-  /// expected.
+  /// Sends an answer on a connection once more where the next one, or the one
+  /// after that, is expected.
   SendsSecondCopies,
   /// Sends the body of an answer, or an event of a stream, without end.
   Endless,
@@ -67,6 +70,10 @@
     m_Down = false;
     m_Leaving = false;
   }
+  /// Executes at most this many requests at once and rejects others; 0 for no
+  /// bound.
+  void limitSlots(unsigned Slots) { m_Slots = Slots; }
+  unsigned slots() const { return m_Slots; }
   /// Says in all responses that it is shutting down, until \c restartAs.
   void leave() { m_Leaving = true; }
   void setBehavior(Behavior NewBehavior) {
@@ -135,11 +142,15 @@
   /// The server crashed and has not restarted.
   bool m_Down = false;
   bool m_Leaving = false;
+  unsigned m_Slots = 0;
+  unsigned m_Running = 0;
   struct Answer {
     proxy::ResponseHead Head;
     std::string Body;
+    /// Answers before its copy.
+    unsigned Before = 0;
   };
-  /// Last answer on each connection, while copies are sent.
+  /// The answer on each connection whose copy is due, while copies are sent.
   std::map<std::weak_ptr<proxy::CallerConnection>, Answer, std::owner_less<>>
       m_LastAnswers;
   testing::Listener m_Listener;
