--- a/Tests/DrawnAnswers/DrawnServer.cpp
+++ b/Tests/DrawnAnswers/DrawnServer.cpp
@@ -88,7 +88,11 @@
     });
     keepCopy(Answer);
     Answer.Bytes.insert(0, Before);
-    after(Answer.WorkTime, [this, Answer] { answer(Answer); });
+    m_Owner.m_Running += Answer.Runs ? 1 : 0;
+    after(Answer.WorkTime, [this, Answer] {
+      m_Owner.m_Running -= Answer.Runs ? 1 : 0;
+      answer(Answer);
+    });
   }
 
   void keepCopy(const DrawnAnswer &Answer) {
@@ -112,6 +116,7 @@
     if (Answer.Copy == CopyTime::AtOnce)
       Bytes += Answer.Bytes;
     const size_t First = Answer.SplitAt == 0 ? Bytes.size() : Answer.SplitAt;
+    m_IsInsideAnswer = true;
     write(Bytes.substr(0, First));
     if (First >= Bytes.size())
       return answered(Answer);
@@ -121,10 +126,19 @@
     });
   }
 
+  /// A copy never stands inside another answer.
+  void writeCopy(const std::string &Bytes) {
+    if (m_IsInsideAnswer)
+      m_AfterAnswer += Bytes;
+    else
+      write(Bytes);
+  }
   void answered(const DrawnAnswer &Answer) {
+    m_IsInsideAnswer = false;
+    write(std::exchange(m_AfterAnswer, {}));
     if (Answer.Copy == CopyTime::AfterAWhile)
       after(milliseconds(m_Owner.draw(0U, 6U)),
-            [this, Bytes = Answer.Bytes] { write(Bytes); });
+            [this, Bytes = Answer.Bytes] { writeCopy(Bytes); });
     if (Answer.ClosesAfter || Answer.Resets)
       // The delay lets the bytes arrive before a reset.
       return after(milliseconds(2),
@@ -169,6 +183,9 @@
   std::string m_Input;
   std::string m_Output;
   bool m_IsWriting = false;
+  bool m_IsInsideAnswer = false;
+  /// Copies that came due during an answer.
+  std::string m_AfterAnswer;
   std::vector<Copy> m_Copies;
 };
 
@@ -249,7 +266,9 @@
   const double Choice = std::uniform_real_distribution<double>(0, 1)(m_Random);
   double Sum = 0;
   const auto Falls = [&](double Share) { return Choice < (Sum += Share); };
-  if (Falls(m_Shares.Reject))
+  const bool IsFull =
+      m_Stage.empty() && m_Shares.Slots > 0 && m_Running >= m_Shares.Slots;
+  if (IsFull || Falls(m_Shares.Reject))
     Answer.Chosen = Reaction::Reject;
   else if (Falls(m_Shares.Fail))
     Answer.Chosen = Reaction::Fail;
@@ -261,7 +280,9 @@
     Answer.Chosen = Reaction::NameAnother;
   Answer.Runs = !IsPrefill && Answer.Chosen != Reaction::Reject &&
                 (Answer.Chosen != Reaction::CutOff || drawn(0.7));
-  Answer.WorkTime = milliseconds(draw(0U, 5U));
+  if (Answer.Chosen != Reaction::Reject)
+    Answer.WorkTime = milliseconds(
+        draw(0U, static_cast<unsigned>(m_Shares.MaximumWork.count())));
   if (Answer.Chosen == Reaction::Garble)
     Answer.Bytes = "garbled bytes\r\n\r\n";
   else if (Answer.Chosen == Reaction::NameAnother)
--- a/Tests/DrawnAnswers/DrawnServer.h
+++ b/Tests/DrawnAnswers/DrawnServer.h
@@ -64,7 +64,7 @@
   std::optional<CopyTime> Copy;
 };
 
-/// Shares of the requests that a server does not simply answer.
+/// Shares of the requests that a server does not simply answer, and its work.
 struct DrawnShares {
   double Reject = 0.1;
   double Fail = 0.05;
@@ -73,6 +73,10 @@
   double NameAnother = 0.005;
   /// Share of the answers with a second copy.
   double Copy = 0.15;
+  std::chrono::milliseconds MaximumWork{5};
+  /// Requests that a plain server runs at once before it rejects others; 0 for
+  /// no bound.
+  unsigned Slots = 0;
 };
 
 class DrawnServer {
@@ -97,6 +101,7 @@
   /// Empty for a plain server.
   const std::string m_Stage;
   const DrawnShares m_Shares;
+  unsigned m_Running = 0;
   boost::asio::ip::tcp::acceptor m_Acceptor;
 };
 
--- a/Tests/DrawnAnswers/TestDrawnAnswers.cpp
+++ b/Tests/DrawnAnswers/TestDrawnAnswers.cpp
@@ -25,9 +25,6 @@
 namespace {
 
 constexpr unsigned Callers = 16;
-/// Many, as each one is avoided for a while after a failure or a rejection.
-constexpr unsigned PlainServers = 16;
-constexpr unsigned Engines = 18;
 /// More than any request waits for its answer.
 constexpr std::chrono::milliseconds RunsLater{400};
 /// Enough that the retry budget never decides.
@@ -44,6 +41,9 @@
 
 TEST_GROUP(DrawnAnswers) {
   GatewayFixture Fixture{8, UnlimitedRetries};
+  /// Many, as each one is avoided for a while after a failure or a rejection.
+  unsigned PlainServers = 16;
+  unsigned Engines = 18;
   RunLedger Ledger;
   std::deque<DrawnServer> Servers;
   std::deque<DrawnCaller> Requesters;
@@ -99,10 +99,20 @@
   check();
 }
 
-// Failure: late copies of rejections are taken for the answers to later sends
-// of the same requests.
+// Failure: requests wait for the full servers that rejected them, and late
+// copies of the rejections are taken for the answers to their next sends.
 TEST(DrawnAnswers, CopiesOfRejectionsBreakNoPromise) {
-  play(2, {.Reject = 0.3, .Fail = 0, .CutOff = 0, .Copy = 0.5}, 150);
+  Fixture.MaximumConnections = 1;
+  PlainServers = 2;
+  Engines = 3;
+  play(2,
+       {.Reject = 0.02,
+        .Fail = 0,
+        .CutOff = 0,
+        .Copy = 0.5,
+        .MaximumWork = std::chrono::milliseconds(20),
+        .Slots = 2},
+       150);
   check();
 }
 
