--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -131,7 +131,7 @@
 
 void SoakServer::answer(const Caller &Receiver, const ResponseHead &Head,
                         const std::string &Body) {
-  if (m_Behavior == Behavior::SendsSecondCopies)
+  if (m_Behavior == Behavior::SendsSecondCopies || misbehaves())
     m_LastAnswers.try_emplace(
         Receiver,
         Answer{Head, Body, static_cast<unsigned>(m_FramingRandom() % 2)});
@@ -256,7 +256,7 @@
   const std::string Events = field(Message, "X-Soak-Events");
   if (m_Behavior == Behavior::ServerError)
     return Sender->respond(signedHead(AttemptId, 500), "sorry");
-  if (m_Behavior == Behavior::FailsLikeRejection)
+  if (m_Behavior == Behavior::FailsLikeRejection || misbehaves())
     return Sender->respond(
         signedHead(AttemptId, m_FramingRandom() % 2 == 0 ? 503 : 429), "sorry");
   if (m_Behavior == Behavior::DropsConnection && Events.empty())
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -71,7 +71,8 @@
     m_Leaving = false;
   }
   /// Executes at most this many requests at once and rejects others; 0 for no
-  /// bound.
+  /// bound. A full server sends some answers twice, and fails some requests
+  /// like \c FailsLikeRejection.
   void limitSlots(unsigned Slots) { m_Slots = Slots; }
   unsigned slots() const { return m_Slots; }
   /// Says in all responses that it is shutting down, until \c restartAs.
@@ -97,6 +98,8 @@
   void rejectForAWhile(const proxy::Request &Message,
                        const testing::Caller &Sender);
   proxy::ResponseHead successHead(const std::string &AttemptId);
+  /// Whether a server with few slots misbehaves for once.
+  bool misbehaves() { return m_Slots > 0 && m_FramingRandom() % 20 == 0; }
   void respond(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
                const std::string &Body);
   /// Sends an answer with a length, and keeps it for a second copy.
