--- a/Tests/LibDispatch/TestSendHistory.cpp
+++ b/Tests/LibDispatch/TestSendHistory.cpp
@@ -30,8 +30,7 @@
   CHECK(History.notRunBasis() == NotRunBasis::NeverSent);
 }
 
-// Failure: a send whose end nobody recorded, as it was canceled, counts as
-// none.
+// Failure: a canceled send, which has no outcome, counts as not run.
 TEST(SendHistory, SendMayHaveRunUntilTheContraryIsProven) {
   const auto Number = send();
   LONGS_EQUAL(OutcomeUnknownStatus, status());
--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -228,16 +228,13 @@
            Repair);
 }
 
-/// Some faulty servers send more than one answer, one without end, or failures
-/// that look like rejections.
+/// Some faulty servers send more than one answer, or one without end.
 Behavior FaultInjector::withOtherShape(Behavior Drawn) {
   if (Drawn == Behavior::WrongAttemptId && m_ShapeRandom() % 2 == 0)
     return Behavior::SendsSecondCopies;
-  if (Drawn != Behavior::ServerError)
-    return Drawn;
-  constexpr std::array Failures = {
-      Behavior::Endless, Behavior::FailsLikeRejection, Behavior::ServerError};
-  return Failures[m_ShapeRandom() % Failures.size()];
+  if (Drawn == Behavior::ServerError && m_ShapeRandom() % 3 == 0)
+    return Behavior::Endless;
+  return Drawn;
 }
 
 void FaultInjector::beginServer(BootTime Now) {
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -49,6 +49,7 @@
 SoakServer::SoakServer(boost::asio::io_context &Loop, InvariantChecker &Checker,
                        uint64_t Seed, std::string Service, std::string Stage)
     : m_Loop(Loop), m_Checker(Checker), m_Random(Seed), m_FramingRandom(Seed),
+      m_FullRandom(Seed),
       m_Framing(Seed % 2 == 0 ? proxy::BodyFraming::Chunks
                               : proxy::BodyFraming::ConnectionEnd),
       m_Service(std::move(Service)), m_Stage(std::move(Stage)),
@@ -131,20 +132,31 @@
 
 void SoakServer::answer(const Caller &Receiver, const ResponseHead &Head,
                         const std::string &Body) {
-  if (m_Behavior == Behavior::SendsSecondCopies || misbehaves())
-    m_LastAnswers.try_emplace(
-        Receiver,
-        Answer{Head, Body, static_cast<unsigned>(m_FramingRandom() % 2)});
+  if (m_Behavior == Behavior::SendsSecondCopies)
+    m_LastAnswers[Receiver] = {Head, Body};
+  if (misbehaves())
+    m_DueCopies[Receiver].push_back(
+        {Head, Body, static_cast<unsigned>(m_FullRandom() % 2)});
   Receiver->respond(Head, Body);
 }
 
 void SoakServer::sendSecondCopy(const Caller &Receiver) {
   const auto Last = m_LastAnswers.find(Receiver);
-  if (Last == m_LastAnswers.end() || Last->second.Before-- > 0)
+  if (Last != m_LastAnswers.end())
+    Receiver->respond(Last->second.Head, Last->second.Body);
+}
+
+void SoakServer::sendDueCopies(const Caller &Receiver) {
+  const auto Due = m_DueCopies.find(Receiver);
+  if (Due == m_DueCopies.end())
     return;
-  const Answer Copied = Last->second;
-  m_LastAnswers.erase(Last);
-  Receiver->respond(Copied.Head, Copied.Body);
+  std::vector<Answer> Later;
+  for (const Answer &Copy : Due->second)
+    if (Copy.Before == 0)
+      Receiver->respond(Copy.Head, Copy.Body);
+    else
+      Later.push_back({Copy.Head, Copy.Body, Copy.Before - 1});
+  Due->second = std::move(Later);
 }
 
 /// \p Left: more than a gateway takes of any answer.
@@ -178,6 +190,7 @@
     return Sender->abort();
   const std::string &Target = Message.Head.Target;
   sendSecondCopy(Sender);
+  sendDueCopies(Sender);
   if (const std::string Expected = field(Message, "X-Expect-Instance");
       !Expected.empty() && Expected != m_Id) {
     if (!field(Message, "X-Attempt-Id").empty())
@@ -256,9 +269,9 @@
   const std::string Events = field(Message, "X-Soak-Events");
   if (m_Behavior == Behavior::ServerError)
     return Sender->respond(signedHead(AttemptId, 500), "sorry");
-  if (m_Behavior == Behavior::FailsLikeRejection || misbehaves())
+  if (misbehaves())
     return Sender->respond(
-        signedHead(AttemptId, m_FramingRandom() % 2 == 0 ? 503 : 429), "sorry");
+        signedHead(AttemptId, m_FullRandom() % 2 == 0 ? 503 : 429), "sorry");
   if (m_Behavior == Behavior::DropsConnection && Events.empty())
     return Sender->abort();
   if (m_Behavior == Behavior::Endless) {
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace figlift::soak {
 
@@ -29,9 +30,6 @@
   Healthy,
   /// Executes requests and responds with status 500.
   ServerError,
-  /// Executes requests and responds with a status that promises the contrary,
-  /// without the statement that they were not executed.
-  FailsLikeRejection,
   /// Executes requests and breaks off, in streams inside an event.
   DropsConnection,
   /// Responds one second later.
@@ -46,8 +44,8 @@
   RateLimited,
   /// Rejects all requests and asks each time for a pause.
   AsksForPause,
-  /// Sends an answer on a connection once more where the next one, or the one
-  /// after that, is expected.
+  /// Sends the last answer on a connection once more where the next one is
+  /// expected.
   SendsSecondCopies,
   /// Sends the body of an answer, or an event of a stream, without end.
   Endless,
@@ -71,8 +69,9 @@
     m_Leaving = false;
   }
   /// Executes at most this many requests at once and rejects others; 0 for no
-  /// bound. A full server sends some answers twice, and fails some requests
-  /// like \c FailsLikeRejection.
+  /// bound. Such a server also sends some answers twice, where the next answer
+  /// or the one after it is expected, and fails some requests with a status
+  /// that says "not run", without the statement that they were not.
   void limitSlots(unsigned Slots) { m_Slots = Slots; }
   unsigned slots() const { return m_Slots; }
   /// Says in all responses that it is shutting down, until \c restartAs.
@@ -98,14 +97,15 @@
   void rejectForAWhile(const proxy::Request &Message,
                        const testing::Caller &Sender);
   proxy::ResponseHead successHead(const std::string &AttemptId);
-  /// Whether a server with few slots misbehaves for once.
-  bool misbehaves() { return m_Slots > 0 && m_FramingRandom() % 20 == 0; }
+  /// Whether a server with few slots misbehaves this time.
+  bool misbehaves() { return m_Slots > 0 && m_FullRandom() % 20 == 0; }
   void respond(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
                const std::string &Body);
   /// Sends an answer with a length, and keeps it for a second copy.
   void answer(const testing::Caller &Receiver, const proxy::ResponseHead &Head,
               const std::string &Body);
   void sendSecondCopy(const testing::Caller &Receiver);
+  void sendDueCopies(const testing::Caller &Receiver);
   void writeWithoutEnd(const testing::Caller &Receiver, size_t Left);
   void execute(const proxy::Request &Message, const testing::Caller &Sender);
   void prefill(const proxy::Request &Message, const testing::Caller &Sender);
@@ -133,6 +133,7 @@
   std::mt19937_64 m_Random;
   /// A separate source keeps the other choices of each seed unchanged.
   std::mt19937_64 m_FramingRandom;
+  std::mt19937_64 m_FullRandom;
   /// Of streams, and of other successes that are delimited by the connection.
   const proxy::BodyFraming m_Framing;
   std::string m_Service;
@@ -153,9 +154,11 @@
     /// Answers before its copy.
     unsigned Before = 0;
   };
-  /// The answer on each connection whose copy is due, while copies are sent.
-  std::map<std::weak_ptr<proxy::CallerConnection>, Answer, std::owner_less<>>
-      m_LastAnswers;
+  using Connection = std::weak_ptr<proxy::CallerConnection>;
+  /// Last answer on each connection, while copies are sent.
+  std::map<Connection, Answer, std::owner_less<>> m_LastAnswers;
+  /// Answers whose copies are due later, of a server with few slots.
+  std::map<Connection, std::vector<Answer>, std::owner_less<>> m_DueCopies;
   testing::Listener m_Listener;
 };
 
