LibDispatch, figlift-gateway: Begin streams only at versions on record

Callers that took streams up after a kill of all gateways got the rest from another software version. Cause: the record of versions in the store was written after the list of servers had changed, and streams began at once. If all gateways were killed in between, only the older version was known. Class: an effect that becomes visible before the knowledge that it needs is durable.

A stream that may be taken up now begins only at a version that the record has: read, acknowledged by the store, or told by the peer that wrote it. A version that came back counts until the time that the record gives it; after the store's return from a copy the record is read again first. Servers of unrecorded versions get no such streams meanwhile, and all else. Where no other version serves, the stream is refused at once (503, 250 ms) and counted. A service without any record is not held up: a process that starts refuses to take its streams up in any case. Gateways that do not write look for the record after 0.3 to 0.6 s, and less often while it fails.

NoStreamBeginsAtAVersionBeforeItIsRecorded, StreamIsRefusedWhileNoServedVersionIsRecorded and five scenes of TestVersionHistory fail with the check taken out.

--- a/Libraries/LibDispatch/StreamOriginUpdate.h
+++ b/Libraries/LibDispatch/StreamOriginUpdate.h
@@ -27,6 +27,7 @@
 
 struct StreamOriginUpdate {
   StreamOrigin Origin;
+  /// None: the store's record has the version, and streams may begin at it.
   std::vector<StreamKey> Streams;
 };
 
--- a/Libraries/LibDispatch/StreamOrigins.cpp
+++ b/Libraries/LibDispatch/StreamOrigins.cpp
@@ -20,6 +20,8 @@
 void StreamOrigins::applyUpdate(const StreamOriginUpdate &Update,
                                 BootTime Now) {
   m_Versions.recordTold(Update.Origin, Now);
+  if (Update.Streams.empty())
+    m_Versions.recordToldRecorded(Update.Origin);
   for (const StreamKey &Stream : Update.Streams)
     record(Stream, Update.Origin, true, Now);
 }
@@ -68,6 +70,8 @@
     ByOrigin[Known.Origin].push_back(Stream);
   }
   std::vector<StreamOriginUpdate> Updates;
+  for (StreamOrigin &Recorded : m_Versions.takeNewlyRecorded())
+    Updates.push_back({std::move(Recorded), {}});
   for (const auto &[Origin, Streams] : ByOrigin)
     for (size_t I = 0; I < Streams.size(); ++I) {
       if (I % m_Options.MaximumPerUpdate == 0)
--- a/Libraries/LibDispatch/VersionHistory.cpp
+++ b/Libraries/LibDispatch/VersionHistory.cpp
@@ -50,8 +50,10 @@
     const auto Present = Listed.find(Service);
     for (auto &[Name, Entry] : History.Versions)
       if (!Entry.Until &&
-          (Present == Listed.end() || !Present->second.contains(Name)))
+          (Present == Listed.end() || !Present->second.contains(Name))) {
         Entry.Until = lastTakeUp(Service, Entry, Now);
+        Entry.IsToldRecorded = false;
+      }
   }
   for (const auto &[Service, Names] : Listed)
     for (const std::string &Name : Names) {
@@ -137,6 +139,7 @@
 void VersionHistory::applyRecords(const Records &Read,
                                   const StoreClockReading &Clock,
                                   bool FleetStarts) {
+  m_Clock = Clock;
   const bool IsFirst = !std::exchange(m_HasReadRecords, true);
   const bool HasMissedChanges = !std::exchange(m_RecordsKnown, true);
   // A service without a record that was served before by gateways that keep
@@ -145,6 +148,7 @@
     m_CompleteSince = FleetStarts ? FirstStart : Clock.Local;
   else if (HasMissedChanges)
     m_CompleteSince = Clock.Local;
+  m_RecordedServices.emplace();
   for (auto &[Service, History] : m_Services)
     if (!Read.contains(Service)) {
       History.Recorded.reset();
@@ -181,6 +185,7 @@
     Entry.Until = std::max(Entry.Until.value_or(Until), Until);
   }
   History.Recorded = Read;
+  addRecordedService(Service);
 }
 
 /// Exact times are not compared: each gateway notes its own.
@@ -251,13 +256,88 @@
 }
 
 void VersionHistory::recordsWritten(const Records &Written) {
-  for (const auto &[Service, Record] : Written)
-    m_Services[Service].Recorded = Record;
+  for (const auto &[Service, Record] : Written) {
+    ServiceHistory &History = m_Services[Service];
+    History.Recorded = Record;
+    addRecordedService(Service);
+    for (const RecordedVersion &Recorded : Record.Versions)
+      if (!Recorded.Until)
+        m_NewlyRecorded.push_back({Service, Recorded.Name});
+  }
+}
+
+/// Called after recordTold(), which has added the version.
+void VersionHistory::recordToldRecorded(const StreamOrigin &Origin) {
+  ServiceHistory &History = m_Services[Origin.Service];
+  addRecordedService(Origin.Service);
+  if (const auto Found = History.Versions.find(Origin.SoftwareVersion);
+      Found != History.Versions.end())
+    Found->second.IsToldRecorded = true;
 }
 
 void VersionHistory::forgetRecords() {
-  for (auto &[Service, History] : m_Services)
+  m_RecordedServices.reset();
+  for (auto &[Service, History] : m_Services) {
     History.Recorded.reset();
+    for (auto &[Name, Entry] : History.Versions)
+      Entry.IsToldRecorded = false;
+  }
+}
+
+bool VersionHistory::hasNoRecord(const std::string &Service) const {
+  return m_RecordedServices && !m_RecordedServices->contains(Service);
+}
+
+void VersionHistory::addRecordedService(const std::string &Service) {
+  if (m_RecordedServices)
+    m_RecordedServices->insert(Service);
+}
+
+bool VersionHistory::mayBegin(const StreamOrigin &Origin, BootTime Now) const {
+  const auto History = m_Services.find(Origin.Service);
+  return History != m_Services.end() &&
+         mayBegin(Origin.Service, History->second, Origin.SoftwareVersion, Now);
+}
+
+bool VersionHistory::mayBegin(const std::string &Service,
+                              const ServiceHistory &History,
+                              const std::string &Name, BootTime Now) const {
+  if (!m_TakeUpTimes.contains(Service) || hasNoRecord(Service))
+    return true;
+  const auto Found = History.Versions.find(Name);
+  if (Found == History.Versions.end())
+    return false;
+  const Version &Entry = Found->second;
+  if (Entry.IsToldRecorded)
+    return true;
+  if (!History.Recorded || !m_Clock)
+    return false;
+  const RecordedVersion *Recorded = findVersion(*History.Recorded, Name);
+  // A record that was cut has several versions in any case.
+  if (!Recorded)
+    return History.Recorded->IsCut;
+  // Of a version that has come back, the record is written again.
+  return !Recorded->Until ||
+         m_Clock->toLocal(*Recorded->Until) >= Now + takeUpTime(Service, Entry);
+}
+
+bool VersionHistory::hasUnrecorded(const std::string &Service,
+                                   BootTime Now) const {
+  const auto History = m_Services.find(Service);
+  if (History == m_Services.end())
+    return false;
+  return std::any_of(History->second.Versions.begin(),
+                     History->second.Versions.end(), [&](const auto &Version) {
+                       return !Version.second.Until &&
+                              !mayBegin(Service, History->second, Version.first,
+                                        Now);
+                     });
+}
+
+bool VersionHistory::hasUnrecorded(BootTime Now) const {
+  return std::any_of(
+      m_TakeUpTimes.begin(), m_TakeUpTimes.end(),
+      [&](const auto &Service) { return hasUnrecorded(Service.first, Now); });
 }
 
 void VersionHistory::forgetExpired(BootTime Now) {
--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -9,6 +9,10 @@
 // at the start and again after a gap in the list of servers, during which a
 // version may have come and gone.
 //
+// A stream may begin only at a version that the record has. Otherwise it would
+// be visible before anything that outlives the gateways knows its version: if
+// all of them were killed, it would go on at the only version that is known.
+//
 // The class reads no clock: times are passed in with the events.
 //
 //===----------------------------------------------------------------------===//
@@ -25,7 +29,9 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace figlift::dispatch {
 
@@ -101,8 +107,19 @@
   /// kept any more.
   Records unrecorded(const StoreClockReading &Clock, BootTime Now);
   void recordsWritten(const Records &Written);
+  /// A peer has read or written a record with this version.
+  void recordToldRecorded(const StreamOrigin &Origin);
   /// The store may have lost what was written.
   void forgetRecords();
+  /// Versions that this process has written to the record since the last call.
+  std::vector<StreamOrigin> takeNewlyRecorded() {
+    return std::exchange(m_NewlyRecorded, {});
+  }
+  /// Whether streams that clients may take up may begin at this version.
+  bool mayBegin(const StreamOrigin &Origin, BootTime Now) const;
+  /// Whether there is a listed version at which they may not begin.
+  bool hasUnrecorded(const std::string &Service, BootTime Now) const;
+  bool hasUnrecorded(BootTime Now) const;
   /// @}
 
   /// \p ListedAt is when the list of servers was last known to be current.
@@ -116,13 +133,15 @@
     std::optional<BootTime> Until;
     /// The longest that a stream of this version may be taken up.
     std::chrono::milliseconds TakeUpTime{0};
+    /// A peer has told that the record has the version.
+    bool IsToldRecorded = false;
   };
   struct ServiceHistory {
     std::map<std::string, Version> Versions;
     /// All versions at which streams began since then are in Versions, unless
     /// their time is over. Empty if no record of the service was read.
     std::optional<BootTime> CompleteSince;
-    /// The record in the store; empty if there is none.
+    /// The record in the store; empty if there is none, or if it is not known.
     std::optional<VersionRecord> Recorded;
   };
 
@@ -140,12 +159,23 @@
   VersionRecord makeRecord(const ServiceHistory &History,
                            const StoreClockReading &Clock) const;
   bool isRecorded(const ServiceHistory &History) const;
+  bool hasNoRecord(const std::string &Service) const;
+  void addRecordedService(const std::string &Service);
+  bool mayBegin(const std::string &Service, const ServiceHistory &History,
+                const std::string &Name, BootTime Now) const;
   void cut(VersionRecord &Record) const;
   void forgetExpired(BootTime Now);
 
   VersionHistoryOptions m_Options;
   std::map<std::string, ServiceHistory> m_Services;
   TakeUpTimes m_TakeUpTimes;
+  std::vector<StreamOrigin> m_NewlyRecorded;
+  /// Services that have a record in the store; empty if that is not known. A
+  /// process that starts refuses streams of a service without one, which may
+  /// therefore begin at any version.
+  std::optional<std::set<std::string>> m_RecordedServices;
+  /// To convert the times of a record; empty before the first read.
+  std::optional<StoreClockReading> m_Clock;
   BootTime m_ListedAt{};
   bool m_RecordsKnown = false;
   bool m_HasReadRecords = false;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -120,7 +120,7 @@
 }
 
 void RequestFlow::plan() {
-  if (rejectIfSuspected() || rejectIfVersionLeft())
+  if (rejectIfSuspected() || rejectIfVersionLeft() || rejectIfUnrecorded())
     return;
   if (const dispatch::Service *Service = engineService())
     return planPrompt(*Service);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -73,6 +73,7 @@
   dispatch::ServicePlan servicePlan(BootTime Now);
   /// Open targets that this request may use.
   OpenTargets::List usableTargets() const;
+  OpenTargets::List recordedTargets() const;
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
@@ -128,6 +129,11 @@
   void recordStreamEnd();
   bool mayUseVersionOf(const std::string &TargetId) const;
   bool rejectIfVersionLeft();
+  bool rejectIfUnrecorded();
+  /// Whether the request begins a stream that its caller may take up elsewhere.
+  bool beginsResumable() const {
+    return !m_BoundVersion && streaming() && m_Route.Resumable;
+  }
   void logResumed(const dispatch::OriginLookup &Origin);
   /// @}
   /// \name Detection of requests that crash servers.
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -36,11 +36,26 @@
     });
     return Targets;
   }
+  if (beginsResumable() &&
+      m_Shared.Origins.versions().hasUnrecorded(m_Service, BootClock::now()))
+    return recordedTargets();
   if (engineService())
     return m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject());
   return m_Shared.Open.used(m_Service);
 }
 
+/// All targets at which a stream may begin that its caller may take up
+/// elsewhere, as this gateway's part of the targets may have none.
+OpenTargets::List RequestFlow::recordedTargets() const {
+  const BootTime Now = BootClock::now();
+  OpenTargets::List Targets = m_Shared.Open.all(m_Service);
+  std::erase_if(Targets, [&](const dispatch::Target *Candidate) {
+    return !m_Shared.Origins.versions().mayBegin(
+        {m_Service, Candidate->SoftwareVersion}, Now);
+  });
+  return Targets;
+}
+
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
   return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
                                 usableTargets(), Now);
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -23,6 +23,8 @@
 
 /// Another gateway may know where the stream began.
 constexpr milliseconds UnknownOriginRetryAfter{50};
+/// The record of a new version is usually written by then.
+constexpr milliseconds UnrecordedRetryAfter{250};
 
 /// Short text for the log and the metrics.
 std::string_view describe(const OriginLookup &Origin) {
@@ -135,7 +137,30 @@
 }
 
 bool RequestFlow::mayUseVersionOf(const std::string &TargetId) const {
-  return !m_BoundVersion || softwareVersionOf(TargetId) == *m_BoundVersion;
+  if (m_BoundVersion)
+    return softwareVersionOf(TargetId) == *m_BoundVersion;
+  return !beginsResumable() ||
+         m_Shared.Origins.versions().mayBegin(
+             {m_Service, softwareVersionOf(TargetId)}, BootClock::now());
+}
+
+/// Refuses a stream that could begin only at a version that is not in the
+/// store's record.
+bool RequestFlow::rejectIfUnrecorded() {
+  if (!beginsResumable() || m_Shared.Open.all(m_Service).empty() ||
+      !usableTargets().empty())
+    return false;
+  m_Shared.Metrics
+      .counter("figlift_gateway_unrecorded_version_refusals_total",
+               "Streams refused as no server has a software version that the "
+               "store's record has",
+               {{"service", m_Service}})
+      .add();
+  releaseHandle();
+  respondWithError(m_History.errorStatus(),
+                   "no server of a software version that is recorded",
+                   UnrecordedRetryAfter);
+  return true;
 }
 
 /// Refuses to go on with a stream if no server of its version takes work. Its
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -33,6 +33,11 @@
 /// store rejects for good must not keep it busy.
 constexpr milliseconds RetryDelay{300};
 constexpr unsigned MaximumDoublings = 5;
+/// Delay until a gateway that does not write looks whether a new version is in
+/// the record, plus a random part of up to the same length. The writer tells
+/// its peers, but datagrams may be lost. It doubles with each look in vain.
+constexpr milliseconds LookDelay{300};
+constexpr unsigned MaximumLookDoublings = 3;
 
 } // namespace
 
@@ -99,7 +104,33 @@
                 {{"services", Records.size()}});
 }
 
+/// Streams may not begin at a version before this process knows that the record
+/// has it.
+void VersionRecorder::readForUnrecorded(BootTime Now) {
+  if (!m_Shared.Origins.versions().hasUnrecorded(Now)) {
+    m_NextLook.reset();
+    m_Looks = 0;
+    return;
+  }
+  const auto Delay = std::chrono::duration_cast<BootClock::duration>(
+      LookDelay * (1U << std::min(m_Looks, MaximumLookDoublings)) *
+      (1 + m_Shared.draw()));
+  if (!m_NextLook) {
+    m_NextLook = Now + Delay;
+    log::logEvent(log::Level::Info, "software-version-unrecorded", {});
+    return;
+  }
+  if (Now < *m_NextLook)
+    return;
+  ++m_Looks;
+  m_NextLook = Now + Delay;
+  read();
+}
+
 void VersionRecorder::writeChanges(size_t Before, BootTime Now) {
+  readForUnrecorded(Now);
+  if (m_CallPending)
+    return;
   const auto Changed = m_Shared.Origins.versions().unrecorded(*m_Clock, Now);
   if (Changed.empty()) {
     m_ChangedAt.reset();
--- a/Services/figlift-gateway/VersionRecorder.h
+++ b/Services/figlift-gateway/VersionRecorder.h
@@ -33,6 +33,7 @@
 
 private:
   void read();
+  void readForUnrecorded(BootTime Now);
   void recordsRead(const slopes::RowsRead &Read);
   void writeChanges(size_t Before, BootTime Now);
   void write(const std::string &Service, const dispatch::VersionRecord &Record);
@@ -51,6 +52,11 @@
   /// Since when the record lacks a change; empty if it lacks none.
   std::optional<BootTime> m_ChangedAt;
   BootTime m_ReadAt{};
+  /// When to look next whether another gateway has recorded a listed version;
+  /// empty while the record is known to have all.
+  std::optional<BootTime> m_NextLook;
+  /// Consecutive ones in vain.
+  unsigned m_Looks = 0;
   /// Service whose record was written last, or could not be.
   std::string m_LastTried;
   /// Consecutive ones.
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -250,6 +250,8 @@
     return watch(From, Table, After,
                  milliseconds(std::stoul(queryValue(Target, "waitMs"))));
   }
+  if (RejectsTransactions)
+    return respond(From, 503, "");
   transact(Request, From);
 }
 
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -98,6 +98,8 @@
   /// @{
   /// Rejects every call with status 503.
   bool Unavailable = false;
+  /// Rejects transactions with status 503, and serves reads.
+  bool RejectsTransactions = false;
   /// Accepts calls and never responds.
   bool Silent = false;
   /// Delays each response by a random time of up to twice this value, so that
--- a/Tests/LibDispatch/TestVersionHistory.cpp
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -67,6 +67,9 @@
       Gateway.recordListKnown(Now);
     }
   }
+  bool mayBegin(const std::string &Version) const {
+    return Gateway.mayBegin({Service, Version}, Now);
+  }
   /// The only version, or why it is not known.
   std::string find() {
     const auto Found = Gateway.find(Service, Now, Now);
@@ -333,3 +336,75 @@
   pass(seconds(125));
   checkFound("v1");
 }
+
+// Failure: streams begin at a version of which a gateway that starts after a
+// kill of all would not know.
+TEST(VersionHistory, StreamsBeginAtVersionsOnRecordOnly) {
+  CHECK(mayBegin("v1"));
+  list({"v1", "v2"});
+  CHECK(mayBegin("v1"));
+  CHECK_FALSE(mayBegin("v2"));
+  CHECK(Gateway.hasUnrecorded(Service, Now));
+  write();
+  CHECK(mayBegin("v2"));
+  CHECK_FALSE(Gateway.hasUnrecorded(Service, Now));
+}
+
+// Failure: a version leaves and comes back, and its streams outlive the time
+// that the record gives it.
+TEST(VersionHistory, VersionThatCameBackIsRecordedAgain) {
+  list({"v1", "v2"});
+  write();
+  list({"v1"});
+  write();
+  pass(seconds(10));
+  list({"v1", "v2"});
+  CHECK_FALSE(mayBegin("v2"));
+  write();
+  CHECK(mayBegin("v2"));
+}
+
+// Failure: streams wait for a record of which a process that starts would know
+// nothing in any case.
+TEST(VersionHistory, StreamsBeginAtAnyVersionWithoutARecord) {
+  Gateway = VersionHistory();
+  Store.clear();
+  configure(RouteTimeout);
+  list({"v1"});
+  CHECK_FALSE(mayBegin("v1"));
+  read();
+  CHECK(mayBegin("v1"));
+}
+
+// Failure: the store comes back from a copy without a version, and its streams
+// go on beginning.
+TEST(VersionHistory, RecordLostByTheStoreDoesNotCount) {
+  list({"v1", "v2"});
+  write();
+  Gateway.forgetRecords();
+  CHECK_FALSE(mayBegin("v1"));
+  CHECK_FALSE(mayBegin("v2"));
+  write();
+  CHECK(mayBegin("v1"));
+  CHECK(mayBegin("v2"));
+}
+
+// Failure: gateways that do not write get no streams of a new version for long.
+TEST(VersionHistory, RecordThatAPeerToldOfCounts) {
+  list({"v1", "v2"});
+  Gateway.recordTold({Service, "v2"}, Now);
+  CHECK_FALSE(mayBegin("v2"));
+  Gateway.recordToldRecorded({Service, "v2"});
+  CHECK(mayBegin("v2"));
+  Gateway.forgetRecords();
+  CHECK_FALSE(mayBegin("v2"));
+}
+
+// Failure: peers are told of a version before it is on record, or never.
+TEST(VersionHistory, PeersAreToldOfWhatWasWritten) {
+  Gateway.takeNewlyRecorded();
+  list({"v1", "v2"});
+  CHECK(Gateway.takeNewlyRecorded().empty());
+  write();
+  LONGS_EQUAL(2, Gateway.takeNewlyRecorded().size());
+}
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -56,15 +56,30 @@
 
   /// Lists "d1", "d2" and so on, of these software versions.
   void startEngines(const std::vector<std::string> &Versions) {
-    for (const std::string &Version : Versions) {
-      Engines.push_back(
-          std::make_unique<RawServer>(Fixture.Loop, breakOffNewStreams));
-      Fixture.SoftwareVersion = Version;
-      Fixture.listServer("d" + std::to_string(Engines.size()), "model",
-                         Engines.back()->address(), "decode");
-    }
+    for (const std::string &Version : Versions)
+      listEngine(Version);
     startServing(Versions.size());
   }
+  void listEngine(const std::string &Version) {
+    Engines.push_back(
+        std::make_unique<RawServer>(Fixture.Loop, breakOffNewStreams));
+    Fixture.SoftwareVersion = Version;
+    Fixture.listServer("d" + std::to_string(Engines.size()), "model",
+                       Engines.back()->address(), "decode");
+  }
+  void restartGateway() {
+    Fixture.killGateway();
+    Fixture.startGateway();
+    CHECK(Fixture.waitUntilReady());
+  }
+  /// A new stream reaches the engine with this index.
+  void waitForStreamAt(size_t Index) {
+    unsigned Attempts = 0;
+    CHECK(Fixture.waitUntil([&] {
+      request("begin" + std::to_string(++Attempts), "");
+      return !Engines[Index]->Requests.empty();
+    }));
+  }
   void startServing(size_t Count) {
     Fixture.configure();
     CHECK(Fixture.waitUntilReady());
@@ -214,6 +229,56 @@
   CHECK(isCompleteStream(resume("a2", "elsewhere")));
 }
 
+// Failure: streams begin at a version that the store's record does not have,
+// all gateways are killed, and the streams go on at the only version on record.
+TEST(StreamVersions, NoStreamBeginsAtAVersionBeforeItIsRecorded) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.RejectsTransactions = true;
+  listEngine("v2");
+  waitForTargets(2);
+  constexpr unsigned Streams = 8;
+  for (unsigned I = 0; I < Streams; ++I)
+    CHECK(contains(request("a" + std::to_string(I), ""), FirstEvent));
+  LONGS_EQUAL(Streams, Engines[0]->Requests.size());
+  LONGS_EQUAL(0, Engines[1]->Requests.size());
+  Fixture.Store.remove("servers", "d2");
+  restartGateway();
+  waitForTargets(1);
+  CHECK(isCompleteStream(resume("b1", "a1")));
+}
+
+// Failure: new engines get no streams although their version is on record.
+TEST(StreamVersions, StreamsBeginAtAVersionOnceItIsRecorded) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.RejectsTransactions = true;
+  listEngine("v2");
+  waitForTargets(2);
+  Fixture.Store.RejectsTransactions = false;
+  waitForStreamAt(1);
+}
+
+// Failure: a stream that can begin nowhere waits until its deadline.
+TEST(StreamVersions, StreamIsRefusedWhileNoServedVersionIsRecorded) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.RejectsTransactions = true;
+  listEngine("v2");
+  waitForTargets(2);
+  Fixture.Store.remove("servers", "d1");
+  waitForTargets(1);
+  const std::string Answer = request("a2", "");
+  CHECK(contains(Answer, "HTTP/1.1 503"));
+  CHECK(contains(Answer, "Retry-After"));
+  LONGS_EQUAL(0, Engines[1]->Requests.size());
+  CHECK(contains(Fixture.metrics(),
+                 "figlift_gateway_unrecorded_version_refusals_total"
+                 "{service=\"model\"} 1"));
+  Fixture.Store.RejectsTransactions = false;
+  waitForStreamAt(1);
+}
+
 // Failure: a caller waits until its deadline for a version that has left, or
 // gets another one.
 TEST(StreamVersions, StreamIsRefusedWhenItsVersionHasLeft) {
