Tests/CutHeads: Cut answers at each byte of their head

Reported elsewhere: servers that stop inside their answer's head, and callers that get a 200 which looks whole. Orders, prefill, store and peers are covered by the parser's test alone.

--- a/Tests/LibProxy/TestResponseParser.cpp
+++ b/Tests/LibProxy/TestResponseParser.cpp
@@ -136,3 +136,45 @@
   CHECK(Parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") ==
         State::Complete);
 }
+
+// Failure: a server stops in the middle of its answer's head and closes, and
+// the caller gets an empty or short body that looks whole.
+TEST(ResponseParser, HeadCutAtAnyByteIsNoResponse) {
+  const std::string Fields = "X-Attempt-Id: a\r\nX-Response-Signature: s\r\n";
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string Before : {std::string(), Interim, Interim + Interim})
+    for (const std::string LineEnd : {"\r\n", "\n"})
+      for (const std::string Framing :
+           {std::string("Content-Length: 12"), std::string("Content-Length: 0"),
+            std::string("Transfer-Encoding: chunked"),
+            std::string("Connection: close")}) {
+        const std::string Head = Before + "HTTP/1.1 200 OK\r\n" + Fields +
+                                 Framing + LineEnd + LineEnd;
+        for (size_t Cut = 0; Cut < Head.size() - LineEnd.size(); ++Cut)
+          for (const bool IsByteByByte : {false, true}) {
+            Parser = ResponseParser();
+            for (size_t At = 0; IsByteByByte && At < Cut; ++At)
+              Parser.feed(std::string_view(Head).substr(At, 1));
+            if (!IsByteByByte)
+              Parser.feed(std::string_view(Head).substr(0, Cut));
+            CHECK(Parser.state() != State::Complete);
+            CHECK(Parser.state() != State::Body);
+            CHECK(Parser.finish() == State::Failed);
+          }
+      }
+}
+
+// Failure: the same, where the answer to an earlier request was skipped first.
+TEST(ResponseParser, HeadCutAfterASkippedResponseIsNoResponse) {
+  const std::string Other = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+  for (size_t Cut = 0; Cut < Head.size(); ++Cut) {
+    Parser = ResponseParser();
+    Parser.feed(Other + Head.substr(0, Cut));
+    CHECK(Parser.state() == State::Complete);
+    Parser.next();
+    Parser.feed({});
+    CHECK(Parser.state() == State::Head);
+    CHECK(Parser.finish() == State::Failed);
+  }
+}
