Tests/LibProxy: Let the timer come before the read that it must wait for

The scenes of a request that arrives before a late timer passed on the code before their mend too, found by taking the mechanism out of a scratch copy: within one turn the loop handles reads first. It takes 128 ready sockets in a turn. With 122 to 132 others ready before, one turn ends between the timer and the caller's socket. The checks are as strict as before.

--- a/Tests/LibProxy/TestEndedInput.cpp
+++ b/Tests/LibProxy/TestEndedInput.cpp
@@ -16,8 +16,10 @@
 
 namespace {
 
-/// More ready sockets than the event loop takes in one turn.
-constexpr size_t OtherSockets = 300;
+/// The event loop takes 128 ready sockets in one turn. With these numbers of
+/// others, one turn ends between the timer and the caller's socket.
+constexpr size_t FewestOthers = 122;
+constexpr size_t MostOthers = 132;
 const std::string PlainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 } // namespace
@@ -27,8 +29,9 @@
   std::deque<Socket> Others;
 
   /// Sockets that become ready before what is sent from now on.
-  void makeOthersReady() {
-    for (size_t I = 0; I < OtherSockets; ++I) {
+  void makeOthersReady(size_t Count) {
+    Others.clear();
+    for (size_t I = 0; I < Count; ++I) {
       Socket &Read = Others.emplace_back(Loop);
       Socket &Write = Others.emplace_back(Loop);
       asio::local::connect_pair(Read, Write);
@@ -38,6 +41,22 @@
     for (size_t I = 1; I < Others.size(); I += 2)
       asio::write(Others[I], asio::buffer("x", 1));
   }
+  /// Opens a connection, sends \p First, lets a timeout pass while the loop
+  /// stands still, and sends \p Rest.
+  void sendAround(size_t OthersReady, const std::string &First,
+                  const std::string &Rest) {
+    Caller = tcp::socket(Loop);
+    Received.clear();
+    Ended = false;
+    Handler.Requests.clear();
+    Handler.RejectedStatus = 0;
+    open();
+    send(First);
+    Loop.run_for(milliseconds(5));
+    makeOthersReady(OthersReady);
+    stall(milliseconds(70));
+    send(Rest);
+  }
   void endInput() { Caller.shutdown(tcp::socket::shutdown_send); }
   void openWithRequest() {
     Handler.RespondImmediately = false;
@@ -51,40 +70,36 @@
 // its next request has arrived.
 TEST(EndedInput, RequestIsReadBeforeTheIdleTimeoutBesideOthers) {
   Limits.IdleTimeout = milliseconds(60);
-  open();
-  send(PlainRequest);
-  CHECK(receives("ok"));
-  makeOthersReady();
-  stall(milliseconds(70));
-  send(PlainRequest);
-  CHECK(until([&] { return Handler.Requests.size() == 2; }));
+  for (size_t Count = FewestOthers; Count <= MostOthers; ++Count) {
+    sendAround(Count, PlainRequest, PlainRequest);
+    CHECK(
+        until([&] { return Handler.Requests.size() == 2 || Handler.Closed; }));
+    LONGS_EQUAL(2, Handler.Requests.size());
+    Handler.LastCaller->abort();
+    Handler.Closed = false;
+  }
 }
 
 // Failure: after a pause of the process a request gets 408 although all of its
 // head has arrived.
 TEST(EndedInput, HeadIsReadBeforeItsTimeoutBesideOthers) {
   Limits.HeadTimeout = milliseconds(60);
-  open();
-  send(PlainRequest.substr(0, 10));
-  Loop.run_for(milliseconds(5));
-  makeOthersReady();
-  stall(milliseconds(70));
-  send(PlainRequest.substr(10));
-  CHECK(receives("ok"));
-  LONGS_EQUAL(0, Handler.RejectedStatus);
+  for (size_t Count = FewestOthers; Count <= MostOthers; ++Count) {
+    sendAround(Count, PlainRequest.substr(0, 10), PlainRequest.substr(10));
+    CHECK(receives("HTTP/1.1 "));
+    LONGS_EQUAL(0, Handler.RejectedStatus);
+    LONGS_EQUAL(1, Handler.Requests.size());
+  }
 }
 
 // Failure: a caller that sends its head byte by byte is never cut off, as some
 // of it has always arrived.
 TEST(EndedInput, IncompleteHeadIsRejectedAfterThatRead) {
   Limits.HeadTimeout = milliseconds(60);
-  open();
-  send(PlainRequest.substr(0, 10));
-  Loop.run_for(milliseconds(5));
-  makeOthersReady();
-  stall(milliseconds(70));
-  send(PlainRequest.substr(10, 1));
-  CHECK(receives("HTTP/1.1 408"));
+  for (size_t Count = FewestOthers; Count <= MostOthers; ++Count) {
+    sendAround(Count, PlainRequest.substr(0, 10), PlainRequest.substr(10, 1));
+    CHECK(receives("HTTP/1.1 408"));
+  }
 }
 
 // Failure: a caller ends its input, waits for its answer and gets none.
