--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -78,9 +78,61 @@
     beginPause(Now);
   if (m_HasRollouts)
     rollOut(Now);
+  if (m_InterruptsMore && !m_PlannedOnly) {
+    cutHeads(Now);
+    beginCanary(Now);
+  }
   m_PlannedOnly ? beginPlanned(Now) : beginFault(Now);
 }
 
+void FaultInjector::cutHeads(BootTime Now) {
+  const auto Server =
+      static_cast<unsigned>(m_InterruptRandom() % m_Fleet.servers());
+  const std::string Name = fmt::format("link 2 {}", Server);
+  if (m_InterruptRandom() % 3 != 0 || isActive(Name))
+    return;
+  m_History.push_back(Name + " cuts heads");
+  m_Fleet.setLink(Link::Server, Server, LinkFault::CutHeads);
+  constexpr unsigned MaximumTimeMs = 1500;
+  activate(Name, {InvariantChecker::Servers, InvariantChecker::ServerLinks},
+           Now + milliseconds(m_InterruptRandom() % MaximumTimeMs),
+           [this, Server] {
+             m_Fleet.setLink(Link::Server, Server, LinkFault::None);
+           });
+}
+
+/// Streams must not begin at a version that a gateway which starts would not
+/// know of.
+void FaultInjector::beginCanary(BootTime Now) {
+  constexpr milliseconds Interval{4000};
+  // The versions of before are on record by then.
+  if (m_NextCanary == BootTime{})
+    m_NextCanary = Now + Interval;
+  if (Now < m_NextCanary || isActive("store"))
+    return;
+  m_NextCanary = Now + Interval;
+  const unsigned Engine =
+      m_Fleet.servers() - 1 -
+      static_cast<unsigned>(m_InterruptRandom() % (SoakFleet::Engines - 1));
+  m_History.push_back(fmt::format("server {} is a canary", Engine));
+  m_Fleet.store().RejectsTransactions = true;
+  const std::string Before = m_Fleet.version(Engine);
+  m_Fleet.replaceAs(Engine, fmt::format("canary-{}", ++m_Canaries));
+  const auto End = [this, Engine, Before] {
+    for (unsigned I = 0; I < m_Fleet.gateways(); ++I)
+      sendSignal(I, Signal::Kill);
+    m_Fleet.replaceAs(Engine, Before);
+    m_Fleet.store().RejectsTransactions = false;
+  };
+  constexpr unsigned MinimumTimeMs = 800;
+  constexpr unsigned TimeSpreadMs = 1000;
+  // Takes the name of store faults, so that none of them overlaps.
+  activate("store", {InvariantChecker::AllGateways, InvariantChecker::Servers},
+           Now +
+               milliseconds(MinimumTimeMs + m_InterruptRandom() % TimeSpreadMs),
+           End);
+}
+
 /// Replaces an engine, or kills a gateway.
 void FaultInjector::rollOut(BootTime Now) {
   if (m_RolloutRandom() % 2 == 0) {
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -48,8 +48,15 @@
         m_HasServerFeedback(hasServerFeedback(Seed)),
         m_HasRollouts(hasRollouts(Seed)), m_Random(Seed), m_CopyRandom(Seed),
         m_LimitRandom(Seed), m_FeedbackRandom(Seed), m_RolloutRandom(Seed),
-        m_ShapeRandom(Seed) {}
+        m_ShapeRandom(Seed), m_InterruptRandom(Seed) {}
 
+  /// From now on also cuts answers inside their heads, and lists an engine of
+  /// another software version for a moment that ends with a kill of all
+  /// gateways, while the store takes no writes.
+  void interruptMore() {
+    m_InterruptsMore = true;
+    m_Fleet.keepVersions();
+  }
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
   bool calm() const { return m_ActiveFaults.empty(); }
@@ -79,6 +86,8 @@
   void beginReplacement(BootTime Now);
   void beginPause(BootTime Now);
   void rollOut(BootTime Now);
+  void cutHeads(BootTime Now);
+  void beginCanary(BootTime Now);
   void activate(const std::string &Name,
                 const std::vector<std::string> &Affected, BootTime Until,
                 std::function<void()> Repair);
@@ -100,6 +109,10 @@
   std::mt19937_64 m_FeedbackRandom;
   std::mt19937_64 m_RolloutRandom;
   std::mt19937_64 m_ShapeRandom;
+  std::mt19937_64 m_InterruptRandom;
+  bool m_InterruptsMore = false;
+  BootTime m_NextCanary{};
+  unsigned m_Canaries = 0;
   std::vector<ActiveFault> m_ActiveFaults;
   std::vector<std::string> m_History;
   BootTime m_NextFault{};
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -45,6 +45,9 @@
   seconds Length{15};
   /// Plain servers have few slots.
   bool Full = false;
+  /// Callers end their input, heads are cut, and versions come and go around
+  /// kills of all gateways.
+  bool Interrupted = false;
   std::filesystem::path Folder;
 };
 
@@ -64,13 +67,18 @@
       return report({});
     }
     FaultInjector Faults(Fleet, m_Checker, m_Seed);
+    if (m_Options.Interrupted)
+      Faults.interruptMore();
     std::vector<std::unique_ptr<SoakCaller>> Callers;
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
           m_Loop, m_Checker, m_Seed * 1000 + I, fmt::format("c{}", I),
           Fleet.gatewayEndpoints(), promptTokens(), crashingRequests(),
-          hasRollouts(m_Seed) ? Preference::ResumableStreams
-                              : Preference::None));
+          hasRollouts(m_Seed) || m_Options.Interrupted
+              ? Preference::ResumableStreams
+              : Preference::None));
+      if (m_Options.Interrupted)
+        Callers.back()->endInputSometimes();
       Callers.back()->start();
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
@@ -234,6 +242,8 @@
   Add("callers", "concurrent callers",
       cxxopts::value<unsigned>()->default_value("24"));
   Add("full", "plain servers have few slots, and are full most of the time");
+  Add("interrupted", "heads are cut, callers end their input, and versions "
+                     "come and go around kills of all gateways");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -250,6 +260,7 @@
   RunOptions.Callers = Parsed["callers"].as<unsigned>();
   RunOptions.Length = seconds(Parsed["seconds"].as<unsigned>());
   RunOptions.Full = Parsed.count("full") > 0;
+  RunOptions.Interrupted = Parsed.count("interrupted") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -34,8 +34,9 @@
                        Preference Preferred)
     : m_Socket(Loop), m_NextTimer(Loop), m_ResponseTimer(Loop),
       m_Checker(Checker), m_Random(Seed), m_PartRandom(Seed),
-      m_Name(std::move(Name)), m_Gateways(std::move(Gateways)),
-      m_PromptTokens(PromptTokens), m_IgnoresClose(Seed % 2 == 0),
+      m_InputRandom(Seed), m_Name(std::move(Name)),
+      m_Gateways(std::move(Gateways)), m_PromptTokens(PromptTokens),
+      m_IgnoresClose(Seed % 2 == 0),
       m_Version(Seed % 8 == 5 ? "HTTP/1.0" : "HTTP/1.1"),
       m_CrashChoice(CrashChoice),
       m_PrefersStreams(Preferred == Preference::ResumableStreams) {}
@@ -146,6 +147,9 @@
   const Route &Chosen =
       Routes[IsStream ? ResumableRoute : draw(0, Routes.size() - 1)];
   m_IsResumable = &Chosen == &Routes[ResumableRoute];
+  constexpr unsigned UnsafePerEndOfInput = 3;
+  m_IsLastOfInput = m_EndsInput && Chosen.Path == "/unsafe/" &&
+                    m_InputRandom() % UnsafePerEndOfInput == 0;
   // Any caller may repeatedly send requests that crash servers.
   const bool CrashesServer = m_CrashChoice == CrashingRequests::Repeated &&
                              Chosen.Path == "/unsafe/" &&
@@ -186,10 +190,15 @@
   m_Parser = proxy::ResponseParser();
   m_Body.clear();
   auto Text = std::make_shared<std::string>(requestText());
-  asio::async_write(m_Socket, asio::buffer(*Text),
-                    [Text](const ErrorCode &, size_t) {
-                      // A failure also fails the read.
-                    });
+  asio::async_write(
+      m_Socket, asio::buffer(*Text),
+      [this, Text, Exchange = m_ExchangeId](const ErrorCode &Code, size_t) {
+        // A failure also fails the read.
+        if (Code || Exchange != m_ExchangeId || !m_IsLastOfInput)
+          return;
+        ErrorCode Ignored; // The gateway may have closed.
+        m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+      });
   // One in thirty requests is canceled before or during its response.
   if (draw(1, 30) == 1)
     disconnectAfter(milliseconds(draw(1, 60)));
@@ -256,7 +265,7 @@
   m_Checker.recordOutcome(Result, BootClock::now());
   considerResuming(Status);
   m_ResponseTimer.cancel();
-  if (Status == 0 || Connection == ConnectionState::Ended ||
+  if (Status == 0 || m_IsLastOfInput || Connection == ConnectionState::Ended ||
       (m_Closing && !m_IgnoresClose))
     closeConnection();
   scheduleNext();
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -45,6 +45,8 @@
              CrashingRequests CrashChoice, Preference Preferred);
   void start() { scheduleNext(); }
   void stop() { m_Stopped = true; }
+  /// Ends its input after some requests that may not be repeated, and waits.
+  void endInputSometimes() { m_EndsInput = true; }
   bool idle() const { return m_Idle; }
 
 private:
@@ -81,6 +83,7 @@
   std::mt19937_64 m_Random;
   /// A separate source keeps the other choices of each seed unchanged.
   std::mt19937_64 m_PartRandom;
+  std::mt19937_64 m_InputRandom;
   const std::string m_Name;
   const std::vector<GatewayEndpoint> m_Gateways;
   /// Length of the shared prefix of each prompt. It decides whether prefill or
@@ -98,6 +101,9 @@
   std::string m_AttemptId;
   unsigned m_Events = 0;
   bool m_IsResumable = false;
+  bool m_EndsInput = false;
+  /// The caller ends its input after the present request.
+  bool m_IsLastOfInput = false;
   /// A stream that broke and is resumed with the next request.
   struct BrokenStream {
     /// Attempt that brought its first event.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -74,6 +74,8 @@
     return "drop-down";
   case LinkFault::Delay:
     return "delay";
+  case LinkFault::CutHeads:
+    return "cut-heads";
   case LinkFault::None:
     return "pass";
   }
@@ -322,10 +324,21 @@
     Server.restartAs(OldId, Server.version());
     return publish(Index, "ready");
   }
-  ++m_IncarnationCount;
-  Server.restartAs(
-      fmt::format("s{}-{}", Index, m_IncarnationCount),
-      fmt::format("v{}", m_IncarnationCount / VersionLifetime + 1));
+  replaceAs(
+      Index,
+      m_KeepsVersions
+          ? Server.version()
+          : fmt::format("v{}", (m_IncarnationCount + 1) / VersionLifetime + 1));
+}
+
+void SoakFleet::replaceAs(unsigned Index, const std::string &Version) {
+  SoakServer &Server = *m_Servers[Index];
+  const std::string OldId = Server.id();
+  Incarnation &Current = m_ServerIncarnations[Index];
+  Current.Started += 1000;
+  Current.Heartbeats = 0;
+  Current.Draining = false;
+  Server.restartAs(fmt::format("s{}-{}", Index, ++m_IncarnationCount), Version);
   m_Store.remove("servers", OldId);
   publish(Index, "ready");
 }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -27,7 +27,15 @@
 /// processes to a server.
 enum class Link { Store, Callers, Server };
 
-enum class LinkFault { Cut, Freeze, LoseRequests, LoseResponses, Delay, None };
+enum class LinkFault {
+  Cut,
+  Freeze,
+  LoseRequests,
+  LoseResponses,
+  Delay,
+  CutHeads,
+  None
+};
 
 class SoakFleet {
 public:
@@ -57,6 +65,13 @@
   }
   /// Replaces the server by another one at the same address.
   void replace(unsigned Index);
+  /// Servers that are replaced keep their software version from now on.
+  void keepVersions() { m_KeepsVersions = true; }
+  /// Replaces the server by one of this software version.
+  void replaceAs(unsigned Index, const std::string &Version);
+  const std::string &version(unsigned Index) const {
+    return m_Servers[Index]->version();
+  }
   /// Publishes the server as draining.
   void drain(unsigned Index);
   /// The server says that it is shutting down in its responses, but publishes
@@ -125,6 +140,7 @@
   };
   std::map<unsigned, Incarnation> m_ServerIncarnations;
   unsigned m_IncarnationCount = 0;
+  bool m_KeepsVersions = false;
   /// Number of server crashes caused by requests.
   unsigned m_CrashCount = 0;
   BootTime m_LastTick{};
--- a/Tests/StandIns/fault-proxy/Control.cpp
+++ b/Tests/StandIns/fault-proxy/Control.cpp
@@ -22,7 +22,7 @@
     {"pass", LinkMode::Pass},          {"cut", LinkMode::Cut},
     {"refuse", LinkMode::Refuse},      {"drop-up", LinkMode::DropUp},
     {"drop-down", LinkMode::DropDown}, {"freeze", LinkMode::Freeze},
-    {"delay", LinkMode::Delay}};
+    {"delay", LinkMode::Delay},        {"cut-heads", LinkMode::CutHeads}};
 
 std::string nameOf(LinkMode Mode) {
   const auto Found = std::ranges::find_if(
--- a/Tests/StandIns/fault-proxy/Proxy.cpp
+++ b/Tests/StandIns/fault-proxy/Proxy.cpp
@@ -172,15 +172,27 @@
   if (Count == 0) {
     Direction.SourceEnded = true;
   } else {
-    (Upward ? Of.BytesUp : Of.BytesDown) += static_cast<uint64_t>(Count);
-    Direction.HeldBytes += static_cast<size_t>(Count);
-    Direction.Pieces.push_back(
-        {std::chrono::steady_clock::now() + Of.Delay,
-         std::string(Buffer.data(), static_cast<size_t>(Count))});
+    std::string Bytes(Buffer.data(), static_cast<size_t>(Count));
+    if (Of.Mode == LinkMode::CutHeads && !Upward)
+      cutHead(Of, Direction, Bytes);
+    (Upward ? Of.BytesUp : Of.BytesDown) += Bytes.size();
+    Direction.HeldBytes += Bytes.size();
+    if (!Bytes.empty())
+      Direction.Pieces.push_back(
+          {std::chrono::steady_clock::now() + Of.Delay, std::move(Bytes)});
   }
   deliver(Of, Which, Upward);
 }
 
+void Proxy::cutHead(Link &Of, Flow &Direction, std::string &Bytes) {
+  const size_t HeadEnd = Bytes.find("\r\n\r\n");
+  if (!Bytes.starts_with("HTTP/") || HeadEnd == std::string::npos)
+    return;
+  constexpr size_t EndBytes = 4;
+  Bytes.resize(Of.CutHeads++ % (HeadEnd + EndBytes));
+  Direction.SourceEnded = true;
+}
+
 void Proxy::deliver(Link &Of, Connection &Which, bool Upward) {
   if (Of.Mode == LinkMode::Freeze || Which.Connecting)
     return;
--- a/Tests/StandIns/fault-proxy/Proxy.h
+++ b/Tests/StandIns/fault-proxy/Proxy.h
@@ -30,7 +30,10 @@
   DropDown,
   /// Holds all bytes; connections stay open.
   Freeze,
-  Delay
+  Delay,
+  /// Ends connections, in order, inside the heads of what targets answer: at
+  /// one byte after the other.
+  CutHeads
 };
 
 /// File descriptor set with callbacks, level-triggered.
@@ -92,6 +95,7 @@
   LinkMode Mode = LinkMode::Pass;
   std::chrono::milliseconds Delay{0};
   uint64_t Accepted = 0;
+  uint64_t CutHeads = 0;
   uint64_t BytesUp = 0;
   uint64_t BytesDown = 0;
   std::vector<std::shared_ptr<Connection>> Connections;
@@ -122,6 +126,7 @@
   void ready(Link &Of, const std::shared_ptr<Connection> &Which, bool IsClient,
              uint32_t Events);
   void receive(Link &Of, Connection &Which, bool Upward);
+  static void cutHead(Link &Of, Flow &Direction, std::string &Bytes);
   void deliver(Link &Of, Connection &Which, bool Upward);
   void updateInterest(const Link &Of, Connection &Which);
   void close(Connection &Which);
