LibLog, all services: Say why a process ends, and how old the knowledge of a take-up is

A process that ended by itself looked in its log like one that was killed, and a stream that was taken up did not say how old the list of servers and the record of versions were that decided.

process-failed, written by the handlers of std::terminate() and of fatal signals, names the exception or the signal, and the kind and sender of the message that was handled, also with an exhausted stack. stream-resumed has listAgeMs and recordAgeMs.

--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -99,6 +99,10 @@
   /// \name The record in the store.
   /// @{
   bool needsRecords() const { return !m_RecordsKnown; }
+  /// When the records that are known were read; empty before the first read.
+  std::optional<BootTime> recordsReadAt() const {
+    return m_Clock ? std::optional(m_Clock->Local) : std::nullopt;
+  }
   /// \p FleetStarts: the fleet starts for the first time, so that a service
   /// without a record has had no streams.
   void applyRecords(const Records &Read, const StoreClockReading &Clock,
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -7,6 +7,8 @@
 
 #include "LibUpstream/ServerConnection.h"
 
+#include "LibLog/HandledMessage.h"
+
 #include <boost/asio/write.hpp>
 
 #include <atomic>
@@ -36,7 +38,8 @@
 ServerConnection::ServerConnection(asio::io_context &Loop, Endpoint Peer,
                                    ConnectionTimeouts Timeouts)
     : m_Loop(Loop), m_Socket(Loop), m_Timer(Loop), m_Peer(std::move(Peer)),
-      m_Timeouts(Timeouts), m_Id(nextConnectionId()) {}
+      m_PeerName(m_Peer.toString()), m_Timeouts(Timeouts),
+      m_Id(nextConnectionId()) {}
 
 void ServerConnection::exchange(std::string Bytes, bool ExpectBody,
                                 std::shared_ptr<ExchangeSink> Sink) {
@@ -142,6 +145,7 @@
     // Idle: the server closed the connection or sent unsolicited bytes.
     return close();
   }
+  const log::HandledMessage Scope("response", m_PeerName);
   processInput({m_Buffer.data(), Count}, Code == asio::error::eof,
                Code && Code != asio::error::eof);
   if (m_State == State::Closed || Code)
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -141,6 +141,7 @@
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
   Endpoint m_Peer;
+  const std::string m_PeerName;
   ConnectionTimeouts m_Timeouts;
   State m_State = State::Unconnected;
   std::array<char, 8192> m_Buffer;
--- a/Services/figlift-agent/Main.cpp
+++ b/Services/figlift-agent/Main.cpp
@@ -8,6 +8,7 @@
 #include "AdminServer.h"
 #include "Agent.h"
 
+#include "LibLog/FailureReport.h"
 #include "LibLog/Log.h"
 #include "LibMetrics/ProcessMetrics.h"
 #include "LibSettings/CommandLine.h"
@@ -17,6 +18,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <thread>
+#include <unistd.h>
 
 using namespace figlift;
 
@@ -46,6 +48,7 @@
   Log.Threshold = Settings.Log.Level;
   Log.ProcessId = Settings.Process.Id;
   log::configure(Log);
+  log::reportFailures(Settings.Process.Id, STDERR_FILENO);
   crossplat::threadpool::initialize_with_threads(Settings.Threads.Http);
 
   agent::EventLoop Loop;
--- a/Services/figlift-entry/Main.cpp
+++ b/Services/figlift-entry/Main.cpp
@@ -7,6 +7,7 @@
 
 #include "figlift-entry/Entry.h"
 
+#include "LibLog/FailureReport.h"
 #include "LibLog/Log.h"
 #include "LibSettings/CommandLine.h"
 
@@ -14,6 +15,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <unistd.h>
 
 using namespace figlift;
 
@@ -35,6 +37,7 @@
   Log.Threshold = Settings.Log.Level;
   Log.ProcessId = Settings.Process.Id;
   log::configure(Log);
+  log::reportFailures(Settings.Process.Id, STDERR_FILENO);
   crossplat::threadpool::initialize_with_threads(Settings.Threads.Http);
 
   auto EntryProcess = entry::Entry::create(Settings);
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "RequestFlow.h"
 
+#include "LibLog/FailureReport.h"
 #include "LibLog/Log.h"
 #include "platform/Headers.h"
 #include "platform/Rows.h"
@@ -80,6 +81,13 @@
 
 Result<void> Gateway::start() {
   describeMetrics();
+  m_Shared.Worker.run(
+      [] {
+        // A large page is decoded there.
+        thread_local const log::SignalStack Stack;
+        return true;
+      },
+      [](bool) {});
   m_Store.onNewEra(
       [this](uint64_t PreviousEra) { storeRestored(PreviousEra); });
   m_Shared.Feedback.onShutdown(
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -9,6 +9,7 @@
 #include "Gateway.h"
 
 #include "LibDispatch/StoreReadSchedule.h"
+#include "LibLog/HandledMessage.h"
 #include "LibLog/Log.h"
 #include "platform/Rows.h"
 
@@ -149,6 +150,7 @@
 /// some are logged.
 std::optional<dispatch::Target>
 Gateway::readServer(const slopes::StoreRow &Row) {
+  const log::HandledMessage Scope("entry of servers", Row.Key);
   auto Read = slopes::decodeServer(Row.Key, Row.Value);
   if (Read)
     return std::move(Read.value());
--- a/Services/figlift-gateway/Main.cpp
+++ b/Services/figlift-gateway/Main.cpp
@@ -6,11 +6,13 @@
 
 #include "Gateway.h"
 
+#include "LibLog/FailureReport.h"
 #include "LibLog/Log.h"
 #include "LibSettings/CommandLine.h"
 
 #include <csignal>
 #include <string_view>
+#include <unistd.h>
 
 using namespace figlift;
 
@@ -35,6 +37,7 @@
   // A write to a connection that the peer has closed must not kill the
   // process.
   std::signal(SIGPIPE, SIG_IGN);
+  log::reportFailures(Settings.Process.Id, STDOUT_FILENO);
   gateway::OutputWriter Output;
   log::Options Log;
   Log.Threshold = Settings.Log.Level;
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -8,8 +8,11 @@
 #include "PeerLink.h"
 
 #include "LibDispatch/PaceUpdate.h"
+#include "LibLog/HandledMessage.h"
 #include "LibLog/Log.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 namespace figlift::gateway {
@@ -272,6 +275,9 @@
     ++m_Rejected;
     return;
   }
+  const log::HandledMessage Scope(
+      "datagram", fmt::format("{} (kind {})", m_Sender.address().to_string(),
+                              Opened->Kind));
   if (Opened->Kind == ReportKind)
     reportReceived(Opened->Body);
   else if (Opened->Kind == StoreUpdateKind)
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -8,6 +8,7 @@
 #include "RequestFlow.h"
 
 #include "EngineHousekeeping.h"
+#include "LibLog/HandledMessage.h"
 #include "platform/EngineCalls.h"
 
 #include <charconv>
@@ -53,6 +54,7 @@
     return;
   }
   m_Fields = std::move(Fields.value());
+  const log::HandledMessage Scope("request", m_Fields.AttemptId);
   m_Configuration = m_Shared.Configuration;
   if (!m_Configuration)
     return respondWithError(m_History.errorStatus(), "no configuration yet",
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -101,6 +101,9 @@
   if (!m_Shared.Log.allows(LineKind::Notable, m_Started))
     return;
   const auto *Known = std::get_if<KnownOrigin>(&Origin);
+  const BootTime Now = BootClock::now();
+  const BootTime RecordReadAt =
+      m_Shared.Origins.versions().recordsReadAt().value_or(BootTime{});
   log::logRequest(
       log::Level::Info, "stream-resumed", m_Fields.AttemptId, {},
       {{"resumes", m_Fields.Resumes.value_or("")},
@@ -110,7 +113,9 @@
        {"reason", reasonOf(Origin)},
        {"softwareVersion", m_BoundVersion.value_or("")},
        {"ageMs", dispatch::Milliseconds(Known ? Known->Age
-                                              : BootClock::duration::zero())}});
+                                              : BootClock::duration::zero())},
+       {"listAgeMs", dispatch::Milliseconds(Now - m_Shared.ServersKnownAt)},
+       {"recordAgeMs", dispatch::Milliseconds(Now - RecordReadAt)}});
 }
 
 /// Only streams that may be resumed are remembered: others end with their
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -8,6 +8,7 @@
 
 #include "VersionRecorder.h"
 
+#include "LibLog/HandledMessage.h"
 #include "LibLog/Log.h"
 
 #include <algorithm>
@@ -87,6 +88,7 @@
   m_RowVersions.clear();
   VersionHistory::Records Records;
   for (const slopes::StoreRow &Row : Read.Rows) {
+    const log::HandledMessage Scope("record of versions", Row.Key);
     m_RowVersions[Row.Key] = Row.Version.Number;
     auto Record = dispatch::decodeVersionRecord(Row.Value);
     if (!Record) {
