LibDispatch, figlift-gateway: Resume streams of unknown origin by a record read since

Callers that took streams up at a gateway that was out of step got the rest from another software version. Cause: a take-up of unknown origin was decided by a list of servers up to 3 s old and a record of versions read at any time before, while other gateways begin streams at a version as soon as the record has it. Class: a decision that needs to know that something has not happened, taken from knowledge of a moment before it.

Such a take-up now waits for a read of the record that is sent after it came. Streams begin only at recorded versions, and the store is linearizable, so this read holds every version at which the stream can have begun; no clocks are compared and no bound on age is left. One read serves all that wait, at most one is sent each 100 ms, and within the pause after a failed one they are refused at once. A known origin needs no read, and two known versions refuse without one. A longer lead of the beginnings (a lease on what others believe) would have cost 3 s of each new version, and bounds on pauses.

The same cause elsewhere: a service without a record, whose streams begin anywhere, names no only version, and its record is looked for; a record that was cut names none; a record written before the store came back from a copy (it has its era now) is not complete; a gateway whose list is old writes no version down as gone.

UnknownBeginningGoesOnWhileOneVersionServes waits for the record now: without one, another gateway may begin streams anywhere. OldListNamesNoOnlyVersion is replaced by OldRecordNamesNoOnlyVersion, which allows no age at all.

--- a/Libraries/LibDispatch/StoreTime.h
+++ b/Libraries/LibDispatch/StoreTime.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace figlift::dispatch {
 
@@ -30,6 +31,9 @@
 struct StoreClockReading {
   StoreTime Store{};
   BootTime Local{};
+  /// Era of the store; 0 if it sends none. A store that was restored from a
+  /// copy is in the next one.
+  uint64_t Era = 0;
 
   /// Limit of the distance between the reading and a converted time. A corrupt
   /// row may hold any number, and the conversion must not overflow.
--- a/Libraries/LibDispatch/StreamOrigins.cpp
+++ b/Libraries/LibDispatch/StreamOrigins.cpp
@@ -82,7 +82,7 @@
 }
 
 OriginLookup StreamOrigins::find(const std::optional<StreamKey> &Stream,
-                                 const std::string &Service, BootTime ListedAt,
+                                 const std::string &Service, BootTime ResumedAt,
                                  BootTime Now) const {
   if (Stream)
     if (const auto Known = m_Streams.find(*Stream);
@@ -91,7 +91,7 @@
       return KnownOrigin{Known->second.Origin, Known->second.FromPeer,
                          Now - Known->second.HeardAt};
   return std::visit([](const auto &Found) -> OriginLookup { return Found; },
-                    m_Versions.find(Service, ListedAt, Now));
+                    m_Versions.find(Service, ResumedAt, Now));
 }
 
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/StreamOrigins.h
+++ b/Libraries/LibDispatch/StreamOrigins.h
@@ -70,10 +70,10 @@
   /// What to tell the peers now.
   std::vector<StreamOriginUpdate> takeUpdates(BootTime Now);
 
-  /// \p Stream is empty if the client does not name the beginning. \p ListedAt
-  /// is when the list of servers was last known to be current.
+  /// \p Stream is empty if the client does not name the beginning. It broke
+  /// off before \p ResumedAt.
   OriginLookup find(const std::optional<StreamKey> &Stream,
-                    const std::string &Service, BootTime ListedAt,
+                    const std::string &Service, BootTime ResumedAt,
                     BootTime Now) const;
   size_t size() const { return m_Streams.size(); }
 
--- a/Libraries/LibDispatch/VersionHistory.cpp
+++ b/Libraries/LibDispatch/VersionHistory.cpp
@@ -26,6 +26,12 @@
   return Found == Record.Versions.end() ? nullptr : &*Found;
 }
 
+/// Versions that were recorded after the copy was made are lost.
+bool isOfEarlierEra(const VersionRecord &Record,
+                    const StoreClockReading &Clock) {
+  return Record.Era && *Record.Era != Clock.Era;
+}
+
 } // namespace
 
 std::string_view describe(UnknownOriginReason Reason) {
@@ -34,8 +40,10 @@
     return "record of versions not read";
   case UnknownOriginReason::RecordTooShort:
     return "record of versions too short";
-  case UnknownOriginReason::OldList:
-    return "old list of servers";
+  case UnknownOriginReason::OldRecord:
+    return "old record of versions";
+  case UnknownOriginReason::NoRecord:
+    return "no record of versions";
   case UnknownOriginReason::NoVersion:
     return "no version";
   case UnknownOriginReason::SeveralVersions:
@@ -141,7 +149,10 @@
                                   bool FleetStarts) {
   m_Clock = Clock;
   const bool IsFirst = !std::exchange(m_HasReadRecords, true);
-  const bool HasMissedChanges = !std::exchange(m_RecordsKnown, true);
+  const bool IsListOld = m_ListedAt != BootTime{} &&
+                         Clock.Local - m_ListedAt > m_Options.MaximumListAge;
+  const bool HasMissedChanges =
+      !std::exchange(m_RecordsKnown, true) || IsListOld;
   // A service without a record that was served before by gateways that keep
   // none.
   if (IsFirst)
@@ -165,7 +176,8 @@
                                  bool HasMissedChanges) {
   ServiceHistory &History = m_Services[Service];
   const BootTime Since =
-      Read.CompleteSince == StoreTime{}
+      isOfEarlierEra(Read, Clock) ? Clock.Local
+      : Read.CompleteSince == StoreTime{}
           ? FirstStart
           // A store that was restored from a copy may have another clock.
           : std::min(Clock.toLocal(Read.CompleteSince), Clock.Local);
@@ -192,6 +204,8 @@
 bool VersionHistory::isRecorded(const ServiceHistory &History) const {
   if (!History.Recorded)
     return History.Versions.empty();
+  if (m_Clock && History.Recorded->Era != m_Clock->Era)
+    return false;
   for (const auto &[Name, Entry] : History.Versions) {
     const RecordedVersion *Recorded = findVersion(*History.Recorded, Name);
     if (!Recorded && History.Recorded->IsCut)
@@ -210,6 +224,7 @@
 VersionRecord VersionHistory::makeRecord(const ServiceHistory &History,
                                          const StoreClockReading &Clock) const {
   VersionRecord Record;
+  Record.Era = Clock.Era;
   if (const BootTime Since = completeSince(History); Since != FirstStart)
     Record.CompleteSince =
         std::max(Clock.toStore(Since), StoreTime(milliseconds(1)));
@@ -245,8 +260,8 @@
 VersionHistory::unrecorded(const StoreClockReading &Clock, BootTime Now) {
   forgetExpired(Now);
   Records Changed;
-  // Before the list is known, every recorded version looks as if it had left.
-  if (!m_RecordsKnown || m_ListedAt == BootTime{})
+  // Without a current list, recorded versions look as if they had left.
+  if (!m_RecordsKnown || Now - m_ListedAt > m_Options.MaximumListAge)
     return Changed;
   for (const auto &[Service, Time] : m_TakeUpTimes)
     if (const ServiceHistory &History = m_Services[Service];
@@ -340,6 +355,18 @@
       [&](const auto &Service) { return hasUnrecorded(Service.first, Now); });
 }
 
+bool VersionHistory::lacksRecord() const {
+  return std::any_of(
+      m_TakeUpTimes.begin(), m_TakeUpTimes.end(), [&](const auto &Configured) {
+        const auto History = m_Services.find(Configured.first);
+        return History != m_Services.end() && !History->second.Recorded &&
+               std::any_of(
+                   History->second.Versions.begin(),
+                   History->second.Versions.end(),
+                   [](const auto &Version) { return !Version.second.Until; });
+      });
+}
+
 void VersionHistory::forgetExpired(BootTime Now) {
   for (auto &[Service, History] : m_Services)
     std::erase_if(History.Versions, [&](const auto &Version) {
@@ -348,12 +375,8 @@
 }
 
 std::variant<OnlyVersion, UnknownOrigin>
-VersionHistory::find(const std::string &Service, BootTime ListedAt,
+VersionHistory::find(const std::string &Service, BootTime ResumedAt,
                      BootTime Now) const {
-  if (!m_RecordsKnown)
-    return UnknownOrigin{UnknownOriginReason::RecordNotRead};
-  if (Now - ListedAt > m_Options.MaximumListAge)
-    return UnknownOrigin{UnknownOriginReason::OldList};
   const auto History = m_Services.find(Service);
   if (History == m_Services.end())
     return UnknownOrigin{UnknownOriginReason::NoVersion};
@@ -364,6 +387,16 @@
     if (std::exchange(Only, &Name))
       return UnknownOrigin{UnknownOriginReason::SeveralVersions};
   }
+  if (!m_RecordsKnown)
+    return UnknownOrigin{UnknownOriginReason::RecordNotRead};
+  if (m_RecordsCurrentAt < ResumedAt)
+    return UnknownOrigin{UnknownOriginReason::OldRecord};
+  if (!History->second.Recorded)
+    return UnknownOrigin{UnknownOriginReason::NoRecord};
+  // The versions that were left out may count for longer than those that are
+  // in: streams begin at a version that came since.
+  if (History->second.Recorded->IsCut)
+    return UnknownOrigin{UnknownOriginReason::SeveralVersions};
   if (!Only)
     return UnknownOrigin{UnknownOriginReason::NoVersion};
   const BootTime Since = completeSince(History->second);
--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -13,6 +13,10 @@
 // be visible before anything that outlives the gateways knows its version: if
 // all of them were killed, it would go on at the only version that is known.
 //
+// A stream of unknown origin is resumed only by a record that was read after
+// its client came back. What a gateway knew before, however shortly, may lack a
+// version at which another gateway has begun streams meanwhile.
+//
 // The class reads no clock: times are passed in with the events.
 //
 //===----------------------------------------------------------------------===//
@@ -40,10 +44,12 @@
   /// The record in the store has not been read since this process started, or
   /// since it lost sight of the list of servers.
   RecordNotRead,
+  /// The record was read before the client came back.
+  OldRecord,
+  /// The service has no record, so that its streams may begin anywhere.
+  NoRecord,
   /// The record does not reach back to when the stream may have begun.
   RecordTooShort,
-  /// The list of servers may lack a version.
-  OldList,
   NoVersion,
   SeveralVersions,
 };
@@ -60,7 +66,8 @@
 struct VersionHistoryOptions {
   /// Upper limit of the time for which a stream may be taken up.
   std::chrono::seconds Retention{120};
-  /// The list of servers may lack a version if it is older than this.
+  /// A version may have come and gone between two lists that are this far
+  /// apart.
   std::chrono::milliseconds MaximumListAge{3000};
   /// Streams may begin at a version for this long after its last server has
   /// left the list: until every gateway has read that.
@@ -99,14 +106,19 @@
   /// \name The record in the store.
   /// @{
   bool needsRecords() const { return !m_RecordsKnown; }
-  /// When the records that are known were read; empty before the first read.
-  std::optional<BootTime> recordsReadAt() const {
-    return m_Clock ? std::optional(m_Clock->Local) : std::nullopt;
-  }
+  /// The records that are known hold all that was written before this.
+  BootTime recordsCurrentAt() const { return m_RecordsCurrentAt; }
+  /// Whether a service has servers but, as far as is known, no record.
+  bool lacksRecord() const;
   /// \p FleetStarts: the fleet starts for the first time, so that a service
   /// without a record has had no streams.
   void applyRecords(const Records &Read, const StoreClockReading &Clock,
                     bool FleetStarts);
+  /// The records that were applied last hold all that was written before
+  /// \p CurrentAt.
+  void recordRecordsKnown(BootTime CurrentAt) {
+    m_RecordsCurrentAt = std::max(m_RecordsCurrentAt, CurrentAt);
+  }
   /// What the record in the store does not tell yet. Forgets what need not be
   /// kept any more.
   Records unrecorded(const StoreClockReading &Clock, BootTime Now);
@@ -126,9 +138,9 @@
   bool hasUnrecorded(BootTime Now) const;
   /// @}
 
-  /// \p ListedAt is when the list of servers was last known to be current.
+  /// The version of a stream that broke off before \p ResumedAt.
   std::variant<OnlyVersion, UnknownOrigin>
-  find(const std::string &Service, BootTime ListedAt, BootTime Now) const;
+  find(const std::string &Service, BootTime ResumedAt, BootTime Now) const;
 
 private:
   struct Version {
@@ -181,6 +193,7 @@
   /// To convert the times of a record; empty before the first read.
   std::optional<StoreClockReading> m_Clock;
   BootTime m_ListedAt{};
+  BootTime m_RecordsCurrentAt{};
   bool m_RecordsKnown = false;
   bool m_HasReadRecords = false;
   /// CompleteSince of services without a record.
--- a/Libraries/LibDispatch/VersionRecord.cpp
+++ b/Libraries/LibDispatch/VersionRecord.cpp
@@ -35,10 +35,12 @@
       Encoded["untilMs"] = encodeTime(*Entry.Until);
     Versions.push_back(std::move(Encoded));
   }
-  return Json{{"completeSinceMs", encodeTime(Record.CompleteSince)},
-              {"cut", Record.IsCut},
-              {"versions", std::move(Versions)}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json Root = {{"completeSinceMs", encodeTime(Record.CompleteSince)},
+               {"cut", Record.IsCut},
+               {"versions", std::move(Versions)}};
+  if (Record.Era)
+    Root["era"] = *Record.Era;
+  return Root.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<VersionRecord> decodeVersionRecord(std::string_view Text) try {
@@ -46,6 +48,8 @@
   VersionRecord Record;
   Record.CompleteSince = StoreTime(decodeDuration(Root.at("completeSinceMs")));
   Record.IsCut = Root.value("cut", false);
+  if (Root.contains("era"))
+    Record.Era = Root.at("era").get<uint64_t>();
   for (const Json &Encoded : Root.at("versions")) {
     RecordedVersion &Entry = Record.Versions.emplace_back();
     Entry.Name = Encoded.at("version").get<std::string>();
--- a/Libraries/LibDispatch/VersionRecord.h
+++ b/Libraries/LibDispatch/VersionRecord.h
@@ -12,6 +12,7 @@
 #include "LibDispatch/StoreTime.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,10 @@
   /// The record has all versions at which streams began since then; zero for
   /// the first start of the fleet.
   StoreTime CompleteSince{};
+  /// Era of the store in which the record was written; empty if it does not
+  /// say so. A record of an earlier era comes from a copy and may lack what was
+  /// written after it.
+  std::optional<uint64_t> Era;
   /// Versions were left out for lack of space: those that count for less long
   /// than the ones that are here.
   bool IsCut = false;
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -13,6 +13,7 @@
 #include "ServiceQueues.h"
 #include "StreamMetrics.h"
 #include "TenantMetrics.h"
+#include "VersionRecordReader.h"
 
 #include "LibCore/BackgroundWorker.h"
 #include "LibCore/MemoryBudget.h"
@@ -123,6 +124,8 @@
   dispatch::FleetAverages ReadRatios{std::chrono::seconds(5)};
   dispatch::LoopDelay Delay{TickInterval, BootClock::now()};
   dispatch::StreamOrigins Origins;
+  /// Null while no gateway runs with this context.
+  VersionRecordReader *VersionRecords = nullptr;
   dispatch::ServerLimits Limits;
   retry::FleetRetryBudget Budget;
   dispatch::PromptPlanner Prompts;
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -69,8 +69,7 @@
   if (!authenticate())
     return;
   m_Relay = dispatch::EventRelay(eventNumber(m_Fields.LastEventId));
-  if (!chooseService())
-    return;
+  m_Service = dispatch::pickService(m_Route, m_Shared.draw());
   milliseconds Allowed = m_Route.Timeout;
   if (m_Fields.Deadline)
     Allowed = std::min(Allowed, *m_Fields.Deadline);
@@ -78,11 +77,18 @@
   m_TimeUntilStop = m_Shared.Stop.timeLeft(m_Started);
   if (!mayStart(Milliseconds(0), m_Started))
     return rejectStopping();
+  armDeadline();
+  if (streaming() && m_Fields.LastEventId)
+    return findOrigin();
+  begin();
+}
+
+/// The service is known, and the version of a stream that is resumed.
+void RequestFlow::begin() {
   m_Shared.Budget.recordRequest(m_Service, m_Started);
   m_Traced = m_Shared.Log.allows(LineKind::Plain, m_Started);
   if (m_Traced)
     logAccepted();
-  armDeadline();
   plan();
 }
 
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -122,11 +122,16 @@
   /// \name Software versions: from its first event on, a stream is bound to
   /// the version that began it.
   /// @{
-  /// Chooses the service, and the version if the caller resumes a stream.
-  /// Otherwise rejects the request and returns false.
-  bool chooseService();
+  void begin();
   dispatch::StreamKey streamKey(const std::string &AttemptId) const;
-  bool bindToOrigin();
+  /// \name A stream that its caller resumes: begins the request at its service
+  /// and version, or refuses it.
+  /// @{
+  void findOrigin();
+  dispatch::OriginLookup lookUpOrigin() const;
+  void resumeAt(const dispatch::OriginLookup &Origin);
+  void bindToOrigin(const dispatch::OriginLookup &Origin);
+  /// @}
   void bindToVersionOf(const ServerSend &Send);
   void recordStreamEnd();
   bool mayUseVersionOf(const std::string &TargetId) const;
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -23,6 +23,8 @@
 
 /// Another gateway may know where the stream began.
 constexpr milliseconds UnknownOriginRetryAfter{50};
+/// The store is asked again by then.
+constexpr milliseconds UnreadRecordRetryAfter{500};
 /// The record of a new version is usually written by then.
 constexpr milliseconds UnrecordedRetryAfter{250};
 
@@ -48,6 +50,14 @@
   return Unknown ? dispatch::describe(Unknown->Reason) : std::string_view();
 }
 
+/// Whether another read of the record may tell more.
+bool needsNewRecord(const OriginLookup &Origin) {
+  using Reason = dispatch::UnknownOriginReason;
+  const auto *Unknown = std::get_if<UnknownOrigin>(&Origin);
+  return Unknown && (Unknown->Reason == Reason::RecordNotRead ||
+                     Unknown->Reason == Reason::OldRecord);
+}
+
 bool hasService(const dispatch::Route &Route, const std::string &Service) {
   return std::any_of(
       Route.Services.begin(), Route.Services.end(),
@@ -60,19 +70,38 @@
   return dispatch::StreamKey::of(m_Tenant.value_or(""), AttemptId);
 }
 
-bool RequestFlow::chooseService() {
-  m_Service = dispatch::pickService(m_Route, m_Shared.draw());
-  return !streaming() || !m_Fields.LastEventId || bindToOrigin();
-}
-
 /// A client that resumes a stream without naming its beginning is treated like
 /// one whose beginning is not known.
-bool RequestFlow::bindToOrigin() {
+OriginLookup RequestFlow::lookUpOrigin() const {
   std::optional<dispatch::StreamKey> Beginning;
   if (m_Fields.Resumes)
     Beginning = streamKey(*m_Fields.Resumes);
-  const OriginLookup Origin = m_Shared.Origins.find(
-      Beginning, m_Service, m_Shared.ServersKnownAt, m_Started);
+  return m_Shared.Origins.find(Beginning, m_Service, m_Started,
+                               BootClock::now());
+}
+
+void RequestFlow::findOrigin() {
+  const OriginLookup Origin = lookUpOrigin();
+  if (!needsNewRecord(Origin) || !m_Shared.VersionRecords)
+    return resumeAt(Origin);
+  m_Shared.VersionRecords->readAgain([Self = shared_from_this()] {
+    if (!Self->m_Done)
+      Self->resumeAt(Self->lookUpOrigin());
+  });
+}
+
+void RequestFlow::resumeAt(const OriginLookup &Origin) {
+  bindToOrigin(Origin);
+  logResumed(Origin);
+  if (!std::holds_alternative<UnknownOrigin>(Origin))
+    return begin();
+  respondWithError(m_History.errorStatus(),
+                   "it is not known at which software version the stream began",
+                   needsNewRecord(Origin) ? UnreadRecordRetryAfter
+                                          : UnknownOriginRetryAfter);
+}
+
+void RequestFlow::bindToOrigin(const OriginLookup &Origin) {
   if (const auto *Known = std::get_if<KnownOrigin>(&Origin)) {
     // The route may have moved to other services since.
     if (hasService(m_Route, Known->Origin.Service))
@@ -82,13 +111,6 @@
   } else if (const auto *Only = std::get_if<OnlyVersion>(&Origin)) {
     m_BoundVersion = Only->SoftwareVersion;
   }
-  logResumed(Origin);
-  if (!std::holds_alternative<UnknownOrigin>(Origin))
-    return true;
-  respondWithError(m_History.errorStatus(),
-                   "it is not known at which software version the stream began",
-                   UnknownOriginRetryAfter);
-  return false;
 }
 
 void RequestFlow::logResumed(const OriginLookup &Origin) {
@@ -102,8 +124,6 @@
     return;
   const auto *Known = std::get_if<KnownOrigin>(&Origin);
   const BootTime Now = BootClock::now();
-  const BootTime RecordReadAt =
-      m_Shared.Origins.versions().recordsReadAt().value_or(BootTime{});
   log::logRequest(
       log::Level::Info, "stream-resumed", m_Fields.AttemptId, {},
       {{"resumes", m_Fields.Resumes.value_or("")},
@@ -115,7 +135,9 @@
        {"ageMs", dispatch::Milliseconds(Known ? Known->Age
                                               : BootClock::duration::zero())},
        {"listAgeMs", dispatch::Milliseconds(Now - m_Shared.ServersKnownAt)},
-       {"recordAgeMs", dispatch::Milliseconds(Now - RecordReadAt)}});
+       {"recordAgeMs",
+        dispatch::Milliseconds(
+            Now - m_Shared.Origins.versions().recordsCurrentAt())}});
 }
 
 /// Only streams that may be resumed are remembered: others end with their
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -1,8 +1,8 @@
 //===- VersionRecorder.cpp - Keeps software versions in the store ---------===//
 //
-// One call at a time. A row for each service, written under the condition that
-// it is the one that was read. Each service is written by itself: one whose row
-// the store rejects does not hold up the others.
+// One read and one write at a time. A row for each service, written under the
+// condition that it is the one that was read. Each service is written by
+// itself: one whose row the store rejects does not hold up the others.
 //
 //===----------------------------------------------------------------------===//
 
@@ -39,6 +39,9 @@
 /// many times.
 constexpr milliseconds RereadDelay{300};
 constexpr unsigned MaximumRereadDoublings = 3;
+/// Between two reads for requests. All gateways share the store's limit on
+/// reads, and after a kill of all of them each gets such requests for seconds.
+constexpr milliseconds SharedReadInterval{100};
 
 } // namespace
 
@@ -48,6 +51,7 @@
       "figlift_gateway_version_records_written_total",
       "Records of software versions written to the store",
       [this] { return double(m_Writes); });
+  m_Shared.VersionRecords = this;
 }
 
 void VersionRecorder::start() { read(); }
@@ -60,7 +64,8 @@
 }
 
 void VersionRecorder::tick(size_t Before, BootTime Now) {
-  if (m_CallPending || Now < m_NextCall)
+  readIfWanted(Now);
+  if (m_ReadPending || m_WritePending || Now < m_NextCall)
     return;
   if (m_Shared.Origins.versions().needsRecords())
     return read();
@@ -68,17 +73,49 @@
     writeChanges(Before, Now);
 }
 
+void VersionRecorder::readAgain(std::function<void()> Done) {
+  m_Reads.wait(std::move(Done));
+  readIfWanted(BootClock::now());
+}
+
+void VersionRecorder::readIfWanted(BootTime Now) {
+  if (!m_Reads.isWanted() || m_ReadPending)
+    return;
+  if (Now < m_NextCall) {
+    for (const auto &Done : m_Reads.refuse())
+      Done();
+    return;
+  }
+  if (Now - m_ReadSentAt >= SharedReadInterval)
+    read();
+}
+
 void VersionRecorder::read() {
-  m_CallPending = true;
-  m_Store.readAll(VersionTable, "", [this](Result<slopes::RowsRead> Read) {
-    m_CallPending = false;
-    if (!Read)
-      return callFailed(Read.error());
-    if (!Read.value().Clock)
-      return callFailed({ResultCode::InvalidInput, "the store has no clock",
-                         "nowMs", std::nullopt});
-    recordsRead(Read.value());
-  });
+  if (m_ReadPending)
+    return;
+  m_ReadPending = true;
+  m_ReadSentAt = BootClock::now();
+  m_Reads.begun();
+  m_Store.readAll(
+      VersionTable, "",
+      [this, SentAt = m_ReadSentAt](const Result<slopes::RowsRead> &Read) {
+        m_ReadPending = false;
+        readEnded(Read, SentAt);
+        for (const auto &Done : m_Reads.ended())
+          Done();
+        readIfWanted(BootClock::now());
+      });
+}
+
+void VersionRecorder::readEnded(const Result<slopes::RowsRead> &Read,
+                                BootTime SentAt) {
+  if (!Read)
+    return callFailed(Read.error());
+  if (!Read.value().Clock)
+    return callFailed({ResultCode::InvalidInput, "the store has no clock",
+                       "nowMs", std::nullopt});
+  recordsRead(Read.value());
+  m_Shared.Origins.versions().recordRecordsKnown(SentAt);
 }
 
 /// A row that cannot be decoded is no statement about its service.
@@ -107,9 +144,11 @@
 }
 
 /// Streams may not begin at a version before this process knows that the record
-/// has it.
+/// has it, and a service whose record this process does not know of may have
+/// one by now.
 void VersionRecorder::readForUnrecorded(BootTime Now) {
-  if (!m_Shared.Origins.versions().hasUnrecorded(Now)) {
+  const dispatch::VersionHistory &Versions = m_Shared.Origins.versions();
+  if (!Versions.hasUnrecorded(Now) && !Versions.lacksRecord()) {
     m_NextReread.reset();
     m_Rereads = 0;
     return;
@@ -131,7 +170,7 @@
 
 void VersionRecorder::writeChanges(size_t Before, BootTime Now) {
   readForUnrecorded(Now);
-  if (m_CallPending)
+  if (m_ReadPending)
     return;
   const auto Changed = m_Shared.Origins.versions().unrecorded(*m_Clock, Now);
   if (Changed.empty()) {
@@ -164,10 +203,10 @@
        Known == m_RowVersions.end() ? 0 : Known->second});
   Transaction.Writes.push_back(
       {VersionTable, "", Service, dispatch::encodeVersionRecord(Record)});
-  m_CallPending = true;
+  m_WritePending = true;
   m_Store.commit(Transaction, [this, Service,
                                Record](Result<dispatch::StoreVersion> Written) {
-    m_CallPending = false;
+    m_WritePending = false;
     if (!Written) {
       callFailed(Written.error());
       ++m_FailedWrites;
--- a/Services/figlift-gateway/VersionRecorder.h
+++ b/Services/figlift-gateway/VersionRecorder.h
@@ -5,24 +5,33 @@
 // the first live one writes them, and few others check that it did, so that a
 // change costs a few calls in a fleet of any size.
 //
+// Requests that resume a stream of unknown origin have the record read again.
+// One read serves all that wait when it is sent.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
 #include "Context.h"
+#include "VersionRecordReader.h"
 
+#include "LibDispatch/SharedReads.h"
 #include "platform/StoreClient.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 
 namespace figlift::gateway {
 
-class VersionRecorder {
+class VersionRecorder : public VersionRecordReader {
 public:
   VersionRecorder(Context &Shared, slopes::StoreClient &Store);
+  ~VersionRecorder() override { m_Shared.VersionRecords = nullptr; }
+  VersionRecorder(const VersionRecorder &) = delete;
+  VersionRecorder &operator=(const VersionRecorder &) = delete;
 
   /// Reads the record; later reads follow from tick().
   void start();
@@ -30,9 +39,12 @@
   void tick(size_t Before, BootTime Now);
   /// The store was restored from a copy: what was written may be lost.
   void storeRestored();
+  void readAgain(std::function<void()> Done) override;
 
 private:
   void read();
+  void readIfWanted(BootTime Now);
+  void readEnded(const Result<slopes::RowsRead> &Read, BootTime SentAt);
   void readForUnrecorded(BootTime Now);
   void recordsRead(const slopes::RowsRead &Read);
   void writeChanges(size_t Before, BootTime Now);
@@ -42,7 +54,12 @@
   Context &m_Shared;
   slopes::StoreClient &m_Store;
   const BootTime m_StartedAt;
-  bool m_CallPending = false;
+  /// Reads do not wait for a write, which a slow store delays for longer.
+  bool m_ReadPending = false;
+  bool m_WritePending = false;
+  dispatch::SharedReads m_Reads;
+  /// When the latest read was sent.
+  BootTime m_ReadSentAt{};
   /// After a failed call.
   BootTime m_NextCall{};
   /// Latest reading of the store's clock; empty before the first read.
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -227,6 +227,7 @@
   const auto Wait =
       std::chrono::duration_cast<milliseconds>(Delay * 2 * drand48());
   if (Request.Head.Target.starts_with("/v1/rows-get")) {
+    ++ReadCounts[queryValue(Request.Head.Target, "table")];
     const std::string Read = rows(queryValue(Request.Head.Target, "table"));
     return runAfter(Wait, [this, Read, From] { reply(From, 200, Read); });
   }
@@ -238,8 +239,10 @@
   if (Unavailable)
     return respond(From, 503, "");
   const std::string Table = queryValue(Target, "table");
-  if (Target.starts_with("/v1/rows-get"))
+  if (Target.starts_with("/v1/rows-get")) {
+    ++ReadCounts[Table];
     return reply(From, 200, rows(Table));
+  }
   if (Target.starts_with("/v1/rows-feed") && HistoryExpired)
     return respond(From, 410, "");
   if (Target.starts_with("/v1/rows-feed")) {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -116,6 +116,8 @@
   /// again.
   bool HistoryExpired = false;
   /// @}
+  /// Reads of whole tables that were served, by table.
+  std::map<std::string, unsigned> ReadCounts;
   /// Responses that were started or completed.
   int ResponseCount = 0;
 
--- a/Tests/LibDispatch/TestStreamOrigins.cpp
+++ b/Tests/LibDispatch/TestStreamOrigins.cpp
@@ -37,7 +37,11 @@
   void start(StreamOrigins & Gateway, const std::set<std::string> &Versions,
              StreamOriginOptions Options = {}) {
     Gateway = StreamOrigins(Options);
-    Gateway.versions().applyRecords({}, {{}, Now}, true);
+    VersionRecord Record;
+    for (const std::string &Version : Versions)
+      Record.Versions.push_back({Version, seconds(0), std::nullopt});
+    Gateway.versions().applyRecords({{Service, Record}}, {{}, Now}, true);
+    Gateway.versions().recordRecordsKnown(Now);
     Gateway.versions().replaceListed({{Service, Versions}}, Now);
   }
   void list(const std::set<std::string> &Versions) {
@@ -55,7 +59,7 @@
   }
   OriginLookup find(const StreamOrigins &Gateway,
                     const std::string &AttemptId) {
-    return Gateway.find(key(AttemptId), Service, Now, Now);
+    return Gateway.find(key(AttemptId), Service, BootTime{}, Now);
   }
   /// The version at which a stream may go on; empty if that is not known.
   std::string versionOf(const StreamOrigins &Gateway,
@@ -141,14 +145,13 @@
   STRCMP_EQUAL("", versionOf(First, "elsewhere").c_str());
 }
 
-// Failure: a gateway whose list is old takes the only version on it for the
-// only one.
-TEST(StreamOrigins, OldListNamesNoOnlyVersion) {
+// Failure: a gateway whose knowledge is older than the break of a stream, be it
+// by a moment, takes the only version that it knows for the only one.
+TEST(StreamOrigins, OldRecordNamesNoOnlyVersion) {
   start(First, {"v1"});
-  const BootTime ListedAt = Now;
-  Now += seconds(4);
+  Now += milliseconds(1);
   CHECK(std::holds_alternative<UnknownOrigin>(
-      First.find(key("elsewhere"), Service, ListedAt, Now)));
+      First.find(key("elsewhere"), Service, Now, Now)));
 }
 
 // Failure: a gateway that has just started does not know a version that a peer
--- a/Tests/LibDispatch/TestVersionHistory.cpp
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -26,6 +26,8 @@
   BootTime Now{seconds(1000)};
   /// Of the store's clock to this machine's.
   seconds StoreOffset{0};
+  /// Of the store.
+  uint64_t Era = 0;
   VersionHistory Gateway;
   VersionHistory::Records Store;
 
@@ -33,7 +35,7 @@
   StoreClockReading readClock() const {
     return {StoreTime(std::chrono::floor<milliseconds>(Now.time_since_epoch() +
                                                        StoreOffset)),
-            Now};
+            Now, Era};
   }
   void read(bool FleetStarts = false) {
     Gateway.applyRecords(Store, readClock(), FleetStarts);
@@ -70,9 +72,11 @@
   bool mayBegin(const std::string &Version) const {
     return Gateway.mayBegin({Service, Version}, Now);
   }
-  /// The only version, or why it is not known.
-  std::string find() {
-    const auto Found = Gateway.find(Service, Now, Now);
+  /// The only version, or why it is not known, of a stream that broke off
+  /// before what is known was read.
+  std::string find() { return find(BootTime{}); }
+  std::string find(BootTime ResumedAt) {
+    const auto Found = Gateway.find(Service, ResumedAt, Now);
     if (const auto *Only = std::get_if<OnlyVersion>(&Found))
       return Only->SoftwareVersion;
     return std::string(describe(std::get<UnknownOrigin>(Found).Reason));
@@ -305,14 +309,94 @@
   checkSeveral();
 }
 
+// Failure: a gateway that does not see a new version yet takes up a stream that
+// began at it, by a record that it read a moment before the stream broke off.
+TEST(VersionHistory, RecordOfBeforeTheBreakDoesNotCount) {
+  Gateway.recordRecordsKnown(Now);
+  Now += milliseconds(1);
+  STRCMP_EQUAL("old record of versions", find(Now).c_str());
+  Store[Service].Versions.push_back({"v2", RouteTimeout, std::nullopt});
+  read();
+  Gateway.recordRecordsKnown(Now);
+  STRCMP_EQUAL("several versions", find(Now).c_str());
+}
+
+// Failure: a stream waits for a read of the record that cannot make its origin
+// known.
+TEST(VersionHistory, SeveralKnownVersionsNeedNoNewRecord) {
+  list({"v1", "v2"});
+  STRCMP_EQUAL("several versions", find(Now).c_str());
+}
+
+// Failure: streams of a service without a record begin at any version, and go
+// on at the only one that another gateway knows.
+TEST(VersionHistory, ServiceWithoutARecordHasNoOnlyVersion) {
+  Gateway = VersionHistory();
+  Store.clear();
+  configure(RouteTimeout);
+  read(true);
+  list({"v1"});
+  CHECK(Gateway.lacksRecord());
+  checkFound("no record of versions");
+  write();
+  CHECK_FALSE(Gateway.lacksRecord());
+  checkFound("v1");
+}
+
+// Failure: a record that was cut has one version whose time is not over, while
+// streams begin at one that was left out.
+TEST(VersionHistory, CutRecordHasNoOnlyVersion) {
+  Store[Service].IsCut = true;
+  read();
+  checkSeveral();
+}
+
+// Failure: a gateway whose list is old writes down that versions have left
+// which other gateways see.
+TEST(VersionHistory, OldListIsNotWritten) {
+  Store[Service].Versions.push_back({"v2", RouteTimeout, std::nullopt});
+  Now += milliseconds(3100);
+  read();
+  LONGS_EQUAL(0, write());
+}
+
+// Failure: the store comes back from a copy that lacks a version, and a gateway
+// that starts takes the copy for complete.
+TEST(VersionHistory, RecordOfAnEarlierEraIsNotComplete) {
+  Store[Service].Era = 1;
+  Era = 2;
+  Gateway = VersionHistory();
+  configure(RouteTimeout);
+  read();
+  list({"v1"});
+  checkFound("record of versions too short");
+  LONGS_EQUAL(1, write());
+  CHECK(Store[Service].Era == 2U);
+  pass(seconds(20));
+  checkFound("v1");
+}
+
+// Failure: gateways of before that write no era make streams be refused.
+TEST(VersionHistory, RecordWithoutAnEraIsComplete) {
+  Store[Service].Era.reset();
+  Era = 2;
+  Gateway = VersionHistory();
+  configure(RouteTimeout);
+  read();
+  list({"v1"});
+  checkFound("v1");
+}
+
 TEST(VersionHistory, InvalidRecordsAreRejected) {
   VersionRecord Record;
+  Record.Era = 3;
   Record.CompleteSince = StoreTime(seconds(5));
   Record.Versions = {{"v1", RouteTimeout, std::nullopt},
                      {"v2", RouteTimeout, StoreTime(seconds(9))}};
   const std::string Valid = encodeVersionRecord(Record);
   const VersionRecord Read = decodeVersionRecord(Valid).value();
   CHECK(Read.CompleteSince == Record.CompleteSince);
+  CHECK(Read.Era == Record.Era);
   LONGS_EQUAL(2, Read.Versions.size());
   CHECK_FALSE(Read.Versions[0].Until.has_value());
   CHECK(Read.Versions[1].Until == Record.Versions[1].Until);
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -9,10 +9,13 @@
 #include "FigliftGateway/StandInPlatform.h"
 #include "LibDispatch/DatagramSeal.h"
 #include "LibDispatch/StreamOriginUpdate.h"
+#include "LibDispatch/VersionRecord.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -21,6 +24,7 @@
 
 namespace {
 
+const std::string VersionTable = "figlift-software-versions";
 const std::string FirstEvent = "id: 1\ndata: one\n\n";
 const std::string SecondEvent = "id: 2\ndata: two\n\n";
 
@@ -93,21 +97,35 @@
   }
   /// The gateway has had time to write down what it knows of versions.
   void waitForRecord() {
-    CHECK(Fixture.waitUntil([&] {
-      return !Fixture.Store.keys("figlift-software-versions").empty();
-    }));
+    CHECK(Fixture.waitUntil(
+        [&] { return !Fixture.Store.keys(VersionTable).empty(); }));
+  }
+  /// Another gateway, which sees the version already, writes it down.
+  void recordAsPeer(const std::string &Version) {
+    auto Record = dispatch::decodeVersionRecord(
+                      Fixture.Store.value(VersionTable, "model"))
+                      .value();
+    Record.Versions.push_back({Version, milliseconds(15000), std::nullopt});
+    Fixture.Store.put(VersionTable, "model",
+                      dispatch::encodeVersionRecord(Record));
+  }
+  /// A request for a stream.
+  static std::string text(const std::string &AttemptId,
+                          const std::string &Fields) {
+    return "GET /stream/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+           "X-Attempt-Id: " +
+           AttemptId + "\r\n" + PromptHeaders + Fields + "\r\n";
+  }
+  static std::string resumption(const std::string &Beginning) {
+    return "Last-Event-Id: 1\r\nResumes: " + Beginning + "\r\n";
   }
   std::string request(const std::string &AttemptId, const std::string &Fields) {
-    return Fixture.exchange(
-        Fixture.Settings.Listen.Callers,
-        "GET /stream/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-        "X-Attempt-Id: " +
-            AttemptId + "\r\n" + PromptHeaders + Fields + "\r\n");
+    return Fixture.exchange(Fixture.Settings.Listen.Callers,
+                            text(AttemptId, Fields));
   }
   std::string resume(const std::string &AttemptId,
                      const std::string &Beginning) {
-    return request(AttemptId,
-                   "Last-Event-Id: 1\r\nResumes: " + Beginning + "\r\n");
+    return request(AttemptId, resumption(Beginning));
   }
   /// Index of the only engine that has got a request so far.
   size_t usedEngine() {
@@ -199,6 +217,7 @@
 // Failure: streams cannot be resumed although there is one version only.
 TEST(StreamVersions, UnknownBeginningGoesOnWhileOneVersionServes) {
   startEngines({"v1", "v1"});
+  waitForRecord();
   CHECK(isCompleteStream(resume("a2", "elsewhere")));
   CHECK(isCompleteStream(request("a3", "Last-Event-Id: 1\r\n")));
 }
@@ -279,6 +298,74 @@
   waitForStreamAt(1);
 }
 
+// Failure: a gateway that does not see a new version yet takes up a stream that
+// another gateway has begun at it, at the only version that it sees.
+TEST(StreamVersions, VersionThatOthersRecordedIsReadFirst) {
+  startEngines({"v1"});
+  waitForRecord();
+  recordAsPeer("v2");
+  const std::string Answer = resume("a2", "elsewhere");
+  CHECK(contains(Answer, "HTTP/1.1 503"));
+  CHECK(contains(Answer, "Retry-After"));
+  LONGS_EQUAL(0, requestCount());
+}
+
+// Failure: a stream is resumed by a record that was read before the store went
+// away, or its caller waits until its deadline for the store.
+TEST(StreamVersions, UnknownBeginningIsRefusedWhileTheStoreIsDown) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.Unavailable = true;
+  const auto Before = std::chrono::steady_clock::now();
+  const std::string Answer = resume("a2", "elsewhere");
+  CHECK(contains(Answer, "HTTP/1.1 503"));
+  CHECK(contains(Answer, "Retry-After"));
+  CHECK(std::chrono::steady_clock::now() - Before < milliseconds(500));
+  LONGS_EQUAL(0, requestCount());
+  Fixture.Store.Unavailable = false;
+  CHECK(Fixture.waitUntil(
+      [&] { return isCompleteStream(resume("a3", "elsewhere")); }));
+}
+
+// Failure: a stream whose beginning is known waits for the store.
+TEST(StreamVersions, KnownBeginningGoesOnWhileTheStoreIsDown) {
+  startEngines({"v1"});
+  request("a1", "");
+  Fixture.Store.Unavailable = true;
+  CHECK(isCompleteStream(resume("a2", "a1")));
+}
+
+// Failure: the store is slow, and streams are refused although it answers.
+TEST(StreamVersions, UnknownBeginningWaitsForASlowStore) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.Delay = milliseconds(150);
+  CHECK(isCompleteStream(resume("a2", "elsewhere")));
+}
+
+// Failure: after a kill of all gateways, each of their streams reads the store.
+TEST(StreamVersions, StreamsThatReturnAtOnceShareReads) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.Delay = milliseconds(50);
+  const unsigned Before = Fixture.Store.ReadCounts[VersionTable];
+  constexpr unsigned Streams = 40;
+  std::vector<std::unique_ptr<KeepAliveCaller>> Callers;
+  for (unsigned I = 0; I < Streams; ++I) {
+    Callers.push_back(std::make_unique<KeepAliveCaller>(Fixture));
+    Callers.back()->sendBytes(
+        text("b" + std::to_string(I), resumption("elsewhere")));
+  }
+  CHECK(Fixture.waitUntil([&] {
+    return std::all_of(Callers.begin(), Callers.end(), [](const auto &Caller) {
+      return isCompleteStream(Caller->received());
+    });
+  }));
+  // One for those that came first, one for the others, and some by the gateway
+  // itself.
+  CHECK(Fixture.Store.ReadCounts[VersionTable] - Before <= 5);
+}
+
 // Failure: a caller waits until its deadline for a version that has left, or
 // gets another one.
 TEST(StreamVersions, StreamIsRefusedWhenItsVersionHasLeft) {
