--- a/Tests/LibDispatch/TestVersionHistory.cpp
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -492,3 +492,111 @@
   write();
   LONGS_EQUAL(2, Gateway.takeNewlyRecorded().size());
 }
+
+// Failure: the store comes back from a copy that lacks a version which this
+// gateway had not read yet, and the gateway takes what it knew for complete.
+TEST(VersionHistory, RunningGatewayIsNotCompleteAcrossEras) {
+  Store.clear();
+  Era = 1;
+  start({"v1"}, true);
+  const auto Copy = Store;
+  // Another gateway wrote v2 down and began streams at it; the copy lacks it.
+  Store[Service].Versions.push_back({"v2", RouteTimeout, std::nullopt});
+  pass(milliseconds(1000));
+  Store = Copy;
+  Era = 2;
+  Gateway.forgetRecords();
+  read();
+  checkFound("record of versions too short");
+}
+
+// Failure: the same, and the copy has no record of the service at all.
+TEST(VersionHistory, RecordWrittenAnewInAnEraIsNotComplete) {
+  Store.clear();
+  Era = 1;
+  start({"v1"}, true);
+  pass(milliseconds(1000));
+  Store.clear();
+  Era = 2;
+  Gateway.forgetRecords();
+  read();
+  LONGS_EQUAL(1, write());
+  checkFound("record of versions too short");
+}
+
+// Failure: a row that cannot be decoded counts as a record read just now, and a
+// version that others have written into it is not known.
+TEST(VersionHistory, InvalidRecordHasNoOnlyVersion) {
+  // As VersionRecorder::recordsRead() passes such a row.
+  Store[Service] = VersionRecord{};
+  Store[Service].CompleteSince = readClock().Store;
+  read();
+  CHECK(find() != "v1");
+}
+
+// Failure: a gateway goes on beginning streams anywhere although another one
+// has written the record, by which they are taken up.
+TEST(VersionHistory, AbsentRecordThatWasReadBeforeDoesNotCount) {
+  Gateway = VersionHistory();
+  Store.clear();
+  configure(RouteTimeout);
+  read(true);
+  list({"v1"});
+  VersionHistory OutOfStep = Gateway;
+  write();
+  OutOfStep.replaceListed({{Service, {"v1", "v2"}}}, Now);
+  OutOfStep.recordListKnown(Now);
+  const bool MayBegin = OutOfStep.mayBegin({Service, "v2"}, Now);
+  // After a kill of all of them, with v2's servers.
+  start({"v1"}, true);
+  CHECK_FALSE(MayBegin && find() == "v1");
+}
+
+// Failure: an answer of the store that is older than what a peer told makes
+// streams begin anywhere again.
+TEST(VersionHistory, OlderReadDoesNotUndoAToldRecord) {
+  Gateway = VersionHistory();
+  Store.clear();
+  configure(RouteTimeout);
+  read(true);
+  list({"v1"});
+  Gateway.recordTold({Service, "v1"}, Now);
+  Gateway.recordToldRecorded({Service, "v1"});
+  list({"v1", "v2"});
+  CHECK_FALSE(mayBegin("v2"));
+  // Sent before the peer wrote.
+  read();
+  CHECK_FALSE(mayBegin("v2"));
+}
+
+// Failure: a gateway that is cut off from the store goes on beginning streams
+// at a version whose end others have written, and whose time is over.
+TEST(VersionHistory, CutOffGatewayBeginsNoStreamsAtVersionsWrittenAsGone) {
+  list({"v1", "v2"});
+  write();
+  VersionHistory CutOff = Gateway;
+  list({"v1"});
+  write();
+  // v2's servers go on serving, cut off like the gateway.
+  pass(seconds(25));
+  const bool MayBegin = CutOff.mayBegin({Service, "v2"}, Now);
+  start({"v1"});
+  CHECK_FALSE(MayBegin && find() == "v1");
+}
+
+// Failure: a version that left and came back while a gateway was cut off gets
+// streams there by the record of before.
+TEST(VersionHistory, NoStreamBeginsAfterAGapBeforeTheRecordIsRead) {
+  list({"v1", "v2"});
+  write();
+  VersionHistory CutOff = Gateway;
+  list({"v1"});
+  write();
+  pass(seconds(25));
+  CutOff.replaceListed({{Service, {"v1", "v2"}}}, Now);
+  CutOff.recordListKnown(Now);
+  CHECK(CutOff.needsRecords());
+  const bool MayBegin = CutOff.mayBegin({Service, "v2"}, Now);
+  start({"v1"});
+  CHECK_FALSE(MayBegin && find() == "v1");
+}
--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -343,6 +343,56 @@
   CHECK(isCompleteStream(resume("a2", "elsewhere")));
 }
 
+// Failure: the store rejects writes and serves reads, and streams are refused
+// although the record can be read.
+TEST(StreamVersions, UnknownBeginningGoesOnWhileWritesFail) {
+  startEngines({"v1"});
+  waitForRecord();
+  CHECK(isCompleteStream(resume("a1", "elsewhere")));
+  Fixture.Store.RejectsTransactions = true;
+  // Its client waits for longer than the record says.
+  request("a2", "X-Deadline-Ms: 60000\r\n");
+  const auto End = std::chrono::steady_clock::now() + milliseconds(6000);
+  unsigned Served = 0;
+  unsigned Refused = 0;
+  while (std::chrono::steady_clock::now() < End) {
+    // A beginning that has been resumed once is known.
+    const std::string Number = std::to_string(Served + Refused);
+    const bool IsServed =
+        isCompleteStream(resume("b" + Number, "elsewhere" + Number));
+    ++(IsServed ? Served : Refused);
+    const auto Next = std::chrono::steady_clock::now() + milliseconds(100);
+    Fixture.waitUntil([&] { return std::chrono::steady_clock::now() > Next; });
+  }
+  LONGS_EQUAL(0, Refused);
+  CHECK(Served > 0);
+}
+
+// Failure: a caller leaves, or its deadline passes, while its stream waits for
+// the record, and it is answered twice or never.
+TEST(StreamVersions, WaitingForTheRecordEndsWithTheRequest) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.Silent = true;
+  {
+    KeepAliveCaller Leaving(Fixture);
+    Leaving.sendBytes(text("a1", resumption("elsewhere1")));
+    const auto Until = std::chrono::steady_clock::now() + milliseconds(100);
+    Fixture.waitUntil([&] { return std::chrono::steady_clock::now() > Until; });
+  }
+  const auto Before = std::chrono::steady_clock::now();
+  const std::string Answer =
+      request("a2", resumption("elsewhere2") + "X-Deadline-Ms: 300\r\n");
+  CHECK(contains(Answer, "HTTP/1.1 50"));
+  CHECK(Answer.rfind("HTTP/1.1") == 0);
+  CHECK(std::chrono::steady_clock::now() - Before < milliseconds(400));
+  Fixture.Store.Silent = false;
+  CHECK(Fixture.waitUntil(
+      [&] { return isCompleteStream(resume("a3", "elsewhere3")); }));
+  for (const std::string &Received : Engines[0]->Requests)
+    STRCMP_EQUAL("a3", field(Received, "X-Attempt-Id").c_str());
+}
+
 // Failure: after a kill of all gateways, each of their streams reads the store.
 TEST(StreamVersions, StreamsThatReturnAtOnceShareReads) {
   startEngines({"v1"});
