LibDispatch, figlift-gateway: Begin and resume streams by what is known of the record now

Reads have a pause of their own. - A gateway that ran through a restored store kept what it knew for complete. - After a gap in the list, streams began by the record of before the gap. - An answer of the store that was older than a peer's message, or than the last write, undid it. What was told or written since stays. - A row that could not be decoded counted as a record that had just been read. - 'There is no record' counted without limit; it is read again within 2.4 s and counts for 3 s. - Beginnings that peers tell after the end of a version was written move it. - A stream of unknown origin went on at the only version of one of its route's services; all of them must have the same. - Reads for requests are 2 ms for each live gateway apart, 100 ms at least: 200 gateways stay below half of the store's limit.

--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -72,6 +72,9 @@
   /// Streams may begin at a version for this long after its last server has
   /// left the list: until every gateway has read that.
   std::chrono::milliseconds DiscoveryTime{4000};
+  /// Streams of a service without a record may begin at any version for this
+  /// long after the read that showed it: another gateway may have written one.
+  std::chrono::milliseconds AbsenceLifetime{3000};
   /// Deadlines of clients count in steps of this, so that few different ones
   /// change the record.
   std::chrono::milliseconds DeadlineStep{5000};
@@ -175,8 +178,11 @@
   VersionRecord makeRecord(const ServiceHistory &History,
                            const StoreClockReading &Clock) const;
   bool isRecorded(const ServiceHistory &History) const;
-  bool hasNoRecord(const std::string &Service) const;
-  void addRecordedService(const std::string &Service);
+  bool hasMovedEnd(const RecordedVersion &Recorded, const Version &Entry) const;
+  std::optional<UnknownOriginReason>
+  lackingRecord(const std::string &Service, const ServiceHistory &History,
+                BootTime ResumedAt) const;
+  bool hasNoRecord(const std::string &Service, BootTime Now) const;
   bool mayBegin(const std::string &Service, const ServiceHistory &History,
                 const std::string &Name, BootTime Now) const;
   void cut(VersionRecord &Record) const;
@@ -186,10 +192,13 @@
   std::map<std::string, ServiceHistory> m_Services;
   TakeUpTimes m_TakeUpTimes;
   std::vector<StreamOrigin> m_NewlyRecorded;
-  /// Services that have a record in the store; empty if that is not known. A
-  /// process that starts refuses streams of a service without one, which may
+  /// Services that had a record in the store when it was read; empty if that is
+  /// not known. Streams of a service without one are not resumed by it, and may
   /// therefore begin at any version.
   std::optional<std::set<std::string>> m_RecordedServices;
+  /// Services whose record was written since by this gateway or by a peer. An
+  /// answer of the store may be older.
+  std::set<std::string> m_NewlyRecordedServices;
   /// To convert the times of a record; empty before the first read.
   std::optional<StoreClockReading> m_Clock;
   BootTime m_ListedAt{};
--- a/Libraries/LibDispatch/VersionRecord.h
+++ b/Libraries/LibDispatch/VersionRecord.h
@@ -40,6 +40,9 @@
   /// Versions were left out for lack of space: those that count for less long
   /// than the ones that are here.
   bool IsCut = false;
+  /// The row could not be decoded, so that what it held is not known. Not
+  /// stored.
+  bool IsInvalid = false;
   std::vector<RecordedVersion> Versions;
 };
 
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -23,8 +23,8 @@
 
 /// Another gateway may know where the stream began.
 constexpr milliseconds UnknownOriginRetryAfter{50};
-/// The store is asked again by then.
-constexpr milliseconds UnreadRecordRetryAfter{500};
+/// The store is asked again by then, or a first record is written.
+constexpr milliseconds MissingRecordRetryAfter{500};
 /// The record of a new version is usually written by then.
 constexpr milliseconds UnrecordedRetryAfter{250};
 
@@ -58,6 +58,13 @@
                      Unknown->Reason == Reason::OldRecord);
 }
 
+bool isRecordMissing(const OriginLookup &Origin) {
+  const auto *Unknown = std::get_if<UnknownOrigin>(&Origin);
+  return needsNewRecord(Origin) ||
+         (Unknown &&
+          Unknown->Reason == dispatch::UnknownOriginReason::NoRecord);
+}
+
 bool hasService(const dispatch::Route &Route, const std::string &Service) {
   return std::any_of(
       Route.Services.begin(), Route.Services.end(),
@@ -76,8 +83,21 @@
   std::optional<dispatch::StreamKey> Beginning;
   if (m_Fields.Resumes)
     Beginning = streamKey(*m_Fields.Resumes);
-  return m_Shared.Origins.find(Beginning, m_Service, m_Started,
-                               BootClock::now());
+  const BootTime Now = BootClock::now();
+  const OriginLookup Origin =
+      m_Shared.Origins.find(Beginning, m_Service, m_Started, Now);
+  const auto *Only = std::get_if<OnlyVersion>(&Origin);
+  if (!Only)
+    return Origin;
+  // The stream may have begun at any service of the route.
+  for (const dispatch::WeightedService &Other : m_Route.Services) {
+    const auto Found =
+        m_Shared.Origins.versions().find(Other.Service, m_Started, Now);
+    const auto *OtherOnly = std::get_if<OnlyVersion>(&Found);
+    if (!OtherOnly || OtherOnly->SoftwareVersion != Only->SoftwareVersion)
+      return UnknownOrigin{dispatch::UnknownOriginReason::SeveralVersions};
+  }
+  return Origin;
 }
 
 void RequestFlow::findOrigin() {
@@ -97,8 +117,8 @@
     return begin();
   respondWithError(m_History.errorStatus(),
                    "it is not known at which software version the stream began",
-                   needsNewRecord(Origin) ? UnreadRecordRetryAfter
-                                          : UnknownOriginRetryAfter);
+                   isRecordMissing(Origin) ? MissingRecordRetryAfter
+                                           : UnknownOriginRetryAfter);
 }
 
 void RequestFlow::bindToOrigin(const OriginLookup &Origin) {
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -38,10 +38,12 @@
 /// a random part of up to the same length. It doubles with each such read, this
 /// many times.
 constexpr milliseconds RereadDelay{300};
-constexpr unsigned MaximumRereadDoublings = 3;
-/// Between two reads for requests. All gateways share the store's limit on
-/// reads, and after a kill of all of them each gets such requests for seconds.
+constexpr unsigned MaximumRereadDoublings = 2;
+/// Between two reads for requests, and more for each live gateway. All of them
+/// share the store's limit on reads, and after a kill of all each gets such
+/// requests for seconds.
 constexpr milliseconds SharedReadInterval{100};
+constexpr milliseconds SharedReadIntervalPerGateway{2};
 
 } // namespace
 
@@ -59,11 +61,13 @@
 void VersionRecorder::storeRestored() {
   m_Shared.Origins.versions().forgetRecords();
   m_RowVersions.clear();
+  m_LastWrite = {};
   m_ReadAt = {};
   m_ChangedAt = BootClock::now();
 }
 
-void VersionRecorder::tick(size_t Before, BootTime Now) {
+void VersionRecorder::tick(size_t Before, size_t LiveGateways, BootTime Now) {
+  m_LiveGateways = LiveGateways;
   readIfWanted(Now);
   if (m_ReadPending || m_WritePending || Now < m_NextCall)
     return;
@@ -81,12 +85,15 @@
 void VersionRecorder::readIfWanted(BootTime Now) {
   if (!m_Reads.isWanted() || m_ReadPending)
     return;
-  if (Now < m_NextCall) {
+  if (Now < m_NextRead) {
     for (const auto &Done : m_Reads.refuse())
       Done();
     return;
   }
-  if (Now - m_ReadSentAt >= SharedReadInterval)
+  const milliseconds Interval =
+      std::max(SharedReadInterval,
+               SharedReadIntervalPerGateway * static_cast<int>(m_LiveGateways));
+  if (Now - m_ReadSentAt >= Interval)
     read();
 }
 
@@ -109,12 +116,16 @@
 
 void VersionRecorder::readEnded(const Result<slopes::RowsRead> &Read,
                                 BootTime SentAt) {
-  if (!Read)
-    return callFailed(Read.error());
-  if (!Read.value().Clock)
-    return callFailed({ResultCode::InvalidInput, "the store has no clock",
-                       "nowMs", std::nullopt});
+  if (!Read || !Read.value().Clock) {
+    callFailed(Read ? Error{ResultCode::InvalidInput, "the store has no clock",
+                            "nowMs", std::nullopt}
+                    : Read.error());
+    m_NextRead = BootClock::now() + RetryDelay;
+    return;
+  }
   recordsRead(Read.value());
+  if (SentAt < m_LastWrite.AcknowledgedAt)
+    restoreLastWrite();
   m_Shared.Origins.versions().recordRecordsKnown(SentAt);
 }
 
@@ -131,8 +142,7 @@
     if (!Record) {
       log::logError(log::Level::Error, "software-versions-invalid",
                     Record.error());
-      // All that is known is what this process sees from now on.
-      Records[Row.Key].CompleteSince = m_Clock->Store;
+      Records[Row.Key].IsInvalid = true;
       continue;
     }
     Records[Row.Key] = std::move(Record.value());
@@ -215,13 +225,21 @@
     }
     m_FailedWrites = 0;
     ++m_Writes;
-    m_RowVersions[Service] = Written.value().Number;
-    m_Shared.Origins.versions().recordsWritten({{Service, Record}});
+    m_LastWrite = {Service, Record, Written.value().Number, BootClock::now()};
+    restoreLastWrite();
     log::logEvent(log::Level::Info, "software-versions-written",
                   {{"service", Service}, {"versions", Record.Versions.size()}});
   });
 }
 
+/// Enters the last write into what is known. An answer that was sent before it
+/// may have come after it, and lacks it.
+void VersionRecorder::restoreLastWrite() {
+  m_RowVersions[m_LastWrite.Service] = m_LastWrite.RowVersion;
+  m_Shared.Origins.versions().recordsWritten(
+      {{m_LastWrite.Service, m_LastWrite.Record}});
+}
+
 void VersionRecorder::callFailed(const Error &Reason) {
   const BootTime Now = BootClock::now();
   const milliseconds Delay =
--- a/Services/figlift-gateway/VersionRecorder.h
+++ b/Services/figlift-gateway/VersionRecorder.h
@@ -36,7 +36,7 @@
   /// Reads the record; later reads follow from tick().
   void start();
   /// Called several times a second. \p Before: live gateways before this one.
-  void tick(size_t Before, BootTime Now);
+  void tick(size_t Before, size_t LiveGateways, BootTime Now);
   /// The store was restored from a copy: what was written may be lost.
   void storeRestored();
   void readAgain(std::function<void()> Done) override;
@@ -49,6 +49,7 @@
   void recordsRead(const slopes::RowsRead &Read);
   void writeChanges(size_t Before, BootTime Now);
   void write(const std::string &Service, const dispatch::VersionRecord &Record);
+  void restoreLastWrite();
   void callFailed(const Error &Reason);
 
   Context &m_Shared;
@@ -62,6 +63,9 @@
   BootTime m_ReadSentAt{};
   /// After a failed call.
   BootTime m_NextCall{};
+  /// After a failed read.
+  BootTime m_NextRead{};
+  size_t m_LiveGateways = 1;
   /// Latest reading of the store's clock; empty before the first read.
   std::optional<dispatch::StoreClockReading> m_Clock;
   /// Versions of the rows in the store, by service.
@@ -78,6 +82,13 @@
   /// Consecutive ones.
   unsigned m_FailedWrites = 0;
   uint64_t m_Writes = 0;
+  struct AcknowledgedWrite {
+    std::string Service;
+    dispatch::VersionRecord Record;
+    uint64_t RowVersion = 0;
+    BootTime AcknowledgedAt{};
+  };
+  AcknowledgedWrite m_LastWrite;
 };
 
 } // namespace figlift::gateway
