LibRecord: Quote only the start of an invalid value

An engine's answer to a prefill whose kvHandle was nested 100,000 deep ended the gateway by a segmentation fault, and all requests at it with it. The error message quoted the value by printing all of it, which recurses once for each level, to show its first 60 bytes.

The class: work whose depth or size the sender of a value decides. The quote is now written until it is as long as it may be. Each level of nesting writes a byte, so the recursion ends with the quote, and of a long text only the start is escaped.

--- a/Libraries/LibRecord/FieldReader.cpp
+++ b/Libraries/LibRecord/FieldReader.cpp
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace figlift::record {
 
@@ -16,8 +17,49 @@
 /// Longest part of a record that an error message quotes.
 static constexpr size_t MaximumQuotedBytes = 60;
 
+/// Appends \p Value as JSON until \p Text is longer than MaximumQuotedBytes.
+/// The sender decides how deep and how large a value is: each level of nesting
+/// appends at least one byte, which bounds the recursion, and a long text is
+/// escaped only as far as it can be shown.
+static void appendStart(std::string &Text, const Json &Value) {
+  const auto IsLongEnough = [&] { return Text.size() > MaximumQuotedBytes; };
+  const auto AppendText = [&](const std::string &Shown) {
+    // A character that is cut off begins in the last three bytes, beyond those
+    // that are shown.
+    Text += Json(Shown.substr(0, MaximumQuotedBytes + 4))
+                .dump(-1, ' ', true, Json::error_handler_t::replace);
+  };
+  if (IsLongEnough())
+    return;
+  if (Value.is_string())
+    return AppendText(Value.get_ref<const std::string &>());
+  if (Value.is_binary()) {
+    Text += "bytes";
+    return;
+  }
+  if (!Value.is_structured()) {
+    Text += Value.dump();
+    return;
+  }
+  Text += Value.is_array() ? '[' : '{';
+  bool IsFirst = true;
+  for (auto Member = Value.begin(); Member != Value.end(); ++Member) {
+    if (IsLongEnough())
+      return;
+    if (!std::exchange(IsFirst, false))
+      Text += ',';
+    if (Value.is_object()) {
+      AppendText(Member.key());
+      Text += ':';
+    }
+    appendStart(Text, *Member);
+  }
+  Text += Value.is_array() ? ']' : '}';
+}
+
 static std::string quoted(const Json &Value) {
-  std::string Text = Value.dump(-1, ' ', true, Json::error_handler_t::replace);
+  std::string Text;
+  appendStart(Text, Value);
   if (Text.size() > MaximumQuotedBytes)
     Text = Text.substr(0, MaximumQuotedBytes) + "...";
   return Text;
