LibCore, all decoders: Bound the depth of foreign messages while parsing

Operators saw gateways end again and again, each right after it had read the same row, report or answer: one sender's bytes reached all of them, and each again after its restart.

The class: work whose depth the sender decides, on this process's stack. Parsing JSON text is iterative, but copying and printing a value are not, and reading CBOR recurses for arrays, maps and the parts of strings of indefinite length. A stack overflow cannot be caught.

--- a/Libraries/LibDispatch/CrashCauseUpdate.cpp
+++ b/Libraries/LibDispatch/CrashCauseUpdate.cpp
@@ -6,6 +6,7 @@
 
 #include "LibDispatch/CrashCauseUpdate.h"
 
+#include "LibCore/BoundedJson.h"
 #include "LibDispatch/FingerprintJson.h"
 #include "LibDispatch/StartTimeJson.h"
 
@@ -80,7 +81,7 @@
 }
 
 Result<CrashCauseUpdate> decodeCrashCauses(std::string_view Bytes) try {
-  const Json Encoded = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Encoded, parseCborMessage(Bytes));
   CrashCauseUpdate Update;
   for (const Json &Item : Encoded.at(0)) {
     FIGLIFT_TRY(Crash, decodeCrash(Item));
--- a/Libraries/LibDispatch/PaceUpdate.cpp
+++ b/Libraries/LibDispatch/PaceUpdate.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/PaceUpdate.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -107,7 +109,7 @@
 }
 
 Result<PaceUpdate> decodePaceUpdate(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   const auto Sender = Root.at(0).get<std::string>();
   const auto Intervals = decodeSamples(Root.at(1));
   const auto ReadRatios = decodeSamples(Root.at(2));
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -7,6 +7,7 @@
 
 #include "LibDispatch/PeerReport.h"
 
+#include "LibCore/BoundedJson.h"
 #include "LibDispatch/StartTimeJson.h"
 
 #include <nlohmann/json.hpp>
@@ -149,7 +150,7 @@
 }
 
 Result<PeerReport> decodePeerReport(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   PeerReport Report;
   Report.Sender = Root.at(0).get<std::string>();
   for (const Json &Item : Root.at(1))
--- a/Libraries/LibDispatch/StoreUpdate.cpp
+++ b/Libraries/LibDispatch/StoreUpdate.cpp
@@ -6,6 +6,7 @@
 
 #include "LibDispatch/StoreUpdate.h"
 
+#include "LibCore/BoundedJson.h"
 #include "LibDispatch/StartTimeJson.h"
 
 #include <nlohmann/json.hpp>
@@ -86,7 +87,7 @@
 }
 
 Result<StoreUpdate> decodeStoreUpdate(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   StoreUpdate Update;
   Update.Sender = Root.at(0).get<std::string>();
   // Earlier versions of the program send no era. Era 0 is older than any other.
--- a/Libraries/LibDispatch/StreamOriginUpdate.cpp
+++ b/Libraries/LibDispatch/StreamOriginUpdate.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/StreamOriginUpdate.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -27,7 +29,7 @@
 }
 
 Result<StreamOriginUpdate> decodeStreamOrigins(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   StreamOriginUpdate Update;
   Update.Origin = {Root.at(0).get<std::string>(),
                    Root.at(1).get<std::string>()};
--- a/Libraries/LibDispatch/SuspectUpdate.cpp
+++ b/Libraries/LibDispatch/SuspectUpdate.cpp
@@ -6,6 +6,7 @@
 
 #include "LibDispatch/SuspectUpdate.h"
 
+#include "LibCore/BoundedJson.h"
 #include "LibDispatch/FingerprintJson.h"
 #include "LibDispatch/StartTimeJson.h"
 
@@ -74,7 +75,8 @@
 Result<std::vector<SuspectUpdate>>
 decodeSuspectUpdates(std::string_view Bytes) try {
   std::vector<SuspectUpdate> Updates;
-  for (const Json &Encoded : Json::from_cbor(Bytes)) {
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
+  for (const Json &Encoded : Root) {
     FIGLIFT_TRY(Update, decodeUpdate(Encoded));
     Updates.push_back(std::move(Update));
   }
--- a/Libraries/LibDispatch/TenantShareUpdate.cpp
+++ b/Libraries/LibDispatch/TenantShareUpdate.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/TenantShareUpdate.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -93,7 +95,7 @@
 }
 
 Result<TenantShareUpdate> decodeTenantShares(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   TenantShareUpdate Update;
   Update.Sender = Root.at(0).get<std::string>();
   const Json &Pools = Root.at(1);
--- a/Libraries/LibDispatch/VersionRecord.cpp
+++ b/Libraries/LibDispatch/VersionRecord.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/VersionRecord.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -44,7 +46,7 @@
 }
 
 Result<VersionRecord> decodeVersionRecord(std::string_view Text) try {
-  const Json Root = Json::parse(Text);
+  FIGLIFT_TRY(Root, parseMessage(Text));
   VersionRecord Record;
   Record.CompleteSince = StoreTime(decodeDuration(Root.at("completeSinceMs")));
   Record.IsCut = Root.value("cut", false);
--- a/Libraries/LibUsage/UsageUpdate.cpp
+++ b/Libraries/LibUsage/UsageUpdate.cpp
@@ -6,6 +6,8 @@
 
 #include "LibUsage/UsageUpdate.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace figlift::usage {
@@ -22,7 +24,7 @@
 }
 
 Result<UsageUpdate> decodeUsageUpdate(std::string_view Bytes) try {
-  const Json Root = Json::from_cbor(Bytes);
+  FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   UsageUpdate Update;
   Update.Sender = Root.at(0).get<std::string>();
   Update.Incarnation = Root.at(1).get<uint64_t>();
@@ -40,7 +42,7 @@
 }
 
 Result<Report> decodeReport(std::string_view Text) try {
-  const Json Root = Json::parse(Text);
+  FIGLIFT_TRY(Root, parseMessage(Text));
   return Report{Root.at("window").get<WindowNumber>(),
                 Root.at("counts").get<Counts>()};
 } catch (const Json::exception &Exception) {
