LibDispatch, figlift-gateway: Let failed connects use up no sends

Callers were rejected with 503 although a server was listed that would have served them: well-formed entries at whose address nobody listens (of crashed servers, or of another writer) took all three sends of a request within half a millisecond ("how":"no connection").

Cause: each attempt to connect counted as one of MaximumSends. That bound exists because three rejections show that a service is full, and because sends add to its load; a refused connection does neither. The rule on maxAttempts counts servers on which a request has run, and the retry budget counts arrivals: a connection that failed is none of both.

Class: a bound that is meant for one cause is used up by another.

NotSent says now whether the attempt to connect failed, and such sends do not count. A lack of free connections and servers that asked for a pause count as before. What bounds a request instead: each server is tried once, the deadline, and after MaximumSends sends only servers that are not ejected.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -52,7 +52,7 @@
     return false;
   if (m_Loads.isExcluded(Engine.Id, Now))
     return false;
-  return Filter == HealthFilter::Any ||
+  return (Filter == HealthFilter::Any && Request.MayUseEjected) ||
          (!m_Loads.isEjected(Engine.Id, Now) &&
           m_Loads.failureShare(Engine.Id, Now) < m_Options.MaximumFailureShare);
 }
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -57,6 +57,8 @@
   std::vector<std::string> Excluded;
   /// Uniform in [0, 1).
   double Draw = 0;
+  /// An ejected engine may be chosen if there is no other.
+  bool MayUseEjected = true;
 };
 
 /// Planned times of a prefill, against which the actual time is compared.
--- a/Libraries/LibDispatch/RetryRules.h
+++ b/Libraries/LibDispatch/RetryRules.h
@@ -47,7 +47,10 @@
 struct RetryOptions {
   /// Maximum number of sends of one request, including rejected ones. If three
   /// servers reject a request the service is full, and more sends only add to
-  /// its load.
+  /// its load. A failed attempt to connect does not count: it adds no load, and
+  /// another server may be available. Each server is tried once, and after this
+  /// many sends only those that have not failed recently; see
+  /// LoadTrackerOptions::EjectionTime.
   unsigned MaximumSends = 3;
   /// With less time left a retry cannot be answered in time.
   Milliseconds MinimumTimeLeft{30};
@@ -63,10 +66,11 @@
   const bool MayRunAgain =
       History.executions() == 0 ||
       (Progress.Repeatable && History.executions() < Progress.MaximumRuns);
-  const bool Allowed =
-      MayRunAgain && (Progress.Repeatable || !mayHaveRun(Outcome)) &&
-      Progress.EndsBeforeStop && History.sends() < Options.MaximumSends &&
-      Progress.TimeLeft >= Options.MinimumTimeLeft;
+  const bool Allowed = MayRunAgain &&
+                       (Progress.Repeatable || !mayHaveRun(Outcome)) &&
+                       Progress.EndsBeforeStop &&
+                       History.countedSends() < Options.MaximumSends &&
+                       Progress.TimeLeft >= Options.MinimumTimeLeft;
   if (Allowed && MayRetry())
     return Retry{};
   if (Progress.AnswerBegun)
--- a/Libraries/LibDispatch/SendHistory.cpp
+++ b/Libraries/LibDispatch/SendHistory.cpp
@@ -60,6 +60,15 @@
     Send.Outcome = Outcome;
 }
 
+unsigned SendHistory::countedSends() const {
+  return static_cast<unsigned>(
+      std::count_if(m_Sends.begin(), m_Sends.end(), [](const SendRecord &Send) {
+        const auto *Unsent =
+            Send.Outcome ? std::get_if<NotSent>(&*Send.Outcome) : nullptr;
+        return !Unsent || !Unsent->ConnectFailed;
+      }));
+}
+
 unsigned SendHistory::executions() const {
   return static_cast<unsigned>(
       std::count_if(m_Sends.begin(), m_Sends.end(),
--- a/Libraries/LibDispatch/SendHistory.h
+++ b/Libraries/LibDispatch/SendHistory.h
@@ -106,6 +106,9 @@
   const SendRecord &at(SendNumber Number) const { return m_Sends[Number]; }
   /// All sends, including those that did not reach a server.
   unsigned sends() const { return static_cast<unsigned>(m_Sends.size()); }
+  /// Sends that count towards the maximum of a request: all but those whose
+  /// attempt to connect failed.
+  unsigned countedSends() const;
   /// Sends that may have executed the request.
   unsigned executions() const;
   /// Sends for \p Purpose that may have reached a server.
--- a/Libraries/LibDispatch/SendOutcome.h
+++ b/Libraries/LibDispatch/SendOutcome.h
@@ -14,8 +14,12 @@
 
 /// \name Outcomes of a send.
 /// @{
-/// No connection was established: the server has not seen the request.
-struct NotSent {};
+/// No byte was sent: the server has not seen the request.
+struct NotSent {
+  /// The attempt to connect failed. Unlike a lack of free connections, this
+  /// does not show that the service is full.
+  bool ConnectFailed = false;
+};
 /// The server answered that it has not run the request and never will.
 struct Rejected {};
 /// The server answered that it failed, without the statement that it has not
--- a/Libraries/LibDispatch/ServicePlanner.cpp
+++ b/Libraries/LibDispatch/ServicePlanner.cpp
@@ -51,10 +51,10 @@
                                       static_cast<double>(Servers.size()))) %
         Servers.size();
     const Target &Server = *Servers[Index];
-    if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
-                  Server.Id) != Request.Excluded.end() ||
+    if ((!IncludeEjected && m_Loads.isEjected(Server.Id, Now)) ||
         m_Loads.isExcluded(Server.Id, Now) ||
-        (!IncludeEjected && m_Loads.isEjected(Server.Id, Now)))
+        std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                  Server.Id) != Request.Excluded.end())
       continue;
     const double Score = score(Server, LeastErrors, Now);
     if (!Best || Score < BestScore) {
@@ -70,7 +70,7 @@
                                  BootTime Now) const {
   const Target *Best = choose(Request, Servers, false, Now);
   // An ejected server is better than none.
-  if (!Best)
+  if (!Best && Request.MayUseEjected)
     Best = choose(Request, Servers, true, Now);
   if (!Best)
     return ServiceRejection{"no server takes new requests",
--- a/Libraries/LibDispatch/ServicePlanner.h
+++ b/Libraries/LibDispatch/ServicePlanner.h
@@ -23,6 +23,8 @@
   std::vector<std::string> Excluded;
   /// Uniform in [0, 1).
   double Draw = 0;
+  /// An ejected server may be chosen if there is no other.
+  bool MayUseEjected = true;
 };
 
 struct ServiceAssignment {
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -408,7 +408,7 @@
 /// instead of one, and the retry budget is not consulted for an execution that
 /// was not sent.
 bool RequestFlow::decodeElsewhere(const ServerSend &Failed, BootTime Now) {
-  if (m_History.sends() >= m_Shared.Retries.MaximumSends ||
+  if (m_History.countedSends() >= m_Shared.Retries.MaximumSends ||
       !mayStart(Milliseconds(0), Now))
     return false;
   m_Excluded.push_back(Failed.targetId());
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -73,6 +73,7 @@
   dispatch::PromptPlan promptPlan(const dispatch::Service &Service,
                                   BootTime Now);
   dispatch::ServicePlan servicePlan(BootTime Now);
+  bool mayUseEjected() const;
   /// Open targets that this request may use.
   OpenTargets::List usableTargets() const;
   OpenTargets::List recordedTargets() const;
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -57,8 +57,14 @@
 }
 
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
-  return m_Shared.Services.plan({timeLeft(Now), excluded(Now), m_Shared.draw()},
-                                usableTargets(), Now);
+  return m_Shared.Services.plan(
+      {timeLeft(Now), excluded(Now), m_Shared.draw(), mayUseEjected()},
+      usableTargets(), Now);
+}
+
+/// While all servers are down, requests try a few of them, not each in turn.
+bool RequestFlow::mayUseEjected() const {
+  return m_History.sends() < m_Shared.Retries.MaximumSends;
 }
 
 /// Retry-After of a request that no server may take at present. Where servers
@@ -115,6 +121,7 @@
       m_Shared.draw() < m_Shared.PrefillSpills[m_Service].share();
   Request.Excluded = excluded(Now);
   Request.Draw = m_Shared.draw();
+  Request.MayUseEjected = mayUseEjected();
   return Request;
 }
 
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -145,7 +145,7 @@
   if (!m_Owner)
     return;
   if (End == ExchangeOutcome::NotSent)
-    return end(dispatch::NotSent{});
+    return end(dispatch::NotSent{.ConnectFailed = !isHeldBack()});
   if (End != ExchangeOutcome::Complete)
     return end(dispatch::ConnectionLost{});
   if (m_Fields.NotExecuted)
@@ -167,6 +167,12 @@
     m_Shared.Loads.recordRejection(m_TargetId, Now);
 }
 
+/// Whether the server has asked for a pause.
+bool ServerSend::isHeldBack() const {
+  return m_Target && m_Shared.Feedback.backoffs().isBackingOff(
+                         m_Target->start(), BootClock::now());
+}
+
 void ServerSend::recordOutcome(const SendOutcome &End) {
   // The target may have restarted: a failure of its earlier start says nothing
   // about the current one.
@@ -182,8 +188,7 @@
     m_Shared.Loads.recordError(m_TargetId, Now);
   // What was held back says nothing about the server's health.
   const bool WasHeldBack =
-      std::holds_alternative<dispatch::NotSent>(End) && m_Target &&
-      m_Shared.Feedback.backoffs().isBackingOff(m_Target->start(), Now);
+      std::holds_alternative<dispatch::NotSent>(End) && isHeldBack();
   if (IsValidResponse || WasHeldBack)
     m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
   else
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -98,6 +98,7 @@
                           const slopes::ServerFields &Fields) const;
   void recordRejection(BootTime Now);
   void recordLimit();
+  bool isHeldBack() const;
   void recordOutcome(const dispatch::SendOutcome &End);
   void end(dispatch::SendOutcome End);
 
--- a/Tests/LibDispatch/TestRetryRules.cpp
+++ b/Tests/LibDispatch/TestRetryRules.cpp
@@ -65,6 +65,27 @@
   CHECK(retries(NotSent{}));
 }
 
+// Failure: a caller is rejected although a server is available.
+// Cause: connections refused at the addresses of crashed servers use up the
+// sends of the request.
+TEST(RetryRules, DoNotCountFailedConnects) {
+  for (unsigned Count = 0; Count < 20; ++Count)
+    addEarlier(NotSent{.ConnectFailed = true});
+  CHECK(retries(NotSent{.ConnectFailed = true}));
+  CHECK(retries(Rejected{}));
+  for (unsigned Count = 1; Count < Options.MaximumSends; ++Count)
+    addEarlier(Rejected{});
+  LONGS_EQUAL(NotRunStatus, status(Rejected{}));
+}
+
+// Failure: a service whose servers have no free connection gets more sends than
+// the maximum.
+TEST(RetryRules, CountSendsWithoutAFreeConnection) {
+  for (unsigned Count = 1; Count < Options.MaximumSends; ++Count)
+    addEarlier(NotSent{});
+  LONGS_EQUAL(NotRunStatus, status(NotSent{}));
+}
+
 // Guards against: the first run is interrupted, the second send is rejected,
 // and the caller gets "not run" because only the last send counts.
 TEST(RetryRules, ReportsNotRunOnlyIfNoSendMayHaveRun) {
--- a/Tests/LibDispatch/TestServicePlanner.cpp
+++ b/Tests/LibDispatch/TestServicePlanner.cpp
@@ -50,6 +50,18 @@
   CHECK(chosen() != First);
 }
 
+// Failure: while all servers of a service are down, each request connects to
+// every one of them in turn.
+TEST(ServicePlanner, ChoosesNoEjectedServerIfToldSo) {
+  Loads.recordFailure("a", start("a"), Now);
+  Loads.recordFailure("b", start("b"), Now);
+  CHECK(!chosen().empty());
+  Request.MayUseEjected = false;
+  CHECK(chosen().empty());
+  Now += LoadTrackerOptions{}.EjectionTime;
+  CHECK(!chosen().empty());
+}
+
 // One server of two becomes slow. After ten answers that take five times the
 // planned time it must not be chosen while the other one is idle.
 TEST(ServicePlanner, AvoidsASlowServer) {
