LibDispatch: Fit store updates into a datagram

Gateways read the store themselves, each of them, while the list of servers held entries with long texts: the update of the one that reads for all did not arrive, and its failure to be sent was not visible anywhere. The list was still followed, up to a second later.

Cause: an update holds up to 200 changes, which was meant for 150 bytes each. Texts of an entry may have 4,096 bytes, and the ids come from the writers, so 200 changes can have 1.6 MB. A datagram holds 65,507 bytes.

Class: work whose size the sender decides; a bound on a count where the bytes are what is limited.

An update now leaves out its oldest changes, by versions, and begins after them. A peer that knows that version applies the rest; another one finds that versions are missing and reads the store at once, as it does after a lost datagram.

Evidence: the new test failed with the code of before (more than 65,490 bytes for 200 changes with two texts of 4,096 bytes).

--- a/Libraries/LibDispatch/StoreUpdate.cpp
+++ b/Libraries/LibDispatch/StoreUpdate.cpp
@@ -68,13 +68,42 @@
   return Change;
 }
 
+/// Most bytes of the changes in one update: a datagram carries 65,507, with the
+/// seal and the other items.
+constexpr size_t MaximumChangeBytes = 64000;
+
+Json encodeChange(const ServerChange &Change) {
+  return Json::array(
+      {Change.Version.Number, Change.Id, encodeEntry(Change.Entry)});
+}
+
+/// Leaves the oldest changes out if not all of them fit into a datagram. The
+/// update then begins after the version of the last one that is left out, and a
+/// peer that does not know that version reads the store.
+ServerUpdate fitIntoDatagram(ServerUpdate Update) {
+  size_t Bytes = 0;
+  for (auto Change = Update.Changes.rbegin(); Change != Update.Changes.rend();
+       ++Change) {
+    Bytes += Json::to_cbor(encodeChange(*Change)).size();
+    if (Bytes <= MaximumChangeBytes)
+      continue;
+    Update.After = Change->Version;
+    std::erase_if(Update.Changes, [&](const ServerChange &Any) {
+      return Any.Version <= Update.After;
+    });
+    break;
+  }
+  return Update;
+}
+
 } // namespace
 
-std::string encodeStoreUpdate(const StoreUpdate &Update) {
+std::string encodeStoreUpdate(const StoreUpdate &Complete) {
+  StoreUpdate Update = Complete;
+  Update.Servers = fitIntoDatagram(std::move(Update.Servers));
   Json Changes = Json::array();
   for (const ServerChange &Change : Update.Servers.Changes)
-    Changes.push_back(Json::array(
-        {Change.Version.Number, Change.Id, encodeEntry(Change.Entry)}));
+    Changes.push_back(encodeChange(Change));
   std::string Bytes;
   Json::to_cbor(
       Json::array({Update.Sender, Update.Servers.After.Number,
--- a/Libraries/LibDispatch/StoreUpdate.h
+++ b/Libraries/LibDispatch/StoreUpdate.h
@@ -55,7 +55,7 @@
   ConfigurationUpdate Configuration;
 };
 
-/// Encodes as CBOR.
+/// Encodes as CBOR, without the oldest changes if a datagram cannot hold all.
 std::string encodeStoreUpdate(const StoreUpdate &Update);
 /// Fails with InvalidInput.
 Result<StoreUpdate> decodeStoreUpdate(std::string_view Bytes);
--- a/Tests/FigliftGateway/TestUnreachableServers.cpp
+++ b/Tests/FigliftGateway/TestUnreachableServers.cpp
@@ -1,4 +1,5 @@
-//===- TestUnreachableServers.cpp - Entries at whose address nobody listens ===//
+//===- TestUnreachableServers.cpp - Entries at whose address nobody listens
+//===//
 //
 // The list of servers holds entries of crashed servers, and of writers that
 // list what is no server. Connections to them are refused at once.
@@ -26,9 +27,9 @@
   /// Some entries have port 0, to which no connection is possible.
   void listDead(const std::string &Service, const std::string &Stage = "") {
     for (unsigned I = 0; I < DeadEntries; ++I)
-      Fixture.listServer(
-          "dead-" + std::to_string(I), Service,
-          {"127.0.0.1", I % 3 == 0 ? uint16_t{0} : DiscardPort}, Stage);
+      Fixture.listServer("dead-" + std::to_string(I), Service,
+                         {"127.0.0.1", I % 3 == 0 ? uint16_t{0} : DiscardPort},
+                         Stage);
   }
   void start(unsigned Targets) {
     Fixture.configure();
@@ -42,7 +43,8 @@
     for (unsigned I = 0; I < Requests; ++I) {
       STRCMP_CONTAINS("HTTP/1.1 200",
                       Fixture.request("POST", "/unsafe/x").c_str());
-      STRCMP_CONTAINS("HTTP/1.1 200", Fixture.request("GET", "/safe/x").c_str());
+      STRCMP_CONTAINS("HTTP/1.1 200",
+                      Fixture.request("GET", "/safe/x").c_str());
     }
   }
 };
@@ -59,22 +61,22 @@
 // Failure: streams are rejected although an engine is available.
 TEST(UnreachableServers, LeaveEachStreamServedByTheEngineThatLives) {
   listDead("model", "decode");
-  Fixture.addServer("e1", "model",
-                    [](const proxy::Request &Request, const Caller &To) {
-                      beginStream(Request, To);
-                      To->writeStream("id: 1\n\n");
-                      To->endStream();
-                    },
-                    "decode");
+  Fixture.addServer(
+      "e1", "model",
+      [](const proxy::Request &Request, const Caller &To) {
+        beginStream(Request, To);
+        To->writeStream("id: 1\n\n");
+        To->endStream();
+      },
+      "decode");
   start(DeadEntries + 1);
   for (unsigned I = 0; I < 10; ++I)
-    STRCMP_CONTAINS(
-        "id: 1",
-        Fixture
-            .request("POST", "/stream/x",
-                     "X-Token-Count: 40,8\r\nX-Prompt-Prefix: " +
-                         std::to_string(I) + "a1:40\r\n")
-            .c_str());
+    STRCMP_CONTAINS("id: 1",
+                    Fixture
+                        .request("POST", "/stream/x",
+                                 "X-Token-Count: 40,8\r\nX-Prompt-Prefix: " +
+                                     std::to_string(I) + "a1:40\r\n")
+                        .c_str());
 }
 
 // Failure: a server that starts again gets no work at once, as its address was
--- a/Tests/LibDispatch/TestStoreUpdate.cpp
+++ b/Tests/LibDispatch/TestStoreUpdate.cpp
@@ -8,6 +8,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace figlift;
 using namespace figlift::dispatch;
 using std::chrono::milliseconds;
@@ -52,6 +56,37 @@
   LONGS_EQUAL(7, Decoded.value().Configuration.Age.count());
 }
 
+// Failure: peers get no update, and read the store themselves, while the list
+// holds entries with long texts.
+// Cause: an update with all changes does not fit into a datagram.
+TEST(StoreUpdate, FitsIntoADatagramWithoutItsOldestChanges) {
+  // 65,535 bytes, less the headers of IP and UDP and the seal.
+  constexpr size_t MaximumBytes = 65535 - 28 - 17;
+  constexpr uint64_t Changes = 200;
+  Engine.Service = Engine.SoftwareVersion = std::string(4096, 'x');
+  StoreUpdate Sent{"g1", {{3, 5}, {3, 5 + Changes}, milliseconds(120), {}}, {}};
+  // Two changes of each version.
+  for (uint64_t Number = 0; Number < Changes; ++Number) {
+    Engine.Id = "e" + std::to_string(Number);
+    Sent.Servers.Changes.push_back(
+        {{3, 6 + Number / 2 * 2}, Engine.Id, Engine});
+  }
+  const std::string Bytes = encodeStoreUpdate(Sent);
+  CHECK(Bytes.size() <= MaximumBytes);
+  CHECK(Bytes.size() > MaximumBytes / 2);
+  const auto Decoded = decodeStoreUpdate(Bytes);
+  CHECK(Decoded.has_value());
+  const ServerUpdate &Kept = Decoded.value().Servers;
+  CHECK(Kept.UpTo == Sent.Servers.UpTo);
+  CHECK(!Kept.Changes.empty());
+  // The span of versions has no gap: all changes after its first version are
+  // there, and no others.
+  const auto First = std::find_if(
+      Sent.Servers.Changes.begin(), Sent.Servers.Changes.end(),
+      [&](const ServerChange &Any) { return Any.Version > Kept.After; });
+  CHECK(std::vector(First, Sent.Servers.Changes.end()) == Kept.Changes);
+}
+
 TEST(StoreUpdate, RejectsInvalidInput) {
   for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
     CHECK(!decodeStoreUpdate(Bytes).has_value());
