platform, figlift-gateway: Refuse odd rows of the store one by one

Operators saw gateways that stopped following the list of servers (`store-lost`, "not valid base64") or ended, as long as one odd entry was in it. A row that was a list, or had a number as its `part`, threw out of decodeRows(), and nothing caught it; a row whose value was not base64, or without a proper key, made the whole page fail; so did a row that was nested deep, since the depth of messages is bounded.

The class: what one writer wrote decides for the rows of all others. A row that cannot be decoded is now refused by itself. With a key it stays in the response as an unreadable row without a value, so that readers treat it like any value that they cannot decode (an entry of the servers is refused, a record of versions is no statement) and none takes it for absent; a version that cannot be read counts as that of the response, the newest that the row can have. A row without a key is left out. Parts below the depth limit are dropped from a page instead of refusing it. Each response with such rows is counted (figlift_gateway_store_rows_refused_total) and logged within the allowance (`store-row-refused`).

A read whose pages do not advance ends with an error: `morePages` with the same keys again was an endless read, and with no rows it counted as an empty table.

--- a/Libraries/LibCore/BoundedJson.cpp
+++ b/Libraries/LibCore/BoundedJson.cpp
@@ -20,6 +20,9 @@
 
 class MessageBuilder final : public nlohmann::json_sax<Json> {
 public:
+  explicit MessageBuilder(DeepParts Deep)
+      : m_DropsDeepParts(Deep == DeepParts::Dropped) {}
+
   bool null() override { return add(nullptr); }
   bool boolean(bool Value) override { return add(Value); }
   bool number_integer(number_integer_t Value) override { return add(Value); }
@@ -33,6 +36,8 @@
   }
   bool start_object(std::size_t) override { return open(Json::object()); }
   bool key(string_t &Name) override {
+    if (m_DroppedLevels > 0)
+      return true;
     m_Member = &(*m_Open.back())[Name];
     return true;
   }
@@ -56,19 +61,26 @@
     return *m_Member = std::move(Value);
   }
   bool add(Json Value) {
-    place(std::move(Value));
+    if (m_DroppedLevels == 0)
+      place(std::move(Value));
     return true;
   }
   bool open(Json Empty) {
     if (m_Open.size() == MaximumMessageDepth) {
       m_IsTooDeep = true;
-      return false;
+      if (m_DroppedLevels == 0)
+        place(nullptr);
+      ++m_DroppedLevels;
+      return m_DropsDeepParts;
     }
     m_Open.push_back(&place(std::move(Empty)));
     return true;
   }
   bool close() {
-    m_Open.pop_back();
+    if (m_DroppedLevels > 0)
+      --m_DroppedLevels;
+    else
+      m_Open.pop_back();
     return true;
   }
 
@@ -78,15 +90,18 @@
   std::vector<Json *> m_Open;
   /// The member of the innermost object whose value follows.
   Json *m_Member = nullptr;
+  const bool m_DropsDeepParts;
+  /// Open arrays and objects that are not part of the value.
+  size_t m_DroppedLevels = 0;
   bool m_IsTooDeep = false;
 };
 
 Result<Json> parse(std::string_view Bytes, Json::input_format_t Format,
-                   const char *Language) {
-  MessageBuilder Builder;
+                   DeepParts Deep, const char *Language) {
+  MessageBuilder Builder(Deep);
   if (Json::sax_parse(Bytes.begin(), Bytes.end(), &Builder, Format))
     return Builder.take();
-  if (Builder.isTooDeep())
+  if (Builder.isTooDeep() && Deep == DeepParts::Refused)
     return failure(ResultCode::InvalidInput,
                    "nested more than " + std::to_string(MaximumMessageDepth) +
                        " levels deep");
@@ -127,15 +142,15 @@
 
 } // namespace
 
-Result<Json> parseMessage(std::string_view Text) {
-  return parse(Text, Json::input_format_t::json, "JSON");
+Result<Json> parseMessage(std::string_view Text, DeepParts Deep) {
+  return parse(Text, Json::input_format_t::json, Deep, "JSON");
 }
 
 Result<Json> parseCborMessage(std::string_view Bytes) {
   if (hasStringOfIndefiniteLength(Bytes))
     return failure(ResultCode::InvalidInput,
                    "a string of indefinite length in CBOR");
-  return parse(Bytes, Json::input_format_t::cbor, "CBOR");
+  return parse(Bytes, Json::input_format_t::cbor, DeepParts::Refused, "CBOR");
 }
 
 } // namespace figlift
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -90,6 +90,10 @@
       [](bool) {});
   m_Store.onNewEra(
       [this](uint64_t PreviousEra) { storeRestored(PreviousEra); });
+  m_Store.onRefusedRows(
+      [this](const std::string &Table, const slopes::RowsRead &Read) {
+        storeRowsRefused(Table, Read);
+      });
   m_Shared.Feedback.onShutdown(
       [this](const dispatch::ServerStart &Server) { targetShutsDown(Server); });
   FIGLIFT_TRY(listen());
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -68,6 +68,7 @@
   void activateConfiguration(dispatch::Configuration Newer,
                              const slopes::ResponseCost &Cost);
   std::optional<dispatch::Target> readServer(const slopes::StoreRow &Row);
+  void storeRowsRefused(const std::string &Table, const slopes::RowsRead &Read);
   void serverListRead(const slopes::RowsRead &Read, BootTime KnownAt);
   void serverChangesRead(const slopes::RowsRead &Read, BootTime KnownAt);
   /// The store was restored from a copy: writes of the last seconds of the
@@ -115,6 +116,8 @@
   BootTime m_SettingsCheckedAt{};
   uint64_t m_Reloads = 0;
   uint64_t m_RejectedEntries = 0;
+  /// Rows of all tables, once for each response that has them.
+  uint64_t m_RefusedStoreRows = 0;
   /// Servers whose shutdown became known from a response first.
   uint64_t m_AnnouncedShutdowns = 0;
   /// Requests whose callers had left before they were read.
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -65,6 +65,10 @@
       "figlift_gateway_server_entries_refused_total",
       "Entries in the list of servers that name none to use",
       [this] { return double(m_RejectedEntries); });
+  Metrics.registerCounter(
+      "figlift_gateway_store_rows_refused_total",
+      "Rows in responses of the store that cannot be decoded",
+      [this] { return double(m_RefusedStoreRows); });
   Metrics.registerCounter("figlift_gateway_datagrams_refused_total",
                           "Datagrams that no gateway of this fleet has sealed",
                           [this] { return double(m_PeerLink.rejected()); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -163,6 +163,20 @@
   return std::nullopt;
 }
 
+/// Each response with the same odd row is counted, and only some are logged.
+void Gateway::storeRowsRefused(const std::string &Table,
+                               const slopes::RowsRead &Read) {
+  m_RefusedStoreRows += Read.RefusedRows;
+  const slopes::RowRefusal &First = *Read.FirstRefusal;
+  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+    log::logEvent(log::Level::Warning, "store-row-refused",
+                  {{"table", Table},
+                   {"key", First.Key},
+                   {"field", First.Reason.Field},
+                   {"message", First.Reason.Message},
+                   {"rows", Read.RefusedRows}});
+}
+
 void Gateway::serverListRead(const slopes::RowsRead &Read, BootTime KnownAt) {
   std::vector<dispatch::Target> Listed;
   for (const slopes::StoreRow &Row : Read.Rows) {
--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -133,7 +133,7 @@
   for (const auto &[Key, Entry] : m_Tables[Table])
     if (!Entry.Removed)
       List.push_back(rowOf(Table, Key, Entry.Value, Entry.Version, false));
-  return body(List);
+  return body(Table, List);
 }
 
 std::string StandInStore::changes(const std::string &Table, uint64_t After) {
@@ -142,17 +142,27 @@
     if (Change.Table == Table && Change.NewRow.Version > After)
       List.push_back(rowOf(Table, Change.Key, Change.NewRow.Value,
                            Change.NewRow.Version, Change.NewRow.Removed));
-  return body(List);
+  return body(Table, List);
 }
 
-std::string StandInStore::body(const Json &Rows) const {
+std::string StandInStore::body(const std::string &Table,
+                               const Json &Rows) const {
   const auto Now = std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now().time_since_epoch());
-  return Json{{"rows", Rows},
-              {"morePages", false},
-              {"ver", m_Version},
-              {"nowMs", Now.count()}}
-      .dump();
+  std::string Text = Json{
+      {"rows", Rows},
+      {"morePages", false},
+      {"ver", m_Version},
+      {"nowMs",
+       Now.count()}}.dump();
+  if (const auto Odd = OddRows.find(Table); Odd != OddRows.end()) {
+    std::string List;
+    for (const std::string &Row : Odd->second)
+      List += Row + (Rows.empty() && &Row == &Odd->second.back() ? "" : ",");
+    const std::string Start = "\"rows\":[";
+    Text.insert(Text.find(Start) + Start.size(), List);
+  }
+  return Text;
 }
 
 void StandInStore::runAfter(milliseconds Time, std::function<void()> Callback) {
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -116,6 +116,9 @@
   /// again.
   bool HistoryExpired = false;
   /// @}
+  /// Rows of odd writers, by table: JSON that is part of each page and of each
+  /// list of changes as it stands.
+  std::map<std::string, std::vector<std::string>> OddRows;
   /// Reads of whole tables that were served, by table.
   std::map<std::string, unsigned> ReadCounts;
   /// Responses that were started or completed.
@@ -159,7 +162,7 @@
   /// Encodes each write after version \p After in order, including writes that
   /// were overwritten later.
   std::string changes(const std::string &Table, uint64_t After);
-  std::string body(const nlohmann::json &Rows) const;
+  std::string body(const std::string &Table, const nlohmann::json &Rows) const;
   void transact(const proxy::Request &Request, const Caller &From);
 
   boost::asio::io_context &m_Loop;
--- a/Tests/LibCore/TestBoundedJson.cpp
+++ b/Tests/LibCore/TestBoundedJson.cpp
@@ -56,6 +56,23 @@
   }
 }
 
+// Failure: one of many messages hides the others, as it is nested too deep.
+TEST(BoundedJson, DropsDeepPartsOnRequest) {
+  for (const size_t Depth : {size_t{1}, size_t{2}, size_t{400'000}}) {
+    const std::string Kept(MaximumMessageDepth - 2, '[');
+    const std::string Closing(MaximumMessageDepth - 2, ']');
+    const std::string Deep = R"({"x":)" + nested(Depth) + R"(,"y":{"z":2}})";
+    const auto Value =
+        parseMessage("[" + Kept + "[" + Deep + ",3]" + Closing + R"(,{"a":1}])",
+                     DeepParts::Dropped);
+    CHECK(Value.has_value());
+    CHECK(Value.value() ==
+          Json::parse("[" + Kept + "[null,3]" + Closing + R"(,{"a":1}])"));
+  }
+  CHECK(
+      !parseMessage(std::string(400'000, '['), DeepParts::Dropped).has_value());
+}
+
 // Failure: the parts of a string of unknown length are strings of unknown
 // length again, which the parser reads recursively without an event.
 TEST(BoundedJson, RejectsStringsOfIndefiniteLength) {
--- a/Tests/Platform/TestForeignMessages.cpp
+++ b/Tests/Platform/TestForeignMessages.cpp
@@ -18,6 +18,7 @@
 #include "LibUsage/UsageUpdate.h"
 #include "platform/EngineCalls.h"
 #include "platform/Rows.h"
+#include "platform/StoreClient.h"
 
 #include <functional>
 #include <optional>
@@ -68,6 +69,14 @@
            "slots":8,"state":"ready","coldRemainingMs":0,"stage":"decode",
            "sequence":4,"born":1790000000000})",
        errorOf([](std::string_view Text) { return decodeServer("i", Text); })},
+      {"rows",
+       R"({"rows":[{"table":"t","part":"","key":"k","value":"bm8=","ver":4},
+           {"key":"l","ver":5,"tombstone":true}],"morePages":false,"ver":9,
+           "nowMs":5})",
+       errorOf([](std::string_view Text) {
+         bool More = false;
+         return decodeRows(Text, More);
+       })},
       {"prefill", R"({"kvHandle":"3fa0","tokens":1460})",
        errorOf(decodePrefillResult)},
       {"report", R"({"stage":"decode","busy":true,"sequence":2,"born":1})",
@@ -240,8 +249,13 @@
     for (const auto &Position : positions(Valid)) {
       Json Changed = Valid;
       Changed[Position] = Placeholder;
-      isRefused(Tested,
-                replaced(Changed.dump(), '"' + Placeholder + '"', Deep));
+      const std::string Bytes =
+          replaced(Changed.dump(), '"' + Placeholder + '"', Deep);
+      // Of a page of rows, only the row is refused: see TestStore.cpp.
+      if (Tested.Name == std::string("rows"))
+        checkError(Tested, Tested.Decode(Bytes));
+      else
+        isRefused(Tested, Bytes);
     }
   }
   for (const Decoder &Tested : datagramDecoders()) {
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -129,3 +129,24 @@
     CHECK(Written->error().Code == ResultCode::StoreOutcomeUnknown);
   }
 }
+
+// Failure: a store that announces another page for ever, or sends the same page
+// again, is read without an end, and the process fills its memory with rows.
+TEST(StoreClient, EndsAReadWhosePagesDoNotAdvance) {
+  for (const char *Rows :
+       {"", R"({"key":"k","ver":1})", R"({"key":["k"]})", "null",
+        R"({"key":"k","ver":1,"value":"***"},{"key":"j","ver":1})"}) {
+    testing::Listener Endless(
+        Loop, [Rows](const proxy::Request &, const testing::Caller &To) {
+          To->respond({200, "", 11, {}}, std::string(R"({"rows":[)") + Rows +
+                                             R"(],"morePages":true,"ver":2})");
+        });
+    StoreClient EndlessClient(Loop, Worker, Endless.address());
+    Response.reset();
+    EndlessClient.readAll(
+        "t", "", [this](auto Result) { setResponse(std::move(Result)); });
+    CHECK_TEXT(waitForResponse(), Rows);
+    CHECK_TEXT(!Response->has_value(), Rows);
+    CHECK_TEXT(Endless.Requests.size() <= 2, Rows);
+  }
+}
