LibLease: Count rows with odd fields as unreadable

A lease whose row had a holder or an epoch of another type threw out of the keeper, and nothing caught it: the process ended, and so did every other gateway that read the row.

All fields are checked before any of them counts. A row with one that no keeper writes (another type, a negative or fractional number, a duration over an hour, an epoch that cannot be followed by another) counts as held by an unknown process, as one that is not JSON did before. The depth of the row is bounded like that of all foreign messages.

--- a/Libraries/LibLease/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -7,6 +7,8 @@
 
 #include "LibLease/LeaseKeeper.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 using namespace figlift;
@@ -15,6 +17,36 @@
 
 namespace {
 
+/// Sets the fields that are present. Returns false, and sets none, if one of
+/// them has a type or a value that no keeper writes.
+bool decodeFields(const json &Value, lease::RowRead &Parsed) {
+  // Far beyond the duration of any lease; a longer one would keep the row from
+  // being acquired.
+  constexpr uint64_t MaximumDurationMilliseconds = 3'600'000;
+  if (!Value.is_object())
+    return false;
+  const auto Holder = Value.find("holder");
+  const auto Epoch = Value.find("epoch");
+  const auto Duration = Value.find("durationMilliseconds");
+  const bool HasHolder = Holder != Value.end();
+  const bool HasEpoch = Epoch != Value.end();
+  const bool HasDuration = Duration != Value.end();
+  if ((HasHolder && !Holder->is_string()) ||
+      (HasEpoch && (!Epoch->is_number_unsigned() ||
+                    Epoch->get<uint64_t>() == UINT64_MAX)) ||
+      (HasDuration &&
+       (!Duration->is_number_unsigned() ||
+        Duration->get<uint64_t>() > MaximumDurationMilliseconds)))
+    return false;
+  if (HasHolder)
+    Parsed.Holder = Holder->get<std::string>();
+  if (HasEpoch)
+    Parsed.Epoch = Epoch->get<uint64_t>();
+  if (HasDuration)
+    Parsed.Duration = std::chrono::milliseconds(Duration->get<uint64_t>());
+  return true;
+}
+
 /// Parses a row. An unreadable one counts as held by an unknown process, so
 /// that it is acquired only after its version has not changed for a whole
 /// duration.
@@ -26,15 +58,9 @@
   Parsed.Duration = DefaultDuration;
   if (Stored.Version == 0)
     return Parsed;
-  json Value = json::parse(Stored.Value, nullptr, /*allow_exceptions=*/false);
-  if (!Value.is_object()) {
+  const auto Value = parseMessage(Stored.Value);
+  if (!Value || !decodeFields(Value.value(), Parsed))
     Parsed.Holder = "unreadable";
-    return Parsed;
-  }
-  Parsed.Holder = Value.value("holder", "");
-  Parsed.Epoch = Value.value("epoch", uint64_t{0});
-  Parsed.Duration = std::chrono::milliseconds(
-      Value.value("durationMilliseconds", DefaultDuration.count()));
   return Parsed;
 }
 
