LibProxy: Keep what was written when a connection closes beside input

Callers saw the connection reset in the middle of an answer that the gateway had passed on completely. It hit callers that read late or slowly and had sent their next request: at an idle close, at the exit of a stopping process, and two seconds after an announced close.

Cause: a close with unread input makes the kernel reset the connection and discard what the caller has not acknowledged. Whether an answer had been delivered was judged by what this process still held; what the kernel held counted as delivered.

Class: bytes passed to the kernel taken for bytes that have arrived. There is now one measure, the kernel's queue without the end of the output. While it is not empty, unread input is discarded instead of left to reset the connection, and a caller that goes on receiving is waited for. With an empty queue everything is as before: a request that crosses the close is reset at once.

Left: input that arrives after the process has exited still resets the connection; nobody is there to read it.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -9,7 +9,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <linux/sockios.h>
 #include <spdlog/fmt/fmt.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace figlift::proxy {
@@ -268,7 +271,7 @@
 }
 
 void CallerConnection::write(std::string_view Bytes) {
-  m_LastUnsentBytes.reset();
+  m_LastUndeliveredBytes.reset();
   m_Pending += Bytes;
   m_Memory.set(heldBytes());
   if (m_Writing.empty())
@@ -312,8 +315,7 @@
   if (!m_Writing.empty() || !m_Pending.empty())
     return;
   resetOnClose(false);
-  ErrorCode Ignored; // The caller may have closed the connection already.
-  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  endOutput();
   if (m_InputEnded)
     return close(CloseReason::Announced);
   read();
@@ -327,6 +329,32 @@
   m_Socket.set_option(asio::socket_base::linger(Reset, 0), Ignored);
 }
 
+void CallerConnection::endOutput() {
+  ErrorCode Ignored; // The caller may have closed the connection already.
+  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  m_OutputEnded = true;
+}
+
+/// The end of the output counts as one byte in the kernel's queue.
+size_t CallerConnection::undeliveredBytes() {
+  int Queued = 0;
+  if (ioctl(m_Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
+    return 0; // Not connected any more.
+  const int End = m_OutputEnded ? 1 : 0;
+  return Queued > End ? static_cast<size_t>(Queued - End) : 0;
+}
+
+/// A close with unread input resets the connection, and the kernel then
+/// discards what the caller has not acknowledged, also of answers that were
+/// complete long before.
+void CallerConnection::discardUnreadInput(size_t Count) {
+  ErrorCode Code;
+  m_Socket.non_blocking(true, Code);
+  while (!Code && Count > 0)
+    Count -= m_Socket.read_some(
+        asio::buffer(m_Buffer.data(), std::min(Count, m_Buffer.size())), Code);
+}
+
 bool CallerConnection::isIdle() const {
   return !m_Request && !m_Lingering && !m_Closed && unsentBytes() == 0 &&
          m_Parser.state() == RequestParser::State::Idle;
@@ -382,13 +410,17 @@
 /// If it were read and discarded, its caller would wait for the end of the
 /// connection, on a congested link for hundreds of milliseconds. Left unread,
 /// it makes the kernel reset the connection, which the caller sees at once.
+/// While answers are on their way to the caller, they come first.
 void CallerConnection::closeWithoutReading() {
   m_Lingering = true;
   armTimer(LingerTimeout);
-  ErrorCode Ignored; // The caller may have closed the connection already.
-  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  endOutput();
   m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](const ErrorCode &) {
+                        if (Self->m_Closed)
+                          return;
+                        if (Self->undeliveredBytes() > 0)
+                          return Self->read();
                         Self->close(CloseReason::Idle);
                       });
 }
@@ -416,6 +448,8 @@
   m_CloseReport = {Reason,        m_Request != nullptr,
                    m_AnswerBegun, m_Parser.bufferedBytes(),
                    unsentBytes(), m_Socket.available(Ignored)};
+  if (m_CloseReport.UnreadBytes > 0 && undeliveredBytes() > 0)
+    discardUnreadInput(m_CloseReport.UnreadBytes);
   m_Socket.close(Ignored);
   if (const auto Active = std::exchange(m_Request, nullptr))
     Active->callerDisconnected();
@@ -444,15 +478,16 @@
   });
 }
 
-/// Whether the number of unsent bytes has fallen since the last call. A slow
-/// caller is not idle: a timeout that counted from the moment at which the
+/// Whether the number of undelivered bytes has fallen since the last call. A
+/// slow caller is not idle: a timeout that counted from the moment at which the
 /// response was queued would cut off a large response that the caller is still
 /// receiving.
 bool CallerConnection::callerMadeProgress() {
-  const size_t Unsent = unsentBytes();
+  const size_t Undelivered = unsentBytes() + undeliveredBytes();
   const bool Progress =
-      Unsent > 0 && (!m_LastUnsentBytes || Unsent < *m_LastUnsentBytes);
-  m_LastUnsentBytes = Unsent;
+      Undelivered > 0 &&
+      (!m_LastUndeliveredBytes || Undelivered < *m_LastUndeliveredBytes);
+  m_LastUndeliveredBytes = Undelivered;
   return Progress;
 }
 
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -199,6 +199,10 @@
   void inputChecked();
   void rejectIfHeadOverdue();
   void onInputEnded();
+  void endOutput();
+  /// Bytes that the kernel holds and the caller has not acknowledged.
+  size_t undeliveredBytes();
+  void discardUnreadInput(size_t Count);
   void closeWithoutReading();
   void closeGracefully();
   void resetOnClose(bool Reset);
@@ -225,8 +229,8 @@
   std::string m_Writing;
   /// Bytes of m_Writing that have been sent.
   size_t m_WritingSent = 0;
-  /// Unsent bytes at the previous expiry of the timer.
-  std::optional<size_t> m_LastUnsentBytes;
+  /// Undelivered bytes at the previous expiry of the timer.
+  std::optional<size_t> m_LastUndeliveredBytes;
   std::chrono::steady_clock::time_point m_Deadline;
   /// When the current timeout began.
   std::chrono::steady_clock::time_point m_TimeoutBegan;
@@ -237,6 +241,8 @@
   /// arrived that was not read yet.
   bool m_CheckingInput = false;
   bool m_InputEnded = false;
+  /// The sending side of the socket has been shut down.
+  bool m_OutputEnded = false;
   /// The active request has been answered, at least in part.
   bool m_AnswerBegun = false;
   /// False on a new connection, whose first request may be in transit.
