figlift-gateway: Leave streams at their engine while the process stops

Callers saw a stream cut by the exit of a stopping gateway, although its engine would have ended it in time.

Cause: a stream at a slow engine, or at one that changes its stage, is resumed at another one. The check whether that run ends before the process does was always true: it is the one for streams that have begun, and a stream is only moved after its first events. The new run begins with the whole prompt.

Class: a rule for work that has nowhere else to go, applied to work that has. The two questions now have two names, and a move asks whether the new run ends before the stop, by its deadline as for a new stream.

--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -93,12 +93,16 @@
 }
 
 /// Whether work that starts now ends before the process stops. A stream that
-/// has started continues in any case, as there is no better alternative.
+/// has started and has no server any more continues in any case, as there is no
+/// better alternative.
 bool RequestFlow::mayStart(Milliseconds Expected, BootTime Now) const {
+  return m_ResponseStarted || endsBeforeStop(Expected, Now);
+}
+
+bool RequestFlow::endsBeforeStop(Milliseconds Expected, BootTime Now) const {
   const auto Form =
       streaming() ? dispatch::AnswerForm::Stream : dispatch::AnswerForm::Whole;
-  return m_ResponseStarted ||
-         m_Shared.Stop.accepts({Form, timeLeft(Now), Expected}, Now);
+  return m_Shared.Stop.accepts({Form, timeLeft(Now), Expected}, Now);
 }
 
 /// Rejects a request that would not end before the process stops.
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -66,6 +66,7 @@
   void undoUsage();
   /// @}
   bool mayStart(dispatch::Milliseconds Expected, BootTime Now) const;
+  bool endsBeforeStop(dispatch::Milliseconds Expected, BootTime Now) const;
   void rejectStopping();
   void plan();
   /// Null for a request to a service without engines.
--- a/Services/figlift-gateway/RequestMove.cpp
+++ b/Services/figlift-gateway/RequestMove.cpp
@@ -39,7 +39,8 @@
   Stream.BudgetLeft = m_Shared.Budget.remaining(m_Service, Now);
   Stream.BudgetBase = m_Shared.Settings.Retry.Base;
   const auto Reason = dispatch::moveReason(Stream);
-  if (!Reason || !mayStart(m_PlannedFirst, Now))
+  // A run that begins anew may outlast this process; the present one may not.
+  if (!Reason || !endsBeforeStop(m_PlannedFirst, Now))
     return;
   const auto Destination = moveDestination(Source, Now);
   if (!Destination ||
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -123,6 +123,8 @@
                       {"maxAttempts", Kind == std::string("unsafe") ? 1 : 2},
                       {"resumable", Resumable},
                       {"service", Service}});
+    if (EventGapTarget && Service == std::string("model"))
+      Routes.back()["gapAimMs"] = EventGapTarget->count();
     if (const auto Priority = PromptPriorities.find(Name);
         Priority != PromptPriorities.end()) {
       Routes.back()["sticky"] = true;
@@ -387,15 +389,15 @@
 namespace {
 /// Writes event \p Number and, after a pause each, the following ones.
 void writeEvents(const std::shared_ptr<asio::steady_timer> &Timer,
-                 const Caller &To, unsigned Number, unsigned Events) {
-  constexpr std::chrono::milliseconds Pause{20};
+                 const Caller &To, unsigned Number, unsigned Events,
+                 std::chrono::milliseconds Pause) {
   To->writeStream("id: " + std::to_string(Number) + "\n\n");
   if (Number == Events)
     return To->endStream();
   Timer->expires_after(Pause);
   Timer->async_wait([=](const boost::system::error_code &Code) {
     if (!Code)
-      writeEvents(Timer, To, Number + 1, Events);
+      writeEvents(Timer, To, Number + 1, Events, Pause);
   });
 }
 } // namespace
@@ -413,11 +415,13 @@
 }
 
 Listener::Behaviour streamFor(asio::io_context &Loop,
-                              std::chrono::milliseconds Time) {
-  return [&Loop, Time](const proxy::Request &Request, const Caller &To) {
+                              std::chrono::milliseconds Time,
+                              std::chrono::milliseconds Pause) {
+  return [&Loop, Time, Pause](const proxy::Request &Request, const Caller &To) {
     beginStream(Request, To);
-    const auto Events = static_cast<unsigned>(Time.count() / 20) + 1;
-    writeEvents(std::make_shared<asio::steady_timer>(Loop), To, 1, Events);
+    const auto Events = static_cast<unsigned>(Time / Pause) + 1;
+    writeEvents(std::make_shared<asio::steady_timer>(Loop), To, 1, Events,
+                Pause);
   };
 }
 
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -108,6 +108,8 @@
   unsigned AdditionalRoutes = 0;
   /// Connections that each server accepts.
   unsigned MaximumConnections = 100;
+  /// Longest pause between events that the routes of streams allow.
+  std::optional<std::chrono::milliseconds> EventGapTarget;
   /// Limit on bodies of requests in each configuration.
   uint64_t MaximumBodyBytes = 4194304;
   /// Version of the program of servers that are added or listed from now on.
@@ -193,9 +195,10 @@
 /// The same after \p Time.
 Listener::Behaviour completePrefillAfter(boost::asio::io_context &Loop,
                                          std::chrono::milliseconds Time);
-/// An engine whose stream lasts for \p Time, with an event every 20 ms.
-Listener::Behaviour streamFor(boost::asio::io_context &Loop,
-                              std::chrono::milliseconds Time);
+/// An engine whose stream lasts for \p Time, with an event every \p Pause.
+Listener::Behaviour
+streamFor(boost::asio::io_context &Loop, std::chrono::milliseconds Time,
+          std::chrono::milliseconds Pause = std::chrono::milliseconds(20));
 /// @}
 
 /// Sends the head of a stream; the events follow with writeStream().
