LibTarget, LibConfig: Bound the depth of engines' answers and of rows

An engine that answers with a version or an order id nested 400,000 deep ended the agent, and a row of the configuration with such a record ended every process that follows it. Both decoders copy or print parts of the value, which recurses once for each level.

They parse with parseMessage() now, which stops at a fixed depth, like the decoders of the gateway.

--- a/Libraries/LibConfig/ConfigRows.cpp
+++ b/Libraries/LibConfig/ConfigRows.cpp
@@ -6,6 +6,8 @@
 
 #include "LibConfig/ConfigRows.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
@@ -63,8 +65,12 @@
 template <typename Decoder>
 static auto decode(const platform::Row &Row, Decoder Decode)
     -> Result<decltype(Decode(Json()))> {
+  const auto Parsed = parseMessage(Row.Value);
+  if (!Parsed)
+    return failure(ResultCode::Internal, "row " + Row.Key + " is malformed: " +
+                                             Parsed.error().Message);
   try {
-    return Decode(Json::parse(Row.Value));
+    return Decode(Parsed.value());
   } catch (const Json::exception &Exception) {
     return failure(ResultCode::Internal,
                    "row " + Row.Key + " is malformed: " + Exception.what());
--- a/Libraries/LibTarget/EngineMessages.cpp
+++ b/Libraries/LibTarget/EngineMessages.cpp
@@ -6,6 +6,8 @@
 
 #include "LibTarget/EngineMessages.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace figlift::target {
@@ -64,8 +66,13 @@
 /// JSON is malformed or lacks a member.
 template <typename T, typename Converter>
 static Result<T> readJson(std::string_view Text, Converter Convert) {
+  const auto Parsed = parseMessage(Text);
+  if (!Parsed)
+    return failure(ResultCode::TargetFailed,
+                   "the engine's answer is malformed: " +
+                       Parsed.error().Message);
   try {
-    return Convert(Json::parse(Text));
+    return Convert(Parsed.value());
   } catch (const std::exception &Exception) {
     return failure(ResultCode::TargetFailed,
                    std::string("the engine's answer is malformed: ") +
@@ -157,11 +164,11 @@
 }
 
 Error readOrderRefusal(unsigned Status, std::string_view Body) {
-  const Json Parsed = Json::parse(Body, nullptr, false);
+  const auto Parsed = parseMessage(Body);
   const std::string Text(Body.substr(0, 200));
   if (Status != 409)
     return {ResultCode::OrderRejectedByTarget, Text, {}, std::nullopt};
-  if (Parsed.is_object() && Parsed.contains("busy"))
+  if (Parsed && Parsed.value().is_object() && Parsed.value().contains("busy"))
     return {ResultCode::OrderConflict, Text, {}, std::nullopt};
   return {ResultCode::StaleEpoch, Text, {}, std::nullopt};
 }
