Tests/Soak: Leave odd rows in all tables that gateways read

No soak seed had rows of other writers beyond three fixed ones among the servers, so nothing played a gateway that ends, stops following the list or sends its requests to entries at whose address nobody listens, beside the other faults.

The checks are those of before: a gateway that exits by itself is reported, and callers are served again within the bound of recovery.

--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "FaultInjector.h"
+#include "OddEntries.h"
 
 #include <cxxopts.hpp>
 #include <spdlog/fmt/fmt.h>
@@ -14,6 +15,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <optional>
 #include <random>
 
 using namespace figlift;
@@ -48,6 +50,8 @@
   /// Callers end their input, heads are cut, and versions come and go around
   /// kills of all gateways.
   bool Interrupted = false;
+  /// Other writers leave odd rows in the store.
+  bool OddEntries = false;
   std::filesystem::path Folder;
 };
 
@@ -69,6 +73,8 @@
     FaultInjector Faults(Fleet, m_Checker, m_Seed);
     if (m_Options.Interrupted)
       Faults.interruptMore();
+    if (m_Options.OddEntries)
+      m_OddEntries.emplace(Fleet.store(), m_Seed);
     std::vector<std::unique_ptr<SoakCaller>> Callers;
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
@@ -126,6 +132,8 @@
         return false;
       Faults.tick(Now, AllowFaults);
       Fleet.tick(Now);
+      if (m_OddEntries)
+        m_OddEntries->tick(Now);
       recordStall(Now, milliseconds(0));
       m_Loop.run_for(TickInterval);
       recordStall(Now, TickInterval);
@@ -204,6 +212,7 @@
   const std::filesystem::path m_Folder;
   boost::asio::io_context m_Loop;
   InvariantChecker m_Checker;
+  std::optional<OddEntries> m_OddEntries;
   milliseconds m_LongestStall{0};
 };
 
@@ -244,6 +253,7 @@
   Add("full", "plain servers have few slots, and are full most of the time");
   Add("interrupted", "heads are cut, callers end their input, and versions "
                      "come and go around kills of all gateways");
+  Add("odd-entries", "other writers leave odd rows in the store");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -261,6 +271,7 @@
   RunOptions.Length = seconds(Parsed["seconds"].as<unsigned>());
   RunOptions.Full = Parsed.count("full") > 0;
   RunOptions.Interrupted = Parsed.count("interrupted") > 0;
+  RunOptions.OddEntries = Parsed.count("odd-entries") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
