--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "FaultInjector.h"
+#include "OddEntries.h"
 #include "OutOfStep.h"
 
 #include <cxxopts.hpp>
@@ -15,6 +16,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <optional>
 #include <random>
 
 using namespace figlift;
@@ -51,6 +53,8 @@
   bool Interrupted = false;
   /// Gateways are out of step while a software version comes and goes.
   bool IsOutOfStep = false;
+  /// Other writers leave odd rows in the store.
+  bool OddEntries = false;
   std::filesystem::path Folder;
 };
 
@@ -76,6 +80,8 @@
       Faults.interruptMore();
     if (m_Options.IsOutOfStep)
       m_OutOfStep = std::make_unique<OutOfStep>(Fleet, m_Checker, m_Seed);
+    if (m_Options.OddEntries)
+      m_OddEntries.emplace(Fleet.store(), m_Seed);
     std::vector<std::unique_ptr<SoakCaller>> Callers;
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
@@ -143,6 +149,8 @@
       if (m_OutOfStep)
         m_OutOfStep->tick(Now, AllowFaults && !Faults.isActive("store"));
       Fleet.tick(Now);
+      if (m_OddEntries)
+        m_OddEntries->tick(Now);
       recordStall(Now, milliseconds(0));
       m_Loop.run_for(TickInterval);
       recordStall(Now, TickInterval);
@@ -225,6 +233,7 @@
   InvariantChecker m_Checker;
   /// Null without such faults.
   std::unique_ptr<OutOfStep> m_OutOfStep;
+  std::optional<OddEntries> m_OddEntries;
   milliseconds m_LongestStall{0};
 };
 
@@ -267,6 +276,7 @@
                      "come and go around kills of all gateways");
   Add("out-of-step", "gateways do not hear of a software version that comes, "
                      "and the others are killed");
+  Add("odd-entries", "other writers leave odd rows in the store");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -285,6 +295,7 @@
   RunOptions.Full = Parsed.count("full") > 0;
   RunOptions.Interrupted = Parsed.count("interrupted") > 0;
   RunOptions.IsOutOfStep = Parsed.count("out-of-step") > 0;
+  RunOptions.OddEntries = Parsed.count("odd-entries") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
