Tests/Soak: Take streams up at a gateway that is out of step

The soak had no fault in which one gateway does not hear what the others have acted on. These stay down for 500 ms, so that callers come back to the one that is left. The check is the one that there was: no stream goes on at another version.

Gateways take the source of a datagram for the address of its sender, so the relay between them has one socket for each, and the stand-in of the store hands out these addresses in place of those that gateways register. Other faults do not begin meanwhile, and the fault waits for the end of one of the store: streams do not begin at a new version without it. Without the flag, nothing is drawn or sent that was not before.

--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -278,9 +278,13 @@
     if (Version != Item["ver"].get<uint64_t>())
       return reply(From, 412, "{}");
   }
-  for (const Json &Item : Body["setKeys"])
-    put(Item["table"], Item["key"],
-        slopes::decodeBase64(Item["value"].get<std::string>()).value());
+  for (const Json &Item : Body["setKeys"]) {
+    std::string Value =
+        slopes::decodeBase64(Item["value"].get<std::string>()).value();
+    if (Written)
+      Value = Written(Item["table"], Item["key"], std::move(Value));
+    put(Item["table"], Item["key"], Value);
+  }
   reply(From, 200, Json{{"ver", m_Version}}.dump());
 }
 
--- a/Tests/FigliftGateway/StandInStore.h
+++ b/Tests/FigliftGateway/StandInStore.h
@@ -116,6 +116,11 @@
   /// again.
   bool HistoryExpired = false;
   /// @}
+  /// If set, returns the value that is stored in place of the one that a
+  /// transaction writes.
+  std::function<std::string(const std::string &Table, const std::string &Key,
+                            std::string Value)>
+      Written;
   /// Reads of whole tables that were served, by table.
   std::map<std::string, unsigned> ReadCounts;
   /// Responses that were started or completed.
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -60,6 +60,7 @@
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
   bool calm() const { return m_ActiveFaults.empty(); }
+  bool isActive(const std::string &Name) const;
   /// All faults and changes in order, for the log of a run.
   const std::vector<std::string> &history() const { return m_History; }
 
@@ -93,7 +94,6 @@
                 std::function<void()> Repair);
   unsigned draw(unsigned Minimum, unsigned Maximum);
   BootTime randomTime(BootTime Now, unsigned Minimum, unsigned Maximum);
-  bool isActive(const std::string &Name) const;
 
   SoakFleet &m_Fleet;
   InvariantChecker &m_Checker;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "FaultInjector.h"
+#include "OutOfStep.h"
 
 #include <cxxopts.hpp>
 #include <spdlog/fmt/fmt.h>
@@ -48,6 +49,8 @@
   /// Callers end their input, heads are cut, and versions come and go around
   /// kills of all gateways.
   bool Interrupted = false;
+  /// Gateways are out of step while a software version comes and goes.
+  bool IsOutOfStep = false;
   std::filesystem::path Folder;
 };
 
@@ -62,6 +65,8 @@
     std::filesystem::remove_all(m_Folder);
     std::filesystem::create_directories(m_Folder);
     SoakFleet Fleet(m_Loop, m_Checker, m_Seed, m_Options.Gateways, m_Folder);
+    if (m_Options.IsOutOfStep)
+      Fleet.relayPeers();
     if (!Fleet.start()) {
       m_Checker.addViolation("the fleet did not start");
       return report({});
@@ -69,16 +74,20 @@
     FaultInjector Faults(Fleet, m_Checker, m_Seed);
     if (m_Options.Interrupted)
       Faults.interruptMore();
+    if (m_Options.IsOutOfStep)
+      m_OutOfStep = std::make_unique<OutOfStep>(Fleet, m_Checker, m_Seed);
     std::vector<std::unique_ptr<SoakCaller>> Callers;
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
           m_Loop, m_Checker, m_Seed * 1000 + I, fmt::format("c{}", I),
           Fleet.gatewayEndpoints(), promptTokens(), crashingRequests(),
-          hasRollouts(m_Seed) || m_Options.Interrupted
+          hasRollouts(m_Seed) || m_Options.Interrupted || m_Options.IsOutOfStep
               ? Preference::ResumableStreams
               : Preference::None));
       if (m_Options.Interrupted)
         Callers.back()->endInputSometimes();
+      if (m_Options.IsOutOfStep)
+        Callers.back()->insistOnResuming();
       Callers.back()->start();
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
@@ -94,7 +103,11 @@
       return std::all_of(Callers.begin(), Callers.end(),
                          [](const auto &Caller) { return Caller->idle(); });
     });
-    return report(Faults.history());
+    std::vector<std::string> History = Faults.history();
+    if (m_OutOfStep)
+      History.insert(History.end(), m_OutOfStep->history().begin(),
+                     m_OutOfStep->history().end());
+    return report(History);
   }
 
 private:
@@ -124,7 +137,11 @@
       const BootTime Now = BootClock::now();
       if (Now > End)
         return false;
-      Faults.tick(Now, AllowFaults);
+      const bool IsInStep = !m_OutOfStep || m_OutOfStep->calm();
+      Faults.tick(Now, AllowFaults && IsInStep);
+      // Without the store, streams do not begin at a new version.
+      if (m_OutOfStep)
+        m_OutOfStep->tick(Now, AllowFaults && !Faults.isActive("store"));
       Fleet.tick(Now);
       recordStall(Now, milliseconds(0));
       m_Loop.run_for(TickInterval);
@@ -145,8 +162,10 @@
   }
 
   void recover(SoakFleet &Fleet, FaultInjector &Faults) {
-    runUntil(Fleet, Faults, false, StopLimit,
-             [&] { return Faults.calm() && Fleet.allRunning(); });
+    runUntil(Fleet, Faults, false, StopLimit, [&] {
+      return Faults.calm() && Fleet.allRunning() &&
+             (!m_OutOfStep || m_OutOfStep->calm());
+    });
     uint64_t SuccessCount = 0;
     uint64_t RequestCount = 0;
     BootTime Since{};
@@ -204,6 +223,8 @@
   const std::filesystem::path m_Folder;
   boost::asio::io_context m_Loop;
   InvariantChecker m_Checker;
+  /// Null without such faults.
+  std::unique_ptr<OutOfStep> m_OutOfStep;
   milliseconds m_LongestStall{0};
 };
 
@@ -244,6 +265,8 @@
   Add("full", "plain servers have few slots, and are full most of the time");
   Add("interrupted", "heads are cut, callers end their input, and versions "
                      "come and go around kills of all gateways");
+  Add("out-of-step", "gateways do not hear of a software version that comes, "
+                     "and the others are killed");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -261,6 +284,7 @@
   RunOptions.Length = seconds(Parsed["seconds"].as<unsigned>());
   RunOptions.Full = Parsed.count("full") > 0;
   RunOptions.Interrupted = Parsed.count("interrupted") > 0;
+  RunOptions.IsOutOfStep = Parsed.count("out-of-step") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -242,6 +242,8 @@
 /// A caller resumes a stream that broke after an event, also more than once.
 void SoakCaller::considerResuming(unsigned Status) {
   const auto Last = lastEvent(m_Body);
+  if (m_Broken && m_InsistsOnResuming && Status == 0 && !Last)
+    return;
   const bool IsBroken = Status == 0 && m_IsResumable && Last;
   if (!IsBroken) {
     m_Broken.reset();
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -47,6 +47,8 @@
   void stop() { m_Stopped = true; }
   /// Ends its input after some requests that may not be repeated, and waits.
   void endInputSometimes() { m_EndsInput = true; }
+  /// Takes a broken stream up again until some gateway answers.
+  void insistOnResuming() { m_InsistsOnResuming = true; }
   bool idle() const { return m_Idle; }
 
 private:
@@ -102,6 +104,7 @@
   unsigned m_Events = 0;
   bool m_IsResumable = false;
   bool m_EndsInput = false;
+  bool m_InsistsOnResuming = false;
   /// The caller ends its input after the present request.
   bool m_IsLastOfInput = false;
   /// A stream that broke and is resumed with the next request.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -121,6 +121,20 @@
   }
 }
 
+void SoakFleet::relayPeers() {
+  std::vector<Endpoint> Gateways;
+  for (unsigned I = 0; I < m_Gateways.size(); ++I)
+    Gateways.push_back({gatewayAddress(I), PeersPort});
+  m_Peers = std::make_unique<PeerRelay>(m_Loop, Gateways);
+  m_Store.Written = [this](const std::string &Table, const std::string &Key,
+                           std::string Value) {
+    for (unsigned I = 0; I < m_Gateways.size(); ++I)
+      if (Table == "figlift-gateways" && Key == gatewayName(I))
+        return m_Peers->address(I).toString();
+    return Value;
+  };
+}
+
 std::string SoakFleet::gatewayName(unsigned Gateway) const {
   return fmt::format("gateway-{}", Gateway + 1);
 }
@@ -446,7 +460,8 @@
   for (unsigned I = 0; I < m_Gateways.size(); ++I) {
     Gateway &Target = m_Gateways[I];
     if (!Target.Process.running()) {
-      handleExit(I, Now);
+      if (Now >= Target.RestartAt)
+        handleExit(I, Now);
       continue;
     }
     if (Target.Paused)
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include "PeerRelay.h"
 #include "SoakCaller.h"
 #include "SoakServer.h"
 #include "Support/ChildProcess.h"
@@ -48,6 +49,10 @@
 
   /// Gives each plain server so few slots that the callers fill them.
   void limitPlainServers();
+  /// Lets gateways reach each other through relays only. Called before start().
+  void relayPeers();
+  /// Only after relayPeers().
+  PeerRelay &peers() { return *m_Peers; }
   /// False if the fault proxy did not start.
   bool start();
   std::vector<GatewayEndpoint> gatewayEndpoints() const;
@@ -59,6 +64,10 @@
   /// @{
   void signal(unsigned Index, Signal Kind);
   void resume(unsigned Index);
+  /// Once it has ended, the gateway starts again at \p Time at the earliest.
+  void holdRestart(unsigned Index, BootTime Time) {
+    m_Gateways[Index].RestartAt = Time;
+  }
   void setLink(Link Kind, unsigned Index, LinkFault Mode);
   void setBehavior(unsigned Server, Behavior NewBehavior) {
     m_Servers[Server]->setBehavior(NewBehavior);
@@ -103,6 +112,8 @@
     /// The longest grace since SIGTERM.
     std::chrono::milliseconds StopLimit{0};
     bool Paused = false;
+    /// Not before this time, if it ends.
+    BootTime RestartAt{};
     unsigned Starts = 0;
   };
 
@@ -127,6 +138,7 @@
   std::vector<Gateway> m_Gateways;
   std::vector<Endpoint> m_Ports;
   test::ChildProcess m_Proxy;
+  std::unique_ptr<PeerRelay> m_Peers;
   std::string m_ProxyControl;
   uint64_t m_Version = 0;
   /// State that a server publishes of its present incarnation.
