LibUpstream, figlift-gateway: Read what has arrived before a server counts as silent

The gateway was late by 0.5 and 0.8 s: the timer for silence was due in the same turn as the socket that held the end of the answer, and came first. The request was sent on after its last event, got none, and was cut off.

The socket is asked first; what has arrived is read within a millisecond.

--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <cerrno>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -163,6 +164,15 @@
   read();
 }
 
+bool ServerConnection::hasUnreadInput() {
+  if (m_State != State::Busy || m_ReadPaused)
+    return false;
+  char Next = 0;
+  const ssize_t Count =
+      recv(m_Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void ServerConnection::processInput(std::string_view Bytes, bool EndOfInput,
                                     bool Failed) {
   using ParserState = proxy::ResponseParser::State;
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -98,6 +98,9 @@
   /// arrived. Its fields about the server apply to other requests, too.
   void abandon();
   void resumeReading();
+  /// Whether bytes of the response, or its end, have arrived that have not been
+  /// read although reading is not paused.
+  bool hasUnreadInput();
 
   ConnectionId id() const { return m_Id; }
   /// Whether a response that names no request may still arrive.
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds ResponseMargin{15};
 /// A process without a configuration gets one with the next read of the store.
 constexpr milliseconds NotReadyRetryAfter{500};
+/// The event loop reads what has arrived within this time.
+constexpr milliseconds UnreadInputWait{1};
 /// Another gateway can accept the request at once.
 constexpr milliseconds StoppingRetryAfter{50};
 
@@ -303,11 +305,11 @@
 
 void RequestFlow::armSilenceTimeout(BootClock::duration Timeout) {
   m_SilenceTimeout = Timeout;
-  waitForSilence();
+  waitForSilence(Timeout);
 }
 
-void RequestFlow::waitForSilence() {
-  m_SilenceTimer.expires_after(m_SilenceTimeout);
+void RequestFlow::waitForSilence(BootClock::duration Time) {
+  m_SilenceTimer.expires_after(Time);
   m_SilenceTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
@@ -318,6 +320,10 @@
 void RequestFlow::sendOverdue() {
   if (m_Done || !m_Send)
     return;
+  // When the process is behind schedule, the timer may be due before the answer
+  // that has arrived meanwhile has been read.
+  if (m_Send->hasUnreadInput())
+    return waitForSilence(UnreadInputWait);
   // Silence alone does not end an attempt: it is canceled only when the
   // request may be retried and another server is available. Canceling before
   // this check would fail requests and interrupt streams that the silent server
@@ -326,7 +332,7 @@
   const SendOutcome End = dispatch::TimedOut{};
   if (!std::holds_alternative<dispatch::Retry>(nextStep(End, *Overdue)) ||
       !hasAlternative(Overdue->targetId(), BootClock::now()))
-    return waitForSilence();
+    return waitForSilence(m_SilenceTimeout);
   m_History.end(Overdue->number(), End);
   logSendEnded(*Overdue, End);
   abandonExpectedCache(Overdue->targetId());
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -213,7 +213,7 @@
                SendPurpose Purpose, const slopes::SendFields &Fields,
                dispatch::Milliseconds Expected);
   void armSilenceTimeout(BootClock::duration Timeout);
-  void waitForSilence();
+  void waitForSilence(BootClock::duration Time);
   void sendOverdue();
   void expectCached(const std::string &TargetId,
                     dispatch::Milliseconds Expected);
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -59,6 +59,9 @@
   /// Closes the connection, which also cancels the work at the server.
   void cancel();
   void resumeReading();
+  bool hasUnreadInput() const {
+    return m_Connection && m_Connection->hasUnreadInput();
+  }
   /// Passes body bytes to the owner as they arrive.
   void streamBody() { m_Streamed = true; }
   /// Ends the attempt because the server sends what cannot become an answer.
