--- a/Tests/LibDispatch/TestStreamOrigins.cpp
+++ b/Tests/LibDispatch/TestStreamOrigins.cpp
@@ -37,6 +37,7 @@
   void start(StreamOrigins & Gateway, const std::set<std::string> &Versions,
              StreamOriginOptions Options = {}) {
     Gateway = StreamOrigins(Options);
+    Gateway.versions().configure({{Service, milliseconds(0)}});
     VersionRecord Record;
     for (const std::string &Version : Versions)
       Record.Versions.push_back({Version, seconds(0), std::nullopt});
