--- a/Libraries/LibLog/HandledMessage.cpp
+++ b/Libraries/LibLog/HandledMessage.cpp
@@ -6,16 +6,20 @@
 
 #include "LibLog/HandledMessage.h"
 
+#include <array>
 #include <exception>
-#include <string>
 
 namespace figlift::log {
 
 namespace {
 
 thread_local HandledMessage *Innermost = nullptr;
-/// See HandledMessage::failed().
-thread_local std::string Failed;
+/// See HandledMessage::failed(). Written while an exception is on its way, so
+/// it must not allocate: that could throw a second one, which ends the process.
+/// @{
+thread_local std::array<char, 160> FailedText;
+thread_local size_t FailedSize = 0;
+/// @}
 
 } // namespace
 
@@ -28,13 +32,16 @@
   }
   Innermost = this;
   if (m_Exceptions == 0)
-    Failed.clear();
+    FailedSize = 0;
 }
 
 HandledMessage::~HandledMessage() {
   Innermost = m_Outer;
-  if (std::uncaught_exceptions() > m_Exceptions && Failed.empty())
-    Failed.assign(m_Text.data(), m_Size);
+  static_assert(FailedText.size() == MaximumBytes);
+  if (std::uncaught_exceptions() <= m_Exceptions || FailedSize > 0)
+    return;
+  FailedText = m_Text;
+  FailedSize = m_Size;
 }
 
 void HandledMessage::append(std::string_view Part) {
@@ -48,6 +55,8 @@
              : std::string_view();
 }
 
-std::string_view HandledMessage::failed() { return Failed; }
+std::string_view HandledMessage::failed() {
+  return {FailedText.data(), FailedSize};
+}
 
 } // namespace figlift::log
--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -7,6 +7,8 @@
 
 #include "LibProxy/CallerConnection.h"
 
+#include "LibLog/Guard.h"
+
 #include <boost/asio/write.hpp>
 
 #include <spdlog/fmt/fmt.h>
@@ -55,6 +57,13 @@
       m_Handler(Handler), m_Limits(Handler.limits()), m_Parser(m_Limits.Bounds),
       m_Memory(Handler.memory()) {}
 
+template <typename Function> void CallerConnection::guard(Function Work) {
+  if (log::guarded("caller's connection", {}, Work))
+    return;
+  log::guarded("close of a caller's connection", {},
+               [this] { close(CloseReason::Failed); });
+}
+
 void CallerConnection::start() {
   ErrorCode Ignored; // Without the option, small writes are only delayed.
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -73,7 +82,7 @@
       asio::buffer(m_Buffer),
       [Self = shared_from_this()](const ErrorCode &Code, size_t Count) {
         Self->m_Reading = false;
-        Self->onReceived(Code, Count);
+        Self->guard([&] { Self->onReceived(Code, Count); });
       });
 }
 
@@ -250,23 +259,27 @@
   // Posted to the loop: the code that wrote the response may still be on the
   // stack, and each pipelined request would add another level of recursion.
   asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
-    if (Self->m_Closed)
-      return;
-    Self->m_Request = nullptr;
-    Self->m_RequestBytes = 0;
-    Self->m_Memory.set(Self->heldBytes());
-    if (Self->m_CloseAnnounced)
-      return Self->closeGracefully();
-    Self->adoptLimits();
-    Self->armTimer(Self->m_Limits.IdleTimeout);
-    Self->m_Parser.resume();
-    Self->advance();
-    Self->read();
-    if (Self->m_InputEnded && !Self->m_Request && Self->unsentBytes() == 0)
-      Self->close(CloseReason::CallerEnded);
+    Self->guard([&] { Self->responseFinished(); });
   });
 }
 
+void CallerConnection::responseFinished() {
+  if (m_Closed)
+    return;
+  m_Request = nullptr;
+  m_RequestBytes = 0;
+  m_Memory.set(heldBytes());
+  if (m_CloseAnnounced)
+    return closeGracefully();
+  adoptLimits();
+  armTimer(m_Limits.IdleTimeout);
+  m_Parser.resume();
+  advance();
+  read();
+  if (m_InputEnded && !m_Request && unsentBytes() == 0)
+    close(CloseReason::CallerEnded);
+}
+
 void CallerConnection::write(std::string_view Bytes) {
   m_LastUnsentBytes.reset();
   m_Pending += Bytes;
@@ -284,7 +297,7 @@
         return asio::transfer_all()(Code, Count);
       },
       [Self = shared_from_this()](const ErrorCode &Code, size_t) {
-        Self->onWritten(Code);
+        Self->guard([&] { Self->onWritten(Code); });
       });
 }
 
@@ -389,7 +402,7 @@
   m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
   m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](const ErrorCode &) {
-                        Self->close(CloseReason::Idle);
+                        Self->guard([&] { Self->close(CloseReason::Idle); });
                       });
 }
 
@@ -417,8 +430,10 @@
                    m_AnswerBegun, m_Parser.bufferedBytes(),
                    unsentBytes(), m_Socket.available(Ignored)};
   m_Socket.close(Ignored);
+  // Handlers keep pointers to connections until closed().
   if (const auto Active = std::exchange(m_Request, nullptr))
-    Active->callerDisconnected();
+    log::guarded("end of a caller's connection", {},
+                 [&] { Active->callerDisconnected(); });
   m_Handler.closed(*this);
 }
 
@@ -438,9 +453,12 @@
     if (Cancelled || Self->m_Closed)
       return;
     Self->m_TimerRunning = false;
-    if (std::chrono::steady_clock::now() < Self->m_Deadline)
-      return Self->startTimer();
-    Self->timedOut();
+    Self->guard([&] {
+      if (std::chrono::steady_clock::now() < Self->m_Deadline)
+        Self->startTimer();
+      else
+        Self->timedOut();
+    });
   });
 }
 
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -36,7 +36,8 @@
   None,
   /// The caller ended its input.
   CallerEnded,
-  /// A read or a write failed, mostly as the caller reset the connection.
+  /// A read or a write failed, mostly as the caller reset the connection, or
+  /// handling of the input threw.
   Failed,
   Idle,
   /// After an answer that announced it, or a rejection.
@@ -153,6 +154,9 @@
   bool hasCallerLeft();
   /// @}
 
+  /// Whether a response to the latest request has been begun.
+  bool hasAnswerBegun() const { return m_AnswerBegun; }
+
   /// Response bytes that have not been passed to the kernel yet.
   size_t unsentBytes() const {
     return m_Pending.size() + m_Writing.size() - m_WritingSent;
@@ -180,12 +184,16 @@
 private:
   using ErrorCode = boost::system::error_code;
 
+  /// Runs \p Work. If it throws, closes the connection: the state of its input
+  /// and of its answer is not known any more.
+  template <typename Function> void guard(Function Work);
   void read();
   void onReceived(const ErrorCode &Code, size_t Count);
   void advance();
   void dispatchRequest();
   void rejectInput(unsigned Status);
   void finishResponse();
+  void responseFinished();
   void write(std::string_view Bytes);
   void flush();
   void onWritten(const ErrorCode &Code);
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -7,7 +7,7 @@
 
 #include "LibUpstream/ServerConnection.h"
 
-#include "LibLog/HandledMessage.h"
+#include "LibLog/Guard.h"
 
 #include <boost/asio/write.hpp>
 
@@ -60,6 +60,18 @@
   connect();
 }
 
+template <typename Function> void ServerConnection::guard(Function Work) {
+  const uint64_t Exchange = m_Exchanges;
+  // A sink may start the next exchange in onEnd(), which goes on then.
+  if (log::guarded("response", m_PeerName, Work) || m_Exchanges != Exchange)
+    return;
+  const bool IsSent = m_State != State::Connecting;
+  log::guarded("end of an exchange", m_PeerName, [&] {
+    endExchange(IsSent ? ExchangeOutcome::Interrupted
+                       : ExchangeOutcome::NotSent);
+  });
+}
+
 void ServerConnection::connect() {
   m_State = State::Connecting;
   ErrorCode Code;
@@ -70,7 +82,7 @@
     // Posted to the loop: the sink must not be called within exchange().
     asio::post(m_Loop, [Self = shared_from_this()] {
       if (Self->m_State == State::Connecting)
-        Self->endExchange(ExchangeOutcome::NotSent);
+        Self->guard([&] { Self->endExchange(ExchangeOutcome::NotSent); });
     });
     return;
   }
@@ -78,11 +90,11 @@
   m_Timer.expires_after(m_Timeouts.Connect);
   m_Timer.async_wait([Self = shared_from_this()](const ErrorCode &Cancelled) {
     if (!Cancelled && Self->m_State == State::Connecting)
-      Self->endExchange(ExchangeOutcome::NotSent);
+      Self->guard([&] { Self->endExchange(ExchangeOutcome::NotSent); });
   });
   m_Socket.async_connect({Address, m_Peer.Port},
                          [Self = shared_from_this()](const ErrorCode &Result) {
-                           Self->onConnected(Result);
+                           Self->guard([&] { Self->onConnected(Result); });
                          });
 }
 
@@ -145,9 +157,10 @@
     // Idle: the server closed the connection or sent unsolicited bytes.
     return close();
   }
-  const log::HandledMessage Scope("response", m_PeerName);
-  processInput({m_Buffer.data(), Count}, Code == asio::error::eof,
-               Code && Code != asio::error::eof);
+  guard([&] {
+    processInput({m_Buffer.data(), Count}, Code == asio::error::eof,
+                 Code && Code != asio::error::eof);
+  });
   if (m_State == State::Closed || Code)
     return;
   if (m_State == State::Busy && m_Sink && !m_Sink->wantsMore()) {
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -53,7 +53,8 @@
 using ConnectionId = uint64_t;
 
 /// Receives the response of one exchange. onEnd is the last call and is made
-/// exactly once, unless abort() is called on the connection.
+/// exactly once, unless abort() is called on the connection. If another member
+/// throws, the exchange ends as interrupted and the connection closes.
 class ExchangeSink {
 public:
   virtual ~ExchangeSink() = default;
@@ -123,6 +124,9 @@
   enum class State { Unconnected, Connecting, Idle, Busy, Closed };
   using ErrorCode = boost::system::error_code;
 
+  /// Runs \p Work, a part of the current exchange. If it throws, that exchange
+  /// ends and the connection closes.
+  template <typename Function> void guard(Function Work);
   void connect();
   void onConnected(const ErrorCode &Code);
   void send();
--- a/Services/figlift-gateway/CacheDiscovery.cpp
+++ b/Services/figlift-gateway/CacheDiscovery.cpp
@@ -8,6 +8,7 @@
 
 #include "EngineCall.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 #include "platform/EngineCalls.h"
 
@@ -41,7 +42,8 @@
     if (Now < Scheduled.Due || MustWait)
       Later.push_back(Scheduled);
     else if (m_Shared.Open.uses(Scheduled.TargetId))
-      queryCache(Scheduled.TargetId);
+      log::guarded("query of a cache", Scheduled.TargetId,
+                   [&] { queryCache(Scheduled.TargetId); });
   }
   m_Pending.insert(m_Pending.end(), Later.begin(), Later.end());
 }
--- a/Services/figlift-gateway/ControlCall.cpp
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -6,6 +6,7 @@
 
 #include "ControlCall.h"
 
+#include "LibLog/Guard.h"
 #include "platform/EngineCalls.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -58,8 +59,13 @@
   void finish(unsigned Status) {
     m_Timer.cancel();
     m_Connection = nullptr;
-    if (const auto Done = std::exchange(m_Done, nullptr))
-      Done(Status, m_Body);
+    const auto Done = std::exchange(m_Done, nullptr);
+    if (!Done ||
+        log::guarded("answer to a call", {}, [&] { Done(Status, m_Body); }))
+      return;
+    // To the caller the call has failed.
+    if (Status != 0)
+      log::guarded("end of a call", {}, [&] { Done(0, {}); });
   }
 
   boost::asio::steady_timer m_Timer;
--- a/Services/figlift-gateway/ControlCall.h
+++ b/Services/figlift-gateway/ControlCall.h
@@ -18,7 +18,8 @@
 
 namespace figlift::gateway {
 
-/// A status of 0 means that no complete response was received.
+/// A status of 0 means that no complete response was received. If the callback
+/// throws, it is called again with status 0.
 using CallCallback =
     std::function<void(unsigned Status, const std::string &Body)>;
 
--- a/Services/figlift-gateway/CrashWatch.cpp
+++ b/Services/figlift-gateway/CrashWatch.cpp
@@ -7,6 +7,7 @@
 
 #include "CrashWatch.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -107,6 +108,17 @@
     probe(Start, Target.Address, 1);
 }
 
+template <typename Function>
+void CrashWatch::guardProbe(const ServerStart &Start, Function Work) {
+  if (!log::guarded("probe of a server", Start.TargetId, Work))
+    probeEnded(Start);
+}
+
+void CrashWatch::probeEnded(const ServerStart &Start) {
+  if (const auto Entry = m_Suspicions.find(Start); Entry != m_Suspicions.end())
+    Entry->second.Probing = false;
+}
+
 void CrashWatch::probe(const ServerStart &Start, const Endpoint &Address,
                        unsigned Attempt) {
   ErrorCode Code;
@@ -124,31 +136,28 @@
       {Host, Address.Port},
       [this, Probe, Start, Address, Attempt](const ErrorCode &Result) {
         Probe->Timer.cancel();
-        if (Result == asio::error::connection_refused ||
-            Result == asio::error::connection_reset)
-          serverEnded(Start, "refuses connections",
-                      BootClock::now() - CrashLossWindow);
-        else if (!Result)
-          retryProbe(Start, Address, Attempt);
-        else if (const auto Entry = m_Suspicions.find(Start);
-                 Entry != m_Suspicions.end())
-          Entry->second.Probing = false;
+        guardProbe(Start, [&] {
+          if (Result == asio::error::connection_refused ||
+              Result == asio::error::connection_reset)
+            serverEnded(Start, "refuses connections",
+                        BootClock::now() - CrashLossWindow);
+          else if (!Result)
+            retryProbe(Start, Address, Attempt);
+          else
+            probeEnded(Start);
+        });
       });
 }
 
 void CrashWatch::retryProbe(const ServerStart &Start, const Endpoint &Address,
                             unsigned Attempt) {
-  if (Attempt == ProbeAttempts) {
-    if (const auto Entry = m_Suspicions.find(Start);
-        Entry != m_Suspicions.end())
-      Entry->second.Probing = false;
-    return;
-  }
+  if (Attempt == ProbeAttempts)
+    return probeEnded(Start);
   const auto Timer = std::make_shared<asio::steady_timer>(m_Loop, ProbePause);
   Timer->async_wait(
       [this, Timer, Start, Address, Attempt](const ErrorCode &Stopped) {
         if (!Stopped)
-          probe(Start, Address, Attempt + 1);
+          guardProbe(Start, [&] { probe(Start, Address, Attempt + 1); });
       });
 }
 
--- a/Services/figlift-gateway/CrashWatch.h
+++ b/Services/figlift-gateway/CrashWatch.h
@@ -179,6 +179,11 @@
   using Suspicions = std::map<dispatch::ServerStart, Suspicion>;
 
   Suspicions::iterator findSuspicion(const std::string &TargetId);
+  /// Runs \p Work, a step of the probe. If it throws, the probe has ended, and
+  /// the next loss begins another.
+  template <typename Function>
+  void guardProbe(const dispatch::ServerStart &Start, Function Work);
+  void probeEnded(const dispatch::ServerStart &Start);
   void probe(const dispatch::ServerStart &Start, const Endpoint &Address,
              unsigned Attempt);
   void retryProbe(const dispatch::ServerStart &Start, const Endpoint &Address,
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "RequestFlow.h"
 
 #include "LibLog/FailureReport.h"
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 #include "platform/Headers.h"
 #include "platform/Rows.h"
@@ -172,8 +173,11 @@
       Self.targetRemoved(Event.Id);
     }
   };
+  // The list has changed already, so the other events must be handled in any
+  // case.
   for (const dispatch::TargetEvent &Event : Events)
-    std::visit(Visitor{*this}, Event);
+    log::guarded("change of a target", {},
+                 [&] { std::visit(Visitor{*this}, Event); });
   dispatch::VersionHistory::VersionsByService Versions;
   for (const auto &[Id, Target] : m_Shared.Targets.all())
     Versions[Target.Service].insert(Target.SoftwareVersion);
@@ -191,13 +195,6 @@
 }
 
 void Gateway::targetAdded(const dispatch::Target &Target) {
-  log::logEvent(log::Level::Info, "target-came",
-                {{"target", Target.Id},
-                 {"service", Target.Service},
-                 {"address", Target.Address.toString()},
-                 {"zone", Target.Zone},
-                 {"softwareVersion", Target.SoftwareVersion},
-                 {"stage", static_cast<int>(Target.EngineStage)}});
   m_Shared.Pools[Target.Id] = std::make_shared<upstream::ConnectionPool>(
       m_Shared.Loop, Target.Address, upstream::PoolSettings{});
   uint64_t Capacity = 0;
@@ -207,6 +204,13 @@
       Capacity = Service->Engine->KvCapacityTokens;
   m_Shared.Loads.targetAdded(Target, Capacity);
   m_Caches.engineAdded(Target, BootClock::now());
+  log::logEvent(log::Level::Info, "target-came",
+                {{"target", Target.Id},
+                 {"service", Target.Service},
+                 {"address", Target.Address.toString()},
+                 {"zone", Target.Zone},
+                 {"softwareVersion", Target.SoftwareVersion},
+                 {"stage", static_cast<int>(Target.EngineStage)}});
 }
 
 void Gateway::targetRemoved(const std::string &Id) {
@@ -269,45 +273,58 @@
   m_TickTimer.async_wait([this](const boost::system::error_code &Stopped) {
     if (Stopped)
       return;
-    tick();
+    log::guarded("tick", {}, [this] { tick(); });
     scheduleTick();
   });
 }
 
+/// A part that throws must not keep the others from running: among them are the
+/// end of the process and the output of its log.
 void Gateway::tick() {
   const BootTime Now = BootClock::now();
-  if (Now - m_LastTick > StallThreshold) {
-    log::logEvent(log::Level::Warning, "stood-still",
-                  {{"for", Now - m_LastTick}});
-    m_ConfigurationFollower.resync();
-    m_ServerFollower.resync();
-  }
-  recordLoopDelay(loopDelay());
-  logClosedConnections(Now);
+  const auto Part = [](std::string_view Name, auto Work) {
+    log::guarded("tick", Name, Work);
+  };
+  Part("delays", [&] {
+    if (Now - m_LastTick > StallThreshold) {
+      m_ConfigurationFollower.resync();
+      m_ServerFollower.resync();
+      log::logEvent(log::Level::Warning, "stood-still",
+                    {{"for", Now - m_LastTick}});
+    }
+    recordLoopDelay(loopDelay());
+    logClosedConnections(Now);
+  });
   m_PreviousTick = std::exchange(m_LastTick, Now);
-  serversKnown();
-  apply(m_Shared.Targets.tick(Now));
-  m_Versions.tick(m_Peers.liveBefore(Now), Now);
-  m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
-  m_Shared.Queues.setFleet(m_Peers.sharingGateways(Now),
-                           m_Peers.livePeers(Now));
-  m_Shared.Open.setPlace(m_Peers.place());
-  limitPools();
-  m_Shared.OrderTurnDelay =
-      OrderTurnTime * static_cast<int>(m_Peers.liveBefore(Now));
-  logEngineCosts(Now);
-  m_Stages.tick(Now);
-  m_Usage.tick(Now);
-  m_Caches.tick(Now);
-  m_Shared.Crashes.setTrialDelay(TrialTurnTime *
-                                 static_cast<int>(m_Peers.liveBefore(Now)));
-  m_Shared.Crashes.tick(Now);
-  shareLimits(Now);
-  watchSettings(Now);
-  m_Shared.Log.tick(Now);
+  Part("targets", [&] {
+    serversKnown();
+    apply(m_Shared.Targets.tick(Now));
+  });
+  Part("versions", [&] { m_Versions.tick(m_Peers.liveBefore(Now), Now); });
+  Part("fleet", [&] {
+    m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
+    m_Shared.Queues.setFleet(m_Peers.sharingGateways(Now),
+                             m_Peers.livePeers(Now));
+    m_Shared.Open.setPlace(m_Peers.place());
+    limitPools();
+    m_Shared.OrderTurnDelay =
+        OrderTurnTime * static_cast<int>(m_Peers.liveBefore(Now));
+  });
+  Part("engine costs", [&] { logEngineCosts(Now); });
+  Part("stages", [&] { m_Stages.tick(Now); });
+  Part("usage", [&] { m_Usage.tick(Now); });
+  Part("caches", [&] { m_Caches.tick(Now); });
+  Part("crashes", [&] {
+    m_Shared.Crashes.setTrialDelay(TrialTurnTime *
+                                   static_cast<int>(m_Peers.liveBefore(Now)));
+    m_Shared.Crashes.tick(Now);
+  });
+  Part("limits", [&] { shareLimits(Now); });
+  Part("settings", [&] { watchSettings(Now); });
+  Part("log", [&] { m_Shared.Log.tick(Now); });
   if (m_Shared.Stop.begun())
-    stopTick(Now);
-  m_Output.flush();
+    Part("stop", [&] { stopTick(Now); });
+  Part("output", [&] { m_Output.flush(); });
 }
 
 void Gateway::shareLimits(BootTime Now) {
@@ -336,10 +353,12 @@
       [this](const boost::system::error_code &Code, int Signal) {
         if (Code)
           return;
-        if (Signal == SIGTERM)
-          stop();
-        else
-          reloadSettings(m_SettingsFile.read());
+        log::guarded("signal", {}, [&] {
+          if (Signal == SIGTERM)
+            stop();
+          else
+            reloadSettings(m_SettingsFile.read());
+        });
         watchSignals();
       });
 }
@@ -379,16 +398,20 @@
   // A settings change right before SIGTERM may not have been read yet. SIGKILL
   // may follow the old or the new grace time, so the earlier one has to be
   // known.
-  if (const auto Changed = m_SettingsFile.readIfChanged())
-    reloadSettings(*Changed);
+  log::guarded("settings", {}, [this] {
+    if (const auto Changed = m_SettingsFile.readIfChanged())
+      reloadSettings(*Changed);
+  });
   // Responses to requests in progress announce the end of the connection, too.
   for (proxy::CallerConnection *Caller : m_Callers)
     Caller->closeAfterResponse();
-  log::logEvent(log::Level::Info, "stopping",
-                {{"callers", m_Callers.size()},
-                 {"busy", busyCallers()},
-                 {"grace", grace()},
-                 {"endsInMs", *m_Shared.Stop.timeLeft(Now)}});
+  log::guarded("stop", {}, [&] {
+    log::logEvent(log::Level::Info, "stopping",
+                  {{"callers", m_Callers.size()},
+                   {"busy", busyCallers()},
+                   {"grace", grace()},
+                   {"endsInMs", *m_Shared.Stop.timeLeft(Now)}});
+  });
   m_Shared.Queues.stop();
 }
 
@@ -400,23 +423,31 @@
 
 void Gateway::stopTick(BootTime Now) {
   const auto Callers = m_Callers;
-  if (m_Shared.Stop.closesIdle(Now))
+  const auto ForEach = [&](auto Work) {
     for (proxy::CallerConnection *Caller : Callers)
-      Caller->closeIfIdle();
+      log::guarded("stop", {}, [&] { Work(*Caller); });
+  };
+  if (m_Shared.Stop.closesIdle(Now))
+    ForEach([](auto &Caller) { Caller.closeIfIdle(); });
   if (m_Shared.Stop.startsFinalAnswers(Now))
-    for (proxy::CallerConnection *Caller : Callers)
-      Caller->notifyProcessStopping();
+    ForEach([](auto &Caller) { Caller.notifyProcessStopping(); });
   if (!m_Shared.Stop.mayExit(Now, m_Callers.empty()))
     return;
-  log::logEvent(log::Level::Info, "stopped",
-                {{"callers", Callers.size()}, {"cut", busyCallers()}});
-  for (proxy::CallerConnection *Caller : Callers)
-    Caller->closeForExit();
-  m_Usage.sendSums(Now);
+  log::guarded("stop", {}, [&] {
+    log::logEvent(log::Level::Info, "stopped",
+                  {{"callers", Callers.size()}, {"cut", busyCallers()}});
+  });
+  ForEach([](auto &Caller) { Caller.closeForExit(); });
+  log::guarded("stop", {}, [&] { m_Usage.sendSums(Now); });
   m_Output.flush();
   m_Shared.Loop.stop();
 }
 
-void Gateway::run() { m_Shared.Loop.run(); }
+void Gateway::run() {
+  // Handlers have guards of their own where others depend on their end. The
+  // loop goes on with the next handler after one that threw.
+  while (!log::guarded({}, {}, [this] { m_Shared.Loop.run(); }))
+    continue;
+}
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -9,6 +9,7 @@
 
 #include "RequestFlow.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <memory>
@@ -39,8 +40,10 @@
         if (Code) {
           // Out of file descriptors: pending connections stay in the listen
           // queue.
-          log::logEvent(log::Level::Warning, "accept-failed",
-                        {{"message", Code.message()}});
+          log::guarded("accept", {}, [&] {
+            log::logEvent(log::Level::Warning, "accept-failed",
+                          {{"message", Code.message()}});
+          });
           m_AcceptTimer.expires_after(AcceptPause);
           m_AcceptTimer.async_wait(
               [this](const boost::system::error_code &Stopped) {
@@ -49,8 +52,10 @@
               });
           return;
         }
-        accepted(std::move(Socket));
-        acceptWaiting();
+        log::guarded("accept", {}, [&] {
+          accepted(std::move(Socket));
+          acceptWaiting();
+        });
         accept();
       });
 }
@@ -65,10 +70,12 @@
 }
 
 void Gateway::startCaller(tcp::socket Socket) {
-  auto Caller =
+  const auto Caller =
       std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
   m_Callers.insert(Caller.get());
-  Caller->start();
+  // m_Callers must not keep a connection that nothing holds.
+  if (!log::guarded("new connection", {}, [&] { Caller->start(); }))
+    Caller->abort();
 }
 
 void Gateway::accepted(tcp::socket Socket) {
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -7,6 +7,7 @@
 
 #include "Gateway.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <cmath>
@@ -43,6 +44,10 @@
   Metrics.registerGauge(
       "figlift_gateway_live_gateways", "Gateways heard lately, this one too",
       [this] { return double(m_Peers.liveCount(BootClock::now())); });
+  Metrics.registerCounter(
+      "figlift_gateway_messages_dropped_total",
+      "Messages whose handling threw an unexpected exception",
+      [] { return double(log::droppedMessages()); });
   Metrics.registerGauge("figlift_gateway_callers",
                         "Open connections of callers",
                         [this] { return double(m_Callers.size()); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -9,7 +9,7 @@
 #include "Gateway.h"
 
 #include "LibDispatch/StoreReadSchedule.h"
-#include "LibLog/HandledMessage.h"
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 #include "platform/Rows.h"
 
@@ -75,10 +75,11 @@
   BootClock::duration DecodingTime;
 };
 
-DecodedConfiguration decode(const std::string &Text) {
+Result<DecodedConfiguration> decode(const std::string &Text) {
   const BootTime Start = BootClock::now();
   auto Configuration = slopes::decodeConfiguration(Text);
-  return {std::move(Configuration), BootClock::now() - Start};
+  return DecodedConfiguration{std::move(Configuration),
+                              BootClock::now() - Start};
 }
 
 } // namespace
@@ -94,19 +95,28 @@
   ++m_ConfigurationsBeingDecoded;
   m_Shared.Worker.run(
       [Text = Row->Value] { return decode(Text); },
-      [this, KnownAt, Cost = Read.Cost](DecodedConfiguration Decoded) {
+      [this, KnownAt, Cost = Read.Cost](Result<DecodedConfiguration> Decoded) {
         --m_ConfigurationsBeingDecoded;
-        if (Decoded.Configuration)
-          activateConfiguration(
-              std::move(Decoded.Configuration.value()),
-              {Cost.Bytes, Cost.Receiving,
-               Cost.Decoding +
-                   std::chrono::duration_cast<std::chrono::microseconds>(
-                       Decoded.DecodingTime)});
-        else
-          log::logError(log::Level::Error, "configuration-invalid",
-                        Decoded.Configuration.error());
-        configurationKnown(KnownAt);
+        if (!Decoded)
+          log::recordDropped(Decoded.error().Message, "configuration");
+        const bool IsKnown =
+            Decoded && log::guarded("configuration", {}, [&] {
+              auto &[Configuration, DecodingTime] = Decoded.value();
+              if (Configuration)
+                activateConfiguration(
+                    std::move(Configuration.value()),
+                    {Cost.Bytes, Cost.Receiving,
+                     Cost.Decoding +
+                         std::chrono::duration_cast<std::chrono::microseconds>(
+                             DecodingTime)});
+              else
+                log::logError(log::Level::Error, "configuration-invalid",
+                              Configuration.error());
+              configurationKnown(KnownAt);
+            });
+        // The next read tries the same text again.
+        if (!IsKnown)
+          m_ConfigurationDigest = 0;
       });
 }
 
@@ -126,23 +136,33 @@
   // Responses may be reordered; versions only increase.
   if (Candidate.Version <= InForce)
     return;
-  log::logEvent(log::Level::Info, "configuration-in-force",
-                {{"version", Candidate.Version},
-                 {"before", InForce},
-                 {"routes", Candidate.Routes.size()},
-                 {"bytes", Cost.Bytes},
-                 {"receivingMs", Cost.Receiving},
-                 {"decodingMs", Cost.Decoding}});
   m_Shared.Configuration =
       std::make_shared<const dispatch::Configuration>(std::move(Candidate));
-  describeServices();
-  m_Shared.Origins.versions().configure(
-      dispatch::takeUpTimes(*m_Shared.Configuration));
-  m_Shared.Queues.configurationChanged(*m_Shared.Configuration);
   m_PoolLimitsStale = true;
-  limitPools();
-  for (proxy::CallerConnection *Caller : m_Callers)
-    Caller->limitsChanged();
+  // It is in force now, and each part has to know.
+  const auto Part = [](auto Work) { log::guarded("configuration", {}, Work); };
+  Part([&] {
+    log::logEvent(log::Level::Info, "configuration-in-force",
+                  {{"version", m_Shared.Configuration->Version},
+                   {"before", InForce},
+                   {"routes", m_Shared.Configuration->Routes.size()},
+                   {"bytes", Cost.Bytes},
+                   {"receivingMs", Cost.Receiving},
+                   {"decodingMs", Cost.Decoding}});
+  });
+  Part([this] { describeServices(); });
+  Part([this] {
+    m_Shared.Origins.versions().configure(
+        dispatch::takeUpTimes(*m_Shared.Configuration));
+  });
+  Part([this] {
+    m_Shared.Queues.configurationChanged(*m_Shared.Configuration);
+  });
+  Part([this] { limitPools(); });
+  Part([this] {
+    for (proxy::CallerConnection *Caller : m_Callers)
+      Caller->limitsChanged();
+  });
 }
 
 /// Returns no target for an entry that cannot be decoded. A faulty writer may
@@ -150,16 +170,23 @@
 /// some are logged.
 std::optional<dispatch::Target>
 Gateway::readServer(const slopes::StoreRow &Row) {
-  const log::HandledMessage Scope("entry of servers", Row.Key);
-  auto Read = slopes::decodeServer(Row.Key, Row.Value);
-  if (Read)
-    return std::move(Read.value());
+  std::optional<dispatch::Target> Entry;
+  Error Reason;
+  const bool IsRead = log::guarded("entry of servers", Row.Key, [&] {
+    auto Read = slopes::decodeServer(Row.Key, Row.Value);
+    if (Read)
+      Entry = std::move(Read.value());
+    else
+      Reason = Read.error();
+  });
+  if (Entry)
+    return Entry;
   ++m_RejectedEntries;
-  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+  if (IsRead && m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
     log::logEvent(log::Level::Warning, "server-entry-refused",
                   {{"entry", Row.Key},
-                   {"field", Read.error().Field},
-                   {"message", Read.error().Message}});
+                   {"field", Reason.Field},
+                   {"message", Reason.Message}});
   return std::nullopt;
 }
 
@@ -210,17 +237,21 @@
 }
 
 void Gateway::storeRestored(uint64_t PreviousEra) {
-  log::logEvent(log::Level::Warning, "store-era",
-                {{"before", PreviousEra}, {"now", m_Store.era()}});
+  // What one part believes must not depend on another one.
+  const auto Part = [](auto Work) { log::guarded("store's era", {}, Work); };
+  Part([&] {
+    log::logEvent(log::Level::Warning, "store-era",
+                  {{"before", PreviousEra}, {"now", m_Store.era()}});
+  });
   // Servers whose entries are missing in the copy are still running and write
   // them again.
-  m_Shared.Targets.recordStoreFailure(BootClock::now());
-  m_ConfigurationFollower.resync();
-  m_ServerFollower.resync();
-  m_Stages.storeRestored(m_Store.era());
-  m_Usage.storeRestored(m_Store.era());
-  m_Versions.storeRestored();
-  m_Peers.refreshSoon();
+  Part([this] { m_Shared.Targets.recordStoreFailure(BootClock::now()); });
+  Part([this] { m_ConfigurationFollower.resync(); });
+  Part([this] { m_ServerFollower.resync(); });
+  Part([this] { m_Stages.storeRestored(m_Store.era()); });
+  Part([this] { m_Usage.storeRestored(m_Store.era()); });
+  Part([this] { m_Versions.storeRestored(); });
+  Part([this] { m_Peers.refreshSoon(); });
 }
 
 void Gateway::announceStoreState() {
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -8,7 +8,7 @@
 #include "PeerLink.h"
 
 #include "LibDispatch/PaceUpdate.h"
-#include "LibLog/HandledMessage.h"
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <spdlog/fmt/fmt.h>
@@ -87,7 +87,7 @@
   m_ReportTimer.async_wait([this](const boost::system::error_code &Stopped) {
     if (Stopped)
       return;
-    report();
+    log::guarded("report to the gateways", {}, [this] { report(); });
     scheduleReport();
   });
 }
@@ -263,7 +263,9 @@
           return;
         // Other errors refer to an earlier datagram that was not delivered.
         if (!Code)
-          received({m_Buffer.data(), Count});
+          log::guarded("datagram", {}, [&] {
+            received({m_Buffer.data(), Count});
+          });
         receive();
       });
 }
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -6,6 +6,7 @@
 
 #include "PeerList.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <algorithm>
@@ -120,9 +121,13 @@
   m_ListTimer.async_wait([this](const boost::system::error_code &Stopped) {
     if (Stopped)
       return;
-    if (!m_Registered)
-      registerSelf();
-    readList();
+    const bool IsReading = log::guarded("list of gateways", {}, [this] {
+      if (!m_Registered)
+        registerSelf();
+      readList();
+    });
+    if (!IsReading)
+      scheduleList();
   });
 }
 
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -37,7 +37,13 @@
   return isWholeStream(m_Relay.end(), Send.head().Framing);
 }
 
+/// A stream must not go on elsewhere after m_Relay has read events that its
+/// caller has not been sent.
 void RequestFlow::sendBody(ServerSend &Send, std::string Bytes) {
+  guard([&] { received(Send, Bytes); });
+}
+
+void RequestFlow::received(ServerSend &Send, const std::string &Bytes) {
   recordWriting();
   const std::string Events = m_Relay.feed(Bytes);
   if (m_Relay.incompleteBytes() > MaximumEventBytes ||
@@ -168,13 +174,33 @@
                    Reason, FailureRetryAfter);
 }
 
+void RequestFlow::drop() {
+  // The end may throw as well.
+  const bool HasEnded =
+      log::guarded("end of a request", m_Fields.AttemptId, [this] {
+        if (m_Done)
+          return;
+        cancelSend();
+        // A second answer would be taken for the one to the next request.
+        if (m_ResponseStarted || m_Caller->hasAnswerBegun())
+          return abortStream("an unexpected error");
+        respondWithError(m_History.errorStatus(), "an unexpected error",
+                         FailureRetryAfter);
+      });
+  if (!HasEnded)
+    log::guarded("end of a request", m_Fields.AttemptId,
+                 [this] { m_Caller->abort(); });
+}
+
 void RequestFlow::processStopping() {
   // A response that has started may still complete in time.
   if (!m_ResponseStarted)
-    endWithoutResponse("the process ends");
+    guard([this] { endWithoutResponse("the process ends"); });
 }
 
-void RequestFlow::processExiting() { endWithoutResponse("the process ended"); }
+void RequestFlow::processExiting() {
+  guard([this] { endWithoutResponse("the process ended"); });
+}
 
 void RequestFlow::cancelSend() {
   if (const auto Send = std::exchange(m_Send, nullptr)) {
@@ -232,14 +258,18 @@
     return;
   m_DeadlineTimer.cancel();
   m_SilenceTimer.cancel();
-  leaveQueue();
   cancelReservedRetry();
-  recordStreamEnd();
-  const BootTime Now = BootClock::now();
-  if (m_FirstEvent)
-    m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
-  recordRequestEnd(m_Shared, m_Route, Outcome, firstAfter(Now));
-  logEnded(Outcome, Status, Reason);
+  // The request has ended: what throws from here on is left out.
+  log::guarded("end of a request", m_Fields.AttemptId,
+               [this] { leaveQueue(); });
+  log::guarded("end of a request", m_Fields.AttemptId, [&] {
+    recordStreamEnd();
+    const BootTime Now = BootClock::now();
+    if (m_FirstEvent)
+      m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
+    recordRequestEnd(m_Shared, m_Route, Outcome, firstAfter(Now));
+    logEnded(Outcome, Status, Reason);
+  });
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -47,6 +47,10 @@
       m_SilenceTimer(Shared.Loop), m_Started(BootClock::now()) {}
 
 void RequestFlow::start() {
+  guard([this] { process(); });
+}
+
+void RequestFlow::process() {
   auto Fields = slopes::decodeCallerFields(m_Request.Head.Headers);
   if (!Fields) {
     respondWithError(dispatch::RequestError::Invalid, Fields.error().Message,
@@ -118,7 +122,7 @@
   m_DeadlineTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
-          Self->endWithoutResponse("the deadline passed");
+          Self->guard([&] { Self->endWithoutResponse("the deadline passed"); });
       });
 }
 
@@ -251,9 +255,9 @@
           Work, m_History)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
-    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     if (Purpose == SendPurpose::Execute && !streaming())
       recordUsage();
+    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     recordSuspectSend(Now);
     return armSendTimeout(Expected + m_PlannedLag);
   }
@@ -307,7 +311,7 @@
   m_SilenceTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
-          Self->sendOverdue();
+          Self->guard([&] { Self->sendOverdue(); });
       });
 }
 
@@ -332,6 +336,10 @@
 }
 
 void RequestFlow::sendCompleted(ServerSend &Send) {
+  guard([&] { completed(Send); });
+}
+
+void RequestFlow::completed(ServerSend &Send) {
   m_SilenceTimer.cancel();
   m_Send = nullptr;
   if (Send.purpose() == SendPurpose::Prefill)
@@ -419,6 +427,10 @@
 }
 
 void RequestFlow::sendEnded(ServerSend &Send, SendOutcome End) {
+  guard([&] { ended(Send, End); });
+}
+
+void RequestFlow::ended(ServerSend &Send, const SendOutcome &End) {
   m_History.end(Send.number(), End);
   m_SilenceTimer.cancel();
   m_Send = nullptr;
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -13,6 +13,7 @@
 
 #include "LibDispatch/EventRelay.h"
 #include "LibDispatch/StreamProgress.h"
+#include "LibLog/Guard.h"
 #include "LibProxy/CallerConnection.h"
 #include "platform/Headers.h"
 
@@ -56,6 +57,19 @@
   const std::string &queuedRoute() const override { return m_Route.Name; }
 
 private:
+  /// Runs \p Work, a part of the processing. If it throws, the request ends.
+  template <typename Function> void guard(Function Work) {
+    if (!log::guarded("request", m_Fields.AttemptId, Work))
+      drop();
+  }
+  /// Ends the request, whose processing has thrown, exactly once. Its caller is
+  /// told what m_History proves, or sees its connection close.
+  void drop();
+  void process();
+  void received(ServerSend &Send, const std::string &Bytes);
+  void completed(ServerSend &Send);
+  void ended(ServerSend &Send, const dispatch::SendOutcome &End);
+  void granted(const dispatch::QueueSend &Grant);
   /// Sets m_Tenant. Otherwise rejects the request and returns false.
   bool authenticate();
   void rejectUnauthenticated(std::string_view Reason);
--- a/Services/figlift-gateway/RequestQueue.cpp
+++ b/Services/figlift-gateway/RequestQueue.cpp
@@ -91,6 +91,10 @@
 }
 
 void RequestFlow::queueGranted(const dispatch::QueueSend &Grant) {
+  guard([&] { granted(Grant); });
+}
+
+void RequestFlow::granted(const dispatch::QueueSend &Grant) {
   const bool HasWaited = std::exchange(m_QueueId, 0) != 0;
   if (m_Done)
     return;
@@ -126,9 +130,12 @@
   const bool HasWaited = std::exchange(m_QueueId, 0) != 0;
   if (m_Done)
     return;
-  if (HasWaited)
-    logDequeued("refused", Refusal.Waited, Refusal.Ahead);
-  respondWithError(m_History.errorStatus(), Refusal.Reason, Refusal.RetryAfter);
+  guard([&] {
+    if (HasWaited)
+      logDequeued("refused", Refusal.Waited, Refusal.Ahead);
+    respondWithError(m_History.errorStatus(), Refusal.Reason,
+                     Refusal.RetryAfter);
+  });
 }
 
 void RequestFlow::leaveQueue() {
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -86,7 +86,7 @@
     return resumeAt(Origin);
   m_Shared.VersionRecords->readAgain([Self = shared_from_this()] {
     if (!Self->m_Done)
-      Self->resumeAt(Self->lookUpOrigin());
+      Self->guard([&] { Self->resumeAt(Self->lookUpOrigin()); });
   });
 }
 
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -8,6 +8,7 @@
 
 #include "ServerExchange.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 namespace figlift::gateway {
@@ -191,7 +192,8 @@
 }
 
 void ServerSend::end(SendOutcome End) {
-  recordOutcome(End);
+  // The request is told in any case.
+  log::guarded("end of a send", m_TargetId, [&] { recordOutcome(End); });
   if (auto *const Owner = std::exchange(m_Owner, nullptr))
     Owner->sendEnded(*this, End);
 }
--- a/Services/figlift-gateway/ServiceQueues.cpp
+++ b/Services/figlift-gateway/ServiceQueues.cpp
@@ -8,6 +8,8 @@
 
 #include "Context.h"
 
+#include "LibLog/Guard.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -191,7 +193,8 @@
   const BootTime Now = BootClock::now();
   for (auto &[Service, Queue] : m_Queues)
     if (Queue.size() > 0)
-      apply(Queue.check(view(Service, Now), Now));
+      log::guarded("queue", Service,
+                   [&] { apply(Queue.check(view(Service, Now), Now)); });
   armTimer();
 }
 
--- a/Services/figlift-gateway/StoreFollower.cpp
+++ b/Services/figlift-gateway/StoreFollower.cpp
@@ -6,6 +6,7 @@
 
 #include "StoreFollower.h"
 
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 namespace figlift::gateway {
@@ -30,6 +31,14 @@
     watch();
 }
 
+void StoreFollower::nextOrRetry() {
+  if (!log::guarded("read of a table", m_Table, [this] { next(); }))
+    handleFailure({ResultCode::Internal,
+                   "the read could not be started",
+                   {},
+                   std::nullopt});
+}
+
 void StoreFollower::wait(BootClock::duration For) {
   m_Waiting = true;
   m_Timer.expires_after(For);
@@ -37,7 +46,7 @@
     if (Stopped)
       return;
     m_Waiting = false;
-    next();
+    nextOrRetry();
   });
 }
 
@@ -112,10 +121,14 @@
 }
 
 void StoreFollower::handleFailure(const Error &Reason) {
-  if (std::exchange(m_Connected, false))
-    log::logEvent(log::Level::Warning, "store-lost",
-                  {{"table", m_Table}, {"message", Reason.Message}});
-  m_Listener.ConnectionLost();
+  // Whatever happens here, the table is read again.
+  log::guarded("failed read of a table", m_Table, [&] {
+    if (std::exchange(m_Connected, false))
+      log::logEvent(log::Level::Warning, "store-lost",
+                    {{"table", m_Table}, {"message", Reason.Message}});
+  });
+  log::guarded("failed read of a table", m_Table,
+               [this] { m_Listener.ConnectionLost(); });
   m_NextFullRead = {};
   constexpr unsigned MaximumDoublings = 10;
   const auto Delay = std::min(
@@ -125,7 +138,7 @@
       std::chrono::duration_cast<BootClock::duration>(Delay * (1 + m_Draw())));
   m_Timer.async_wait([this](const boost::system::error_code &Stopped) {
     if (!Stopped)
-      next();
+      nextOrRetry();
   });
 }
 
--- a/Services/figlift-gateway/StoreFollower.h
+++ b/Services/figlift-gateway/StoreFollower.h
@@ -71,6 +71,8 @@
 
 private:
   void next();
+  /// The same, and counts an exception as a failed call.
+  void nextOrRetry();
   void wait(BootClock::duration For);
   void readTable();
   void watch();
--- a/Services/figlift-gateway/TextServer.cpp
+++ b/Services/figlift-gateway/TextServer.cpp
@@ -6,6 +6,8 @@
 
 #include "TextServer.h"
 
+#include "LibLog/Guard.h"
+
 namespace figlift::gateway {
 
 namespace asio = boost::asio;
@@ -56,9 +58,11 @@
       [this](const boost::system::error_code &Code, tcp::socket Socket) {
         if (Code == asio::error::operation_aborted)
           return;
-        if (!Code)
-          std::make_shared<proxy::CallerConnection>(std::move(Socket), *this)
-              ->start();
+        log::guarded("new connection", {}, [&] {
+          if (!Code)
+            std::make_shared<proxy::CallerConnection>(std::move(Socket), *this)
+                ->start();
+        });
         accept();
       });
 }
--- a/Services/figlift-gateway/VersionRecorder.cpp
+++ b/Services/figlift-gateway/VersionRecorder.cpp
@@ -8,7 +8,7 @@
 
 #include "VersionRecorder.h"
 
-#include "LibLog/HandledMessage.h"
+#include "LibLog/Guard.h"
 #include "LibLog/Log.h"
 
 #include <algorithm>
@@ -100,7 +100,15 @@
       VersionTable, "",
       [this, SentAt = m_ReadSentAt](const Result<slopes::RowsRead> &Read) {
         m_ReadPending = false;
-        readEnded(Read, SentAt);
+        // Requests wait for the end of the read.
+        if (!log::guarded("record of versions", {},
+                          [&] { readEnded(Read, SentAt); }))
+          log::guarded("record of versions", {}, [this] {
+            callFailed({ResultCode::Internal,
+                        "the record could not be applied",
+                        {},
+                        std::nullopt});
+          });
         for (const auto &Done : m_Reads.ended())
           Done();
         readIfWanted(BootClock::now());
@@ -118,27 +126,32 @@
   m_Shared.Origins.versions().recordRecordsKnown(SentAt);
 }
 
-/// A row that cannot be decoded is no statement about its service.
+/// A row that cannot be decoded is no statement about its service. What is
+/// known of the rows changes with the record as a whole: a write that is based
+/// on newer rows than its content would undo what another gateway has written.
 void VersionRecorder::recordsRead(const slopes::RowsRead &Read) {
-  m_Clock = Read.Clock;
-  m_ReadAt = m_Clock->Local;
-  m_RowVersions.clear();
+  const dispatch::StoreClockReading Clock = *Read.Clock;
+  std::map<std::string, uint64_t> RowVersions;
   VersionHistory::Records Records;
   for (const slopes::StoreRow &Row : Read.Rows) {
-    const log::HandledMessage Scope("record of versions", Row.Key);
-    m_RowVersions[Row.Key] = Row.Version.Number;
-    auto Record = dispatch::decodeVersionRecord(Row.Value);
-    if (!Record) {
-      log::logError(log::Level::Error, "software-versions-invalid",
-                    Record.error());
-      // All that is known is what this process sees from now on.
-      Records[Row.Key].CompleteSince = m_Clock->Store;
-      continue;
-    }
-    Records[Row.Key] = std::move(Record.value());
+    RowVersions[Row.Key] = Row.Version.Number;
+    // All that is known of a row that throws, or that cannot be decoded, is
+    // what this process sees from now on.
+    Records[Row.Key].CompleteSince = Clock.Store;
+    log::guarded("record of versions", Row.Key, [&] {
+      auto Record = dispatch::decodeVersionRecord(Row.Value);
+      if (Record)
+        Records[Row.Key] = std::move(Record.value());
+      else
+        log::logError(log::Level::Error, "software-versions-invalid",
+                      Record.error());
+    });
   }
-  m_Shared.Origins.versions().applyRecords(Records, *m_Clock,
+  m_Shared.Origins.versions().applyRecords(Records, Clock,
                                            m_Shared.Settings.Fleet.Starts);
+  m_Clock = Clock;
+  m_ReadAt = Clock.Local;
+  m_RowVersions = std::move(RowVersions);
   log::logEvent(log::Level::Info, "software-versions-read",
                 {{"services", Records.size()}});
 }
--- a/Tests/LibCore/TestBackgroundWorker.cpp
+++ b/Tests/LibCore/TestBackgroundWorker.cpp
@@ -6,11 +6,13 @@
 //===----------------------------------------------------------------------===//
 
 #include "LibCore/BackgroundWorker.h"
+#include "LibCore/Result.h"
 
 #include <chrono>
 #include <csignal>
 #include <future>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -80,3 +82,25 @@
   for (int I = 0; I < 20; ++I)
     LONGS_EQUAL(I, Output[static_cast<size_t>(I)]);
 }
+
+// Failure: a computation throws on the worker thread, and the process ends with
+// all that it has accepted.
+TEST(BackgroundWorker, DeliversWhatAComputationThrowsAsAFailure) {
+  std::optional<Result<int>> Output;
+  Worker.run([]() -> Result<int> { throw std::runtime_error("odd input"); },
+             [&](Result<int> Received) { Output = std::move(Received); });
+  CHECK(runUntil([&] { return Output.has_value(); }));
+  CHECK(!Output->has_value());
+  CHECK(Output->error().Code == ResultCode::Internal);
+  STRCMP_EQUAL("odd input", Output->error().Message.c_str());
+}
+
+// Failure: as before, for a computation whose output cannot say that it failed;
+// the loop's owner never learns of it.
+TEST(BackgroundWorker, ThrowsOnTheLoopWhatHasNoFailure) {
+  bool IsCalled = false;
+  Worker.run([]() -> int { throw std::runtime_error("odd input"); },
+             [&](int) { IsCalled = true; });
+  CHECK_THROWS(std::runtime_error, Loop.run());
+  CHECK(!IsCalled);
+}
--- a/Tests/LibUpstream/TestServerConnection.cpp
+++ b/Tests/LibUpstream/TestServerConnection.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <linux/sockios.h>
+#include <stdexcept>
 #include <sys/ioctl.h>
 
 #include <CppUTest/TestHarness.h>
@@ -28,8 +29,17 @@
   void onHead(const proxy::ResponseHead &Head) override {
     Status = Head.Status;
   }
-  void onBody(std::string Bytes) override { Body += Bytes; }
-  void onEnd(ExchangeOutcome Result) override { Outcome = Result; }
+  void onBody(std::string Bytes) override {
+    if (ThrowsAtBody)
+      throw std::runtime_error("odd body");
+    Body += Bytes;
+  }
+  void onEnd(ExchangeOutcome Result) override {
+    ++Ends;
+    Outcome = Result;
+    if (ThrowsAtEnd)
+      throw std::runtime_error("odd end");
+  }
   bool belongsToOther(const proxy::ResponseHead &Head) override {
     const bool IsOther = Head.Headers.find("Id") != Id;
     Others += IsOther ? 1 : 0;
@@ -37,6 +47,9 @@
   }
   bool maySend() const override { return Allowed; }
   bool Allowed = true;
+  bool ThrowsAtBody = false;
+  bool ThrowsAtEnd = false;
+  int Ends = 0;
   /// Of the request; a response to it has the same.
   std::optional<std::string_view> Id;
   unsigned Others = 0;
@@ -358,3 +371,40 @@
   CHECK_FALSE(Connection->isOpen());
   LONGS_EQUAL(1, Pool->openConnections());
 }
+
+// Failure: the bytes of one server make their receiver throw, and the process
+// ends with all other exchanges; or this exchange never ends.
+TEST(ServerConnection, EndsTheExchangeWhoseSinkThrows) {
+  const auto Sink = send();
+  Sink->ThrowsAtBody = true;
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  CHECK(*Sink->Outcome == ExchangeOutcome::Interrupted);
+  LONGS_EQUAL(1, Sink->Ends);
+  CHECK(!Connection->isOpen());
+  // The pool goes on with another connection, and the loop, which has no work
+  // left, with another exchange.
+  Loop.restart();
+  const auto Next = send();
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(until([&] { return Next->Outcome.has_value(); }));
+  CHECK(*Next->Outcome == ExchangeOutcome::Complete);
+}
+
+// Failure: a receiver throws at the end of its exchange and is told of the end
+// twice, or the process ends.
+TEST(ServerConnection, EndsAnExchangeOnceIfItsEndThrows) {
+  const auto Sink = send();
+  Sink->ThrowsAtEnd = true;
+  accept();
+  awaitRequest();
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  Loop.run_for(milliseconds(20));
+  LONGS_EQUAL(1, Sink->Ends);
+  CHECK(!Connection->isOpen());
+}
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -9,6 +9,7 @@
 
 #include <future>
 #include <optional>
+#include <stdexcept>
 
 #include <CppUTest/TestHarness.h>
 
@@ -129,3 +130,54 @@
     CHECK(Written->error().Code == ResultCode::StoreOutcomeUnknown);
   }
 }
+
+// Failure: a page makes the process end, or its receiver throw: whoever waits
+// for the call is never told, and reads the store no more.
+TEST(StoreClient, CallWhoseReceiverThrowsEndsAsFailed) {
+  int Calls = 0;
+  Client.readAll("small", "", [&](Result<RowsRead> Read) {
+    ++Calls;
+    if (Read)
+      throw std::runtime_error("odd page");
+    setResponse(std::move(Read));
+  });
+  CHECK(waitForResponse());
+  CHECK(!Response->has_value());
+  LONGS_EQUAL(2, Calls);
+}
+
+// Failure: a write was made, its receiver throws, and the write counts as not
+// made.
+TEST(StoreClient, WriteWhoseReceiverThrowsLeavesItsOutcomeOpen) {
+  std::optional<ResultCode> Failed;
+  RowTransaction Transaction;
+  Transaction.Writes.push_back({"small", "", "k", "v"});
+  Client.commit(Transaction, [&](Result<dispatch::StoreVersion> Written) {
+    if (Written)
+      throw std::runtime_error("odd answer");
+    Failed = Written.error().Code;
+  });
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Failed && std::chrono::steady_clock::now() < End)
+    Loop.run_for(milliseconds(2));
+  CHECK(Failed == ResultCode::StoreOutcomeUnknown);
+}
+
+// Failure: decoding a page throws, on the loop or, if the page is large, on the
+// worker thread, and the process ends or the call never does.
+TEST(StoreClient, PageThatCannotBeDecodedEndsItsCall) {
+  for (const size_t Padding : {size_t{0}, size_t{100'000}}) {
+    testing::Listener Odd(
+        Loop, [Padding](const proxy::Request &, const testing::Caller &To) {
+          To->respond({200, "", 11, {}}, std::string(Padding, ' ') +
+                                             R"({"ver":1,"morePages":false,)"
+                                             R"("rows":[[]]})");
+        });
+    StoreClient OddClient(Loop, Worker, Odd.address());
+    Response.reset();
+    OddClient.readAll("t", "",
+                      [this](auto Result) { setResponse(std::move(Result)); });
+    CHECK(waitForResponse());
+    CHECK(!Response->has_value());
+  }
+}
