--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -7,6 +7,8 @@
 
 #include "LibProxy/CallerConnection.h"
 
+#include "LibLog/Guard.h"
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -58,6 +60,13 @@
       m_Handler(Handler), m_Limits(Handler.limits()), m_Parser(m_Limits.Bounds),
       m_Memory(Handler.memory()) {}
 
+template <typename Function> void CallerConnection::guard(Function Work) {
+  if (log::guarded("caller's connection", {}, Work))
+    return;
+  log::guarded("close of a caller's connection", {},
+               [this] { close(CloseReason::Failed); });
+}
+
 void CallerConnection::start() {
   ErrorCode Ignored; // Without the option, small writes are only delayed.
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -76,7 +85,7 @@
       asio::buffer(m_Buffer),
       [Self = shared_from_this()](const ErrorCode &Code, size_t Count) {
         Self->m_Reading = false;
-        Self->onReceived(Code, Count);
+        Self->guard([&] { Self->onReceived(Code, Count); });
       });
 }
 
@@ -253,23 +262,27 @@
   // Posted to the loop: the code that wrote the response may still be on the
   // stack, and each pipelined request would add another level of recursion.
   asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
-    if (Self->m_Closed)
-      return;
-    Self->m_Request = nullptr;
-    Self->m_RequestBytes = 0;
-    Self->m_Memory.set(Self->heldBytes());
-    if (Self->m_CloseAnnounced)
-      return Self->closeGracefully();
-    Self->adoptLimits();
-    Self->armTimer(Self->m_Limits.IdleTimeout);
-    Self->m_Parser.resume();
-    Self->advance();
-    Self->read();
-    if (Self->m_InputEnded && !Self->m_Request && Self->unsentBytes() == 0)
-      Self->close(CloseReason::CallerEnded);
+    Self->guard([&] { Self->responseFinished(); });
   });
 }
 
+void CallerConnection::responseFinished() {
+  if (m_Closed)
+    return;
+  m_Request = nullptr;
+  m_RequestBytes = 0;
+  m_Memory.set(heldBytes());
+  if (m_CloseAnnounced)
+    return closeGracefully();
+  adoptLimits();
+  armTimer(m_Limits.IdleTimeout);
+  m_Parser.resume();
+  advance();
+  read();
+  if (m_InputEnded && !m_Request && unsentBytes() == 0)
+    close(CloseReason::CallerEnded);
+}
+
 void CallerConnection::write(std::string_view Bytes) {
   m_LastUndeliveredBytes.reset();
   m_Pending += Bytes;
@@ -287,7 +300,7 @@
         return asio::transfer_all()(Code, Count);
       },
       [Self = shared_from_this()](const ErrorCode &Code, size_t) {
-        Self->onWritten(Code);
+        Self->guard([&] { Self->onWritten(Code); });
       });
 }
 
@@ -417,11 +430,13 @@
   endOutput();
   m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](const ErrorCode &) {
-                        if (Self->m_Closed)
-                          return;
-                        if (Self->undeliveredBytes() > 0)
-                          return Self->read();
-                        Self->close(CloseReason::Idle);
+                        Self->guard([&] {
+                          if (Self->m_Closed)
+                            return;
+                          if (Self->undeliveredBytes() > 0)
+                            return Self->read();
+                          Self->close(CloseReason::Idle);
+                        });
                       });
 }
 
@@ -451,8 +466,10 @@
   if (m_CloseReport.UnreadBytes > 0 && undeliveredBytes() > 0)
     discardUnreadInput(m_CloseReport.UnreadBytes);
   m_Socket.close(Ignored);
+  // Handlers keep pointers to connections until closed().
   if (const auto Active = std::exchange(m_Request, nullptr))
-    Active->callerDisconnected();
+    log::guarded("end of a caller's connection", {},
+                 [&] { Active->callerDisconnected(); });
   m_Handler.closed(*this);
 }
 
@@ -472,9 +489,12 @@
     if (Cancelled || Self->m_Closed)
       return;
     Self->m_TimerRunning = false;
-    if (std::chrono::steady_clock::now() < Self->m_Deadline)
-      return Self->startTimer();
-    Self->timedOut();
+    Self->guard([&] {
+      if (std::chrono::steady_clock::now() < Self->m_Deadline)
+        Self->startTimer();
+      else
+        Self->timedOut();
+    });
   });
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -49,6 +49,10 @@
       m_SilenceTimer(Shared.Loop), m_Started(BootClock::now()) {}
 
 void RequestFlow::start() {
+  guard([this] { process(); });
+}
+
+void RequestFlow::process() {
   auto Fields = slopes::decodeCallerFields(m_Request.Head.Headers);
   if (!Fields) {
     respondWithError(dispatch::RequestError::Invalid, Fields.error().Message,
@@ -124,7 +128,7 @@
   m_DeadlineTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
-          Self->endWithoutResponse("the deadline passed");
+          Self->guard([&] { Self->endWithoutResponse("the deadline passed"); });
       });
 }
 
@@ -257,9 +261,9 @@
           Work, m_History)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
-    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     if (Purpose == SendPurpose::Execute && !streaming())
       recordUsage();
+    logSent(TargetId, FetchFrom, Purpose, Fields, Expected);
     recordSuspectSend(Now);
     return armSendTimeout(Expected + m_PlannedLag);
   }
@@ -313,7 +317,7 @@
   m_SilenceTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Stopped) {
         if (!Stopped)
-          Self->sendOverdue();
+          Self->guard([&] { Self->sendOverdue(); });
       });
 }
 
@@ -342,6 +346,10 @@
 }
 
 void RequestFlow::sendCompleted(ServerSend &Send) {
+  guard([&] { completed(Send); });
+}
+
+void RequestFlow::completed(ServerSend &Send) {
   m_SilenceTimer.cancel();
   m_Send = nullptr;
   if (Send.purpose() == SendPurpose::Prefill)
@@ -429,6 +437,10 @@
 }
 
 void RequestFlow::sendEnded(ServerSend &Send, SendOutcome End) {
+  guard([&] { ended(Send, End); });
+}
+
+void RequestFlow::ended(ServerSend &Send, const SendOutcome &End) {
   m_History.end(Send.number(), End);
   m_SilenceTimer.cancel();
   m_Send = nullptr;
