figlift-gateway: Keep SIGHUP pending until there is a handler

A gateway that was starting ended with signal 1 when its settings file changed right then and SIGHUP followed.

Cause: until the handler is installed, SIGHUP has its default action, which ends the process.

Class: a signal that arrives before the state that it is meant for. It is blocked from the first line of main until the handler is installed, and then handled like any other: a change that came between the first read of the settings and the handler is read as well. Ignoring the signal would end nothing either, but would lose such a change.

Evidence: SignalOrder.HangupDuringTheStartReloadsAfterIt holds a real process in the read of its settings and sends SIGHUP.

Left: between exec and main, 5 ms here, the default action still applies; only whoever starts the process can change that. SIGTERM in this time ends the process as before; it has accepted nothing yet.

--- a/Services/figlift-gateway/Main.cpp
+++ b/Services/figlift-gateway/Main.cpp
@@ -33,6 +33,14 @@
   return {};
 }
 
+/// \p How: SIG_BLOCK or SIG_UNBLOCK.
+void maskHangup(int How) {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGHUP);
+  pthread_sigmask(How, &Signals, nullptr);
+}
+
 int serve(const settings::GatewaySettings &Settings, const std::string &File) {
   // A write to a connection that the peer has closed must not kill the
   // process.
@@ -45,6 +53,7 @@
   Log.Sink = [&Output](std::string_view Line) { Output.line(Line); };
   log::configure(Log);
   gateway::Gateway Process(Settings, Output, File);
+  maskHangup(SIG_UNBLOCK);
   if (const auto Started = Process.start(); !Started)
     return settings::reportFailure(Program, Started.error());
   Output.flush();
@@ -55,6 +64,9 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  // Without a handler SIGHUP ends the process. It stays pending until there is
+  // one, so that settings that change meanwhile are read again.
+  maskHangup(SIG_BLOCK);
   return settings::runProgram<settings::GatewaySettings>(
       Program, settings::readGatewayCommandLine(Count, Arguments),
       [&](const settings::GatewaySettings &Settings) {
--- a/Tests/StoppingGateway/TestSignalOrder.cpp
+++ b/Tests/StoppingGateway/TestSignalOrder.cpp
@@ -10,9 +10,11 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -91,3 +93,27 @@
   }
   LONGS_EQUAL(Rounds, LongerStops);
 }
+
+// Failure: a gateway that starts ends at once, with signal 1.
+// Sequence: its settings change while it reads them, followed by SIGHUP.
+// Cause: SIGHUP ends a process that has no handler for it yet.
+TEST(SignalOrder, HangupDuringTheStartReloadsAfterIt) {
+  writeGrace(ShortGrace);
+  const std::string Regular = (Folder / "regular").string();
+  std::filesystem::rename(settingsFile(), Regular);
+  LONGS_EQUAL(0, mkfifo(settingsFile().c_str(), 0600));
+  auto Process = test::ChildProcess::start(
+      "Services/figlift-gateway/figlift-gateway",
+      {"--settings", settingsFile()}, (Folder / "log-start").string());
+  // Returns once the process opens the file, and holds it there.
+  const int Pipe = open(settingsFile().c_str(), O_WRONLY);
+  std::ifstream File(Regular);
+  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+  std::filesystem::rename(Regular, settingsFile());
+  kill(Process.pid(), SIGHUP);
+  LONGS_EQUAL(static_cast<long>(Text.size()),
+              write(Pipe, Text.data(), Text.size()));
+  close(Pipe);
+  CHECK(Process.waitForOutput("started", Limit));
+  CHECK(Process.waitForOutput("reloaded", Limit));
+}
