figlift-gateway: End in order when SIGHUP arrives at the exit

A gateway that had stopped in order ended with signal 1 instead of status 0, when SIGHUP came in its last milliseconds.

Cause: the handler is removed with the gateway, before the process has ended. From there on SIGHUP had its default action again.

Class: the same as for SIGHUP before the handler is installed.

Evidence: SignalOrder.HangupDuringTheExitDoesNotEndIt sends SIGHUP until the process has ended.

--- a/Services/figlift-gateway/Main.cpp
+++ b/Services/figlift-gateway/Main.cpp
@@ -58,6 +58,8 @@
     return settings::reportFailure(Program, Started.error());
   Output.flush();
   Process.run();
+  // The handler ends before the process does.
+  maskHangup(SIG_BLOCK);
   return 0;
 }
 
--- a/Tests/StoppingGateway/TestSignalOrder.cpp
+++ b/Tests/StoppingGateway/TestSignalOrder.cpp
@@ -117,3 +117,30 @@
   CHECK(Process.waitForOutput("started", Limit));
   CHECK(Process.waitForOutput("reloaded", Limit));
 }
+
+// Failure: a gateway that has stopped in order ends with signal 1.
+// Sequence: SIGHUP arrives again and again during the stop, up to its end.
+// Cause: the handler is removed before the process has ended.
+TEST(SignalOrder, HangupDuringTheExitDoesNotEndIt) {
+  constexpr int Rounds = 5;
+  constexpr int OneSecond = 1;
+  int OrderlyEnds = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    writeGrace(OneSecond);
+    const std::string Log =
+        (Folder / ("log-exit-" + std::to_string(Round))).string();
+    auto Process =
+        test::ChildProcess::start("Services/figlift-gateway/figlift-gateway",
+                                  {"--settings", settingsFile()}, Log);
+    CHECK(Process.waitForOutput("started", Limit));
+    Process.terminate();
+    CHECK(Process.waitForOutput("stopping", Limit));
+    std::optional<int> ExitCode;
+    while (!ExitCode) {
+      kill(Process.pid(), SIGHUP);
+      ExitCode = Process.waitForExit(std::chrono::milliseconds(0));
+    }
+    OrderlyEnds += *ExitCode == 0 ? 1 : 0;
+  }
+  LONGS_EQUAL(Rounds, OrderlyEnds);
+}
