--- a/Tests/StoppingGateway/TestSignalOrder.cpp
+++ b/Tests/StoppingGateway/TestSignalOrder.cpp
@@ -10,9 +10,11 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -91,3 +93,54 @@
   }
   LONGS_EQUAL(Rounds, LongerStops);
 }
+
+// Failure: a gateway that starts ends at once, with signal 1.
+// Sequence: its settings change while it reads them, followed by SIGHUP.
+// Cause: SIGHUP ends a process that has no handler for it yet.
+TEST(SignalOrder, HangupDuringTheStartReloadsAfterIt) {
+  writeGrace(ShortGrace);
+  const std::string Regular = (Folder / "regular").string();
+  std::filesystem::rename(settingsFile(), Regular);
+  LONGS_EQUAL(0, mkfifo(settingsFile().c_str(), 0600));
+  auto Process = test::ChildProcess::start(
+      "Services/figlift-gateway/figlift-gateway",
+      {"--settings", settingsFile()}, (Folder / "log-start").string());
+  // Returns once the process opens the file, and holds it there.
+  const int Pipe = open(settingsFile().c_str(), O_WRONLY);
+  std::ifstream File(Regular);
+  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+  std::filesystem::rename(Regular, settingsFile());
+  kill(Process.pid(), SIGHUP);
+  LONGS_EQUAL(static_cast<long>(Text.size()),
+              write(Pipe, Text.data(), Text.size()));
+  close(Pipe);
+  CHECK(Process.waitForOutput("started", Limit));
+  CHECK(Process.waitForOutput("reloaded", Limit));
+}
+
+// Failure: a gateway that has stopped in order ends with signal 1.
+// Sequence: SIGHUP arrives again and again during the stop, up to its end.
+// Cause: the handler is removed before the process has ended.
+TEST(SignalOrder, HangupDuringTheExitDoesNotEndIt) {
+  constexpr int Rounds = 5;
+  constexpr int OneSecond = 1;
+  int OrderlyEnds = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    writeGrace(OneSecond);
+    const std::string Log =
+        (Folder / ("log-exit-" + std::to_string(Round))).string();
+    auto Process =
+        test::ChildProcess::start("Services/figlift-gateway/figlift-gateway",
+                                  {"--settings", settingsFile()}, Log);
+    CHECK(Process.waitForOutput("started", Limit));
+    Process.terminate();
+    CHECK(Process.waitForOutput("stopping", Limit));
+    std::optional<int> ExitCode;
+    while (!ExitCode) {
+      kill(Process.pid(), SIGHUP);
+      ExitCode = Process.waitForExit(std::chrono::milliseconds(0));
+    }
+    OrderlyEnds += *ExitCode == 0 ? 1 : 0;
+  }
+  LONGS_EQUAL(Rounds, OrderlyEnds);
+}
