platform: Refuse ids and handles that would end a header field

A server ran a request that no caller had sent. An entry of the list of servers whose id holds a line break was taken for a server, and its id went into the X-Expect-Instance field of each request to its address: fields of the writer's choice, and a whole second request in the same bytes. The same way, the handle in an engine's answer to a prefill became a part of the request to the engine that decodes, and of the target of the call that releases the cache.

Cause: both texts are others' bytes, and were checked for their length only.

Class: bytes of others that are written into a message without a check of what would end the field they stand in.

Handles stand in a target too, so they must be visible ASCII; a prefill with another handle counts as failed.

--- a/Tests/Platform/TestEngineCalls.cpp
+++ b/Tests/Platform/TestEngineCalls.cpp
@@ -28,6 +28,17 @@
   CHECK(!decodePrefillResult("<html>").has_value());
 }
 
+// Failure: a server runs what no caller sent.
+// Cause: a handle with a line break becomes a part of the next engine's
+// request, and its target of a call to release it.
+TEST(EngineCalls, RefuseAHandleThatWouldEndItsField) {
+  for (const char *Handle :
+       {R"(a\r\nX-Evil: 1)", R"(a\n)", R"(a\u0000)", "a b"})
+    CHECK(!decodePrefillResult(std::string(R"({"kvHandle":")") + Handle +
+                               R"(","tokens":1})")
+               .has_value());
+}
+
 TEST(EngineCalls, ReadsAReport) {
   const auto Decoded = decodeEngineReport(
       R"({"stage":"decode","models":[],"busy":true,"sequence":2,"queued":1})");
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -138,6 +138,20 @@
   CHECK(!Decoded.value().Draining);
 }
 
+// Failure: a server runs what no caller sent.
+// Cause: the id of another writer's entry has a line break and becomes a part
+// of the requests to its address.
+TEST(Rows, RejectServersWhoseIdWouldEndItsField) {
+  const std::string Entry = R"({"service":"b","address":"10.0.0.1:1",
+      "zone":"z","version":"v1","slots":6,"state":"ready",
+      "coldRemainingMs":0,"sequence":4})";
+  for (const std::string &Id :
+       {std::string("i\r\nX-Evil: 1"), std::string("i\n"),
+        std::string("i\0", 2), std::string("i\x7f")})
+    CHECK(!decodeServer(Id, Entry).has_value());
+  CHECK(decodeServer("i-\"'\xc3\xa9", Entry).has_value());
+}
+
 // Another program writes an entry to the server list. If the entry is accepted
 // although fields are missing, requests are sent to an address without a
 // server.
