--- a/Tests/LibUpstream/TestServerConnection.cpp
+++ b/Tests/LibUpstream/TestServerConnection.cpp
@@ -128,6 +128,28 @@
   LONGS_EQUAL(1, Pool->totalOpened());
 }
 
+// Failure: a process that is behind schedule takes a server for silent although
+// its answer, or the end of it, has arrived.
+TEST(ServerConnection, InputThatHasArrivedIsSeenBeforeItIsRead) {
+  const auto Sink = send();
+  accept();
+  awaitRequest();
+  CHECK_FALSE(Connection->hasUnreadInput());
+  reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+  CHECK(hasArrived());
+  CHECK(Connection->hasUnreadInput());
+  CHECK(until([&] { return Sink->Body == "o"; }));
+  CHECK_FALSE(Connection->hasUnreadInput());
+  Server.close();
+  const auto End = std::chrono::steady_clock::now() + milliseconds(2000);
+  while (!Connection->hasUnreadInput() &&
+         std::chrono::steady_clock::now() < End) {
+  }
+  CHECK(Connection->hasUnreadInput());
+  CHECK(until([&] { return Sink->Outcome.has_value(); }));
+  CHECK_FALSE(Connection->hasUnreadInput());
+}
+
 TEST(ServerConnection, ReportsThatNothingWasSent) {
   Acceptor.close();
   const auto Sink = send();
