--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -84,7 +84,7 @@
   if (m_Fields.Resumes)
     Beginning = streamKey(*m_Fields.Resumes);
   const BootTime Now = BootClock::now();
-  const OriginLookup Origin =
+  OriginLookup Origin =
       m_Shared.Origins.find(Beginning, m_Service, m_Started, Now);
   const auto *Only = std::get_if<OnlyVersion>(&Origin);
   if (!Only)
--- a/Services/figlift-gateway/ServiceQueues.cpp
+++ b/Services/figlift-gateway/ServiceQueues.cpp
@@ -191,10 +191,11 @@
 
 void ServiceQueues::checkAll() {
   const BootTime Now = BootClock::now();
-  for (auto &[Service, Queue] : m_Queues)
-    if (Queue.size() > 0)
-      log::guarded("queue", Service,
-                   [&] { apply(Queue.check(view(Service, Now), Now)); });
+  for (auto &Entry : m_Queues)
+    if (Entry.second.size() > 0)
+      log::guarded("queue", Entry.first, [&] {
+        apply(Entry.second.check(view(Entry.first, Now), Now));
+      });
   armTimer();
 }
 
