LibLog, LibDispatch: Plain comments, and a test that waits for its condition

Cause: four new comments needed reading twice, and TestGuard slept for 1,001 ms until the limit on lines began anew. It now waits until the second of the clock that the limit uses has changed, which ends within a second and does not depend on how long a sleep takes. Ruled out: a limit that tests can set; nothing else needs it. No logic changes.

--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -108,9 +108,9 @@
                     std::chrono::milliseconds Deadline);
   /// A peer has streams of this version.
   void recordTold(const StreamOrigin &Origin, BootTime Now);
-  /// Nothing has been heard of some gateway since \p Since. With an old list
-  /// it may begin streams at versions that have left meanwhile, and what it
-  /// tells of them does not arrive.
+  /// A gateway has sent no report since \p Since. If it is partitioned, its
+  /// list of servers is old: it may begin streams at versions that have left,
+  /// and its updates about these streams are lost.
   void recordSilence(BootTime Since, BootTime Now);
 
   /// \name The record in the store.
--- a/Libraries/LibLog/FailureReport.cpp
+++ b/Libraries/LibLog/FailureReport.cpp
@@ -65,7 +65,7 @@
       Time.minutes().count(), Time.seconds().count(), Time.subseconds().count(),
       ProcessId.data(), How, copyPlain(PlainReason, Reason), Message);
   const size_t Size = std::min(End.size, Line.size());
-  // There is nobody left to tell that it failed.
+  // A failed write cannot be reported anywhere.
   [[maybe_unused]] const ssize_t Ignored =
       write(OutputHandle, Line.data(), Size);
 }
--- a/Libraries/LibLog/FailureReport.h
+++ b/Libraries/LibLog/FailureReport.h
@@ -1,7 +1,7 @@
 //===- FailureReport.h - Last line of a process that fails ------*- C++ -*-===//
 //
-// Writes one line when the process ends by itself: by an exception that nobody
-// catches, or by a fatal signal such as a segmentation fault. Without it, the
+// Writes one line when the process ends by itself: by an uncaught
+// exception or by a fatal signal such as a segmentation fault. Without it, the
 // log of such a process looks like that of one that was killed from outside.
 //
 //===----------------------------------------------------------------------===//
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -251,7 +251,7 @@
 }
 
 void Gateway::storeRestored(uint64_t PreviousEra) {
-  // What one part believes must not depend on another one.
+  // If one component throws, the others still have to learn of the new era.
   const auto Part = [](auto Work) { log::guarded("store's era", {}, Work); };
   Part([&] {
     log::logEvent(log::Level::Warning, "store-era",
--- a/Tests/LibLog/TestGuard.cpp
+++ b/Tests/LibLog/TestGuard.cpp
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 
 #include "LibLog/Guard.h"
+
+#include "LibCore/Clock.h"
 #include "LibLog/Log.h"
 
 #include <nlohmann/json.hpp>
@@ -26,8 +28,14 @@
   uint64_t Before = droppedMessages();
 
   void setup() override {
-    // The bound on lines applies to each second of the clock.
-    std::this_thread::sleep_for(std::chrono::milliseconds(1001));
+    // The limit on lines applies to each second of the clock.
+    const auto Second = [] {
+      return std::chrono::floor<std::chrono::seconds>(
+          figlift::BootClock::now());
+    };
+    const auto Start = Second();
+    while (Second() == Start)
+      std::this_thread::yield();
     Options Recorded;
     Recorded.Sink = [this](std::string_view Line) { Lines.emplace_back(Line); };
     configure(Recorded);
