Soak: Count no pause whose answer was lost with its link

Faults of links excused the requests of the 3 s after them only, and such a pause lasts longer.

A pause counts unless the link to that server loses answers within 100 ms of its answer. Pauses of before, and those of other servers, count as before; three checks ask for that.

--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -50,18 +50,25 @@
 
 void FaultInjector::activate(const std::string &Name,
                              const std::vector<std::string> &Affected,
-                             BootTime Until, std::function<void()> Repair) {
+                             BootTime Until, std::function<void()> Repair,
+                             const std::string &LossyServers) {
+  m_ActiveFaults.push_back(
+      {Name, Affected, Until, std::move(Repair), LossyServers});
   // Recorded at once, not at the next tick: requests that are interrupted
   // before then are interrupted by this fault, too.
-  for (const std::string &Part : Affected)
-    m_Checker.recordFault(Part, BootClock::now());
-  m_ActiveFaults.push_back({Name, Affected, Until, std::move(Repair)});
+  record(m_ActiveFaults.back(), BootClock::now());
+}
+
+void FaultInjector::record(const ActiveFault &Fault, BootTime Now) {
+  for (const std::string &Part : Fault.Affected)
+    m_Checker.recordFault(Part, Now);
+  if (!Fault.LossyServers.empty())
+    m_Checker.recordLossyLink(Fault.LossyServers, Now);
 }
 
 void FaultInjector::tick(BootTime Now, bool AllowNew) {
   for (const ActiveFault &Fault : m_ActiveFaults)
-    for (const std::string &Part : Fault.Affected)
-      m_Checker.recordFault(Part, Now);
+    record(Fault, Now);
   std::vector<ActiveFault> Expired;
   std::erase_if(m_ActiveFaults, [&](ActiveFault &Fault) {
     if (Now < Fault.Until)
@@ -94,11 +101,13 @@
   m_History.push_back(Name + " cuts heads");
   m_Fleet.setLink(Link::Server, Server, LinkFault::CutHeads);
   constexpr unsigned MaximumTimeMs = 1500;
-  activate(Name, {InvariantChecker::Servers, InvariantChecker::ServerLinks},
-           Now + milliseconds(m_InterruptRandom() % MaximumTimeMs),
-           [this, Server] {
-             m_Fleet.setLink(Link::Server, Server, LinkFault::None);
-           });
+  activate(
+      Name, {InvariantChecker::Servers, InvariantChecker::ServerLinks},
+      Now + milliseconds(m_InterruptRandom() % MaximumTimeMs),
+      [this, Server] {
+        m_Fleet.setLink(Link::Server, Server, LinkFault::None);
+      },
+      SoakFleet::serverPrefix(Server));
 }
 
 /// Streams must not begin at a version that a gateway which starts would not
@@ -244,11 +253,13 @@
   };
   SetMode(Mode);
   using Parts = std::vector<std::string>;
-  activate(Name,
-           Kind == 2 ? Parts{InvariantChecker::AllGateways,
-                             InvariantChecker::ServerLinks}
-                     : Parts{m_Fleet.gatewayName(Index)},
-           randomTime(Now, 200, 4000), [SetMode] { SetMode(LinkFault::None); });
+  activate(
+      Name,
+      Kind == 2
+          ? Parts{InvariantChecker::AllGateways, InvariantChecker::ServerLinks}
+          : Parts{m_Fleet.gatewayName(Index)},
+      randomTime(Now, 200, 4000), [SetMode] { SetMode(LinkFault::None); },
+      Kind == 2 ? SoakFleet::serverPrefix(Index) : std::string());
 }
 
 void FaultInjector::beginStore(BootTime Now) {
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -72,6 +72,9 @@
     std::vector<std::string> Affected;
     BootTime Until{};
     std::function<void()> Repair;
+    /// Beginning of the ids of the servers whose link loses answers; empty if
+    /// none does.
+    std::string LossyServers;
   };
 
   void beginFault(BootTime Now);
@@ -91,7 +94,9 @@
   void beginCanary(BootTime Now);
   void activate(const std::string &Name,
                 const std::vector<std::string> &Affected, BootTime Until,
-                std::function<void()> Repair);
+                std::function<void()> Repair,
+                const std::string &LossyServers = {});
+  void record(const ActiveFault &Fault, BootTime Now);
   unsigned draw(unsigned Minimum, unsigned Maximum);
   BootTime randomTime(BootTime Now, unsigned Minimum, unsigned Maximum);
 
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -84,6 +84,15 @@
   m_LastFaults[Gateway] = Now;
 }
 
+void InvariantChecker::recordLossyLink(const std::string &ServerPrefix,
+                                       BootTime Now) {
+  for (auto &[Pair, Asked] : m_Backoffs)
+    if (Pair.Server.starts_with(ServerPrefix))
+      std::erase_if(Asked, [&](const Backoff &Pause) {
+        return Now - Pause.AskedAt < m_Bounds.AnswerTime;
+      });
+}
+
 void InvariantChecker::recordPlannedChange(const std::string &Gateway,
                                            BootTime Now) {
   m_PlannedChanges[Gateway] = Now;
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -120,6 +120,9 @@
   /// platform's bound of 0.5 s, plus delays of a busy test machine.
   std::chrono::milliseconds BackoffDelay{1100};
   unsigned RequestsDuringBackoff = 2;
+  /// From the write of an answer until its gateway has read it. A fault of the
+  /// link in this time may lose it.
+  std::chrono::milliseconds AnswerTime{100};
   /// Maximum time from SIGHUP until a gateway has read its settings.
   std::chrono::milliseconds ReloadSlack{200};
 };
@@ -153,6 +156,11 @@
   /// \name Disturbances and changes of the system.
   /// @{
   void recordFault(const std::string &Gateway, BootTime Now);
+  /// The link to the servers at a place, whose ids begin with \p ServerPrefix,
+  /// loses what it carries. To be called at the start of the fault and in each
+  /// AnswerTime until its end. A gateway does not know of a pause whose answer
+  /// was lost.
+  void recordLossyLink(const std::string &ServerPrefix, BootTime Now);
   /// The gateway was asked to reload its settings, or restarted after a stop.
   void recordPlannedChange(const std::string &Gateway, BootTime Now);
   /// The gateway got SIGTERM at \p TerminatedAt and is killed after \p Grace.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -98,7 +98,7 @@
         Loop, Checker, Seed + m_Servers.size(), Service, Stage));
     const auto Server = static_cast<unsigned>(m_Servers.size() - 1);
     m_Servers.back()->restartAs(
-        fmt::format("s{}-{}", Server, ++m_IncarnationCount), "v1");
+        serverPrefix(Server) + std::to_string(++m_IncarnationCount), "v1");
     m_Servers.back()->Crashed = [this, Server] { scheduleReplacement(Server); };
     m_Servers.back()->StageChanged = [this, Server] {
       publish(Server, "ready");
@@ -352,7 +352,8 @@
   Current.Started += 1000;
   Current.Heartbeats = 0;
   Current.Draining = false;
-  Server.restartAs(fmt::format("s{}-{}", Index, ++m_IncarnationCount), Version);
+  Server.restartAs(serverPrefix(Index) + std::to_string(++m_IncarnationCount),
+                   Version);
   m_Store.remove("servers", OldId);
   publish(Index, "ready");
 }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -97,6 +97,10 @@
 
   /// Restarts gateways that exited, and reports a violation if they were not
   /// asked to.
+  /// Beginning of the ids of all servers at this place, one after the other.
+  static std::string serverPrefix(unsigned Index) {
+    return "s" + std::to_string(Index) + "-";
+  }
   void tick(BootTime Now);
   bool allRunning();
 
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -35,6 +35,19 @@
     recordRequest(Id, Repeatable::No);
     recordArrival(Id);
   }
+  /// \p Server asks for a pause, the link to the servers "s1-" fails \p Time
+  /// later, and three requests reach \p Server during the pause.
+  void askForPauseBeforeLoss(const std::string &Server, milliseconds Time) {
+    recordExecution("a");
+    Checker.recordBackoff(Server, "a", milliseconds(3000), Now);
+    Now += Time;
+    Checker.recordLossyLink("s1-", Now);
+    Now += milliseconds(2000);
+    for (const char *Id : {"b", "c", "d"}) {
+      recordRequest(Id, Repeatable::No);
+      recordArrival(Id, "plain", Server);
+    }
+  }
   void recordStop(seconds Grace) {
     StoppedAt = Now;
     Checker.recordStop("g1", StoppedAt, Grace, Now);
@@ -93,6 +106,25 @@
   expectNoViolation();
 }
 
+// Failure: a gateway is blamed for a pause of which it cannot know, as the
+// answer was lost with its link.
+TEST(InvariantChecker, PauseWhoseAnswerWasLostDoesNotCount) {
+  askForPauseBeforeLoss("s1-1", milliseconds(50));
+  expectNoViolation();
+}
+
+// Failure: a fault of a link excuses a pause that the gateway has read before.
+TEST(InvariantChecker, PauseThatWasAskedForBeforeALossCounts) {
+  askForPauseBeforeLoss("s1-1", milliseconds(150));
+  expectViolation("BACKOFF");
+}
+
+// Failure: a fault of a link excuses the pauses of all servers.
+TEST(InvariantChecker, PauseOfAnotherServerThanThatOfTheLossCounts) {
+  askForPauseBeforeLoss("s10-1", milliseconds(50));
+  expectViolation("BACKOFF");
+}
+
 // An outage of the store does not excuse requests during a pause.
 TEST(InvariantChecker, PauseHoldsDuringAnOutageOfTheStore) {
   recordExecution("a");
