LibDispatch: Take unknown priorities for a mix like the known ones

Work of a peer that reports no priorities counted as one that engines take behind the most urgent. Urgent requests were therefore planned as if none of it were ahead of them, though three tenths of it were.

It now counts as a mix like that of the peers that do report priorities; where none does, as before.

--- a/Libraries/LibDispatch/LoadTracker.cpp
+++ b/Libraries/LibDispatch/LoadTracker.cpp
@@ -168,8 +168,8 @@
   Result.CostMicros = Micros(Load.Cost);
   Result.CompletionsPerMillionMs = std::llround(Load.CompletionRate * 1e6);
   if (Load.ByPriority.empty()) {
-    Result.PrefillMicros[DefaultEnginePriority] = Micros(Load.PrefillCost);
-    Result.Items[DefaultEnginePriority] = Load.Items;
+    Result.UnknownPrefillMicros = Micros(Load.PrefillCost);
+    Result.UnknownItems = Load.Items;
   }
   for (const PriorityLoad &Part : Load.ByPriority) {
     // A peer of a later version may know further priorities.
@@ -183,12 +183,27 @@
 void LoadTracker::Sum::add(const Sum &Other, int64_t Sign) {
   CostMicros += Sign * Other.CostMicros;
   CompletionsPerMillionMs += Sign * Other.CompletionsPerMillionMs;
+  UnknownPrefillMicros += Sign * Other.UnknownPrefillMicros;
+  UnknownItems += Sign * Other.UnknownItems;
   for (unsigned Priority = 0; Priority <= LeastUrgentPriority; ++Priority) {
     PrefillMicros[Priority] += Sign * Other.PrefillMicros[Priority];
     Items[Priority] += Sign * Other.Items[Priority];
   }
 }
 
+double LoadTracker::Sum::shareUpTo(unsigned LeastUrgent) const {
+  int64_t All = 0;
+  int64_t UpTo = 0;
+  for (unsigned Priority = 0; Priority <= LeastUrgentPriority; ++Priority) {
+    All += PrefillMicros[Priority];
+    if (Priority <= LeastUrgent)
+      UpTo += PrefillMicros[Priority];
+  }
+  if (All == 0)
+    return LeastUrgent >= DefaultEnginePriority ? 1 : 0;
+  return static_cast<double>(UpTo) / static_cast<double>(All);
+}
+
 void LoadTracker::addToSums(const PeerView &View, int64_t Sign) const {
   for (const auto &[Id, Load] : View.Loads) {
     const auto Found = m_PeerSums.try_emplace(Id).first;
@@ -293,6 +308,11 @@
         std::chrono::microseconds(PeerSum.PrefillMicros[Priority]);
     Total.Items += static_cast<uint32_t>(PeerSum.Items[Priority]);
   }
+  const double Share = PeerSum.shareUpTo(LeastUrgent);
+  Total.PrefillCost += std::chrono::microseconds(
+      std::llround(Share * static_cast<double>(PeerSum.UnknownPrefillMicros)));
+  Total.Items += static_cast<uint32_t>(
+      std::llround(Share * static_cast<double>(PeerSum.UnknownItems)));
   Total.CompletionRate +=
       static_cast<double>(PeerSum.CompletionsPerMillionMs) / 1e6;
   return Total;
--- a/Libraries/LibDispatch/LoadTracker.h
+++ b/Libraries/LibDispatch/LoadTracker.h
@@ -62,8 +62,8 @@
   /// Part of the cost that is prefill.
   Milliseconds PrefillCost{0};
   /// By ascending priority. Empty if the work was sent without priorities, or
-  /// by an earlier version of the program: all of it counts as
-  /// DefaultEnginePriority then.
+  /// by an earlier version of the program: it then counts as a mix like that
+  /// of the other peers, or as DefaultEnginePriority if none reports any.
   std::vector<PriorityLoad> ByPriority = {};
 };
 
@@ -209,7 +209,14 @@
     std::array<int64_t, LeastUrgentPriority + 1> PrefillMicros{};
     std::array<int64_t, LeastUrgentPriority + 1> Items{};
     /// @}
+    /// \name Of peers that report no priorities.
+    /// @{
+    int64_t UnknownPrefillMicros = 0;
+    int64_t UnknownItems = 0;
+    /// @}
 
+    /// Share of the work of known priority that is up to \p LeastUrgent.
+    double shareUpTo(unsigned LeastUrgent) const;
     static Sum of(const PeerLoad &Load);
     void add(const Sum &Other, int64_t Sign);
     bool operator==(const Sum &) const = default;
