figlift-gateway: Answer new connections when descriptors run out

Callers saw no answer: without free file descriptors a gateway left new connections in the listen queue for as long as others kept theirs, and requests on served connections got 503, as no connection to a server could be opened.

Cause: accept() took every connection, so callers took the descriptors of servers as well, and with none left nothing could be accepted in order to reject it.

Now callers have a share of RLIMIT_NOFILE, read at the start (DescriptorShares). Some connections beyond it are read, and their request gets 503 with Retry-After and Connection: close; all others are answered at once. A spare descriptor serves when accept() itself finds none. Idle connections are not closed to make room, because a request may be on its way on them.

Ruled out: prlimit() on a running process as a test. Inherited sockets of the test's process counted for the child; ChildProcess closes them.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -146,6 +146,7 @@
 
 void Gateway::closed(proxy::CallerConnection &Caller) {
   m_Callers.erase(&Caller);
+  m_BeyondShare.erase(&Caller);
   recordClose(Caller.closeReport());
 }
 
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -13,6 +13,7 @@
 #include "PeerLink.h"
 #include "PeerList.h"
 #include "SettingsFile.h"
+#include "SpareDescriptor.h"
 #include "StageDirector.h"
 #include "StoreFollower.h"
 #include "TextServer.h"
@@ -20,6 +21,7 @@
 #include "VersionRecorder.h"
 
 #include "LibDispatch/AcceptControl.h"
+#include "LibDispatch/DescriptorShares.h"
 #include "LibDispatch/ServerJournal.h"
 #include "LibProxy/CallerConnection.h"
 #include "platform/StoreTable.h"
@@ -98,6 +100,15 @@
   void startCaller(boost::asio::ip::tcp::socket Socket);
   void accepted(boost::asio::ip::tcp::socket Socket);
   void acceptWaiting();
+  /// \name Connections and file descriptors.
+  /// @{
+  static dispatch::DescriptorShares descriptorShares();
+  void admit(boost::asio::ip::tcp::socket Socket);
+  bool rejectWaiting();
+  bool isBeyondShare(const proxy::CallerConnection &Caller);
+  void rejectForRoom(const proxy::Request &Request,
+                     proxy::CallerConnection &Caller);
+  /// @}
   void logClosedConnections(BootTime Now);
   void watchSignals();
   void watchSettings(BootTime Now);
@@ -140,6 +151,18 @@
   boost::asio::signal_set m_Signals;
   boost::asio::steady_timer m_TickTimer;
   std::set<proxy::CallerConnection *> m_Callers;
+  /// Those of m_Callers whose next request is rejected if there is still no
+  /// room for them in the share of callers.
+  std::set<const proxy::CallerConnection *> m_BeyondShare;
+  const dispatch::DescriptorShares m_Descriptors = descriptorShares();
+  SpareDescriptor m_Spare{m_Shared.Loop};
+  /// \name Connections that were rejected: as callers have their share of the
+  /// descriptors, and as there was no descriptor.
+  /// @{
+  uint64_t m_RejectedAtBound = 0;
+  uint64_t m_RejectedWithoutDescriptor = 0;
+  uint64_t m_RejectedLogged = 0;
+  /// @}
   dispatch::AcceptControl m_AcceptControl;
   BootTime m_ClosedConnectionsLoggedAt{};
   BootTime m_LastTick{};
--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -1,7 +1,8 @@
 //===- GatewayAccept.cpp - Connections of callers -------------------------===//
 //
-// Accepts connections, leaves those unread that cannot be served in time, and
-// starts requests.
+// Accepts connections, leaves those unread that cannot be served in time,
+// rejects requests on those beyond the share of the file descriptors that is
+// for callers, and starts all other requests.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,8 +12,12 @@
 
 #include "LibLog/Guard.h"
 #include "LibLog/Log.h"
+#include "platform/Headers.h"
 
+#include <array>
+#include <limits>
 #include <memory>
+#include <sys/resource.h>
 #include <utility>
 
 namespace figlift::gateway {
@@ -23,23 +28,67 @@
 
 namespace {
 
-/// Pause after accept() failed for lack of file descriptors.
+/// Pause after accept() failed.
 constexpr milliseconds AcceptPause{50};
 constexpr unsigned MaximumAcceptedAtOnce = 64;
 constexpr milliseconds LogInterval{1000};
 /// With this delay of the loop, callers may have left before they were read.
 constexpr milliseconds AbandonedDelay{250};
+/// Other gateways have room in most cases. Here, connections are closed all the
+/// time.
+constexpr milliseconds NoRoomRetryAfter{300};
+/// Requests on a connection that is rejected at once are read up to this
+/// length; longer input resets it.
+constexpr size_t MaximumInputRejectedAtOnce = 65536;
+
+/// RLIMIT_NOFILE of this process.
+size_t descriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
+    return std::numeric_limits<size_t>::max();
+  return Limit.rlim_cur;
+}
+
+bool isOutOfDescriptors(const boost::system::error_code &Code) {
+  return Code == boost::system::errc::too_many_files_open ||
+         Code == boost::system::errc::too_many_files_open_in_system;
+}
+
+/// Answers without waiting for the request, most of which has arrived.
+void rejectAtOnce(tcp::socket &Socket) {
+  proxy::HeaderList Fields;
+  slopes::addRetryAfter(Fields, NoRoomRetryAfter);
+  std::string Answer = "HTTP/1.1 503 Service Unavailable\r\n";
+  for (const proxy::HeaderField &Field : Fields)
+    Answer += Field.Name + ": " + Field.Value + "\r\n";
+  Answer += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  boost::system::error_code Code;
+  Socket.non_blocking(true, Code);
+  boost::system::error_code Ignored; // The caller may have left.
+  Socket.write_some(asio::buffer(Answer), Ignored);
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  // A close with unread input discards the answer.
+  std::array<char, 4096> Buffer;
+  for (size_t Read = 0; !Code && Read < MaximumInputRejectedAtOnce;)
+    Read += Socket.read_some(asio::buffer(Buffer), Code);
+  Socket.close(Ignored);
+}
 
 } // namespace
 
+dispatch::DescriptorShares Gateway::descriptorShares() {
+  return dispatch::shareDescriptors(descriptorLimit());
+}
+
 void Gateway::accept() {
   m_Acceptor.async_accept(
       [this](const boost::system::error_code &Code, tcp::socket Socket) {
         if (Code == asio::error::operation_aborted)
           return;
+        if (isOutOfDescriptors(Code) && rejectWaiting())
+          return accept();
         if (Code) {
-          // Out of file descriptors: pending connections stay in the listen
-          // queue.
+          // Pending connections stay in the listen queue.
           log::guarded("accept", {}, [&] {
             log::logEvent(log::Level::Warning, "accept-failed",
                           {{"message", Code.message()}});
@@ -72,6 +121,8 @@
 void Gateway::startCaller(tcp::socket Socket) {
   const auto Caller =
       std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
+  if (m_Callers.size() - m_BeyondShare.size() >= m_Descriptors.Callers)
+    m_BeyondShare.insert(Caller.get());
   m_Callers.insert(Caller.get());
   // m_Callers must not keep a connection that nothing holds.
   if (!log::guarded("new connection", {}, [&] { Caller->start(); }))
@@ -80,12 +131,64 @@
 
 void Gateway::accepted(tcp::socket Socket) {
   if (m_AcceptControl.mayRead(loopDelay()))
-    return startCaller(std::move(Socket));
+    return admit(std::move(Socket));
   m_AcceptControl.recordClosed();
   boost::system::error_code Ignored; // Nothing was read or written.
   Socket.close(Ignored);
 }
 
+/// Beyond the share of callers, a connection is read all the same: its request
+/// is rejected, or served if there is room by then. Idle connections of others
+/// are not closed for it, because a request may be on its way on them.
+void Gateway::admit(tcp::socket Socket) {
+  if (m_Callers.size() < m_Descriptors.Callers + m_Descriptors.Rejected)
+    return startCaller(std::move(Socket));
+  ++m_RejectedAtBound;
+  rejectAtOnce(Socket);
+}
+
+/// Accepts the connections in the listen queue one by one with the spare
+/// descriptor, and rejects them. Returns whether there was one.
+bool Gateway::rejectWaiting() {
+  bool HasRejected = false;
+  for (unsigned I = 0; I < MaximumAcceptedAtOnce && m_Spare.take(); ++I) {
+    m_Spare.release();
+    boost::system::error_code Code;
+    tcp::socket Waiting(m_Shared.Loop);
+    m_Acceptor.accept(Waiting, Code);
+    if (Code)
+      break;
+    HasRejected = true;
+    ++m_RejectedWithoutDescriptor;
+    rejectAtOnce(Waiting);
+  }
+  m_Spare.take();
+  return HasRejected;
+}
+
+/// Whether \p Caller is one of the connections beyond the share of callers.
+bool Gateway::isBeyondShare(const proxy::CallerConnection &Caller) {
+  const auto Place = m_BeyondShare.find(&Caller);
+  if (Place == m_BeyondShare.end())
+    return false;
+  if (m_Callers.size() - m_BeyondShare.size() >= m_Descriptors.Callers)
+    return true;
+  m_BeyondShare.erase(Place);
+  return false;
+}
+
+void Gateway::rejectForRoom(const proxy::Request &Request,
+                            proxy::CallerConnection &Caller) {
+  ++m_RejectedAtBound;
+  proxy::ResponseHead Head;
+  Head.Status = dispatch::NotRunStatus;
+  if (const auto Fields = slopes::decodeCallerFields(Request.Head.Headers))
+    slopes::addAttemptId(Head.Headers, Fields.value().AttemptId);
+  slopes::addRetryAfter(Head.Headers, NoRoomRetryAfter);
+  Caller.closeAfterResponse();
+  Caller.respond(Head, {});
+}
+
 /// Accepts the connections in the listen queue. Accepted one in each turn of
 /// the event loop, they would wait there longer than their callers do, although
 /// the loop is not late.
@@ -108,6 +211,14 @@
   if (const uint64_t Count = m_AcceptControl.takeClosed(); Count > 0)
     log::logEvent(log::Level::Warning, "connections-closed-unread",
                   {{"count", Count}, {"callers", m_Callers.size()}});
+  const uint64_t Rejected = m_RejectedAtBound + m_RejectedWithoutDescriptor;
+  const uint64_t Before = std::exchange(m_RejectedLogged, Rejected);
+  if (Rejected > Before)
+    log::logEvent(log::Level::Warning, "connections-rejected",
+                  {{"count", Rejected - Before},
+                   {"withoutDescriptor", m_RejectedWithoutDescriptor},
+                   {"callers", m_Callers.size()},
+                   {"callersAtMost", m_Descriptors.Callers}});
 }
 
 /// Of connections that were closed with nothing left undone only the number is
@@ -135,6 +246,10 @@
 std::shared_ptr<proxy::ActiveRequest>
 Gateway::handle(proxy::Request Request,
                 std::shared_ptr<proxy::CallerConnection> Caller) {
+  if (isBeyondShare(*Caller)) {
+    rejectForRoom(Request, *Caller);
+    return nullptr;
+  }
   // A request that was sent while the loop was behind may have waited longer
   // than its caller did.
   const bool IsLoopBehind = loopDelay() > AbandonedDelay;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -155,6 +155,16 @@
       "figlift_gateway_connections_closed_unread_total",
       "New connections that were closed unread, as the process was late",
       [this] { return double(m_AcceptControl.closed()); });
+  constexpr auto Rejected = "figlift_gateway_connections_rejected_total";
+  constexpr auto RejectedHelp = "New connections that were answered with 503, "
+                                "for lack of file descriptors";
+  Metrics.registerCounter(Rejected, RejectedHelp,
+                          [this] { return double(m_RejectedAtBound); },
+                          {{"reason", "bound"}});
+  Metrics.registerCounter(
+      Rejected, RejectedHelp,
+      [this] { return double(m_RejectedWithoutDescriptor); },
+      {{"reason", "descriptors"}});
   Metrics.registerCounter(
       "figlift_gateway_abandoned_requests_total",
       "Requests that were read late, after their callers had left",
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -41,12 +41,34 @@
   waitForExit(std::chrono::seconds(5));
 }
 
+namespace {
+std::string pathOf(const std::string &Program) {
+  return std::string(FIGLIFT_BUILD_DIRECTORY) + "/" + Program;
+}
+} // namespace
+
 ChildProcess ChildProcess::start(const std::string &Program,
                                  std::vector<std::string> Arguments,
                                  const std::string &LogFile) {
-  std::string Path = std::string(FIGLIFT_BUILD_DIRECTORY) + "/" + Program;
-  std::vector<char *> ArgumentPointers{Path.data()};
-  for (std::string &Argument : Arguments)
+  Arguments.insert(Arguments.begin(), pathOf(Program));
+  return spawn(std::move(Arguments), LogFile);
+}
+
+ChildProcess
+ChildProcess::startWithDescriptors(size_t Limit, const std::string &Program,
+                                   std::vector<std::string> Arguments,
+                                   const std::string &LogFile) {
+  const std::vector<std::string> Shell = {
+      "/bin/sh", "-c", "ulimit -n \"$0\" && exec \"$@\"", std::to_string(Limit),
+      pathOf(Program)};
+  Arguments.insert(Arguments.begin(), Shell.begin(), Shell.end());
+  return spawn(std::move(Arguments), LogFile);
+}
+
+ChildProcess ChildProcess::spawn(std::vector<std::string> Command,
+                                 const std::string &LogFile) {
+  std::vector<char *> ArgumentPointers;
+  for (std::string &Argument : Command)
     ArgumentPointers.push_back(Argument.data());
   ArgumentPointers.push_back(nullptr);
 
@@ -57,10 +79,12 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // The sockets of the test's own process would count for the child.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
 
   ChildProcess Child;
   Child.m_LogFile = LogFile;
-  if (posix_spawn(&Child.m_Pid, Path.c_str(), &Actions, nullptr,
+  if (posix_spawn(&Child.m_Pid, Command.front().c_str(), &Actions, nullptr,
                   ArgumentPointers.data(), environ) != 0)
     Child.m_Pid = -1;
   posix_spawn_file_actions_destroy(&Actions);
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -30,6 +30,11 @@
   static ChildProcess start(const std::string &Program,
                             std::vector<std::string> Arguments,
                             const std::string &LogFile);
+  /// The same with a limit on file descriptors, for the child only.
+  static ChildProcess startWithDescriptors(size_t Limit,
+                                           const std::string &Program,
+                                           std::vector<std::string> Arguments,
+                                           const std::string &LogFile);
 
   /// Waits until the log contains \p Text; false after \p Limit or if the child
   /// exits first.
@@ -50,6 +55,9 @@
   pid_t pid() const { return m_Pid; }
 
 private:
+  /// \p Command: path of the program and its arguments.
+  static ChildProcess spawn(std::vector<std::string> Command,
+                            const std::string &LogFile);
   void signal(int Number);
 
   pid_t m_Pid = -1;
