LibProxy: Move the end of a caller's connection into its own file

Time-outs and closes are now in CallerConnectionClose.cpp; guard() is in the header, as both files use it. No change of behaviour.

--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "LibCore/MemoryBudget.h"
+#include "LibLog/Guard.h"
 #include "LibProxy/Message.h"
 #include "LibProxy/RequestParser.h"
 
@@ -186,7 +187,12 @@
 
   /// Runs \p Work. If it throws, closes the connection: the state of its input
   /// and of its answer is not known any more.
-  template <typename Function> void guard(Function Work);
+  template <typename Function> void guard(Function Work) {
+    if (log::guarded("caller's connection", {}, Work))
+      return;
+    log::guarded("close of a caller's connection", {},
+                 [this] { close(CloseReason::Failed); });
+  }
   void read();
   void onReceived(const ErrorCode &Code, size_t Count);
   void advance();
