figlift-gateway, Soak: Show who shares the retry budget and each retry

Callers of a soak saw BUDGET violations whose time and retries could not be told from the logs. The gateway logs when the number of processes that share its retry budget changes (retry-budget-shared); the soak names the time of a violation and writes each retry with its gateway, server and purpose to run.txt. No check changes.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -310,9 +310,12 @@
     m_Versions.tick(m_Peers.liveBefore(Now), m_Peers.liveCount(Now), Now);
   });
   Part("fleet", [&] {
-    m_Shared.Budget.setProcessCount(m_Peers.sharingGateways(Now), Now);
-    m_Shared.Queues.setFleet(m_Peers.sharingGateways(Now),
-                             m_Peers.livePeers(Now));
+    const size_t Sharing = m_Peers.sharingGateways(Now);
+    if (std::exchange(m_BudgetSharedBy, Sharing) != Sharing)
+      log::logEvent(log::Level::Info, "retry-budget-shared",
+                    {{"processes", Sharing}});
+    m_Shared.Budget.setProcessCount(Sharing, Now);
+    m_Shared.Queues.setFleet(Sharing, m_Peers.livePeers(Now));
     m_Shared.Open.setPlace(m_Peers.place());
     limitPools();
     m_Shared.OrderTurnDelay =
--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -57,6 +57,8 @@
 }
 
 void InvariantChecker::recordRequest(const Attempt &Request) {
+  if (m_Records.empty())
+    m_FirstSent = Request.Sent;
   m_Records[Request.Id] = Record{Request};
   // Requests of the moving route count for the service at which they arrive.
   if (Request.Service != MovingService)
@@ -136,6 +138,7 @@
   if (std::exchange(AlreadyArrived, true)) {
     m_Retries[Event.Service].push_back(Now);
     ++m_Counts["retries"];
+    recordRetry(Entry, Event, Now);
     checkRetryBudget(Event.Service, Now);
   }
   checkCrashes(Entry, Now);
@@ -157,6 +160,17 @@
                  " was executed after a response that says it was not");
 }
 
+void InvariantChecker::recordRetry(const Record &Entry, const Arrival &Event,
+                                   BootTime Now) {
+  using Seconds = std::chrono::duration<double>;
+  m_RetryLines.push_back(fmt::format(
+      "retry {:.3f} s: {} {} {} from {} at {}, crash cause \"{}\"{}",
+      Seconds(Now - m_FirstSent).count(), Event.Service, Event.AttemptId,
+      Event.IsPrefill ? "prefill" : "execution", Entry.Request.Gateway,
+      Event.Server, Entry.Request.crashCause(),
+      Event.Rejected ? ", rejected" : ""));
+}
+
 void InvariantChecker::checkRetryBudget(const std::string &Service,
                                         BootTime Now) {
   std::deque<BootTime> &Retries = m_Retries[Service];
@@ -172,8 +186,11 @@
       m_Bounds.RetryRatio * static_cast<double>(MaximumRequests) +
       m_Bounds.RetryBase;
   if (static_cast<double>(Retries.size()) > Allowed)
-    addViolation(fmt::format("BUDGET: {} retries at {}, {:.0f} allowed",
-                             Retries.size(), Service, Allowed));
+    addViolation(fmt::format(
+        "BUDGET: {} retries at {}, {:.0f} allowed, {:.3f} s after the first "
+        "request",
+        Retries.size(), Service, Allowed,
+        std::chrono::duration<double>(Now - m_FirstSent).count()));
 }
 
 void InvariantChecker::recordCrash(const std::string &AttemptId, BootTime Now) {
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -175,6 +175,8 @@
   }
   const std::vector<std::string> &violations() const { return m_Violations; }
   uint64_t count(const std::string &Name) const;
+  /// One line for each retry, in order.
+  const std::vector<std::string> &retryLines() const { return m_RetryLines; }
 
   /// Used in place of a gateway's name for disturbances of the store or the
   /// network, which affect all gateways, and of servers, which only interrupt
@@ -248,6 +250,7 @@
   bool isUndisturbed(const std::string &Gateway, BootTime Now) const;
   bool mayOutlastStop(const Attempt &Request, BootTime Now);
   void checkLost(const Record &Entry, BootTime Now);
+  void recordRetry(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkRetryBudget(const std::string &Service, BootTime Now);
   unsigned crashLimit(const Attempt &Request) const {
     return Request.CrashingPart.empty() ? m_Bounds.CrashLimit
@@ -287,6 +290,9 @@
   std::map<std::string, LastOrder> m_Orders;
   std::map<std::string, uint64_t> m_Counts;
   std::vector<std::string> m_Violations;
+  std::vector<std::string> m_RetryLines;
+  /// Of the first request.
+  BootTime m_FirstSent{};
 };
 
 /// Text of the event of a stream with this number, from a server of this
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -222,6 +222,8 @@
       File << Line << "\n";
     for (const std::string &Violation : m_Checker.violations())
       File << Violation << "\n";
+    for (const std::string &Line : m_Checker.retryLines())
+      File << Line << "\n";
     std::printf("  logs: %s\n", m_Folder.c_str());
     return false;
   }
