LibRetry: Share the fixed part of the budget while a fleet starts

Cause: until its first tick each gateway took the whole fixed part, and one that starts before the others may spend it before they take their shares. The output of soaks shows four gateways with 8 retries left each, of 10 for the fleet, until 100 ms after the start.

The k-th process to register begins with 1/(k(k+1)) of the fixed part, once it has read the list that holds its own row. Equal shares begin after one window; in the second window a process takes no more than its first share.

Ruled out: restarted processes (no fixed part for a window) and shares divided by too few after kills (largest count of the window, and the list).

Before: IsNotExceededWhileProcessesStart (eight processes, old constructor) and RetryBudget.IsSharedFromTheFirstRequestOn (three of three) failed. The tests of FleetRetryBudget begin one window after the start of the process instead of with FleetStarts, which is gone; their figures are unchanged. A process that starts again is tested as before.

--- a/Libraries/LibRetry/FleetRetryBudget.cpp
+++ b/Libraries/LibRetry/FleetRetryBudget.cpp
@@ -11,10 +11,27 @@
 
 namespace figlift::retry {
 
-FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetSettings Settings,
-                                   bool FleetStarts, BootTime Now)
-    : m_Settings(Settings),
-      m_BaseStart(FleetStarts ? Now : Now + Settings.Window) {}
+void FleetRetryBudget::setStartPlace(size_t Place) {
+  if (!m_StartPlace)
+    m_StartPlace = Place;
+}
+
+/// In its second window a process that began with a share by its place takes
+/// at most that: the first ones, whose first shares exceed the equal one, have
+/// to come down to it before the others rise to it.
+double FleetRetryBudget::baseShare(BootTime Now) const {
+  size_t Processes = 1;
+  for (const auto &[At, Live] : m_Processes)
+    Processes = std::max(Processes, Live);
+  const double Equal = 1 / static_cast<double>(Processes);
+  const auto Place = static_cast<double>(m_StartPlace.value_or(0));
+  const double First = m_StartPlace ? 1 / (Place * (Place + 1)) : 0;
+  const auto Age = Now - m_Started;
+  if (Age < m_Settings.Window)
+    return First;
+  return m_StartPlace && Age < 2 * m_Settings.Window ? std::min(First, Equal)
+                                                     : Equal;
+}
 
 void FleetRetryBudget::setProcessCount(size_t Live, BootTime Now) {
   while (!m_Processes.empty() &&
@@ -38,13 +55,9 @@
   Account &ServiceAccount = m_Accounts[Service];
   expire(ServiceAccount.Requests, Now);
   expire(ServiceAccount.Retries, Now);
-  size_t Processes = 1;
-  for (const auto &[At, Live] : m_Processes)
-    Processes = std::max(Processes, Live);
-  double Allowed =
-      m_Settings.Ratio * static_cast<double>(ServiceAccount.Requests.size());
-  if (Now >= m_BaseStart)
-    Allowed += m_Settings.Base / static_cast<double>(Processes);
+  const double Allowed =
+      m_Settings.Ratio * static_cast<double>(ServiceAccount.Requests.size()) +
+      m_Settings.Base * baseShare(Now);
   return UsableFraction * Allowed -
          static_cast<double>(ServiceAccount.Retries.size() +
                              ServiceAccount.Reserved);
--- a/Libraries/LibRetry/FleetRetryBudget.h
+++ b/Libraries/LibRetry/FleetRetryBudget.h
@@ -6,6 +6,12 @@
 // has an equal share of the fixed part of the budget, and earns the
 // proportional part with the requests that it sends itself.
 //
+// Processes of a fleet that starts for the first time do not know yet how many
+// they are. Equal shares of the processes known so far would add up to several
+// times the fixed part, as the first process would take all of it. The k-th
+// process to register therefore begins with 1/(k(k+1)) of it; these shares add
+// up to less than 1 however many processes follow.
+//
 //===----------------------------------------------------------------------===//
 
 #pragma once
@@ -16,7 +22,9 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace figlift::retry {
 
@@ -30,12 +38,15 @@
 
 class FleetRetryBudget {
 public:
-  /// \p FleetStarts is true if no earlier process of this fleet has spent
-  /// anything. A process that restarts in a running fleet does not know what
-  /// its predecessor spent, so it has no fixed part for one window.
-  FleetRetryBudget(FleetRetryBudgetSettings Settings, bool FleetStarts,
-                   BootTime Now);
+  /// The process starts at \p Now. It has no fixed part for one window, as it
+  /// does not know what others, or its own predecessor, have spent.
+  FleetRetryBudget(FleetRetryBudgetSettings Settings, BootTime Now)
+      : m_Settings(Settings), m_Started(Now) {}
 
+  /// No earlier process of this fleet has spent anything, and this one is at
+  /// most the \p Place -th to register, from 1. It begins with a fixed part
+  /// at once. The first place stays.
+  void setStartPlace(size_t Place);
   /// Sets the number of processes that share the fixed part.
   void setProcessCount(size_t Live, BootTime Now);
   void recordRequest(const std::string &Service, BootTime Now);
@@ -62,10 +73,13 @@
   static constexpr double UsableFraction = 0.8;
 
   void expire(std::deque<BootTime> &Times, BootTime Now) const;
+  /// This process's share of the fixed part.
+  double baseShare(BootTime Now) const;
 
   FleetRetryBudgetSettings m_Settings;
-  /// The share of the fixed part is 0 before this time.
-  BootTime m_BaseStart;
+  BootTime m_Started;
+  /// Empty if the fleet does not start, or while the place is not known.
+  std::optional<size_t> m_StartPlace;
   std::map<std::string, Account> m_Accounts;
   /// Process counts within the window. The largest one divides the fixed part,
   /// because a process that has just stopped may have spent its share.
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -86,7 +86,7 @@
         Budget({Settings.Retry.Ratio, Settings.Retry.Base,
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     Settings.Retry.Window)},
-               Settings.Fleet.Starts, BootClock::now()),
+               BootClock::now()),
         Prompts({}, Loads, Paces), Services({}, Loads),
         Log(Settings.Log.PlainLinesPerSecond), Random(std::random_device{}()) {}
 
--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -49,7 +49,8 @@
 /// use the whole retry budget alone.
 constexpr milliseconds SecretListInterval{100};
 constexpr milliseconds ListInterval{60000};
-constexpr unsigned InitialListReads = 3;
+/// One of them may follow the registration at once.
+constexpr unsigned InitialListReads = 4;
 /// A gateway that has been silent for this long counts as gone: no stream that
 /// it has begun may still be resumed if it stopped soon after its last report.
 constexpr std::chrono::seconds MaximumSilence{120};
@@ -84,8 +85,11 @@
   m_Store.commit(Registration, [this](Result<dispatch::StoreVersion> Written) {
     m_Registered = Written.has_value();
     if (!Written)
-      log::logError(log::Level::Warning, "peer-enrolment-failed",
-                    Written.error());
+      return log::logError(log::Level::Warning, "peer-enrolment-failed",
+                           Written.error());
+    // The list has this gateway's row from now on, and so its place.
+    if (m_Shared.Settings.Fleet.Starts)
+      readList();
   });
 }
 
@@ -183,6 +187,9 @@
       Listed.insert(*Known);
     updateAddress(Row, Listed[Row.Key]);
   }
+  // A gateway that registers later finds at least one row more.
+  if (HasOwnRow && m_Shared.Settings.Fleet.Starts)
+    m_Shared.Budget.setStartPlace(m_Listed);
   m_Peers = std::move(Listed);
   m_ListsWithoutSecret = HasSecret ? 0 : m_ListsWithoutSecret + 1;
   if (m_Restoring && !HasOwnRow)
--- a/Tests/FigliftGateway/TestRetryBudget.cpp
+++ b/Tests/FigliftGateway/TestRetryBudget.cpp
@@ -83,3 +83,36 @@
   CHECK(Repeats > RetryBase / 2);
   CHECK(static_cast<double>(Repeats) <= RetryRatio * Callers + RetryBase);
 }
+
+// Failure: each of several gateways that start together uses the whole fixed
+// part of the retry budget until it has counted the others.
+TEST(RetryBudget, IsSharedFromTheFirstRequestOn) {
+  constexpr unsigned Callers = 20;
+  constexpr unsigned Gateways = 4;
+  for (unsigned Other = 2; Other <= Gateways; ++Other)
+    Fixture.Store.put("figlift-gateways", "g" + std::to_string(Other),
+                      "127.0.0.1:9");
+  std::vector<const Listener *> Servers;
+  for (unsigned Number = 0; Number < Callers; ++Number)
+    Servers.push_back(
+        &Fixture.addServer("s" + std::to_string(Number), "plain",
+                           [](const proxy::Request &Request, const Caller &To) {
+                             respondSigned(Request, To, 500, "");
+                           }));
+  Fixture.configure();
+  CHECK(Fixture.waitUntilReady());
+  std::deque<KeepAliveCaller> All;
+  for (unsigned Number = 0; Number < Callers; ++Number)
+    All.emplace_back(Fixture).send("GET", "/safe/x", "");
+  CHECK(Fixture.waitUntil([&] {
+    return std::ranges::all_of(All, [](KeepAliveCaller &Each) {
+      return contains(Each.received(), "HTTP/1.1 ");
+    });
+  }));
+  size_t Arrivals = 0;
+  for (const Listener *Server : Servers)
+    Arrivals += Server->Requests.size();
+  CHECK(Arrivals >= Callers);
+  CHECK(static_cast<double>(Arrivals - Callers) <=
+        RetryRatio * Callers + RetryBase / Gateways);
+}
--- a/Tests/LibRetry/TestFleetRetryBudget.cpp
+++ b/Tests/LibRetry/TestFleetRetryBudget.cpp
@@ -6,6 +6,10 @@
 
 #include "LibRetry/FleetRetryBudget.h"
 
+#include <algorithm>
+#include <deque>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace figlift;
@@ -25,14 +29,14 @@
 };
 
 TEST(FleetRetryBudget, DividesFixedPartAmongProcesses) {
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   Budget.setProcessCount(4, Now);
   LONGS_EQUAL(10, spendAll(Budget));
 }
 
 TEST(FleetRetryBudget, RequestsEarnRetries) {
   Settings.Base = 0;
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   for (int I = 0; I < 100; ++I)
     Budget.recordRequest("s", Now);
   LONGS_EQUAL(16, spendAll(Budget));
@@ -42,7 +46,7 @@
 // process spends its share and is killed, and its successor starts with a full
 // share within the same window.
 TEST(FleetRetryBudget, RestartedProcessHasNoFixedPartForOneWindow) {
-  FleetRetryBudget Budget(Settings, false, Now);
+  FleetRetryBudget Budget(Settings, Now);
   LONGS_EQUAL(0, spendAll(Budget));
   Now += milliseconds(10001);
   LONGS_EQUAL(40, spendAll(Budget));
@@ -52,7 +56,7 @@
 // part were divided by the live processes only, the remaining ones would take
 // over shares that have already been spent.
 TEST(FleetRetryBudget, DividesByMaximumProcessCountOfWindow) {
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   Budget.setProcessCount(4, Now);
   Now += milliseconds(1000);
   Budget.setProcessCount(1, Now);
@@ -60,7 +64,7 @@
 }
 
 TEST(FleetRetryBudget, CountsOverASlidingWindow) {
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   LONGS_EQUAL(40, spendAll(Budget));
   Now += milliseconds(9000);
   LONGS_EQUAL(0, spendAll(Budget));
@@ -69,7 +73,7 @@
 }
 
 TEST(FleetRetryBudget, ServicesHaveSeparateBudgets) {
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   spendAll(Budget);
   CHECK(Budget.remaining("other", Now) >= 1);
 }
@@ -77,10 +81,54 @@
 // Guards against retries that are granted together and whose second parts then
 // exceed the budget.
 TEST(FleetRetryBudget, KeepsRoomForReservedRetries) {
-  FleetRetryBudget Budget(Settings, true, Now);
+  FleetRetryBudget Budget(Settings, Now - Settings.Window);
   for (int I = 0; I < 10; ++I)
     Budget.reserveRetry("s");
   LONGS_EQUAL(30, spendAll(Budget));
   Budget.cancelReservation("s");
   LONGS_EQUAL(1, spendAll(Budget));
 }
+
+// Failure: processes that start one after another spend twice the fixed part.
+TEST(FleetRetryBudget, IsNotExceededWhileProcessesStart) {
+  constexpr size_t Processes = 30;
+  std::vector<FleetRetryBudget> Started;
+  std::deque<BootTime> Retries;
+  size_t Most = 0;
+  const BootTime End = Now + 4 * Settings.Window;
+  for (; Now < End; Now += milliseconds(100)) {
+    if (Started.size() < Processes) {
+      Started.emplace_back(Settings, Now);
+      Started.back().setStartPlace(Started.size());
+    }
+    for (FleetRetryBudget &Budget : Started) {
+      Budget.setProcessCount(Started.size(), Now);
+      Retries.insert(Retries.end(), static_cast<size_t>(spendAll(Budget)), Now);
+    }
+    while (!Retries.empty() && Retries.front() + Settings.Window < Now)
+      Retries.pop_front();
+    Most = std::max(Most, Retries.size());
+  }
+  CHECK(Most > Settings.Base / 3);
+  CHECK(static_cast<double>(Most) <= Settings.Base);
+}
+
+// Failure: the retries that the first process has just sent are not covered
+// when the others reach their equal shares.
+TEST(FleetRetryBudget, IsNotExceededWhenEqualSharesBegin) {
+  constexpr size_t Processes = 30;
+  int Spent = 0;
+  std::vector<FleetRetryBudget> All(Processes, {Settings, Now});
+  for (size_t I = 0; I < Processes; ++I)
+    All[I].setStartPlace(I + 1);
+  for (const auto Age : {Settings.Window - milliseconds(1), Settings.Window}) {
+    const BootTime Start = Now;
+    Now += Age;
+    for (FleetRetryBudget &Budget : All) {
+      Budget.setProcessCount(Processes, Now);
+      Spent += spendAll(Budget);
+    }
+    Now = Start;
+  }
+  CHECK(Spent <= Settings.Base);
+}
