--- a/Tests/FigliftGateway/StandInStore.cpp
+++ b/Tests/FigliftGateway/StandInStore.cpp
@@ -6,6 +6,7 @@
 
 #include "StandInStore.h"
 
+#include "platform/RowPage.h"
 #include "platform/StoreClient.h"
 
 #include <cstdlib>
--- a/Tests/Platform/TestForeignMessages.cpp
+++ b/Tests/Platform/TestForeignMessages.cpp
@@ -17,6 +17,7 @@
 #include "LibDispatch/VersionRecord.h"
 #include "LibUsage/UsageUpdate.h"
 #include "platform/EngineCalls.h"
+#include "platform/RowPage.h"
 #include "platform/Rows.h"
 #include "platform/StoreClient.h"
 
--- a/Tests/Platform/TestStore.cpp
+++ b/Tests/Platform/TestStore.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "platform/RowPage.h"
 #include "platform/StoreClient.h"
 
 #include <nlohmann/json.hpp>
