LibCore, LibDispatch: Refuse odd whole numbers in messages of others

What callers saw: nothing that is logged. A peer, or a row that another program wrote, could state 1.5, true, -1 or 2^64 for a whole number, and the gateway acted on 1, on 1, on the largest number, or on a remainder: a port of 65616 counted as port 80, an age of -1 as a time in the future.

Cause: nlohmann's get() converts numbers and truth values without an error.

Change: wholeNumber<T>() beside the parser of foreign messages takes integers in range only and otherwise throws the exception that each decoder turns into its typed error. Ages and remaining times are also bounded by 2^40 ms and start times by 2^52 ms, as rows are, so that adding them to a time does not overflow. A record of versions still cuts off negative times and takes very large ones, as its history handles both.

Ruled out: rows read by record::FieldReader, which checks the type and range.

Before: ForeignMessages.OddWholeNumbersAreRefused fails with "cache list/held/0/2: 1.5".

--- a/Libraries/LibCore/BoundedJson.cpp
+++ b/Libraries/LibCore/BoundedJson.cpp
@@ -142,6 +142,17 @@
 
 } // namespace
 
+void detail::throwNotInRange(const Json &Value) {
+  // The number of the exceptions of get() for values of another type.
+  constexpr int TypeErrorNumber = 302;
+  throw Json::type_error::create(
+      TypeErrorNumber,
+      Value.is_number_integer()
+          ? "a whole number is out of range: " + Value.dump()
+          : std::string("not a whole number: ") + Value.type_name(),
+      &Value);
+}
+
 Result<Json> parseMessage(std::string_view Text, DeepParts Deep) {
   return parse(Text, Json::input_format_t::json, Deep, "JSON");
 }
--- a/Libraries/LibCore/BoundedJson.h
+++ b/Libraries/LibCore/BoundedJson.h
@@ -14,8 +14,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <concepts>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <string_view>
+#include <utility>
 
 namespace figlift {
 
@@ -43,4 +47,30 @@
 /// their parts may be nested as well, and no process of figlift sends them.
 Result<nlohmann::json> parseCborMessage(std::string_view Bytes);
 
+namespace detail {
+[[noreturn]] void throwNotInRange(const nlohmann::json &Value);
+} // namespace detail
+
+/// Reads an integer from \p Minimum to \p Maximum. Json::get() converts
+/// fractions, truth values and integers that do not fit without an error: 1.5
+/// to 1, and -1 to the largest unsigned number. Throws
+/// nlohmann::json::exception for such values, as get() does for texts.
+template <std::integral T>
+T wholeNumber(const nlohmann::json &Value,
+              T Minimum = std::numeric_limits<T>::min(),
+              T Maximum = std::numeric_limits<T>::max()) {
+  const auto IsInRange = [&](auto Number) {
+    return std::cmp_less_equal(Minimum, Number) &&
+           std::cmp_less_equal(Number, Maximum);
+  };
+  if (const auto *Unsigned = Value.get_ptr<const uint64_t *>()) {
+    if (IsInRange(*Unsigned))
+      return static_cast<T>(*Unsigned);
+  } else if (const auto *Signed = Value.get_ptr<const int64_t *>()) {
+    if (IsInRange(*Signed))
+      return static_cast<T>(*Signed);
+  }
+  detail::throwNotInRange(Value);
+}
+
 } // namespace figlift
--- a/Libraries/LibDispatch/CrashCauseUpdate.cpp
+++ b/Libraries/LibDispatch/CrashCauseUpdate.cpp
@@ -30,7 +30,7 @@
   CrashCandidate Candidate;
   FIGLIFT_TRY(Cause, decodeFingerprint(Encoded.at(0)));
   Candidate.Cause = Cause;
-  Candidate.Depth = Encoded.at(1).get<unsigned>();
+  Candidate.Depth = wholeNumber<unsigned>(Encoded.at(1));
   FIGLIFT_TRY(SentBefore, decodeAge(Encoded.at(2)));
   Candidate.SentBefore = SentBefore;
   return Candidate;
@@ -58,7 +58,8 @@
 Result<CrashCauseUpdate::Trial> decodeTrial(const Json &Encoded) {
   FIGLIFT_TRY(Cause, decodeFingerprint(Encoded.at(0)));
   FIGLIFT_TRY(Age, decodeAge(Encoded.at(2)));
-  return CrashCauseUpdate::Trial{Cause, Encoded.at(1).get<uint64_t>(), Age};
+  return CrashCauseUpdate::Trial{Cause, wholeNumber<uint64_t>(Encoded.at(1)),
+                                 Age};
 }
 
 } // namespace
--- a/Libraries/LibDispatch/FingerprintJson.cpp
+++ b/Libraries/LibDispatch/FingerprintJson.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/FingerprintJson.h"
 
+#include "LibCore/BoundedJson.h"
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -32,7 +34,7 @@
 
 Result<milliseconds> decodeAge(const Json &Encoded) {
   constexpr int64_t MaximumMs = 1000LL * 3600 * 24 * 365;
-  const auto Count = Encoded.get<int64_t>();
+  const auto Count = wholeNumber<int64_t>(Encoded);
   if (Count < 0 || Count > MaximumMs)
     return failure(
         ResultCode::InvalidInput,
--- a/Libraries/LibDispatch/PaceUpdate.cpp
+++ b/Libraries/LibDispatch/PaceUpdate.cpp
@@ -7,6 +7,7 @@
 #include "LibDispatch/PaceUpdate.h"
 
 #include "LibCore/BoundedJson.h"
+#include "LibDispatch/StartTimeJson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -71,12 +72,8 @@
         *Sum > *Count * MaximumMean)
       return std::nullopt;
     std::optional<StartTime> Started;
-    if (Row.size() > StartField) {
-      if (!Row[StartField].is_number_integer())
-        return std::nullopt;
-      Started =
-          StartTime(std::chrono::milliseconds(Row[StartField].get<int64_t>()));
-    }
+    if (Row.size() > StartField)
+      Started = StartTime(decodeUnixTime(Row[StartField]));
     Samples.push_back({Row.at(0).get<std::string>(), *Sum, *Count, Started});
   }
   return Samples;
--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -66,7 +66,7 @@
   Limit.Server.Started = decodeStartTime(Encoded.at(1));
   if (!Encoded.at(2).is_null())
     Limit.PerSecond = Encoded.at(2).get<double>();
-  Limit.Age = std::chrono::milliseconds(Encoded.at(3).get<int64_t>());
+  Limit.Age = decodeTimeSpan(Encoded.at(3));
   return Limit;
 }
 
@@ -76,7 +76,8 @@
 }
 
 Milliseconds decodeTime(const Json &Encoded) {
-  return Milliseconds(static_cast<double>(Encoded.get<uint64_t>()) / 100);
+  return Milliseconds(static_cast<double>(wholeNumber<uint64_t>(Encoded)) /
+                      100);
 }
 
 Json encodeLoad(const PeerLoad &Load) {
@@ -95,14 +96,14 @@
   PeerLoad Load;
   Load.TargetId = Row.at(0).get<std::string>();
   Load.Cost = decodeTime(Row.at(1));
-  Load.Items = Row.at(2).get<uint32_t>();
+  Load.Items = wholeNumber<uint32_t>(Row.at(2));
   Load.CompletionRate = Row.at(3).get<double>();
   Load.PrefillCost = decodeTime(Row.at(4));
   // Earlier versions of the program send no priorities.
   if (Row.size() > 5)
     for (const Json &Part : Row.at(5))
-      Load.ByPriority.push_back({Part.at(0).get<unsigned>(),
-                                 Part.at(1).get<uint32_t>(),
+      Load.ByPriority.push_back({wholeNumber<unsigned>(Part.at(0)),
+                                 wholeNumber<uint32_t>(Part.at(1)),
                                  decodeTime(Part.at(2))});
   return Load;
 }
@@ -111,10 +112,6 @@
   return Value ? Json(*Value) : Json(nullptr);
 }
 
-template <typename T> std::optional<T> decodeOptional(const Json &Encoded) {
-  return Encoded.is_null() ? std::nullopt : std::optional<T>(Encoded.get<T>());
-}
-
 } // namespace
 
 std::string encodePeerReport(const PeerReport &Report) {
@@ -158,16 +155,15 @@
   for (const Json &Item : Root.at(2))
     Report.Cached.push_back(
         {Item.at(0).get<std::string>(),
-         {Item.at(1).get<uint64_t>(), Item.at(2).get<uint32_t>()},
-         std::chrono::milliseconds(Item.at(3).get<int64_t>())});
+         {wholeNumber<uint64_t>(Item.at(1)), wholeNumber<uint32_t>(Item.at(2))},
+         decodeTimeSpan(Item.at(3))});
   for (const Json &Item : Root.at(3))
     Report.Demands.push_back(
         {Item.at(0).get<std::string>(),
          {Item.at(1).get<double>(), Item.at(2).get<double>()}});
   for (const Json &Item : Root.at(4))
     Report.Unavailable.push_back(
-        {Item.at(0).get<std::string>(),
-         std::chrono::milliseconds(Item.at(1).get<int64_t>())});
+        {Item.at(0).get<std::string>(), decodeTimeSpan(Item.at(1))});
   for (const Json &Item : Root.at(5))
     Report.Engines.push_back(decodeMeasurements(Item));
   // Earlier versions of the program send no limits.
@@ -175,9 +171,9 @@
     for (const Json &Item : Root.at(6))
       Report.Limits.push_back(decodeLimit(Item));
   if (Root.size() > 8) {
-    Report.Clock =
-        WallTime(std::chrono::milliseconds(Root.at(7).get<int64_t>()));
-    Report.UsageSettledThrough = decodeOptional<uint64_t>(Root.at(8));
+    Report.Clock = WallTime(decodeUnixTime(Root.at(7)));
+    if (!Root.at(8).is_null())
+      Report.UsageSettledThrough = wholeNumber<uint64_t>(Root.at(8));
   }
   return Report;
 } catch (const Json::exception &Exception) {
--- a/Libraries/LibDispatch/StoreUpdate.cpp
+++ b/Libraries/LibDispatch/StoreUpdate.cpp
@@ -42,7 +42,7 @@
 }
 
 Result<ServerChange> decodeChange(const Json &Encoded, uint64_t Era) {
-  ServerChange Change{{Era, Encoded.at(0).get<uint64_t>()},
+  ServerChange Change{{Era, wholeNumber<uint64_t>(Encoded.at(0))},
                       Encoded.at(1).get<std::string>(),
                       {}};
   const Json &EncodedEntry = Encoded.at(2);
@@ -51,14 +51,14 @@
   Target Server;
   Server.Id = Change.Id;
   Server.Started = decodeStartTime(EncodedEntry.at(0));
-  Server.Heartbeat = EncodedEntry.at(1).get<uint64_t>();
+  Server.Heartbeat = wholeNumber<uint64_t>(EncodedEntry.at(1));
   Server.Service = EncodedEntry.at(2).get<std::string>();
   Server.Address = {EncodedEntry.at(3).get<std::string>(),
-                    EncodedEntry.at(4).get<uint16_t>()};
+                    wholeNumber<uint16_t>(EncodedEntry.at(4))};
   Server.Zone = EncodedEntry.at(5).get<std::string>();
-  Server.Slots = EncodedEntry.at(6).get<unsigned>();
+  Server.Slots = wholeNumber<unsigned>(EncodedEntry.at(6));
   Server.Draining = EncodedEntry.at(7).get<bool>();
-  auto DecodedStage = decodeStage(EncodedEntry.at(8).get<int>());
+  auto DecodedStage = decodeStage(wholeNumber<int>(EncodedEntry.at(8)));
   if (!DecodedStage)
     return outcome::failure(DecodedStage.error());
   Server.EngineStage = DecodedStage.value();
@@ -120,18 +120,18 @@
   StoreUpdate Update;
   Update.Sender = Root.at(0).get<std::string>();
   // Earlier versions of the program send no era. Era 0 is older than any other.
-  const uint64_t Era = Root.size() > 7 ? Root.at(7).get<uint64_t>() : 0;
-  Update.Servers.After = {Era, Root.at(1).get<uint64_t>()};
-  Update.Servers.UpTo = {Era, Root.at(2).get<uint64_t>()};
-  Update.Servers.Age = milliseconds(Root.at(3).get<int64_t>());
+  const uint64_t Era = Root.size() > 7 ? wholeNumber<uint64_t>(Root.at(7)) : 0;
+  Update.Servers.After = {Era, wholeNumber<uint64_t>(Root.at(1))};
+  Update.Servers.UpTo = {Era, wholeNumber<uint64_t>(Root.at(2))};
+  Update.Servers.Age = decodeTimeSpan(Root.at(3));
   for (const Json &Encoded : Root.at(4)) {
     auto Change = decodeChange(Encoded, Era);
     if (!Change)
       return outcome::failure(Change.error());
     Update.Servers.Changes.push_back(std::move(Change.value()));
   }
-  Update.Configuration.Version = Root.at(5).get<uint64_t>();
-  Update.Configuration.Age = milliseconds(Root.at(6).get<int64_t>());
+  Update.Configuration.Version = wholeNumber<uint64_t>(Root.at(5));
+  Update.Configuration.Age = decodeTimeSpan(Root.at(6));
   return Update;
 } catch (const Json::exception &Exception) {
   return failure(ResultCode::InvalidInput, Exception.what(), "store update");
--- a/Libraries/LibDispatch/SuspectUpdate.cpp
+++ b/Libraries/LibDispatch/SuspectUpdate.cpp
@@ -29,7 +29,7 @@
   Crash.Age = Age;
   // Earlier versions of the program send no rank.
   if (Encoded.size() > 3)
-    Crash.Rank = Encoded.at(3).get<unsigned>();
+    Crash.Rank = wholeNumber<unsigned>(Encoded.at(3));
   if (Crash.Rank == 0)
     return failure(ResultCode::InvalidInput, "ranks begin with 1",
                    "suspect update");
--- a/Libraries/LibDispatch/TenantShareUpdate.cpp
+++ b/Libraries/LibDispatch/TenantShareUpdate.cpp
@@ -34,11 +34,8 @@
       std::llround(std::clamp(Rate, 0.0, MaximumRate) * Millionths));
 }
 
-/// Integers only: get() converts other numbers without an error.
 uint64_t decodeNumber(const Json &Encoded, uint64_t Maximum) {
-  if (!Encoded.is_number_unsigned() || Encoded.get<uint64_t>() > Maximum)
-    throw InvalidUpdate();
-  return Encoded.get<uint64_t>();
+  return wholeNumber<uint64_t>(Encoded, 0, Maximum);
 }
 
 double decodeRate(const Json &Encoded) {
@@ -108,8 +105,7 @@
   return failure(ResultCode::InvalidInput, Exception.what(),
                  "tenant share update");
 } catch (const InvalidUpdate &) {
-  return failure(ResultCode::InvalidInput,
-                 "a number is out of range, or a list is too long",
+  return failure(ResultCode::InvalidInput, "a list is too long",
                  "tenant share update");
 }
 
--- a/Libraries/LibDispatch/VersionRecord.cpp
+++ b/Libraries/LibDispatch/VersionRecord.cpp
@@ -23,7 +23,7 @@
 
 /// Negative numbers are cut off: differences of the others do not overflow.
 milliseconds decodeDuration(const Json &Value) {
-  return milliseconds(std::max<int64_t>(Value.get<int64_t>(), 0));
+  return milliseconds(std::max<int64_t>(wholeNumber<int64_t>(Value), 0));
 }
 
 } // namespace
@@ -51,7 +51,7 @@
   Record.CompleteSince = StoreTime(decodeDuration(Root.at("completeSinceMs")));
   Record.IsCut = Root.value("cut", false);
   if (Root.contains("era"))
-    Record.Era = Root.at("era").get<uint64_t>();
+    Record.Era = wholeNumber<uint64_t>(Root.at("era"));
   for (const Json &Encoded : Root.at("versions")) {
     RecordedVersion &Entry = Record.Versions.emplace_back();
     Entry.Name = Encoded.at("version").get<std::string>();
--- a/Libraries/LibUsage/UsageUpdate.cpp
+++ b/Libraries/LibUsage/UsageUpdate.cpp
@@ -14,6 +14,17 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+Counts decodeCounts(const Json &Encoded) {
+  Counts Decoded;
+  for (const auto &[Name, Count] : Encoded.get_ref<const Json::object_t &>())
+    Decoded[Name] = wholeNumber<uint64_t>(Count);
+  return Decoded;
+}
+
+} // namespace
+
 std::string encodeUsageUpdate(const UsageUpdate &Update) {
   Json Sums = Json::array();
   for (const WindowSum &Sum : Update.Sums)
@@ -27,10 +38,10 @@
   FIGLIFT_TRY(Root, parseCborMessage(Bytes));
   UsageUpdate Update;
   Update.Sender = Root.at(0).get<std::string>();
-  Update.Incarnation = Root.at(1).get<uint64_t>();
+  Update.Incarnation = wholeNumber<uint64_t>(Root.at(1));
   for (const Json &Item : Root.at(2))
-    Update.Sums.push_back({Item.at(0).get<WindowNumber>(),
-                           Item.at(1).get<bool>(), Item.at(2).get<Counts>()});
+    Update.Sums.push_back({wholeNumber<WindowNumber>(Item.at(0)),
+                           Item.at(1).get<bool>(), decodeCounts(Item.at(2))});
   return Update;
 } catch (const Json::exception &Exception) {
   return failure(ResultCode::InvalidInput, Exception.what(), "usage update");
@@ -43,8 +54,8 @@
 
 Result<Report> decodeReport(std::string_view Text) try {
   FIGLIFT_TRY(Root, parseMessage(Text));
-  return Report{Root.at("window").get<WindowNumber>(),
-                Root.at("counts").get<Counts>()};
+  return Report{wholeNumber<WindowNumber>(Root.at("window")),
+                decodeCounts(Root.at("counts"))};
 } catch (const Json::exception &Exception) {
   return failure(ResultCode::InvalidInput, Exception.what(), "usage report");
 }
--- a/Tests/LibCore/TestBoundedJson.cpp
+++ b/Tests/LibCore/TestBoundedJson.cpp
@@ -31,6 +31,22 @@
   CHECK(parseCborMessage(cbor(WithBytes)).value() == WithBytes);
 }
 
+// Failure: a number that nobody has sent counts, as get() converts it without
+// an error.
+TEST(BoundedJson, ReadsOnlyWholeNumbersInRange) {
+  LONGS_EQUAL(65535, wholeNumber<uint16_t>(65535));
+  LONGS_EQUAL(-3, wholeNumber<int64_t>(-3));
+  CHECK(wholeNumber<uint64_t>(UINT64_MAX) == UINT64_MAX);
+  LONGS_EQUAL(5, wholeNumber<int>(5, 1, 5));
+  for (const Json &Odd : {Json(1.0), Json(true), Json("1"), Json(nullptr),
+                          Json(-1), Json(65536), Json(UINT64_MAX)})
+    CHECK_THROWS(Json::exception, wholeNumber<uint16_t>(Odd));
+  for (const Json &Odd : {Json(UINT64_MAX), Json(1e300)})
+    CHECK_THROWS(Json::exception, wholeNumber<int64_t>(Odd));
+  for (const Json &Odd : {Json(0), Json(6)})
+    CHECK_THROWS(Json::exception, wholeNumber<int>(Odd, 1, 5));
+}
+
 // Failure: a sender decides how deep this process recurses, and the process
 // ends by a stack overflow when it copies, prints or reads the value.
 TEST(BoundedJson, RejectsDeepNestingInEveryPosition) {
--- a/Tests/Platform/TestForeignMessages.cpp
+++ b/Tests/Platform/TestForeignMessages.cpp
@@ -23,6 +23,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -197,6 +198,23 @@
                                      std::string(5000, 'x'),
                                      std::string("a\0b", 3)};
 
+/// Positions of identities, versions, sums and counts that may have any value.
+const std::set<std::string> SixtyFourBitNumbers = {
+    "versions/era",         "usage/window",
+    "usage/counts/a",       "peer report/1/0/1",
+    "peer report/1/0/4",    "peer report/1/0/5/0/2",
+    "peer report/2/0/1",    "peer report/8",
+    "crash causes/2/0/1",   "tenant shares/1/0/3/0/0",
+    "store update/1",       "store update/2",
+    "store update/4/0/0",   "store update/4/1/0",
+    "store update/4/0/2/1", "store update/5",
+    "store update/7",       "usage sums/1",
+    "usage sums/2/0/0",     "usage sums/2/0/2/a"};
+/// Negative times of a record count as 0.
+const std::set<std::string> NumbersCutOffAtZero = {
+    "versions/completeSinceMs", "versions/versions/0/takeUpMs",
+    "versions/versions/0/untilMs"};
+
 } // namespace
 
 TEST_GROUP(ForeignMessages){
@@ -241,6 +259,40 @@
   }
 }
 
+// Failure: a number that nobody has sent counts: 1 for a fraction or a truth
+// value, and the remainder for an integer that is negative or too large.
+TEST(ForeignMessages, OddWholeNumbersAreRefused) {
+  const auto Check = [](const Decoder &Tested, const Json &Valid,
+                        const auto &Encode) {
+    for (const auto &Position : positions(Valid))
+      if (Valid[Position].is_number_integer())
+        for (const Json &Odd : {Json(1.5), Json(true), Json(-1), Json(1e30),
+                                Json(INT64_MIN), Json(UINT64_MAX)}) {
+          Json Changed = Valid;
+          Changed[Position] = Odd;
+          const std::string Name = Tested.Name + Position.to_string();
+          const bool IsTaken = !Tested.Decode(Encode(Changed));
+          const bool MayBeTaken = Odd.is_number_unsigned()
+                                      ? SixtyFourBitNumbers.contains(Name)
+                                      : Odd.is_number_integer() &&
+                                            NumbersCutOffAtZero.contains(Name);
+          CHECK_TEXT(IsTaken == MayBeTaken, (Name + ": " + Odd.dump()).c_str());
+        }
+  };
+  for (const Decoder &Tested : textDecoders())
+    if (Tested.Name == std::string("versions") ||
+        Tested.Name == std::string("usage") ||
+        Tested.Name == std::string("cache list"))
+      Check(Tested, Json::parse(Tested.Valid),
+            [](const Json &Value) { return Value.dump(); });
+  for (const Decoder &Tested : datagramDecoders())
+    Check(Tested, Json::from_cbor(Tested.Valid), [](const Json &Value) {
+      std::string Bytes;
+      Json::to_cbor(Value, Bytes);
+      return Bytes;
+    });
+}
+
 // Failure: a message nested deep in any of its fields ends the process by a
 // stack overflow.
 TEST(ForeignMessages, DeepFieldsAreRefused) {
