figlift-gateway: Apply the list of gateways past an odd row

What callers saw: if handling one row of figlift-gateways threw, none of the rows after it was applied, and gateways that had not reported yet got no reports. A row without an address was logged with its whole value of up to 64 KiB at each read of the list, ten times a second while there is no secret.

Cause: updatePeers() had one guard for the whole list, and the line was neither bounded nor limited in rate.

Ruled out: rows that the store's client cannot decode; they arrive as unreadable rows with an empty value.

Change: a guard for each row; the line quotes 100 bytes and the size, and counts against the limit of state lines.

Before: UnexpectedExceptions.AnOddGatewayIsOneRowOfTheList fails, as no datagram reaches the gateway whose row follows.

--- a/Services/figlift-gateway/PeerList.cpp
+++ b/Services/figlift-gateway/PeerList.cpp
@@ -53,6 +53,9 @@
 /// A gateway that has been silent for this long counts as gone: no stream that
 /// it has begun may still be resumed if it stopped soon after its last report.
 constexpr std::chrono::seconds MaximumSilence{120};
+/// A row may have 64 KiB; an address has at most 21 bytes.
+constexpr size_t MaximumLoggedBytes = 100;
+
 } // namespace
 
 PeerList::PeerList(Context &Shared, slopes::StoreClient &Store)
@@ -170,7 +173,8 @@
   for (const slopes::StoreRow &Row : Rows) {
     if (Row.Key == SecretRow) {
       HasSecret = true;
-      useSecret(Row.Value);
+      log::guarded("secret of gateways", Row.Key,
+                   [&] { useSecret(Row.Value); });
       continue;
     }
     if (Row.Key == m_Shared.Settings.Process.Id) {
@@ -181,7 +185,10 @@
     First = std::min(First, Row.Key);
     if (const auto Known = m_Peers.find(Row.Key); Known != m_Peers.end())
       Listed.insert(*Known);
-    updateAddress(Row, Listed[Row.Key]);
+    // Another program may have written an odd row, which must not keep the
+    // others from being applied.
+    log::guarded("entry of gateways", Row.Key,
+                 [&] { updateAddress(Row, Listed[Row.Key]); });
   }
   m_Peers = std::move(Listed);
   m_ListsWithoutSecret = HasSecret ? 0 : m_ListsWithoutSecret + 1;
@@ -209,9 +216,14 @@
   boost::system::error_code Code;
   const auto Number = asio::ip::make_address_v4(
       Address ? Address.value().Address : std::string(), Code);
-  if (Code)
-    return log::logEvent(log::Level::Warning, "peer-row-invalid",
-                         {{"peer", Row.Key}, {"found", Row.Value}});
+  if (Code) {
+    if (m_Shared.Log.allows(LineKind::State, BootClock::now()))
+      log::logEvent(log::Level::Warning, "peer-row-invalid",
+                    {{"peer", Row.Key},
+                     {"found", Row.Value.substr(0, MaximumLoggedBytes)},
+                     {"bytes", Row.Value.size()}});
+    return;
+  }
   Entry.Address = {Number, Address.value().Port};
 }
 
--- a/Tests/FigliftGateway/TestUnexpectedExceptions.cpp
+++ b/Tests/FigliftGateway/TestUnexpectedExceptions.cpp
@@ -8,8 +8,12 @@
 
 #include "StandInPlatform.h"
 
+#include "LibDispatch/DatagramSeal.h"
 #include "LibLog/Log.h"
 
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <stdexcept>
@@ -28,6 +32,7 @@
   std::string Event;
   std::string Detail;
   std::atomic<int> Thrown = 0;
+  size_t LongestThrown = 0;
 
   void setup() override {
     // The log must not be configured while a gateway writes to it.
@@ -55,6 +60,7 @@
     } else if (!Event.empty() && Line.find(Event) != std::string_view::npos &&
                Line.find(Detail) != std::string_view::npos) {
       ++Thrown;
+      LongestThrown = std::max(LongestThrown, Line.size());
       throw std::runtime_error("odd line");
     }
   }
@@ -151,3 +157,25 @@
   CHECK(Fixture.waitUntil([&] { return Thrown > 0; }));
   CHECK(Fixture.waitUntil([&] { return Fixture.hasStopped(); }));
 }
+
+// Failure: an odd row of the list of gateways keeps the rows after it from
+// being applied, and its value of up to 64 KiB is logged at each read.
+TEST(UnexpectedExceptions, AnOddGatewayIsOneRowOfTheList) {
+  using boost::asio::ip::udp;
+  udp::socket Peer(Fixture.Loop,
+                   {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+  Fixture.killGateway();
+  Event = "peer-row-invalid";
+  Detail = "a-odd";
+  Fixture.Store.put("figlift-gateways", "#secret",
+                    dispatch::DatagramSeal::newSecret());
+  Fixture.Store.put("figlift-gateways", "a-odd", std::string(60'000, 'x'));
+  Fixture.Store.put("figlift-gateways", "b",
+                    "127.0.0.1:" +
+                        std::to_string(Peer.local_endpoint().port()));
+  Fixture.startGateway();
+  CHECK(Fixture.waitUntil([&] { return Peer.available() > 0; }));
+  const std::lock_guard Lock(Mutex);
+  CHECK(Thrown > 0);
+  CHECK(LongestThrown < 1000);
+}
