figlift-gateway, LibDispatch: Leave out servers that may have restarted

A server that restarted under its id with another software version got streams of the version before, and new streams were remembered as begun there, until its new entry was read (up to 1.25 s).

Cause: the version of a server is taken from its listed entry, which outlives the process that wrote it.

A connection that ends without the gateway's doing (an exchange broke, an idle connection closed early, a connect failed) now leads to three probes of the address within 30 ms. If it refuses, the version of that start is unconfirmed: no stream that is bound to a version or that callers may take up goes there until an entry of another start is read, or an entry of the same start that was written after a read sent after the refusal. While one is unconfirmed, each gateway reads the list every 0.6 s.

Ruled out: a lost connection alone as evidence. Links reset connections and servers break off while they go on, and CallerResumesAtTheVersionThatBegan asks that a caller gets the rest there at once. Not noticed: a successor that listens before a probe comes, or that restarts behind a link that answers nothing, or with which the gateway had no connection.

--- a/Libraries/LibUpstream/ConnectionPool.cpp
+++ b/Libraries/LibUpstream/ConnectionPool.cpp
@@ -75,8 +75,13 @@
 void ConnectionPool::onConnectionChange(ServerConnection &Connection) {
   if (!Connection.isOpen()) {
     --m_OpenConnections;
-    std::erase_if(m_Idle,
-                  [&](const auto &Idle) { return Idle.get() == &Connection; });
+    // Those that this process closes are no longer among the idle ones.
+    const bool WasIdle = std::erase_if(m_Idle, [&](const auto &Idle) {
+                           return Idle.get() == &Connection;
+                         }) > 0;
+    if (WasIdle && m_OnUnexpectedClose &&
+        isReusable(Connection, BootClock::now()))
+      m_OnUnexpectedClose();
     return;
   }
   if (m_Retired)
--- a/Libraries/LibUpstream/ConnectionPool.h
+++ b/Libraries/LibUpstream/ConnectionPool.h
@@ -43,6 +43,11 @@
   acquire(BootTime Now, const ConnectionFilter &IsSuitable = {});
   /// Sets the maximum number of connections of this pool.
   void setLimit(size_t Connections) { m_Limit = Connections; }
+  /// Sets a listener that is called when an idle connection is closed by the
+  /// server, or by the link, before it may have expired.
+  void onUnexpectedClose(std::function<void()> Listener) {
+    m_OnUnexpectedClose = std::move(Listener);
+  }
   /// Closes idle connections; those in use are closed after their exchange.
   void retire();
 
@@ -68,6 +73,7 @@
   bool m_Retired = false;
   /// The most recently used one is last.
   std::vector<std::shared_ptr<ServerConnection>> m_Idle;
+  std::function<void()> m_OnUnexpectedClose;
 };
 
 } // namespace figlift::upstream
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -9,6 +9,7 @@
 #include "CrashWatch.h"
 #include "DecisionLog.h"
 #include "OpenTargets.h"
+#include "RestartWatch.h"
 #include "ServerFeedback.h"
 #include "ServiceQueues.h"
 #include "StreamMetrics.h"
@@ -156,6 +157,7 @@
   std::map<std::string, BootTime> PeerSwitching;
   DecisionLog Log;
   CrashWatch Crashes{Loop, Log};
+  RestartWatch Restarts{Loop, Log, Targets};
   ServerFeedback Feedback{Log};
   metrics::Registry Metrics;
   StreamMetrics Streams{Metrics};
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -47,6 +47,11 @@
 /// Delay between the trials of two gateways. Longer than the announcement of a
 /// trial takes to arrive, so that only one gateway sends it.
 constexpr milliseconds TrialTurnTime{1000};
+/// While the version of a listed server is unconfirmed, each gateway reads the
+/// list itself this long after its previous read. Shorter than the reads of the
+/// elected reader (0.8 s), as streams are held back; each read is a call to the
+/// store.
+constexpr milliseconds ConfirmationReadInterval{600};
 
 } // namespace
 
@@ -199,8 +204,12 @@
 }
 
 void Gateway::targetAdded(const dispatch::Target &Target) {
-  m_Shared.Pools[Target.Id] = std::make_shared<upstream::ConnectionPool>(
+  auto &Pool = m_Shared.Pools[Target.Id];
+  Pool = std::make_shared<upstream::ConnectionPool>(
       m_Shared.Loop, Target.Address, upstream::PoolSettings{});
+  Pool->onUnexpectedClose([this, Server = Target.start()] {
+    m_Shared.Restarts.connectionLost(Server);
+  });
   uint64_t Capacity = 0;
   if (m_Shared.Configuration)
     if (const auto *Service = m_Shared.Configuration->service(Target.Service);
@@ -304,6 +313,12 @@
     serversKnown();
     apply(m_Shared.Targets.tick(Now));
   });
+  Part("restarts", [&] {
+    m_Shared.Restarts.tick(Now);
+    if (Now - m_ServersReadAt >= ConfirmationReadInterval &&
+        m_Shared.Restarts.needsEntries())
+      m_ServerFollower.readNow();
+  });
   Part("versions", [&] {
     if (const auto Since = m_Peers.silentSince(Now))
       m_Shared.Origins.versions().recordSilence(*Since, Now);
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -147,6 +147,8 @@
   /// arrived at any time since the previous tick.
   BootTime m_PreviousTick{};
   bool m_ServersKnown = false;
+  /// When this process read the list of servers last.
+  BootTime m_ServersReadAt{};
   /// \name Inputs of the limits of the pools when these were set last.
   /// @{
   size_t m_PoolsSharedBy = 0;
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -166,6 +166,11 @@
                    m_Shared.Delay.total(BootClock::now()))
             .count();
       });
+  Metrics.registerCounter(
+      "figlift_gateway_unconfirmed_versions_total",
+      "Servers that refused connections, so that they may have restarted with "
+      "another software version",
+      [this] { return double(m_Shared.Restarts.refusals()); });
   Metrics.registerCounter("figlift_gateway_reloads_total",
                           "Changes of the settings that were taken",
                           [this] { return double(m_Reloads); });
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -18,6 +18,7 @@
 
 namespace figlift::gateway {
 
+using ReadKind = dispatch::VersionConfirmation::Read;
 using std::chrono::milliseconds;
 
 namespace {
@@ -211,6 +212,10 @@
       Listed.push_back(std::move(*Entry));
   }
   m_ServersKnown = true;
+  m_ServersReadAt = BootClock::now();
+  for (const dispatch::Target &Entry : Listed)
+    m_Shared.Restarts.entryRead(Entry, ReadKind::Full);
+  m_Shared.Restarts.listRead(ReadKind::Full, KnownAt);
   const auto Events = m_Shared.Targets.replaceAll(Listed, BootClock::now());
   // A list without changes only renews the known state. After a list with
   // changes, peers have to read the store to learn their order. A list that
@@ -244,7 +249,11 @@
     if (!Entry || !Events.empty())
       Changes.push_back({Row.Version, Row.Key, Entry});
     apply(Events);
+    if (Entry)
+      m_Shared.Restarts.entryRead(*Entry, ReadKind::Changes);
   }
+  m_ServersReadAt = Now;
+  m_Shared.Restarts.listRead(ReadKind::Changes, KnownAt);
   limitPools();
   m_ServerJournal.recordChanges(Read.Version, KnownAt, std::move(Changes));
   announceStoreState();
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -49,7 +49,12 @@
   bool isWholeBody(ServerSend &Send) override;
   void sendEnded(ServerSend &Send, dispatch::SendOutcome End) override;
   void sendCompleted(ServerSend &Send) override;
-  bool maySend() const override { return !m_HasInputEnded; }
+  /// A version may have become unconfirmed while the connection was
+  /// established.
+  bool maySend() const override {
+    return !m_HasInputEnded &&
+           (!m_Send || !dependsOnUnconfirmed(m_Send->targetId()));
+  }
   bool wantsMore() const override;
 
   void queueGranted(const dispatch::QueueSend &Grant) override;
@@ -92,6 +97,8 @@
   /// Open targets that this request may use.
   OpenTargets::List usableTargets() const;
   OpenTargets::List recordedTargets() const;
+  /// \p Targets without those whose software version is unconfirmed.
+  OpenTargets::List confirmed(OpenTargets::List Targets) const;
   /// Targets that this request must not use at present.
   std::vector<std::string> excluded(BootTime Now) const;
   bool hasAlternative(const std::string &AvoidedTargetId, BootTime Now);
@@ -153,6 +160,10 @@
   bool mayUseVersionOf(const std::string &TargetId) const;
   bool rejectIfVersionLeft();
   bool rejectIfUnrecorded();
+  bool hasUnconfirmed() const;
+  /// Whether the request depends on the version of this server, which may have
+  /// restarted with another one than is listed.
+  bool dependsOnUnconfirmed(const std::string &TargetId) const;
   bool goesOnWithoutInput() const;
   void endWithoutCaller();
   /// Whether the request begins a stream that its caller may take up elsewhere.
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -34,14 +34,27 @@
     std::erase_if(Targets, [&](const dispatch::Target *Candidate) {
       return Candidate->SoftwareVersion != *m_BoundVersion;
     });
-    return Targets;
+    return confirmed(std::move(Targets));
   }
   if (beginsResumable() &&
       m_Shared.Origins.versions().hasUnrecorded(m_Service, BootClock::now()))
     return recordedTargets();
-  if (engineService())
-    return m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject());
-  return m_Shared.Open.used(m_Service);
+  OpenTargets::List Used =
+      engineService()
+          ? m_Shared.Open.usedFor(m_Service, m_Fields.Prompt->subject())
+          : m_Shared.Open.used(m_Service);
+  if (!beginsResumable() || m_Shared.Restarts.allConfirmed())
+    return Used;
+  Used = confirmed(std::move(Used));
+  return Used.empty() ? recordedTargets() : Used;
+}
+
+OpenTargets::List RequestFlow::confirmed(OpenTargets::List Targets) const {
+  if (!m_Shared.Restarts.allConfirmed())
+    std::erase_if(Targets, [&](const dispatch::Target *Candidate) {
+      return !m_Shared.Restarts.isConfirmed(*Candidate);
+    });
+  return Targets;
 }
 
 /// All targets at which a stream may begin that its caller may take up
@@ -53,7 +66,7 @@
     return !m_Shared.Origins.versions().mayBegin(
         {m_Service, Candidate->SoftwareVersion}, Now);
   });
-  return Targets;
+  return confirmed(std::move(Targets));
 }
 
 dispatch::ServicePlan RequestFlow::servicePlan(BootTime Now) {
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds MissingRecordRetryAfter{500};
 /// The record of a new version is usually written by then.
 constexpr milliseconds UnrecordedRetryAfter{250};
+constexpr std::string_view UnconfirmedReason =
+    "the software version of a server is unconfirmed";
 
 /// Short text for the log and the metrics.
 std::string_view describe(const OriginLookup &Origin) {
@@ -183,7 +185,15 @@
     m_Shared.Origins.recordEnd(streamKey(*m_Fields.Resumes));
 }
 
+bool RequestFlow::dependsOnUnconfirmed(const std::string &TargetId) const {
+  const dispatch::Target *Server = m_Shared.Targets.find(TargetId);
+  return (m_BoundVersion || beginsResumable()) && Server &&
+         !m_Shared.Restarts.isConfirmed(*Server);
+}
+
 bool RequestFlow::mayUseVersionOf(const std::string &TargetId) const {
+  if (dependsOnUnconfirmed(TargetId))
+    return false;
   if (m_BoundVersion)
     return softwareVersionOf(TargetId) == *m_BoundVersion;
   return !beginsResumable() ||
@@ -191,21 +201,40 @@
              {m_Service, softwareVersionOf(TargetId)}, BootClock::now());
 }
 
+/// Whether a server of the service was left out as it may have restarted.
+bool RequestFlow::hasUnconfirmed() const {
+  const OpenTargets::List &All = m_Shared.Open.all(m_Service);
+  return std::any_of(All.begin(), All.end(), [&](const auto *Candidate) {
+    return !m_Shared.Restarts.isConfirmed(*Candidate);
+  });
+}
+
 /// Refuses a stream that could begin only at a version that is not in the
-/// store's record.
+/// store's record, or at a server whose version is unconfirmed.
 bool RequestFlow::rejectIfUnrecorded() {
   if (!beginsResumable() || m_Shared.Open.all(m_Service).empty() ||
       !usableTargets().empty())
     return false;
-  m_Shared.Metrics
-      .counter("figlift_gateway_unrecorded_version_refusals_total",
-               "Streams refused as no server has a software version that the "
-               "store's record has",
-               {{"service", m_Service}})
-      .add();
+  const metrics::Labels Labels = {{"service", m_Service}};
+  const bool IsUnconfirmed = hasUnconfirmed();
+  auto &Refusals =
+      IsUnconfirmed
+          ? m_Shared.Metrics.counter(
+                "figlift_gateway_unconfirmed_version_refusals_total",
+                "Streams refused as the software version of a server is "
+                "unconfirmed",
+                Labels)
+          : m_Shared.Metrics.counter(
+                "figlift_gateway_unrecorded_version_refusals_total",
+                "Streams refused as no server has a software version that the "
+                "store's record has",
+                Labels);
+  Refusals.add();
   releaseHandle();
   respondWithError(m_History.errorStatus(),
-                   "no server of a software version that is recorded",
+                   IsUnconfirmed
+                       ? UnconfirmedReason
+                       : "no server of a software version that is recorded",
                    UnrecordedRetryAfter);
   return true;
 }
@@ -215,8 +244,10 @@
 bool RequestFlow::rejectIfVersionLeft() {
   if (!m_BoundVersion || !usableTargets().empty())
     return false;
-  constexpr std::string_view Reason =
-      "no server of the software version that began the stream";
+  const std::string_view Reason =
+      hasUnconfirmed()
+          ? UnconfirmedReason
+          : "no server of the software version that began the stream";
   releaseHandle();
   if (m_ResponseStarted)
     abortStream(Reason);
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -44,6 +44,7 @@
     return true;
   }
   bool maySend() const override {
+    m_IsConnected = true;
     return m_Sink->maySend() &&
            mayBeSentTo(m_Shared, m_Server, BootClock::now());
   }
@@ -53,11 +54,21 @@
     m_Sink->onBody(std::move(Bytes));
   }
   void onEnd(upstream::ExchangeOutcome Outcome) override {
+    if (wasConnectionLost(Outcome))
+      m_Shared.Restarts.connectionLost(m_Server);
     m_Sink->onEnd(Outcome);
   }
   bool wantsMore() const override { return m_Sink->wantsMore(); }
 
 private:
+  /// Whether the connection ended without this gateway's doing, or could not be
+  /// established.
+  bool wasConnectionLost(upstream::ExchangeOutcome Outcome) const {
+    return Outcome == upstream::ExchangeOutcome::NotSent
+               ? !m_IsConnected
+               : Outcome != upstream::ExchangeOutcome::Complete;
+  }
+
   Context &m_Shared;
   /// As listed when the request was sent.
   dispatch::ServerStart m_Server;
@@ -65,6 +76,8 @@
   ServerFeedback::AnswerCheck m_IsServersAnswer;
   /// The current response is not that of another server at the same address.
   bool m_IsFromServer = false;
+  /// A new connection was established.
+  mutable bool m_IsConnected = false;
 };
 
 } // namespace
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -153,8 +153,11 @@
     return end(dispatch::Rejected{});
   if (!isSuccess(m_Head.Status))
     return end(dispatch::ServerFailed{m_Head.Status});
-  if (m_Streamed && !m_Owner->isWholeBody(*this))
+  if (m_Streamed && !m_Owner->isWholeBody(*this)) {
+    if (m_Target)
+      m_Shared.Restarts.connectionLost(m_Target->start());
     return end(dispatch::ConnectionLost{});
+  }
   if (!m_Streamed)
     recordLatency();
   m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
--- a/Tests/FigliftGateway/RawServer.cpp
+++ b/Tests/FigliftGateway/RawServer.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace figlift::testing {
 
@@ -41,6 +42,11 @@
         });
   }
 
+  void close() {
+    ErrorCode Ignored; // The peer may have closed the connection already.
+    m_Socket.close(Ignored);
+  }
+
 private:
   void respond(size_t HeadSize) {
     const std::string Late = m_Response.LateBytes;
@@ -80,18 +86,35 @@
 RawServer::RawServer(asio::io_context &Loop, Behaviour Initial)
     : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
       m_Behaviour(std::move(Initial)) {
+  m_Address = m_Acceptor.local_endpoint();
   accept();
 }
 
-Endpoint RawServer::address() const {
-  return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
+Endpoint RawServer::address() const { return {"127.0.0.1", m_Address.port()}; }
+
+void RawServer::endProcess() {
+  m_Acceptor.close();
+  for (const auto &Entry : std::exchange(m_Connections, {}))
+    if (const auto Open = Entry.lock())
+      Open->close();
+}
+
+void RawServer::startProcess() {
+  m_Acceptor.open(m_Address.protocol());
+  m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_Acceptor.bind(m_Address);
+  m_Acceptor.listen();
+  accept();
 }
 
 void RawServer::accept() {
   m_Acceptor.async_accept([this](const ErrorCode &Code, tcp::socket Socket) {
     if (Code)
       return;
-    std::make_shared<Connection>(*this, std::move(Socket))->start();
+    const auto Accepted =
+        std::make_shared<Connection>(*this, std::move(Socket));
+    m_Connections.push_back(Accepted);
+    Accepted->start();
     accept();
   });
 }
--- a/Tests/FigliftGateway/RawServer.h
+++ b/Tests/FigliftGateway/RawServer.h
@@ -50,6 +50,10 @@
   void setBehaviour(Behaviour NewBehaviour) {
     m_Behaviour = std::move(NewBehaviour);
   }
+  /// Closes the listener and all connections, as the end of a process does.
+  void endProcess();
+  /// Listens at the same address again.
+  void startProcess();
   /// Questions for the KV cache are requests like others. Otherwise they get an
   /// empty list.
   bool AnswersCacheLists = false;
@@ -61,6 +65,8 @@
   void accept();
   RawResponse responseTo(const std::string &Head);
 
+  std::vector<std::weak_ptr<Connection>> m_Connections;
+  boost::asio::ip::tcp::endpoint m_Address;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   Behaviour m_Behaviour;
 };
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -194,7 +194,7 @@
                                 const Endpoint &Address,
                                 const std::string &Stage) {
   writeEntry(Id, Service, Address, Stage, "ready", SoftwareVersion,
-             FirstStartTime);
+             ListedStartTime);
 }
 
 void GatewayFixture::listUnreachableEngine(const std::string &Id,
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -27,6 +27,9 @@
 /// first start, so that streams may begin at once.
 class GatewayFixture {
 public:
+  /// Milliseconds since 1970.
+  static constexpr int64_t FirstStartTime = 1790000000000;
+
   /// \p Grace: seconds from SIGTERM to SIGKILL. \p RetryBase: base of the retry
   /// budget, the retries allowed in each window regardless of load.
   /// \p UsageWindow: length of the windows in which the gateway reports usage
@@ -116,6 +119,9 @@
   uint64_t MaximumBodyBytes = 4194304;
   /// Version of the program of servers that are added or listed from now on.
   std::string SoftwareVersion = "v1";
+  /// Start time of servers that are listed from now on, in milliseconds since
+  /// 1970.
+  int64_t ListedStartTime = FirstStartTime;
   /// JSON of the tenants in each configuration, which then also has the public
   /// route /open/; empty for a configuration without tenants.
   std::string Tenants;
@@ -124,8 +130,6 @@
   settings::GatewaySettings Settings;
 
 private:
-  static constexpr int64_t FirstStartTime = 1790000000000;
-
   struct Entry {
     std::unique_ptr<Listener> Server;
     std::string Service;
