--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -172,6 +172,8 @@
   bool m_ServersKnown = false;
   /// Processes that share the retry budget, as last logged.
   size_t m_BudgetSharedBy = 0;
+  /// When this process read the list of servers last.
+  BootTime m_ServersReadAt{};
   /// \name Inputs of the limits of the pools when these were set last.
   /// @{
   size_t m_PoolsSharedBy = 0;
