LibDispatch: Cut a report to the gateways that exceeds a datagram

Ruled out: several datagrams.

Change: fitIntoDatagram() leaves out measurements, limits, cached parts and then the loads with the least cost. No gateway calls it in this commit.

Before (with the cut disabled): PeerReport.LeavesOutWhatIsLeastNeeded fails at the size of the report. After: it passes.

--- a/Libraries/LibDispatch/PeerReport.cpp
+++ b/Libraries/LibDispatch/PeerReport.cpp
@@ -12,6 +12,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace figlift::dispatch {
 
 using Json = nlohmann::json;
@@ -112,16 +114,44 @@
   return Value ? Json(*Value) : Json(nullptr);
 }
 
+Json encodeCached(const CachedPart &Part) {
+  return {Part.TargetId, Part.Part.Id, Part.Part.Tokens, Part.Within.count()};
+}
+
+/// Removes items from the end of \p Items until \p Bytes fits or none is left,
+/// and returns their number.
+template <typename Item, typename Function>
+size_t removeLast(std::vector<Item> &Items, Function Encode, size_t &Bytes) {
+  size_t Removed = 0;
+  for (; Bytes > MaximumReportBytes && !Items.empty(); ++Removed) {
+    Bytes -= Json::to_cbor(Encode(Items.back())).size();
+    Items.pop_back();
+  }
+  return Removed;
+}
+
 } // namespace
 
+size_t fitIntoDatagram(PeerReport &Report) {
+  size_t Bytes = encodePeerReport(Report).size();
+  if (Bytes <= MaximumReportBytes)
+    return 0;
+  size_t Removed = removeLast(Report.Engines, encodeMeasurements, Bytes);
+  Removed += removeLast(Report.Limits, encodeLimit, Bytes);
+  Removed += removeLast(Report.Cached, encodeCached, Bytes);
+  std::stable_sort(
+      Report.Loads.begin(), Report.Loads.end(),
+      [](const PeerLoad &A, const PeerLoad &B) { return A.Cost > B.Cost; });
+  return Removed + removeLast(Report.Loads, encodeLoad, Bytes);
+}
+
 std::string encodePeerReport(const PeerReport &Report) {
   Json Loads = Json::array();
   for (const PeerLoad &Load : Report.Loads)
     Loads.push_back(encodeLoad(Load));
   Json Cached = Json::array();
   for (const CachedPart &Part : Report.Cached)
-    Cached.push_back(
-        {Part.TargetId, Part.Part.Id, Part.Part.Tokens, Part.Within.count()});
+    Cached.push_back(encodeCached(Part));
   Json Demands = Json::array();
   for (const ServiceDemand &Demand : Report.Demands)
     Demands.push_back(
--- a/Libraries/LibDispatch/PeerReport.h
+++ b/Libraries/LibDispatch/PeerReport.h
@@ -15,6 +15,7 @@
 #include "LibDispatch/Prompt.h"
 #include "LibDispatch/ServerLimits.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,6 +66,15 @@
   std::optional<uint64_t> UsageSettledThrough;
 };
 
+/// A datagram carries 65,507 bytes, with the seal.
+inline constexpr size_t MaximumReportBytes = 65'000;
+
+/// Leaves items out until the encoded report has at most MaximumReportBytes,
+/// and returns their number. The ones that peers miss least go first:
+/// measurements of engines, server limits, cached prompt parts, then the loads
+/// with the least cost. One report replaces what an earlier one stated about
+/// loads, so they cannot be spread over several.
+size_t fitIntoDatagram(PeerReport &Report);
 /// Encodes as CBOR.
 std::string encodePeerReport(const PeerReport &Report);
 /// Fails with InvalidInput.
--- a/Tests/LibDispatch/TestPeerReport.cpp
+++ b/Tests/LibDispatch/TestPeerReport.cpp
@@ -89,6 +89,40 @@
   LONGS_EQUAL(6, Load.ByPriority[1].Priority);
 }
 
+// Failure: the report of a gateway with hundreds of engines exceeds a datagram
+// and is not sent, and its peers take the gateway for dead.
+TEST(PeerReport, LeavesOutWhatIsLeastNeeded) {
+  constexpr size_t Engines = 400;
+  PeerReport Report;
+  Report.Sender = "g1";
+  for (size_t I = 0; I < Engines; ++I) {
+    const std::string Id = std::to_string(I) + std::string(200, 'x');
+    Report.Loads.push_back({Id, Milliseconds(static_cast<double>(I)), 3});
+    Report.Cached.push_back({Id, {I, 8}, std::chrono::milliseconds(5)});
+    Report.Unavailable.push_back({"u", std::chrono::milliseconds(5)});
+  }
+  Report.Engines = {{"s", {}}};
+  Report.Demands = {{"s", {1.5, 2.5}}};
+  PeerReport Sent = Report;
+  const size_t LeftOut = fitIntoDatagram(Sent);
+  const std::string Bytes = encodePeerReport(Sent);
+  CHECK(Bytes.size() <= MaximumReportBytes);
+  CHECK(Bytes.size() > MaximumReportBytes - 500);
+  const PeerReport Received = decodePeerReport(Bytes).value();
+  LONGS_EQUAL(0, Received.Engines.size() + Received.Cached.size());
+  LONGS_EQUAL(Engines, Received.Unavailable.size());
+  LONGS_EQUAL(1, Received.Demands.size());
+  LONGS_EQUAL(1 + Engines + Engines - Received.Loads.size(), LeftOut);
+  for (const PeerLoad &Load : Received.Loads)
+    CHECK(Load.Cost.count() >=
+          static_cast<double>(Engines - Received.Loads.size()));
+  // A report that fits is left as it is.
+  Report.Loads.resize(10);
+  Report.Cached.resize(10);
+  LONGS_EQUAL(0, fitIntoDatagram(Report));
+  LONGS_EQUAL(10, Report.Cached.size());
+}
+
 TEST(PeerReport, RejectsInvalidInput) {
   for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
     CHECK(!decodePeerReport(Bytes).has_value());
