figlift-gateway: Count and log datagrams that are not sent whole

Uses fitIntoDatagram() for reports; counts and logs cut reports and failed sends, at most one line a second each. PeerStoreUpdates.FailedSendsAreCounted covers failed sends; it has not been run in this form, neither before nor after.

--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -77,6 +77,12 @@
   Metrics.registerCounter("figlift_gateway_datagrams_refused_total",
                           "Datagrams that no gateway of this fleet has sealed",
                           [this] { return double(m_PeerLink.rejected()); });
+  Metrics.registerCounter("figlift_gateway_report_items_left_out_total",
+                          "Items that did not fit into reports to gateways",
+                          [this] { return double(m_PeerLink.itemsLeftOut()); });
+  Metrics.registerCounter("figlift_gateway_datagrams_unsent_total",
+                          "Datagrams to gateways that could not be sent",
+                          [this] { return double(m_PeerLink.sendsFailed()); });
   Metrics.registerCounter(
       "figlift_gateway_server_crashes_total",
       "Servers that ended under requests of this gateway",
--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -48,6 +48,9 @@
 /// Each gateway hears this often from some peer why prompt parts are rejected,
 /// so that one that starts anew learns of them.
 constexpr milliseconds RejectionInterval{100};
+/// Reports are sent many times a second, to each peer: a line for each failure
+/// would use up the limit of all lines about the process's state.
+constexpr milliseconds FailureLogInterval{1000};
 /// Maximum number of parts in one report; the rest follows in the next.
 constexpr size_t MaximumParts = 64;
 
@@ -118,6 +121,15 @@
     Report.Clock = wallNow();
     Report.UsageSettledThrough = m_Shared.Usage.OwnSettledThrough;
   }
+  if (const size_t LeftOut = fitIntoDatagram(Report)) {
+    m_ItemsLeftOut += LeftOut;
+    if (Now - m_CutLoggedAt >= FailureLogInterval &&
+        m_Shared.Log.allows(LineKind::State, Now)) {
+      m_CutLoggedAt = Now;
+      log::logEvent(log::Level::Warning, "peer-report-cut",
+                    {{"left_out", LeftOut}, {"loads", Report.Loads.size()}});
+    }
+  }
   sendToAll(ReportKind, encodePeerReport(Report));
   sendPaces(Now);
   for (const auto &Update : m_Shared.Origins.takeUpdates(Now))
@@ -229,9 +241,30 @@
 }
 
 void PeerLink::sendTo(const PeerList::Peer &Peer, const std::string &Bytes) {
+  // A gateway whose row has no address can be reached after its first report.
+  if (Peer.Address.port() == 0)
+    return;
   // The next datagram compensates for one that could not be sent.
-  boost::system::error_code Ignored;
-  m_Socket.send_to(asio::buffer(Bytes), Peer.Address, 0, Ignored);
+  boost::system::error_code Code;
+  m_Socket.send_to(asio::buffer(Bytes), Peer.Address, 0, Code);
+  if (Code)
+    recordFailedSend(Peer, Bytes.size(), Code);
+}
+
+void PeerLink::recordFailedSend(const PeerList::Peer &Peer, size_t Bytes,
+                                const boost::system::error_code &Code) {
+  ++m_SendsFailed;
+  const BootTime Now = BootClock::now();
+  if (Now - m_SendFailureLoggedAt < FailureLogInterval)
+    return;
+  m_SendFailureLoggedAt = Now;
+  if (m_Shared.Log.allows(LineKind::State, Now))
+    log::logEvent(log::Level::Warning, "peer-send-failed",
+                  {{"address", Peer.Address.address().to_string()},
+                   {"port", Peer.Address.port()},
+                   {"bytes", Bytes},
+                   {"reason", Code.message()},
+                   {"failed", m_SendsFailed}});
 }
 
 void PeerLink::sendUsage(const usage::UsageUpdate &Update,
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -43,9 +43,15 @@
                  const std::vector<std::string> &Receivers);
   /// Datagrams without a valid seal of this fleet.
   uint64_t rejected() const { return m_Rejected; }
+  /// Items of reports that were left out to fit into a datagram.
+  uint64_t itemsLeftOut() const { return m_ItemsLeftOut; }
+  /// Datagrams that could not be sent.
+  uint64_t sendsFailed() const { return m_SendsFailed; }
 
 private:
   void sendToAll(char Kind, const std::string &Body);
+  void recordFailedSend(const PeerList::Peer &Peer, size_t Bytes,
+                        const boost::system::error_code &Code);
   void sendTo(const PeerList::Peer &Peer, const std::string &Bytes);
   void scheduleReport();
   void report();
@@ -72,6 +78,13 @@
   std::array<char, 65536> m_Buffer;
   boost::asio::ip::udp::endpoint m_Sender;
   uint64_t m_Rejected = 0;
+  uint64_t m_ItemsLeftOut = 0;
+  uint64_t m_SendsFailed = 0;
+  /// When a report that was cut, or a failed send, was last logged.
+  /// @{
+  BootTime m_CutLoggedAt{};
+  BootTime m_SendFailureLoggedAt{};
+  /// @}
   /// Reports since suspects were last announced again.
   unsigned m_ReportsSinceReannouncement = 0;
   /// When rejected prompt parts were last announced again.
--- a/Tests/FigliftGateway/TestPeerStoreUpdates.cpp
+++ b/Tests/FigliftGateway/TestPeerStoreUpdates.cpp
@@ -125,6 +125,15 @@
   CHECK(Fixture.waitUntil([&] { return hasTargets(1); }));
 }
 
+// Failure: peers take a gateway for dead whose datagrams cannot be sent, and
+// nothing shows that they are not.
+TEST(PeerStoreUpdates, FailedSendsAreCounted) {
+  // The kernel refuses to broadcast for a socket that has not asked for it.
+  Fixture.Store.put("figlift-gateways", "b", "255.255.255.255:9");
+  CHECK(Fixture.waitUntil(
+      [&] { return metric("figlift_gateway_datagrams_unsent_total") > 0; }));
+}
+
 // Failure: requests are sent to an address that is not a server's.
 // Sequence: a sender without the fleet's secret announces a server.
 // Cause: datagrams are accepted without authentication.
