figlift-gateway: Bound the probes of a server, and keep what they showed

While the store is down and the list stays, a server that had refused counted as confirmed again after 60 s, and streams of its earlier version went there. And each lost connection renewed the count of probes: a server that resets connections because it has too many got some 66 more of them a second from each gateway.

An unconfirmed start is now kept for as long as it is listed. A series has at most six probes, and the next one begins half a second after it; a loss in between is still followed by probes.

RefusalsExpire asked for the first fault. It is replaced by a case of a listed server, which stays unconfirmed, and one of a server that is gone. The bound on probes has no test of its own.

--- a/Libraries/LibDispatch/VersionConfirmation.cpp
+++ b/Libraries/LibDispatch/VersionConfirmation.cpp
@@ -18,6 +18,7 @@
   Entry &Refused = Found->second;
   if (IsNew)
     Refused.UnconfirmedSince = Now;
+  Refused.ListedAt = Now;
   Refused.RefusedAt = Now;
   Refused.HasRead = false;
   Refused.HasFullRead = false;
@@ -53,10 +54,4 @@
   }
 }
 
-void VersionConfirmation::expire(BootTime Now) {
-  std::erase_if(m_Unconfirmed, [&](const auto &Entry) {
-    return Now - Entry.second.RefusedAt > Retention;
-  });
-}
-
 } // namespace figlift::dispatch
--- a/Libraries/LibDispatch/VersionConfirmation.h
+++ b/Libraries/LibDispatch/VersionConfirmation.h
@@ -48,8 +48,16 @@
                                                  BootTime Now);
   /// A read whose answer holds all that was written before \p KnownAt.
   void recordRead(Read Kind, BootTime KnownAt);
-  /// Forgets starts that cannot be listed any more.
-  void expire(BootTime Now);
+  /// Forgets starts that have not been listed for long. \p IsListed tells
+  /// whether a start is listed now.
+  template <typename Predicate> void expire(Predicate IsListed, BootTime Now) {
+    for (auto &[Server, Refused] : m_Unconfirmed)
+      if (IsListed(Server))
+        Refused.ListedAt = Now;
+    std::erase_if(m_Unconfirmed, [&](const auto &Unconfirmed) {
+      return Now - Unconfirmed.second.ListedAt > Retention;
+    });
+  }
 
   bool isConfirmed(const ServerStart &Server) const {
     return !m_Unconfirmed.contains(Server);
@@ -72,6 +80,8 @@
     BootTime RefusedAt{};
     /// The first refusal since the version was confirmed.
     BootTime UnconfirmedSince{};
+    /// When the start was listed last.
+    BootTime ListedAt{};
     /// Highest heartbeat that was returned since.
     uint64_t Heartbeat = 0;
     /// \name Reads that were sent after the latest refusal.
--- a/Services/figlift-gateway/RestartWatch.cpp
+++ b/Services/figlift-gateway/RestartWatch.cpp
@@ -1,7 +1,6 @@
 //===- RestartWatch.cpp - Detects servers that may have restarted ---------===//
 //
 // A few connection attempts in a row, closed as soon as they are established.
-// Connections that are lost meanwhile begin the count anew.
 //
 //===----------------------------------------------------------------------===//
 
@@ -13,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <memory>
 
 namespace figlift::gateway {
@@ -50,11 +50,45 @@
 void RestartWatch::connectionLost(const ServerStart &Server) {
   if (!Server.Started)
     return;
-  const bool IsNew = m_ProbesLeft.insert_or_assign(Server, Probes).second;
+  Series &Current = m_Series[Server];
+  if (Current.IsRunning && Current.Sent < MaximumProbes) {
+    Current.Left = std::min(Probes, MaximumProbes - Current.Sent);
+    return;
+  }
+  Current.IsWanted = true;
+  if (!Current.IsRunning && BootClock::now() - Current.EndedAt >= SeriesPause)
+    start(Server, Current);
+}
+
+void RestartWatch::tick(BootTime Now) {
+  const auto IsListed = [this](const ServerStart &Server) {
+    return listed(Server) != nullptr;
+  };
+  m_Versions.expire(IsListed, Now);
+  std::erase_if(m_Series, [&](const auto &Entry) {
+    const Series &Past = Entry.second;
+    return !Past.IsRunning && !Past.IsWanted &&
+           Now - Past.EndedAt >= SeriesPause;
+  });
+  for (auto &[Server, Next] : m_Series)
+    if (!Next.IsRunning && Next.IsWanted && Now - Next.EndedAt >= SeriesPause)
+      start(Server, Next);
+}
+
+void RestartWatch::start(const ServerStart &Server, Series &Next) {
+  Next = {.Left = Probes, .IsRunning = true};
   // The exchange that was lost has to end in any case.
-  if (IsNew && !log::guarded("probe of a server", Server.TargetId,
-                             [&] { probe(Server); }))
-    m_ProbesLeft.erase(Server);
+  if (!log::guarded("probe of a server", Server.TargetId,
+                    [&] { probe(Server); }))
+    end(Server);
+}
+
+void RestartWatch::end(const ServerStart &Server) {
+  const auto Found = m_Series.find(Server);
+  if (Found == m_Series.end())
+    return;
+  Found->second.IsRunning = false;
+  Found->second.EndedAt = BootClock::now();
 }
 
 void RestartWatch::probe(const ServerStart &Server) {
@@ -63,10 +97,9 @@
   const auto Host =
       Listed ? asio::ip::make_address_v4(Listed->Address.Address, Code)
              : asio::ip::address_v4();
-  if (!Listed || Code) {
-    m_ProbesLeft.erase(Server);
-    return;
-  }
+  if (!Listed || Code)
+    return end(Server);
+  ++m_Series[Server].Sent;
   const auto Probe = std::make_shared<ProbeConnection>(m_Loop);
   Probe->Timer.expires_after(ProbeTimeout);
   Probe->Timer.async_wait([Probe](const ErrorCode &Stopped) {
@@ -81,26 +114,24 @@
         // The next loss begins another series.
         if (!log::guarded("probe of a server", Server.TargetId,
                           [&] { probeEnded(Server, Result); }))
-          m_ProbesLeft.erase(Server);
+          end(Server);
       });
 }
 
 void RestartWatch::probeEnded(const ServerStart &Server,
                               const ErrorCode &Result) {
-  const auto Left = m_ProbesLeft.find(Server);
+  const auto Current = m_Series.find(Server);
   // A running server that has too many connections resets further ones.
   if (Result == asio::error::connection_refused)
     refused(Server);
   // Without an answer, the address is not reached by others either.
-  if (Result || --Left->second == 0) {
-    m_ProbesLeft.erase(Left);
-    return;
-  }
+  if (Result || Current == m_Series.end() || --Current->second.Left == 0)
+    return end(Server);
   const auto Pause = std::make_shared<asio::steady_timer>(m_Loop, ProbePause);
   Pause->async_wait([this, Pause, Server](const ErrorCode &Stopped) {
     if (!Stopped && !log::guarded("probe of a server", Server.TargetId,
                                   [&] { probe(Server); }))
-      m_ProbesLeft.erase(Server);
+      end(Server);
   });
 }
 
--- a/Services/figlift-gateway/RestartWatch.h
+++ b/Services/figlift-gateway/RestartWatch.h
@@ -39,7 +39,7 @@
   void listRead(dispatch::VersionConfirmation::Read Kind, BootTime KnownAt) {
     m_Versions.recordRead(Kind, KnownAt);
   }
-  void tick(BootTime Now) { m_Versions.expire(Now); }
+  void tick(BootTime Now);
 
   /// Whether the software version of this start is that of the process which
   /// answers at the address, as far as is known.
@@ -57,11 +57,28 @@
   /// successor needs some time to listen: one probe could find either of them.
   static constexpr unsigned Probes = 3;
   static constexpr std::chrono::milliseconds ProbePause{15};
+  /// Connections that are lost meanwhile begin the count anew, up to this many
+  /// probes in a row. The next ones follow after a pause: a server that resets
+  /// connections, because it has too many, must not get more of them.
+  static constexpr unsigned MaximumProbes = 6;
+  static constexpr std::chrono::milliseconds SeriesPause{500};
   /// As for the probes of CrashWatch.
   static constexpr std::chrono::milliseconds ProbeTimeout{600};
 
+  /// Probes in a row of one server.
+  struct Series {
+    unsigned Left = 0;
+    unsigned Sent = 0;
+    bool IsRunning = false;
+    /// A connection was lost that no probe has followed.
+    bool IsWanted = false;
+    BootTime EndedAt{};
+  };
+
   /// Null if this start of the server is not listed.
   const dispatch::Target *listed(const dispatch::ServerStart &Server) const;
+  void start(const dispatch::ServerStart &Server, Series &Next);
+  void end(const dispatch::ServerStart &Server);
   void probe(const dispatch::ServerStart &Server);
   void probeEnded(const dispatch::ServerStart &Server,
                   const boost::system::error_code &Result);
@@ -71,8 +88,8 @@
   DecisionLog &m_Log;
   const dispatch::TargetTable &m_Table;
   dispatch::VersionConfirmation m_Versions;
-  /// Probes that remain, of servers that are being probed.
-  std::map<dispatch::ServerStart, unsigned> m_ProbesLeft;
+  /// Of servers that are being probed, or were in the last SeriesPause.
+  std::map<dispatch::ServerStart, Series> m_Series;
   uint64_t m_Refusals = 0;
 };
 
--- a/Tests/LibDispatch/TestVersionConfirmation.cpp
+++ b/Tests/LibDispatch/TestVersionConfirmation.cpp
@@ -80,10 +80,20 @@
   CHECK(Versions.isConfirmed({"b", std::nullopt}));
 }
 
+// Failure: while the store is down and the list stays, a server that refused is
+// taken for confirmed after a minute.
+TEST(VersionConfirmation, RefusalsOfListedServersDoNotExpire) {
+  const auto IsListed = [](const ServerStart &) { return true; };
+  Versions.expire(IsListed, Start + std::chrono::seconds(50));
+  Versions.expire(IsListed, Start + std::chrono::seconds(100));
+  CHECK_FALSE(isConfirmed());
+}
+
 // Failure: servers that are gone are kept forever.
-TEST(VersionConfirmation, RefusalsExpire) {
-  Versions.expire(Start + std::chrono::seconds(60));
+TEST(VersionConfirmation, RefusalsOfOtherServersExpire) {
+  const auto IsListed = [](const ServerStart &) { return false; };
+  Versions.expire(IsListed, Start + std::chrono::seconds(60));
   CHECK_FALSE(isConfirmed());
-  Versions.expire(Start + std::chrono::seconds(61));
+  Versions.expire(IsListed, Start + std::chrono::seconds(61));
   CHECK(Versions.allConfirmed());
 }
