figlift-gateway: Do not blame a server for a request that is not sent

A request may be withheld when its connection has been established: its caller has left, or the version of the server has become unconfirmed. The send then counted as a failed connection, so that the server was ejected for all requests.

It now counts like a send that a pause of the server holds back. Found by review; no test of its own.

--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -191,8 +191,8 @@
   if (IsValidResponse && !std::holds_alternative<dispatch::Rejected>(End))
     m_Shared.Loads.recordError(m_TargetId, Now);
   // What was held back says nothing about the server's health.
-  const bool WasHeldBack =
-      std::holds_alternative<dispatch::NotSent>(End) && isHeldBack();
+  const bool WasHeldBack = std::holds_alternative<dispatch::NotSent>(End) &&
+                           (isHeldBack() || m_IsWithheld);
   if (IsValidResponse || WasHeldBack)
     m_Shared.Loads.recordEnd(m_TargetId, m_Ticket);
   else
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -92,7 +92,8 @@
   void onEnd(upstream::ExchangeOutcome End) override;
   /// A target that has restarted since may have another software version.
   bool maySend() const override {
-    return !targetRestarted() && (!m_Owner || m_Owner->maySend());
+    m_IsWithheld = m_Owner && !m_Owner->maySend();
+    return !targetRestarted() && !m_IsWithheld;
   }
   bool wantsMore() const override { return !m_Owner || m_Owner->wantsMore(); }
 
@@ -127,6 +128,9 @@
   /// Of m_Body, or of what the owner holds.
   MemoryShare m_Memory;
   bool m_Streamed = false;
+  /// The owner did not want the request to be sent any more when its connection
+  /// was established.
+  mutable bool m_IsWithheld = false;
 };
 
 } // namespace figlift::gateway
