figlift-gateway: Queue streams for servers at which they may begin

The queue of a plain service granted servers without regard to their software versions. A stream that may not begin at the granted server counted a failed send, and after three of them its caller got an error although another server was free.

Such servers are excluded when the request enters the queue, as those are that it has used before. Found by review; no test of its own.

--- a/Services/figlift-gateway/RequestQueue.cpp
+++ b/Services/figlift-gateway/RequestQueue.cpp
@@ -53,6 +53,11 @@
   Waiting.WaitUntil = queueLimit(Now);
   Waiting.Bytes = m_Request.Body.size() + m_Request.Head.Target.size();
   Waiting.Excluded = m_Excluded;
+  // The queue grants servers without regard to their software versions.
+  if (beginsResumable())
+    for (const dispatch::Target *Candidate : m_Shared.Open.all(m_Service))
+      if (!mayUseVersionOf(Candidate->Id))
+        Waiting.Excluded.push_back(Candidate->Id);
   const size_t Before = m_Shared.Queues.waitingFor(m_Service);
   m_QueueId = 0;
   const uint64_t Id =
