figlift-gateway: Pause after a failed accept at the probe's listener

The event loop had no time for anything else.

They pause for 50 ms, as the listener of callers does.

--- a/Services/figlift-gateway/TextServer.cpp
+++ b/Services/figlift-gateway/TextServer.cpp
@@ -36,7 +36,8 @@
 }
 
 TextServer::TextServer(asio::io_context &Loop, Handler Handle)
-    : m_Loop(Loop), m_Acceptor(Loop), m_Handler(std::move(Handle)) {}
+    : m_Loop(Loop), m_Acceptor(Loop), m_AcceptTimer(Loop),
+      m_Handler(std::move(Handle)) {}
 
 Result<void> TextServer::start(const Endpoint &Address,
                                const std::string &Field) {
@@ -51,6 +52,7 @@
 void TextServer::stop() {
   boost::system::error_code Ignored; // The listener is closed in any case.
   m_Acceptor.close(Ignored);
+  m_AcceptTimer.cancel();
 }
 
 void TextServer::accept() {
@@ -58,15 +60,25 @@
       [this](const boost::system::error_code &Code, tcp::socket Socket) {
         if (Code == asio::error::operation_aborted)
           return;
+        if (Code)
+          return acceptLater();
         log::guarded("new connection", {}, [&] {
-          if (!Code)
-            std::make_shared<proxy::CallerConnection>(std::move(Socket), *this)
-                ->start();
+          std::make_shared<proxy::CallerConnection>(std::move(Socket), *this)
+              ->start();
         });
         accept();
       });
 }
 
+/// Without a free file descriptor the next accept fails at once, too.
+void TextServer::acceptLater() {
+  m_AcceptTimer.expires_after(AcceptPause);
+  m_AcceptTimer.async_wait([this](const boost::system::error_code &Stopped) {
+    if (!Stopped)
+      accept();
+  });
+}
+
 std::shared_ptr<proxy::ActiveRequest>
 TextServer::handle(proxy::Request Request,
                    std::shared_ptr<proxy::CallerConnection> Caller) {
--- a/Services/figlift-gateway/TextServer.h
+++ b/Services/figlift-gateway/TextServer.h
@@ -13,7 +13,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 #include <string>
 
@@ -47,9 +49,14 @@
 
 private:
   void accept();
+  void acceptLater();
+
+  /// Pause after a failed accept.
+  static constexpr std::chrono::milliseconds AcceptPause{50};
 
   boost::asio::io_context &m_Loop;
   boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::steady_timer m_AcceptTimer;
   Handler m_Handler;
 };
 
