figlift-gateway, LibSettings: Take the limit on descriptors from the platform

The share of callers came from RLIMIT_NOFILE alone. Where the platform's limit is lower, callers would take all descriptors as before.

process.descriptors, filled in from the platform's own field, bounds it too. A rejection that throws no longer ends the accepting of connections.

--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -32,6 +32,13 @@
        {16, 1000000},
        "Memory above which the platform ends this process. Callers and servers "
        "can make it hold a fifth of it."},
+      {"process.descriptors",
+       &Settings.Process.Descriptors,
+       Optional,
+       {64, 1048576},
+       "File descriptors that the platform lets this process have open, if "
+       "that "
+       "is less than its RLIMIT_NOFILE. Callers have a share of them."},
       {"listen.callers",
        &Settings.Listen.Callers,
        Required,
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -27,6 +27,8 @@
   std::string Zone;
   /// Memory above which the platform ends the process.
   double MemoryMegabytes = 260;
+  /// File descriptors that the platform lets the process have open.
+  double Descriptors = 1048576;
 };
 
 struct GatewayListen {
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -102,7 +102,8 @@
   void acceptWaiting();
   /// \name Connections and file descriptors.
   /// @{
-  static dispatch::DescriptorShares descriptorShares();
+  static dispatch::DescriptorShares
+  descriptorShares(const settings::GatewayProcess &Process);
   void admit(boost::asio::ip::tcp::socket Socket);
   bool rejectWaiting();
   bool isBeyondShare(const proxy::CallerConnection &Caller);
@@ -154,7 +155,8 @@
   /// Those of m_Callers whose next request is rejected if there is still no
   /// room for them in the share of callers.
   std::set<const proxy::CallerConnection *> m_BeyondShare;
-  const dispatch::DescriptorShares m_Descriptors = descriptorShares();
+  const dispatch::DescriptorShares m_Descriptors =
+      descriptorShares(m_Shared.Settings.Process);
   SpareDescriptor m_Spare{m_Shared.Loop};
   /// \name Connections that were rejected: as callers have their share of the
   /// descriptors, and as there was no descriptor.
--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -14,6 +14,7 @@
 #include "LibLog/Log.h"
 #include "platform/Headers.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <memory>
@@ -76,8 +77,10 @@
 
 } // namespace
 
-dispatch::DescriptorShares Gateway::descriptorShares() {
-  return dispatch::shareDescriptors(descriptorLimit());
+dispatch::DescriptorShares
+Gateway::descriptorShares(const settings::GatewayProcess &Process) {
+  return dispatch::shareDescriptors(
+      std::min(descriptorLimit(), static_cast<size_t>(Process.Descriptors)));
 }
 
 void Gateway::accept() {
@@ -85,8 +88,12 @@
       [this](const boost::system::error_code &Code, tcp::socket Socket) {
         if (Code == asio::error::operation_aborted)
           return;
-        if (isOutOfDescriptors(Code) && rejectWaiting())
-          return accept();
+        if (isOutOfDescriptors(Code)) {
+          bool HasRejected = false;
+          log::guarded("accept", {}, [&] { HasRejected = rejectWaiting(); });
+          if (HasRejected)
+            return accept();
+        }
         if (Code) {
           // Pending connections stay in the listen queue.
           log::guarded("accept", {}, [&] {
@@ -121,9 +128,11 @@
 void Gateway::startCaller(tcp::socket Socket) {
   const auto Caller =
       std::make_shared<proxy::CallerConnection>(std::move(Socket), *this);
-  if (m_Callers.size() - m_BeyondShare.size() >= m_Descriptors.Callers)
-    m_BeyondShare.insert(Caller.get());
+  const bool IsBeyondShare =
+      m_Callers.size() - m_BeyondShare.size() >= m_Descriptors.Callers;
   m_Callers.insert(Caller.get());
+  if (IsBeyondShare)
+    m_BeyondShare.insert(Caller.get());
   // m_Callers must not keep a connection that nothing holds.
   if (!log::guarded("new connection", {}, [&] { Caller->start(); }))
     Caller->abort();
