figlift-gateway: Encode a report once unless it exceeds a datagram

Each report was encoded twice to learn its size, several times a second. Only one that is too large is encoded again after the cut.

--- a/Services/figlift-gateway/PeerLink.cpp
+++ b/Services/figlift-gateway/PeerLink.cpp
@@ -121,16 +121,12 @@
     Report.Clock = wallNow();
     Report.UsageSettledThrough = m_Shared.Usage.OwnSettledThrough;
   }
-  if (const size_t LeftOut = fitIntoDatagram(Report)) {
-    m_ItemsLeftOut += LeftOut;
-    if (Now - m_CutLoggedAt >= FailureLogInterval &&
-        m_Shared.Log.allows(LineKind::State, Now)) {
-      m_CutLoggedAt = Now;
-      log::logEvent(log::Level::Warning, "peer-report-cut",
-                    {{"left_out", LeftOut}, {"loads", Report.Loads.size()}});
-    }
+  std::string Body = encodePeerReport(Report);
+  if (Body.size() > dispatch::MaximumReportBytes) {
+    recordCut(fitIntoDatagram(Report), Now);
+    Body = encodePeerReport(Report);
   }
-  sendToAll(ReportKind, encodePeerReport(Report));
+  sendToAll(ReportKind, Body);
   sendPaces(Now);
   for (const auto &Update : m_Shared.Origins.takeUpdates(Now))
     sendToAll(StreamOriginsKind, encodeStreamOrigins(Update));
@@ -251,6 +247,15 @@
     recordFailedSend(Peer, Bytes.size(), Code);
 }
 
+void PeerLink::recordCut(size_t LeftOut, BootTime Now) {
+  m_ItemsLeftOut += LeftOut;
+  if (Now - m_CutLoggedAt < FailureLogInterval ||
+      !m_Shared.Log.allows(LineKind::State, Now))
+    return;
+  m_CutLoggedAt = Now;
+  log::logEvent(log::Level::Warning, "peer-report-cut", {{"leftOut", LeftOut}});
+}
+
 void PeerLink::recordFailedSend(const PeerList::Peer &Peer, size_t Bytes,
                                 const boost::system::error_code &Code) {
   ++m_SendsFailed;
--- a/Services/figlift-gateway/PeerLink.h
+++ b/Services/figlift-gateway/PeerLink.h
@@ -50,6 +50,7 @@
 
 private:
   void sendToAll(char Kind, const std::string &Body);
+  void recordCut(size_t LeftOut, BootTime Now);
   void recordFailedSend(const PeerList::Peer &Peer, size_t Bytes,
                         const boost::system::error_code &Code);
   void sendTo(const PeerList::Peer &Peer, const std::string &Bytes);
