--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -24,6 +24,11 @@
 constexpr std::array LinkFaults = {LinkFault::Cut, LinkFault::Freeze,
                                    LinkFault::LoseRequests,
                                    LinkFault::LoseResponses, LinkFault::Delay};
+/// Whether the fault of a link to a server may lose an answer.
+constexpr bool losesAnswers(LinkFault Mode) {
+  return Mode == LinkFault::Cut || Mode == LinkFault::Freeze ||
+         Mode == LinkFault::LoseResponses;
+}
 constexpr std::array Behaviors = {
     Behavior::ServerError, Behavior::DropsConnection,
     Behavior::Slow,        Behavior::WrongAttemptId,
@@ -259,7 +264,8 @@
           ? Parts{InvariantChecker::AllGateways, InvariantChecker::ServerLinks}
           : Parts{m_Fleet.gatewayName(Index)},
       randomTime(Now, 200, 4000), [SetMode] { SetMode(LinkFault::None); },
-      Kind == 2 ? SoakFleet::serverPrefix(Index) : std::string());
+      Kind == 2 && losesAnswers(Mode) ? SoakFleet::serverPrefix(Index)
+                                      : std::string());
 }
 
 void FaultInjector::beginStore(BootTime Now) {
