Tests: Begin no stream before the first record of a service

A scene at a gateway that starts without a record while the store takes no writes: streams are refused, and served once it is written. The wait for a record no longer ends at an empty page of metrics.

--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -102,9 +102,11 @@
   }
   /// The gateway knows its peers by then, and its share of each server.
   void waitForWrite() {
+    const std::string Written =
+        "figlift_gateway_version_records_written_total ";
     CHECK(Fixture.waitUntil([&] {
-      return !contains(Fixture.metrics(),
-                       "figlift_gateway_version_records_written_total 0");
+      const std::string Metrics = Fixture.metrics();
+      return contains(Metrics, Written) && !contains(Metrics, Written + "0");
     }));
   }
   /// Another gateway, which sees the version already, writes it down.
@@ -288,6 +290,22 @@
   waitForStreamAt(1);
 }
 
+// Failure: streams begin at a version of which nothing that outlives the
+// gateways knows, because their service has no record yet.
+TEST(StreamVersions, NoStreamBeginsWithoutARecord) {
+  startEngines({"v1"});
+  Fixture.Store.remove(VersionTable, "model");
+  Fixture.Store.RejectsTransactions = true;
+  restartGateway();
+  waitForTargets(1);
+  const std::string Answer = request("a1", "");
+  CHECK(contains(Answer, "HTTP/1.1 503"));
+  CHECK(contains(Answer, "Retry-After"));
+  LONGS_EQUAL(0, requestCount());
+  Fixture.Store.RejectsTransactions = false;
+  waitForStreamAt(0);
+}
+
 // Failure: a stream that can begin nowhere waits until its deadline.
 TEST(StreamVersions, StreamIsRefusedWhileNoServedVersionIsRecorded) {
   startEngines({"v1"});
