--- a/Libraries/LibDispatch/VersionConfirmation.h
+++ b/Libraries/LibDispatch/VersionConfirmation.h
@@ -48,8 +48,8 @@
                                                  BootTime Now);
   /// A read whose answer holds all that was written before \p KnownAt.
   void recordRead(Read Kind, BootTime KnownAt);
-  /// Forgets starts that have not been listed for long. \p IsListed tells
-  /// whether a start is listed now.
+  /// Removes starts that have not been listed within the retention period.
+  /// \p IsListed returns whether a start is listed.
   template <typename Predicate> void expire(Predicate IsListed, BootTime Now) {
     for (auto &[Server, Refused] : m_Unconfirmed)
       if (IsListed(Server))
--- a/Services/figlift-gateway/VersionRecordReader.h
+++ b/Services/figlift-gateway/VersionRecordReader.h
@@ -15,8 +15,8 @@
   virtual ~VersionRecordReader() = default;
 
   /// Calls \p Done once a read that was sent after this call has ended, or at
-  /// once if the store has just failed and is not asked again yet. The history
-  /// of versions tells whether the record was read.
+  /// once if the store is not asked because a read has just failed. Whether
+  /// the record was read is then found in VersionHistory.
   virtual void readAgain(std::function<void()> Done) = 0;
 };
 
--- a/Tests/FigliftGateway/TestUnexpectedExceptions.cpp
+++ b/Tests/FigliftGateway/TestUnexpectedExceptions.cpp
@@ -1,8 +1,8 @@
 //===- TestUnexpectedExceptions.cpp - Messages that make a gateway throw --===//
 //
-// An exception that nobody expects must cost the message that caused it, and
-// neither the gateway nor what else it has accepted. The log is what throws
-// here: it is written to from nearly every handler.
+// An unexpected exception ends the processing of one message only: the gateway
+// and its other requests go on. The log sink throws the exceptions, because
+// nearly every handler writes to the log.
 //
 //===----------------------------------------------------------------------===//
 
--- a/Tests/FigliftGateway/TestUnreachableServers.cpp
+++ b/Tests/FigliftGateway/TestUnreachableServers.cpp
@@ -1,5 +1,4 @@
-//===- TestUnreachableServers.cpp - Entries at whose address nobody listens
-//===//
+//===- TestUnreachableServers.cpp - Servers that refuse connections -------===//
 //
 // The list of servers holds entries of crashed servers, and of writers that
 // list what is no server. Connections to them are refused at once.
