figlift-gateway: Count and log what a stop gives up and what is not read

Of a request that the end of its process gives up, its line did not say whether it may be repeated and when it was sent, and no metric counted it. An answer that exceeds a bound was logged as a lost connection. Both are told now, and the most that was held at any time is a gauge.

--- a/Libraries/LibCore/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace figlift {
@@ -23,6 +24,8 @@
 
   size_t used() const { return m_Used; }
   size_t maximum() const { return m_Maximum; }
+  /// Highest value of used() so far.
+  size_t highest() const { return m_Highest; }
 
 private:
   friend class MemoryShare;
@@ -30,6 +33,7 @@
   const size_t m_Maximum;
   /// Sum of all shares; may exceed m_Maximum by what was set, not grown.
   size_t m_Used = 0;
+  size_t m_Highest = 0;
 };
 
 class MemoryShare {
@@ -60,6 +64,7 @@
       return;
     const size_t Charged = charge(Bytes);
     m_Budget->m_Used = m_Budget->m_Used - m_Charged + Charged;
+    m_Budget->m_Highest = std::max(m_Budget->m_Highest, m_Budget->m_Used);
     m_Charged = Charged;
   }
 
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -12,6 +12,7 @@
 #include "RestartWatch.h"
 #include "ServerFeedback.h"
 #include "ServiceQueues.h"
+#include "StopMetrics.h"
 #include "StreamMetrics.h"
 #include "TenantMetrics.h"
 #include "VersionRecordReader.h"
@@ -162,6 +163,7 @@
   metrics::Registry Metrics;
   StreamMetrics Streams{Metrics};
   TenantMetrics Tenants{Metrics};
+  StopMetrics Stops{Metrics};
   /// Requests that wait for full servers of plain services.
   ServiceQueues Queues{*this};
   UsageState Usage;
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -465,7 +465,10 @@
     return;
   log::guarded("stop", {}, [&] {
     log::logEvent(log::Level::Info, "stopped",
-                  {{"callers", Callers.size()}, {"cut", busyCallers()}});
+                  {{"callers", Callers.size()},
+                   {"cut", busyCallers()},
+                   {"givenUpOfEarlier", m_Shared.Stops.givenUpOfEarlier()},
+                   {"givenUpOfLater", m_Shared.Stops.givenUpOfLater()}});
   });
   ForEach([](auto &Caller) { Caller.closeForExit(); });
   log::guarded("stop", {}, [&] { m_Usage.sendSums(Now); });
--- a/Services/figlift-gateway/GatewayMetrics.cpp
+++ b/Services/figlift-gateway/GatewayMetrics.cpp
@@ -122,6 +122,10 @@
       "figlift_gateway_held_bytes",
       "Bytes of callers and servers that count against the bound on memory",
       [this] { return double(m_Shared.Memory.used()); });
+  Metrics.registerGauge(
+      "figlift_gateway_held_bytes_highest",
+      "Highest value of figlift_gateway_held_bytes since the start",
+      [this] { return double(m_Shared.Memory.highest()); });
   Metrics.registerCounter(
       "figlift_gateway_answers_skipped_total",
       "Answers of servers that were not the one to the request that waited",
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -46,9 +46,10 @@
 void RequestFlow::received(ServerSend &Send, const std::string &Bytes) {
   recordWriting();
   const std::string Events = m_Relay.feed(Bytes);
-  if (m_Relay.incompleteBytes() > MaximumEventBytes ||
-      !Send.holdBytes(m_Relay.incompleteBytes()))
-    return Send.breakOff();
+  if (m_Relay.incompleteBytes() > MaximumEventBytes)
+    return Send.breakOff("longer than any event");
+  if (!Send.holdBytes(m_Relay.incompleteBytes()))
+    return Send.breakOff("no memory left");
   if (Events.empty())
     return;
   recordUsage();
@@ -194,11 +195,14 @@
 
 void RequestFlow::processStopping() {
   // A response that has started may still complete in time.
-  if (!m_ResponseStarted)
-    guard([this] { endWithoutResponse("the process ends"); });
+  if (m_ResponseStarted)
+    return;
+  m_IsGivenUp = true;
+  guard([this] { endWithoutResponse("the process ends"); });
 }
 
 void RequestFlow::processExiting() {
+  m_IsGivenUp = true;
   guard([this] { endWithoutResponse("the process ended"); });
 }
 
@@ -268,8 +272,15 @@
     if (m_FirstEvent)
       m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
     recordRequestEnd(m_Shared, m_Route, Outcome, firstAfter(Now));
+    recordEndWhileStopping(Outcome);
     logEnded(Outcome, Status, Reason);
   });
 }
 
+void RequestFlow::recordEndWhileStopping(std::string_view Outcome) {
+  if (m_Shared.Stop.begun())
+    m_Shared.Stops.record({m_IsGivenUp ? StopMetrics::GivenUp : Outcome,
+                           m_TimeUntilStop.has_value(), m_Route.repeatable()});
+}
+
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -217,6 +217,7 @@
   void releaseHandle();
   void finish(std::string_view Outcome, unsigned Status,
               std::string_view Reason);
+  void recordEndWhileStopping(std::string_view Outcome);
   void armDeadline();
   void endWithoutResponse(std::string_view Reason);
   void chargeRetry(SendPurpose Purpose, BootTime Now);
@@ -321,6 +322,8 @@
   /// Set only for a request that arrived while the process was stopping, for
   /// the log: time from its arrival to the end of the process.
   std::optional<dispatch::Milliseconds> m_TimeUntilStop;
+  /// The process ends before the request has its answer.
+  bool m_IsGivenUp = false;
   /// \name The latest prefill and the latest execution, for the log: as
   /// planned when they were sent, and when the execution was sent.
   /// @{
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -100,7 +100,7 @@
   m_Fields = slopes::decodeServerFields(Head);
   const bool IsExecution = m_Purpose == SendPurpose::Execute;
   if (!isMatchingResponse(Head, m_Fields))
-    return breakOff();
+    return breakOff("not an answer to the request");
   recordLimit();
   if (IsExecution && isSuccess(Head.Status))
     m_Owner->sendAnswered(*this);
@@ -131,11 +131,25 @@
   if (m_Streamed)
     return m_Owner->sendBody(*this, std::move(Bytes));
   m_Body += Bytes;
-  if (m_Body.size() > MaximumBufferedBody || !holdBytes(m_Body.size()))
-    breakOff();
-}
-
-void ServerSend::breakOff() {
+  if (m_Body.size() > MaximumBufferedBody)
+    return breakOff("longer than any answer");
+  if (!holdBytes(m_Body.size()))
+    breakOff("no memory left");
+}
+
+void ServerSend::breakOff(std::string_view Reason) {
+  m_Shared.Metrics
+      .counter("figlift_gateway_answers_broken_off_total",
+               "Answers of servers that were not read to their end",
+               {{"reason", std::string(Reason)}})
+      .add();
+  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
+    log::logRequest(log::Level::Warning, "answer-broken-off", m_AttemptId, {},
+                    {{"target", m_TargetId},
+                     {"reason", Reason},
+                     {"status", m_Head.Status},
+                     {"bodyBytes", m_Body.size()},
+                     {"heldBytes", m_Shared.Memory.used()}});
   if (const auto Connection = std::exchange(m_Connection, nullptr))
     Connection->abort();
   end(dispatch::ConnectionLost{});
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figlift::gateway {
@@ -65,7 +66,8 @@
   /// Passes body bytes to the owner as they arrive.
   void streamBody() { m_Streamed = true; }
   /// Ends the attempt because the server sends what cannot become an answer.
-  void breakOff();
+  /// \p Reason is for the log and the metrics.
+  void breakOff(std::string_view Reason);
   /// Counts bytes of the answer that the owner holds. Returns false if there is
   /// no room for them.
   bool holdBytes(size_t Count) { return m_Memory.resize(Count); }
