LibDispatch, figlift-gateway: Take what runs once only if it ends in time

What callers saw: after SIGTERM a gateway took requests of unsafe routes, passed them on, and answered 504 at the end of its grace time. They had run or not, their callers could not know, and the other gateways stood idle.

Cause: ProcessStop took an answer that is sent whole by three times its planned time, which is a rank of servers (20 ms times their slowness), not the time of a request. The class is that of the streams that stops cut before: an estimate of the usual where a bound is needed.

Now what may run only once is taken by its deadline, as streams are, and turned away at once otherwise: 503, not run, and the caller goes to a gateway that stays. What may be repeated is still taken by the plan, but not if a request of its route lasted longer lately than the time that is left. A stream whose beginning had to be looked up is checked again after the look-up.

Failed before, with accepts() as it was: AcceptsNoUnsafeRequestThatMayOutlastIt, AcceptsASafeRequestByTheLongestRecentOne (TestStoppingGateway) and two of TestProcessStop.

RespondsBeforeItEnds sent its request after SIGTERM, on an unsafe route that is turned away now. In its place the unsafe request is sent before SIGTERM, and one that may be repeated after it: both have to get the 504.

--- a/Libraries/LibDispatch/ProcessStop.cpp
+++ b/Libraries/LibDispatch/ProcessStop.cpp
@@ -35,9 +35,12 @@
   const auto Remaining = timeLeft(Now);
   if (!Remaining || Work.TimeLeft <= *Remaining)
     return true;
-  return Work.Answer == AnswerForm::Whole &&
-         *Remaining >
-             m_Options.WholeReserve + Work.Expected * m_Options.WholeFactor;
+  if (Work.Answer == AnswerForm::Stream ||
+      Work.MayRepeat == Repetition::Forbidden)
+    return false;
+  return *Remaining >
+         m_Options.WholeReserve +
+             std::max(Work.Expected * m_Options.WholeFactor, Work.Longest);
 }
 
 BootTime ProcessStop::timeAtFraction(double Fraction) const {
--- a/Libraries/LibDispatch/ProcessStop.h
+++ b/Libraries/LibDispatch/ProcessStop.h
@@ -8,12 +8,14 @@
 // Work is accepted only if it ends before the process does; other work is
 // rejected at once, as not run, and the caller turns to another process. The
 // usual duration of requests is no sufficient basis: it is unknown before the
-// first ones have ended, and streams of several times the mean are common.
-// Decisions by the mean cut streams that take up to 10 s where 0 to 1.7 s are
-// expected. So a streamed answer is accepted only if its deadline, at which it
-// ends in any case, comes before the stop. An answer that is sent
-// whole cannot be cut: a caller that is still waiting at the end gets a final
-// answer, so the expected duration with a wide margin suffices.
+// first ones have ended, and requests of several times the mean are common. So
+// a stream, and a request that may run only once, are accepted only if their
+// deadline, at which they end in any case, comes before the stop.
+//
+// An answer that is sent whole to a request that may be repeated cannot be cut:
+// a caller that is still waiting at the end gets a final answer, and may send
+// the request again. It is accepted if requests like it fit, by the plan with a
+// wide margin and by the longest recent ones.
 //
 //   SIGTERM ... idle connections close ... final answers ... exit ... kill
 //   0           0.35 of the time to        grace - 0.7 s     + 0.3 s  grace
@@ -41,14 +43,22 @@
   Stream,
 };
 
+/// Whether a request may run more than once.
+enum class Repetition { Forbidden, Allowed };
+
 /// Work that would begin now: a new request, or a retry.
 struct NewWork {
   AnswerForm Answer = AnswerForm::Whole;
+  Repetition MayRepeat = Repetition::Forbidden;
   /// Time until its deadline, at which it ends in any case.
   Milliseconds TimeLeft{0};
-  /// Planned time until its complete answer; 0 before it is planned. Not used
-  /// for streams.
+  /// \name Only used for whole answers to requests that may be repeated.
+  /// @{
+  /// Planned time until the complete answer; 0 before it is planned.
   Milliseconds Expected{0};
+  /// Of recent requests like it; 0 if there were none.
+  Milliseconds Longest{0};
+  /// @}
 };
 
 struct ProcessStopOptions {
@@ -70,8 +80,9 @@
   /// value that is higher by 0.04 on average than 0.6 with 0.5 does, and higher
   /// in each of six fleets.
   double NoCallersShare = 0.4;
-  /// A whole answer is accepted if it fits into this reserve plus WholeFactor
-  /// times its planned time.
+  /// The whole answer to a request that may be repeated is accepted if this
+  /// reserve is left besides WholeFactor times its planned time, and besides
+  /// the longest recent time.
   Milliseconds WholeReserve{800};
   double WholeFactor = 3;
 };
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -19,6 +19,7 @@
 
 #include "LibCore/BackgroundWorker.h"
 #include "LibCore/MemoryBudget.h"
+#include "LibDispatch/AnswerTimes.h"
 #include "LibDispatch/Configuration.h"
 #include "LibDispatch/EngineDemand.h"
 #include "LibDispatch/EnginePriorities.h"
@@ -148,6 +149,8 @@
   std::map<std::string, dispatch::DemandMeter> Demands;
   /// By route.
   std::map<std::string, dispatch::StreamTimes> StreamTimes;
+  /// Of answers that are sent whole, by route.
+  std::map<std::string, dispatch::AnswerTimes> AnswerTimes;
   dispatch::EnginePriorities Priorities{StreamTimes};
   /// Demand that the other gateways reported, by gateway.
   std::map<std::string, std::vector<dispatch::ServiceDemand>> PeerDemands;
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -271,6 +271,8 @@
     const BootTime Now = BootClock::now();
     if (m_FirstEvent)
       m_Shared.StreamTimes[m_Route.Name].recordEnd(Now);
+    if (!streaming() && m_History.sends() > 0)
+      m_Shared.AnswerTimes[m_Route.Name].record(Now - m_Started, Now);
     recordRequestEnd(m_Shared, m_Route, Outcome, firstAfter(Now));
     recordEndWhileStopping(Outcome);
     logEnded(Outcome, Status, Reason);
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -104,9 +104,17 @@
 }
 
 bool RequestFlow::endsBeforeStop(Milliseconds Expected, BootTime Now) const {
-  const auto Form =
+  dispatch::NewWork Work;
+  Work.Answer =
       streaming() ? dispatch::AnswerForm::Stream : dispatch::AnswerForm::Whole;
-  return m_Shared.Stop.accepts({Form, timeLeft(Now), Expected}, Now);
+  Work.MayRepeat = m_Route.repeatable() ? dispatch::Repetition::Allowed
+                                        : dispatch::Repetition::Forbidden;
+  Work.TimeLeft = timeLeft(Now);
+  Work.Expected = Expected;
+  if (const auto Times = m_Shared.AnswerTimes.find(m_Route.Name);
+      Times != m_Shared.AnswerTimes.end())
+    Work.Longest = Times->second.longest(Now);
+  return m_Shared.Stop.accepts(Work, Now);
 }
 
 /// Rejects a request that would not end before the process stops.
--- a/Services/figlift-gateway/RequestVersion.cpp
+++ b/Services/figlift-gateway/RequestVersion.cpp
@@ -14,6 +14,7 @@
 namespace figlift::gateway {
 
 using dispatch::KnownOrigin;
+using dispatch::Milliseconds;
 using dispatch::OnlyVersion;
 using dispatch::OriginLookup;
 using dispatch::UnknownOrigin;
@@ -107,8 +108,14 @@
   if (!needsNewRecord(Origin) || !m_Shared.VersionRecords)
     return resumeAt(Origin);
   m_Shared.VersionRecords->readAgain([Self = shared_from_this()] {
-    if (!Self->m_Done)
-      Self->guard([&] { Self->resumeAt(Self->lookUpOrigin()); });
+    if (Self->m_Done)
+      return;
+    Self->guard([&] {
+      // SIGTERM may have arrived during the read.
+      if (!Self->mayStart(Milliseconds(0), BootClock::now()))
+        return Self->rejectStopping();
+      Self->resumeAt(Self->lookUpOrigin());
+    });
   });
 }
 
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -146,6 +146,8 @@
   Add("stream", "streaming", "model", true);
   Add("once", "streaming", "model", false);
   Add("long", "streaming", "model", false, 15000);
+  Add("long-safe", "safe", "plain", false, 15000);
+  Add("long-unsafe", "unsafe", "plain", false, 15000);
   for (unsigned Number = 1; Number <= AdditionalRoutes; ++Number)
     Add("more-" + std::to_string(Number), "safe", "plain", false);
   if (!Tenants.empty()) {
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -46,9 +46,10 @@
   ~GatewayFixture();
 
   /// Writes the configuration with the routes /safe/, /unsafe/, /stream/
-  /// (resumable), /once/ (not resumable) and /long/ (not resumable, with a
-  /// timeout longer than any grace period in these tests) to the services
-  /// "plain" and "model". \p OmittedService: service to omit with its routes.
+  /// (resumable), /once/ (not resumable) and, with a timeout longer than any
+  /// grace period in these tests, /long/ (not resumable), /long-safe/ and
+  /// /long-unsafe/ to the services "plain" and "model". \p OmittedService:
+  /// service to omit with its routes.
   void configure(uint64_t Version = 1, const std::string &OmittedService = "");
   /// Starts a server of \p Service and lists it in the store as ready.
   Listener &addServer(const std::string &Id, const std::string &Service,
--- a/Tests/LibDispatch/TestProcessStop.cpp
+++ b/Tests/LibDispatch/TestProcessStop.cpp
@@ -20,14 +20,22 @@
 
   BootTime after(int TimeMs) const { return StoppedAt + milliseconds(TimeMs); }
   bool acceptsStream(double TimeLeft, int TimeMs) const {
-    return Stop.accepts({AnswerForm::Stream, Milliseconds(TimeLeft), {}},
-                        after(TimeMs));
-  }
-  bool acceptsWhole(double TimeLeft, double Expected, int TimeMs) const {
     return Stop.accepts(
-        {AnswerForm::Whole, Milliseconds(TimeLeft), Milliseconds(Expected)},
+        {AnswerForm::Stream, Repetition::Allowed, Milliseconds(TimeLeft)},
         after(TimeMs));
   }
+  bool acceptsOnce(double TimeLeft, double Expected, int TimeMs) const {
+    return Stop.accepts({AnswerForm::Whole, Repetition::Forbidden,
+                         Milliseconds(TimeLeft), Milliseconds(Expected)},
+                        after(TimeMs));
+  }
+  bool acceptsWhole(double TimeLeft, double Expected, int TimeMs,
+                    double Longest = 0) const {
+    return Stop.accepts({AnswerForm::Whole, Repetition::Allowed,
+                         Milliseconds(TimeLeft), Milliseconds(Expected),
+                         Milliseconds(Longest)},
+                        after(TimeMs));
+  }
 };
 
 TEST(ProcessStop, AcceptsEverythingBeforeStop) {
@@ -49,7 +57,28 @@
   CHECK(!acceptsStream(2000, 5301));
 }
 
-// A whole answer is never cut: its caller gets a final answer at the stop.
+// Guards against: a request that may run only once is accepted by the usual
+// duration of others, runs, and has no answer when the process exits.
+TEST(ProcessStop, AcceptsWhatRunsOnceOnlyWithDeadlineBeforeStop) {
+  Stop.begin(StoppedAt, Grace);
+  CHECK(acceptsOnce(7300, 20, 0));
+  CHECK(!acceptsOnce(7301, 20, 0));
+  CHECK(!acceptsOnce(60000, 0, 0));
+  CHECK(acceptsOnce(1500, 0, 5800));
+  CHECK(!acceptsOnce(1500, 0, 5801));
+}
+
+// Guards against: a request that may be repeated is accepted by the usual
+// duration, although some of its route last longer than the remaining time.
+TEST(ProcessStop, AcceptsWholeAnswerByTheLongestRecentOne) {
+  Stop.begin(StoppedAt, Grace);
+  CHECK(acceptsWhole(60000, 20, 1000, 5400));
+  CHECK(!acceptsWhole(60000, 20, 1000, 5500));
+  CHECK(acceptsWhole(6000, 20, 1000, 5500));
+}
+
+// A whole answer is never cut: its caller gets a final answer at the stop, and
+// may send the request again.
 TEST(ProcessStop, AcceptsWholeAnswerDueBeforeStop) {
   Stop.begin(StoppedAt, Grace);
   CHECK(acceptsWhole(60000, 0, 6499));
--- a/Tests/StoppingGateway/TestStoppingGateway.cpp
+++ b/Tests/StoppingGateway/TestStoppingGateway.cpp
@@ -58,13 +58,71 @@
 // stop.
 // Cause: the process ends while a server has not responded.
 TEST(StoppingGateway, RespondsBeforeItEnds) {
-  Fixture.addServer("s1", "plain",
-                    [](const proxy::Request &, const Caller &) {});
+  Listener &Server = Fixture.addServer(
+      "s1", "plain", [](const proxy::Request &, const Caller &) {});
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 1");
+  }));
+  KeepAliveCaller Unsafe(Fixture);
+  Unsafe.send("POST", "/long-unsafe/x");
+  CHECK(Fixture.waitUntil([&] { return Server.Requests.size() == 1; }));
+  Fixture.sendTermination();
+  CHECK(contains(Fixture.request("GET", "/long-safe/x"), "HTTP/1.1 504"));
+  CHECK(Fixture.waitUntil(
+      [&] { return contains(Unsafe.received(), "HTTP/1.1 504"); }));
+}
+
+// Guards against: a request that may run only once is taken after SIGTERM, as
+// others of its route were short, and has no answer when the process ends.
+TEST(StoppingGateway, AcceptsNoUnsafeRequestThatMayOutlastIt) {
+  Listener &Server = Fixture.addServer("s1", "plain", respondWith("one"));
   CHECK(Fixture.waitUntil([&] {
     return contains(Fixture.metrics(), "figlift_gateway_targets 1");
   }));
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(contains(Fixture.request("POST", "/long-unsafe/x"), "one"));
+  Server.setBehaviour([](const proxy::Request &, const Caller &) {});
   Fixture.sendTermination();
-  CHECK(contains(Fixture.request("POST", "/unsafe/x"), "HTTP/1.1 504"));
+  CHECK(Fixture.waitUntilReady(false));
+  CHECK(isStoppingRejection(Fixture.request("POST", "/long-unsafe/x")));
+  LONGS_EQUAL(5, Server.Requests.size());
+}
+
+// A deadline before the end of the process limits the duration, so a rejection
+// would only cost the caller another attempt.
+TEST(StoppingGateway, AcceptsAnUnsafeRequestWithADeadlineBeforeItsEnd) {
+  Fixture.addServer("s1", "plain", respondWith("one"));
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 1");
+  }));
+  Fixture.sendTermination();
+  CHECK(Fixture.waitUntilReady(false));
+  CHECK(contains(
+      Fixture.request("POST", "/long-unsafe/x", "X-Deadline-Ms: 800\r\n"),
+      "one"));
+}
+
+// Guards against: a request that may be repeated is taken because it is usually
+// short, although the last ones of its route outlast the remaining time.
+TEST(StoppingGateway, AcceptsASafeRequestByTheLongestRecentOne) {
+  Listener &Server = Fixture.addServer("s1", "plain", respondWith("one"));
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 1");
+  }));
+  CHECK(contains(Fixture.request("GET", "/long-safe/x"), "one"));
+  // This one has no answer within its deadline.
+  Server.setBehaviour([](const proxy::Request &, const Caller &) {});
+  CHECK(contains(
+      Fixture.request("GET", "/long-safe/x", "X-Deadline-Ms: 1200\r\n"),
+      "HTTP/1.1 504"));
+  Server.setBehaviour(respondWith("one"));
+  const size_t RequestsBefore = Server.Requests.size();
+  Fixture.sendTermination();
+  CHECK(Fixture.waitUntilReady(false));
+  CHECK(isStoppingRejection(Fixture.request("GET", "/long-safe/x")));
+  LONGS_EQUAL(RequestsBefore, Server.Requests.size());
+  // Nothing is known of the other route but the plan.
+  CHECK(contains(Fixture.request("GET", "/safe/x"), "one"));
 }
 
 // Failure: a stream is interrupted by a planned stop.
