LibProxy: Reject hundreds of header fields, and chunks that are mostly framing

A faulty server that sends bytes which cost many times their number stays within all bounds on bytes. A body in chunks of one byte is six bytes to parse for each byte that the bound on bodies counts, and kept a core busy for two seconds.

A head has at most 256 fields now, and the framing of the chunks of one message may exceed their content by 1 MiB: chunks of five bytes and more never do, those of one byte fail after 1.5 MB. Callers are rejected with 431.

Failed before, with the two bounds out of reach: ManyFieldsFail, ChunksOfOneByteFail, LimitsTheNumberOfFields (TestLibProxy).

--- a/Libraries/LibProxy/ConsumeInput.h
+++ b/Libraries/LibProxy/ConsumeInput.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,44 @@
   size_t m_Count = 0;
 };
 
+/// Counts the fields of one message. In memory, a short field takes many times
+/// its bytes, so that a bound on the bytes of the head is not enough.
+class FieldCount {
+public:
+  /// Fails with header_limit above the maximum.
+  void add(boost::beast::error_code &Code) {
+    if (++m_Count > Maximum)
+      Code = boost::beast::http::error::header_limit;
+  }
+
+private:
+  /// Several times the number in any message of this platform.
+  static constexpr unsigned Maximum = 256;
+
+  unsigned m_Count = 0;
+};
+
+/// Counts the framing of the chunks of one message that exceeds their content.
+/// A sender of chunks of one byte makes its peer parse six bytes for each byte
+/// of the body, within all bounds on the body.
+class ChunkOverhead {
+public:
+  /// Fails with header_limit above the maximum.
+  void add(uint64_t ContentBytes, boost::beast::error_code &Code) {
+    if (ContentBytes < FramingBytes)
+      m_Excess += FramingBytes - ContentBytes;
+    if (m_Excess > MaximumExcess)
+      Code = boost::beast::http::error::header_limit;
+  }
+
+private:
+  /// Of the shortest chunk: one digit and two line ends.
+  static constexpr uint64_t FramingBytes = 5;
+  static constexpr uint64_t MaximumExcess = 1 << 20;
+
+  uint64_t m_Excess = 0;
+};
+
 /// Whether \p Input, which the parser has not consumed, is the beginning of an
 /// element of the body (the line before a chunk, or the trailer) that is longer
 /// than \p Maximum. The parser waits for the end of such an element, however
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -33,7 +33,8 @@
   }
   void on_response_impl(int, StringView, int, ErrorCode &) override {}
   void on_field_impl(http::field, StringView Name, StringView Value,
-                     ErrorCode &) override {
+                     ErrorCode &Code) override {
+    m_Fields.add(Code);
     // The fields of a trailer are dropped (RFC 9110, 6.5.1).
     if (!m_HeadComplete)
       Parsed.Head.Headers.add(std::string(Name), std::string(Value));
@@ -60,10 +61,11 @@
     Parsed.Body.append(Body.data(), Body.size());
     return Body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView Extension,
+  void on_chunk_header_impl(std::uint64_t Bytes, StringView Extension,
                             ErrorCode &Code) override {
     HasChunk = true;
     Extensions.add(Extension.size(), Code);
+    m_Chunks.add(Bytes, Code);
   }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
                                  ErrorCode &) override {
@@ -73,6 +75,8 @@
   void on_finish_impl(ErrorCode &) override {}
 
   bool m_HeadComplete = false;
+  FieldCount m_Fields;
+  ChunkOverhead m_Chunks;
 };
 
 RequestParser::RequestParser(RequestBounds Bounds) : m_Bounds(Bounds) {
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -36,6 +36,9 @@
   ExtensionBytes Extensions{MaximumHeadBytes};
 
 private:
+  FieldCount m_Fields;
+  ChunkOverhead m_Chunks;
+
   void on_request_impl(http::verb, StringView, StringView, int,
                        ErrorCode &) override {}
   void on_response_impl(int Status, StringView Reason, int Version,
@@ -45,7 +48,8 @@
     Head.Version = static_cast<unsigned>(Version);
   }
   void on_field_impl(http::field, StringView Name, StringView Value,
-                     ErrorCode &) override {
+                     ErrorCode &Code) override {
+    m_Fields.add(Code);
     Head.Headers.add(std::string(Name), std::string(Value));
   }
   void on_header_impl(ErrorCode &Code) override {
@@ -62,10 +66,11 @@
     Body.append(Bytes.data(), Bytes.size());
     return Bytes.size();
   }
-  void on_chunk_header_impl(std::uint64_t, StringView Extension,
+  void on_chunk_header_impl(std::uint64_t Bytes, StringView Extension,
                             ErrorCode &Code) override {
     HasChunk = true;
     Extensions.add(Extension.size(), Code);
+    m_Chunks.add(Bytes, Code);
   }
   std::size_t on_chunk_body_impl(std::uint64_t, StringView Bytes,
                                  ErrorCode &) override {
--- a/Tests/LibProxy/TestRequestParser.cpp
+++ b/Tests/LibProxy/TestRequestParser.cpp
@@ -105,6 +105,16 @@
                      "\r\n\r\n");
 }
 
+// Guards against: header fields of a few bytes, each of which is held as two
+// strings, take many times the limit on heads.
+TEST(RequestParser, LimitsTheNumberOfFields) {
+  Parser.setBounds({.HeadBytes = 16384, .BodyBytes = 64});
+  std::string Head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  for (int I = 0; I < 300; ++I)
+    Head += "a:b\r\n";
+  failsWith(431, Head);
+}
+
 TEST(RequestParser, LimitsTheBody) {
   failsWith(413, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n");
 }
--- a/Tests/LibProxy/TestResponseParser.cpp
+++ b/Tests/LibProxy/TestResponseParser.cpp
@@ -178,3 +178,25 @@
     CHECK(Parser.finish() == State::Failed);
   }
 }
+
+// Guards against: header fields of a few bytes, each of which is held as two
+// strings, take many times the limit on heads.
+TEST(EndlessResponses, ManyFieldsFail) {
+  std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  for (int I = 0; I < 300; ++I)
+    Head += "a:b\r\n";
+  CHECK(Parser.feed(Head) == State::Failed);
+}
+
+// Guards against: a body in chunks of one byte keeps a core busy for seconds.
+TEST(EndlessResponses, ChunksOfOneByteFail) {
+  CHECK(readBeforeFailure(Head, "1\r\nx\r\n") < 2 << 20);
+}
+
+// Chunks that carry as much as they cost are taken however many they are.
+TEST(EndlessResponses, ShortChunksArePassedOn) {
+  Parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int I = 0; I < 500000; ++I)
+    CHECK(Parser.feed("5\r\nevent\r\n") == State::Body);
+  LONGS_EQUAL(2500000, Parser.takeBody().size());
+}
