figlift-gateway, LibProxy: Hold bytes of others once, and count all of it

A faulty server that sends a body without end, or of any length that it likes, made a gateway hold 103 to 123 MiB above calm with 300 callers (64 are wanted), bodies of 30 callers 97 to 111 MiB: more than twice what the bound counts.

Cause: size was counted and capacity held, as a string doubles its capacity when it grows; the body of a request was copied into what is sent, and an answer into its head's string and that into what waits to be written; a connection kept the memory of its last answer while it was idle; and the allocator kept large buffers that were freed. The class: a bound that counts something else than what is held.

Bodies are collected in blocks now, whose capacity is counted. A request's body is written from where it is kept, and an answer's is moved. A length that exceeds the bound ends the exchange at the head. Streams to callers that do not read stop sooner while memory is scarce. Freed buffers go back to the system. The bound is an eighth of the memory, as each message has 64 KiB besides.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -23,6 +23,8 @@
 /// A caller that still sends this much after its last response does not read
 /// it.
 constexpr size_t MaximumDiscardedBytes = 16 << 20;
+/// A longer body is sent by itself, without a copy behind its head.
+constexpr size_t MaximumCopiedBytes = 65536;
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket Socket,
@@ -138,7 +140,7 @@
   m_HeadStarted = false;
   m_ContinueSent = false;
   Request Incoming = m_Parser.take();
-  m_RequestBytes = Incoming.Body.size();
+  m_RequestBytes = Incoming.Body.capacity();
   m_Version = Incoming.Head.Version;
   if (Incoming.Head.Headers.containsToken("Connection", "close") ||
       (m_Version < 11 &&
@@ -183,14 +185,18 @@
   return Text;
 }
 
-void CallerConnection::respond(const ResponseHead &Head,
-                               std::string_view Body) {
+void CallerConnection::respond(const ResponseHead &Head, std::string Body) {
   if (m_Closed)
     return;
   std::string Text =
       serializeHead(Head, fmt::format("Content-Length: {}\r\n", Body.size()));
-  Text += Body;
-  write(Text);
+  if (Body.size() <= MaximumCopiedBytes) {
+    Text += Body;
+    write(std::move(Text));
+  } else {
+    write(std::move(Text));
+    write(std::move(Body));
+  }
   finishResponse();
 }
 
@@ -210,7 +216,7 @@
   if (m_Closed || Bytes.empty())
     return;
   if (!m_Chunked)
-    return write(Bytes);
+    return write(std::string(Bytes));
   write(fmt::format("{:x}\r\n{}\r\n", Bytes.size(), Bytes));
 }
 
@@ -247,9 +253,12 @@
     close(CloseReason::CallerEnded);
 }
 
-void CallerConnection::write(std::string_view Bytes) {
+void CallerConnection::write(std::string Bytes) {
   m_LastUndeliveredBytes.reset();
-  m_Pending += Bytes;
+  if (m_Pending.empty())
+    m_Pending = std::move(Bytes);
+  else
+    m_Pending += Bytes;
   m_Memory.set(heldBytes());
   if (m_Writing.empty())
     flush();
@@ -269,7 +278,9 @@
 }
 
 void CallerConnection::onWritten(const ErrorCode &Code) {
-  m_Writing.clear();
+  // An idle connection keeps no memory of its last answer. Neither clear() nor
+  // the assignment of an empty string releases it.
+  std::string().swap(m_Writing);
   m_WritingSent = 0;
   m_Memory.set(heldBytes());
   if (m_Closed)
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -136,7 +136,7 @@
 
   /// \name Response to the active request: complete, or streamed.
   /// @{
-  void respond(const ResponseHead &Head, std::string_view Body);
+  void respond(const ResponseHead &Head, std::string Body);
   /// Starts a response of unknown length: chunked or, for an HTTP/1.0 caller,
   /// delimited by the end of the connection.
   void beginStream(const ResponseHead &Head) {
@@ -200,13 +200,14 @@
   void rejectInput(unsigned Status);
   void finishResponse();
   void responseFinished();
-  void write(std::string_view Bytes);
+  void write(std::string Bytes);
   void flush();
   void onWritten(const ErrorCode &Code);
   void adoptLimits();
-  /// Bytes held for the caller.
+  /// Memory that is taken for the caller.
   size_t heldBytes() const {
-    return m_Parser.bufferedBytes() + m_RequestBytes + unsentBytes();
+    return m_Parser.bufferedBytes() + m_RequestBytes + m_Pending.capacity() +
+           m_Writing.capacity();
   }
   bool isIdle() const;
   void checkInput();
--- a/Libraries/LibProxy/Message.cpp
+++ b/Libraries/LibProxy/Message.cpp
@@ -99,18 +99,17 @@
   return EndToEnd;
 }
 
-std::string serializeRequest(const RequestHead &Head, const HeaderList &Fields,
-                             std::string_view Body) {
+std::string serializeRequestHead(const RequestHead &Head,
+                                 const HeaderList &Fields, size_t BodyBytes) {
   std::string Text =
       fmt::format("{} {} HTTP/1.1\r\n", Head.Method, Head.Target);
   for (const HeaderField &Field : Fields)
     Text += fmt::format("{}: {}\r\n", Field.Name, Field.Value);
-  const bool HasBody = !Body.empty() || Head.Headers.has("Content-Length") ||
+  const bool HasBody = BodyBytes > 0 || Head.Headers.has("Content-Length") ||
                        Head.Headers.has("Transfer-Encoding");
   if (HasBody)
-    Text += fmt::format("Content-Length: {}\r\n", Body.size());
+    Text += fmt::format("Content-Length: {}\r\n", BodyBytes);
   Text += "\r\n";
-  Text += Body;
   return Text;
 }
 
--- a/Libraries/LibProxy/Message.h
+++ b/Libraries/LibProxy/Message.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,6 +77,8 @@
   HeaderList Headers;
   /// Of a received response; a writer chooses its own framing.
   BodyFraming Framing = BodyFraming::Length;
+  /// Content-Length of a received response.
+  std::optional<uint64_t> Length = std::nullopt;
 };
 
 /// A copy without the hop-by-hop fields (RFC 9110, 7.6.1), including those that
@@ -83,10 +86,11 @@
 /// control the connection to the target.
 HeaderList endToEndHeaders(const HeaderList &Headers);
 
-/// Serializes a request: the request line of \p Head, \p Fields and \p Body. A
-/// body is sent with Content-Length, also when it was received in chunks.
-std::string serializeRequest(const RequestHead &Head, const HeaderList &Fields,
-                             std::string_view Body);
+/// Serializes the head of a request: the request line of \p Head, and
+/// \p Fields. A body is sent with Content-Length, also when it was received in
+/// chunks.
+std::string serializeRequestHead(const RequestHead &Head,
+                                 const HeaderList &Fields, size_t BodyBytes);
 
 /// Standard reason phrase of a status code; "Unknown" for codes without one.
 std::string_view reasonPhrase(unsigned Status);
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -6,6 +6,7 @@
 
 #include "LibProxy/RequestParser.h"
 
+#include "LibProxy/BodyBuffer.h"
 #include "LibProxy/ConsumeInput.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -20,6 +21,8 @@
 class RequestParser::BeastParser : public http::basic_parser<true> {
 public:
   Request Parsed;
+  /// Of Parsed, until the request is complete.
+  BodyBuffer Body;
   /// A chunk with data has begun.
   bool HasChunk = false;
   ExtensionBytes Extensions{0};
@@ -57,9 +60,9 @@
   }
   void on_body_init_impl(const boost::optional<std::uint64_t> &,
                          ErrorCode &) override {}
-  std::size_t on_body_impl(StringView Body, ErrorCode &) override {
-    Parsed.Body.append(Body.data(), Body.size());
-    return Body.size();
+  std::size_t on_body_impl(StringView Bytes, ErrorCode &) override {
+    Body.append({Bytes.data(), Bytes.size()});
+    return Bytes.size();
   }
   void on_chunk_header_impl(std::uint64_t Bytes, StringView Extension,
                             ErrorCode &Code) override {
@@ -67,10 +70,10 @@
     Extensions.add(Extension.size(), Code);
     m_Chunks.add(Bytes, Code);
   }
-  std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
+  std::size_t on_chunk_body_impl(std::uint64_t, StringView Bytes,
                                  ErrorCode &) override {
-    Parsed.Body.append(Body.data(), Body.size());
-    return Body.size();
+    Body.append({Bytes.data(), Bytes.size()});
+    return Bytes.size();
   }
   void on_finish_impl(ErrorCode &) override {}
 
@@ -128,12 +131,13 @@
 
 Request RequestParser::take() {
   Request Completed = std::move(m_BeastParser->Parsed);
+  Completed.Body = m_BeastParser->Body.take();
   reset();
   return Completed;
 }
 
 void RequestParser::discard() {
-  m_Input = {};
+  std::string().swap(m_Input);
   reset();
 }
 
@@ -144,7 +148,7 @@
 }
 
 size_t RequestParser::bufferedBytes() const {
-  return m_Input.size() + m_BeastParser->Parsed.Body.size();
+  return m_Input.size() + m_BeastParser->Body.capacity();
 }
 
 } // namespace figlift::proxy
--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -122,8 +122,11 @@
     return m_State = State::Failed;
   if (isElementTooLong(*m_BeastParser, m_Input, MaximumHeadBytes))
     return m_State = State::Failed;
-  if (m_BeastParser->is_header_done())
+  if (m_BeastParser->is_header_done()) {
     m_BeastParser->Head.Framing = framing();
+    if (const auto Length = m_BeastParser->content_length())
+      m_BeastParser->Head.Length = *Length;
+  }
   if (m_BeastParser->is_done())
     return m_State = State::Complete;
   if (m_BeastParser->is_header_done())
--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -43,9 +43,11 @@
       m_Id(nextConnectionId()) {}
 
 void ServerConnection::exchange(std::string Bytes, bool ExpectBody,
-                                std::shared_ptr<ExchangeSink> Sink) {
+                                std::shared_ptr<ExchangeSink> Sink,
+                                SharedBody Body) {
   ++m_Exchanges;
   m_Outgoing = std::move(Bytes);
+  m_OutgoingBody = std::move(Body);
   m_Sink = std::move(Sink);
   m_RequestWritten = false;
   m_HeadReported = false;
@@ -133,14 +135,19 @@
   // The write owns the bytes: an exchange that ends early may replace
   // m_Outgoing before the write completes.
   auto Bytes = std::make_shared<std::string>(std::move(m_Outgoing));
+  const SharedBody Body = std::exchange(m_OutgoingBody, nullptr);
+  const std::array<asio::const_buffer, 2> Parts = {
+      asio::buffer(std::as_const(*Bytes)),
+      Body ? asio::buffer(*Body) : asio::const_buffer()};
   const auto Sink = std::weak_ptr<ExchangeSink>(m_Sink);
-  asio::async_write(
-      m_Socket, asio::buffer(*Bytes),
-      [Self = shared_from_this(), Bytes, Sink](const ErrorCode &Code, size_t) {
-        // A write error is reported by the read, after the server's last bytes.
-        if (!Code && Sink.lock() == Self->m_Sink)
-          Self->m_RequestWritten = true;
-      });
+  asio::async_write(m_Socket, Parts,
+                    [Self = shared_from_this(), Bytes, Body,
+                     Sink](const ErrorCode &Code, size_t) {
+                      // A write error is reported by the read, after the
+                      // server's last bytes.
+                      if (!Code && Sink.lock() == Self->m_Sink)
+                        Self->m_RequestWritten = true;
+                    });
 }
 
 void ServerConnection::read() {
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -49,6 +49,9 @@
   Interrupted,
 };
 
+/// The body of a request, which its owner may need for another attempt.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// Identifies a connection among all that this process has opened.
 using ConnectionId = uint64_t;
 
@@ -88,10 +91,12 @@
   ServerConnection(boost::asio::io_context &Loop, Endpoint Peer,
                    ConnectionTimeouts Timeouts);
 
-  /// Sends the serialized request \p Bytes, after connecting if necessary. The
-  /// connection must be unused or idle. \p ExpectBody is false for HEAD.
+  /// Sends the serialized request \p Bytes, and \p Body after it, after
+  /// connecting if necessary. The connection must be unused or idle.
+  /// \p ExpectBody is false for HEAD. \p Body must not change until it has been
+  /// sent; null for none.
   void exchange(std::string Bytes, bool ExpectBody,
-                std::shared_ptr<ExchangeSink> Sink);
+                std::shared_ptr<ExchangeSink> Sink, SharedBody Body = nullptr);
   /// Closes the connection at once, without calling the sink. Servers abandon a
   /// request whose connection closes.
   void abort();
@@ -153,6 +158,7 @@
   State m_State = State::Unconnected;
   std::array<char, 8192> m_Buffer;
   std::string m_Outgoing;
+  SharedBody m_OutgoingBody;
   /// All bytes of the request were passed to the kernel. If a response arrives
   /// earlier, the rest of the body is unsent. The connection is then not
   /// reused, because the server would parse the next request as that rest.
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -61,10 +61,10 @@
 inline constexpr std::chrono::milliseconds TickInterval{100};
 
 /// Bound on the bytes that callers and servers make a gateway hold, all
-/// together. A fifth of its memory: on their way, bytes are held up to three
-/// times.
+/// together. An eighth of its memory: with what each message and connection may
+/// hold besides, some hundred callers leave it below a quarter.
 inline size_t maximumHeldBytes(const settings::GatewaySettings &Settings) {
-  return static_cast<size_t>(Settings.Process.MemoryMegabytes * 1e6 / 5);
+  return static_cast<size_t>(Settings.Process.MemoryMegabytes * 1e6 / 8);
 }
 
 /// What the components of a gateway share about the duty to report usage.
--- a/Services/figlift-gateway/Main.cpp
+++ b/Services/figlift-gateway/Main.cpp
@@ -11,6 +11,7 @@
 #include "LibSettings/CommandLine.h"
 
 #include <csignal>
+#include <malloc.h>
 #include <string_view>
 #include <unistd.h>
 
@@ -33,6 +34,13 @@
   return {};
 }
 
+/// Makes the allocator return every large buffer to the system when it is
+/// freed. By default it keeps those up to the size of the largest one so far.
+void returnLargeBuffers() {
+  constexpr int LargeBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, LargeBytes);
+}
+
 /// \p How: SIG_BLOCK or SIG_UNBLOCK.
 void maskHangup(int How) {
   sigset_t Signals;
@@ -69,6 +77,7 @@
   // Without a handler SIGHUP ends the process. It stays pending until there is
   // one, so that settings that change meanwhile are read again.
   maskHangup(SIG_BLOCK);
+  returnLargeBuffers();
   return settings::runProgram<settings::GatewaySettings>(
       Program, settings::readGatewayCommandLine(Count, Arguments),
       [&](const settings::GatewaySettings &Settings) {
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -19,6 +19,8 @@
 /// Limit of bytes buffered for a slow caller; further bytes stay at the
 /// server.
 constexpr size_t MaximumUnsentBytes = 256 << 10;
+/// The same while callers and servers use up the memory.
+constexpr size_t MaximumUnsentWhenScarce = 32 << 10;
 /// A stream that is silent for this multiple of the event gap that its route
 /// targets is late already; callers disconnect after eight times the gap.
 constexpr int EventTimeoutFactor = 3;
@@ -88,7 +90,11 @@
 }
 
 bool RequestFlow::wantsMore() const {
-  return m_Done || m_Caller->unsentBytes() < MaximumUnsentBytes;
+  const MemoryBudget &Memory = m_Shared.Memory;
+  const bool IsMemoryScarce = Memory.used() > Memory.maximum() / 2;
+  return m_Done ||
+         m_Caller->unsentBytes() <
+             (IsMemoryScarce ? MaximumUnsentWhenScarce : MaximumUnsentBytes);
 }
 
 void RequestFlow::callerWritable() {
@@ -128,14 +134,14 @@
 void RequestFlow::forwardBuffered(ServerSend &Send) {
   proxy::ResponseHead Head = Send.head();
   Head.Headers = proxy::endToEndHeaders(Head.Headers);
-  m_Caller->respond(Head, Send.body());
+  m_Caller->respond(Head, Send.takeBody());
   finish("answered", Head.Status, "");
 }
 
 void RequestFlow::forwardFailure(ServerSend &Send) {
   proxy::ResponseHead Head = Send.head();
   Head.Headers = proxy::endToEndHeaders(Head.Headers);
-  m_Caller->respond(Head, Send.body());
+  m_Caller->respond(Head, Send.takeBody());
   finish("server-failed", Head.Status, "");
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -262,9 +262,9 @@
   if (!engineCostsKnown(Now))
     Work.Expected = Milliseconds(0);
   if (mayUseVersionOf(TargetId) &&
-      m_Send->start(
-          proxy::serializeRequest(m_Request.Head, Headers, m_Request.Body),
-          Work, m_History)) {
+      m_Send->start(proxy::serializeRequestHead(m_Request.Head, Headers,
+                                                m_Request.Body.size()),
+                    sharedBody(), Work, m_History)) {
     chargeRetry(Purpose, Now);
     expectCached(TargetId, Expected);
     if (Purpose == SendPurpose::Execute && !streaming())
@@ -330,7 +330,7 @@
 }
 
 void RequestFlow::prefillCompleted(ServerSend &Send) {
-  const auto Read = slopes::decodePrefillResult(Send.body());
+  const auto Read = slopes::decodePrefillResult(Send.takeBody());
   const dispatch::Target *PrefillTarget =
       m_Shared.Targets.find(Send.targetId());
   if (!Read || !PrefillTarget || Send.targetRestarted())
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -133,6 +133,10 @@
   void recordDemand(const dispatch::EngineCosts &Costs,
                     std::span<const dispatch::Target *const> Open,
                     BootTime Now);
+  /// The body of the request, which is kept for other attempts.
+  upstream::SharedBody sharedBody() {
+    return {shared_from_this(), &m_Request.Body};
+  }
   void startPrefill(const dispatch::PrefillThenDecode &Plan);
   void startExecution(const dispatch::DecodePlan &Plan);
   void prefillCompleted(ServerSend &Send);
--- a/Services/figlift-gateway/ServerExchange.cpp
+++ b/Services/figlift-gateway/ServerExchange.cpp
@@ -96,9 +96,11 @@
     Connection->recordCall();
   Shared.Limits.recordSend(Server->Id, Now);
   std::string Bytes = std::move(Request.Bytes);
+  upstream::SharedBody Body = std::move(Request.Body);
   Connection->exchange(std::move(Bytes), true,
                        std::make_shared<FeedbackReader>(Shared, Server->start(),
-                                                        std::move(Request)));
+                                                        std::move(Request)),
+                       std::move(Body));
   return Connection;
 }
 
--- a/Services/figlift-gateway/ServerExchange.h
+++ b/Services/figlift-gateway/ServerExchange.h
@@ -21,8 +21,9 @@
 
 struct ServerRequest {
   std::string TargetId;
-  /// The serialized request.
+  /// The serialized request, or its head if it has a Body.
   std::string Bytes;
+  upstream::SharedBody Body = nullptr;
   std::shared_ptr<upstream::ExchangeSink> Sink;
   ServerFeedback::AnswerCheck IsServersAnswer;
   /// Empty if any connection to the server will do.
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -30,8 +30,8 @@
       m_Purpose(Purpose), m_AttemptId(std::move(AttemptId)), m_Number(Number),
       m_Memory(&Shared.Memory) {}
 
-bool ServerSend::start(std::string Bytes, dispatch::Work Work,
-                       dispatch::SendHistory &History) {
+bool ServerSend::start(std::string Head, upstream::SharedBody Body,
+                       dispatch::Work Work, dispatch::SendHistory &History) {
   m_Started = BootClock::now();
   // The exchange keeps this object for as long as it may call the check.
   const auto IsServersAnswer = [this](const proxy::ResponseHead &Head) {
@@ -43,7 +43,8 @@
   };
   m_Connection = startExchange(m_Shared,
                                {.TargetId = m_TargetId,
-                                .Bytes = std::move(Bytes),
+                                .Bytes = std::move(Head),
+                                .Body = std::move(Body),
                                 .Sink = shared_from_this(),
                                 .IsServersAnswer = IsServersAnswer,
                                 .IsSuitable = IsUnused},
@@ -104,6 +105,8 @@
   recordLimit();
   if (IsExecution && isSuccess(Head.Status))
     m_Owner->sendAnswered(*this);
+  if (m_Owner && !m_Streamed && Head.Length.value_or(0) > MaximumBufferedBody)
+    breakOff("longer than any answer");
 }
 
 void ServerSend::recordLimit() {
@@ -130,10 +133,10 @@
     return;
   if (m_Streamed)
     return m_Owner->sendBody(*this, std::move(Bytes));
-  m_Body += Bytes;
+  m_Body.append(Bytes);
   if (m_Body.size() > MaximumBufferedBody)
     return breakOff("longer than any answer");
-  if (!holdBytes(m_Body.size()))
+  if (!holdBytes(m_Body.capacity()))
     breakOff("no memory left");
 }
 
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -12,6 +12,7 @@
 #include "Context.h"
 
 #include "LibDispatch/SendHistory.h"
+#include "LibProxy/BodyBuffer.h"
 #include "platform/Headers.h"
 
 #include <memory>
@@ -36,7 +37,7 @@
   /// Asked when a response whose body was passed to sendBody is complete by
   /// its framing. If false, the server broke off.
   virtual bool isWholeBody(ServerSend &Send) = 0;
-  /// Called after a complete success. The body is in body() unless it was
+  /// Called after a complete success. takeBody() returns the body unless it was
   /// passed to sendBody.
   virtual void sendCompleted(ServerSend &Send) = 0;
   virtual void sendEnded(ServerSend &Send, dispatch::SendOutcome End) = 0;
@@ -55,7 +56,7 @@
   /// Takes a connection that has not carried any send of \p History, records
   /// it there, and sends the request. Returns false without sending if the pool
   /// of the server is exhausted.
-  bool start(std::string Bytes, dispatch::Work Work,
+  bool start(std::string Head, upstream::SharedBody Body, dispatch::Work Work,
              dispatch::SendHistory &History);
   /// Closes the connection, which also cancels the work at the server.
   void cancel();
@@ -80,7 +81,8 @@
   dispatch::SendHistory::SendNumber number() const { return m_Number; }
   const proxy::ResponseHead &head() const { return m_Head; }
   const slopes::ServerFields &fields() const { return m_Fields; }
-  std::string &body() { return m_Body; }
+  /// Returns the whole body and leaves none.
+  std::string takeBody() { return m_Body.take(); }
   BootTime started() const { return m_Started; }
   /// Empty if the target was no longer listed.
   const std::optional<dispatch::Target> &target() const { return m_Target; }
@@ -126,7 +128,7 @@
   std::optional<dispatch::Target> m_Target;
   proxy::ResponseHead m_Head;
   slopes::ServerFields m_Fields;
-  std::string m_Body;
+  proxy::BodyBuffer m_Body;
   /// Of m_Body, or of what the owner holds.
   MemoryShare m_Memory;
   bool m_Streamed = false;
--- a/Tests/DescriptorLimit/TestDescriptorLimit.cpp
+++ b/Tests/DescriptorLimit/TestDescriptorLimit.cpp
@@ -5,16 +5,13 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "FigliftGateway/StandInPlatform.h"
-#include "Support/ChildProcess.h"
+#include "FigliftGateway/SeparateGateway.h"
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <iterator>
 #include <memory>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -30,37 +27,19 @@
 } // namespace
 
 TEST_GROUP(DescriptorLimit) {
-  const std::filesystem::path Folder =
-      "/tmp/figlift-descriptor-limit-" + std::to_string(getpid());
   GatewayFixture Fixture;
-  test::ChildProcess Process;
+  SeparateGateway Process{Fixture};
   std::vector<std::unique_ptr<KeepAliveCaller>> Connections;
 
   void setup() override {
-    std::filesystem::create_directories(Folder);
     Fixture.configure();
     Fixture.addServer("s1", "plain", respondWith("good"));
     Fixture.addServer("s2", "plain", respondWith("good"));
-    settings::GatewaySettings Own = Fixture.Settings;
-    Own.Process.Id = "g2";
-    Own.Listen = {address(1), address(2), address(3), address(4)};
-    std::ofstream(Folder / "settings") << settings::printSettings(Own);
-    // Callers of this fixture connect to the separate process.
-    Fixture.Settings.Listen = Own.Listen;
     start(Descriptors);
   }
-  void teardown() override {
-    Connections.clear();
-    Process = {};
-    std::filesystem::remove_all(Folder);
-  }
+  void teardown() override { Connections.clear(); }
   void start(size_t Limit) {
-    Process = test::ChildProcess::startWithDescriptors(
-        Limit, "Services/figlift-gateway/figlift-gateway",
-        {"--settings", (Folder / "settings").string()},
-        (Folder / ("log-" + std::to_string(Limit))).string());
-    CHECK(Process.waitForOutput("started", std::chrono::seconds(10)));
-    CHECK(Fixture.waitUntilReady());
+    CHECK(Process.start(Limit));
     CHECK(Fixture.waitUntil([&] {
       return contains(Fixture.metrics(), "figlift_gateway_targets 2");
     }));
@@ -71,14 +50,6 @@
         "/proc/" + std::to_string(Process.pid()) + "/fd");
     return static_cast<size_t>(std::distance(begin(Open), end(Open)));
   }
-  /// An address used by this test process alone.
-  static Endpoint address(unsigned Number) {
-    constexpr int Hosts = 250;
-    const std::string Host = "127.201." +
-                             std::to_string(getpid() / Hosts % Hosts) + "." +
-                             std::to_string(getpid() % Hosts + 1);
-    return {Host, static_cast<uint16_t>(7000 + Number)};
-  }
   void connect(unsigned Count) {
     for (unsigned I = 0; I < Count; ++I)
       Connections.push_back(std::make_unique<KeepAliveCaller>(Fixture));
@@ -137,7 +108,6 @@
 TEST(DescriptorLimit, ConnectionsAreToldWithoutADescriptor) {
   // Far more are in use than the gateway leaves for other uses than callers.
   const size_t Few = used() + 4;
-  Process = {};
   start(Few);
   connect(Callers);
   CHECK(servedOfAll() < Descriptors / 5);
--- a/Tests/FigliftGateway/StandInPlatform.cpp
+++ b/Tests/FigliftGateway/StandInPlatform.cpp
@@ -212,7 +212,7 @@
                                 const std::string &Version, int64_t StartTime) {
   Json Row = {{"service", Service},   {"address", Address.toString()},
               {"zone", "z"},          {"version", Version},
-              {"slots", 4},           {"state", State},
+              {"slots", Slots},       {"state", State},
               {"coldRemainingMs", 0}, {"sequence", ++m_LastSequence},
               {"born", StartTime}};
   if (!Stage.empty())
--- a/Tests/FigliftGateway/StandInPlatform.h
+++ b/Tests/FigliftGateway/StandInPlatform.h
@@ -112,6 +112,8 @@
   /// Number of additional routes in each configuration, named "/more-1/" to
   /// "/more-N/".
   unsigned AdditionalRoutes = 0;
+  /// Requests that each server runs at once.
+  unsigned Slots = 4;
   /// Connections that each server accepts.
   unsigned MaximumConnections = 100;
   /// Longest pause between events that the routes of streams allow.
--- a/Tests/LibProxy/CallerConnectionFixture.h
+++ b/Tests/LibProxy/CallerConnectionFixture.h
@@ -54,7 +54,7 @@
   void respond(std::string_view Body) {
     ResponseHead Head;
     Head.Status = 200;
-    LastCaller->respond(Head, Body);
+    LastCaller->respond(Head, std::string(Body));
   }
 
   CallerLimits Limits;
--- a/Tests/LibProxy/TestCallerMemory.cpp
+++ b/Tests/LibProxy/TestCallerMemory.cpp
@@ -1,5 +1,4 @@
-//===- TestCallerMemory.cpp - Memory for requests of all callers
-//----------------===//
+//===- TestCallerMemory.cpp - Memory for requests of all callers ----------===//
 //
 // Requests that share a bounded memory.
 //
@@ -51,3 +50,17 @@
   }
   LONGS_EQUAL(0, Handler.Memory.used());
 }
+
+// Guards against: idle connections keep the memory of their last large answer.
+TEST(CallerMemory, GivesBackTheMemoryOfAnAnswer) {
+  open();
+  Handler.RespondImmediately = false;
+  send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(until([&] { return Handler.Requests.size() == 1; }));
+  const std::string Body(800000, 'x');
+  Handler.respond(Body);
+  CHECK(Handler.Memory.used() > 700000);
+  CHECK(receives(Body));
+  CHECK(until([&] { return Handler.Memory.used() == 0; }));
+  LONGS_EQUAL(0, Opened->unsentBytes());
+}
--- a/Tests/LibProxy/TestResponseParser.cpp
+++ b/Tests/LibProxy/TestResponseParser.cpp
@@ -200,3 +200,8 @@
     CHECK(Parser.feed("5\r\nevent\r\n") == State::Body);
   LONGS_EQUAL(2500000, Parser.takeBody().size());
 }
+
+TEST(ResponseParser, NamesItsLengthWithItsHead) {
+  Parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+  CHECK(Parser.head().Length == 99999999999U);
+}
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -13,6 +13,8 @@
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
+#include <string>
+#include <string_view>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -131,3 +133,12 @@
   });
   return m_ExitCode;
 }
+
+size_t ChildProcess::highestMemory() const {
+  std::ifstream Status("/proc/" + std::to_string(m_Pid) + "/status");
+  constexpr std::string_view Name = "VmHWM:";
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with(Name))
+      return std::stoul(Line.substr(Name.size())) << 10;
+  return 0;
+}
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -53,6 +53,8 @@
   /// Limit.
   std::optional<int> waitForExit(std::chrono::milliseconds Limit);
   pid_t pid() const { return m_Pid; }
+  /// Highest memory of the child so far, in bytes; 0 if it has ended.
+  size_t highestMemory() const;
 
 private:
   /// \p Command: path of the program and its arguments.
