--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -398,6 +398,8 @@
   }
   if (Result.Status == 0)
     checkLost(Entry, Now);
+  if (Result.Status == 504)
+    checkGivenUp(Entry, Now);
   if (Result.LastEvent > 0)
     ++m_Counts[isSuccess(Result.Status) ? "resumed" : "not resumed"];
   if (Result.Status == 0 && Result.ExpectedEvents > 0)
@@ -444,6 +446,29 @@
                            Seconds(Now - m_Stops[Request.Gateway].At).count()));
 }
 
+/// Without faults, a gateway that stops takes nothing that may run only once
+/// and gives it up at its end.
+void InvariantChecker::checkGivenUp(const Record &Entry, BootTime Now) {
+  const Attempt &Request = Entry.Request;
+  const Stop &LastStop = m_Stops[Request.Gateway];
+  const bool CameAfterSigterm =
+      LastStop.At != BootTime{} &&
+      Request.Sent > std::max(LastStop.At + m_Bounds.ReloadSlack,
+                              LastStop.GraceReportedAt);
+  if (!CameAfterSigterm || Request.Kind == Repeatable::Yes ||
+      !Entry.ExecutionArrived ||
+      Now >= Request.Sent + Request.Timeout - m_Bounds.DeadlineMargin ||
+      !isStable(m_LastFaults, Request.Gateway, Request.Sent) ||
+      !isStable(m_LastFaults, Servers, Request.Sent))
+    return;
+  using Seconds = std::chrono::duration<double>;
+  addViolation(fmt::format(
+      "LOST: {} was taken by {} {:.1f} s after SIGTERM, and given up {:.1f} s "
+      "later",
+      Request.Id, Request.Gateway, Seconds(Request.Sent - LastStop.At).count(),
+      Seconds(Now - Request.Sent).count()));
+}
+
 void InvariantChecker::checkBody(const Outcome &Result) {
   if (Result.ExpectedEvents > 0)
     return checkEvents(Result);
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -258,6 +258,7 @@
   bool isUndisturbed(const std::string &Gateway, BootTime Now) const;
   bool mayOutlastStop(const Attempt &Request, BootTime Now);
   void checkLost(const Record &Entry, BootTime Now);
+  void checkGivenUp(const Record &Entry, BootTime Now);
   void recordRetry(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkRetryBudget(const std::string &Service, BootTime Now);
   unsigned crashLimit(const Attempt &Request) const {
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -55,6 +55,8 @@
   bool IsOutOfStep = false;
   /// Other writers leave odd rows in the store.
   bool OddEntries = false;
+  /// Callers send requests that may run only once and may outlast every grace.
+  bool SlowRequests = false;
   std::filesystem::path Folder;
 };
 
@@ -94,6 +96,8 @@
         Callers.back()->endInputSometimes();
       if (m_Options.IsOutOfStep)
         Callers.back()->insistOnResuming();
+      if (m_Options.SlowRequests)
+        Callers.back()->sendSlowRequests();
       Callers.back()->start();
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
@@ -279,6 +283,8 @@
   Add("out-of-step", "gateways do not hear of a software version that comes, "
                      "and the others are killed");
   Add("odd-entries", "other writers leave odd rows in the store");
+  Add("slow-requests", "callers send requests that may run only once and may "
+                       "outlast every grace");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -298,6 +304,7 @@
   RunOptions.Interrupted = Parsed.count("interrupted") > 0;
   RunOptions.IsOutOfStep = Parsed.count("out-of-step") > 0;
   RunOptions.OddEntries = Parsed.count("odd-entries") > 0;
+  RunOptions.SlowRequests = Parsed.count("slow-requests") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -135,17 +135,23 @@
 }
 
 std::string SoakCaller::requestText() {
-  static const std::array<Route, 6> Routes = {
+  static const std::array<Route, 7> Routes = {
       {{"/safe/", "plain", Repeatable::Yes, false},
        {"/unsafe/", "plain", Repeatable::No, false},
        {"/moving/", InvariantChecker::MovingService, Repeatable::Yes, false},
        {"/stream/", "model", Repeatable::Yes, true},
        {"/once/", "model", Repeatable::No, true},
-       {"/long/", "model", Repeatable::No, true, 1000, 9000}}};
+       {"/long/", "model", Repeatable::No, true, 1000, 9000},
+       {"/slow/", "plain", Repeatable::No, false, 1000, 9000}}};
   constexpr size_t ResumableRoute = 3;
+  constexpr size_t SlowRoute = 6;
+  constexpr unsigned RequestsPerSlow = 3;
   const bool IsStream = m_Broken || (m_PrefersStreams && draw(1, 4) > 1);
-  const Route &Chosen =
-      Routes[IsStream ? ResumableRoute : draw(0, Routes.size() - 1)];
+  const bool IsSlow =
+      m_SendsSlow && !m_Broken && m_InputRandom() % RequestsPerSlow == 0;
+  const Route &Chosen = Routes[IsSlow     ? SlowRoute
+                               : IsStream ? ResumableRoute
+                                          : draw(0, SlowRoute - 1)];
   m_IsResumable = &Chosen == &Routes[ResumableRoute];
   constexpr unsigned UnsafePerEndOfInput = 3;
   m_IsLastOfInput = m_EndsInput && Chosen.Path == "/unsafe/" &&
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -49,6 +49,8 @@
   void endInputSometimes() { m_EndsInput = true; }
   /// Takes a broken stream up again until some gateway answers.
   void insistOnResuming() { m_InsistsOnResuming = true; }
+  /// Sends requests that may run only once and may outlast every grace.
+  void sendSlowRequests() { m_SendsSlow = true; }
   bool idle() const { return m_Idle; }
 
 private:
@@ -105,6 +107,7 @@
   bool m_IsResumable = false;
   bool m_EndsInput = false;
   bool m_InsistsOnResuming = false;
+  bool m_SendsSlow = false;
   /// The caller ends its input after the present request.
   bool m_IsLastOfInput = false;
   /// A stream that broke and is resumed with the next request.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -34,7 +34,9 @@
 /// The soak ticks twenty times per second, so a longer gap is a stall.
 constexpr milliseconds StallThreshold{1000};
 constexpr milliseconds StartLimit{10000};
-/// Route timeout of streams that may outlast every grace.
+/// A quarter of the memory of a machine above that of a calm gateway.
+constexpr size_t MaximumMemory = 76 << 20;
+/// Route timeout of streams and requests that may outlast every grace.
 constexpr milliseconds LongTimeout{10000};
 constexpr unsigned PlainServers = 3;
 /// Slots of each listed server, and of plain servers that are to be full.
@@ -253,6 +255,7 @@
   Target.StopRequested = false;
   Target.TerminatedAt = {};
   Target.Paused = false;
+  Target.ExceededMemory = false;
   Target.Process = test::ChildProcess::start(
       "Services/figlift-gateway/figlift-gateway",
       {"--settings", Settings.string()},
@@ -416,6 +419,7 @@
   Add("stream", "streaming", "model", true);
   Add("once", "streaming", "model");
   Add("long", "streaming", "model", false, LongTimeout);
+  Add("slow", "unsafe", "plain", false, LongTimeout);
   const Json Engine = {{"slots", 8},           {"kvCapacity", 100000},
                        {"tokenKvBytes", 1000}, {"linkMbps", 10000},
                        {"kvHoldS", 5},         {"stageSwitchS", 1}};
@@ -465,6 +469,7 @@
         handleExit(I, Now);
       continue;
     }
+    checkMemory(I);
     if (Target.Paused)
       continue;
     if (Target.StopRequested && Target.TerminatedAt != BootTime{} &&
@@ -475,6 +480,14 @@
   }
 }
 
+void SoakFleet::checkMemory(unsigned Index) {
+  Gateway &Target = m_Gateways[Index];
+  const size_t Bytes = Target.Process.highestMemory();
+  if (Bytes > MaximumMemory && !std::exchange(Target.ExceededMemory, true))
+    m_Checker.addViolation(fmt::format("{} has taken {} MiB of memory",
+                                       gatewayName(Index), Bytes >> 20));
+}
+
 bool SoakFleet::allRunning() {
   for (Gateway &Target : m_Gateways)
     if (!Target.Process.running() || Target.Paused || Target.StopRequested)
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -116,6 +116,7 @@
     /// The longest grace since SIGTERM.
     std::chrono::milliseconds StopLimit{0};
     bool Paused = false;
+    bool ExceededMemory = false;
     /// Not before this time, if it ends.
     BootTime RestartAt{};
     unsigned Starts = 0;
@@ -132,6 +133,7 @@
   void scheduleReplacement(unsigned Index);
   void writeForeignEntries();
   void handleExit(unsigned Index, BootTime Now);
+  void checkMemory(unsigned Index);
   void extendStopLimits(BootTime Now);
 
   boost::asio::io_context &m_Loop;
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -284,6 +284,12 @@
   if (field(Message, "X-Prompt-Prefix").find(CrashingPromptPart) !=
       std::string::npos)
     return writeAndCrash(Message, Sender);
+  if (Message.Head.Target.starts_with("/slow/"))
+    return after(streamDuration(), [this, Sender, ResponseId, Id = m_Id] {
+      if (m_Id != Id || m_Down)
+        return Sender->abort();
+      respond(Sender, successHead(ResponseId), "answer to " + ResponseId);
+    });
   if (Events.empty())
     return respond(Sender, successHead(ResponseId), "answer to " + ResponseId);
   ResponseHead Head = successHead(ResponseId);
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -388,6 +388,27 @@
   expectViolation("LOST: later");
 }
 
+// Guards against requests that may run only once, are taken after SIGTERM, and
+// are answered 504 at the end of their gateway.
+TEST(InvariantChecker, RequestTakenAfterSigtermIsNotGivenUp) {
+  recordRequest("before", Repeatable::No);
+  recordArrival("before");
+  recordStop(seconds(4));
+  Now += milliseconds(1000);
+  recordRequest("safe", Repeatable::Yes);
+  recordArrival("safe");
+  recordRequest("not run", Repeatable::No);
+  recordRequest("after", Repeatable::No);
+  recordArrival("after");
+  Now += milliseconds(1500);
+  recordOutcome("before", 504);
+  recordOutcome("safe", 504);
+  recordOutcome("not run", 504);
+  expectNoViolation();
+  recordOutcome("after", 504);
+  expectViolation("LOST: after");
+}
+
 TEST(InvariantChecker, StopInterruptsNothingBeforeTheLastSixthOfItsGrace) {
   recordExecution("a");
   recordStop(seconds(8));
