figlift-gateway: Handle SIGTERM before the requests of a late loop

A loop that stood still finds the requests that have come and the signal in the same turn, and handles the requests first: a signal is read in one turn and delivered in the next one. Requests that may run only once were passed on in a process that could know that it ends before them, and were given up with 504.

Requests that a late loop reads now start two turns later, after the signals.

--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -14,6 +14,8 @@
 #include "LibLog/Log.h"
 #include "platform/Headers.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -55,6 +57,13 @@
          Code == boost::system::errc::too_many_files_open_in_system;
 }
 
+/// Runs \p Work after the handlers of signals that have arrived. A signal is
+/// read in one turn of the loop and handled in the next one.
+template <typename Function>
+void runAfterSignals(asio::io_context &Loop, Function Work) {
+  asio::post(Loop, [&Loop, Work] { asio::post(Loop, Work); });
+}
+
 /// Answers without waiting for the request, most of which has arrived.
 void rejectAtOnce(tcp::socket &Socket) {
   proxy::HeaderList Fields;
@@ -271,7 +280,11 @@
     Caller->closeAfterResponse();
   auto Flow = std::make_shared<RequestFlow>(m_Shared, std::move(Request),
                                             std::move(Caller));
-  Flow->start();
+  // SIGTERM may have come while the loop stood still.
+  if (IsLoopBehind)
+    runAfterSignals(m_Shared.Loop, [Flow] { Flow->start(); });
+  else
+    Flow->start();
   return Flow;
 }
 
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -47,7 +47,8 @@
       m_SilenceTimer(Shared.Loop), m_Started(BootClock::now()) {}
 
 void RequestFlow::start() {
-  guard([this] { process(); });
+  if (!m_Done)
+    guard([this] { process(); });
 }
 
 void RequestFlow::process() {
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -36,6 +36,7 @@
   RequestFlow(Context &Shared, proxy::Request Request,
               std::shared_ptr<proxy::CallerConnection> Caller);
 
+  /// Does nothing if the request has ended before.
   void start();
 
   void callerDisconnected() override;
--- a/Tests/StoppingGateway/TestChangedGrace.cpp
+++ b/Tests/StoppingGateway/TestChangedGrace.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <sys/stat.h>
 #include <unistd.h>
+#include <utility>
 
 using namespace figlift;
 using namespace figlift::testing;
@@ -36,6 +37,8 @@
 TEST_GROUP(ChangedGrace) {
   std::unique_ptr<GatewayFixture> Fixture;
   std::unique_ptr<KeepAliveCaller> PendingCaller;
+  /// Of the settings file, while the gateway is stalled.
+  int Writer = -1;
 
   void startWithGrace(double Grace) {
     Fixture = std::make_unique<GatewayFixture>(Grace);
@@ -56,6 +59,28 @@
       Fixture->Loop.run_for(milliseconds(1));
     }
   }
+  /// Stalls the gateway until resume() is called: its settings file is a FIFO
+  /// without data.
+  void stall() {
+    const char *File = Fixture->settingsFile().c_str();
+    LONGS_EQUAL(0, unlink(File));
+    LONGS_EQUAL(0, mkfifo(File, 0600));
+    Fixture->sendHangup();
+    // Opens once there is a reader. A second writer would stall the process
+    // forever.
+    CHECK(Fixture->waitUntil([&] {
+      if (Writer < 0)
+        Writer = open(File, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+      return Writer >= 0;
+    }));
+    LONGS_EQUAL(0, unlink(File));
+  }
+  void resume() {
+    const std::string Settings = settings::printSettings(Fixture->Settings);
+    LONGS_EQUAL(Settings.size(),
+                write(Writer, Settings.data(), Settings.size()));
+    close(std::exchange(Writer, -1));
+  }
   bool waitForReloads(int Reloads) {
     return Fixture->waitUntil([&] {
       return contains(Fixture->metrics(), "figlift_gateway_reloads_total " +
@@ -183,25 +208,10 @@
   // One check of the file sees this change, so that the next check is 1 s away.
   Fixture->writeGrace(ShortGrace + 0.1);
   CHECK(waitForReloads(1));
-  // A settings file that is a FIFO without data stalls the process.
-  const std::string Settings = settings::printSettings(Fixture->Settings);
-  const char *File = Fixture->settingsFile().c_str();
-  LONGS_EQUAL(0, unlink(File));
-  LONGS_EQUAL(0, mkfifo(File, 0600));
-  Fixture->sendHangup();
-  int Writer = -1;
-  // Opens once there is a reader. A second writer would stall the process
-  // forever.
-  CHECK(Fixture->waitUntil([&] {
-    if (Writer < 0)
-      Writer = open(File, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
-    return Writer >= 0;
-  }));
-  LONGS_EQUAL(0, unlink(File));
+  stall();
   Fixture->sendTermination();
   Fixture->Loop.run_for(StallTime);
-  LONGS_EQUAL(Settings.size(), write(Writer, Settings.data(), Settings.size()));
-  close(Writer);
+  resume();
   CHECK(Fixture->waitUntilReady(false));
   // Less than 0.1 s of the two seconds is left.
   CHECK(isStoppingRejection(
@@ -209,6 +219,33 @@
   checkStops();
 }
 
+// Guards against: a process that was stalled reads a request before the SIGTERM
+// that came meanwhile, passes it on, and gives it up at its end.
+TEST(ChangedGrace, HandlesTerminationBeforeRequestsOfAStall) {
+  constexpr milliseconds StallTime{400};
+  startWithGrace(ShortGrace);
+  Listener &Server = Fixture->addServer("s1", "plain", respondWith("one"));
+  CHECK(Fixture->waitUntil([&] {
+    return contains(Fixture->metrics(), "figlift_gateway_targets 2");
+  }));
+  // One check of the file sees this change, so that the next check is 1 s away.
+  Fixture->writeGrace(ShortGrace + 0.1);
+  CHECK(waitForReloads(1));
+  KeepAliveCaller Connection(*Fixture);
+  Connection.send("POST", "/unsafe/x");
+  CHECK(Fixture->waitUntil(
+      [&] { return contains(Connection.received(), "one"); }));
+  stall();
+  Connection.send("POST", "/long-unsafe/x");
+  Fixture->Loop.run_for(StallTime);
+  Fixture->sendTermination();
+  resume();
+  CHECK(Fixture->waitUntil(
+      [&] { return Connection.received(), Connection.isClosed(); }));
+  CHECK(contains(Connection.received(), "HTTP/1.1 503"));
+  LONGS_EQUAL(1, Server.Requests.size());
+}
+
 // Failure: a process that is stopped right after its start does not end in time
 // or does not send callers to other gateways.
 // Sequence: SIGTERM arrives before the first configuration.
