--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -31,7 +31,7 @@
        Optional,
        {16, 1000000},
        "Memory above which the platform ends this process. Callers and servers "
-       "can make it hold a fifth of it."},
+       "can make it hold an eighth of it."},
       {"process.descriptors",
        &Settings.Process.Descriptors,
        Optional,
