figlift-gateway, LibDispatch: Do not cut streams that the gateway moves itself

Sequence, from the log: a stream at an engine with long pauses is moved to one that is expected to be faster. Its server still works on it and is left; the other one is full and rejects it. The new plan says "the first token would come too late", and the stream, which was never in danger, is cut.

Cause: an optional action gives up what works on the strength of a plan, and admission control is asked again about a stream that has begun. The class: a plan is taken for an acceptance. (A silent server was given up in the same way before; that was mended at its place alone.)

- While the process stops no stream is moved.
- The engine that a stream was moved away from may take it again if the other one has not run it.
- A stream that has begun is placed wherever it can run, also if it is late.

--- a/Libraries/LibDispatch/PromptPlanner.cpp
+++ b/Libraries/LibDispatch/PromptPlanner.cpp
@@ -429,9 +429,9 @@
       Request.ExpectedStartLag;
   const Milliseconds Wait = (UseSplitPlan ? SplitWait : Single->Prefill.Wait) +
                             Request.ExpectedStartLag;
-  if (!isInTime(Request, Wait, FirstEvent))
+  if (!Request.HasBegun && !isInTime(Request, Wait, FirstEvent))
     return reject(Request, "the first token would come too late", FirstEvent);
-  if (!leavesReserve(Request, Wait)) {
+  if (!Request.HasBegun && !leavesReserve(Request, Wait)) {
     Rejection Reserved =
         reject(Request, "more urgent requests need the capacity",
                std::max(FirstEvent, Wait + Request.Reserve));
--- a/Libraries/LibDispatch/PromptPlanner.h
+++ b/Libraries/LibDispatch/PromptPlanner.h
@@ -59,6 +59,9 @@
   double Draw = 0;
   /// An ejected engine may be chosen if there is no other.
   bool MayUseEjected = true;
+  /// The stream has begun. It is placed wherever it can run: a rejection would
+  /// cut it.
+  bool HasBegun = false;
 };
 
 /// Planned times of a prefill, against which the actual time is compared.
--- a/Services/figlift-gateway/RequestFlow.cpp
+++ b/Services/figlift-gateway/RequestFlow.cpp
@@ -156,7 +156,9 @@
   const BootTime Now = BootClock::now();
   if (m_History.sends() == 0)
     recordDemand(m_Shared.costsOf(Service, Now), usableTargets(), Now);
-  const auto Plan = promptPlan(Service, Now);
+  dispatch::PromptRequest Request = promptRequest(Now);
+  Request.HasBegun = m_ResponseStarted;
+  const auto Plan = promptPlan(Service, std::move(Request), Now);
   m_PlannedAt = Now;
   m_PlannedLag = m_Shared.StartLags.of(m_Service, m_Route.Name).current(Now);
   if (const auto *Read = std::get_if<dispatch::PrefillThenDecode>(&Plan)) {
@@ -453,6 +455,10 @@
   if (std::holds_alternative<dispatch::Rejected>(End) && engineService())
     m_Shared.StartLags.of(m_Service, m_Route.Name)
         .recordRejection(m_Route.LatencyTarget, Now);
+  // The engine that the stream was moved away from would have gone on.
+  if (const std::string Source = std::exchange(m_MovedFrom, {});
+      !Source.empty() && !dispatch::mayHaveRun(End))
+    std::erase(m_Excluded, Source);
   if (mayReuseHandle(End, Now) && decodeElsewhere(Send, Now))
     return;
   const auto Next = nextStep(End, Send);
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -92,6 +92,7 @@
   /// Null for a request to a service without engines.
   const dispatch::Service *engineService() const;
   dispatch::PromptPlan promptPlan(const dispatch::Service &Service,
+                                  dispatch::PromptRequest Request,
                                   BootTime Now);
   dispatch::ServicePlan servicePlan(BootTime Now);
   bool mayUseEjected() const;
@@ -367,6 +368,9 @@
   std::optional<usage::WindowNumber> m_UsageWindow;
   /// The stream was moved to another engine; it is not moved again.
   bool m_Moved = false;
+  /// The engine that it was moved away from, until it is known whether the
+  /// other one has taken it; empty otherwise.
+  std::string m_MovedFrom;
   bool m_Done = false;
   /// All events of this request are logged, even if it proceeds as planned.
   bool m_Traced = false;
--- a/Services/figlift-gateway/RequestMove.cpp
+++ b/Services/figlift-gateway/RequestMove.cpp
@@ -39,8 +39,9 @@
   Stream.BudgetLeft = m_Shared.Budget.remaining(m_Service, Now);
   Stream.BudgetBase = m_Shared.Settings.Retry.Base;
   const auto Reason = dispatch::moveReason(Stream);
-  // A run that begins anew may outlast this process; the present one may not.
-  if (!Reason || !endsBeforeStop(m_PlannedFirst, Now))
+  // A move is a risk for a stream that would have gone on. While the process
+  // stops, its caller has no other use of it than to get the rest.
+  if (!Reason || m_Shared.Stop.begun())
     return;
   const auto Destination = moveDestination(Source, Now);
   if (!Destination ||
@@ -70,6 +71,7 @@
   abandonExpectedCache(Source);
   Old->cancel();
   m_Excluded.push_back(Source);
+  m_MovedFrom = Source;
   // The execution that ends here has taken it.
   m_Handle.reset();
   startExecution(Destination);
--- a/Services/figlift-gateway/RequestPlanning.cpp
+++ b/Services/figlift-gateway/RequestPlanning.cpp
@@ -11,8 +11,9 @@
 using dispatch::Milliseconds;
 
 dispatch::PromptPlan RequestFlow::promptPlan(const dispatch::Service &Service,
+                                             dispatch::PromptRequest Request,
                                              BootTime Now) {
-  return m_Shared.Prompts.plan(promptRequest(Now), usableTargets(),
+  return m_Shared.Prompts.plan(Request, usableTargets(),
                                m_Shared.costsOf(Service, Now), Now);
 }
 
@@ -100,14 +101,15 @@
                                Milliseconds(*End) + Spread));
 }
 
-/// Whether there is a plan for the request that avoids this target.
+/// Whether there is a plan for the request that avoids this target, and is as
+/// good as one for a new request.
 bool RequestFlow::hasAlternative(const std::string &AvoidedTargetId,
                                  BootTime Now) {
   m_Excluded.push_back(AvoidedTargetId);
   const dispatch::Service *Service = engineService();
   const bool HasPlan =
       Service ? !std::holds_alternative<dispatch::Rejection>(
-                    promptPlan(*Service, Now))
+                    promptPlan(*Service, promptRequest(Now), Now))
               : !std::holds_alternative<dispatch::ServiceRejection>(
                     servicePlan(Now));
   m_Excluded.pop_back();
--- a/Tests/LibDispatch/TestPromptPlanner.cpp
+++ b/Tests/LibDispatch/TestPromptPlanner.cpp
@@ -144,6 +144,18 @@
   CHECK(std::get<Rejection>(Plan).RetryAfter >= milliseconds(600));
 }
 
+// Guards against: a stream that has begun and needs another engine is cut,
+// because its next event would be late.
+TEST(PromptPlanner, PlacesABegunStreamThatWouldBeLate) {
+  for (const Target &Entry : Targets)
+    load(Entry.Id, 150);
+  CHECK(std::holds_alternative<Rejection>(plan()));
+  Request.HasBegun = true;
+  CHECK(!std::holds_alternative<Rejection>(plan()));
+  Request.Reserve = Milliseconds(1000);
+  CHECK(!std::holds_alternative<Rejection>(plan()));
+}
+
 // The largest tenth of the prompts misses the latency target because of its
 // size. Admission control by the first token alone would starve these prompts,
 // so they may wait as long as a small one.
