--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -326,7 +326,7 @@
   dispatch::Milliseconds m_PlannedLag{0};
   BootTime m_PlannedAt{};
   /// Set only for a request that arrived while the process was stopping, for
-  /// the log: time from its arrival to the end of the process.
+  /// the log and the metrics: time from its arrival to the end of the process.
   std::optional<dispatch::Milliseconds> m_TimeUntilStop;
   /// The process ends before the request has its answer.
   bool m_IsGivenUp = false;
--- a/Services/figlift-gateway/RequestMove.cpp
+++ b/Services/figlift-gateway/RequestMove.cpp
@@ -39,8 +39,8 @@
   Stream.BudgetLeft = m_Shared.Budget.remaining(m_Service, Now);
   Stream.BudgetBase = m_Shared.Settings.Retry.Base;
   const auto Reason = dispatch::moveReason(Stream);
-  // A move is a risk for a stream that would have gone on. While the process
-  // stops, its caller has no other use of it than to get the rest.
+  // A move may fail, and a stream that is cut during a stop cannot be resumed
+  // here.
   if (!Reason || m_Shared.Stop.begun())
     return;
   const auto Destination = moveDestination(Source, Now);
