--- a/Tests/StoppingGateway/TestStoppingGateway.cpp
+++ b/Tests/StoppingGateway/TestStoppingGateway.cpp
@@ -70,6 +70,15 @@
   CHECK(contains(Fixture.request("GET", "/long-safe/x"), "HTTP/1.1 504"));
   CHECK(Fixture.waitUntil(
       [&] { return contains(Unsafe.received(), "HTTP/1.1 504"); }));
+  // The metrics tell them apart until the process has ended.
+  const std::string Metrics = Fixture.metrics();
+  for (const char *Labels :
+       {R"({came="before",repeatable="no",outcome="given-up"} 1)",
+        R"({came="after",repeatable="yes",outcome="given-up"} 1)"})
+    CHECK(contains(
+        Metrics,
+        std::string("figlift_gateway_requests_ended_while_stopping_total") +
+            Labels));
 }
 
 // Guards against: a request that may run only once is taken after SIGTERM, as
