Tests/LibHttp: Wait for the stop in place of sleeping

Two tests slept for 50 ms to let a stop begin that shows nothing outside. A thread that waits within stop() is asleep, and the kernel says so: they wait for that, with a deadline. What the stop does without the handlers it has done by then, so that the verdict is the same each time. Both occupied all threads of the server with the same lines; that is a group of its own now.

Checks as before.

--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -13,10 +13,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
+#include <fstream>
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -99,6 +102,31 @@
   return true;
 }
 
+/// Stops a server on a thread of its own.
+class StoppingThread {
+public:
+  explicit StoppingThread(Server &Stopped)
+      : m_Thread([this, &Stopped] {
+          m_Id = gettid();
+          Stopped.stop();
+        }) {}
+  StoppingThread(const StoppingThread &) = delete;
+  StoppingThread &operator=(const StoppingThread &) = delete;
+  ~StoppingThread() { m_Thread.join(); }
+
+  /// Whether the thread sleeps, which it does only in stop().
+  bool isWaiting() const {
+    std::ifstream Stat("/proc/self/task/" + std::to_string(m_Id) + "/stat");
+    std::string Text;
+    std::getline(Stat, Text);
+    return contains(Text, ") S ");
+  }
+
+private:
+  std::atomic<pid_t> m_Id = 0;
+  std::thread m_Thread;
+};
+
 Route route(std::string Method, std::string Path, Handler Handle) {
   return Route{std::move(Method), std::move(Path), true, std::move(Handle),
                false};
@@ -328,66 +356,74 @@
   Stopper.join();
 }
 
-// Failure: a request that has arrived is dropped with its connection when the
-// process stops, as its connection counts as idle until the request is read.
-TEST(HttpServer, ARequestThatWaitsToBeReadIsRefusedAtTheStop) {
-  // One handler for each of the server's threads, so that nothing is read.
-  constexpr unsigned Threads = 2;
+/// A server whose threads are all occupied by handlers, so that it neither
+/// reads nor accepts anything until resume().
+TEST_GROUP_BASE(OccupiedServer, TEST_GROUP_CppUTestGroupHttpServer) {
+  static constexpr unsigned Threads = 2;
   std::atomic<unsigned> Busy = 0;
   std::promise<void> Resume;
-  const std::shared_future<void> Resumed = Resume.get_future().share();
-  start({route("GET", "/v1/", echo), route("POST", "/v1/", [&](auto Call) {
-           ++Busy;
-           Resumed.wait();
-           echo(Call);
-         })});
+  bool HasResumed = false;
+  std::vector<std::unique_ptr<Connection>> Blocking;
+  std::unique_ptr<StoppingThread> Stopper;
+
+  void startServer() {
+    start({route("GET", "/v1/", echo),
+           route("POST", "/v1/",
+                 [this, Resumed = Resume.get_future().share()](auto Call) {
+                   ++Busy;
+                   Resumed.wait();
+                   echo(Call);
+                 })});
+  }
+  void occupy() {
+    for (unsigned I = 0; I < Threads; ++I) {
+      Blocking.push_back(std::make_unique<Connection>(Port));
+      Blocking.back()->send(
+          "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    }
+    CHECK(eventually([&] { return Busy == Threads; }));
+  }
+  /// Returns once the stop waits for the handlers. Whatever it does without
+  /// them, it has done by then.
+  void beginStop() {
+    Running->drain();
+    Stopper = std::make_unique<StoppingThread>(*Running);
+    CHECK(eventually([&] { return Stopper->isWaiting(); }));
+  }
+  void resume() {
+    if (!std::exchange(HasResumed, true))
+      Resume.set_value();
+  }
+  void teardown() override {
+    resume();
+    Stopper.reset();
+    Blocking.clear();
+    Running.reset();
+  }
+};
+
+// Failure: a request that has arrived is dropped with its connection when the
+// process stops, as its connection counts as idle until the request is read.
+TEST(OccupiedServer, RefusesARequestThatWaitsToBeReadAtTheStop) {
+  startServer();
   Connection Kept(Port);
   Kept.send("GET /v1/x HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(contains(Kept.readUntil("|/v1/x"), "|/v1/x"));
-  Connection First(Port);
-  Connection Second(Port);
-  for (Connection *Blocking : {&First, &Second})
-    Blocking->send(
-        "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-  CHECK(eventually([&] { return Busy == Threads; }));
-  Running->drain();
+  occupy();
   Kept.send("GET /v1/y HTTP/1.1\r\nHost: x\r\n\r\n");
-  std::thread Stopper([&] { Running->stop(); });
-  // The stop closes idle connections before anything else is read.
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  Resume.set_value();
-  const std::string Reply = Kept.readUntil("Retry-After");
-  Stopper.join();
-  CHECK(contains(Reply, "Retry-After"));
+  beginStop();
+  resume();
+  CHECK(contains(Kept.readUntil("Retry-After"), "Retry-After"));
 }
 
 // Failure: a request on a new connection gets no answer when the process stops,
 // as the kernel resets connections that were not accepted yet.
-TEST(HttpServer, ARequestOnANewConnectionIsRefusedAtTheStop) {
-  // One handler for each of the server's threads, so that nothing is accepted.
-  constexpr unsigned Threads = 2;
-  std::atomic<unsigned> Busy = 0;
-  std::promise<void> Resume;
-  const std::shared_future<void> Resumed = Resume.get_future().share();
-  start({route("POST", "/v1/", [&](auto Call) {
-    ++Busy;
-    Resumed.wait();
-    echo(Call);
-  })});
-  Connection First(Port);
-  Connection Second(Port);
-  for (Connection *Blocking : {&First, &Second})
-    Blocking->send(
-        "POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-  CHECK(eventually([&] { return Busy == Threads; }));
+TEST(OccupiedServer, RefusesARequestOnANewConnectionAtTheStop) {
+  startServer();
+  occupy();
   Connection New(Port);
   New.send("POST /v1/y HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-  Running->drain();
-  std::thread Stopper([&] { Running->stop(); });
-  // The stop closes the acceptor before anything else is accepted.
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  Resume.set_value();
-  const std::string Reply = New.readUntil("Retry-After");
-  Stopper.join();
-  CHECK(contains(Reply, "Retry-After"));
+  beginStop();
+  resume();
+  CHECK(contains(New.readUntil("Retry-After"), "Retry-After"));
 }
