--- a/Tests/StreamVersions/TestStreamVersions.cpp
+++ b/Tests/StreamVersions/TestStreamVersions.cpp
@@ -421,6 +421,27 @@
     STRCMP_EQUAL("a3", field(Received, "X-Attempt-Id").c_str());
 }
 
+// Guards against: SIGTERM arrives while the beginning of a stream is looked up,
+// and the stream begins in a process that ends before it.
+TEST(StreamVersions, WaitingForTheRecordEndsWithAStop) {
+  startEngines({"v1"});
+  waitForRecord();
+  Fixture.Store.BytesPerSecond = 10'000'000;
+  Fixture.Store.MidResponsePause = milliseconds(400);
+  KeepAliveCaller Resuming(Fixture);
+  const unsigned Before = Fixture.Store.ReadCounts[VersionTable];
+  Resuming.sendBytes(text("a1", resumption("elsewhere")));
+  CHECK(Fixture.waitUntil(
+      [&] { return Fixture.Store.ReadCounts[VersionTable] > Before; }));
+  // Ends before the deadline of the stream.
+  Fixture.writeGrace(2);
+  Fixture.sendTermination();
+  CHECK(Fixture.waitUntil(
+      [&] { return Resuming.received(), Resuming.isClosed(); }));
+  CHECK(isStoppingRejection(Resuming.received()));
+  LONGS_EQUAL(0, requestCount());
+}
+
 // Failure: after a kill of all gateways, each of their streams reads the store.
 TEST(StreamVersions, StreamsThatReturnAtOnceShareReads) {
   Fixture.Store.remove(VersionTable, "model");
