--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <optional>
 #include <stdexcept>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -52,7 +53,23 @@
   CHECK(isComplete());
 }
 
-// The same for a watch.
+// Guards against: a process that was paused takes the store for silent before
+// it has read what has arrived, and drops the response.
+TEST(StoreClient, ReadsWhatHasArrivedAfterAPause) {
+  Client.readAll("t", "",
+                 [this](auto Result) { setResponse(std::move(Result)); });
+  // The first parts of the response have arrived by then.
+  Loop.run_for(milliseconds(100));
+  CHECK_FALSE(Response.has_value());
+  // The store continues as soon as the loop does.
+  const auto End = std::chrono::steady_clock::now() + milliseconds(300);
+  while (std::chrono::steady_clock::now() < End)
+    std::this_thread::yield();
+  CHECK(waitForResponse());
+  CHECK(isComplete());
+}
+
+// Guards against the same limit for a watch.
 TEST(StoreClient, WatchesAResponseThatTakesLongerThanTheTimeout) {
   Client.watch("t", {1, 0}, milliseconds(50),
                [this](auto Result) { setResponse(std::move(Result)); });
