figlift-gateway: Handle SIGTERM before all requests of a late loop

Symptom: a process that stood still passes on requests which it found, after the SIGTERM that came meanwhile, and gives them up at its end. The signal is among the later ones, and the tick, which is in the first turn, makes the loop count as up to date for the rest.

Requests that are read while the loop catches up now wait until every socket that was ready has been read and the signals have been handled: a number of turns that follows from the number of open sockets. A late loop also drops the requests of callers who have left in all of these turns, not only in the first.

The test of one request shares its steps and checks the same as before.

--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -301,6 +301,7 @@
     log::guarded("tick", Name, Work);
   };
   Part("delays", [&] {
+    catchUpIfLate();
     if (Now - m_LastTick > StallThreshold) {
       m_ConfigurationFollower.resync();
       m_ServerFollower.resync();
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -33,9 +33,12 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace figlift::gateway {
 
+class RequestFlow;
+
 class Gateway : public proxy::RequestHandler {
 public:
   Gateway(settings::GatewaySettings Settings, OutputWriter &Output,
@@ -110,6 +113,13 @@
   void rejectForRoom(const proxy::Request &Request,
                      proxy::CallerConnection &Caller);
   /// @}
+  /// \name The end of a stall: requests that are found start after the signals
+  /// that came meanwhile have been handled, one of which may be SIGTERM.
+  /// @{
+  void catchUpIfLate();
+  void catchUp(size_t TurnsLeft);
+  size_t openSockets() const;
+  /// @}
   void logClosedConnections(BootTime Now);
   void watchSignals();
   void watchSettings(BootTime Now);
@@ -166,6 +176,9 @@
   uint64_t m_RejectedLogged = 0;
   /// @}
   dispatch::AcceptControl m_AcceptControl;
+  bool m_IsCatchingUp = false;
+  /// Requests that start when m_IsCatchingUp ends; empty otherwise.
+  std::vector<std::shared_ptr<RequestFlow>> m_Postponed;
   BootTime m_ClosedConnectionsLoggedAt{};
   BootTime m_LastTick{};
   /// SIGTERM is handled after the tick that ends a stall, so it may have
--- a/Services/figlift-gateway/GatewayAccept.cpp
+++ b/Services/figlift-gateway/GatewayAccept.cpp
@@ -37,6 +37,11 @@
 constexpr milliseconds LogInterval{1000};
 /// With this delay of the loop, callers may have left before they were read.
 constexpr milliseconds AbandonedDelay{250};
+/// Boost.Asio reads at most so many of the sockets that are ready in one turn
+/// of the loop.
+constexpr size_t SocketsReadInATurn = 128;
+/// From the turn that reads a signal to the one after its handler.
+constexpr size_t TurnsOfASignal = 2;
 /// Other gateways have room in most cases. Here, connections are closed all the
 /// time.
 constexpr milliseconds NoRoomRetryAfter{300};
@@ -57,13 +62,6 @@
          Code == boost::system::errc::too_many_files_open_in_system;
 }
 
-/// Runs \p Work after the handlers of signals that have arrived. A signal is
-/// read in one turn of the loop and handled in the next one.
-template <typename Function>
-void runAfterSignals(asio::io_context &Loop, Function Work) {
-  asio::post(Loop, [&Loop, Work] { asio::post(Loop, Work); });
-}
-
 /// Answers without waiting for the request, most of which has arrived.
 void rejectAtOnce(tcp::socket &Socket) {
   proxy::HeaderList Fields;
@@ -268,10 +266,10 @@
     rejectForRoom(Request, *Caller);
     return nullptr;
   }
+  catchUpIfLate();
   // A request that was sent while the loop was behind may have waited longer
   // than its caller did.
-  const bool IsLoopBehind = loopDelay() > AbandonedDelay;
-  if (IsLoopBehind && Caller->hasCallerLeft()) {
+  if (m_IsCatchingUp && Caller->hasCallerLeft()) {
     ++m_AbandonedRequests;
     Caller->abort();
     return nullptr;
@@ -280,12 +278,35 @@
     Caller->closeAfterResponse();
   auto Flow = std::make_shared<RequestFlow>(m_Shared, std::move(Request),
                                             std::move(Caller));
-  // SIGTERM may have come while the loop stood still.
-  if (IsLoopBehind)
-    runAfterSignals(m_Shared.Loop, [Flow] { Flow->start(); });
+  if (m_IsCatchingUp)
+    m_Postponed.push_back(Flow);
   else
     Flow->start();
   return Flow;
 }
 
+void Gateway::catchUpIfLate() {
+  if (m_IsCatchingUp || loopDelay() <= AbandonedDelay)
+    return;
+  m_IsCatchingUp = true;
+  catchUp(openSockets() / SocketsReadInATurn + 1 + TurnsOfASignal);
+}
+
+/// Each handler that is posted runs in a later turn of the loop.
+void Gateway::catchUp(size_t TurnsLeft) {
+  if (TurnsLeft > 0)
+    return asio::post(m_Shared.Loop,
+                      [this, TurnsLeft] { catchUp(TurnsLeft - 1); });
+  m_IsCatchingUp = false;
+  for (const auto &Flow : std::exchange(m_Postponed, {}))
+    Flow->start();
+}
+
+size_t Gateway::openSockets() const {
+  size_t Count = m_Callers.size();
+  for (const auto &[Id, Pool] : m_Shared.Pools)
+    Count += Pool->openConnections();
+  return Count;
+}
+
 } // namespace figlift::gateway
--- a/Tests/StoppingGateway/TestChangedGrace.cpp
+++ b/Tests/StoppingGateway/TestChangedGrace.cpp
@@ -10,6 +10,7 @@
 #include "FigliftGateway/StandInPlatform.h"
 
 #include <CppUTest/TestHarness.h>
+#include <deque>
 #include <fcntl.h>
 #include <memory>
 #include <sys/stat.h>
@@ -81,6 +82,48 @@
                 write(Writer, Settings.data(), Settings.size()));
     close(std::exchange(Writer, -1));
   }
+  /// Starts a gateway with ShortGrace and returns its server, which responds at
+  /// once.
+  Listener &startWithServer() {
+    startWithGrace(ShortGrace);
+    Listener &Server = Fixture->addServer("s1", "plain", respondWith("one"));
+    CHECK(Fixture->waitUntil([&] {
+      return contains(Fixture->metrics(), "figlift_gateway_targets 2");
+    }));
+    return Server;
+  }
+  /// Opens connections on which one request has been answered.
+  void openConnections(std::deque<KeepAliveCaller> & Connections,
+                       unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I) {
+      KeepAliveCaller &Connection = Connections.emplace_back(*Fixture);
+      Connection.send("POST", "/unsafe/x");
+      CHECK(Fixture->waitUntil(
+          [&] { return contains(Connection.received(), "one"); }));
+    }
+  }
+  void checkRejected(std::deque<KeepAliveCaller> & Connections) {
+    for (KeepAliveCaller &Connection : Connections) {
+      CHECK(Fixture->waitUntil(
+          [&] { return Connection.received(), Connection.isClosed(); }));
+      CHECK(contains(Connection.received(), "HTTP/1.1 503"));
+    }
+  }
+  /// Sends a request on each connection to a gateway that is stalled, and
+  /// SIGTERM after them, before it goes on.
+  void terminateInAStall(std::deque<KeepAliveCaller> & Connections) {
+    constexpr milliseconds StallTime{400};
+    // One check of the file sees this change, so that the next check is 1 s
+    // away.
+    Fixture->writeGrace(ShortGrace + 0.1);
+    CHECK(waitForReloads(1));
+    stall();
+    for (KeepAliveCaller &Connection : Connections)
+      Connection.send("POST", "/long-unsafe/x");
+    Fixture->Loop.run_for(StallTime);
+    Fixture->sendTermination();
+    resume();
+  }
   bool waitForReloads(int Reloads) {
     return Fixture->waitUntil([&] {
       return contains(Fixture->metrics(), "figlift_gateway_reloads_total " +
@@ -222,30 +265,26 @@
 // Guards against: a process that was stalled reads a request before the SIGTERM
 // that came meanwhile, passes it on, and gives it up at its end.
 TEST(ChangedGrace, HandlesTerminationBeforeRequestsOfAStall) {
-  constexpr milliseconds StallTime{400};
-  startWithGrace(ShortGrace);
-  Listener &Server = Fixture->addServer("s1", "plain", respondWith("one"));
-  CHECK(Fixture->waitUntil([&] {
-    return contains(Fixture->metrics(), "figlift_gateway_targets 2");
-  }));
-  // One check of the file sees this change, so that the next check is 1 s away.
-  Fixture->writeGrace(ShortGrace + 0.1);
-  CHECK(waitForReloads(1));
-  KeepAliveCaller Connection(*Fixture);
-  Connection.send("POST", "/unsafe/x");
-  CHECK(Fixture->waitUntil(
-      [&] { return contains(Connection.received(), "one"); }));
-  stall();
-  Connection.send("POST", "/long-unsafe/x");
-  Fixture->Loop.run_for(StallTime);
-  Fixture->sendTermination();
-  resume();
-  CHECK(Fixture->waitUntil(
-      [&] { return Connection.received(), Connection.isClosed(); }));
-  CHECK(contains(Connection.received(), "HTTP/1.1 503"));
+  Listener &Server = startWithServer();
+  std::deque<KeepAliveCaller> Connections;
+  openConnections(Connections, 1);
+  terminateInAStall(Connections);
+  checkRejected(Connections);
   LONGS_EQUAL(1, Server.Requests.size());
 }
 
+// Guards against: the same with more requests than one turn of the event loop
+// reads, so that a later turn reads the signal.
+TEST(ChangedGrace, HandlesTerminationBeforeManyRequestsOfAStall) {
+  constexpr unsigned Requests = 400;
+  Listener &Server = startWithServer();
+  std::deque<KeepAliveCaller> Connections;
+  openConnections(Connections, Requests);
+  terminateInAStall(Connections);
+  checkRejected(Connections);
+  LONGS_EQUAL(Requests, Server.Requests.size());
+}
+
 // Failure: a process that is stopped right after its start does not end in time
 // or does not send callers to other gateways.
 // Sequence: SIGTERM arrives before the first configuration.
