figlift-gateway: Count what engines answer to the calls of a gateway

Symptom: a gateway that starts, or reads a list with new engines, asks all of them at once. An answer beyond the bound was dropped without a line.

Answers to calls are collected in blocks and count against the bound on the memory of the process, as answers to requests do; what breaks one off is counted and logged by the same code.

--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -109,6 +109,8 @@
   bool hasUnreadInput();
 
   ConnectionId id() const { return m_Id; }
+  /// Address and port, as text.
+  const std::string &peerName() const { return m_PeerName; }
   /// Whether a response that names no request may still arrive.
   bool hasCarriedCall() const { return m_HasCarriedCall; }
   void recordCall() { m_HasCarriedCall = true; }
--- a/Services/figlift-gateway/ControlCall.cpp
+++ b/Services/figlift-gateway/ControlCall.cpp
@@ -6,7 +6,11 @@
 
 #include "ControlCall.h"
 
+#include "BrokenOffAnswer.h"
+
+#include "LibCore/MemoryBudget.h"
 #include "LibLog/Guard.h"
+#include "LibProxy/BodyBuffer.h"
 #include "platform/EngineCalls.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -22,8 +26,9 @@
 class Call : public upstream::ExchangeSink,
              public std::enable_shared_from_this<Call> {
 public:
-  Call(boost::asio::io_context &Loop, CallCallback Done)
-      : m_Timer(Loop), m_Done(std::move(Done)) {}
+  Call(Context &Shared, CallCallback Done)
+      : m_Shared(Shared), m_Timer(Shared.Loop), m_Done(std::move(Done)),
+        m_Memory(&Shared.Memory) {}
 
   bool start(const ExchangeStarter &Start, std::chrono::milliseconds Timeout) {
     m_Connection = Start(shared_from_this());
@@ -45,42 +50,55 @@
     m_Status = Head.Status;
   }
   void onBody(std::string Bytes) override {
-    m_Body += Bytes;
-    if (m_Body.size() <= MaximumBodyBytes || !m_Connection)
+    if (!m_Connection)
       return;
-    m_Connection->abort();
-    finish(0);
+    m_Body.append(Bytes);
+    if (m_Body.size() > MaximumBodyBytes)
+      return breakOff(BrokenOffAnswer::TooLong);
+    if (!m_Memory.resize(m_Body.capacity()))
+      breakOff(BrokenOffAnswer::NoMemory);
   }
   void onEnd(upstream::ExchangeOutcome End) override {
     finish(End == upstream::ExchangeOutcome::Complete ? m_Status : 0);
   }
 
 private:
+  void breakOff(std::string_view Reason) {
+    recordBrokenOff(m_Shared, {.AttemptId = {},
+                               .Target = m_Connection->peerName(),
+                               .Reason = Reason,
+                               .Status = m_Status,
+                               .BodyBytes = m_Body.size()});
+    m_Connection->abort();
+    finish(0);
+  }
   void finish(unsigned Status) {
     m_Timer.cancel();
     m_Connection = nullptr;
+    const std::string Body = m_Body.take();
     const auto Done = std::exchange(m_Done, nullptr);
     if (!Done ||
-        log::guarded("answer to a call", {}, [&] { Done(Status, m_Body); }))
+        log::guarded("answer to a call", {}, [&] { Done(Status, Body); }))
       return;
     // To the caller the call has failed.
     if (Status != 0)
       log::guarded("end of a call", {}, [&] { Done(0, {}); });
   }
 
+  Context &m_Shared;
   boost::asio::steady_timer m_Timer;
   CallCallback m_Done;
   std::shared_ptr<upstream::ServerConnection> m_Connection;
   unsigned m_Status = 0;
-  std::string m_Body;
+  proxy::BodyBuffer m_Body;
+  MemoryShare m_Memory;
 };
 
 } // namespace
 
-bool startControlCall(boost::asio::io_context &Loop,
-                      const ExchangeStarter &Start,
+bool startControlCall(Context &Shared, const ExchangeStarter &Start,
                       std::chrono::milliseconds Timeout, CallCallback Done) {
-  return std::make_shared<Call>(Loop, std::move(Done))->start(Start, Timeout);
+  return std::make_shared<Call>(Shared, std::move(Done))->start(Start, Timeout);
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/ControlCall.h
+++ b/Services/figlift-gateway/ControlCall.h
@@ -1,15 +1,16 @@
 //===- ControlCall.h - A call of the gateway itself -------------*- C++ -*-===//
 //
 // One HTTP call on a pooled connection, with a timeout, whose whole response is
-// collected.
+// collected. What is held of responses counts against the bound on the memory
+// of the process: a gateway calls all engines of a fleet, often at once.
 //
 //===----------------------------------------------------------------------===//
 
 #pragma once
 
-#include "LibUpstream/ServerConnection.h"
+#include "Context.h"
 
-#include <boost/asio/io_context.hpp>
+#include "LibUpstream/ServerConnection.h"
 
 #include <chrono>
 #include <functional>
@@ -18,8 +19,9 @@
 
 namespace figlift::gateway {
 
-/// A status of 0 means that no complete response was received. If the callback
-/// throws, it is called again with status 0.
+/// A status of 0 means that no complete response was received, or that it was
+/// longer than any answer or than the memory left. If the callback throws, it
+/// is called again with status 0.
 using CallCallback =
     std::function<void(unsigned Status, const std::string &Body)>;
 
@@ -32,8 +34,7 @@
 /// Returns false if \p Start could not send; \p Done is not called then. At the
 /// timeout the connection is aborted, so that bytes which are still in transit
 /// are not delivered later.
-bool startControlCall(boost::asio::io_context &Loop,
-                      const ExchangeStarter &Start,
+bool startControlCall(Context &Shared, const ExchangeStarter &Start,
                       std::chrono::milliseconds Timeout, CallCallback Done);
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineCall.cpp
+++ b/Services/figlift-gateway/EngineCall.cpp
@@ -40,7 +40,7 @@
          .IsCall = true},
         BootClock::now());
   };
-  return startControlCall(Shared.Loop, Start, CallTimeout, std::move(Done));
+  return startControlCall(Shared, Start, CallTimeout, std::move(Done));
 }
 
 } // namespace figlift::gateway
--- a/Services/figlift-gateway/EngineHousekeeping.cpp
+++ b/Services/figlift-gateway/EngineHousekeeping.cpp
@@ -50,7 +50,7 @@
          .IsCall = true},
         BootClock::now());
   };
-  startControlCall(Shared.Loop, Start, ReleaseTimeout,
+  startControlCall(Shared, Start, ReleaseTimeout,
                    [](unsigned, const std::string &) {});
 }
 
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "BrokenOffAnswer.h"
 #include "EngineHousekeeping.h"
 #include "RequestFlow.h"
 #include "WholeStream.h"
@@ -51,7 +52,7 @@
   if (m_Relay.incompleteBytes() > MaximumEventBytes)
     return Send.breakOff("longer than any event");
   if (!Send.holdBytes(m_Relay.incompleteBytes()))
-    return Send.breakOff("no memory left");
+    return Send.breakOff(BrokenOffAnswer::NoMemory);
   if (Events.empty())
     return;
   recordUsage();
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -6,6 +6,7 @@
 
 #include "ServerSend.h"
 
+#include "BrokenOffAnswer.h"
 #include "ServerExchange.h"
 
 #include "LibLog/Guard.h"
@@ -106,7 +107,7 @@
   if (IsExecution && isSuccess(Head.Status))
     m_Owner->sendAnswered(*this);
   if (m_Owner && !m_Streamed && Head.Length.value_or(0) > MaximumBufferedBody)
-    breakOff("longer than any answer");
+    breakOff(BrokenOffAnswer::TooLong);
 }
 
 void ServerSend::recordLimit() {
@@ -135,24 +136,17 @@
     return m_Owner->sendBody(*this, std::move(Bytes));
   m_Body.append(Bytes);
   if (m_Body.size() > MaximumBufferedBody)
-    return breakOff("longer than any answer");
+    return breakOff(BrokenOffAnswer::TooLong);
   if (!holdBytes(m_Body.capacity()))
-    breakOff("no memory left");
+    breakOff(BrokenOffAnswer::NoMemory);
 }
 
 void ServerSend::breakOff(std::string_view Reason) {
-  m_Shared.Metrics
-      .counter("figlift_gateway_answers_broken_off_total",
-               "Answers of servers that were not read to their end",
-               {{"reason", std::string(Reason)}})
-      .add();
-  if (m_Shared.Log.allows(LineKind::Notable, BootClock::now()))
-    log::logRequest(log::Level::Warning, "answer-broken-off", m_AttemptId, {},
-                    {{"target", m_TargetId},
-                     {"reason", Reason},
-                     {"status", m_Head.Status},
-                     {"bodyBytes", m_Body.size()},
-                     {"heldBytes", m_Shared.Memory.used()}});
+  recordBrokenOff(m_Shared, {.AttemptId = m_AttemptId,
+                             .Target = m_TargetId,
+                             .Reason = Reason,
+                             .Status = m_Head.Status,
+                             .BodyBytes = m_Body.size()});
   if (const auto Connection = std::exchange(m_Connection, nullptr))
     Connection->abort();
   end(dispatch::ConnectionLost{});
--- a/Services/figlift-gateway/UsageDirector.cpp
+++ b/Services/figlift-gateway/UsageDirector.cpp
@@ -242,7 +242,7 @@
         true, std::move(Sink));
     return Connection;
   };
-  startControlCall(m_Shared.Loop, Start, CallTimeout,
+  startControlCall(m_Shared, Start, CallTimeout,
                    [this, Send](unsigned Status, const std::string &) {
                      m_LastCallEnds = BootClock::now();
                      callEnded(Send, Status);
--- a/Tests/FigliftGateway/SeparateGateway.h
+++ b/Tests/FigliftGateway/SeparateGateway.h
@@ -23,11 +23,8 @@
 public:
   explicit SeparateGateway(GatewayFixture &Fixture) : m_Fixture(Fixture) {
     std::filesystem::create_directories(m_Folder);
-    settings::GatewaySettings Own = Fixture.Settings;
-    Own.Process.Id = "g2";
-    Own.Listen = {address(1), address(2), address(3), address(4)};
-    std::ofstream(m_Folder / "settings") << settings::printSettings(Own);
-    Fixture.Settings.Listen = Own.Listen;
+    Fixture.Settings.Listen = {address(1), address(2), address(3), address(4)};
+    writeSettings();
   }
   SeparateGateway(const SeparateGateway &) = delete;
   SeparateGateway &operator=(const SeparateGateway &) = delete;
@@ -36,6 +33,12 @@
     std::filesystem::remove_all(m_Folder);
   }
 
+  /// Writes the fixture's settings for the next start.
+  void writeSettings() {
+    settings::GatewaySettings Own = m_Fixture.Settings;
+    Own.Process.Id = "g2";
+    std::ofstream(m_Folder / "settings") << settings::printSettings(Own);
+  }
   /// Starts a process in place of the one before, and returns whether it is
   /// ready. \p Descriptors: its limit on file descriptors.
   bool start(std::optional<size_t> Descriptors = std::nullopt) {
--- a/Tests/MemoryLimit/TestMemoryLimit.cpp
+++ b/Tests/MemoryLimit/TestMemoryLimit.cpp
@@ -192,3 +192,49 @@
   serveOthers("/once/x", "id: 1");
   checkMemory("bodies of callers");
 }
+
+// Guards against: the answers of engines to the calls of a gateway itself are
+// held and counted nowhere, and a gateway calls all engines at once.
+TEST(MemoryLimit, HoldsWhatEnginesAnswerToCalls) {
+  constexpr unsigned Engines = 100;
+  // Just below the bound on one answer, so that all are held until they time
+  // out.
+  constexpr size_t BytesOfEach = 1000000;
+  Fixture.addServer("s1", "plain", respondWith("one"));
+  startServing();
+  CHECK(hasTargets(1));
+  serveOthers("/safe/x", "one");
+  CalmBytes = Process.highestMemory();
+  std::deque<EndlessServer> Servers;
+  for (unsigned I = 0; I < Engines; ++I) {
+    EndlessServer &Server = Servers.emplace_back(
+        Fixture.Loop, EndlessBytes{"HTTP/1.1 200 OK\r\n\r\n", Text},
+        BytesOfEach);
+    Fixture.listServer("e" + std::to_string(I), "model", Server.address(),
+                       "decode");
+  }
+  CHECK(Fixture.waitUntil([&] {
+    return std::all_of(
+        Servers.begin(), Servers.end(), [](const EndlessServer &Server) {
+          return Server.requests() > 0 && Server.openConnections() == 0;
+        });
+  }));
+  serveOthers("/safe/x", "one");
+  checkMemory("answers to calls");
+}
+
+// Guards against: a store that sends without end makes a gateway hold several
+// answers at once, each up to the bound on one.
+TEST(MemoryLimit, HoldsWhatTheStoreSends) {
+  Fixture.addServer("s1", "plain", respondWith("one"));
+  startServing();
+  serveOthers("/safe/x", "one");
+  CalmBytes = Process.highestMemory();
+  EndlessServer Store(Fixture.Loop, {"HTTP/1.1 200 OK\r\n\r\n", Text});
+  Fixture.Settings.Store = Store.address();
+  Process.writeSettings();
+  // It does not become ready without a store, and goes on trying.
+  CHECK(!Process.start());
+  CHECK(Store.requests() > 1);
+  checkMemory("the store");
+}
