LibCore, figlift-gateway: Bound what many small messages hold together

Symptom: each of 1,000 callers that sends 60 kB of a body and then nothing made a gateway hold 80 MiB above calm (one trial; 64 is the aim). Each message has 64 KiB that nothing counts, so that small ones are taken while large ones use up the bound, and nothing bounds the number of messages but file descriptors: some thousands end the process.

What is held besides the bound now has one of its own, a quarter of it. Once that is used up, a message has 4 KiB of its own in place of 64; most requests take less, and are served as before. Of a parser's input the capacity is counted, and an idle connection gives it back.

HoldsWhatManyCallersLeaveIncomplete failed before (80 MiB) and passes now, and so does ManySmallSharesAreCounted, which could not be written before.

--- a/Libraries/LibCore/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -5,6 +5,9 @@
 // hundreds at once. Whoever holds bytes of others has a share, which grows only
 // while the budget has room.
 //
+// Small messages are taken also while large ones use up the budget. What they
+// may hold besides has a bound of its own, as there may be thousands of them.
+//
 // Shares belong to one event loop.
 //
 //===----------------------------------------------------------------------===//
@@ -13,12 +16,16 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace figlift {
 
 class MemoryBudget {
 public:
-  explicit MemoryBudget(size_t MaximumBytes) : m_Maximum(MaximumBytes) {}
+  /// \p MaximumFreeBytes: what all shares together may hold besides the budget
+  /// before only small ones may.
+  explicit MemoryBudget(size_t MaximumBytes, size_t MaximumFreeBytes = SIZE_MAX)
+      : m_Maximum(MaximumBytes), m_MaximumFree(MaximumFreeBytes) {}
   MemoryBudget(const MemoryBudget &) = delete;
   MemoryBudget &operator=(const MemoryBudget &) = delete;
 
@@ -34,13 +41,18 @@
   /// Sum of all shares; may exceed m_Maximum by what was set, not grown.
   size_t m_Used = 0;
   size_t m_Highest = 0;
+  const size_t m_MaximumFree;
+  /// What all shares hold besides m_Used.
+  size_t m_Free = 0;
 };
 
 class MemoryShare {
 public:
-  /// Each share has this much besides the budget: small messages are taken also
-  /// while large ones use it up.
+  /// Each share may have this much besides the budget.
   static constexpr size_t FreeBytes = 64 << 10;
+  /// The same while the shares together have all that they may have besides it.
+  /// Most requests take less.
+  static constexpr size_t FreeBytesWhenScarce = 4 << 10;
 
   /// \p Budget must outlive the share; null for no bound.
   explicit MemoryShare(MemoryBudget *Budget) : m_Budget(Budget) {}
@@ -65,16 +77,24 @@
     const size_t Charged = charge(Bytes);
     m_Budget->m_Used = m_Budget->m_Used - m_Charged + Charged;
     m_Budget->m_Highest = std::max(m_Budget->m_Highest, m_Budget->m_Used);
+    m_Budget->m_Free = m_Budget->m_Free - m_Free + (Bytes - Charged);
     m_Charged = Charged;
+    m_Free = Bytes - Charged;
   }
 
 private:
-  static size_t charge(size_t Bytes) {
-    return Bytes > FreeBytes ? Bytes - FreeBytes : 0;
+  size_t charge(size_t Bytes) const {
+    const size_t Free = std::min(Bytes, FreeBytes);
+    const bool IsScarce =
+        m_Budget && m_Budget->m_Free - m_Free + Free > m_Budget->m_MaximumFree;
+    const size_t Allowed = IsScarce ? FreeBytesWhenScarce : FreeBytes;
+    return Bytes > Allowed ? Bytes - Allowed : 0;
   }
 
   MemoryBudget *m_Budget;
   size_t m_Charged = 0;
+  /// Held besides m_Charged.
+  size_t m_Free = 0;
 };
 
 } // namespace figlift
--- a/Libraries/LibProxy/RequestParser.cpp
+++ b/Libraries/LibProxy/RequestParser.cpp
@@ -132,6 +132,9 @@
 Request RequestParser::take() {
   Request Completed = std::move(m_BeastParser->Parsed);
   Completed.Body = m_BeastParser->Body.take();
+  // An idle connection keeps no memory of a long head.
+  if (m_Input.empty())
+    std::string().swap(m_Input);
   reset();
   return Completed;
 }
@@ -148,7 +151,7 @@
 }
 
 size_t RequestParser::bufferedBytes() const {
-  return m_Input.size() + m_BeastParser->Body.capacity();
+  return m_Input.capacity() + m_BeastParser->Body.capacity();
 }
 
 } // namespace figlift::proxy
--- a/Libraries/LibProxy/RequestParser.h
+++ b/Libraries/LibProxy/RequestParser.h
@@ -63,7 +63,7 @@
   unsigned failureStatus() const { return m_FailureStatus; }
   /// Whether the caller waits for "100 Continue" before sending the body.
   bool expectsContinue() const;
-  /// Buffered input, including the body parsed so far, for limits on memory.
+  /// Memory taken for input, including the body parsed so far.
   size_t bufferedBytes() const;
 
 private:
--- a/Services/figlift-gateway/Context.h
+++ b/Services/figlift-gateway/Context.h
@@ -61,11 +61,15 @@
 inline constexpr std::chrono::milliseconds TickInterval{100};
 
 /// Bound on the bytes that callers and servers make a gateway hold, all
-/// together. An eighth of its memory: with what each message and connection may
-/// hold besides, some hundred callers leave it below a quarter.
+/// together. An eighth of its memory: with what small messages and connections
+/// take besides, a thousand callers leave it below a quarter.
 inline size_t maximumHeldBytes(const settings::GatewaySettings &Settings) {
   return static_cast<size_t>(Settings.Process.MemoryMegabytes * 1e6 / 8);
 }
+/// The same for small messages while large ones use that up.
+inline size_t maximumFreeBytes(const settings::GatewaySettings &Settings) {
+  return maximumHeldBytes(Settings) / 4;
+}
 
 /// What the components of a gateway share about the duty to report usage.
 struct UsageState {
@@ -112,7 +116,7 @@
 
   settings::GatewaySettings Settings;
   /// Outlives Loop, whose handlers keep connections with shares of it.
-  MemoryBudget Memory{maximumHeldBytes(Settings)};
+  MemoryBudget Memory{maximumHeldBytes(Settings), maximumFreeBytes(Settings)};
   boost::asio::io_context Loop{1};
   BackgroundWorker Worker{Loop};
   /// Null until the first configuration has been read. A request keeps the
--- a/Tests/LibCore/TestMemoryBudget.cpp
+++ b/Tests/LibCore/TestMemoryBudget.cpp
@@ -8,6 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
 #include <optional>
 
 using namespace figlift;
@@ -41,6 +42,24 @@
   LONGS_EQUAL(4000, Budget.used());
 }
 
+// Guards against: thousands of messages, each too small to be counted, take the
+// memory together.
+TEST(MemoryBudget, ManySmallSharesAreCounted) {
+  MemoryBudget Bounded{1000, 3 * Free};
+  std::deque<MemoryShare> Shares;
+  for (int I = 0; I < 3; ++I)
+    CHECK(Shares.emplace_back(&Bounded).resize(Free));
+  LONGS_EQUAL(0, Bounded.used());
+  MemoryShare &Another = Shares.emplace_back(&Bounded);
+  CHECK_FALSE(Another.resize(Free));
+  CHECK(Another.resize(MemoryShare::FreeBytesWhenScarce));
+  CHECK(Another.resize(MemoryShare::FreeBytesWhenScarce + 1000));
+  LONGS_EQUAL(1000, Bounded.used());
+  Shares.pop_front();
+  CHECK(Another.resize(Free));
+  LONGS_EQUAL(0, Bounded.used());
+}
+
 TEST(MemoryBudget, IsOptional) {
   MemoryShare Unbounded(nullptr);
   CHECK(Unbounded.resize(SIZE_MAX));
--- a/Tests/MemoryLimit/TestMemoryLimit.cpp
+++ b/Tests/MemoryLimit/TestMemoryLimit.cpp
@@ -193,6 +193,27 @@
   checkMemory("bodies of callers");
 }
 
+// Guards against: each of many callers leaves a body incomplete that is too
+// small to count.
+TEST(MemoryLimit, HoldsWhatManyCallersLeaveIncomplete) {
+  constexpr unsigned SlowCallers = 1000;
+  constexpr size_t BodyBytes = 60000;
+  Fixture.addServer("s1", "plain", respondWith("one"));
+  startServing();
+  CHECK(hasTargets(1));
+  serveOthers("/safe/x", "one");
+  CalmBytes = Process.highestMemory();
+  const std::string Bytes = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+                            "X-Attempt-Id: a1\r\nContent-Length: 100000\r\n"
+                            "\r\n" +
+                            std::string(BodyBytes, 'x');
+  for (unsigned I = 0; I < SlowCallers; ++I)
+    sendUnread(Bytes);
+  CHECK(Fixture.waitUntil([&] { return Sent == SlowCallers; }));
+  serveOthers("/safe/x", "one");
+  checkMemory("incomplete bodies");
+}
+
 // Guards against: the answers of engines to the calls of a gateway itself are
 // held and counted nowhere, and a gateway calls all engines at once.
 TEST(MemoryLimit, HoldsWhatEnginesAnswerToCalls) {
