LibTarget: Bound what a target can make its agent hold

Symptom, reported by other operators: a faulty server sends bytes that are no answer, without end; the machine that called it keeps them all, and the requests of others end with it. It was mended in the gateway, and not in figlift-agent, whose calls to engines and services used cpprestsdk's client: it collects a head, a chunk and a body of any length, and its timeout restarts with each byte.

Calls now use the connections and the parser of the gateway (LibUpstream, LibProxy): heads, chunk lines and trailers are bounded, an answer ends at 8 MiB, which is what one message between processes carries, and all answers together at 64 MiB. A stream ends at the first thing in it that is no event, and a failure at the first kilobyte, in place of being read for as long as it goes on. A call that may run only once has a connection of its own, as before; others are sent again only if a connection that was used before closes without an answer.

EndACallToAService, EndAQueryOfAnEngine, EndACompletion and EndSomeOfManyCalls failed before (a call reads more than 64 MiB, or does not end) and pass now.

cpprestsdk's client stays where the platform is called (BoundedHttpClient); it has the same fault, which is not mended here. SinkBuffer moves to its last user.

--- a/Libraries/LibTarget/HttpEngine.h
+++ b/Libraries/LibTarget/HttpEngine.h
@@ -8,7 +8,7 @@
 
 #pragma once
 
-#include "LibTarget/HttpCall.h"
+#include "LibTarget/HttpClient.h"
 
 namespace figlift::target {
 
@@ -33,9 +33,13 @@
                    CallDone<std::vector<CacheEvent>> Done) override;
 
 private:
+  template <typename T>
+  void query(const std::string &Path, Result<T> (*Parse)(std::string_view),
+             CallDone<T> Done);
+
   const HttpEngineOptions m_Options;
-  HttpClientPointer m_CompletionClient;
-  HttpClientPointer m_CallClient;
+  /// Shared with the completions, which may outlive the engine's client.
+  std::shared_ptr<HttpClient> m_Client;
 };
 
 } // namespace figlift::target
--- a/Libraries/LibTarget/HttpService.cpp
+++ b/Libraries/LibTarget/HttpService.cpp
@@ -6,55 +6,59 @@
 
 #include "LibTarget/HttpService.h"
 
+#include <cpprest/base_uri.h>
+
+#include <algorithm>
+#include <cctype>
+
 namespace figlift::target {
 
-namespace http = web::http;
-
-/// Longest time without data on a pooled connection.
-static constexpr std::chrono::milliseconds PooledTimeout{60000};
-static constexpr char IdempotencyKeyHeader[] = "Idempotency-Key";
-
-HttpService::HttpService(Endpoint Target)
-    : m_Target(std::move(Target)),
-      m_PooledClient(makeClient(m_Target, PooledTimeout)) {}
-
-static Result<http::http_request> createRequest(const ServiceRequest &Call) {
-  try {
-    http::http_request Request(Call.Method);
-    Request.set_request_uri(web::uri(Call.Path));
-    if (!Call.Body.empty())
-      Request.set_body(
-          std::vector<unsigned char>(Call.Body.begin(), Call.Body.end()));
-    if (!Call.ContentType.empty())
-      Request.headers().set_content_type(Call.ContentType);
-    if (!Call.IdempotencyKey.empty())
-      Request.headers().add(IdempotencyKeyHeader, Call.IdempotencyKey);
-    return Request;
-  } catch (const std::exception &Exception) {
-    return failure(ResultCode::InvalidInput, Exception.what(), "path");
-  }
+/// Longest time without data in a call that may be repeated.
+static constexpr std::chrono::milliseconds RepeatableTimeout{60000};
+
+/// Whether \p Text could end its line of the request early.
+static bool hasControlCharacter(std::string_view Text) {
+  return std::any_of(Text.begin(), Text.end(), [](unsigned char Character) {
+    return std::iscntrl(Character) != 0;
+  });
 }
 
+static Result<HttpRequest> createRequest(ServiceRequest Call) {
+  if (!web::uri::validate(Call.Path) || hasControlCharacter(Call.Path))
+    return failure(ResultCode::InvalidInput, "not a valid path", "path");
+  for (const std::string &Text :
+       {Call.Method, Call.ContentType, Call.IdempotencyKey})
+    if (hasControlCharacter(Text))
+      return failure(ResultCode::InvalidInput, "a control character", "header");
+  HttpRequest Request;
+  Request.Method = std::move(Call.Method);
+  Request.Path = std::move(Call.Path);
+  Request.ContentType = std::move(Call.ContentType);
+  Request.Body = std::move(Call.Body);
+  Request.IdempotencyKey = std::move(Call.IdempotencyKey);
+  // A service that ran the call and died before it answered would run it twice
+  // if it was sent again.
+  Request.ConnectionReuse = Call.Repeatable ? Reuse::Allowed : Reuse::Never;
+  Request.SilenceTimeout = Call.Repeatable ? RepeatableTimeout : Call.Timeout;
+  return Request;
+}
+
+HttpService::HttpService(Endpoint Target) : m_Client(std::move(Target)) {}
+
 void HttpService::call(ServiceRequest Request, CallDone<ServiceReply> Done) {
-  auto HttpRequest = createRequest(Request);
-  if (!HttpRequest) {
-    Done(CallError{Execution::NotRun, HttpRequest.error()});
+  auto Created = createRequest(std::move(Request));
+  if (!Created) {
+    Done(CallError{Execution::NotRun, Created.error()});
     return;
   }
-  // cpprestsdk resends a request if a reused connection turns out to be closed.
-  // A service that ran the call and died before it answered would run the call
-  // twice, so a call that is not repeatable gets a connection of its own.
-  const HttpClientPointer Client = Request.Repeatable
-                                       ? m_PooledClient
-                                       : makeClient(m_Target, Request.Timeout);
-  sendCall(Client, HttpRequest.value(),
-           [Done = std::move(Done)](CallResult<HttpAnswer> Answer) {
-             if (!Answer)
-               return Done(Answer.error());
-             HttpAnswer &Response = Answer.value();
-             Done(ServiceReply{Response.Status, std::move(Response.ContentType),
-                               std::move(Response.Body)});
-           });
+  m_Client.send(std::move(Created.value()), [Done = std::move(Done)](
+                                                CallResult<HttpAnswer> Answer) {
+    if (!Answer)
+      return Done(Answer.error());
+    HttpAnswer &Response = Answer.value();
+    Done(ServiceReply{Response.Status, std::move(Response.ContentType),
+                      std::move(Response.Body)});
+  });
 }
 
 } // namespace figlift::target
--- a/Libraries/LibTarget/HttpService.h
+++ b/Libraries/LibTarget/HttpService.h
@@ -6,7 +6,7 @@
 
 #pragma once
 
-#include "LibTarget/HttpCall.h"
+#include "LibTarget/HttpClient.h"
 
 namespace figlift::target {
 
@@ -16,9 +16,7 @@
   void call(ServiceRequest Request, CallDone<ServiceReply> Done) override;
 
 private:
-  const Endpoint m_Target;
-  /// Client for repeatable calls; keeps its connections open.
-  HttpClientPointer m_PooledClient;
+  HttpClient m_Client;
 };
 
 } // namespace figlift::target
--- a/Utilities/figlift-load/LoadCaller.cpp
+++ b/Utilities/figlift-load/LoadCaller.cpp
@@ -7,7 +7,7 @@
 
 #include "LoadCaller.h"
 
-#include "LibTarget/SinkBuffer.h"
+#include "SinkBuffer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -149,7 +149,7 @@
   // With cpprestsdk's own buffer, the complete response would count as one
   // chunk: a read from it returns only when the buffer is full or the body
   // ends.
-  auto Sink = std::make_shared<target::SinkBuffer>(
+  auto Sink = std::make_shared<SinkBuffer>(
       [Pending](std::string_view Chunk) { Pending->recordChunk(Chunk); });
   Request.set_response_stream(
       concurrency::streams::streambuf<uint8_t>(Sink).create_ostream());
--- a/Libraries/LibTarget/SinkBuffer.h
+++ b/Utilities/figlift-load/SinkBuffer.h
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <utility>
 
-namespace figlift::target {
+namespace figlift::load {
 
 class SinkBuffer final
     : public concurrency::streams::details::streambuf_state_manager<uint8_t> {
@@ -85,4 +85,4 @@
   pos_type m_BytesConsumed{0};
 };
 
-} // namespace figlift::target
+} // namespace figlift::load
