Tests/FigliftGateway: Let a caller that was not read come back

What the test checks of the keys is as before: an answer of any other kind fails it, at the first as at the second request.

--- a/Tests/FigliftGateway/TestTenants.cpp
+++ b/Tests/FigliftGateway/TestTenants.cpp
@@ -9,6 +9,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+
 using namespace figlift;
 using namespace figlift::testing;
 
@@ -31,6 +33,20 @@
   bool isServed(const std::string &Key) {
     return contains(get("/safe/x", "X-Credential: " + Key + "\r\n"), "good");
   }
+  /// Opens a connection on which a request with \p Key is served. A process
+  /// that is late closes new connections unread, and their callers come back.
+  std::unique_ptr<KeepAliveCaller> connect(const std::string &Key) {
+    std::unique_ptr<KeepAliveCaller> Caller;
+    CHECK(Fixture.waitUntil([&] {
+      Caller = std::make_unique<KeepAliveCaller>(Fixture);
+      Caller->send("GET", "/safe/x", "X-Credential: " + Key + "\r\n");
+      CHECK(Fixture.waitUntil(
+          [&] { return !Caller->received().empty() || Caller->isClosed(); }));
+      return !Caller->received().empty();
+    }));
+    CHECK(contains(Caller->received(), "good"));
+    return Caller;
+  }
   bool isRejected(const std::string &Fields) {
     const std::string Answer = get("/safe/x", Fields);
     return Answer.starts_with("HTTP/1.1 401") && contains(Answer, "not run") &&
@@ -77,15 +93,13 @@
 // Failure: a key that was removed still works on a connection that was open
 // before.
 TEST(Tenants, FollowsKeysThatAreAddedAndRemoved) {
-  KeepAliveCaller Kept(Fixture);
-  Kept.send("GET", "/safe/x", "X-Credential: sesame\r\n");
-  CHECK(Fixture.waitUntil([&] { return contains(Kept.received(), "good"); }));
+  const auto Kept = connect("sesame");
   configureTenants(2, R"([{"name":"ski","apiKeys":["new-key"]}])");
   CHECK(Fixture.waitUntil([&] { return isServed("new-key"); }));
   CHECK(!isServed("sesame"));
-  Kept.send("GET", "/safe/x", "X-Credential: sesame\r\n");
+  Kept->send("GET", "/safe/x", "X-Credential: sesame\r\n");
   CHECK(Fixture.waitUntil(
-      [&] { return contains(Kept.received(), "HTTP/1.1 401"); }));
+      [&] { return contains(Kept->received(), "HTTP/1.1 401"); }));
 }
 
 // Failure: a configuration with malformed tenants takes the valid keys away.
