LibUpstream, LibTarget, LibPlatform: Bound what the platform can make a process hold

Symptom: figlift-entry and figlift-agent keep all that a faulty platform sends to a read of a table. These reads bound only pauses, so that a large table arrives over a slow link, and cpprestsdk's client collects a head, a chunk and a body of any length: the same cause as in calls to targets, in the last client of the services that had it.

What LibTarget had of its own for that is HttpClient in LibUpstream now, with one thread and one bound for all calls to targets and another for those to the platform: a large answer of the platform does not delay tokens. BoundedHttpClient keeps its queue and its timeouts; a response ends at 64 MiB.

DownloadsAnUnchangedVmListOnce expected a header field without a space after the colon, as cpprestsdk writes it; it expects the usual form now, and the same value.

--- a/Libraries/LibPlatform/BoundedHttpClient.cpp
+++ b/Libraries/LibPlatform/BoundedHttpClient.cpp
@@ -1,32 +1,31 @@
 //===- BoundedHttpClient.cpp - HTTP calls with limits ---------------------===//
 //
-// Calls run on cpprestsdk's thread pool. An Asio timer bounds each complete
-// call, because the library's timeout restarts with every chunk it reads. For
-// large responses that is the intended behavior after the first byte.
+// A timer bounds each complete call, because the timeout of HttpClient restarts
+// with each byte it reads. For large responses that is the intended behavior
+// after the first byte.
 //
 //===----------------------------------------------------------------------===//
 
 #include "LibPlatform/BoundedHttpClient.h"
 
+#include "LibUpstream/CallThread.h"
+#include "LibUpstream/HttpClient.h"
+
 #include <boost/asio/steady_timer.hpp>
-#include <cpprest/http_client.h>
-#include <pplx/threadpool.h>
 
 #include <atomic>
 #include <charconv>
 
 namespace figlift::platform {
 
-namespace http = web::http;
-
-/// Approximate sizes of the headers sent by cpprestsdk and by typical servers.
+/// Approximate sizes of the headers of requests and of typical responses.
 static constexpr uint64_t RequestHeaderBytes = 120;
 static constexpr uint64_t ResponseHeaderBytes = 100;
 
-/// The library's timeout restarts with each chunk of a response. With the
-/// default chunks of 64 KiB, a 10 Mbit/s link shared with callers may exceed
-/// it.
-static constexpr size_t ChunkBytes = 4096;
+/// Many times the largest table of a platform.
+static constexpr size_t MaximumResponseBytes = 64 << 20;
+/// Of all responses that are being received.
+static constexpr size_t MaximumHeldBytes = 2 * MaximumResponseBytes;
 
 /// Share of its timeout that a call needs to be answered. A call that has
 /// waited longer for a slot is not sent.
@@ -34,79 +33,90 @@
 
 using Clock = std::chrono::steady_clock;
 
+static upstream::CallThread &callThread() {
+  static upstream::CallThread Shared(MaximumHeldBytes);
+  return Shared;
+}
+
 /// One call from its submission to its completion.
 struct BoundedHttpClient::Call {
   Call(HttpRequest Submitted, Handler Completion, Clock::time_point SendBy)
       : Request(std::move(Submitted)), Done(std::move(Completion)),
-        LatestStart(SendBy),
-        Timer(crossplat::threadpool::shared_instance().service()) {}
+        LatestStart(SendBy), Timer(callThread().loop()) {}
 
   HttpRequest Request;
   Handler Done;
   const Clock::time_point LatestStart;
   boost::asio::steady_timer Timer;
-  pplx::cancellation_token_source Cancellation;
+  /// Guarded by m_Mutex of the client.
+  std::shared_ptr<upstream::HttpCall> Running;
   /// Set before the first byte may be sent.
   std::atomic<bool> Launched = false;
   /// The thread that sets it calls Done.
   std::atomic<bool> Finished = false;
 };
 
-static http::method toLibraryMethod(HttpMethod Method) {
+static std::string methodName(HttpMethod Method) {
   switch (Method) {
   case HttpMethod::Get:
-    return http::methods::GET;
+    return "GET";
   case HttpMethod::Put:
-    return http::methods::PUT;
+    return "PUT";
   case HttpMethod::Post:
-    return http::methods::POST;
+    return "POST";
   case HttpMethod::Delete:
-    return http::methods::DEL;
+    return "DELETE";
   }
-  return http::methods::GET;
+  return "GET";
 }
 
 static std::optional<std::chrono::milliseconds>
-retryAfter(const http::http_response &LibraryResponse) {
-  auto Header = LibraryResponse.headers().find("Retry-After");
-  if (Header == LibraryResponse.headers().end())
+retryAfter(const proxy::HeaderList &Headers) {
+  const auto Text = Headers.find("Retry-After");
+  if (!Text)
     return std::nullopt;
   unsigned Seconds = 0;
-  const std::string &Text = Header->second;
   auto [End, Code] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+      std::from_chars(Text->data(), Text->data() + Text->size(), Seconds);
   if (Code != std::errc())
     return std::nullopt;
   return std::chrono::seconds(Seconds);
 }
 
-/// Only a failure to connect proves that no byte was sent; a timeout or a lost
-/// connection may have occurred after the server received the request.
-static HttpFailure toFailure(const http::http_exception &Exception) {
-  auto Code = Exception.error_code();
-  bool NotConnected = Code == std::errc::connection_refused ||
-                      Code == std::errc::host_unreachable ||
-                      Code == std::errc::network_unreachable;
-  return {!NotConnected, Exception.what()};
-}
-
-static http::client::http_client_config
-configuration(const HttpCallOptions &Options) {
-  http::client::http_client_config Config;
-  Config.set_timeout(Options.Timeout);
-  Config.set_chunksize(ChunkBytes);
-  return Config;
+static HttpOutcome toOutcome(upstream::HttpResult Result) {
+  if (const auto *Failure = std::get_if<upstream::HttpFailure>(&Result))
+    return HttpFailure{Failure->MayHaveRun, Failure->Message};
+  auto &Answer = std::get<upstream::HttpAnswer>(Result);
+  HttpResponse Response;
+  Response.Status = static_cast<int>(Answer.Status);
+  Response.RetryAfter = retryAfter(Answer.Headers);
+  Response.ETag = Answer.Headers.find("ETag").value_or("");
+  Response.Body = std::move(Answer.Body);
+  return Response;
 }
 
-static std::string baseAddress(const HttpCallOptions &Options) {
-  return "http://" + Options.Server.Address + ":" +
-         std::to_string(Options.Server.Port);
+static upstream::HttpRequest toUpstream(const HttpRequest &Request,
+                                        std::chrono::milliseconds Timeout) {
+  upstream::HttpRequest Sent;
+  Sent.Method = methodName(Request.Method);
+  Sent.Path = Request.Path;
+  if (!Request.Body.empty())
+    Sent.Headers.add("Content-Type", "application/json");
+  if (!Request.IfNoneMatch.empty())
+    Sent.Headers.add("If-None-Match", Request.IfNoneMatch);
+  Sent.Body = Request.Body;
+  // Sent again on another connection, a transaction that was committed the
+  // first time would be reported as a conflict.
+  Sent.ConnectionReuse =
+      Request.Idempotent ? upstream::Reuse::Allowed : upstream::Reuse::Never;
+  Sent.SilenceTimeout = Timeout;
+  Sent.MaximumAnswerBytes = MaximumResponseBytes;
+  return Sent;
 }
 
 BoundedHttpClient::BoundedHttpClient(const HttpCallOptions &Options)
-    : m_Options(Options),
-      m_SharedClient(std::make_shared<http::client::http_client>(
-          baseAddress(Options), configuration(Options))) {}
+    : m_Options(Options), m_Client(std::make_unique<upstream::HttpClient>(
+                              callThread(), Options.Server)) {}
 
 BoundedHttpClient::~BoundedHttpClient() = default;
 
@@ -154,18 +164,6 @@
   m_Idle.wait(Lock, [this] { return m_ActiveCalls == 0 && m_Queue.empty(); });
 }
 
-/// When the server closes a pooled connection before it responds, cpprestsdk
-/// silently sends the request again: a transaction that was committed the first
-/// time would be reported as a conflict. It does not retry on a new connection,
-/// so calls that are not idempotent use a separate client with its own pool.
-std::shared_ptr<http::client::http_client>
-BoundedHttpClient::clientFor(const HttpRequest &Request) const {
-  if (Request.Idempotent)
-    return m_SharedClient;
-  return std::make_shared<http::client::http_client>(baseAddress(m_Options),
-                                                     configuration(m_Options));
-}
-
 void BoundedHttpClient::launch(const CallPointer &CurrentCall) {
   // The timer that ends a queued call may be late, or about to fire.
   if (!CurrentCall->Finished && Clock::now() >= CurrentCall->LatestStart)
@@ -176,54 +174,50 @@
   m_Bytes += RequestHeaderBytes + CurrentCall->Request.Path.size() +
              CurrentCall->Request.Body.size();
 
-  auto Done = [Self = shared_from_this(), CurrentCall](HttpOutcome Outcome) {
-    if (const auto *Response = std::get_if<HttpResponse>(&Outcome))
-      Self->m_Bytes += ResponseHeaderBytes + Response->Body.size();
-    Self->finish(CurrentCall, std::move(Outcome));
-    Self->releaseSlot();
+  upstream::HttpCallbacks Callbacks;
+  Callbacks.OnEnd = [Self = shared_from_this(),
+                     CurrentCall](upstream::HttpResult Result) {
+    Self->ended(CurrentCall, toOutcome(std::move(Result)));
   };
-  try {
-    http::http_request LibraryRequest(
-        toLibraryMethod(CurrentCall->Request.Method));
-    LibraryRequest.set_request_uri(CurrentCall->Request.Path);
-    if (!CurrentCall->Request.Body.empty())
-      LibraryRequest.set_body(CurrentCall->Request.Body, "application/json");
-    if (!CurrentCall->Request.IfNoneMatch.empty())
-      LibraryRequest.headers().add("If-None-Match",
-                                   CurrentCall->Request.IfNoneMatch);
-    auto Client = clientFor(CurrentCall->Request);
-    auto Response = std::make_shared<HttpResponse>();
-    Client->request(LibraryRequest, CurrentCall->Cancellation.get_token())
-        .then([Self = shared_from_this(), CurrentCall,
-               Response](http::http_response LibraryResponse) {
-          if (CurrentCall->Request.HasLargeResponse)
-            Self->limitPausesOnly(CurrentCall);
-          Response->Status = LibraryResponse.status_code();
-          Response->RetryAfter = retryAfter(LibraryResponse);
-          if (const auto Tag = LibraryResponse.headers().find("ETag");
-              Tag != LibraryResponse.headers().end())
-            Response->ETag = Tag->second;
-          return LibraryResponse.extract_string(true);
-        })
-        .then([Done, Response, Client](pplx::task<std::string> Body) {
-          try {
-            Response->Body = Body.get();
-            Done(std::move(*Response));
-          } catch (const http::http_exception &Exception) {
-            Done(toFailure(Exception));
-          } catch (const std::exception &Exception) {
-            Done(HttpFailure{true, Exception.what()});
-          }
-        });
-  } catch (const std::exception &Exception) {
-    Done(HttpFailure{false, Exception.what()});
+  if (CurrentCall->Request.HasLargeResponse)
+    Callbacks.OnHead = [Self = shared_from_this(),
+                        CurrentCall](const upstream::HttpAnswer &) {
+      Self->limitPausesOnly(CurrentCall);
+    };
+  auto Running =
+      m_Client->send(toUpstream(CurrentCall->Request, m_Options.Timeout),
+                     std::move(Callbacks));
+  {
+    const std::lock_guard Lock(m_Mutex);
+    CurrentCall->Running = Running;
   }
+  // The call may have expired before that.
+  if (CurrentCall->Finished)
+    Running->cancel();
+}
+
+void BoundedHttpClient::ended(const CallPointer &CurrentCall,
+                              HttpOutcome Outcome) {
+  if (const auto *Response = std::get_if<HttpResponse>(&Outcome))
+    m_Bytes += ResponseHeaderBytes + Response->Body.size();
+  {
+    const std::lock_guard Lock(m_Mutex);
+    CurrentCall->Running = nullptr;
+  }
+  finish(CurrentCall, std::move(Outcome));
+  releaseSlot();
 }
 
 void BoundedHttpClient::expire(const CallPointer &CurrentCall) {
   bool Launched = CurrentCall->Launched;
   finish(CurrentCall, HttpFailure{Launched, "no response within the timeout"});
-  CurrentCall->Cancellation.cancel();
+  std::shared_ptr<upstream::HttpCall> Running;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Running = CurrentCall->Running;
+  }
+  if (Running)
+    Running->cancel();
 }
 
 void BoundedHttpClient::limitPausesOnly(const CallPointer &CurrentCall) {
--- a/Libraries/LibPlatform/BoundedHttpClient.h
+++ b/Libraries/LibPlatform/BoundedHttpClient.h
@@ -1,10 +1,9 @@
 //===- BoundedHttpClient.h - HTTP calls with limits -------------*- C++ -*-===//
 //
-//
 // Sends requests to one HTTP server with limits on concurrent and queued calls.
 // Every call completes within its timeout; for large responses the timeout
 // bounds the time without received data instead. A failed call reports whether
-// the server may have processed the request.
+// the server may have processed the request. Responses are bounded as well.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,9 +25,9 @@
 
 #include <condition_variable>
 
-namespace web::http::client {
-class http_client;
-} // namespace web::http::client
+namespace figlift::upstream {
+class HttpClient;
+} // namespace figlift::upstream
 
 namespace figlift::platform {
 
@@ -85,8 +84,8 @@
   explicit BoundedHttpClient(const HttpCallOptions &Options);
   ~BoundedHttpClient();
 
-  /// Calls \p Done exactly once: on a pool thread, or on the calling thread
-  /// when the queue is full.
+  /// Calls \p Done exactly once: on the thread of all calls of the process, or
+  /// on the calling thread when the queue is full.
   void submit(HttpRequest Request, Handler Done);
 
   /// Bytes of requests and responses since the start; HTTP headers are counted
@@ -103,13 +102,11 @@
   void launch(const CallPointer &CurrentCall);
   void expire(const CallPointer &CurrentCall);
   void limitPausesOnly(const CallPointer &CurrentCall);
+  void ended(const CallPointer &CurrentCall, HttpOutcome Outcome);
   void finish(const CallPointer &CurrentCall, HttpOutcome Outcome);
   void releaseSlot();
-  std::shared_ptr<web::http::client::http_client>
-  clientFor(const HttpRequest &Request) const;
-
   const HttpCallOptions m_Options;
-  std::shared_ptr<web::http::client::http_client> m_SharedClient;
+  const std::unique_ptr<upstream::HttpClient> m_Client;
 
   std::atomic<uint64_t> m_Bytes{0};
   std::mutex m_Mutex;
--- a/Libraries/LibTarget/HttpEngine.cpp
+++ b/Libraries/LibTarget/HttpEngine.cpp
@@ -14,6 +14,10 @@
 
 namespace figlift::target {
 
+using upstream::HttpAnswer;
+using upstream::HttpClient;
+using upstream::HttpRequest;
+
 static constexpr unsigned StatusOk = 200;
 static constexpr unsigned StatusBadRequest = 400;
 static constexpr unsigned StatusContentTooLarge = 413;
@@ -30,7 +34,7 @@
   Request.Method = std::move(Method);
   Request.Path = std::move(Path);
   if (!Body.empty())
-    Request.ContentType = "application/json";
+    Request.Headers.add("Content-Type", "application/json");
   Request.Body = std::move(Body);
   Request.SilenceTimeout = SilenceTimeout;
   return Request;
@@ -67,7 +71,7 @@
   const std::chrono::milliseconds m_CallTimeout;
   const std::string m_RequestId;
   const std::shared_ptr<CompletionListener> m_Listener;
-  std::shared_ptr<HttpCall> m_Call;
+  std::shared_ptr<upstream::HttpCall> m_Call;
   EventStreamParser m_Parser;
   /// First bytes of the body, which are the error message if the status is not
   /// 200.
@@ -80,28 +84,30 @@
 
 void StreamedCompletion::start(HttpRequest Request) {
   auto Self = shared_from_this();
-  m_Call = m_Client->stream(
-      std::move(Request),
-      [Self](const HttpAnswer &Head, std::string_view Bytes) {
-        return Self->receive(Head, Bytes);
-      },
-      [Self](CallResult<HttpAnswer> Answer) {
-        if (Answer)
-          Self->m_Listener->onEnd(Self->toResult(Answer.value()));
-        else
-          Self->m_Listener->onEnd(Answer.error());
-      });
+  upstream::HttpCallbacks Callbacks;
+  Callbacks.OnBody = [Self](const HttpAnswer &Head, std::string_view Bytes) {
+    return Self->receive(Head, Bytes);
+  };
+  Callbacks.OnEnd = [Self](const upstream::HttpResult &Result) {
+    if (const auto *Answer = std::get_if<HttpAnswer>(&Result))
+      Self->m_Listener->onEnd(Self->toResult(*Answer));
+    else
+      Self->m_Listener->onEnd(
+          describeFailure(std::get<upstream::HttpFailure>(Result)));
+  };
+  m_Call = m_Client->send(std::move(Request), std::move(Callbacks));
 }
 
 void StreamedCompletion::cancel() {
   // Closing the connection is sufficient for most engines. The DELETE is for
   // those that detect a closed connection only at their next write.
   m_Call->cancel();
-  m_Client->send(makeJsonRequest("DELETE",
-                                 "/v1/requests/" +
-                                     web::uri::encode_data_string(m_RequestId),
-                                 {}, m_CallTimeout),
-                 [](const CallResult<HttpAnswer> &) {});
+  sendCall(*m_Client,
+           makeJsonRequest("DELETE",
+                           "/v1/requests/" +
+                               web::uri::encode_data_string(m_RequestId),
+                           {}, m_CallTimeout),
+           [](const CallResult<HttpAnswer> &) {});
 }
 
 /// Nothing more is read of what cannot become a completion.
@@ -144,8 +150,9 @@
 StreamedCompletion::toResult(const HttpAnswer &Answer) {
   const unsigned Status = Answer.Status;
   if (Status == StatusUnavailable || Status == StatusTooManyRequests)
-    return CallError{Execution::NotRun,
-                     {ResultCode::NotReady, m_Head, {}, Answer.RetryAfter}};
+    return CallError{
+        Execution::NotRun,
+        {ResultCode::NotReady, m_Head, {}, readRetryAfter(Answer.Headers)}};
   if (Status != StatusOk) {
     const bool Refused = Status >= 400 && Status < 500;
     const ResultCode RefusalCode =
@@ -173,7 +180,7 @@
 
 HttpEngine::HttpEngine(HttpEngineOptions Options)
     : m_Options(std::move(Options)),
-      m_Client(std::make_shared<HttpClient>(m_Options.Target)) {}
+      m_Client(std::make_shared<HttpClient>(callThread(), m_Options.Target)) {}
 
 std::shared_ptr<Completion>
 HttpEngine::complete(CompletionCall Call,
@@ -191,41 +198,42 @@
   // accepted it and crashed.
   HttpRequest Request = makeJsonRequest("POST", "/v1/orders", writeOrder(Call),
                                         m_Options.CallTimeout);
-  Request.ConnectionReuse = Reuse::Never;
-  m_Client->send(std::move(Request), [Done = std::move(Done)](
-                                         CallResult<HttpAnswer> Answer) {
-    if (!Answer)
-      return Done(Answer.error());
-    const HttpAnswer &Response = Answer.value();
-    if (Response.Status / 100 == 2)
-      return Done(std::monostate{});
-    const auto Executed =
-        Response.Status < 500 ? Execution::NotRun : Execution::MayHaveRun;
-    Done(CallError{Executed, readOrderRefusal(Response.Status, Response.Body)});
-  });
+  Request.ConnectionReuse = upstream::Reuse::Never;
+  sendCall(*m_Client, std::move(Request),
+           [Done = std::move(Done)](CallResult<HttpAnswer> Answer) {
+             if (!Answer)
+               return Done(Answer.error());
+             const HttpAnswer &Response = Answer.value();
+             if (Response.Status / 100 == 2)
+               return Done(std::monostate{});
+             const auto Executed = Response.Status < 500
+                                       ? Execution::NotRun
+                                       : Execution::MayHaveRun;
+             Done(CallError{Executed,
+                            readOrderRefusal(Response.Status, Response.Body)});
+           });
 }
 
 /// Sends a GET and parses the body of the response with \p Parse.
 template <typename T>
 void HttpEngine::query(const std::string &Path,
                        Result<T> (*Parse)(std::string_view), CallDone<T> Done) {
-  m_Client->send(
-      makeJsonRequest("GET", Path, {}, m_Options.CallTimeout),
-      [Parse, Done = std::move(Done)](CallResult<HttpAnswer> Answer) {
-        if (!Answer)
-          return Done(Answer.error());
-        if (Answer.value().Status != StatusOk)
-          return Done(
-              CallError{Execution::NotApplicable,
-                        {ResultCode::TargetFailed,
-                         "status " + std::to_string(Answer.value().Status),
-                         {},
-                         std::nullopt}});
-        auto Parsed = Parse(Answer.value().Body);
-        if (!Parsed)
-          return Done(CallError{Execution::NotApplicable, Parsed.error()});
-        Done(std::move(Parsed.value()));
-      });
+  sendCall(*m_Client, makeJsonRequest("GET", Path, {}, m_Options.CallTimeout),
+           [Parse, Done = std::move(Done)](CallResult<HttpAnswer> Answer) {
+             if (!Answer)
+               return Done(Answer.error());
+             if (Answer.value().Status != StatusOk)
+               return Done(
+                   CallError{Execution::NotApplicable,
+                             {ResultCode::TargetFailed,
+                              "status " + std::to_string(Answer.value().Status),
+                              {},
+                              std::nullopt}});
+             auto Parsed = Parse(Answer.value().Body);
+             if (!Parsed)
+               return Done(CallError{Execution::NotApplicable, Parsed.error()});
+             Done(std::move(Parsed.value()));
+           });
 }
 
 void HttpEngine::state(CallDone<EngineState> Done) {
--- a/Libraries/LibTarget/HttpEngine.h
+++ b/Libraries/LibTarget/HttpEngine.h
@@ -8,7 +8,7 @@
 
 #pragma once
 
-#include "LibTarget/HttpClient.h"
+#include "LibTarget/HttpCall.h"
 
 namespace figlift::target {
 
@@ -39,7 +39,7 @@
 
   const HttpEngineOptions m_Options;
   /// Shared with the completions, which may outlive the engine's client.
-  std::shared_ptr<HttpClient> m_Client;
+  std::shared_ptr<upstream::HttpClient> m_Client;
 };
 
 } // namespace figlift::target
--- a/Libraries/LibTarget/HttpService.cpp
+++ b/Libraries/LibTarget/HttpService.cpp
@@ -13,6 +13,10 @@
 
 namespace figlift::target {
 
+using upstream::HttpAnswer;
+using upstream::HttpRequest;
+using upstream::Reuse;
+
 /// Longest time without data in a call that may be repeated.
 static constexpr std::chrono::milliseconds RepeatableTimeout{60000};
 
@@ -33,9 +37,11 @@
   HttpRequest Request;
   Request.Method = std::move(Call.Method);
   Request.Path = std::move(Call.Path);
-  Request.ContentType = std::move(Call.ContentType);
+  if (!Call.ContentType.empty())
+    Request.Headers.add("Content-Type", std::move(Call.ContentType));
+  if (!Call.IdempotencyKey.empty())
+    Request.Headers.add("Idempotency-Key", std::move(Call.IdempotencyKey));
   Request.Body = std::move(Call.Body);
-  Request.IdempotencyKey = std::move(Call.IdempotencyKey);
   // A service that ran the call and died before it answered would run it twice
   // if it was sent again.
   Request.ConnectionReuse = Call.Repeatable ? Reuse::Allowed : Reuse::Never;
@@ -43,7 +49,8 @@
   return Request;
 }
 
-HttpService::HttpService(Endpoint Target) : m_Client(std::move(Target)) {}
+HttpService::HttpService(Endpoint Target)
+    : m_Client(callThread(), std::move(Target)) {}
 
 void HttpService::call(ServiceRequest Request, CallDone<ServiceReply> Done) {
   auto Created = createRequest(std::move(Request));
@@ -51,14 +58,16 @@
     Done(CallError{Execution::NotRun, Created.error()});
     return;
   }
-  m_Client.send(std::move(Created.value()), [Done = std::move(Done)](
-                                                CallResult<HttpAnswer> Answer) {
-    if (!Answer)
-      return Done(Answer.error());
-    HttpAnswer &Response = Answer.value();
-    Done(ServiceReply{Response.Status, std::move(Response.ContentType),
-                      std::move(Response.Body)});
-  });
+  sendCall(m_Client, std::move(Created.value()),
+           [Done = std::move(Done)](CallResult<HttpAnswer> Answer) {
+             if (!Answer)
+               return Done(Answer.error());
+             HttpAnswer &Response = Answer.value();
+             std::string ContentType(
+                 Response.Headers.find("Content-Type").value_or(""));
+             Done(ServiceReply{Response.Status, std::move(ContentType),
+                               std::move(Response.Body)});
+           });
 }
 
 } // namespace figlift::target
--- a/Libraries/LibTarget/HttpService.h
+++ b/Libraries/LibTarget/HttpService.h
@@ -6,7 +6,7 @@
 
 #pragma once
 
-#include "LibTarget/HttpClient.h"
+#include "LibTarget/HttpCall.h"
 
 namespace figlift::target {
 
@@ -16,7 +16,7 @@
   void call(ServiceRequest Request, CallDone<ServiceReply> Done) override;
 
 private:
-  HttpClient m_Client;
+  upstream::HttpClient m_Client;
 };
 
 } // namespace figlift::target
--- a/Tests/LibPlatform/TestHttpPlatform.cpp
+++ b/Tests/LibPlatform/TestHttpPlatform.cpp
@@ -52,8 +52,8 @@
 
 } // namespace
 
-// cpprestsdk's thread pool exists until the process exits and allocates on its
-// own threads; CppUTest's leak detector supports neither.
+// The thread of the calls exists until the process exits and allocates;
+// CppUTest's leak detector supports neither.
 [[maybe_unused]] static const bool LeakDetectorDisabled =
     (MemoryLeakWarningPlugin::turnOffNewDeleteOverloads(), true);
 
@@ -100,7 +100,7 @@
       CHECK_EQUAL(*Expected, RowResult.value().size());
   }
   // cpprestsdk writes no space after the colon.
-  STRCMP_CONTAINS("If-None-Match:\"7\"", Server.lastHead().c_str());
+  STRCMP_CONTAINS("If-None-Match: \"7\"", Server.lastHead().c_str());
   CHECK(Platform->bytes() > 2 * ListBody.size());
 }
 
--- a/Tests/LibTarget/TestEndlessAnswers.cpp
+++ b/Tests/LibTarget/TestEndlessAnswers.cpp
@@ -136,8 +136,7 @@
 // together.
 TEST(EndlessAnswers, EndSomeOfManyCalls) {
   constexpr unsigned Calls = 40;
-  EndlessServer Server(Loop, {Ok + "\r\n", Text},
-                       HttpClient::MaximumAnswerBytes / 2);
+  EndlessServer Server(Loop, {Ok + "\r\n", Text}, MaximumAnswerBytes / 2);
   HttpService Service(Server.address());
   std::vector<std::shared_ptr<Outcome>> Ends;
   for (unsigned I = 0; I < Calls; ++I) {
