figlift-gateway, LibDispatch: Take a prefill that ran for what it is

Callers resume a stream of which nothing is left: its last event had come, its end had not. The server that is asked to read the prompt finds nothing to do, runs the request and answers with the empty rest, an event stream, in place of a handle. The gateway took that for a prefill that broke off, sent it to up to three servers where the route allows two, and told the caller "not run" of a request that three had run.

Class: what was asked for is taken for what was done. The answer says which it is: a success that is an event stream is a run, counts as one in the history of the request, and is the answer. So a stream that may run only once is not sent again if a server breaks off within it.

--- a/Libraries/LibDispatch/SendHistory.cpp
+++ b/Libraries/LibDispatch/SendHistory.cpp
@@ -48,6 +48,10 @@
   m_Sends[Number].Exchange = Exchange;
 }
 
+void SendHistory::recordRun(SendNumber Number) {
+  m_Sends[Number].HasRun = true;
+}
+
 bool SendHistory::hasUsed(uint64_t Connection) const {
   return std::any_of(m_Sends.begin(), m_Sends.end(),
                      [Connection](const SendRecord &Send) {
--- a/Libraries/LibDispatch/SendHistory.h
+++ b/Libraries/LibDispatch/SendHistory.h
@@ -40,13 +40,15 @@
   /// Empty while it is in progress, and if it was answered or canceled.
   /// Never changes once it is set.
   std::optional<SendOutcome> Outcome = std::nullopt;
+  /// The server has executed the request, whatever it was asked for.
+  bool HasRun = false;
 
   bool hasArrived() const {
     return !Outcome || !std::holds_alternative<NotSent>(*Outcome);
   }
   bool mayHaveRun() const {
-    return Purpose == SendPurpose::Execute &&
-           (!Outcome || dispatch::mayHaveRun(*Outcome));
+    return HasRun || (Purpose == SendPurpose::Execute &&
+                      (!Outcome || dispatch::mayHaveRun(*Outcome)));
   }
 };
 
@@ -98,6 +100,9 @@
   SendNumber begin(SendPurpose Purpose, std::string TargetId);
   void recordConnection(SendNumber Number, uint64_t Connection,
                         uint64_t Exchange);
+  /// The answer shows that the server has executed the request, although it was
+  /// asked for a prefill.
+  void recordRun(SendNumber Number);
   /// Whether a send of this request went over the connection.
   bool hasUsed(uint64_t Connection) const;
   /// Records how the send ended. The first outcome of a send stays.
--- a/Services/figlift-gateway/RequestAnswer.cpp
+++ b/Services/figlift-gateway/RequestAnswer.cpp
@@ -36,6 +36,14 @@
     Send.streamBody();
 }
 
+void RequestFlow::prefillRuns(ServerSend &Send) {
+  m_History.recordRun(Send.number());
+  m_ExecutionTarget = Send.targetId();
+  m_ExecutionSent = Send.started();
+  m_ExecutionPlan = m_PrefillPlan;
+  m_PlannedExecution = m_PlannedPrefill;
+}
+
 bool RequestFlow::isWholeBody(ServerSend &Send) {
   return isWholeStream(m_Relay.end(), Send.head().Framing);
 }
--- a/Services/figlift-gateway/RequestFlow.h
+++ b/Services/figlift-gateway/RequestFlow.h
@@ -48,6 +48,7 @@
   void sendAnswered(ServerSend &Send) override;
   void sendBody(ServerSend &Send, std::string Bytes) override;
   bool isWholeBody(ServerSend &Send) override;
+  void prefillRuns(ServerSend &Send) override;
   void sendEnded(ServerSend &Send, dispatch::SendOutcome End) override;
   void sendCompleted(ServerSend &Send) override;
   /// A version may have become unconfirmed while the connection was
--- a/Services/figlift-gateway/ServerSend.cpp
+++ b/Services/figlift-gateway/ServerSend.cpp
@@ -100,6 +100,10 @@
     return;
   m_Head = Head;
   m_Fields = slopes::decodeServerFields(Head);
+  if (runsInsteadOfPrefill()) {
+    m_Purpose = SendPurpose::Execute;
+    m_Owner->prefillRuns(*this);
+  }
   const bool IsExecution = m_Purpose == SendPurpose::Execute;
   if (!isMatchingResponse(Head, m_Fields))
     return breakOff("not an answer to the request");
@@ -110,6 +114,16 @@
     breakOff(BrokenOffAnswer::TooLong);
 }
 
+/// A server that finds nothing left of a resumed stream answers its prefill
+/// with the empty rest.
+bool ServerSend::runsInsteadOfPrefill() const {
+  constexpr std::string_view EventStream = "text/event-stream";
+  return m_Purpose == SendPurpose::Prefill && isSuccess(m_Head.Status) &&
+         m_Head.Headers.find("Content-Type")
+             .value_or("")
+             .starts_with(EventStream);
+}
+
 void ServerSend::recordLimit() {
   if (!m_Target || m_Fields.Misdirected)
     return;
--- a/Services/figlift-gateway/ServerSend.h
+++ b/Services/figlift-gateway/ServerSend.h
@@ -30,6 +30,9 @@
 class SendOwner {
 public:
   virtual ~SendOwner() = default;
+  /// Called before sendAnswered() if a server executes the request although it
+  /// was asked for a prefill. The send is an execution from here on.
+  virtual void prefillRuns(ServerSend &Send) = 0;
   /// Called for the head of a verified successful response to an execution.
   virtual void sendAnswered(ServerSend &Send) = 0;
   /// Called with body bytes after sendAnswered.
@@ -104,6 +107,7 @@
 private:
   bool isMatchingResponse(const proxy::ResponseHead &Head,
                           const slopes::ServerFields &Fields) const;
+  bool runsInsteadOfPrefill() const;
   void recordRejection(BootTime Now);
   void recordLimit();
   bool isHeldBack() const;
--- a/Tests/FigliftGateway/TestPromises.cpp
+++ b/Tests/FigliftGateway/TestPromises.cpp
@@ -9,6 +9,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace figlift;
 using namespace figlift::testing;
 
@@ -21,6 +26,24 @@
   };
 }
 
+/// The server begins to run a request that it was asked to prefill.
+void beginRun(const proxy::Request &Request, const Caller &To) {
+  proxy::ResponseHead Head;
+  Head.Status = 200;
+  Head.Headers.add("Content-Type", "text/event-stream");
+  Head.Headers.add(
+      "X-Attempt-Id",
+      std::string(Request.Head.Headers.find("X-Attempt-Id").value_or("")));
+  Head.Headers.add("X-Response-Signature", "s");
+  To->beginStream(Head);
+}
+
+/// The same, and finds nothing left to do.
+void runInsteadOfPrefill(const proxy::Request &Request, const Caller &To) {
+  beginRun(Request, To);
+  To->endStream();
+}
+
 } // namespace
 
 TEST_GROUP(Promises) {
@@ -76,3 +99,53 @@
   STRCMP_CONTAINS("HTTP/1.1 500", Answer.c_str());
   STRCMP_CONTAINS("X-Response-Signature", Answer.c_str());
 }
+
+// Guards against: a caller resumes a stream of which nothing is left; a server
+// answers the prefill with the empty rest, which counts as a failed prefill. It
+// is sent to one server after another, and the caller is told "not run".
+TEST(Promises, PrefillWithNothingLeftIsTheAnswer) {
+  const std::vector<std::string> Engines = {"p1", "p2", "p3"};
+  std::vector<Listener *> Servers;
+  for (const std::string &Id : Engines)
+    Servers.push_back(
+        &Fixture.addServer(Id, "model", runInsteadOfPrefill, "prefill"));
+  Listener &Decode =
+      Fixture.addServer("d1", "model", respondWith("id: 9\n\n"), "decode");
+  start();
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 4\n");
+  }));
+  const std::string Answer = Fixture.request(
+      "POST", "/stream/x", PromptHeaders + "Last-Event-Id: 8\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 200", Answer.c_str());
+  CHECK(isCompleteStream(Answer));
+  LONGS_EQUAL(1, Servers[0]->Requests.size() + Servers[1]->Requests.size() +
+                     Servers[2]->Requests.size());
+  LONGS_EQUAL(0, Decode.Requests.size());
+}
+
+// Guards against: the same where the server breaks off, for a stream that may
+// run only once.
+TEST(Promises, PrefillThatRanIsNone) {
+  Listener &Prefill = Fixture.addServer(
+      "p1", "model",
+      [&](const proxy::Request &Request, const Caller &To) {
+        beginRun(Request, To);
+        // The head must be sent before the connection is aborted.
+        auto Timer = std::make_shared<boost::asio::steady_timer>(Fixture.Loop);
+        Timer->expires_after(std::chrono::milliseconds(20));
+        Timer->async_wait([Timer, To](const auto &) { To->abort(); });
+      },
+      "prefill");
+  Listener &Decode =
+      Fixture.addServer("d1", "model", respondWith("id: 1\n\n"), "decode");
+  start();
+  CHECK(Fixture.waitUntil([&] {
+    return contains(Fixture.metrics(), "figlift_gateway_targets 2\n");
+  }));
+  const std::string Answer = Fixture.request("POST", "/once/x", PromptHeaders);
+  CHECK(!contains(Answer, "HTTP/1.1 503"));
+  CHECK(!contains(Answer, "HTTP/1.1 200"));
+  LONGS_EQUAL(1, Prefill.Requests.size());
+  LONGS_EQUAL(0, Decode.Requests.size());
+}
