Tests/StoppingGateway: Do not starve the gateway that is to end

HangupDuringTheExitDoesNotEndIt sent SIGHUP in a loop without a pause or a limit. On this machine the sender was faster than the handler: the gateway got no turn of its loop for 514 s and went on when a debugger stopped the sender ("stood-still", then "stopped" in order).

--- a/Tests/StoppingGateway/TestSignalOrder.cpp
+++ b/Tests/StoppingGateway/TestSignalOrder.cpp
@@ -9,11 +9,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -28,6 +31,17 @@
 constexpr int ShortGrace = 4;
 constexpr int LongGrace = 8;
 
+/// Whether SIGHUP was sent to the process and not delivered yet.
+bool isHangupPending(pid_t Process) {
+  std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
+  constexpr std::string_view Name = "ShdPnd:";
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with(Name))
+      return (std::stoull(Line.substr(Name.size()), nullptr, 16) &
+              (1ULL << (SIGHUP - 1))) != 0;
+  return false;
+}
+
 } // namespace
 
 TEST_GROUP(SignalOrder) {
@@ -136,11 +150,15 @@
     Process.terminate();
     CHECK(Process.waitForOutput("stopping", Limit));
     std::optional<int> ExitCode;
-    while (!ExitCode) {
-      kill(Process.pid(), SIGHUP);
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (!ExitCode && std::chrono::steady_clock::now() < End) {
+      // A signal that is sent while one is pending has no effect but to keep
+      // the process from running.
+      if (!isHangupPending(Process.pid()))
+        kill(Process.pid(), SIGHUP);
       ExitCode = Process.waitForExit(std::chrono::milliseconds(0));
     }
-    OrderlyEnds += *ExitCode == 0 ? 1 : 0;
+    OrderlyEnds += ExitCode == 0 ? 1 : 0;
   }
   LONGS_EQUAL(Rounds, OrderlyEnds);
 }
