--- a/Libraries/LibUpstream/HttpClient.h
+++ b/Libraries/LibUpstream/HttpClient.h
@@ -1,7 +1,7 @@
 //===- HttpClient.h - HTTP calls with bounded answers -----------*- C++ -*-===//
 //
 // Calls of a process without an event loop of its own for them, each with a
-// timeout for silence and without redirects. A failed call tells whether the
+// timeout for silence and without redirects. A failed call reports whether the
 // server may have run it. A server may be faulty and send without end, so
 // heads, chunks and bodies are bounded, each answer by itself and all together.
 //
@@ -63,7 +63,7 @@
 
 using HttpResult = std::variant<HttpAnswer, HttpFailure>;
 
-/// What a call tells, on the thread of the calls.
+/// Called on the thread of the calls.
 struct HttpCallbacks {
   /// Called exactly once, after all others.
   std::function<void(HttpResult)> OnEnd;
