LibProxy: Refuse responses whose status is none

What callers saw: the answer of a server in trouble whose status was 000, passed on as an answer (as a status line of one digit, which is broken itself).

Cause: ResponseParser took whatever three digits Boost.Beast takes, which checks that there are three and nothing else. A status code lies between 100 and 599 (RFC 9110, 15).

Evidence: on the code before, real gateway processes passed on 000, 001, 099, 600 and 999 on unsafe, safe, resumable and other streaming routes; a 000 that names no request was skipped as the answer to another one, and the 200 behind it was served.

Why this works: the parser is what every reader of answers has in common: the requests, prefills and calls of a gateway, the clients of the store, and the calls of entry and agent. An answer that fails there ends its exchange as interrupted: the server is not asked again on that connection, nothing that it says counts, and what may have run is not sent again.

Handled before, kept as tests: prefills with such a status (the gateway went on without them), status lines that are broken otherwise.

--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -25,6 +25,11 @@
 constexpr uint32_t MaximumHeadBytes = 32768;
 /// A response that has more of them before it fails.
 constexpr unsigned MaximumInterimResponses = 16;
+/// \name Status codes (RFC 9110, 15). Boost.Beast takes any three digits.
+/// @{
+constexpr int MinimumStatus = 100;
+constexpr int MaximumStatus = 599;
+/// @}
 } // namespace
 
 class ResponseParser::BeastParser : public http::basic_parser<false> {
@@ -42,7 +47,9 @@
   void on_request_impl(http::verb, StringView, StringView, int,
                        ErrorCode &) override {}
   void on_response_impl(int Status, StringView Reason, int Version,
-                        ErrorCode &) override {
+                        ErrorCode &Code) override {
+    if (Status < MinimumStatus || Status > MaximumStatus)
+      Code = http::error::bad_status;
     Head.Status = static_cast<unsigned>(Status);
     Head.Reason = std::string(Reason);
     Head.Version = static_cast<unsigned>(Version);
--- a/Tests/CutHeads/TestCutHeads.cpp
+++ b/Tests/CutHeads/TestCutHeads.cpp
@@ -18,12 +18,6 @@
 const std::string Body = "0123456789";
 const std::string Event = "id: 1\ndata: one\n\n";
 
-std::string attemptOf(const std::string &Head) {
-  const std::string Name = "\r\nX-Attempt-Id: ";
-  const size_t Begin = Head.find(Name) + Name.size();
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
-}
-
 } // namespace
 
 TEST_GROUP(CutHeads) {
--- a/Tests/FigliftGateway/RawServer.cpp
+++ b/Tests/FigliftGateway/RawServer.cpp
@@ -27,6 +27,12 @@
     R"({"epoch":"a","next":0,"held":[]})";
 } // namespace
 
+std::string attemptOf(const std::string &Head) {
+  const std::string Name = "\r\nX-Attempt-Id: ";
+  const size_t Begin = Head.find(Name) + Name.size();
+  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
+}
+
 class RawServer::Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(RawServer &Owner, tcp::socket Socket)
--- a/Tests/FigliftGateway/RawServer.h
+++ b/Tests/FigliftGateway/RawServer.h
@@ -39,6 +39,9 @@
   std::string LateBytes = {};
 };
 
+/// The request's id in its head.
+std::string attemptOf(const std::string &Head);
+
 class RawServer {
 public:
   /// Returns the response to the request with this head.
--- /dev/null
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -0,0 +1,64 @@
+//===- TestBrokenResponses.cpp - Responses that are not valid HTTP --------===//
+//
+// What fails, wherever its bytes are split: statuses out of range, odd fields
+// and odd framing. What stands in a trailer is no part of the head.
+//
+//===----------------------------------------------------------------------===//
+
+#include "LibProxy/ResponseParser.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+using namespace figlift::proxy;
+using State = ResponseParser::State;
+
+namespace {
+
+const std::string Length = "Content-Length: 2\r\n";
+const std::string Chunks = "Transfer-Encoding: chunked\r\n";
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+
+} // namespace
+
+TEST_GROUP(BrokenResponses) {
+  ResponseParser Parser;
+
+  /// Parses \p Bytes in two parts, of which the first has \p Split bytes.
+  State parse(std::string_view Bytes, size_t Split) {
+    Parser = ResponseParser();
+    Parser.feed(Bytes.substr(0, Split));
+    return Parser.feed(Bytes.substr(Split));
+  }
+  void checkFails(const std::string &Bytes) {
+    for (size_t Split = 0; Split < Bytes.size(); ++Split)
+      CHECK_TEXT(parse(Bytes, Split) == State::Failed, Bytes.c_str());
+  }
+  void checkCompletes(const std::string &Bytes) {
+    for (size_t Split = 0; Split < Bytes.size(); ++Split)
+      CHECK_TEXT(parse(Bytes, Split) == State::Complete, Bytes.c_str());
+  }
+};
+
+// Failure: an answer whose status is no status is passed on.
+TEST(BrokenResponses, StatusesOutOfRangeFail) {
+  for (const std::string Status : {"000", "001", "099", "600", "999"}) {
+    const std::string Line = "HTTP/1.1 " + Status + " Odd\r\n";
+    checkFails(Line + Length + "\r\nok");
+    checkFails(Line + Chunks + "\r\n2\r\nok\r\n0\r\n\r\n");
+    checkFails(Line + "\r\nok");
+    checkFails("HTTP/1.1 103 Early Hints\r\n\r\n" + Line + Length + "\r\nok");
+  }
+}
+
+TEST(BrokenResponses, StatusesInRangeAreTaken) {
+  for (const std::string Status : {"200", "299", "404", "500", "599"})
+    checkCompletes("HTTP/1.1 " + Status + " Odd\r\n" + Length + "\r\nok");
+}
+
+// Failure: the body behind a broken interim response is passed on.
+TEST(BrokenResponses, InterimStatusesOutOfRangeFail) {
+  checkFails("HTTP/1.1 099 Early Hints\r\n\r\n" + Ok + Length + "\r\nok");
+}
--- a/Tests/StreamVersions/TestRestartedServers.cpp
+++ b/Tests/StreamVersions/TestRestartedServers.cpp
@@ -20,12 +20,6 @@
 /// From the end of a process until its successor listens.
 constexpr milliseconds RestartTime{200};
 
-std::string attemptOf(const std::string &Head) {
-  const std::string Name = "\r\nX-Attempt-Id: ";
-  const size_t Begin = Head.find(Name) + Name.size();
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
-}
-
 /// One event, and the end of the stream if it is \p Whole.
 RawResponse stream(const std::string &Head, bool Whole, ConnectionEnd End) {
   const std::string Event = contains(Head, "\r\nLast-Event-Id: ")
