LibUpstream: Take no error of a connection for the end of an answer

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The part came as a complete answer.

Cause: the kernel reports an error of a connection once, to whichever call on the socket comes first. If that is the write of the upload, the read that follows returns 0, which looks like the end of input, and a body without a length ends with its connection. Three calls can take the error away from the read: the write, the peek of hasUnreadInput() when a timer fires, and either of them where the kernel gives up a peer that is lost (TCP_USER_TIMEOUT). The comment "a write error is reported by the read" was the wrong assumption.

Why this works: the connection remembers an error of its writes and peeks, and no end of input is graceful after that. The request is therefore written by calls that return their error at once, in the same parts of 64 KiB, between which the loop waits until the socket is writable.

A whole answer without a length whose end and reset are lost together is given up.

--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -9,8 +9,10 @@
 
 #include "LibLog/Guard.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <charconv>
@@ -28,6 +30,8 @@
 /// any more.
 constexpr unsigned MaximumSkippedResponses = 8;
 constexpr size_t MaximumSkippedBytes = 1 << 20;
+/// Others are served between two writes.
+constexpr size_t MaximumBytesPerWrite = 1 << 16;
 
 ConnectionId nextConnectionId() {
   static std::atomic<ConnectionId> Last = 0;
@@ -58,7 +62,7 @@
   m_Parser = proxy::ResponseParser(ExpectBody);
   if (m_State == State::Idle) {
     m_State = State::Busy;
-    return send();
+    return write();
   }
   connect();
 }
@@ -81,6 +85,8 @@
   const auto Address = asio::ip::make_address_v4(m_Peer.Address, Code);
   if (!Code)
     m_Socket.open(asio::ip::tcp::v4(), Code);
+  if (!Code)
+    m_Socket.non_blocking(true, Code);
   if (Code) {
     // Posted to the loop: the sink must not be called within exchange().
     asio::post(m_Loop, [Self = shared_from_this()] {
@@ -128,26 +134,43 @@
     return endExchange(ExchangeOutcome::NotSent);
   m_State = State::Busy;
   read();
-  send();
+  write();
+}
+
+/// Errors of a write are recorded in the call that meets them. The handler of
+/// an asynchronous write may run after that of a read which finds the
+/// connection ended because of the same error.
+void ServerConnection::write() {
+  if (m_State == State::Closed)
+    return;
+  ErrorCode Code;
+  m_Written += m_Socket.write_some(unwritten(), Code);
+  if (Code && Code != asio::error::would_block)
+    // The exchange ends with the read, after the server's last bytes.
+    return recordError(Code);
+  if (asio::buffer_size(unwritten()) == 0) {
+    m_RequestWritten = true;
+    return releaseRequest();
+  }
+  m_Socket.async_wait(
+      asio::ip::tcp::socket::wait_write,
+      [Self = shared_from_this()](const ErrorCode &) { Self->write(); });
 }
 
-void ServerConnection::send() {
-  // The write owns the bytes: an exchange that ends early may replace
-  // m_Outgoing before the write completes.
-  auto Bytes = std::make_shared<std::string>(std::move(m_Outgoing));
-  const SharedBody Body = std::exchange(m_OutgoingBody, nullptr);
-  const std::array<asio::const_buffer, 2> Parts = {
-      asio::buffer(std::as_const(*Bytes)),
-      Body ? asio::buffer(*Body) : asio::const_buffer()};
-  const auto Sink = std::weak_ptr<ExchangeSink>(m_Sink);
-  asio::async_write(m_Socket, Parts,
-                    [Self = shared_from_this(), Bytes, Body,
-                     Sink](const ErrorCode &Code, size_t) {
-                      // A write error is reported by the read, after the
-                      // server's last bytes.
-                      if (!Code && Sink.lock() == Self->m_Sink)
-                        Self->m_RequestWritten = true;
-                    });
+/// The next part of the request.
+ServerConnection::RequestParts ServerConnection::unwritten() const {
+  const asio::const_buffer Head = asio::buffer(m_Outgoing);
+  const asio::const_buffer Body =
+      m_OutgoingBody ? asio::buffer(*m_OutgoingBody) : asio::const_buffer();
+  const size_t WrittenOfBody = m_Written - std::min(m_Written, Head.size());
+  return {Head + m_Written,
+          asio::buffer(Body + WrittenOfBody, MaximumBytesPerWrite)};
+}
+
+void ServerConnection::releaseRequest() {
+  std::string().swap(m_Outgoing);
+  m_OutgoingBody = nullptr;
+  m_Written = 0;
 }
 
 void ServerConnection::read() {
@@ -165,9 +188,9 @@
     // Idle: the server closed the connection or sent unsolicited bytes.
     return close();
   }
+  const bool EndOfInput = Code == asio::error::eof && !m_HasFailed;
   guard([&] {
-    processInput({m_Buffer.data(), Count}, Code == asio::error::eof,
-                 Code && Code != asio::error::eof);
+    processInput({m_Buffer.data(), Count}, EndOfInput, Code && !EndOfInput);
   });
   if (m_State == State::Closed || Code)
     return;
@@ -190,7 +213,20 @@
   char Next = 0;
   const ssize_t Count =
       recv(m_Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || (errno != EAGAIN && errno != EINTR);
+  if (Count >= 0)
+    return true;
+  if (errno == EAGAIN || errno == EINTR)
+    return false;
+  recordError({errno, boost::system::system_category()});
+  return true;
+}
+
+/// The kernel reports an error once, to whichever call comes first. A read
+/// after that returns 0, as at the end of input.
+void ServerConnection::recordError(const ErrorCode &Code) {
+  // Of a reset that follows the end of input, which it does not take back.
+  if (Code && Code != asio::error::broken_pipe)
+    m_HasFailed = true;
 }
 
 void ServerConnection::processInput(std::string_view Bytes, bool EndOfInput,
@@ -297,6 +333,7 @@
   if (std::exchange(m_State, State::Closed) == State::Closed)
     return;
   m_Timer.cancel();
+  releaseRequest();
   ErrorCode Ignored; // The socket is discarded in any case.
   m_Socket.close(Ignored);
   if (m_StateListener)
--- a/Libraries/LibUpstream/ServerConnection.h
+++ b/Libraries/LibUpstream/ServerConnection.h
@@ -25,6 +25,7 @@
 #include "LibProxy/Message.h"
 #include "LibProxy/ResponseParser.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -139,9 +140,13 @@
   template <typename Function> void guard(Function Work);
   void connect();
   void onConnected(const ErrorCode &Code);
-  void send();
+  using RequestParts = std::array<boost::asio::const_buffer, 2>;
+  void write();
+  RequestParts unwritten() const;
+  void releaseRequest();
   void read();
   void onReceived(const ErrorCode &Code, size_t Count);
+  void recordError(const ErrorCode &Code);
   void processInput(std::string_view Bytes, bool EndOfInput, bool Failed);
   void reportArrivedHead();
   bool skipOthers(proxy::ResponseParser::State &Progress);
@@ -159,13 +164,21 @@
   ConnectionTimeouts m_Timeouts;
   State m_State = State::Unconnected;
   std::array<char, 8192> m_Buffer;
+  /// \name The request that is being written. Kept until it has been, as only a
+  /// connection without unwritten bytes is used again.
+  /// @{
   std::string m_Outgoing;
   SharedBody m_OutgoingBody;
+  size_t m_Written = 0;
+  /// @}
   /// All bytes of the request were passed to the kernel. If a response arrives
   /// earlier, the rest of the body is unsent. The connection is then not
   /// reused, because the server would parse the next request as that rest.
   bool m_RequestWritten = false;
   bool m_ReadPaused = false;
+  /// A call other than the read met an error of the connection. No end of input
+  /// is graceful after that.
+  bool m_HasFailed = false;
   bool m_HeadReported = false;
   /// The response that is being received answers another request.
   bool m_Skipping = false;
--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -1,12 +1,16 @@
 //===- TestBrokenAnswers.cpp - Answers that are no valid HTTP -------------===//
 //
 // Servers in trouble, a gateway in a process of its own, and one caller. For
-// each kind of request, no caller gets a broken answer.
+// each kind of request, no caller gets a broken answer, or a part of one that
+// looks whole.
 //
 //===----------------------------------------------------------------------===//
 
+#include "BreakingServer.h"
+
 #include "FigliftGateway/RawServer.h"
 #include "FigliftGateway/SeparateGateway.h"
+#include "LibProxy/ResponseParser.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -118,6 +122,11 @@
       CHECK_TEXT(!contains(Answer, Event), Case.c_str());
     }
   }
+  static bool isWhole(const std::string &Answer) {
+    proxy::ResponseParser Parser;
+    Parser.feed(Answer);
+    return Parser.finish() == proxy::ResponseParser::State::Complete;
+  }
 };
 
 // Failure: an answer whose status is no status reaches its caller.
@@ -175,3 +184,65 @@
     checkBroken(Broken, withLength());
   checkBroken(std::string("HTTP/1.1 200 O\0K", 16), withLength());
 }
+
+// Failure: a server answers an upload at once, without a length, and resets;
+// the part of its answer that arrived is passed on as complete.
+TEST(BrokenAnswers, ResetsDuringUploadsEndNoAnswer) {
+  constexpr int Repetitions = 4;
+  const std::string Upload(3000000, 'u');
+  std::string Events;
+  while (Events.size() < 2000)
+    Events += Event;
+  EarlyAnswer Answer;
+  const auto Break = [&](const std::string &Head) {
+    EarlyAnswer Whole = Answer;
+    Whole.Bytes += "\r\n" + identity(Head) + "\r\n" + Events;
+    return Whole;
+  };
+  BreakingServer Server(Fixture.Loop, Break);
+  BreakingServer Decoder(Fixture.Loop, Break);
+  start(Server.address(), Decoder.address());
+  for (const std::string Status : {"200 OK", "500 Error", "413 Too Large"})
+    for (const EarlyAnswer &Shape :
+         {EarlyAnswer{.Bytes = "", .End = UploadEnd::Reset},
+          EarlyAnswer{.Bytes = "", .End = UploadEnd::CloseUnread},
+          EarlyAnswer{
+              .Bytes = "", .End = UploadEnd::Reset, .BytesRead = 300000}})
+      for (const RequestKind &Kind : AllKinds)
+        for (int I = 0; I < Repetitions; ++I) {
+          Answer = Shape;
+          Answer.Bytes = "HTTP/1.1 " + Status;
+          const size_t Before = Server.requests() + Decoder.requests();
+          const std::string Received = send(Kind, Upload);
+          checkSends(Kind, Server.requests() + Decoder.requests() - Before);
+          const std::string Case =
+              Kind.Path + " " + Status + "\ngot " + Received.substr(0, 200);
+          CHECK_TEXT(Received.starts_with("HTTP/1.1 502 ") ||
+                         !isWhole(Received),
+                     Case.c_str());
+        }
+}
+
+// Failure: an answer to an upload that the server ends in order is lost, since
+// the rest of the upload is reset.
+TEST(BrokenAnswers, AnswersThatEndDuringUploadsArePassedOn) {
+  const std::string Upload(3000000, 'u');
+  EarlyAnswer Answer;
+  const auto End = [&](const std::string &Head) {
+    EarlyAnswer Whole = Answer;
+    Whole.Bytes += "\r\n" + identity(Head) + "\r\n" + Event;
+    return Whole;
+  };
+  BreakingServer Server(Fixture.Loop, End);
+  BreakingServer Decoder(Fixture.Loop, End);
+  start(Server.address(), Decoder.address());
+  for (const UploadEnd Ending :
+       {UploadEnd::EndAndReset, UploadEnd::EndAndReadAll})
+    for (const RequestKind &Kind : AllKinds) {
+      Answer = {.Bytes = Ok, .End = Ending};
+      const std::string Received = send(Kind, Upload);
+      CHECK_TEXT(Received.starts_with(Ok), Received.c_str());
+      CHECK(isWhole(Received));
+      CHECK(contains(Received, Event));
+    }
+}
--- a/Tests/LibUpstream/TestHttpClient.cpp
+++ b/Tests/LibUpstream/TestHttpClient.cpp
@@ -70,3 +70,11 @@
   for (const std::string Status : {"000", "099", "600"})
     checkFails("HTTP/1.1 " + Status + " Odd\r\nContent-Length: 0\r\n\r\n", 0);
 }
+
+// Failure: a target resets during an upload, and the part of its answer that
+// had arrived counts as the whole.
+TEST(HttpClient, ResetDuringAnUploadEndsNoAnswer) {
+  constexpr int Repetitions = 30;
+  for (int I = 0; I < Repetitions; ++I)
+    checkFails("HTTP/1.1 200 OK\r\n\r\npart", 16 << 20);
+}
