LibProxy: Take no reset of a caller for the end of its input

What was seen: nothing by callers. The same cause as of answers that a reset cut, on the other side: a gateway that grants a queued request looks with a peek whether its caller has left. The kernel reports the reset to the peek, once; the read that follows finds an end of input, as of a caller that waits for its answer, and the connection stays open with its request until the process ends.

Evidence: EndedInput.ResetSeenByACheckIsNoEnd failed before.

Why this works: the connection remembers that the peek met an error, and no end of input is that of a waiting caller after it.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -61,7 +61,7 @@
   const bool WasChecking = std::exchange(m_CheckingInput, false);
   if (WasChecking && Code == asio::error::operation_aborted)
     return inputChecked();
-  if (Code == asio::error::eof)
+  if (Code == asio::error::eof && !m_HasFailed)
     return onInputEnded();
   if (Code)
     return close(CloseReason::Failed);
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -256,6 +256,9 @@
   /// arrived that was not read yet.
   bool m_CheckingInput = false;
   bool m_InputEnded = false;
+  /// A call other than the read met an error of the connection. The kernel
+  /// reports it once, and a read finds an end of input after that.
+  bool m_HasFailed = false;
   /// The sending side of the socket has been shut down.
   bool m_OutputEnded = false;
   /// The active request has been answered, at least in part.
--- a/Libraries/LibProxy/CallerConnectionClose.cpp
+++ b/Libraries/LibProxy/CallerConnectionClose.cpp
@@ -168,7 +168,9 @@
   char Next = 0;
   const ssize_t Count =
       recv(m_Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+  if (Count < 0 && errno != EAGAIN && errno != EINTR)
+    m_HasFailed = true;
+  return Count == 0 || m_HasFailed;
 }
 
 void CallerConnection::closeForExit() {
--- a/Tests/LibProxy/TestEndedInput.cpp
+++ b/Tests/LibProxy/TestEndedInput.cpp
@@ -124,6 +124,42 @@
   CHECK(Handler.LastCaller->closeReport().HasRequest);
 }
 
+// Failure: a caller resets its connection, a check whether it has left takes
+// the reset away from the read, and the connection stays open as that of a
+// caller that waits for its answer.
+TEST(EndedInput, ResetSeenByACheckIsNoEnd) {
+  Handler.AnswersEndedInput = true;
+  openWithRequest();
+  Caller.set_option(asio::socket_base::linger(true, 0));
+  Caller.close();
+  const auto End = std::chrono::steady_clock::now() + milliseconds(2000);
+  while (!Handler.LastCaller->hasCallerLeft() &&
+         std::chrono::steady_clock::now() < End) {
+  }
+  CHECK(until([&] { return Handler.Closed; }));
+  CHECK(Handler.LastRequest->Disconnected);
+}
+
+// Failure: the same where the answer that is being written meets the reset.
+TEST(EndedInput, ResetDuringAnAnswerIsNoEnd) {
+  constexpr int Repetitions = 30;
+  Handler.AnswersEndedInput = true;
+  for (int I = 0; I < Repetitions; ++I) {
+    Loop.restart();
+    Caller = tcp::socket(Loop);
+    Handler.Closed = false;
+    openWithRequest();
+    Handler.LastCaller->beginStream({.Status = 200});
+    Handler.LastCaller->writeStream(std::string(LargeResponseBytes / 4, 'x'));
+    Loop.run_for(milliseconds(1));
+    Caller.set_option(asio::socket_base::linger(true, 0));
+    Caller.close();
+    CHECK(until([&] { return Handler.Closed; }));
+    CHECK(Handler.LastRequest->Disconnected);
+    Handler.Requests.clear();
+  }
+}
+
 // Failure: a caller ends its input while it receives a large answer, and gets
 // the first part of it.
 TEST(EndedInput, CompleteAnswerIsDelivered) {
