LibProxy: Refuse responses with folded lines

What callers saw (measured here): a line of a head that begins with a blank, for example " Content-Length: 3", was passed on, joined to the field before it.

Cause: Boost.Beast joins such lines and hands the joined value over, so that no later check sees them. RFC 9112, 5.2 lets a gateway refuse or join them.

Evidence: BrokenResponses.FoldedLinesFail and, with real processes, BrokenAnswers.FoldedLinesAreNotPassedOn failed before.

Why this works: the parser looks at the byte behind the line of each field, in heads, interim heads and trailers; Boost.Beast has read it by then. Blanks within a line are taken as before (BlanksWithinALineAreTaken).

--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -39,8 +39,19 @@
   /// A chunk with data has begun.
   bool HasChunk = false;
   ExtensionBytes Extensions{MaximumHeadBytes};
+  /// What is being parsed, during parseInput().
+  std::string_view Input;
 
 private:
+  /// Whether the line of the field with this name, a part of Input, is
+  /// continued by the next one. Boost.Beast joins such lines (RFC 9112, 5.2).
+  bool isFolded(StringView Name) const {
+    const auto NameBegin = static_cast<size_t>(Name.data() - Input.data());
+    const size_t LineEnd = Input.find("\r\n", NameBegin + Name.size());
+    const char Next = Input[LineEnd + 2];
+    return Next == ' ' || Next == '\t';
+  }
+
   FieldCount m_Fields;
   ChunkOverhead m_Chunks;
 
@@ -57,6 +68,8 @@
   void on_field_impl(http::field, StringView Name, StringView Value,
                      ErrorCode &Code) override {
     m_Fields.add(Code);
+    if (isFolded(Name))
+      Code = http::error::bad_value;
     Head.Headers.add(std::string(Name), std::string(Value));
   }
   void on_header_impl(ErrorCode &Code) override {
@@ -111,19 +124,24 @@
   m_InterimResponses = 0;
 }
 
+ErrorCode ResponseParser::parseInput() {
+  m_BeastParser->Input = m_Input;
+  return consume(*m_BeastParser, m_Input);
+}
+
 ResponseParser::State ResponseParser::feed(std::string_view Bytes) {
   m_Started = m_Started || !Bytes.empty();
   m_Input.append(Bytes);
   if (m_State == State::Complete || m_State == State::Failed)
     return m_State;
-  ErrorCode Code = consume(*m_BeastParser, m_Input);
+  ErrorCode Code = parseInput();
   // An interim response consists of a head only; the final one follows.
   while (!Code && m_BeastParser->is_done() &&
          m_BeastParser->Head.Status / 100 == 1) {
     if (++m_InterimResponses > MaximumInterimResponses)
       return m_State = State::Failed;
     reset();
-    Code = consume(*m_BeastParser, m_Input);
+    Code = parseInput();
   }
   if (Code && Code != http::error::need_more)
     return m_State = State::Failed;
--- a/Libraries/LibProxy/ResponseParser.h
+++ b/Libraries/LibProxy/ResponseParser.h
@@ -11,6 +11,8 @@
 
 #include "LibProxy/Message.h"
 
+#include <boost/system/error_code.hpp>
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -49,6 +51,7 @@
   class BeastParser;
 
   void reset();
+  boost::system::error_code parseInput();
   BodyFraming framing() const;
 
   bool m_BodyAllowed;
--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -246,3 +246,18 @@
       CHECK(contains(Received, Event));
     }
 }
+
+// Failure: a line that begins with a blank is passed on in the field before it.
+TEST(BrokenAnswers, FoldedLinesAreNotPassedOn) {
+  startBroken();
+  for (const std::string Folded :
+       {"X-A: a\r\n Content-Length: 3\r\n", "X-A: a\r\n\tb\r\n",
+        "X-A:\r\n b\r\n", "X-A: a\r\n b\r\n c\r\n", "X-A: a\r\n \r\n"}) {
+    checkBroken(Ok, withLength(Folded));
+    checkBroken("HTTP/1.1 103 Early Hints\r\n" + std::string(Folded) + "\r\n" +
+                    Ok,
+                withLength());
+    checkBroken(Ok, withChunks(Folded));
+  }
+  checkBroken(Ok + "\r\n X-A: a", withLength());
+}
--- a/Tests/LibProxy/TestBrokenResponses.cpp
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -62,3 +62,23 @@
 TEST(BrokenResponses, InterimStatusesOutOfRangeFail) {
   checkFails("HTTP/1.1 099 Early Hints\r\n\r\n" + Ok + Length + "\r\nok");
 }
+
+// Failure: a line that begins with a blank is passed on in the field before it.
+TEST(BrokenResponses, FoldedLinesFail) {
+  for (const std::string Folded :
+       {"X-A: a\r\n Content-Length: 3\r\n", "X-A: a\r\n\tb\r\n",
+        "X-A:\r\n b\r\n", "X-A: a\r\n b\r\n c\r\n", "X-A: a\r\n \r\n"}) {
+    checkFails(Ok + Folded + Length + "\r\nok");
+    checkFails(Ok + Length + Folded + "\r\nok");
+    checkFails("HTTP/1.1 103 Early Hints\r\n" + Folded + "\r\n" + Ok + Length +
+               "\r\nok");
+    checkFails(Ok + Chunks + "\r\n2\r\nok\r\n0\r\n" + Folded + "\r\n");
+  }
+}
+
+// Values that hold, begin or end with blanks.
+TEST(BrokenResponses, BlanksWithinALineAreTaken) {
+  checkCompletes(Ok + "X-A:  a\t b \r\nX-B: \r\nX-C:\r\n" + Length + "\r\nok");
+  STRCMP_EQUAL("a\t b",
+               std::string(*Parser.head().Headers.find("X-A")).c_str());
+}
