LibProxy: Refuse chunks in HTTP/1.0

What callers saw (measured here): an answer of HTTP/1.0 with Transfer-Encoding: chunked was decoded and passed on.

Cause: Boost.Beast decodes chunks in any version. HTTP/1.0 has no codings: whoever wrote the answer may have meant the chunks as the body, and RFC 9112, 6.1 calls the framing of such a message faulty.

Evidence: BrokenResponses.ChunksOfAnEarlierVersionFail and, with real processes, BrokenAnswers.ChunksOfAnEarlierVersionAreNotPassedOn failed before.

Why this works: the parser fails at the end of such a head, before any byte of the body.

--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -74,10 +74,13 @@
   }
   void on_header_impl(ErrorCode &Code) override {
     // Boost.Beast would pass the encoded bytes of an unknown transfer coding
-    // on as the body.
+    // on as the body. HTTP/1.0 has no codings, and its peers may take chunks
+    // for the body (RFC 9112, 6.1).
+    constexpr unsigned FirstWithCodings = 11;
     for (const HeaderField &Field : Head.Headers)
       if (equalsIgnoreCase(Field.Name, "Transfer-Encoding") &&
-          !equalsIgnoreCase(Field.Value, "chunked"))
+          (Head.Version < FirstWithCodings ||
+           !equalsIgnoreCase(Field.Value, "chunked")))
         Code = http::error::bad_transfer_encoding;
   }
   void on_body_init_impl(const boost::optional<std::uint64_t> &,
--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -261,3 +261,10 @@
   }
   checkBroken(Ok + "\r\n X-A: a", withLength());
 }
+
+// Failure: chunks are decoded in a version that has none, in which their sizes
+// are part of the body.
+TEST(BrokenAnswers, ChunksOfAnEarlierVersionAreNotPassedOn) {
+  startBroken();
+  checkBroken("HTTP/1.0 200 OK", withChunks());
+}
--- a/Tests/LibProxy/TestBrokenResponses.cpp
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -82,3 +82,9 @@
   STRCMP_EQUAL("a\t b",
                std::string(*Parser.head().Headers.find("X-A")).c_str());
 }
+
+// Failure: chunks are decoded in a version that has none, in which their sizes
+// are part of the body.
+TEST(BrokenResponses, ChunksOfAnEarlierVersionFail) {
+  checkFails("HTTP/1.0 200 OK\r\n" + Chunks + "\r\n2\r\nok\r\n0\r\n\r\n");
+}
