LibProxy: Keep trailers of responses out of their heads

What callers saw (measured here): a field of a trailer was passed on as one of the head if it arrived together with the head; X-Not-Executed in a trailer made a 200 that had run a 503 that says "not run".

Cause: ResponseParser added every field to the head, whether or not the head had ended. What the head held depended on how the bytes were split.

Evidence: BrokenResponses.TrailersAreNoFieldsOfTheHead, which splits at each byte, and, with real processes, BrokenAnswers.TrailersAreNoFieldsOfTheHead failed before.

Why this works: the fields of a trailer are dropped, as RequestParser does and RFC 9110, 6.5.1 allows. They are still checked and counted.

Left as it is: a trailer that holds a Content-Length is refused (502) by Boost.Beast, though a recipient may ignore it.

--- a/Libraries/LibProxy/ResponseParser.cpp
+++ b/Libraries/LibProxy/ResponseParser.cpp
@@ -52,6 +52,7 @@
     return Next == ' ' || Next == '\t';
   }
 
+  bool m_HeadComplete = false;
   FieldCount m_Fields;
   ChunkOverhead m_Chunks;
 
@@ -70,9 +71,12 @@
     m_Fields.add(Code);
     if (isFolded(Name))
       Code = http::error::bad_value;
-    Head.Headers.add(std::string(Name), std::string(Value));
+    // The fields of a trailer are dropped (RFC 9110, 6.5.1).
+    if (!m_HeadComplete)
+      Head.Headers.add(std::string(Name), std::string(Value));
   }
   void on_header_impl(ErrorCode &Code) override {
+    m_HeadComplete = true;
     // Boost.Beast would pass the encoded bytes of an unknown transfer coding
     // on as the body. HTTP/1.0 has no codings, and its peers may take chunks
     // for the body (RFC 9112, 6.1).
--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -268,3 +268,18 @@
   startBroken();
   checkBroken("HTTP/1.0 200 OK", withChunks());
 }
+
+// Failure: what the trailer of an answer says counts as its head, and a request
+// that ran is answered as not run.
+TEST(BrokenAnswers, TrailersAreNoFieldsOfTheHead) {
+  startBroken();
+  for (const std::string Trailer :
+       {"X-Trailed: yes\r\n", "X-Not-Executed: 1\r\n",
+        "X-Attempt-Id: other\r\n", "Server-Leaving: 1\r\n"})
+    for (const RequestKind &Kind : AllKinds) {
+      const std::string Answer = answerTo(Kind, Ok, withChunks(Trailer));
+      CHECK_TEXT(Answer.starts_with("HTTP/1.1 200 "), Answer.c_str());
+      CHECK(contains(Answer, Event));
+      CHECK_TEXT(!contains(Answer, Trailer), Answer.c_str());
+    }
+}
--- a/Tests/LibProxy/TestBrokenResponses.cpp
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -88,3 +88,17 @@
 TEST(BrokenResponses, ChunksOfAnEarlierVersionFail) {
   checkFails("HTTP/1.0 200 OK\r\n" + Chunks + "\r\n2\r\nok\r\n0\r\n\r\n");
 }
+
+// Failure: what the trailer of a response says counts as its head, if it
+// arrives with it, and a request that ran is answered as not run.
+TEST(BrokenResponses, TrailersAreNoFieldsOfTheHead) {
+  const std::string Bytes =
+      Ok + "X-A: a\r\n" + Chunks + "\r\n2\r\nok\r\n0\r\nX-Trailed: yes\r\n\r\n";
+  for (size_t Split = 0; Split < Bytes.size(); ++Split) {
+    CHECK(parse(Bytes, Split) == State::Complete);
+    CHECK(Parser.head().Headers.has("X-A"));
+    CHECK_FALSE(Parser.head().Headers.has("X-Trailed"));
+    STRCMP_EQUAL("ok", Parser.takeBody().c_str());
+    CHECK(Parser.keepsAlive());
+  }
+}
