Tests/BrokenAnswers: Guard names and framings that are refused already

What operators saw on other systems: an answer in whose head the name of a field held a blank or a control byte came as an answer, with that line or with a body that was not the server's.

The tests stay; nothing else changes.

--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -247,6 +247,39 @@
     }
 }
 
+TEST(BrokenAnswers, BrokenFieldsAreNotPassedOn) {
+  startBroken();
+  std::vector<std::string> Broken = {
+      "X Name: a",     "X\tName: a",         "X-Name : a",
+      "X-Name\t: a",   "X\x01Name: a",       "X\x7fName: a",
+      "X\x80Name: a",  "X(Name): a",         ": a",
+      "no colon",      "X-Name: a\rb",       "X-Name: a\nX-B: b",
+      "X-Name: a\x01", "Content-Length : 3", "Transfer-Encoding : chunked"};
+  Broken.push_back(std::string("X\0Name: a", 9));
+  Broken.push_back(std::string("X-Name: a\0", 10));
+  for (const std::string &Field : Broken) {
+    checkBroken(Ok, withLength(Field + "\r\n"));
+    checkBroken("HTTP/1.1 103 Early Hints\r\n" + Field + "\r\n\r\n" + Ok,
+                withLength());
+    checkBroken(Ok, withChunks(Field + "\r\n"));
+  }
+}
+
+TEST(BrokenAnswers, BrokenFramingIsNotPassedOn) {
+  startBroken();
+  for (const std::string Length :
+       {"3, 17", "+17", "0x11", "-1", "", "99999999999999999999999", "17 17"})
+    checkBroken(Ok, "Content-Length: " + Length + "\r\n\r\n" + Event);
+  checkBroken(Ok, "Content-Length: 3\r\n" + withLength());
+  checkBroken(Ok, "Content-Length: 17\r\n" + withChunks());
+  checkBroken(Ok, "Transfer-Encoding: gzip\r\n\r\n" + Event);
+  checkBroken(Ok, "Transfer-Encoding: gzip, chunked\r\n\r\n" + Event);
+  for (const std::string Size :
+       {"ffffffffffffffffff", "-11", "0x11", "9", "zz"})
+    checkBroken(Ok, "Transfer-Encoding: chunked\r\n\r\n" + Size + "\r\n" +
+                        Event + "\r\n0\r\n\r\n");
+}
+
 // Failure: a line that begins with a blank is passed on in the field before it.
 TEST(BrokenAnswers, FoldedLinesAreNotPassedOn) {
   startBroken();
--- a/Tests/LibProxy/TestBrokenResponses.cpp
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -102,3 +102,12 @@
     CHECK(Parser.keepsAlive());
   }
 }
+
+TEST(BrokenResponses, OddNamesFail) {
+  for (const std::string Field :
+       {"X A: a", "X\tA: a", "X-A : a", "X\x01: a", "X\x7f: a", "X\x80: a",
+        "X(A): a", ": a", "no colon"}) {
+    checkFails(Ok + Field + "\r\n" + Length + "\r\nok");
+    checkFails(Ok + Chunks + "\r\n2\r\nok\r\n0\r\n" + Field + "\r\n\r\n");
+  }
+}
