--- a/Tests/Soak/FaultInjector.cpp
+++ b/Tests/Soak/FaultInjector.cpp
@@ -94,17 +94,30 @@
     cutHeads(Now);
     beginCanary(Now);
   }
+  if (m_BreaksAnswers)
+    breakAnswers(Now);
   m_PlannedOnly ? beginPlanned(Now) : beginFault(Now);
 }
 
 void FaultInjector::cutHeads(BootTime Now) {
+  disturbAnswers(LinkFault::CutHeads, "cuts heads", Now);
+}
+
+/// Of some servers at a time.
+void FaultInjector::breakAnswers(BootTime Now) {
+  for (unsigned I = 0; I < m_Fleet.servers() / 2; ++I)
+    disturbAnswers(LinkFault::BreakAnswers, "breaks answers", Now);
+}
+
+void FaultInjector::disturbAnswers(LinkFault Mode, const std::string &Effect,
+                                   BootTime Now) {
   const auto Server =
       static_cast<unsigned>(m_InterruptRandom() % m_Fleet.servers());
   const std::string Name = fmt::format("link 2 {}", Server);
   if (m_InterruptRandom() % 3 != 0 || isActive(Name))
     return;
-  m_History.push_back(Name + " cuts heads");
-  m_Fleet.setLink(Link::Server, Server, LinkFault::CutHeads);
+  m_History.push_back(Name + " " + Effect);
+  m_Fleet.setLink(Link::Server, Server, Mode);
   constexpr unsigned MaximumTimeMs = 1500;
   activate(
       Name, {InvariantChecker::Servers, InvariantChecker::ServerLinks},
--- a/Tests/Soak/FaultInjector.h
+++ b/Tests/Soak/FaultInjector.h
@@ -57,6 +57,8 @@
     m_InterruptsMore = true;
     m_Fleet.keepVersions();
   }
+  /// From now on also breaks answers of servers, beside the seed's faults.
+  void breakAnswers() { m_BreaksAnswers = true; }
   /// Called about every 50 ms. Begins new faults only if \p AllowNew is set.
   void tick(BootTime Now, bool AllowNew);
   bool calm() const { return m_ActiveFaults.empty(); }
@@ -91,6 +93,8 @@
   void beginPause(BootTime Now);
   void rollOut(BootTime Now);
   void cutHeads(BootTime Now);
+  void breakAnswers(BootTime Now);
+  void disturbAnswers(LinkFault Mode, const std::string &Effect, BootTime Now);
   void beginCanary(BootTime Now);
   void activate(const std::string &Name,
                 const std::vector<std::string> &Affected, BootTime Until,
@@ -116,6 +120,7 @@
   std::mt19937_64 m_ShapeRandom;
   std::mt19937_64 m_InterruptRandom;
   bool m_InterruptsMore = false;
+  bool m_BreaksAnswers = false;
   BootTime m_NextCanary{};
   unsigned m_Canaries = 0;
   std::vector<ActiveFault> m_ActiveFaults;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -57,6 +57,8 @@
   bool OddEntries = false;
   /// Callers send requests that may run only once and may outlast every grace.
   bool SlowRequests = false;
+  /// Answers of servers are broken, and callers send long uploads.
+  bool BrokenAnswers = false;
   std::filesystem::path Folder;
 };
 
@@ -80,6 +82,8 @@
     FaultInjector Faults(Fleet, m_Checker, m_Seed);
     if (m_Options.Interrupted)
       Faults.interruptMore();
+    if (m_Options.BrokenAnswers)
+      Faults.breakAnswers();
     if (m_Options.IsOutOfStep)
       m_OutOfStep = std::make_unique<OutOfStep>(Fleet, m_Checker, m_Seed);
     if (m_Options.OddEntries)
@@ -98,6 +102,8 @@
         Callers.back()->insistOnResuming();
       if (m_Options.SlowRequests)
         Callers.back()->sendSlowRequests();
+      if (m_Options.BrokenAnswers)
+        Callers.back()->sendLongUploads();
       Callers.back()->start();
     }
     runUntil(Fleet, Faults, false, RecoveryLimit,
@@ -285,6 +291,8 @@
   Add("odd-entries", "other writers leave odd rows in the store");
   Add("slow-requests", "callers send requests that may run only once and may "
                        "outlast every grace");
+  Add("broken-answers", "answers have a status that is none, and long uploads "
+                        "are answered at once and reset");
   Add("folder", "folder for the logs of seeds that fail",
       cxxopts::value<std::string>()->default_value("soak-logs"));
   Add("list",
@@ -305,6 +313,7 @@
   RunOptions.IsOutOfStep = Parsed.count("out-of-step") > 0;
   RunOptions.OddEntries = Parsed.count("odd-entries") > 0;
   RunOptions.SlowRequests = Parsed.count("slow-requests") > 0;
+  RunOptions.BrokenAnswers = Parsed.count("broken-answers") > 0;
   RunOptions.Folder =
       std::filesystem::absolute(Parsed["folder"].as<std::string>());
   const std::vector<uint64_t> Seeds = readSeeds(Parsed);
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -134,6 +134,16 @@
       Unique, m_PromptTokens);
 }
 
+/// The length and the body of a request.
+std::string SoakCaller::bodyText() {
+  constexpr unsigned RequestsPerUpload = 4;
+  constexpr size_t UploadBytes = 3000000;
+  const bool IsLong =
+      m_SendsLongUploads && m_InputRandom() % RequestsPerUpload == 0;
+  const std::string Body = IsLong ? std::string(UploadBytes, 'u') : "body";
+  return fmt::format("Content-Length: {}\r\n\r\n{}", Body.size(), Body);
+}
+
 std::string SoakCaller::requestText() {
   static const std::array<Route, 7> Routes = {
       {{"/safe/", "plain", Repeatable::Yes, false},
@@ -186,7 +196,7 @@
                                  m_Version, m_AttemptId, Deadline.count());
   Text += m_PromptFields;
   if (Chosen.Kind == Repeatable::No)
-    Text += "Content-Length: 4\r\n\r\nbody";
+    Text += bodyText();
   else
     Text += "\r\n";
   return Text;
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -51,6 +51,8 @@
   void insistOnResuming() { m_InsistsOnResuming = true; }
   /// Sends requests that may run only once and may outlast every grace.
   void sendSlowRequests() { m_SendsSlow = true; }
+  /// Some requests have bodies that no socket holds at once.
+  void sendLongUploads() { m_SendsLongUploads = true; }
   bool idle() const { return m_Idle; }
 
 private:
@@ -77,6 +79,7 @@
   std::string requestText();
   std::string resumeText(std::chrono::milliseconds Deadline);
   std::string newPromptFields();
+  std::string bodyText();
   void considerResuming(unsigned Status);
   unsigned draw(unsigned Minimum, unsigned Maximum);
 
@@ -108,6 +111,7 @@
   bool m_EndsInput = false;
   bool m_InsistsOnResuming = false;
   bool m_SendsSlow = false;
+  bool m_SendsLongUploads = false;
   /// The caller ends its input after the present request.
   bool m_IsLastOfInput = false;
   /// A stream that broke and is resumed with the next request.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -78,6 +78,8 @@
     return "delay";
   case LinkFault::CutHeads:
     return "cut-heads";
+  case LinkFault::BreakAnswers:
+    return "break-answers";
   case LinkFault::None:
     return "pass";
   }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -35,6 +35,7 @@
   LoseResponses,
   Delay,
   CutHeads,
+  BreakAnswers,
   None
 };
 
--- a/Tests/StandIns/fault-proxy/Control.cpp
+++ b/Tests/StandIns/fault-proxy/Control.cpp
@@ -19,10 +19,15 @@
 namespace {
 
 const std::map<std::string, LinkMode> Modes{
-    {"pass", LinkMode::Pass},          {"cut", LinkMode::Cut},
-    {"refuse", LinkMode::Refuse},      {"drop-up", LinkMode::DropUp},
-    {"drop-down", LinkMode::DropDown}, {"freeze", LinkMode::Freeze},
-    {"delay", LinkMode::Delay},        {"cut-heads", LinkMode::CutHeads}};
+    {"pass", LinkMode::Pass},
+    {"cut", LinkMode::Cut},
+    {"refuse", LinkMode::Refuse},
+    {"drop-up", LinkMode::DropUp},
+    {"drop-down", LinkMode::DropDown},
+    {"freeze", LinkMode::Freeze},
+    {"delay", LinkMode::Delay},
+    {"cut-heads", LinkMode::CutHeads},
+    {"break-answers", LinkMode::BreakAnswers}};
 
 std::string nameOf(LinkMode Mode) {
   const auto Found = std::ranges::find_if(
--- a/Tests/StandIns/fault-proxy/Proxy.cpp
+++ b/Tests/StandIns/fault-proxy/Proxy.cpp
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <utility>
@@ -23,6 +24,8 @@
 
 constexpr size_t ReadSize = 65536;
 constexpr size_t MaximumHeldBytes = 1 << 20;
+/// Read at once of an upload that is longer than sockets hold.
+constexpr size_t LongUpload = 32768;
 
 bool dropsDirection(LinkMode Mode, bool Upward) {
   return Mode == (Upward ? LinkMode::DropUp : LinkMode::DropDown);
@@ -175,6 +178,12 @@
     std::string Bytes(Buffer.data(), static_cast<size_t>(Count));
     if (Of.Mode == LinkMode::CutHeads && !Upward)
       cutHead(Of, Direction, Bytes);
+    if (Of.Mode == LinkMode::BreakAnswers) {
+      if (Upward && breakUpload(Which, Bytes))
+        return;
+      if (!Upward)
+        breakStatus(Of, Bytes);
+    }
     (Upward ? Of.BytesUp : Of.BytesDown) += Bytes.size();
     Direction.HeldBytes += Bytes.size();
     if (!Bytes.empty())
@@ -193,6 +202,29 @@
   Direction.SourceEnded = true;
 }
 
+void Proxy::breakStatus(Link &Of, std::string &Bytes) {
+  constexpr std::string_view Version = "HTTP/1.1 ";
+  if (Bytes.starts_with(Version) && Of.Answers++ % 2 == 0)
+    Bytes.replace(Version.size(), 3, "000");
+}
+
+/// Returns whether \p Bytes began a long upload, and the connection is closed.
+bool Proxy::breakUpload(Connection &Which, const std::string &Bytes) {
+  constexpr std::string_view IdName = "\r\nX-Attempt-Id: ";
+  if (Bytes.size() < LongUpload || !Bytes.starts_with("POST "))
+    return false;
+  const size_t Begin = Bytes.find(IdName);
+  if (Begin == std::string::npos)
+    return false;
+  const std::string Id =
+      Bytes.substr(Begin, Bytes.find("\r\n", Begin + 2) - Begin);
+  const std::string Answer =
+      "HTTP/1.1 200 OK" + Id + "\r\nX-Response-Signature: proxy\r\n\r\npart";
+  (void)::send(Which.Client, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+  close(Which);
+  return true;
+}
+
 void Proxy::deliver(Link &Of, Connection &Which, bool Upward) {
   if (Of.Mode == LinkMode::Freeze || Which.Connecting)
     return;
--- a/Tests/StandIns/fault-proxy/Proxy.h
+++ b/Tests/StandIns/fault-proxy/Proxy.h
@@ -33,7 +33,10 @@
   Delay,
   /// Ends connections, in order, inside the heads of what targets answer: at
   /// one byte after the other.
-  CutHeads
+  CutHeads,
+  /// Answers long uploads at once with a part of an answer without a length,
+  /// and resets. Every second answer of targets gets a status that is none.
+  BreakAnswers
 };
 
 /// File descriptor set with callbacks, level-triggered.
@@ -96,6 +99,7 @@
   std::chrono::milliseconds Delay{0};
   uint64_t Accepted = 0;
   uint64_t CutHeads = 0;
+  uint64_t Answers = 0;
   uint64_t BytesUp = 0;
   uint64_t BytesDown = 0;
   std::vector<std::shared_ptr<Connection>> Connections;
@@ -127,6 +131,8 @@
              uint32_t Events);
   void receive(Link &Of, Connection &Which, bool Upward);
   static void cutHead(Link &Of, Flow &Direction, std::string &Bytes);
+  static void breakStatus(Link &Of, std::string &Bytes);
+  bool breakUpload(Connection &Which, const std::string &Bytes);
   void deliver(Link &Of, Connection &Which, bool Upward);
   void updateInterest(const Link &Of, Connection &Which);
   void close(Connection &Which);
