Tests/BrokenAnswers: One stand-in for both tests of uploads

They set the same servers up twice. Lines that say which failure they guard against stand above the tests that lacked one; a comment on EPIPE names it. No check changes.

--- a/Libraries/LibUpstream/ServerConnection.cpp
+++ b/Libraries/LibUpstream/ServerConnection.cpp
@@ -224,7 +224,7 @@
 /// The kernel reports an error once, to whichever call comes first. A read
 /// after that returns 0, as at the end of input.
 void ServerConnection::recordError(const ErrorCode &Code) {
-  // Of a reset that follows the end of input, which it does not take back.
+  // EPIPE: a reset followed the end of input, and does not take it back.
   if (Code && Code != asio::error::broken_pipe)
     m_HasFailed = true;
 }
--- a/Tests/BrokenAnswers/TestBrokenAnswers.cpp
+++ b/Tests/BrokenAnswers/TestBrokenAnswers.cpp
@@ -57,6 +57,12 @@
   std::string Line;
   std::string Rest;
   size_t Sent = 0;
+  /// Servers that answer uploads early: with this status line, the fields that
+  /// name the request, and this body.
+  std::unique_ptr<BreakingServer> PlainUploads;
+  std::unique_ptr<BreakingServer> EngineUploads;
+  EarlyAnswer Early;
+  std::string EarlyBody;
 
   void start(const Endpoint &PlainAddress, const Endpoint &EngineAddress) {
     Fixture.listServer("s1", "plain", PlainAddress);
@@ -122,6 +128,29 @@
       CHECK_TEXT(!contains(Answer, Event), Case.c_str());
     }
   }
+  std::unique_ptr<BreakingServer> breakingServer() {
+    return std::make_unique<BreakingServer>(
+        Fixture.Loop, [this](const std::string &Head) {
+          EarlyAnswer Whole = Early;
+          Whole.Bytes += "\r\n" + identity(Head) + "\r\n" + EarlyBody;
+          return Whole;
+        });
+  }
+  void startBreaking() {
+    PlainUploads = breakingServer();
+    EngineUploads = breakingServer();
+    start(PlainUploads->address(), EngineUploads->address());
+  }
+  std::string upload(const RequestKind &Kind) {
+    const std::string Body(3000000, 'u');
+    const auto Arrived = [&] {
+      return PlainUploads->requests() + EngineUploads->requests();
+    };
+    const size_t Before = Arrived();
+    std::string Answer = send(Kind, Body);
+    checkSends(Kind, Arrived() - Before);
+    return Answer;
+  }
   static bool isWhole(const std::string &Answer) {
     proxy::ResponseParser Parser;
     Parser.feed(Answer);
@@ -174,6 +203,7 @@
   }
 }
 
+// Failure: an answer whose status line is broken otherwise is passed on.
 TEST(BrokenAnswers, BrokenStatusLinesAreNotPassedOn) {
   startBroken();
   for (const std::string Broken :
@@ -189,19 +219,9 @@
 // the part of its answer that arrived is passed on as complete.
 TEST(BrokenAnswers, ResetsDuringUploadsEndNoAnswer) {
   constexpr int Repetitions = 4;
-  const std::string Upload(3000000, 'u');
-  std::string Events;
-  while (Events.size() < 2000)
-    Events += Event;
-  EarlyAnswer Answer;
-  const auto Break = [&](const std::string &Head) {
-    EarlyAnswer Whole = Answer;
-    Whole.Bytes += "\r\n" + identity(Head) + "\r\n" + Events;
-    return Whole;
-  };
-  BreakingServer Server(Fixture.Loop, Break);
-  BreakingServer Decoder(Fixture.Loop, Break);
-  start(Server.address(), Decoder.address());
+  while (EarlyBody.size() < 2000)
+    EarlyBody += Event;
+  startBreaking();
   for (const std::string Status : {"200 OK", "500 Error", "413 Too Large"})
     for (const EarlyAnswer &Shape :
          {EarlyAnswer{.Bytes = "", .End = UploadEnd::Reset},
@@ -210,11 +230,9 @@
               .Bytes = "", .End = UploadEnd::Reset, .BytesRead = 300000}})
       for (const RequestKind &Kind : AllKinds)
         for (int I = 0; I < Repetitions; ++I) {
-          Answer = Shape;
-          Answer.Bytes = "HTTP/1.1 " + Status;
-          const size_t Before = Server.requests() + Decoder.requests();
-          const std::string Received = send(Kind, Upload);
-          checkSends(Kind, Server.requests() + Decoder.requests() - Before);
+          Early = Shape;
+          Early.Bytes = "HTTP/1.1 " + Status;
+          const std::string Received = upload(Kind);
           const std::string Case =
               Kind.Path + " " + Status + "\ngot " + Received.substr(0, 200);
           CHECK_TEXT(Received.starts_with("HTTP/1.1 502 ") ||
@@ -226,27 +244,20 @@
 // Failure: an answer to an upload that the server ends in order is lost, since
 // the rest of the upload is reset.
 TEST(BrokenAnswers, AnswersThatEndDuringUploadsArePassedOn) {
-  const std::string Upload(3000000, 'u');
-  EarlyAnswer Answer;
-  const auto End = [&](const std::string &Head) {
-    EarlyAnswer Whole = Answer;
-    Whole.Bytes += "\r\n" + identity(Head) + "\r\n" + Event;
-    return Whole;
-  };
-  BreakingServer Server(Fixture.Loop, End);
-  BreakingServer Decoder(Fixture.Loop, End);
-  start(Server.address(), Decoder.address());
+  EarlyBody = Event;
+  startBreaking();
   for (const UploadEnd Ending :
        {UploadEnd::EndAndReset, UploadEnd::EndAndReadAll})
     for (const RequestKind &Kind : AllKinds) {
-      Answer = {.Bytes = Ok, .End = Ending};
-      const std::string Received = send(Kind, Upload);
+      Early = {.Bytes = Ok, .End = Ending};
+      const std::string Received = upload(Kind);
       CHECK_TEXT(Received.starts_with(Ok), Received.c_str());
       CHECK(isWhole(Received));
       CHECK(contains(Received, Event));
     }
 }
 
+// Failure: a line that is no field is passed on, or hides the next one.
 TEST(BrokenAnswers, BrokenFieldsAreNotPassedOn) {
   startBroken();
   std::vector<std::string> Broken = {
@@ -265,6 +276,7 @@
   }
 }
 
+// Failure: a caller gets a body that is not the server's.
 TEST(BrokenAnswers, BrokenFramingIsNotPassedOn) {
   startBroken();
   for (const std::string Length :
--- a/Tests/LibProxy/TestBrokenResponses.cpp
+++ b/Tests/LibProxy/TestBrokenResponses.cpp
@@ -53,6 +53,7 @@
   }
 }
 
+// Failure: the bounds refuse a status that is one.
 TEST(BrokenResponses, StatusesInRangeAreTaken) {
   for (const std::string Status : {"200", "299", "404", "500", "599"})
     checkCompletes("HTTP/1.1 " + Status + " Odd\r\n" + Length + "\r\nok");
@@ -76,7 +77,7 @@
   }
 }
 
-// Values that hold, begin or end with blanks.
+// Failure: values that hold, begin or end with blanks count as folded lines.
 TEST(BrokenResponses, BlanksWithinALineAreTaken) {
   checkCompletes(Ok + "X-A:  a\t b \r\nX-B: \r\nX-C:\r\n" + Length + "\r\nok");
   STRCMP_EQUAL("a\t b",
@@ -103,6 +104,7 @@
   }
 }
 
+// Failure: a line whose name is none is passed on, or hides the next one.
 TEST(BrokenResponses, OddNamesFail) {
   for (const std::string Field :
        {"X A: a", "X\tA: a", "X-A : a", "X\x01: a", "X\x7f: a", "X\x80: a",
