review: A server that left the list is used again

Shows: a gateway goes on sending requests to servers whose entries were removed from the store over drainMs before, while it is in touch (DRAIN).

Why: a read of the list that is on its way while a peer announces a newer state is applied after it, without a comparison of versions. A heartbeat in it is newer than the last one that the gateway knew, so the removed server counts as back, and the next watch starts behind the removal.

--- /dev/null
+++ b/review/4/Case.cpp
@@ -0,0 +1,242 @@
+//===- Case.cpp - A server that left is used again --------------*- C++ -*-===//
+//
+// Two gateways, one of which gets the store's answers 450 ms late for some
+// seconds, while servers are replaced.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Caller.h"
+#include "DelayingProxy.h"
+#include "Gateway.h"
+#include "Service.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <random>
+
+using namespace review;
+
+namespace {
+
+/// \name The deployment's bounds.
+/// @{
+constexpr milliseconds DrainTime{2000};
+constexpr milliseconds StableWindow{3000};
+/// @}
+/// Below the half second from which on a machine counts as slowed.
+constexpr milliseconds AnswerDelay{450};
+/// Release: half of the servers, one each GapTime.
+constexpr milliseconds GapTime{710};
+constexpr milliseconds NewServerLead{300};
+constexpr milliseconds DelayBeforeRelease{1200};
+constexpr milliseconds ObservedTime{5000};
+constexpr milliseconds PauseOfCallers{15};
+constexpr int CallersPerGateway = 16;
+
+nlohmann::json route(const std::string &Name, const std::string &Service) {
+  return {{"name", Name},
+          {"host", "desk.example"},
+          {"prefix", "/" + Service + "/"},
+          {"kind", "safe"},
+          {"timeoutMs", 1500},
+          {"targetLatencyMs", 150},
+          {"priority", 2},
+          {"service", Service},
+          {"maxAttempts", 2}};
+}
+
+nlohmann::json service(const std::string &Name) {
+  return {{"name", Name},
+          {"healthPath", "/health"},
+          {"maxConnections", 120},
+          {"protocol", "h1"},
+          {"tls", false}};
+}
+
+std::string configuration() {
+  return nlohmann::json{
+      {"version", 7},
+      {"routes", {route("r-stock", "stock"), route("r-pickup", "pickup")}},
+      {"services", {service("stock"), service("pickup")}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 4194304},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}}
+      .dump();
+}
+
+struct Departure {
+  std::shared_ptr<Service> Server;
+  Time At;
+};
+
+/// Replaces half of the servers one by one. The new one starts first.
+std::vector<Departure> release(Store &Registry,
+                               std::vector<std::shared_ptr<Service>> &Servers,
+                               const std::string &Name, unsigned Seed) {
+  std::mt19937 Random(Seed);
+  std::vector<Departure> Departures;
+  const size_t Count = Servers.size() / 2;
+  for (size_t I = 0; I < Count; ++I) {
+    std::this_thread::sleep_for(milliseconds(Random() % 200));
+    Servers.push_back(std::make_shared<Service>(
+        Registry, "i-" + Name + "-new-" + std::to_string(I), Name));
+    std::this_thread::sleep_for(NewServerLead);
+    Servers[I]->leave();
+    Departures.push_back({Servers[I], Clock::now()});
+    std::this_thread::sleep_for(GapTime - NewServerLead - milliseconds(100));
+  }
+  return Departures;
+}
+
+class Recorder {
+public:
+  explicit Recorder(const std::string &File) : m_File(File) {}
+  void line(const std::string &Text) {
+    const auto At =
+        std::chrono::duration<double>(Clock::now() - m_Started).count();
+    char Stamp[32];
+    std::snprintf(Stamp, sizeof(Stamp), "%8.3f ", At);
+    const std::lock_guard Lock(m_Mutex);
+    m_File << Stamp << Text << std::endl;
+  }
+  std::string at(Time Moment) const {
+    char Text[32];
+    std::snprintf(Text, sizeof(Text), "%.3f",
+                  std::chrono::duration<double>(Moment - m_Started).count());
+    return Text;
+  }
+
+private:
+  const Time m_Started = Clock::now();
+  std::mutex m_Mutex;
+  std::ofstream m_File;
+};
+
+int run(const std::string &Program, const std::string &RecordFile,
+        bool WithTrouble) {
+  Recorder Record(RecordFile);
+  const TemporaryFolder Folder;
+  const unsigned Seed = std::random_device{}();
+  Record.line("seed " + std::to_string(Seed));
+  Store Registry;
+  Registry.set("op", "config", configuration());
+
+  std::map<std::string, std::vector<std::shared_ptr<Service>>> Servers;
+  for (const auto &[Name, Count] :
+       std::map<std::string, int>{{"stock", 12}, {"pickup", 3}})
+    for (int I = 0; I < Count; ++I)
+      Servers[Name].push_back(std::make_shared<Service>(
+          Registry, "i-" + Name + "-" + std::to_string(I), Name));
+
+  // When gateway a has asked for the whole list of servers.
+  std::atomic<Clock::rep> ListRead = 0;
+  DelayingProxy Way(Registry.port(), [&](const std::string &Bytes) {
+    if (Bytes.find("/v1/rows-get?table=servers") != std::string::npos)
+      ListRead = Clock::now().time_since_epoch().count();
+  });
+  Gateway First({"front-hall-a-1", Way.port()}, Program, Folder.path());
+  Gateway Second({"front-hall-b-1", Registry.port()}, Program, Folder.path());
+  First.start();
+  Second.start();
+  if (!First.waitUntilReady() || !Second.waitUntilReady()) {
+    Record.line("the gateways did not become ready");
+    return 2;
+  }
+  Record.line("both gateways are ready");
+
+  CallLog Calls;
+  std::atomic<bool> IsOver = false;
+  std::vector<std::thread> Callers;
+  for (const Gateway *Used : {&First, &Second})
+    for (int I = 0; I < CallersPerGateway; ++I)
+      Callers.emplace_back([&, Used, I] {
+        Caller Client(Calls, Used->id(), Used->callers());
+        for (int N = I; !IsOver; ++N) {
+          Client.get(N % 2 == 0 ? "/stock/item" : "/pickup/slot");
+          std::this_thread::sleep_for(PauseOfCallers);
+        }
+      });
+
+  // All is calm for longer than the stable window, and a gateway has just read
+  // the whole list, which it does every 9 to 15 s.
+  std::this_thread::sleep_for(StableWindow + milliseconds(2000));
+  const auto Before = ListRead.load();
+  const Time Limit = Clock::now() + milliseconds(25000);
+  while (ListRead == Before && Clock::now() < Limit)
+    std::this_thread::sleep_for(milliseconds(5));
+
+  if (WithTrouble) {
+    Way.setDelay(AnswerDelay);
+    Record.line("the store's answers to front-hall-a-1 take 450 ms more");
+  }
+  std::this_thread::sleep_for(DelayBeforeRelease);
+  std::vector<Departure> Departures;
+  std::vector<Departure> OfPickup;
+  std::thread Other([&] {
+    OfPickup = release(Registry, Servers["pickup"], "pickup", Seed + 1);
+  });
+  Departures = release(Registry, Servers["stock"], "stock", Seed);
+  Other.join();
+  Departures.insert(Departures.end(), OfPickup.begin(), OfPickup.end());
+  Way.setDelay(milliseconds(0));
+  const Time Calm = Clock::now();
+  Record.line("answers take no longer than usual");
+  std::this_thread::sleep_for(StableWindow + ObservedTime);
+  IsOver = true;
+  for (std::thread &Thread : Callers)
+    Thread.join();
+
+  const bool HasEnded = First.hasEnded() || Second.hasEnded();
+  First.kill();
+  Second.kill();
+  std::map<std::string, Call> ById;
+  std::map<std::string, int> Summary;
+  for (const Call &Entry : Calls.all()) {
+    ById[Entry.AttemptId] = Entry;
+    ++Summary[Entry.Gateway + " " + std::to_string(Entry.Status)];
+  }
+  for (const auto &[Name, Count] : Summary)
+    Record.line("answers: " + Name + ": " + std::to_string(Count));
+
+  int Violations = 0;
+  for (const Departure &Gone : Departures) {
+    int Late = 0;
+    for (const Service::Run &Ran : Gone.Server->runs()) {
+      const Call &Sent = ById[Ran.AttemptId];
+      const bool IsLate = Ran.At > Gone.At + DrainTime;
+      const bool IsInTouch = Sent.Sent > Calm + StableWindow;
+      if (!IsLate || !IsInTouch)
+        continue;
+      if (++Late <= 3)
+        Record.line("request " + Sent.AttemptId + " of " + Sent.Gateway +
+                    ", sent at " + Record.at(Sent.Sent) + ", ran at " +
+                    Record.at(Ran.At) + " on " + Gone.Server->id());
+    }
+    Record.line(Gone.Server->id() + " left the list at " + Record.at(Gone.At) +
+                "; requests that it got over 2 s later from gateways in "
+                "touch: " +
+                std::to_string(Late));
+    Violations += Late;
+  }
+  Way.stop();
+  if (HasEnded || Summary.empty()) {
+    Record.line("a gateway has ended by itself, or nothing was answered");
+    return 2;
+  }
+  Record.line(Violations > 0 ? "DRAIN broken" : "DRAIN held");
+  return Violations > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) try {
+  if (Count != 4)
+    return 2;
+  return run(Arguments[1], Arguments[2], std::string(Arguments[3]) != "0");
+} catch (const std::exception &Failure) {
+  std::fprintf(stderr, "%s\n", Failure.what());
+  return 2;
+}
