review: Late heartbeats bring a server back that left

Shows: a gateway that is in touch all the while sends requests to a server over drainMs after its entry was removed (DRAIN).

Why: two writes of the server, without an answer, are performed by the store after it left. TargetTable takes the second one for a restart with lower counts, though both bear the same start as the entries that it knew before.

--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -6,12 +6,12 @@
 //===----------------------------------------------------------------------===//
 
 #include "Caller.h"
+#include "CaseSupport.h"
 #include "DelayingProxy.h"
 #include "Gateway.h"
 #include "Service.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <memory>
 #include <random>
 
@@ -34,39 +34,6 @@
 constexpr milliseconds PauseOfCallers{15};
 constexpr int CallersPerGateway = 16;
 
-nlohmann::json route(const std::string &Name, const std::string &Service) {
-  return {{"name", Name},
-          {"host", "desk.example"},
-          {"prefix", "/" + Service + "/"},
-          {"kind", "safe"},
-          {"timeoutMs", 1500},
-          {"targetLatencyMs", 150},
-          {"priority", 2},
-          {"service", Service},
-          {"maxAttempts", 2}};
-}
-
-nlohmann::json service(const std::string &Name) {
-  return {{"name", Name},
-          {"healthPath", "/health"},
-          {"maxConnections", 120},
-          {"protocol", "h1"},
-          {"tls", false}};
-}
-
-std::string configuration() {
-  return nlohmann::json{
-      {"version", 7},
-      {"routes", {route("r-stock", "stock"), route("r-pickup", "pickup")}},
-      {"services", {service("stock"), service("pickup")}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 4194304},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}}}
-      .dump();
-}
-
 struct Departure {
   std::shared_ptr<Service> Server;
   Time At;
@@ -91,30 +58,6 @@
   return Departures;
 }
 
-class Recorder {
-public:
-  explicit Recorder(const std::string &File) : m_File(File) {}
-  void line(const std::string &Text) {
-    const auto At =
-        std::chrono::duration<double>(Clock::now() - m_Started).count();
-    char Stamp[32];
-    std::snprintf(Stamp, sizeof(Stamp), "%8.3f ", At);
-    const std::lock_guard Lock(m_Mutex);
-    m_File << Stamp << Text << std::endl;
-  }
-  std::string at(Time Moment) const {
-    char Text[32];
-    std::snprintf(Text, sizeof(Text), "%.3f",
-                  std::chrono::duration<double>(Moment - m_Started).count());
-    return Text;
-  }
-
-private:
-  const Time m_Started = Clock::now();
-  std::mutex m_Mutex;
-  std::ofstream m_File;
-};
-
 int run(const std::string &Program, const std::string &RecordFile,
         bool WithTrouble) {
   Recorder Record(RecordFile);
@@ -122,7 +65,7 @@
   const unsigned Seed = std::random_device{}();
   Record.line("seed " + std::to_string(Seed));
   Store Registry;
-  Registry.set("op", "config", configuration());
+  Registry.set("op", "config", configurationOf({"stock", "pickup"}));
 
   std::map<std::string, std::vector<std::shared_ptr<Service>>> Servers;
   for (const auto &[Name, Count] :
@@ -232,11 +175,4 @@
 
 } // namespace
 
-int main(int Count, char **Arguments) try {
-  if (Count != 4)
-    return 2;
-  return run(Arguments[1], Arguments[2], std::string(Arguments[3]) != "0");
-} catch (const std::exception &Failure) {
-  std::fprintf(stderr, "%s\n", Failure.what());
-  return 2;
-}
+int main(int Count, char **Arguments) { return runCase(Count, Arguments, run); }
--- a/review/stand-ins-2/Service.h
+++ b/review/stand-ins-2/Service.h
@@ -41,6 +41,17 @@
     stopHeartbeats();
     m_Registry.remove("servers", m_Id);
   }
+  /// The store performs the writes of the next \p Count heartbeats only after
+  /// \p Lateness, and does not answer them.
+  void delayHeartbeats(int Count, milliseconds Lateness) {
+    const std::lock_guard Lock(m_Mutex);
+    m_LateHeartbeats = Count;
+    m_Lateness = Lateness;
+  }
+  uint64_t heartbeats() {
+    const std::lock_guard Lock(m_Mutex);
+    return m_Sequence;
+  }
   std::vector<Run> runs() {
     const std::lock_guard Lock(m_Mutex);
     return m_Runs;
@@ -61,7 +72,10 @@
         {"coldRemainingMs", 0},
         {"sequence", ++m_Sequence},
         {"born", m_Born}};
-    m_Registry.set("servers", m_Id, Entry.dump());
+    if (m_LateHeartbeats > 0 && m_LateHeartbeats-- > 0)
+      m_Registry.setLater("servers", m_Id, Entry.dump(), m_Lateness);
+    else
+      m_Registry.set("servers", m_Id, Entry.dump());
   }
   void beatUntilStopped() {
     std::unique_lock Lock(m_Mutex);
@@ -110,6 +124,8 @@
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
   bool m_IsStopped = false;
+  int m_LateHeartbeats = 0;
+  milliseconds m_Lateness{0};
   std::vector<Run> m_Runs;
   std::thread m_Heartbeats;
   Listener m_Listener;
--- a/review/stand-ins-2/Store.h
+++ b/review/stand-ins-2/Store.h
@@ -74,12 +74,23 @@
     }
     m_Changed.notify_all();
     m_Listener.stop();
+    for (std::thread &Late : m_Later)
+      if (Late.joinable())
+        Late.join();
   }
   void set(const std::string &Table, const std::string &Key,
            const std::string &Value) {
     const std::lock_guard Lock(m_Mutex);
     write(Table, Key, Value);
   }
+  /// A write that is performed later.
+  void setLater(const std::string &Table, const std::string &Key,
+                const std::string &Value, milliseconds Lateness) {
+    m_Later.emplace_back([=, this] {
+      std::this_thread::sleep_for(Lateness);
+      set(Table, Key, Value);
+    });
+  }
   void remove(const std::string &Table, const std::string &Key) {
     const std::lock_guard Lock(m_Mutex);
     if (m_Rows.erase({Table, Key}) > 0)
@@ -233,6 +244,8 @@
   uint64_t m_Version = 0;
   std::map<std::pair<std::string, std::string>, Row> m_Rows;
   std::vector<Change> m_Log;
+  /// Used by one server only.
+  std::vector<std::thread> m_Later;
   Listener m_Listener;
 };
 
