review: A gateway is never told that a server drains

Shows: a gateway sends requests to a server 5 s after the store has accepted that it is draining; nothing is disturbed (DRAIN).

Why: the gateway that reads the list for the others does not announce an entry that changes nothing for itself, and an answer with Server-Leaving has changed its own view before.

--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -1,19 +1,17 @@
-//===- Case.cpp - A server that left is used again --------------*- C++ -*-===//
+//===- Case.cpp - One gateway is not told that a server drains --*- C++ -*-===//
 //
-// Two gateways, one of which gets the store's answers 450 ms late for some
-// seconds, while servers are replaced.
+// Two gateways, of which the first one reads the list of servers for both. A
+// server drains. It says so in its entry and in its answers, and the first
+// gateway gets such answers before it reads the entry.
 //
 //===----------------------------------------------------------------------===//
 
 #include "Caller.h"
 #include "CaseSupport.h"
-#include "DelayingProxy.h"
 #include "Gateway.h"
 #include "Service.h"
 
-#include <algorithm>
 #include <memory>
-#include <random>
 
 using namespace review;
 
@@ -24,63 +22,52 @@
 constexpr milliseconds DrainTime{2000};
 constexpr milliseconds StableWindow{3000};
 /// @}
-/// Below the half second from which on a machine counts as slowed.
-constexpr milliseconds AnswerDelay{450};
-/// Release: half of the servers, one each GapTime.
-constexpr milliseconds GapTime{710};
-constexpr milliseconds NewServerLead{300};
-constexpr milliseconds DelayBeforeRelease{1200};
-constexpr milliseconds ObservedTime{5000};
+constexpr int ServersOfAService = 4;
+constexpr int CallersOfAService = 8;
 constexpr milliseconds PauseOfCallers{15};
-constexpr int CallersPerGateway = 16;
-
-struct Departure {
-  std::shared_ptr<Service> Server;
-  Time At;
-};
+/// At the second gateway requests of the draining service come in groups.
+constexpr int GroupSize = 12;
+constexpr milliseconds GroupInterval{5000};
+
+/// Sends requests one after another until the end.
+std::thread steadyCaller(CallLog &Calls, const Gateway &Used,
+                         const std::string &Path,
+                         const std::atomic<bool> &IsOver) {
+  return std::thread([&Calls, &Used, Path, &IsOver] {
+    Caller Client(Calls, Used.id(), Used.callers());
+    while (!IsOver) {
+      Client.get(Path);
+      std::this_thread::sleep_for(PauseOfCallers);
+    }
+  });
+}
 
-/// Replaces half of the servers one by one. The new one starts first.
-std::vector<Departure> release(Store &Registry,
-                               std::vector<std::shared_ptr<Service>> &Servers,
-                               const std::string &Name, unsigned Seed) {
-  std::mt19937 Random(Seed);
-  std::vector<Departure> Departures;
-  const size_t Count = Servers.size() / 2;
-  for (size_t I = 0; I < Count; ++I) {
-    std::this_thread::sleep_for(milliseconds(Random() % 200));
-    Servers.push_back(std::make_shared<Service>(
-        Registry, "i-" + Name + "-new-" + std::to_string(I), Name));
-    std::this_thread::sleep_for(NewServerLead);
-    Servers[I]->leave();
-    Departures.push_back({Servers[I], Clock::now()});
-    std::this_thread::sleep_for(GapTime - NewServerLead - milliseconds(100));
-  }
-  return Departures;
+/// Several clients send one request each.
+void sendGroup(CallLog &Calls, const Gateway &Used, const std::string &Path) {
+  std::vector<std::thread> Clients;
+  for (int I = 0; I < GroupSize; ++I)
+    Clients.emplace_back([&] {
+      Caller Client(Calls, Used.id(), Used.callers());
+      Client.get(Path);
+    });
+  for (std::thread &Thread : Clients)
+    Thread.join();
 }
 
 int run(const std::string &Program, const std::string &RecordFile,
         bool WithTrouble) {
   Recorder Record(RecordFile);
   const TemporaryFolder Folder;
-  const unsigned Seed = std::random_device{}();
-  Record.line("seed " + std::to_string(Seed));
   Store Registry;
-  Registry.set("op", "config", configurationOf({"stock", "pickup"}));
-
-  std::map<std::string, std::vector<std::shared_ptr<Service>>> Servers;
-  for (const auto &[Name, Count] :
-       std::map<std::string, int>{{"stock", 12}, {"pickup", 3}})
-    for (int I = 0; I < Count; ++I)
-      Servers[Name].push_back(std::make_shared<Service>(
+  Registry.set("op", "config", configurationOf({"pickup", "stock"}));
+  std::vector<std::shared_ptr<Service>> Servers;
+  for (const std::string Name : {"pickup", "stock"})
+    for (int I = 0; I < ServersOfAService; ++I)
+      Servers.push_back(std::make_shared<Service>(
           Registry, "i-" + Name + "-" + std::to_string(I), Name));
+  Service &Leaving = *Servers.front();
 
-  // When gateway a has asked for the whole list of servers.
-  std::atomic<Clock::rep> ListRead = 0;
-  DelayingProxy Way(Registry.port(), [&](const std::string &Bytes) {
-    if (Bytes.find("/v1/rows-get?table=servers") != std::string::npos)
-      ListRead = Clock::now().time_since_epoch().count();
-  });
-  Gateway First({"front-hall-a-1", Way.port()}, Program, Folder.path());
+  Gateway First({"front-hall-a-1", Registry.port()}, Program, Folder.path());
   Gateway Second({"front-hall-b-1", Registry.port()}, Program, Folder.path());
   First.start();
   Second.start();
@@ -89,88 +76,68 @@
     return 2;
   }
   Record.line("both gateways are ready");
-
   CallLog Calls;
   std::atomic<bool> IsOver = false;
   std::vector<std::thread> Callers;
-  for (const Gateway *Used : {&First, &Second})
-    for (int I = 0; I < CallersPerGateway; ++I)
-      Callers.emplace_back([&, Used, I] {
-        Caller Client(Calls, Used->id(), Used->callers());
-        for (int N = I; !IsOver; ++N) {
-          Client.get(N % 2 == 0 ? "/stock/item" : "/pickup/slot");
-          std::this_thread::sleep_for(PauseOfCallers);
-        }
-      });
-
-  // All is calm for longer than the stable window, and a gateway has just read
-  // the whole list, which it does every 9 to 15 s.
-  std::this_thread::sleep_for(StableWindow + milliseconds(2000));
-  const auto Before = ListRead.load();
-  const Time Limit = Clock::now() + milliseconds(25000);
-  while (ListRead == Before && Clock::now() < Limit)
-    std::this_thread::sleep_for(milliseconds(5));
-
-  if (WithTrouble) {
-    Way.setDelay(AnswerDelay);
-    Record.line("the store's answers to front-hall-a-1 take 450 ms more");
+  for (int I = 0; I < CallersOfAService; ++I) {
+    Callers.push_back(steadyCaller(Calls, First, "/pickup/slot", IsOver));
+    Callers.push_back(steadyCaller(Calls, First, "/stock/item", IsOver));
+    Callers.push_back(steadyCaller(Calls, Second, "/stock/item", IsOver));
   }
-  std::this_thread::sleep_for(DelayBeforeRelease);
-  std::vector<Departure> Departures;
-  std::vector<Departure> OfPickup;
-  std::thread Other([&] {
-    OfPickup = release(Registry, Servers["pickup"], "pickup", Seed + 1);
-  });
-  Departures = release(Registry, Servers["stock"], "stock", Seed);
-  Other.join();
-  Departures.insert(Departures.end(), OfPickup.begin(), OfPickup.end());
-  Way.setDelay(milliseconds(0));
-  const Time Calm = Clock::now();
-  Record.line("answers take no longer than usual");
-  std::this_thread::sleep_for(StableWindow + ObservedTime);
+  std::this_thread::sleep_for(StableWindow + milliseconds(1000));
+  sendGroup(Calls, Second, "/pickup/slot");
+  std::this_thread::sleep_for(milliseconds(500));
+
+  // Sound servers may do both; with TROUBLE=0 only the entry tells.
+  Leaving.drain(WithTrouble);
+  const Time Drained = Clock::now();
+  Record.line(Leaving.id() + " is draining, as its entry says" +
+              (WithTrouble ? " and its answers do" : ""));
+  for (int I = 0; I < 2; ++I) {
+    std::this_thread::sleep_for(GroupInterval);
+    sendGroup(Calls, Second, "/pickup/slot");
+  }
+  std::this_thread::sleep_for(milliseconds(500));
   IsOver = true;
   for (std::thread &Thread : Callers)
     Thread.join();
-
   const bool HasEnded = First.hasEnded() || Second.hasEnded();
   First.kill();
   Second.kill();
+
   std::map<std::string, Call> ById;
   std::map<std::string, int> Summary;
   for (const Call &Entry : Calls.all()) {
     ById[Entry.AttemptId] = Entry;
-    ++Summary[Entry.Gateway + " " + std::to_string(Entry.Status)];
+    ++Summary[Entry.Gateway + " " + Entry.Path + " " +
+              std::to_string(Entry.Status)];
   }
   for (const auto &[Name, Count] : Summary)
     Record.line("answers: " + Name + ": " + std::to_string(Count));
-
-  int Violations = 0;
-  for (const Departure &Gone : Departures) {
-    int Late = 0;
-    for (const Service::Run &Ran : Gone.Server->runs()) {
-      const Call &Sent = ById[Ran.AttemptId];
-      const bool IsLate = Ran.At > Gone.At + DrainTime;
-      const bool IsInTouch = Sent.Sent > Calm + StableWindow;
-      if (!IsLate || !IsInTouch)
-        continue;
-      if (++Late <= 3)
-        Record.line("request " + Sent.AttemptId + " of " + Sent.Gateway +
-                    ", sent at " + Record.at(Sent.Sent) + ", ran at " +
-                    Record.at(Ran.At) + " on " + Gone.Server->id());
-    }
-    Record.line(Gone.Server->id() + " left the list at " + Record.at(Gone.At) +
-                "; requests that it got over 2 s later from gateways in "
-                "touch: " +
-                std::to_string(Late));
-    Violations += Late;
+  std::map<std::string, int> RunsWhileDraining;
+  int Late = 0;
+  for (const Service::Run &Ran : Leaving.runs()) {
+    const Call &Sent = ById[Ran.AttemptId];
+    if (Ran.At > Drained)
+      ++RunsWhileDraining[Sent.Gateway];
+    if (Ran.At <= Drained + DrainTime)
+      continue;
+    ++Late;
+    Record.line("request " + Sent.AttemptId + " of " + Sent.Gateway +
+                ", sent at " + Record.at(Sent.Sent) + ", ran at " +
+                Record.at(Ran.At) + " on " + Leaving.id());
   }
-  Way.stop();
+  for (const auto &[Name, Count] : RunsWhileDraining)
+    Record.line("requests that it got from " + Name +
+                " while draining: " + std::to_string(Count));
+  Record.line("requests that it got over 2 s after " + Record.at(Drained) +
+              ": " + std::to_string(Late));
   if (HasEnded || Summary.empty()) {
     Record.line("a gateway has ended by itself, or nothing was answered");
     return 2;
   }
-  Record.line(Violations > 0 ? "DRAIN broken" : "DRAIN held");
-  return Violations > 0 ? 1 : 0;
+  Record.line(Late > 0 ? "DRAIN broken" : "DRAIN held");
+  return Late > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -1,7 +1,7 @@
-//===- Case.cpp - Proper requests that are refused for good -----*- C++ -*-===//
+//===- Case.cpp - Late heartbeats bring a server back -----------*- C++ -*-===//
 //
-// One gateway, one server. Requests within all limits of the configuration,
-// some of them in a form that the gateway has bounds of its own for.
+// One gateway. Two heartbeats of one server get no answer from the store, which
+// performs them some seconds later. In between the server leaves.
 //
 //===----------------------------------------------------------------------===//
 
@@ -10,43 +10,25 @@
 #include "Gateway.h"
 #include "Service.h"
 
+#include <algorithm>
 #include <memory>
 
 using namespace review;
 
 namespace {
 
-constexpr int UsualRequests = 300;
-constexpr int RequestsOfAForm = 30;
-/// The rule allows so many, and one in 500 of all.
-constexpr int AllowedRefusals = 5;
-
-std::string repeated(int Count, const std::string &Name,
-                     const std::string &Value) {
-  std::string Fields;
-  for (int I = 0; I < Count; ++I)
-    Fields += Name + std::to_string(I) + ": " + Value + "\r\n";
-  return Fields;
-}
-
-std::string prompt(const std::string &FirstPart) {
-  return "X-Model: m\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: " +
-         FirstPart + ":800,91bd3f06:410,e4402b7d:250\r\n";
-}
-
-/// A form of a request, and the same content in the usual form.
-struct Form {
-  std::string Name;
-  std::string Fields;
-  std::string UsualFields;
-};
-
-const std::vector<Form> Forms = {
-    {"prompt part with an id of 32 hexadecimal digits",
-     prompt("5c1e07a29b3d4f60a1b2c3d4e5f60718"), prompt("5c1e07a2")},
-    {"300 short fields", repeated(300, "X-Label-", "123456"),
-     repeated(100, "X-Label-", "12345678901234567890123456789012345678901234")},
-};
+/// \name The deployment's bounds.
+/// @{
+constexpr milliseconds DrainTime{2000};
+constexpr milliseconds StableWindow{3000};
+constexpr milliseconds HeartbeatInterval{1200};
+/// @}
+/// The store performs a write without an answer 1 to 6 s later.
+constexpr milliseconds Lateness{5700};
+constexpr int LateHeartbeats = 2;
+constexpr int ServerCount = 4;
+constexpr int CallerCount = 16;
+constexpr milliseconds PauseOfCallers{15};
 
 int run(const std::string &Program, const std::string &RecordFile,
         bool WithTrouble) {
@@ -54,52 +36,77 @@
   const TemporaryFolder Folder;
   Store Registry;
   Registry.set("op", "config", configurationOf({"pickup"}));
-  Service Server(Registry, "i-pickup-0", "pickup");
+  std::vector<std::shared_ptr<Service>> Servers;
+  for (int I = 0; I < ServerCount; ++I)
+    Servers.push_back(std::make_shared<Service>(
+        Registry, "i-pickup-" + std::to_string(I), "pickup"));
+  Service &Leaving = *Servers.front();
+
   Gateway Used({"front-hall-a-1", Registry.port()}, Program, Folder.path());
   Used.start();
   if (!Used.waitUntilReady()) {
     Record.line("the gateway did not become ready");
     return 2;
   }
-  std::this_thread::sleep_for(milliseconds(3500));
+  Record.line("the gateway is ready");
   CallLog Calls;
-  Caller Client(Calls, Used.id(), Used.callers());
-  for (int I = 0; I < UsualRequests; ++I)
-    if (Client.get("/pickup/slot") != 200) {
-      Record.line("a usual request was not answered");
-      return 2;
-    }
-  int Sent = UsualRequests;
-  int Refused = 0;
-  for (const Form &Tried : Forms) {
-    const std::string &Fields = WithTrouble ? Tried.Fields : Tried.UsualFields;
-    std::map<int, int> Answers;
-    for (int I = 0; I < RequestsOfAForm; ++I) {
-      const int Status = Client.get("/pickup/slot", Fields);
-      ++Answers[Status];
-      ++Sent;
-      const bool IsOwnRefusal = Status >= 300 && Status < 500 &&
-                                Status != 408 && Status != 421 && Status != 429;
-      Refused += IsOwnRefusal ? 1 : 0;
-    }
-    for (const auto &[Status, Count] : Answers)
-      Record.line(Tried.Name + (WithTrouble ? "" : ", in the usual form") +
-                  ", head of about " + std::to_string(Fields.size() + 130) +
-                  " bytes: " + std::to_string(Count) + " answers with status " +
-                  std::to_string(Status));
-  }
-  Record.line(
-      "requests that the server ran: " + std::to_string(Server.runs().size()) +
-      " of " + std::to_string(Sent));
+  std::atomic<bool> IsOver = false;
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < CallerCount; ++I)
+    Callers.emplace_back([&] {
+      Caller Client(Calls, Used.id(), Used.callers());
+      while (!IsOver) {
+        Client.get("/pickup/slot");
+        std::this_thread::sleep_for(PauseOfCallers);
+      }
+    });
+  std::this_thread::sleep_for(StableWindow + milliseconds(2000));
+
+  const uint64_t Before = Leaving.heartbeats();
+  if (WithTrouble)
+    Leaving.delayHeartbeats(LateHeartbeats, Lateness);
+  while (Leaving.heartbeats() < Before + LateHeartbeats)
+    std::this_thread::sleep_for(milliseconds(5));
+  const Time LastLost = Clock::now();
+  Record.line("heartbeats " + std::to_string(Before + 1) + " and " +
+              std::to_string(Before + LateHeartbeats) + " of " + Leaving.id() +
+              (WithTrouble ? " got no answer" : " were written"));
+  // The store is stable again, and has later heartbeats of the server.
+  std::this_thread::sleep_until(LastLost + StableWindow + milliseconds(200));
+  const uint64_t LastBeat = Leaving.heartbeats();
+  Leaving.leave();
+  const Time Gone = Clock::now();
+  Record.line(Leaving.id() + " left the list; its last heartbeat was number " +
+              std::to_string(LastBeat));
+  // Its entry lapses after three intervals without a heartbeat.
+  std::this_thread::sleep_until(LastLost + Lateness + 3 * HeartbeatInterval);
+  Registry.remove("servers", Leaving.id());
+  std::this_thread::sleep_for(milliseconds(1500));
+  IsOver = true;
+  for (std::thread &Thread : Callers)
+    Thread.join();
   const bool HasEnded = Used.hasEnded();
   Used.kill();
-  if (HasEnded)
+
+  std::map<int, int> Summary;
+  for (const Call &Entry : Calls.all())
+    ++Summary[Entry.Status];
+  for (const auto &[Status, Count] : Summary)
+    Record.line("answers: " + std::to_string(Status) + ": " +
+                std::to_string(Count));
+  int Late = 0;
+  for (const Service::Run &Ran : Leaving.runs())
+    if (Ran.At > Gone + DrainTime && ++Late <= 3)
+      Record.line("request " + Ran.AttemptId + " ran at " + Record.at(Ran.At) +
+                  " on " + Leaving.id());
+  Record.line("requests that " + Leaving.id() + " got over 2 s after " +
+              Record.at(Gone) + ": " + std::to_string(Late));
+  if (HasEnded || Summary.empty()) {
+    Record.line("the gateway has ended by itself, or nothing was answered");
     return 2;
-  const bool IsBroken = Refused > AllowedRefusals + Sent / 500;
-  Record.line("refused with a 3xx or 4xx of the gateway: " +
-              std::to_string(Refused) + " of " + std::to_string(Sent) +
-              (IsBroken ? "; DENIED broken" : "; DENIED held"));
-  return IsBroken ? 1 : 0;
+  }
+  Record.line(Late > 0 ? "DRAIN broken" : "DRAIN held");
+  return Late > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/stand-ins-2/Service.h
+++ b/review/stand-ins-2/Service.h
@@ -35,6 +35,13 @@
   }
 
   const std::string &id() const { return m_Id; }
+  /// Reports that it drains, and serves on. \p SaysSo: also in its answers.
+  void drain(bool SaysSo) {
+    const std::lock_guard Lock(m_Mutex);
+    m_IsDraining = true;
+    m_SaysThatItLeaves = SaysSo;
+    beat();
+  }
   /// Leaves without having reported that it drains: the entry is removed, and
   /// the server serves on.
   void leave() {
@@ -68,7 +75,7 @@
         {"zone", "hall-a"},
         {"version", "1"},
         {"slots", 6},
-        {"state", "ready"},
+        {"state", m_IsDraining ? "draining" : "ready"},
         {"coldRemainingMs", 0},
         {"sequence", ++m_Sequence},
         {"born", m_Born}};
@@ -107,6 +114,7 @@
       const std::string Answer =
           IsMeant ? "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                         "\r\nX-Response-Signature: " + m_Id + "." + AttemptId +
+                        (m_SaysThatItLeaves ? "\r\nServer-Leaving: 1" : "") +
                         "\r\nContent-Length: 2\r\n\r\nok"
                   : "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: " +
                         AttemptId +
@@ -124,6 +132,8 @@
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
   bool m_IsStopped = false;
+  bool m_IsDraining = false;
+  std::atomic<bool> m_SaysThatItLeaves = false;
   int m_LateHeartbeats = 0;
   milliseconds m_Lateness{0};
   std::vector<Run> m_Runs;
