review: Answers of a server that ends pass as whole

Why: the server's process is killed while the address goes on listening; the probe after the end of an answer without a length finds the successor, and no other connection tells that the server has ended.

--- a/review/stand-ins-2/Caller.h
+++ b/review/stand-ins-2/Caller.h
@@ -19,6 +19,8 @@
   std::string Path;
   /// 0 if the connection ended without an answer.
   int Status = 0;
+  /// Of the body, which was as long as the answer said.
+  size_t BodyBytes = 0;
 };
 
 /// All requests of a case.
@@ -61,8 +63,10 @@
                               Entry.AttemptId + "\r\nX-Deadline-Ms: 1500\r\n" +
                               Fields + "\r\n");
     const auto Answer = IsSent ? m_Answers->next() : std::nullopt;
-    if (Answer)
+    if (Answer) {
       Entry.Status = Answer->status();
+      Entry.BodyBytes = Answer->Body.size();
+    }
     if (!Answer || Answer->field("connection") == "close")
       disconnect();
     m_Log.add(Entry);
