review: Keep the build of the earlier cases as it was

review/build.sh builds every Case.cpp under review/, with the headers of the earlier review only. The new sources are Main.cpp, which review/build-2.sh builds.

--- a/review/4/Case.cpp
+++ b/review/4/Main.cpp
@@ -1,4 +1,4 @@
-//===- Case.cpp - One gateway is not told that a server drains --*- C++ -*-===//
+//===- Main.cpp - One gateway is not told that a server drains --*- C++ -*-===//
 //
 // Two gateways, of which the first one reads the list of servers for both. A
 // server drains. It says so in its entry and in its answers, and the first
--- a/review/6/Case.cpp
+++ b/review/6/Main.cpp
@@ -1,4 +1,4 @@
-//===- Case.cpp - Late heartbeats bring a server back -----------*- C++ -*-===//
+//===- Main.cpp - Late heartbeats bring a server back -----------*- C++ -*-===//
 //
 // One gateway. Two heartbeats of one server get no answer from the store, which
 // performs them some seconds later. In between the server leaves.
