--- a/review/stand-ins-2/Gateway.h
+++ b/review/stand-ins-2/Gateway.h
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <vector>
 
@@ -45,6 +46,8 @@
     const std::string Log = m_Folder + "/" + m_Options.Id + ".log";
     m_Process = fork();
     if (m_Process == 0) {
+      // It must not outlive the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int Output = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Output, STDOUT_FILENO);
       dup2(Output, STDERR_FILENO);
--- a/review/stand-ins-2/Network.h
+++ b/review/stand-ins-2/Network.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -39,16 +40,23 @@
   return Address;
 }
 
-/// \p Type: SOCK_STREAM or SOCK_DGRAM.
+/// A port that nothing uses now, outside of the range from which the system
+/// takes the ports of outgoing connections. \p Type: SOCK_STREAM or SOCK_DGRAM.
 inline uint16_t freePort(int Type = SOCK_STREAM) {
-  const int Handle = socket(AF_INET, Type, 0);
-  sockaddr_in Address = loopback(0);
-  socklen_t Length = sizeof(Address);
-  if (bind(Handle, reinterpret_cast<sockaddr *>(&Address), Length) != 0 ||
-      getsockname(Handle, reinterpret_cast<sockaddr *>(&Address), &Length) != 0)
-    throw std::runtime_error("no free port");
-  close(Handle);
-  return ntohs(Address.sin_port);
+  static std::mt19937 Random(std::random_device{}());
+  std::uniform_int_distribution<int> Ports(12000, 32000);
+  for (int Try = 0; Try < 1000; ++Try) {
+    const auto Port = static_cast<uint16_t>(Ports(Random));
+    const int Handle = socket(AF_INET, Type, 0);
+    const sockaddr_in Address = loopback(Port);
+    const bool IsFree =
+        bind(Handle, reinterpret_cast<const sockaddr *>(&Address),
+             sizeof(Address)) == 0;
+    close(Handle);
+    if (IsFree)
+      return Port;
+  }
+  throw std::runtime_error("no free port");
 }
 
 /// Returns -1 if nothing listens there.
--- a/review/stand-ins-2/UnframedServer.h
+++ b/review/stand-ins-2/UnframedServer.h
@@ -12,6 +12,7 @@
 #include "Store.h"
 
 #include <csignal>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -112,6 +113,8 @@
     const std::string Listener = std::to_string(m_Listener);
     m_Process = fork();
     if (m_Process == 0) {
+      // It must not outlive the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       execl(m_Program.c_str(), m_Program.c_str(), "serve", Listener.c_str(),
             m_Id.c_str(), nullptr);
       _exit(127);
