LibDispatch: Announce what the store lists, not what was news here

Its own conclusions are mixed into that table: the word of a server in its answers made the later entry no event, so the announcement said "no change up to here". The same cause hid entries that lapsed in an outage and came back while the reader kept them: peers that had dropped them sent nothing there.

Ruled out: a lost announcement (the peer would read after 1.25 s), a peer that ignores the entry (TROUBLE=0 would fail).

Fix: ServerList holds what the store lists, and nothing else; rows are applied by the store's version, whichever way they come (an answer that was overtaken by an announcement brought servers back). After a gap of two seconds a full read counts as a change of unknown order.

The tests of TargetTable run unchanged, on a table that is fed by a list.

--- a/Libraries/LibDispatch/Target.h
+++ b/Libraries/LibDispatch/Target.h
@@ -67,13 +67,6 @@
     Other.Heartbeat = Heartbeat;
     return Other == *this;
   }
-  /// Whether this entry was written before \p Other: by an earlier start, or
-  /// with an earlier heartbeat of the same start.
-  bool isOlderThan(const Target &Other) const {
-    if (Started != Other.Started)
-      return Started < Other.Started;
-    return Heartbeat < Other.Heartbeat;
-  }
 };
 
 } // namespace figlift::dispatch
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -316,6 +316,7 @@
   m_PreviousTick = std::exchange(m_LastTick, Now);
   Part("targets", [&] {
     serversKnown();
+    m_Servers.forgetRemoved(Now);
     apply(m_Shared.Targets.tick(Now));
   });
   Part("restarts", [&] {
--- a/Services/figlift-gateway/Gateway.h
+++ b/Services/figlift-gateway/Gateway.h
@@ -23,6 +23,7 @@
 #include "LibDispatch/AcceptControl.h"
 #include "LibDispatch/DescriptorShares.h"
 #include "LibDispatch/ServerJournal.h"
+#include "LibDispatch/ServerList.h"
 #include "LibProxy/CallerConnection.h"
 #include "platform/StoreTable.h"
 
@@ -76,6 +77,12 @@
   void storeRowsRefused(const std::string &Table, const slopes::RowsRead &Read);
   void serverListRead(const slopes::RowsRead &Read, BootTime KnownAt);
   void serverChangesRead(const slopes::RowsRead &Read, BootTime KnownAt);
+  void entriesRead(const std::vector<dispatch::ServerChange> &Rows,
+                   dispatch::VersionConfirmation::Read Kind, BootTime KnownAt);
+  /// Applies what was read or announced to the servers that are used.
+  void serversListed(const dispatch::ListUpdate &Update);
+  /// What removals mean that are read now.
+  dispatch::Removals removalsNow() const;
   /// The store was restored from a copy: writes of the last seconds of the
   /// previous era are lost, and their version numbers are assigned again.
   void storeRestored(uint64_t EraBefore);
@@ -194,6 +201,8 @@
   size_t m_PoolsSharedBy = 0;
   bool m_PoolLimitsStale = true;
   /// @}
+  /// What the store lists; m_Shared.Targets has what is used.
+  dispatch::ServerList m_Servers;
   /// Recent changes of the server list and the time as of which it is known,
   /// for announcements to peers.
   dispatch::ServerJournal m_ServerJournal;
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -28,6 +28,9 @@
 /// interval between two reads of the elected reader, so a gateway that reads
 /// only because a change was announced stays silent.
 constexpr milliseconds AnnouncementTolerance{900};
+/// Longer than between two reads of the elected reader, and too short for an
+/// entry to expire and be written again unseen.
+constexpr milliseconds MaximumGap{2000};
 
 } // namespace
 
@@ -205,32 +208,67 @@
                    {"rows", Read.RefusedRows}});
 }
 
+dispatch::Removals Gateway::removalsNow() const {
+  return m_Shared.Targets.awaitsRegistrations(BootClock::now())
+             ? dispatch::Removals::MayBeExpired
+             : dispatch::Removals::Ended;
+}
+
+void Gateway::serversListed(const dispatch::ListUpdate &Update) {
+  const BootTime Now = BootClock::now();
+  apply(m_Shared.Targets.apply(Update.Changes, Now));
+  limitPools();
+}
+
+namespace {
+
+/// Returns the changes that peers are told of. Most rows are heartbeats.
+std::vector<dispatch::ServerChange>
+announcedChanges(const dispatch::ListUpdate &Update) {
+  std::vector<dispatch::ServerChange> Changes;
+  for (const auto &[Change, OnlyHeartbeat] : Update.Changes)
+    if (!OnlyHeartbeat)
+      Changes.push_back(Change);
+  return Changes;
+}
+
+} // namespace
+
 void Gateway::serverListRead(const slopes::RowsRead &Read, BootTime KnownAt) {
-  std::vector<dispatch::Target> Listed;
+  const BootTime Now = BootClock::now();
+  std::vector<dispatch::ServerChange> Listed;
   for (const slopes::StoreRow &Row : Read.Rows) {
     if (auto Entry = readServer(Row))
-      Listed.push_back(std::move(*Entry));
+      Listed.push_back({Row.Version, Row.Key, std::move(*Entry)});
   }
   m_ServersKnown = true;
-  m_ServersReadAt = BootClock::now();
-  for (const dispatch::Target &Entry : Listed)
-    m_Shared.Restarts.entryRead(Entry, ReadKind::Full);
-  m_Shared.Restarts.listRead(ReadKind::Full, KnownAt);
-  const auto Events = m_Shared.Targets.replaceAll(Listed, BootClock::now());
+  m_ServersReadAt = Now;
+  m_Shared.Targets.recordStoreAnswer(Now);
+  const auto Update =
+      m_Servers.replaceAll(Listed, Read.Version, removalsNow(), Now);
+  entriesRead(Listed, ReadKind::Full, KnownAt);
   // A list without changes only renews the known state. After a list with
-  // changes, peers have to read the store to learn their order. A list that
-  // lacks a server which is retained here for a while contains a removal that
-  // peers must not skip.
-  if (Events.empty() && !m_Shared.Targets.hasMissingTargets())
+  // changes, peers have to read the store to learn their order. After a gap, a
+  // server may have been removed and listed again, of which peers may know only
+  // the removal.
+  const bool HasGap = KnownAt - m_ServerJournal.knownAt() > MaximumGap;
+  if (announcedChanges(Update).empty() && !HasGap)
     m_ServerJournal.recordChanges(Read.Version, KnownAt, {});
   else
     m_ServerJournal.recordFullRead(Read.Version, KnownAt);
-  apply(Events);
+  serversListed(Update);
   serversKnown();
-  limitPools();
   announceStoreState();
 }
 
+void Gateway::entriesRead(const std::vector<dispatch::ServerChange> &Rows,
+                          ReadKind Kind, BootTime KnownAt) {
+  for (const dispatch::ServerChange &Row : Rows)
+    if (Row.Entry)
+      m_Shared.Restarts.entryRead(*Row.Entry, Kind);
+  m_Shared.Restarts.listRead(Kind, KnownAt);
+}
+
 void Gateway::serversKnown() {
   m_Shared.ServersKnownAt = m_ServerJournal.knownAt();
   if (m_ServersKnown)
@@ -240,22 +278,18 @@
 void Gateway::serverChangesRead(const slopes::RowsRead &Read,
                                 BootTime KnownAt) {
   const BootTime Now = BootClock::now();
-  std::vector<dispatch::ServerChange> Changes;
-  for (const slopes::StoreRow &Row : Read.Rows) {
-    const auto Entry = Row.Removed ? std::nullopt : readServer(Row);
-    const auto Events = Entry ? m_Shared.Targets.update(*Entry, Now)
-                              : m_Shared.Targets.remove(Row.Key, Now);
-    // Most entries are heartbeats, which are not announced.
-    if (!Entry || !Events.empty())
-      Changes.push_back({Row.Version, Row.Key, Entry});
-    apply(Events);
-    if (Entry)
-      m_Shared.Restarts.entryRead(*Entry, ReadKind::Changes);
-  }
+  std::vector<dispatch::ServerChange> Rows;
+  for (const slopes::StoreRow &Row : Read.Rows)
+    Rows.push_back(
+        {Row.Version, Row.Key, Row.Removed ? std::nullopt : readServer(Row)});
   m_ServersReadAt = Now;
-  m_Shared.Restarts.listRead(ReadKind::Changes, KnownAt);
-  limitPools();
-  m_ServerJournal.recordChanges(Read.Version, KnownAt, std::move(Changes));
+  m_Shared.Targets.recordStoreAnswer(Now);
+  const auto Update =
+      m_Servers.applyChanges(Rows, Read.Version, removalsNow(), Now);
+  entriesRead(Rows, ReadKind::Changes, KnownAt);
+  serversListed(Update);
+  m_ServerJournal.recordChanges(Read.Version, KnownAt,
+                                announcedChanges(Update));
   announceStoreState();
 }
 
@@ -320,11 +354,11 @@
       std::max(m_ConfigurationAnnouncedAt, Now - Update.Configuration.Age);
   if (std::holds_alternative<dispatch::MissingVersions>(Outcome))
     return m_ServerFollower.readNow();
-  if (const auto *Missed = std::get_if<dispatch::ServerChanges>(&Outcome))
-    for (const dispatch::ServerChange &Change : Missed->Changes)
-      apply(Change.Entry ? m_Shared.Targets.update(*Change.Entry, Now)
-                         : m_Shared.Targets.remove(Change.Id, Now));
-  limitPools();
+  if (const auto *Missed = std::get_if<dispatch::ServerChanges>(&Outcome)) {
+    m_Shared.Targets.recordStoreAnswer(Now);
+    serversListed(m_Servers.applyChanges(Missed->Changes, Update.Servers.UpTo,
+                                         removalsNow(), Now));
+  }
 }
 
 } // namespace figlift::gateway
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -1,6 +1,7 @@
-//===- TestTargetTable.cpp - Cached view of the server list ---------------===//
+//===- TestTargetTable.cpp - Servers that are used ------------------------===//
 //
-// Complete lists, single changes, and outages of the store.
+// Complete lists, single changes, and outages of the store. The table gets its
+// changes from a list of servers, as in a gateway.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,8 +13,52 @@
 using namespace figlift::dispatch;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Gives each row the next version of the store.
+class ListedTable : public TargetTable {
+public:
+  std::vector<TargetEvent> replaceAll(const std::vector<Target> &Listed,
+                                      BootTime Now) {
+    recordStoreAnswer(Now);
+    std::vector<ServerChange> Rows;
+    for (const Target &Entry : Listed)
+      Rows.push_back({nextVersion(), Entry.Id, Entry});
+    return apply(
+        m_List.replaceAll(Rows, nextVersion(), removals(Now), Now).Changes,
+        Now);
+  }
+  std::vector<TargetEvent> update(const Target &Entry, BootTime Now) {
+    return applyRow({nextVersion(), Entry.Id, Entry}, Now);
+  }
+  std::vector<TargetEvent> remove(const std::string &Id, BootTime Now) {
+    return applyRow({nextVersion(), Id, {}}, Now);
+  }
+  std::vector<TargetEvent> tick(BootTime Now) {
+    m_List.forgetRemoved(Now);
+    return TargetTable::tick(Now);
+  }
+
+private:
+  StoreVersion nextVersion() { return {1, ++m_Version}; }
+  Removals removals(BootTime Now) const {
+    return awaitsRegistrations(Now) ? Removals::MayBeExpired : Removals::Ended;
+  }
+  std::vector<TargetEvent> applyRow(const ServerChange &Row, BootTime Now) {
+    recordStoreAnswer(Now);
+    return apply(
+        m_List.applyChanges({Row}, Row.Version, removals(Now), Now).Changes,
+        Now);
+  }
+
+  ServerList m_List;
+  uint64_t m_Version = 0;
+};
+
+} // namespace
+
 TEST_GROUP(TargetTable) {
-  TargetTable Table;
+  ListedTable Table;
   BootTime Now{std::chrono::seconds(100)};
 
   static Target target(const std::string &Id) {
@@ -152,7 +197,7 @@
 }
 
 TEST_GROUP(RestartedTargets) {
-  TargetTable Table;
+  ListedTable Table;
   BootTime Now{std::chrono::seconds(100)};
 
   static Target entry(int64_t Started, uint64_t Heartbeat) {
