LibDispatch: Order a server's entries by start, not by arrival

Cause: an entry that looked older was ignored once; a second, newer one was believed, as from a server whose clock went back. Writes that the store performs late come in such sequences too. Starts that were followed by another one were remembered nowhere, and a gateway that does not read the list knows the heartbeats of announced changes only, so that a late write has the highest heartbeat that it knows.

Evidence: the first late request follows the second late write, not the first. Failed before on, and hold now: two late writes after a removal, the same of the start before the last one, one late write where the reader of two gateways was killed after the removal, and, at the gateway that does not read, a server whose clock went back after its removal.

Fix: ServerList remembers starts that ended. An entry that looks late is believed if it is one of the first two of a start that was not seen before, or if such entries go on for longer than a write can be late. Removals are announced with the last heartbeat, as a fourth item that earlier builds ignore. Late entries are logged, and confirm no software version: a late write could do so before.

--- a/Libraries/LibDispatch/StoreUpdate.cpp
+++ b/Libraries/LibDispatch/StoreUpdate.cpp
@@ -44,7 +44,12 @@
 Result<ServerChange> decodeChange(const Json &Encoded, uint64_t Era) {
   ServerChange Change{{Era, wholeNumber<uint64_t>(Encoded.at(0))},
                       Encoded.at(1).get<std::string>(),
+                      {},
                       {}};
+  // Earlier versions of the program send no last write.
+  if (Encoded.size() > 3)
+    Change.Last = LastWrite{decodeStartTime(Encoded.at(3).at(0)),
+                            wholeNumber<uint64_t>(Encoded.at(3).at(1))};
   const Json &EncodedEntry = Encoded.at(2);
   if (EncodedEntry.is_null())
     return Change;
@@ -74,8 +79,12 @@
 constexpr size_t MaximumChangeBytes = 64000;
 
 Json encodeChange(const ServerChange &Change) {
-  return Json::array(
+  Json Encoded = Json::array(
       {Change.Version.Number, Change.Id, encodeEntry(Change.Entry)});
+  if (Change.Last)
+    Encoded.push_back(Json::array(
+        {encodeStartTime(Change.Last->Started), Change.Last->Heartbeat}));
+  return Encoded;
 }
 
 /// Leaves the oldest changes out if not all of them fit into a datagram. The
--- a/Libraries/LibDispatch/StoreUpdate.h
+++ b/Libraries/LibDispatch/StoreUpdate.h
@@ -23,6 +23,13 @@
 
 namespace figlift::dispatch {
 
+/// The last entry that a start of a server wrote.
+struct LastWrite {
+  std::optional<StartTime> Started;
+  uint64_t Heartbeat = 0;
+  bool operator==(const LastWrite &) const = default;
+};
+
 /// A write or removal of a server's entry.
 struct ServerChange {
   /// Version of the store at the write.
@@ -30,6 +37,10 @@
   std::string Id;
   /// Absent if the entry was removed.
   std::optional<Target> Entry;
+  /// Of a removal: the last write before it, if the sender has read all of the
+  /// server's entries. Heartbeats are not announced, and an entry that is
+  /// written late can be recognized only by them.
+  std::optional<LastWrite> Last = std::nullopt;
   bool operator==(const ServerChange &) const = default;
 };
 
--- a/Services/figlift-gateway/Gateway.cpp
+++ b/Services/figlift-gateway/Gateway.cpp
@@ -316,7 +316,7 @@
   m_PreviousTick = std::exchange(m_LastTick, Now);
   Part("targets", [&] {
     serversKnown();
-    m_Servers.forgetRemoved(Now);
+    m_Servers.forgetEnded(Now);
     apply(m_Shared.Targets.tick(Now));
   });
   Part("restarts", [&] {
--- a/Services/figlift-gateway/GatewayStore.cpp
+++ b/Services/figlift-gateway/GatewayStore.cpp
@@ -216,6 +216,15 @@
 
 void Gateway::serversListed(const dispatch::ListUpdate &Update) {
   const BootTime Now = BootClock::now();
+  for (const dispatch::LateEntry &Late : Update.Late)
+    if (m_Shared.Log.allows(LineKind::Notable, Now))
+      log::logEvent(log::Level::Info, "server-entry-late",
+                    {{"target", Late.Entry.Id},
+                     {"reason", dispatch::describe(Late.Reason)},
+                     {"heartbeat", Late.Entry.Heartbeat},
+                     {"knownHeartbeat", Late.KnownHeartbeat},
+                     {"draining", Late.Entry.Draining},
+                     {"storeVersion", Late.Version.Number}});
   apply(m_Shared.Targets.apply(Update.Changes, Now));
   limitPools();
 }
@@ -261,10 +270,11 @@
   announceStoreState();
 }
 
+/// Late writes confirm nothing.
 void Gateway::entriesRead(const std::vector<dispatch::ServerChange> &Rows,
                           ReadKind Kind, BootTime KnownAt) {
   for (const dispatch::ServerChange &Row : Rows)
-    if (Row.Entry)
+    if (Row.Entry && m_Servers.isCurrent(*Row.Entry))
       m_Shared.Restarts.entryRead(*Row.Entry, Kind);
   m_Shared.Restarts.listRead(Kind, KnownAt);
 }
@@ -285,7 +295,7 @@
   m_ServersReadAt = Now;
   m_Shared.Targets.recordStoreAnswer(Now);
   const auto Update =
-      m_Servers.applyChanges(Rows, Read.Version, removalsNow(), Now);
+      m_Servers.applyRead(Rows, Read.Version, removalsNow(), Now);
   entriesRead(Rows, ReadKind::Changes, KnownAt);
   serversListed(Update);
   m_ServerJournal.recordChanges(Read.Version, KnownAt,
@@ -354,11 +364,13 @@
       std::max(m_ConfigurationAnnouncedAt, Now - Update.Configuration.Age);
   if (std::holds_alternative<dispatch::MissingVersions>(Outcome))
     return m_ServerFollower.readNow();
-  if (const auto *Missed = std::get_if<dispatch::ServerChanges>(&Outcome)) {
+  if (const auto *Missed = std::get_if<dispatch::ServerChanges>(&Outcome);
+      Missed && !Missed->Changes.empty())
     m_Shared.Targets.recordStoreAnswer(Now);
-    serversListed(m_Servers.applyChanges(Missed->Changes, Update.Servers.UpTo,
-                                         removalsNow(), Now));
-  }
+  // Also those of known versions: entries that this process took for late
+  // writes, and the last heartbeats of removed servers.
+  serversListed(m_Servers.applyAnnounced(
+      Update.Servers.Changes, Update.Servers.UpTo, removalsNow(), Now));
 }
 
 } // namespace figlift::gateway
--- a/Tests/LibDispatch/TestServerList.cpp
+++ b/Tests/LibDispatch/TestServerList.cpp
@@ -1,6 +1,7 @@
 //===- TestServerList.cpp - What the store lists --------------------------===//
 //
-// The same rows in each order in which reads and announcements can bring them.
+// The same rows in each order in which reads and announcements can bring them,
+// writes that the store performs late, and restarts that look like these.
 //
 //===----------------------------------------------------------------------===//
 
@@ -40,15 +41,16 @@
   static ServerChange removal(uint64_t Number) {
     return {{1, Number}, "a", {}};
   }
-  ListUpdate read(const ServerChange &Row) {
-    return List.applyChanges({Row}, Row.Version, Removals::Ended, Now);
+  ListUpdate read(const ServerChange &Row, Removals Kind = Removals::Ended) {
+    return List.applyRead({Row}, Row.Version, Kind, Now);
   }
   /// Reads an entry that was written just now.
   ListUpdate write(const Target &Entry) { return read(row(++Version, Entry)); }
   ListUpdate remove() { return read(removal(++Version)); }
   ListUpdate announce(const std::vector<ServerChange> &Changes) {
-    return List.applyChanges(Changes, {1, ++Version}, Removals::Ended, Now);
+    return List.applyAnnounced(Changes, {1, ++Version}, Removals::Ended, Now);
   }
+  void advance(milliseconds Time) { Now += Time; }
 };
 
 // Failure: a gateway sends requests to a server that has left, because the
@@ -68,9 +70,9 @@
   };
   const auto ReadOf = [&](size_t From, size_t UpTo) {
     return [&, From, UpTo](ServerList &To) {
-      To.applyChanges({Rows.begin() + static_cast<long>(From) - 1,
-                       Rows.begin() + static_cast<long>(UpTo)},
-                      {1, UpTo}, Removals::Ended, Now);
+      To.applyRead({Rows.begin() + static_cast<long>(From) - 1,
+                    Rows.begin() + static_cast<long>(UpTo)},
+                   {1, UpTo}, Removals::Ended, Now);
     };
   };
   const auto AnnouncedOf = [&](size_t From, size_t UpTo) {
@@ -78,9 +80,9 @@
       // An announcement that does not continue the known version is not
       // applied.
       if (To.version().Number + 1 >= From)
-        To.applyChanges({Rows.begin() + static_cast<long>(From) - 1,
-                         Rows.begin() + static_cast<long>(UpTo)},
-                        {1, UpTo}, Removals::Ended, Now);
+        To.applyAnnounced({Rows.begin() + static_cast<long>(From) - 1,
+                           Rows.begin() + static_cast<long>(UpTo)},
+                          {1, UpTo}, Removals::Ended, Now);
     };
   };
   const std::vector<std::function<void(ServerList &)>> Steps = {
@@ -111,7 +113,7 @@
 TEST(ServerList, IgnoresRowsThatAReadBringsTooLate) {
   write(entry(5, 1));
   announce({removal(3)});
-  List.applyChanges({row(2, entry(5, 2))}, {1, 2}, Removals::Ended, Now);
+  List.applyRead({row(2, entry(5, 2))}, {1, 2}, Removals::Ended, Now);
   CHECK(!List.find("a"));
   List.replaceAll({row(2, entry(5, 2))}, {1, 2}, Removals::Ended, Now);
   CHECK(!List.find("a"));
@@ -123,6 +125,138 @@
   LONGS_EQUAL(1, remove().Changes.size());
 }
 
+// Failure: two late writes of a removed server bring it back.
+TEST(ServerList, IgnoresLateWritesOfARemovedServer) {
+  for (uint64_t Heartbeat = 1; Heartbeat <= 9; ++Heartbeat)
+    write(entry(5, Heartbeat));
+  remove();
+  for (const uint64_t Heartbeat : {4, 5, 6}) {
+    advance(milliseconds(1200));
+    const ListUpdate Update = write(entry(5, Heartbeat));
+    CHECK(Update.Changes.empty());
+    CHECK(Update.Late.at(0).Reason == LateReason::EndedStart);
+    LONGS_EQUAL(9, Update.Late.at(0).KnownHeartbeat);
+    // The row is still there in the next full read.
+    List.replaceAll({row(Version, entry(5, Heartbeat))}, {1, Version},
+                    Removals::Ended, Now);
+  }
+  CHECK(!List.find("a"));
+}
+
+// Failure: late writes of a server that is ready bring it back after it has
+// begun to drain.
+TEST(ServerList, IgnoresLateWritesOfADrainingServer) {
+  write(entry(5, 8));
+  write(entry(5, 9, true));
+  for (const uint64_t Heartbeat : {1, 2, 3})
+    CHECK(write(entry(5, Heartbeat)).Changes.empty());
+  CHECK(List.find("a")->Draining);
+}
+
+// Failure: late writes of the start before the last one bring a removed server
+// back.
+TEST(ServerList, IgnoresLateWritesOfAnEarlierStart) {
+  write(entry(5, 8));
+  write(entry(6, 1));
+  for (const uint64_t Heartbeat : {9, 10})
+    CHECK(write(entry(5, Heartbeat)).Changes.empty());
+  write(entry(6, 2));
+  remove();
+  for (const uint64_t Heartbeat : {11, 12})
+    CHECK(write(entry(5, Heartbeat)).Changes.empty());
+  CHECK(!List.find("a"));
+}
+
+// Failure: two late writes of a start that this process has not seen bring a
+// server back that has left.
+TEST(ServerList, IgnoresLateWritesOfAStartThatWasNotSeen) {
+  write(entry(6, 3));
+  remove();
+  for (const uint64_t Heartbeat : {8, 9}) {
+    advance(milliseconds(1200));
+    CHECK(write(entry(5, Heartbeat)).Changes.empty());
+  }
+  CHECK(!List.find("a"));
+}
+
+// Failure: a server of whose heartbeats peers tell only the first comes back
+// with a late write, although it has left.
+TEST(ServerList, IgnoresALateWriteWithAHeartbeatThatWasNotAnnounced) {
+  write(entry(5, 1));
+  announce({});
+  remove();
+  advance(milliseconds(4000));
+  const ListUpdate Update = write(entry(5, 8));
+  CHECK(Update.Changes.empty());
+  CHECK(Update.Late.at(0).Reason == LateReason::UnknownLastWrite);
+}
+
+// Failure: a gateway that knows old heartbeats only leaves out a server that
+// writes on after its entry was removed.
+TEST(ServerList, AcceptsHigherHeartbeatsThanTheAnnouncedLastOne) {
+  write(entry(5, 1));
+  ServerChange Removal = removal(3);
+  Removal.Last = LastWrite{StartTime(milliseconds(5)), 9};
+  announce({Removal});
+  Version = 3;
+  CHECK(write(entry(5, 8)).Changes.empty());
+  LONGS_EQUAL(1, write(entry(5, 10)).Changes.size());
+}
+
+// Failure: the same, where the gateway has read the removal itself before the
+// peer announces it.
+TEST(ServerList, LearnsTheLastWriteOfARemovalItHasRead) {
+  write(entry(5, 1));
+  announce({});
+  remove();
+  ServerChange Removal = removal(Version);
+  Removal.Last = LastWrite{StartTime(milliseconds(5)), 9};
+  announce({Removal});
+  CHECK(write(entry(5, 9)).Changes.empty());
+  LONGS_EQUAL(1, write(entry(5, 10)).Changes.size());
+}
+
+// Failure: a gateway that took an entry for a late write does not use the
+// server that a peer has found to run.
+TEST(ServerList, AcceptsAnAnnouncedEntryThatItTookForALateWrite) {
+  write(entry(5, 1));
+  announce({});
+  remove();
+  write(entry(5, 9));
+  CHECK(!List.find("a"));
+  LONGS_EQUAL(1, announce({row(Version, entry(5, 9))}).Changes.size());
+}
+
+// Failure: a removal does not tell the last heartbeat, or tells one that this
+// process does not know.
+TEST(ServerList, TellsTheLastWriteOnlyIfAllWereRead) {
+  write(entry(5, 1));
+  write(entry(5, 2));
+  CHECK(remove().Changes.at(0).Change.Last ==
+        LastWrite({StartTime(milliseconds(5)), 2}));
+  write(entry(5, 3));
+  announce({});
+  CHECK(!remove().Changes.at(0).Change.Last);
+  // A full read has all rows.
+  List.replaceAll({row(++Version, entry(5, 7))}, {1, Version}, Removals::Ended,
+                  Now);
+  announce({row(Version + 1, entry(5, 8))});
+  List.replaceAll({row(++Version, entry(5, 9))}, {1, Version}, Removals::Ended,
+                  Now);
+  CHECK(remove().Changes.at(0).Change.Last.has_value());
+}
+
+// Failure: servers whose entries expired in an outage of the store are left out
+// by the gateways that know old heartbeats only.
+TEST(ServerList, AcceptsEntriesThatExpiredInAnOutage) {
+  write(entry(5, 1));
+  announce({});
+  List.replaceAll({}, {1, ++Version}, Removals::MayBeExpired, Now);
+  CHECK(!List.find("a"));
+  advance(milliseconds(1300));
+  LONGS_EQUAL(1, write(entry(5, 20)).Changes.size());
+}
+
 // Failure: a peer that lists a late write, because it has just started, is not
 // told of the entry that follows.
 TEST(ServerList, ReportsTheEntryAfterALateWriteAsAChange) {
@@ -132,3 +266,62 @@
   CHECK(!write(entry(5, 10, true)).Changes.at(0).OnlyHeartbeat);
   CHECK(write(entry(5, 11, true)).Changes.at(0).OnlyHeartbeat);
 }
+
+TEST(ServerList, AcceptsALaterStart) {
+  write(entry(5, 8));
+  LONGS_EQUAL(1, write(entry(6, 1)).Changes.size());
+  remove();
+  LONGS_EQUAL(1, write(entry(7, 1)).Changes.size());
+}
+
+// Failure: a server whose clock went back is left out after its restart.
+TEST(ServerList, AcceptsAStartWhoseClockWentBack) {
+  write(entry(5000, 8));
+  write(entry(1000, 1));
+  LONGS_EQUAL(1, write(entry(1000, 2)).Changes.size());
+  remove();
+  write(entry(500, 1));
+  LONGS_EQUAL(1, write(entry(500, 2)).Changes.size());
+}
+
+// Failure: the same, where the first entries were not read.
+TEST(ServerList, AcceptsEntriesThatSeemLateForLongerThanAnyWriteIsLate) {
+  write(entry(5000, 8));
+  uint64_t Heartbeat = 4;
+  for (; Heartbeat <= 11; ++Heartbeat) {
+    CHECK(write(entry(1000, Heartbeat)).Changes.empty());
+    advance(milliseconds(1100));
+  }
+  LONGS_EQUAL(1, write(entry(1000, Heartbeat)).Changes.size());
+}
+
+TEST(ServerList, AcceptsARemovedServerThatWritesOn) {
+  write(entry(5, 8));
+  remove();
+  LONGS_EQUAL(1, write(entry(5, 9)).Changes.size());
+}
+
+// Failure: a store that was restored from a copy brings servers back that were
+// removed or replaced, and newer entries are replaced by older ones.
+TEST(ServerList, IgnoresOldEntriesOfALaterEra) {
+  write(entry(5, 8));
+  write(entry(6, 1));
+  write(entry(6, 2, true));
+  List.replaceAll({{{2, 1}, "a", entry(5, 8)}}, {2, 1}, Removals::MayBeExpired,
+                  Now);
+  CHECK(*List.find("a") == entry(6, 2, true));
+  List.replaceAll({{{2, 2}, "a", entry(6, 1)}}, {2, 2}, Removals::MayBeExpired,
+                  Now);
+  CHECK(*List.find("a") == entry(6, 2, true));
+}
+
+// Failure: the memory for starts that have ended grows without bound.
+TEST(ServerList, BoundsTheMemoryForEndedStarts) {
+  for (int64_t Started = 1; Started <= 1000; ++Started)
+    write(entry(Started, 1));
+  CHECK(List.endedStarts() <= ServerListOptions().MaximumEndedStarts);
+  advance(milliseconds(31000));
+  List.forgetEnded(Now);
+  LONGS_EQUAL(0, List.endedStarts());
+  CHECK(List.find("a"));
+}
--- a/Tests/LibDispatch/TestStoreUpdate.cpp
+++ b/Tests/LibDispatch/TestStoreUpdate.cpp
@@ -6,6 +6,8 @@
 
 #include "LibDispatch/StoreUpdate.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -87,6 +89,39 @@
   CHECK(std::vector(First, Sent.Servers.Changes.end()) == Kept.Changes);
 }
 
+// Failure: a gateway that knows only old heartbeats takes a late write of a
+// removed server for a new one.
+TEST(StoreUpdate, TellsTheLastWriteOfARemovedServer) {
+  const ServerChange Timed{{3, 6}, "e", {}, LastWrite{Engine.Started, 42}};
+  const ServerChange Untimed{{3, 7}, "p", {}, LastWrite{std::nullopt, 7}};
+  const auto Decoded = decodeStoreUpdate(encodeStoreUpdate(
+      {"g1", {{3, 5}, {3, 7}, milliseconds(0), {Timed, Untimed}}, {}}));
+  CHECK(Decoded.has_value());
+  CHECK(Decoded.value().Servers.Changes == std::vector({Timed, Untimed}));
+}
+
+// Failure: gateways of two builds, which run beside each other in a roll,
+// reject each other's updates. Earlier builds read and write three items of a
+// change.
+TEST(StoreUpdate, IsUnderstoodByEarlierBuilds) {
+  using Json = nlohmann::json;
+  const ServerChange Removal{{3, 6}, "e", {}, LastWrite{Engine.Started, 42}};
+  const std::string Bytes = encodeStoreUpdate(
+      {"g1", {{3, 5}, {3, 6}, milliseconds(0), {Removal}}, {}});
+  Json Update = Json::from_cbor(Bytes);
+  Json &Change = Update.at(4).at(0);
+  LONGS_EQUAL(6, Change.at(0).get<uint64_t>());
+  STRCMP_EQUAL("e", Change.at(1).get<std::string>().c_str());
+  CHECK(Change.at(2).is_null());
+  Change.erase(3);
+  const std::vector<uint8_t> Earlier = Json::to_cbor(Update);
+  const auto Decoded =
+      decodeStoreUpdate(std::string(Earlier.begin(), Earlier.end()));
+  CHECK(Decoded.has_value());
+  CHECK(Decoded.value().Servers.Changes ==
+        std::vector<ServerChange>({{{3, 6}, "e", {}}}));
+}
+
 TEST(StoreUpdate, RejectsInvalidInput) {
   for (const char *Bytes : {"", "x", "\x83\x01\x02\x03", "\xa1"})
     CHECK(!decodeStoreUpdate(Bytes).has_value());
--- a/Tests/LibDispatch/TestTargetTable.cpp
+++ b/Tests/LibDispatch/TestTargetTable.cpp
@@ -35,7 +35,7 @@
     return applyRow({nextVersion(), Id, {}}, Now);
   }
   std::vector<TargetEvent> tick(BootTime Now) {
-    m_List.forgetRemoved(Now);
+    m_List.forgetEnded(Now);
     return TargetTable::tick(Now);
   }
 
@@ -47,8 +47,7 @@
   std::vector<TargetEvent> applyRow(const ServerChange &Row, BootTime Now) {
     recordStoreAnswer(Now);
     return apply(
-        m_List.applyChanges({Row}, Row.Version, removals(Now), Now).Changes,
-        Now);
+        m_List.applyRead({Row}, Row.Version, removals(Now), Now).Changes, Now);
   }
 
   ServerList m_List;
--- a/Tests/ServerEntries/TestServerEntries.cpp
+++ b/Tests/ServerEntries/TestServerEntries.cpp
@@ -1,7 +1,7 @@
 //===- TestServerEntries.cpp - Entries of servers that gateways read ------===//
 //
 // Two gateways, of which the first one reads the list of servers for both.
-// Entries lapse, or say less than the servers' answers.
+// Entries reach the store late, lapse, or say less than the servers' answers.
 //
 //===----------------------------------------------------------------------===//
 
@@ -28,6 +28,7 @@
 /// Servers that are listed again are used after this time.
 constexpr milliseconds UseTime{3000};
 constexpr milliseconds HeartbeatInterval{400};
+constexpr int64_t FirstStart = GatewayFixture::FirstStartTime;
 
 /// A server that writes its own entry.
 class Server {
@@ -41,15 +42,12 @@
 
   /// The next entry of this start, with the next heartbeat.
   std::string nextEntry() {
-    return nlohmann::json{{"service", "plain"},
-                          {"address", m_Listener.address().toString()},
-                          {"zone", "z"},
-                          {"version", "v1"},
-                          {"slots", 8},
-                          {"state", IsDraining ? "draining" : "ready"},
-                          {"coldRemainingMs", 0},
-                          {"sequence", ++m_Heartbeat},
-                          {"born", GatewayFixture::FirstStartTime}}
+    return nlohmann::json{
+        {"service", "plain"},   {"address", m_Listener.address().toString()},
+        {"zone", "z"},          {"version", "v1"},
+        {"slots", 8},           {"state", IsDraining ? "draining" : "ready"},
+        {"coldRemainingMs", 0}, {"sequence", ++m_Heartbeat},
+        {"born", m_Start}}
         .dump();
   }
   void write() { writeLate(nextEntry()); }
@@ -58,6 +56,12 @@
     m_Store.put("servers", m_Id, Entry);
   }
   void remove() { m_Store.remove("servers", m_Id); }
+  /// Begins another start, whose heartbeats count anew.
+  void restart(int64_t Start) {
+    m_Start = Start;
+    m_Heartbeat = 0;
+    write();
+  }
   /// Requests of the paths that start with \p Prefix, since \p From.
   size_t arrivals(const std::string &Prefix, Clock::time_point From) const {
     return static_cast<size_t>(std::count_if(
@@ -91,6 +95,7 @@
 
   StandInStore &m_Store;
   const std::string m_Id;
+  int64_t m_Start = FirstStart;
   uint64_t m_Heartbeat = 0;
   std::vector<Arrival> m_Arrivals;
   Listener m_Listener;
@@ -191,6 +196,57 @@
   expectNoMoreRequests(Leaving, Told, milliseconds(1500), true);
 }
 
+// Failure: a server that has left gets requests again, because two of its
+// writes are performed after its removal.
+TEST(ServerEntries, LateWritesBringNoRemovedServerBack) {
+  Server &Leaving = start(1, false);
+  const std::string Late[] = {Leaving.nextEntry(), Leaving.nextEntry()};
+  run(milliseconds(1000), [&] { sendToFirst(); });
+  Leaving.Beats = false;
+  Leaving.remove();
+  const auto Told = Clock::now();
+  run(DrainTime);
+  for (const std::string &Entry : Late) {
+    Leaving.writeLate(Entry);
+    run(milliseconds(1000), [&] { sendToFirst(); });
+  }
+  expectNoMoreRequests(Leaving, Told, milliseconds(500), false);
+}
+
+// Failure: the same with writes of the start before the last one.
+TEST(ServerEntries, LateWritesOfAnEarlierStartBringNoServerBack) {
+  Server &Leaving = start(1, false);
+  const std::string Late[] = {Leaving.nextEntry(), Leaving.nextEntry()};
+  Leaving.restart(FirstStart + 5000);
+  run(milliseconds(1500), [&] { sendToFirst(); });
+  Leaving.Beats = false;
+  Leaving.remove();
+  const auto Told = Clock::now();
+  run(DrainTime);
+  for (const std::string &Entry : Late) {
+    Leaving.writeLate(Entry);
+    run(milliseconds(1000), [&] { sendToFirst(); });
+  }
+  expectNoMoreRequests(Leaving, Told, milliseconds(500), false);
+}
+
+// Failure: a server that has left gets requests again from a gateway that knows
+// its first heartbeat only, as the gateway that read the others has ended.
+TEST(ServerEntries, ALateWriteBringsNoServerBackWhenTheReaderHasEnded) {
+  Server &Leaving = start(1, true);
+  run(milliseconds(500), [&] { sendToBoth(); });
+  const std::string Late = Leaving.nextEntry();
+  run(milliseconds(1000), [&] { sendToBoth(); });
+  Leaving.Beats = false;
+  Leaving.remove();
+  const auto Told = Clock::now();
+  run(milliseconds(600));
+  Fixture.killGateway();
+  run(milliseconds(1400));
+  Leaving.writeLate(Late);
+  expectNoMoreRequests(Leaving, Told, milliseconds(2500), true);
+}
+
 // Failure: a gateway sends nothing to servers whose entries expired in an
 // outage of the store, because the gateway that reads the list for it kept them
 // and so had nothing to tell when they were back.
@@ -214,6 +270,50 @@
   CHECK(Lapsing.arrivals("/safe/second", Later) > 0);
 }
 
+// Failure: a server that starts again is taken for its earlier start, and left
+// out.
+TEST(ServerEntries, AServerThatRestartsIsUsed) {
+  Server &Restarted = start(1, true);
+  Restarted.restart(FirstStart + 5000);
+  run(UseTime);
+  const auto Later = Clock::now();
+  run(milliseconds(1000), [&] { sendToBoth(); });
+  CHECK(Restarted.arrivals("/safe/first", Later) > 0);
+  CHECK(Restarted.arrivals("/safe/second", Later) > 0);
+}
+
+// Failure: the same, where the new start seems to be earlier, with the entry
+// replaced and with the entry removed before.
+TEST(ServerEntries, AServerWhoseClockWentBackIsUsed) {
+  Server &Restarted = start(1, true);
+  for (const int64_t Start : {FirstStart - 5000, FirstStart - 9000}) {
+    if (Start == FirstStart - 9000) {
+      Restarted.remove();
+      run(milliseconds(1200));
+    }
+    Restarted.restart(Start);
+    run(UseTime);
+    const auto Later = Clock::now();
+    run(milliseconds(1000), [&] { sendToBoth(); });
+    CHECK(Restarted.arrivals("/safe/first", Later) > 0);
+    CHECK(Restarted.arrivals("/safe/second", Later) > 0);
+  }
+}
+
+// Failure: a server whose entry was removed, and that goes on, is left out.
+TEST(ServerEntries, ARemovedServerThatWritesOnIsUsed) {
+  Server &Removed = start(1, true);
+  Removed.Beats = false;
+  Removed.remove();
+  run(milliseconds(1500));
+  Removed.Beats = true;
+  run(UseTime);
+  const auto Later = Clock::now();
+  run(milliseconds(1000), [&] { sendToBoth(); });
+  CHECK(Removed.arrivals("/safe/first", Later) > 0);
+  CHECK(Removed.arrivals("/safe/second", Later) > 0);
+}
+
 // Failure: a gateway that got no answer of a server which says that it leaves
 // goes on sending to it after its entry was removed.
 TEST(ServerEntries, AServerThatLeavesWithoutDrainingGetsNoMoreRequests) {
