Soak: Perform servers' writes late, and let entries lapse

The store performs three in ten of these writes 1 to 6 s later, also after the entry was removed or the server replaced; entries of all plain servers lapse while it is away; servers leave without having said so. Checked are DRAIN, also of servers whose entry was removed, and USED: servers that are listed again get requests from each gateway.

--- a/Tests/Soak/InvariantChecker.cpp
+++ b/Tests/Soak/InvariantChecker.cpp
@@ -36,6 +36,7 @@
   if (Request.Service != MovingService)
     m_Requests[Request.Service].push_back(Request.Sent);
   ++m_Counts["requests"];
+  countUnserved(Request);
 }
 
 bool InvariantChecker::isStable(const Times &LastTimes,
@@ -122,6 +123,9 @@
     recordRetry(Entry, Event, Now);
     checkRetryBudget(Event.Service, Now);
   }
+  if (const auto Found = m_Relisted.find(Entry.Request.Service);
+      Found != m_Relisted.end())
+    Found->second.Unserved[Entry.Request.Gateway] = 0;
   checkCrashes(Entry, Now);
   checkLimit(Entry, Event, Now);
   checkBackoff(Entry, Event, Now);
@@ -319,6 +323,25 @@
                       .count()));
 }
 
+void InvariantChecker::countUnserved(const Attempt &Request) {
+  const auto Found = m_Relisted.find(Request.Service);
+  if (Found == m_Relisted.end() ||
+      Request.Sent < Found->second.At + m_Bounds.UseBound)
+    return;
+  // A gateway that was disturbed, or that knows of a fault of the servers, may
+  // reject requests.
+  if (!isUndisturbed(Request.Gateway, Request.Sent) ||
+      !isStable(m_LastFaults, Servers, Request.Sent)) {
+    Found->second.Unserved[Request.Gateway] = 0;
+    return;
+  }
+  if (++Found->second.Unserved[Request.Gateway] == m_Bounds.RequestsUntilUse)
+    addViolation(fmt::format("USED: none of {} requests of {} for {} reached a "
+                             "server after the servers were listed again",
+                             m_Bounds.RequestsUntilUse, Request.Gateway,
+                             Request.Service));
+}
+
 void InvariantChecker::checkVersion(const Record &Entry, const Arrival &Event,
                                     BootTime Now) {
   // The service did not handle a request that its server rejected.
--- a/Tests/Soak/InvariantChecker.h
+++ b/Tests/Soak/InvariantChecker.h
@@ -125,6 +125,11 @@
   /// From the write of an answer until its gateway has read it. A fault of the
   /// link in this time may lose it.
   std::chrono::milliseconds AnswerTime{100};
+  /// From the return of servers to the list until each gateway uses them, as
+  /// DrainBound; and the requests of a gateway after it, one of which has to
+  /// reach a server.
+  std::chrono::milliseconds UseBound{3600};
+  unsigned RequestsUntilUse = 20;
   /// Maximum time from SIGHUP until a gateway has read its settings.
   std::chrono::milliseconds ReloadSlack{200};
 };
@@ -173,6 +178,10 @@
   void recordRestart(const std::string &Gateway);
   void recordDrain(const std::string &Server, BootTime Now);
   void removeDrain(const std::string &Server) { m_DrainStarts.erase(Server); }
+  /// All servers of the service are listed again after they had lapsed.
+  void expectUse(const std::string &Service, BootTime Now) {
+    m_Relisted[Service] = {Now, {}};
+  }
   /// \p Version of the configuration sends the moving route to \p Service.
   void recordConfiguration(uint64_t Version, const std::string &Service,
                            BootTime Now);
@@ -254,6 +263,13 @@
     auto operator<=>(const ServerAndGateway &) const = default;
   };
 
+  /// Servers that are listed again, and by gateway the requests since UseBound
+  /// of which none has reached a server.
+  struct Relisted {
+    BootTime At{};
+    std::map<std::string, unsigned> Unserved;
+  };
+
   using Times = std::map<std::string, BootTime>;
   bool isStable(const Times &LastTimes, const std::string &Gateway,
                 BootTime Now) const;
@@ -272,6 +288,7 @@
   bool mayHaveBeenHeldUp(const std::string &Gateway, BootTime Now) const;
   void checkBackoff(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkLeaving(const Record &Entry, const Arrival &Event, BootTime Now);
+  void countUnserved(const Attempt &Request);
   void checkDrain(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkVersion(const Record &Entry, const Arrival &Event, BootTime Now);
   void checkBody(const Outcome &Result);
@@ -290,6 +307,7 @@
   Times m_PlannedChanges;
   std::map<std::string, Stop> m_Stops;
   Times m_DrainStarts;
+  std::map<std::string, Relisted> m_Relisted;
   std::deque<Version> m_Versions;
   std::map<std::string, ServedVersion> m_ServedVersions;
   std::map<std::string, std::deque<BootTime>> m_Requests;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -7,6 +7,7 @@
 
 #include "EndedServers.h"
 #include "FaultInjector.h"
+#include "LateEntries.h"
 #include "OddEntries.h"
 #include "OutOfStep.h"
 
@@ -56,6 +57,8 @@
   bool IsOutOfStep = false;
   /// Other writers leave odd rows in the store.
   bool OddEntries = false;
+  /// Writes of servers are performed late, and entries lapse or go.
+  bool LateEntries = false;
   /// Callers send requests that may run only once and may outlast every grace.
   bool SlowRequests = false;
   /// Answers of servers are broken, and callers send long uploads.
@@ -99,6 +102,8 @@
       m_EndedServers->delaySuccessors();
     if (m_Options.OddEntries)
       m_OddEntries.emplace(Fleet.store(), m_Seed);
+    if (m_Options.LateEntries)
+      m_LateEntries.emplace(Fleet, m_Checker, m_Seed);
     std::vector<std::unique_ptr<SoakCaller>> Callers;
     for (unsigned I = 0; I < m_Options.Callers; ++I) {
       Callers.push_back(std::make_unique<SoakCaller>(
@@ -142,6 +147,9 @@
       History.insert(History.end(), Fleet.endedServers().begin(),
                      Fleet.endedServers().end());
     }
+    if (m_LateEntries)
+      History.insert(History.end(), m_LateEntries->history().begin(),
+                     m_LateEntries->history().end());
     return report(History);
   }
 
@@ -182,6 +190,8 @@
       Fleet.tick(Now);
       if (m_OddEntries)
         m_OddEntries->tick(Now);
+      if (m_LateEntries)
+        m_LateEntries->tick(Now, AllowFaults && !Faults.isActive("store"));
       recordStall(Now, milliseconds(0));
       m_Loop.run_for(TickInterval);
       recordStall(Now, TickInterval);
@@ -204,7 +214,8 @@
     runUntil(Fleet, Faults, false, StopLimit, [&] {
       return Faults.calm() && Fleet.allRunning() &&
              (!m_OutOfStep || m_OutOfStep->calm()) &&
-             (!m_EndedServers || m_EndedServers->calm());
+             (!m_EndedServers || m_EndedServers->calm()) &&
+             (!m_LateEntries || m_LateEntries->calm());
     });
     uint64_t SuccessCount = 0;
     uint64_t RequestCount = 0;
@@ -268,6 +279,7 @@
   /// Null without such faults.
   std::unique_ptr<OutOfStep> m_OutOfStep;
   std::optional<OddEntries> m_OddEntries;
+  std::optional<LateEntries> m_LateEntries;
   std::optional<EndedServers> m_EndedServers;
   milliseconds m_LongestStall{0};
 };
@@ -312,6 +324,8 @@
   Add("out-of-step", "gateways do not hear of a software version that comes, "
                      "and the others are killed");
   Add("odd-entries", "other writers leave odd rows in the store");
+  Add("late-entries", "writes of servers are performed late, entries lapse "
+                      "while the store is away, and servers leave unannounced");
   Add("slow-requests", "callers send requests that may run only once and may "
                        "outlast every grace");
   Add("broken-answers", "answers have a status that is none, and long uploads "
@@ -339,6 +353,7 @@
   RunOptions.Interrupted = Parsed.count("interrupted") > 0;
   RunOptions.IsOutOfStep = Parsed.count("out-of-step") > 0;
   RunOptions.OddEntries = Parsed.count("odd-entries") > 0;
+  RunOptions.LateEntries = Parsed.count("late-entries") > 0;
   RunOptions.SlowRequests = Parsed.count("slow-requests") > 0;
   RunOptions.BrokenAnswers = Parsed.count("broken-answers") > 0;
   RunOptions.DelayedSuccessors = Parsed.count("delayed-successors") > 0;
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -102,6 +102,34 @@
   /// The server says that it is shutting down in its responses, but publishes
   /// nothing.
   void leave(unsigned Index);
+  /// Removes the entry of the server, which serves on and writes no more.
+  void withdraw(unsigned Index);
+  /// \name Entries, for writes that other faults delay.
+  /// @{
+  /// Writes the entry of the server as published last, with the next heartbeat.
+  void beat(unsigned Index);
+  /// The entry that beat() would write; its heartbeat counts as used.
+  std::string nextEntry(unsigned Index);
+  /// Whether the server writes its entry.
+  bool isListed(unsigned Index) {
+    return !m_ServerIncarnations[Index].State.empty();
+  }
+  /// The same for a server that runs now.
+  bool isListed(const std::string &Id);
+  bool isReady(unsigned Index) {
+    return m_ServerIncarnations[Index].State == "ready" &&
+           !m_ServerIncarnations[Index].Draining &&
+           !m_Servers[Index]->hasEnded();
+  }
+  bool isPlain(unsigned Index) const {
+    return m_Servers[Index]->service() == "plain";
+  }
+  const std::string &serverId(unsigned Index) const {
+    return m_Servers[Index]->id();
+  }
+  /// Processes of gateways that have been started so far.
+  unsigned gatewayStarts() const;
+  /// @}
   /// After the store was restored from a copy: writes the entries of servers
   /// and the configuration again, and removes entries of servers that no longer
   /// run.
@@ -172,6 +200,8 @@
     uint64_t Heartbeats = 0;
     /// It was drained and accepts no more work under this id.
     bool Draining = false;
+    /// Published last; empty if the entry was removed.
+    std::string State = {};
   };
   std::map<unsigned, Incarnation> m_ServerIncarnations;
   unsigned m_IncarnationCount = 0;
--- a/Tests/Soak/SoakFleetServers.cpp
+++ b/Tests/Soak/SoakFleetServers.cpp
@@ -28,6 +28,15 @@
 } // namespace
 
 void SoakFleet::publish(unsigned ServerIndex, const std::string &State) {
+  m_ServerIncarnations[ServerIndex].State = State;
+  beat(ServerIndex);
+}
+
+void SoakFleet::beat(unsigned Index) {
+  m_Store.put("servers", m_Servers[Index]->id(), nextEntry(Index));
+}
+
+std::string SoakFleet::nextEntry(unsigned ServerIndex) {
   const SoakServer &Server = *m_Servers[ServerIndex];
   Json Row = {{"service", Server.service()},
               {"address", (m_ServersEnd ? Server.address()
@@ -37,13 +46,27 @@
               {"zone", "z"},
               {"version", Server.version()},
               {"slots", Server.slots() > 0 ? Server.slots() : ListedSlots},
-              {"state", State},
+              {"state", m_ServerIncarnations[ServerIndex].State},
               {"coldRemainingMs", 0},
               {"sequence", ++m_ServerIncarnations[ServerIndex].Heartbeats},
               {"born", m_ServerIncarnations[ServerIndex].Started}};
   if (!Server.stage().empty())
     Row["stage"] = Server.stage();
-  m_Store.put("servers", Server.id(), Row.dump());
+  return Row.dump();
+}
+
+bool SoakFleet::isListed(const std::string &Id) {
+  for (unsigned I = 0; I < m_Servers.size(); ++I)
+    if (m_Servers[I]->id() == Id)
+      return isListed(I);
+  return false;
+}
+
+unsigned SoakFleet::gatewayStarts() const {
+  unsigned Count = 0;
+  for (const Gateway &Each : m_Gateways)
+    Count += Each.Starts;
+  return Count;
 }
 
 void SoakFleet::scheduleReplacement(unsigned Index) {
@@ -127,6 +150,14 @@
   publish(Index, "draining");
 }
 
+void SoakFleet::withdraw(unsigned Index) {
+  const std::string &Id = m_Servers[Index]->id();
+  m_Checker.recordDrain(Id, BootClock::now());
+  m_ServerIncarnations[Index].Draining = true;
+  m_ServerIncarnations[Index].State.clear();
+  m_Store.remove("servers", Id);
+}
+
 void SoakFleet::leave(unsigned Index) {
   m_Servers[Index]->leave();
   m_ServerIncarnations[Index].Draining = true;
--- a/Tests/Soak/TestInvariantChecker.cpp
+++ b/Tests/Soak/TestInvariantChecker.cpp
@@ -181,6 +181,26 @@
   expectViolation("DRAIN");
 }
 
+TEST(InvariantChecker, ServersThatAreListedAgainAreUsedByEachGateway) {
+  const auto SendUnserved = [&](unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I)
+      recordRequest("unserved", Repeatable::Yes);
+  };
+  Checker.expectUse("plain", Now);
+  SendUnserved(100);
+  Now += seconds(4);
+  SendUnserved(18);
+  recordRequest("a", Repeatable::Yes);
+  recordArrival("a");
+  SendUnserved(19);
+  Checker.recordFault("g1", Now);
+  SendUnserved(100);
+  expectNoViolation();
+  Now += seconds(4);
+  SendUnserved(20);
+  expectViolation("USED");
+}
+
 TEST(InvariantChecker, ConfigurationIsActiveAfterTheBound) {
   Checker.recordConfiguration(1, "moving-1", Now);
   Checker.recordConfiguration(2, "moving-2", Now);
