LibDispatch: Trust higher heartbeats once no write can be late

A gateway that knows old heartbeats only took a removed server that came back for a late write until such entries had gone on for 8 s, also long after the removal. A late write was called before it, so 8 s after the removal (6 s of a write, 2 s until a change is known) a higher heartbeat shows a server that runs. Not so in another era: a copy of the store lists what had been removed.

--- a/Libraries/LibDispatch/ServerList.cpp
+++ b/Libraries/LibDispatch/ServerList.cpp
@@ -43,9 +43,10 @@
 }
 
 std::optional<LateReason> ServerList::findLateReason(const EndedStart &Ended,
-                                                     const Target &Entry,
+                                                     const ServerChange &Row,
                                                      Source From,
                                                      BootTime Now) const {
+  const Target &Entry = *Row.Entry;
   // The peer has seen that the server runs.
   if (From == Source::Announced &&
       Now - Ended.EndedAt >= m_Options.MaximumWriteDelay)
@@ -56,15 +57,18 @@
     return std::nullopt;
   if (Entry.Heartbeat == Ended.Heartbeat)
     return LateReason::EndedStart;
-  if (From == Source::Read && !Ended.IsLastWriteKnown)
+  const bool MayBeLate = Now - Ended.EndedAt <= timeUntilNoneIsLate() ||
+                         Row.Version.Era != Ended.LastVersion.Era;
+  if (From == Source::Read && !Ended.IsLastWriteKnown && MayBeLate)
     return LateReason::UnknownLastWrite;
   return std::nullopt;
 }
 
 std::optional<LateReason> ServerList::findLateReason(const Server &Known,
-                                                     const Target &Entry,
+                                                     const ServerChange &Row,
                                                      Source From,
                                                      BootTime Now) const {
+  const Target &Entry = *Row.Entry;
   if (Known.Listed && Known.Listed->Started == Entry.Started) {
     // Without a start time, a restart is told by its heartbeats alone.
     const bool MayHaveRestarted =
@@ -75,7 +79,7 @@
   }
   for (const EndedStart &Ended : Known.Ended)
     if (Ended.Started == Entry.Started)
-      return findLateReason(Ended, Entry, From, Now);
+      return findLateReason(Ended, Row, From, Now);
   if (From == Source::Announced || (!Known.Listed && Known.Ended.empty()))
     return std::nullopt;
   const std::optional<StartTime> &Last =
@@ -106,8 +110,7 @@
   if (!isKnownStart(Known, Entry.Started) &&
       Known.Suspected->FirstHeartbeat <= FirstHeartbeat)
     return true;
-  return Now - Known.Suspected->Since >
-         m_Options.MaximumWriteDelay + m_Options.DiscoveryTime;
+  return Now - Known.Suspected->Since > timeUntilNoneIsLate();
 }
 
 void ServerList::end(Server &Known, EndedStart Ended) const {
@@ -141,7 +144,7 @@
 void ServerList::applyEntry(Server &Known, const ServerChange &Row, Source From,
                             BootTime Now, ListUpdate &Out) {
   const Target &Entry = *Row.Entry;
-  const auto Late = findLateReason(Known, Entry, From, Now);
+  const auto Late = findLateReason(Known, Row, From, Now);
   if (!Late || (From == Source::Read && isRunning(Known, Entry, Now)))
     return accept(Known, Row, Now, Out);
   if (From == Source::Read)
--- a/Libraries/LibDispatch/ServerList.h
+++ b/Libraries/LibDispatch/ServerList.h
@@ -173,11 +173,16 @@
   void learnLastWrite(const ServerChange &Removal);
   /// Why \p Entry looks older than what is known, if it does.
   std::optional<LateReason> findLateReason(const Server &Known,
-                                           const Target &Entry, Source From,
+                                           const ServerChange &Row, Source From,
                                            BootTime Now) const;
   std::optional<LateReason> findLateReason(const EndedStart &Ended,
-                                           const Target &Entry, Source From,
+                                           const ServerChange &Row, Source From,
                                            BootTime Now) const;
+  /// From the end of a start, as known here, until none of its writes can be
+  /// late any more.
+  std::chrono::milliseconds timeUntilNoneIsLate() const {
+    return m_Options.MaximumWriteDelay + m_Options.DiscoveryTime;
+  }
   /// Whether entries that look older than what is known come from a server that
   /// runs.
   bool isRunning(Server &Known, const Target &Entry, BootTime Now) const;
--- a/Tests/LibDispatch/TestServerList.cpp
+++ b/Tests/LibDispatch/TestServerList.cpp
@@ -191,6 +191,27 @@
   CHECK(Update.Late.at(0).Reason == LateReason::UnknownLastWrite);
 }
 
+// Failure: a store that was restored from a copy brings a server back whose
+// last heartbeat is not known.
+TEST(ServerList, IgnoresACopyWithAHigherHeartbeatThanIsKnown) {
+  write(entry(5, 1));
+  announce({});
+  remove();
+  advance(milliseconds(8100));
+  List.replaceAll({{{2, 1}, "a", entry(5, 8)}}, {2, 1}, Removals::Ended, Now);
+  CHECK(!List.find("a"));
+}
+
+// Failure: a gateway that knows old heartbeats only leaves out a server that is
+// listed again long after its removal.
+TEST(ServerList, AcceptsAServerThatIsListedAgainLongAfterItsRemoval) {
+  write(entry(5, 1));
+  announce({});
+  remove();
+  advance(milliseconds(8100));
+  LONGS_EQUAL(1, write(entry(5, 8)).Changes.size());
+}
+
 // Failure: a gateway that knows old heartbeats only leaves out a server that
 // writes on after its entry was removed.
 TEST(ServerList, AcceptsHigherHeartbeatsThanTheAnnouncedLastOne) {
