LibDispatch: Take no late write from a peer without memory

Six seconds after a removal an announced entry was believed whatever its heartbeat. A gateway that has just started remembers no removal; it could read a late write at that moment and announce it, and all gateways would send to a server that has left. The time is now the one after which no write can be late and known late (8 s), as for entries that are read. IgnoresALateWriteThatAPeerAnnounces failed before.

Besides, a server of which a late write was the last trace is forgotten when a full read shows its row gone; its removal may not have been read.

--- a/Libraries/LibDispatch/ServerList.cpp
+++ b/Libraries/LibDispatch/ServerList.cpp
@@ -47,9 +47,9 @@
                                                      Source From,
                                                      BootTime Now) const {
   const Target &Entry = *Row.Entry;
-  // The peer has seen that the server runs.
-  if (From == Source::Announced &&
-      Now - Ended.EndedAt >= m_Options.MaximumWriteDelay)
+  // The peer has seen that the server runs. Before that time, it may be a peer
+  // that has just started and takes a late write for an entry.
+  if (From == Source::Announced && Now - Ended.EndedAt > timeUntilNoneIsLate())
     return std::nullopt;
   if (!Ended.WasRemoved || Entry.Heartbeat < Ended.Heartbeat)
     return LateReason::EndedStart;
@@ -210,9 +210,14 @@
       applyEntry(Known, Row, Source::Read, Now, Out);
     Known.ReadUpTo = Version;
   }
-  for (auto &[Id, Known] : m_Servers)
-    if (Known.Listed && !Present.contains(Id) && Known.Version <= Version)
+  for (auto &[Id, Known] : m_Servers) {
+    if (Present.contains(Id) || Known.Version > Version)
+      continue;
+    if (Known.Listed)
       remove(Known, {Version, Id, {}, {}}, Source::Read, Kind, Now, Out);
+    else
+      Known.Version = Version;
+  }
   m_Version = Version;
   return Out;
 }
--- a/Tests/LibDispatch/TestServerList.cpp
+++ b/Tests/LibDispatch/TestServerList.cpp
@@ -248,6 +248,21 @@
   LONGS_EQUAL(1, announce({row(Version, entry(5, 9))}).Changes.size());
 }
 
+// Failure: all gateways use a server that has left, because one that has just
+// started, and so remembers nothing, announces its late write.
+TEST(ServerList, IgnoresALateWriteThatAPeerAnnounces) {
+  write(entry(5, 8));
+  remove();
+  const uint64_t Late = ++Version;
+  for (const milliseconds Time : {milliseconds(500), milliseconds(6500)}) {
+    advance(Time);
+    CHECK(announce({row(Late, entry(5, 7))}).Changes.empty());
+  }
+  // By then the peer has seen more than a late write.
+  advance(milliseconds(2000));
+  LONGS_EQUAL(1, announce({row(Late, entry(5, 7))}).Changes.size());
+}
+
 // Failure: a removal does not tell the last heartbeat, or tells one that this
 // process does not know.
 TEST(ServerList, TellsTheLastWriteOnlyIfAllWereRead) {
