--- a/Tests/LibDispatch/TestServerList.cpp
+++ b/Tests/LibDispatch/TestServerList.cpp
@@ -263,8 +263,8 @@
   LONGS_EQUAL(1, announce({row(Late, entry(5, 7))}).Changes.size());
 }
 
-// Failure: a removal does not tell the last heartbeat, or tells one that this
-// process does not know.
+// Failure: a removal is announced without its last heartbeat, or with one that
+// this process does not know.
 TEST(ServerList, TellsTheLastWriteOnlyIfAllWereRead) {
   write(entry(5, 1));
   write(entry(5, 2));
